Add design, interfaces between parts, and peer connections

Cause: the project starts from nothing; every part needs the same types first. Before: no code. Conclusion: interfaces are fixed enough for parts to be written side by side.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+
+# The checkout's own packages come first, so that several checkouts can share one environment.
+export PYTHONPATH := $(CURDIR)/packages/core:$(CURDIR)/packages/daemon:$(CURDIR)/packages/cli:$(CURDIR)/packages/bench
+
+.PHONY: test check demo measure format
+
+$(VENV)/installed: requirements.txt $(wildcard packages/*/pyproject.toml)
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check --requirement requirements.txt
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation $(foreach p,core daemon cli bench,--editable packages/$(p))
+	touch $@
+
+test: $(VENV)/installed
+	$(MAKE) --no-print-directory check
+
+check:
+	$(BIN)/black --check --quiet packages
+	$(BIN)/ruff check packages
+	$(BIN)/mypy
+	$(BIN)/pytest
+
+format: $(VENV)/installed
+	$(BIN)/black --quiet packages
+	$(BIN)/ruff check --fix packages
+
+demo: $(VENV)/installed
+	$(BIN)/python -m gypsumpost_bench.demo
+
+measure: $(VENV)/installed
+	$(BIN)/python -m gypsumpost_bench.measure
--- /dev/null
+++ b/packages/bench/gypsumpost_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, demonstration and experiments."""
--- /dev/null
+++ b/packages/bench/gypsumpost_bench/experiment.py
@@ -0,0 +1,8 @@
+"""Registry of experiments."""
+
+from gypsumpost_core.registry import Registry
+
+from gypsumpost_bench.experiment_row import ExperimentRow
+
+EXPERIMENTS: Registry[list[ExperimentRow]] = Registry(behaviour="experiment")
+"""Each entry is a function ``run(*, quick: bool) -> list[ExperimentRow]``."""
--- /dev/null
+++ b/packages/cli/gypsumpost_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line for callers, operators and measurement."""
--- /dev/null
+++ b/packages/core/gypsumpost_core/__init__.py
@@ -0,0 +1,1 @@
+"""Decision logic of gypsumpost without sockets or clocks."""
--- /dev/null
+++ b/packages/core/gypsumpost_core/endpoint.py
@@ -0,0 +1,31 @@
+"""A back end that runs requests."""
+
+import attrs
+
+from gypsumpost_core.endpoint_kind import EndpointKind
+from gypsumpost_core.endpoint_status import EndpointStatus
+from gypsumpost_core.model_ref import ModelRef
+
+
+@attrs.frozen(kw_only=True)
+class Endpoint:
+    """A model engine or a plain service.
+
+    :param name: unique name within the deployment.
+    :param kind: engine or service.
+    :param address: ``host:port`` of its HTTP interface.
+    :param failure_domain: name of the failure domain it stands in.
+    :param status: whether it may receive new work.
+    :param models: what an engine has loaded.
+    :param service: name of the service that a plain service provides, empty for an engine.
+    :param checks_fencing: true if it refuses an order that carries an old fencing token.
+    """
+
+    name: str
+    kind: EndpointKind
+    address: str
+    failure_domain: str
+    status: EndpointStatus = EndpointStatus.LIVE
+    models: tuple[ModelRef, ...] = ()
+    service: str = ""
+    checks_fencing: bool = False
--- /dev/null
+++ b/packages/core/gypsumpost_core/run_state.py
@@ -0,0 +1,14 @@
+"""What is known about the execution of a request."""
+
+import enum
+
+
+class RunState(enum.Enum):
+    """Whether a request reached an endpoint.
+
+    ``NOT_RUN`` is a promise: it is used only where it is certain that no endpoint ran the request.
+    """
+
+    NOT_RUN = "not_run"
+    RUN = "run"
+    UNKNOWN = "unknown"
--- /dev/null
+++ b/packages/core/gypsumpost_core/setting.py
@@ -0,0 +1,38 @@
+"""Description of one setting."""
+
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+
+
+@attrs.frozen(kw_only=True)
+class Setting:
+    """What the command line and the documentation say about a setting.
+
+    :param unit: unit of the value, for example ``seconds``; empty if it has none.
+    :param help: one sentence on what the setting does.
+    :param accepted: description of the accepted values, used in error messages.
+    :param parse: turns the text of a flag or environment variable into the value and raises
+        ``ValueError`` or ``KeyError`` for a text that is not accepted.
+    """
+
+    unit: str
+    help: str
+    accepted: str
+    parse: Callable[[str], Any]
+
+
+def define_setting(
+    *, default: Any, help: str, accepted: str, parse: Callable[[str], Any] = str, unit: str = ""
+) -> Any:
+    """Define a field of a settings class.
+
+    :param default: the value as text, as a person would write it on the command line.
+    :param help: see :class:`Setting`.
+    :param accepted: see :class:`Setting`.
+    :param parse: see :class:`Setting`.
+    :param unit: see :class:`Setting`.
+    """
+    setting = Setting(unit=unit, help=help, accepted=accepted, parse=parse)
+    return attrs.field(default=parse(default), metadata={"setting": setting, "default": default})
--- /dev/null
+++ b/packages/core/gypsumpost_core/setting_parsers.py
@@ -0,0 +1,84 @@
+"""Parsers of setting values, each with the description of what it accepts."""
+
+import ipaddress
+import math
+import re
+from collections.abc import Callable
+
+NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9-]{0,62}")
+
+
+def parse_name(text: str) -> str:
+    """Parse a name of letters, digits and hyphens.
+
+    :param text: the value as text.
+    """
+    if not NAME_PATTERN.fullmatch(text):
+        raise ValueError(text)
+    return text
+
+
+def parse_address(text: str) -> str:
+    """Parse ``ip:port``, with an IPv6 address in brackets.
+
+    :param text: the value as text.
+    """
+    ip, _, port = text.rpartition(":")
+    ipaddress.ip_address(ip.strip("[]"))
+    if not 0 <= int(port) <= 65535:
+        raise ValueError(text)
+    return text
+
+
+def parse_optional_address(text: str) -> str:
+    """Parse ``ip:port`` or the empty text.
+
+    :param text: the value as text.
+    """
+    return parse_address(text) if text else text
+
+
+def parse_number(minimum: float, maximum: float = math.inf) -> Callable[[str], float]:
+    """Return a parser of numbers within bounds.
+
+    :param minimum: lowest accepted value.
+    :param maximum: highest accepted value.
+    """
+
+    def parse(text: str) -> float:
+        value = float(text)
+        if not minimum <= value <= maximum:
+            raise ValueError(text)
+        return value
+
+    return parse
+
+
+def parse_integer(minimum: int, maximum: int) -> Callable[[str], int]:
+    """Return a parser of whole numbers within bounds.
+
+    :param minimum: lowest accepted value.
+    :param maximum: highest accepted value.
+    """
+
+    def parse(text: str) -> int:
+        value = int(text)
+        if not minimum <= value <= maximum:
+            raise ValueError(text)
+        return value
+
+    return parse
+
+
+def parse_choice(names: tuple[str, ...]) -> Callable[[str], str]:
+    """Return a parser that accepts one of the given names.
+
+    :param names: accepted names.
+    """
+
+    def parse(text: str) -> str:
+        if text not in names:
+            raise ValueError(text)
+        return text
+
+    return parse
--- /dev/null
+++ b/packages/core/gypsumpost_core/settings_reader.py
@@ -0,0 +1,61 @@
+"""Reads a settings class from flags and environment variables."""
+
+from collections.abc import Mapping
+from typing import Any, TypeVar
+
+import attrs
+from result import Err, Ok, Result
+
+from gypsumpost_core.setting import Setting
+
+ENVIRONMENT_PREFIX = "GYPSUMPOST_"
+
+S = TypeVar("S")
+
+
+def name_flag(field_name: str) -> str:
+    """Return the command-line flag of a settings field.
+
+    :param field_name: name of the field.
+    """
+    return "--" + field_name.replace("_", "-")
+
+
+def name_variable(field_name: str) -> str:
+    """Return the environment variable of a settings field.
+
+    :param field_name: name of the field.
+    """
+    return ENVIRONMENT_PREFIX + field_name.upper()
+
+
+def read_settings(
+    settings_class: type[S], flags: Mapping[str, str | None], environment: Mapping[str, str]
+) -> Result[S, list[str]]:
+    """Build settings; a flag goes before its environment variable, which goes before the default.
+
+    :param settings_class: attrs class whose fields come from ``define_setting``.
+    :param flags: field name to the flag's text, ``None`` for a flag that was not given.
+    :param environment: the process's environment variables.
+    :returns: the settings, or a message for each wrong setting.
+    """
+    values: dict[str, Any] = {}
+    errors: list[str] = []
+    for field in attrs.fields(settings_class):  # type: ignore[arg-type]
+        text, source = _find_text(field.name, flags, environment)
+        if text is None:
+            continue
+        setting: Setting = field.metadata["setting"]
+        try:
+            values[field.name] = setting.parse(text)
+        except (ValueError, KeyError):
+            errors.append(f"{source}: {text!r} is not accepted; accepted: {setting.accepted}")
+    return Err(errors) if errors else Ok(settings_class(**values))
+
+
+def _find_text(
+    name: str, flags: Mapping[str, str | None], environment: Mapping[str, str]
+) -> tuple[str | None, str]:
+    if flags.get(name) is not None:
+        return flags[name], name_flag(name)
+    return environment.get(name_variable(name)), name_variable(name)
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon of an entry host."""
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/host_directory.py
@@ -0,0 +1,69 @@
+"""The hosts that this daemon knows."""
+
+from collections.abc import Callable
+
+from gypsumpost_core.host import Host
+
+
+class HostDirectory:
+    """Addresses and liveness of the entry hosts.
+
+    The membership task writes it; all other parts read it.
+
+    :param own: this host.
+    """
+
+    def __init__(self, *, own: Host) -> None:
+        self.own = own
+        self._known: dict[str, Host] = {own.host_id: own}
+        self._live: set[str] = {own.host_id}
+        self._listeners: list[Callable[[Host, bool], None]] = []
+
+    def update(self, host: Host, live: bool) -> None:
+        """Add a host or change its liveness.
+
+        :param host: the host.
+        :param live: true unless membership holds the host for dead or gone.
+        """
+        before = host.host_id in self._live
+        self._known[host.host_id] = host
+        if live:
+            self._live.add(host.host_id)
+        else:
+            self._live.discard(host.host_id)
+        if before != live:
+            for listener in self._listeners:
+                listener(host, live)
+
+    def listen(self, listener: Callable[[Host, bool], None]) -> None:
+        """Call a function at each change of a host's liveness.
+
+        :param listener: called with the host and its new liveness; must not block.
+        """
+        self._listeners.append(listener)
+
+    def get(self, host_id: str) -> Host | None:
+        """Return a known host, live or not.
+
+        :param host_id: name of the host.
+        """
+        return self._known.get(host_id)
+
+    def is_live(self, host_id: str) -> bool:
+        """Return whether a host is held for live.
+
+        :param host_id: name of the host.
+        """
+        return host_id in self._live
+
+    def list_live(self) -> list[Host]:
+        """Return all live hosts, this one included."""
+        return [self._known[host_id] for host_id in sorted(self._live)]
+
+    def list_known(self) -> list[Host]:
+        """Return all known hosts, live or not."""
+        return [self._known[host_id] for host_id in sorted(self._known)]
+
+    def list_peers(self) -> list[Host]:
+        """Return the live hosts other than this one."""
+        return [host for host in self.list_live() if host.host_id != self.own.host_id]
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/peer_failure.py
@@ -0,0 +1,17 @@
+"""Failure of a request to another daemon."""
+
+import attrs
+
+
+@attrs.frozen(kw_only=True)
+class PeerFailure:
+    """Why no reply came from a peer.
+
+    :param host_id: the peer.
+    :param reason: a short description.
+    :param sent: true if the request may have reached the peer.
+    """
+
+    host_id: str
+    reason: str
+    sent: bool
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/peer_handshake.py
@@ -0,0 +1,86 @@
+"""Mutual authentication at the start of a peer connection."""
+
+import hashlib
+import hmac
+import secrets
+
+import orjson
+import trio
+from result import Err, Ok, Result
+
+NONCE_BYTES = 16
+MAX_LINE_BYTES = 1024
+HANDSHAKE_SECONDS = 2.0
+
+
+class PeerHandshake:
+    """Proves to each side that the other knows the shared key.
+
+    :param host_id: name of this host.
+    :param key: the shared key of the deployment.
+    """
+
+    def __init__(self, *, host_id: str, key: bytes) -> None:
+        self._host_id = host_id
+        self._key = key
+
+    async def connect(self, stream: trio.abc.Stream, expected: str) -> Result[None, str]:
+        """Run the connecting side.
+
+        :param stream: the new connection.
+        :param expected: the host that the connection is meant for.
+        """
+        nonce = secrets.token_hex(NONCE_BYTES)
+        await stream.send_all(_encode_line(host_id=self._host_id, nonce=nonce))
+        hello = await _receive_line(stream)
+        if hello is None:
+            return Err("the handshake ended early")
+        ids = (self._host_id, expected, nonce, hello.get("nonce", ""))
+        if not hmac.compare_digest(hello.get("mac", ""), self._sign("accept", *ids)):
+            return Err(f"{expected} did not prove that it knows the shared key")
+        await stream.send_all(_encode_line(mac=self._sign("connect", *ids)))
+        return Ok(None)
+
+    async def accept(self, stream: trio.abc.Stream) -> Result[str, str]:
+        """Run the accepting side.
+
+        :param stream: the new connection.
+        :returns: the name of the connecting host.
+        """
+        hello = await _receive_line(stream)
+        if hello is None:
+            return Err("the handshake ended early")
+        nonce = secrets.token_hex(NONCE_BYTES)
+        ids = (hello.get("host_id", ""), self._host_id, hello.get("nonce", ""), nonce)
+        await stream.send_all(_encode_line(nonce=nonce, mac=self._sign("accept", *ids)))
+        proof = await _receive_line(stream)
+        if proof is None:
+            return Err("the handshake ended early")
+        if not hmac.compare_digest(proof.get("mac", ""), self._sign("connect", *ids)):
+            return Err("the connecting host did not prove that it knows the shared key")
+        return Ok(ids[0])
+
+    def _sign(self, *parts: str) -> str:
+        return hmac.new(self._key, "\n".join(parts).encode(), hashlib.sha256).hexdigest()
+
+
+def _encode_line(**fields: str) -> bytes:
+    return orjson.dumps(fields) + b"\n"
+
+
+async def _receive_line(stream: trio.abc.Stream) -> dict[str, str] | None:
+    # The peer waits for an answer after each line, so nothing can follow a line early.
+    line = b""
+    with trio.move_on_after(HANDSHAKE_SECONDS):
+        while not line.endswith(b"\n") and len(line) < MAX_LINE_BYTES:
+            data = await stream.receive_some(MAX_LINE_BYTES)
+            if not data:
+                return None
+            line += data
+    try:
+        fields = orjson.loads(line)
+    except orjson.JSONDecodeError:
+        return None
+    if not isinstance(fields, dict):
+        return None
+    return {str(name): str(value) for name, value in fields.items()}
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/peer_network.py
@@ -0,0 +1,139 @@
+"""Requests between daemons over authenticated TCP connections."""
+
+import time
+from collections.abc import Awaitable, Callable
+
+import trio
+from result import Err, Ok, Result
+
+from gypsumpost_daemon.addresses import split_address
+from gypsumpost_daemon.frame import Frame
+from gypsumpost_daemon.frame_decoder import FrameDecoder
+from gypsumpost_daemon.host_directory import HostDirectory
+from gypsumpost_daemon.log import CLOCK, Log
+from gypsumpost_daemon.message_kind import MessageKind
+from gypsumpost_daemon.peer_failure import PeerFailure
+from gypsumpost_daemon.peer_handshake import PeerHandshake
+from gypsumpost_daemon.peer_link import RECEIVE_BYTES, PeerLink
+from gypsumpost_daemon.peer_request import PeerRequest
+
+PeerHandler = Callable[[PeerRequest], Awaitable[bytes]]
+
+LOG = Log(prefix="peer")
+
+
+class PeerNetwork:
+    """Accepts connections of other daemons and keeps one link to each peer it calls.
+
+    :param directory: the known hosts.
+    :param key: the shared key of the deployment.
+    """
+
+    def __init__(self, *, directory: HostDirectory, key: bytes) -> None:
+        self._directory = directory
+        self._handshake = PeerHandshake(host_id=directory.own.host_id, key=key)
+        self._handlers: dict[int, PeerHandler] = {}
+        self._links: dict[str, PeerLink] = {}
+        self._connecting: dict[str, trio.Lock] = {}
+        self._nursery: trio.Nursery | None = None
+
+    def add_handler(self, kind: MessageKind, handler: PeerHandler) -> None:
+        """Answer requests of one kind.
+
+        :param kind: the message kind.
+        :param handler: called in a task of its own for each request; returns the encoded reply.
+        """
+        self._handlers[kind] = handler
+
+    async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Listen for peers and carry the links until cancelled."""
+        ip, port = split_address(self._directory.own.peer_address)
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            listeners = await trio.open_tcp_listeners(port, host=ip)
+            task_status.started()
+            await trio.serve_listeners(self._serve_connection, listeners, handler_nursery=nursery)
+
+    async def request(
+        self, host_id: str, kind: MessageKind, payload: bytes, deadline: float
+    ) -> Result[bytes, PeerFailure]:
+        """Send a request to a peer and wait for its reply.
+
+        :param host_id: the peer.
+        :param kind: message kind.
+        :param payload: encoded message.
+        :param deadline: process time in seconds at which to stop waiting.
+        """
+        with trio.move_on_at(deadline):
+            opened = await self._open_link(host_id)
+            if isinstance(opened, Err):
+                return opened
+            return await opened.ok_value.request(kind, payload, deadline)
+        return Err(PeerFailure(host_id=host_id, reason="no connection in time", sent=False))
+
+    async def _open_link(self, host_id: str) -> Result[PeerLink, PeerFailure]:
+        # One task connects; others that want the same peer wait for it.
+        async with self._connecting.setdefault(host_id, trio.Lock()):
+            link = self._links.get(host_id)
+            if link is not None and not link.closed:
+                return Ok(link)
+            return await self._connect(host_id)
+
+    async def _connect(self, host_id: str) -> Result[PeerLink, PeerFailure]:
+        host = self._directory.get(host_id)
+        if host is None or self._nursery is None:
+            return Err(PeerFailure(host_id=host_id, reason="unknown host", sent=False))
+        ip, port = split_address(host.peer_address)
+        try:
+            stream = await trio.open_tcp_stream(ip, port)
+            proved = await self._handshake.connect(stream, host_id)
+        except (OSError, trio.BrokenResourceError) as error:
+            return Err(PeerFailure(host_id=host_id, reason=str(error), sent=False))
+        if isinstance(proved, Err):
+            await trio.aclose_forcefully(stream)
+            return Err(PeerFailure(host_id=host_id, reason=proved.err_value, sent=False))
+        link = PeerLink(host_id=host_id, stream=stream)
+        self._links[host_id] = link
+        self._nursery.start_soon(link.run)
+        return Ok(link)
+
+    async def _serve_connection(self, stream: trio.SocketStream) -> None:
+        try:
+            accepted = await self._handshake.accept(stream)
+            if isinstance(accepted, Err):
+                LOG.write("refused a connection", reason=accepted.err_value)
+                return
+            await self._serve_requests(stream, accepted.ok_value)
+        except* (trio.BrokenResourceError, trio.ClosedResourceError, ValueError):
+            pass  # The peer went away; its requests are its own to repeat.
+        finally:
+            await trio.aclose_forcefully(stream)
+
+    async def _serve_requests(self, stream: trio.SocketStream, host_id: str) -> None:
+        decoder = FrameDecoder()
+        send_lock = trio.StrictFIFOLock()
+        async with trio.open_nursery() as nursery:
+            while data := await stream.receive_some(RECEIVE_BYTES):
+                for frame in decoder.feed(data):
+                    CLOCK.observe(frame.clock)
+                    nursery.start_soon(self._serve_request, stream, send_lock, host_id, frame)
+            nursery.cancel_scope.cancel()
+
+    async def _serve_request(
+        self, stream: trio.SocketStream, send_lock: trio.StrictFIFOLock, host_id: str, frame: Frame
+    ) -> None:
+        handler = self._handlers.get(frame.kind)
+        if handler is None:
+            LOG.write("ignored a message of unknown kind", kind=frame.kind, peer=host_id)
+            return
+        payload = await handler(PeerRequest(host_id=host_id, payload=frame.payload))
+        if not frame.correlation:
+            return
+        reply = Frame(
+            kind=MessageKind.REPLY,
+            correlation=frame.correlation,
+            clock=CLOCK.read(time.time()),
+            payload=payload,
+        )
+        async with send_lock:
+            await stream.send_all(reply.encode())
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/store_event.py
@@ -0,0 +1,17 @@
+"""A change that a watch on the platform's store reported."""
+
+import attrs
+
+
+@attrs.frozen(kw_only=True)
+class StoreEvent:
+    """One change of a key.
+
+    :param key: the key.
+    :param value: the new value, ``None`` for a deletion.
+    :param mod_revision: store revision of the change.
+    """
+
+    key: bytes
+    value: bytes | None
+    mod_revision: int
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of gypsumpost_daemon."""
