--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/body_limit.py
@@ -0,0 +1,82 @@
+"""Adapts the application to servers that limit no bodies and send lifespan events."""
+
+from gypsumpost_daemon.asgi_application import ASGIApplication, Message, Receive, Scope, Send
+from gypsumpost_daemon.http_refusal import refuse_long_body
+
+
+def limit_body(application: ASGIApplication, max_body: int) -> ASGIApplication:
+    """Return an application that answers 413 to an over-long body.
+
+    :param application: the ASGI application.
+    :param max_body: longest accepted body in bytes.
+    """
+
+    async def call(scope: Scope, receive: Receive, send: Send) -> None:
+        if scope["type"] == "lifespan":
+            await acknowledge_lifespan(receive, send)
+            return
+        if scope["type"] != "http":
+            return
+        if declares_more(scope, max_body):
+            await send_refusal(send, max_body)
+            return
+        await application(scope, LimitedReceive(receive, send, max_body), send)
+
+    return call
+
+
+class LimitedReceive:
+    """Counts the body and reports a disconnect once it is too long."""
+
+    def __init__(self, receive: Receive, send: Send, max_body: int) -> None:
+        self._receive = receive
+        self._send = send
+        self._max_body = max_body
+        self._size = 0
+
+    async def __call__(self) -> Message:
+        """Return the next message of the request."""
+        if self._size > self._max_body:
+            return {"type": "http.disconnect"}
+        message = await self._receive()
+        self._size += len(message.get("body", b""))
+        if self._size <= self._max_body:
+            return message
+        await send_refusal(self._send, self._max_body)
+        return {"type": "http.disconnect"}
+
+
+def declares_more(scope: Scope, max_body: int) -> bool:
+    """Return true if the request's ``Content-Length`` is above the limit.
+
+    :param scope: the ASGI scope.
+    :param max_body: longest accepted body in bytes.
+    """
+    lengths = [value for name, value in scope["headers"] if name == b"content-length"]
+    return any(value.isdigit() and int(value) > max_body for value in lengths)
+
+
+async def acknowledge_lifespan(receive: Receive, send: Send) -> None:
+    """Answer the server's startup and shutdown events, which the application has no use for.
+
+    :param receive: the ASGI ``receive`` of the lifespan.
+    :param send: the ASGI ``send`` of the lifespan.
+    """
+    while True:
+        message = await receive()
+        await send({"type": message["type"] + ".complete"})
+        if message["type"] == "lifespan.shutdown":
+            return
+
+
+async def send_refusal(send: Send, max_body: int) -> None:
+    """Send the refusal of an over-long body.
+
+    :param send: the ASGI ``send`` of the request.
+    :param max_body: longest accepted body in bytes.
+    """
+    refusal = refuse_long_body(max_body)
+    body = refusal.encode_body()
+    headers = [*refusal.create_headers(body), (b"connection", b"close")]
+    await send({"type": "http.response.start", "status": refusal.status, "headers": headers})
+    await send({"type": "http.response.body", "body": body})
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/http_connection.py
@@ -0,0 +1,209 @@
+"""Serves the requests of one connection."""
+
+from urllib.parse import unquote
+
+import h11
+import trio
+from gypsumpost_core.broken_invariant import BrokenInvariant
+from gypsumpost_core.run_state import RunState
+
+from gypsumpost_daemon.asgi_application import ASGIApplication, Scope
+from gypsumpost_daemon.http_exchange import HttpExchange
+from gypsumpost_daemon.http_limits import HttpLimits
+from gypsumpost_daemon.http_refusal import HttpRefusal, refuse_long_body, refuse_malformed
+from gypsumpost_daemon.log import Log
+from gypsumpost_daemon.transport import Transport
+
+LOG = Log(prefix="http")
+SUPPORTED_VERSIONS = frozenset({b"1.0", b"1.1"})
+SERVER_ERROR = HttpRefusal(
+    status=500,
+    code="internal_error",
+    message="The daemon failed to handle the request.",
+    run_state=RunState.UNKNOWN,
+)
+
+
+class HttpConnection:
+    """Reads requests with h11 and calls the application in the connection's own task.
+
+    :param transport: the accepted connection.
+    :param application: the ASGI application.
+    :param limits: the limits.
+    :param scheme: ``http`` or ``https``.
+    :param client: IP and port of the caller.
+    :param server: IP and port of the listener.
+    """
+
+    def __init__(
+        self,
+        *,
+        transport: Transport,
+        application: ASGIApplication,
+        limits: HttpLimits,
+        scheme: str,
+        client: tuple[str, int],
+        server: tuple[str, int],
+    ) -> None:
+        self._transport = transport
+        self._application = application
+        self._limits = limits
+        self._scheme = scheme
+        self._client = client
+        self._server = server
+        self._parser = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.max_head)
+        self._exchange: HttpExchange | None = None
+        self._idle_scope: trio.CancelScope | None = None
+        self._stopping = False
+
+    async def run(self) -> None:
+        """Serve requests until the connection ends."""
+        try:
+            while await self._serve_request():
+                self._parser.start_next_cycle()
+        except HttpRefusal as refusal:
+            await self._refuse(refusal)
+        except OSError:
+            pass  # The caller is gone or too slow.
+        except Exception as error:
+            if contains_broken_invariant(error):
+                raise
+            LOG.write("closed a connection after a fault", error=repr(error))
+        finally:
+            self._transport.close()
+
+    def stop(self) -> None:
+        """Close the connection after the current request, or soon if there is none."""
+        self._stopping = True
+        if self._exchange is not None:
+            self._exchange.closing = True
+        if self._idle_scope is not None:
+            deadline = trio.current_time() + self._limits.stop_idle_seconds
+            self._idle_scope.deadline = min(self._idle_scope.deadline, deadline)
+
+    async def _serve_request(self) -> bool:
+        request = await self._read_head()
+        if request is None:
+            return False
+        self._check_head(request)
+        exchange = HttpExchange(
+            transport=self._transport,
+            parser=self._parser,
+            request=request,
+            limits=self._limits,
+            closing=self._stopping,
+        )
+        self._exchange = exchange
+        await self._call_application(exchange, request)
+        self._exchange = None
+        reusable = exchange.reusable and self._parser.our_state is h11.DONE
+        if not reusable and exchange.answered:
+            await self._transport.finish()
+        return reusable
+
+    async def _read_head(self) -> h11.Request | None:
+        seconds = self._limits.idle_seconds
+        if self._stopping:
+            seconds = self._limits.stop_idle_seconds
+        deadline = trio.current_time() + seconds
+        begun = False
+        while True:
+            event = self._parse_head()
+            if isinstance(event, h11.Request):
+                return event
+            if event is not h11.NEED_DATA:
+                return None
+            if not begun and self._parser.trailing_data[0]:
+                begun = True
+                deadline = trio.current_time() + self._limits.head_seconds
+            data = await self._receive_by(deadline)
+            if data is None:
+                return None
+            self._parser.receive_data(data)
+
+    def _parse_head(self) -> object:
+        try:
+            return self._parser.next_event()
+        except h11.RemoteProtocolError as error:
+            raise refuse_malformed(str(error), error.error_status_hint) from error
+
+    async def _receive_by(self, deadline: float) -> bytes | None:
+        data = None
+        with trio.CancelScope(deadline=deadline) as scope:
+            self._idle_scope = scope
+            data = await self._transport.receive()
+        self._idle_scope = None
+        return data
+
+    def _check_head(self, request: h11.Request) -> None:
+        if request.http_version not in SUPPORTED_VERSIONS:
+            raise refuse_malformed("Only HTTP/1.0 and HTTP/1.1 are supported.", 505)
+        if request.method == b"CONNECT":
+            raise refuse_malformed("CONNECT is not supported.", 405)
+        for name, value in request.headers:
+            if name == b"content-length" and int(value) > self._limits.max_body:
+                raise refuse_long_body(self._limits.max_body)
+
+    async def _call_application(self, exchange: HttpExchange, request: h11.Request) -> None:
+        try:
+            await self._application(self._create_scope(request), exchange.receive, exchange.send)
+            if not exchange.answered and not exchange.disconnected:
+                LOG.write("the application left a request without a complete answer")
+                await exchange.refuse(SERVER_ERROR)
+        except Exception as error:
+            if contains_broken_invariant(error):
+                raise
+            LOG.write("the application failed", error=repr(error))
+            await exchange.refuse(SERVER_ERROR)
+
+    def _create_scope(self, request: h11.Request) -> Scope:
+        raw_path, _, query = find_path(request.target).partition(b"?")
+        return {
+            "type": "http",
+            "asgi": {"version": "3.0", "spec_version": "2.3"},
+            "http_version": request.http_version.decode("ascii"),
+            "method": request.method.decode("ascii").upper(),
+            "scheme": self._scheme,
+            "path": unquote(raw_path.decode("latin-1")),
+            "raw_path": raw_path,
+            "query_string": query,
+            "root_path": "",
+            "headers": list(request.headers),
+            "client": self._client,
+            "server": self._server,
+            "extensions": {},
+        }
+
+    async def _refuse(self, refusal: HttpRefusal) -> None:
+        body = refusal.encode_body()
+        headers = [*refusal.create_headers(body), (b"connection", b"close")]
+        try:
+            response = h11.Response(status_code=refusal.status, headers=headers)
+            head = self._parser.send(response) or b""
+            await self._transport.send(head + body)
+            await self._transport.finish()
+        except (OSError, h11.LocalProtocolError):
+            pass  # The caller is gone.
+
+
+def find_path(target: bytes) -> bytes:
+    """Return path and query of a request target.
+
+    :param target: the target in origin form or absolute form.
+    """
+    if target.startswith(b"/"):
+        return target
+    _, separator, rest = target.partition(b"://")
+    if not separator:
+        return target
+    return b"/" + rest.partition(b"/")[2]
+
+
+def contains_broken_invariant(error: BaseException) -> bool:
+    """Return true for a broken invariant, also inside an exception group.
+
+    :param error: an exception of the application.
+    """
+    if isinstance(error, BaseExceptionGroup):
+        return error.subgroup(BrokenInvariant) is not None
+    return isinstance(error, BrokenInvariant)
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/http_limits.py
@@ -0,0 +1,28 @@
+"""Limits of the callers' HTTP connections."""
+
+import attrs
+
+
+@attrs.frozen(kw_only=True)
+class HttpLimits:
+    """Sizes in bytes and times in seconds.
+
+    :param max_body: longest request body.
+    :param max_head: longest request line with headers.
+    :param max_pipelined: input that is read ahead while a request is being answered.
+    :param idle_seconds: how long a connection may wait for its next request.
+    :param head_seconds: how long the headers of a request may take.
+    :param body_seconds: how long a caller may send nothing of a body that is not complete.
+    :param stall_seconds: how long a caller may take nothing of an answer.
+    :param stop_idle_seconds: how long an idle connection stays open once the server stops, for a
+        request that is under way.
+    """
+
+    max_body: int
+    max_head: int = 65536
+    max_pipelined: int = 65536
+    idle_seconds: float = 75.0
+    head_seconds: float = 10.0
+    body_seconds: float = 20.0
+    stall_seconds: float = 10.0
+    stop_idle_seconds: float = 0.5
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/http_refusal.py
@@ -0,0 +1,54 @@
+"""A response with which the server itself refuses a request."""
+
+import attrs
+import orjson
+from gypsumpost_core.run_state import RunState
+
+
+@attrs.frozen(kw_only=True)
+class HttpRefusal(Exception):
+    """Ends a request before the application has it whole.
+
+    :param status: HTTP status code.
+    :param code: machine-readable code.
+    :param message: one sentence for the person who reads the error.
+    :param run_state: what is known about the execution of the request.
+    """
+
+    status: int
+    code: str
+    message: str
+    run_state: RunState = RunState.NOT_RUN
+
+    def encode_body(self) -> bytes:
+        """Return the OpenAI error object."""
+        error = {"message": self.message, "type": "invalid_request_error", "code": self.code}
+        return orjson.dumps({"error": error | {"run_state": self.run_state.value}})
+
+    def create_headers(self, body: bytes) -> list[tuple[bytes, bytes]]:
+        """Return the headers of the response.
+
+        :param body: the encoded body.
+        """
+        return [
+            (b"content-type", b"application/json"),
+            (b"content-length", b"%d" % len(body)),
+        ]
+
+
+def refuse_malformed(reason: str, status: int = 400) -> HttpRefusal:
+    """Return the refusal of a request that is not valid HTTP.
+
+    :param reason: what is wrong.
+    :param status: the status code for this fault, for example 431 for over-long headers.
+    """
+    return HttpRefusal(status=status, code="malformed_request", message=reason)
+
+
+def refuse_long_body(limit: int) -> HttpRefusal:
+    """Return the refusal of an over-long body.
+
+    :param limit: the longest accepted body in bytes.
+    """
+    message = f"The body is longer than {limit} bytes."
+    return HttpRefusal(status=413, code="body_too_long", message=message)
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/http_response.py
@@ -0,0 +1,77 @@
+"""Writes the response of one request."""
+
+import time
+from email.utils import formatdate
+
+import h11
+
+from gypsumpost_daemon.asgi_application import Message
+from gypsumpost_daemon.transport import Transport
+
+Headers = list[tuple[bytes, bytes]]
+STATUS_WITHOUT_BODY = frozenset({204, 304})
+
+
+class HttpResponse:
+    """The response to the current request of a connection.
+
+    :param transport: the connection.
+    :param parser: the connection's HTTP state after the request's headers.
+    :param request: the request's headers.
+    """
+
+    def __init__(
+        self, *, transport: Transport, parser: h11.Connection, request: h11.Request
+    ) -> None:
+        self._transport = transport
+        self._parser = parser
+        self._is_head = request.method == b"HEAD"
+        self._chunks_allowed = request.http_version >= b"1.1"
+        self._start: Message | None = None
+        self._writes_chunks = False
+        self._has_body = True
+        self.begun = False
+        self.complete = False
+
+    def start(self, message: Message) -> None:
+        """Keep status and headers until the first part of the body.
+
+        :param message: ASGI ``http.response.start``.
+        """
+        self._start = message
+
+    async def send_body(self, body: bytes, more: bool, *, keep_alive: bool) -> None:
+        """Send a part of the body, with the headers before the first part.
+
+        :param body: the bytes.
+        :param more: false for the last part.
+        :param keep_alive: false if the connection is to be closed after the response.
+        """
+        if self._writes_chunks and more:
+            # h11 takes several times as long to frame a chunk and keeps no state about chunks.
+            if body:
+                await self._transport.send(b"%x\r\n%b\r\n" % (len(body), body))
+            return
+        data = b"" if self.begun else self._encode_head(keep_alive)
+        if body and self._has_body:
+            data += self._parser.send(h11.Data(data=body)) or b""
+        if not more:
+            data += self._parser.send(h11.EndOfMessage()) or b""
+            self.complete = True
+        if data:
+            await self._transport.send(data)
+
+    def _encode_head(self, keep_alive: bool) -> bytes:
+        if self._start is None:
+            raise h11.LocalProtocolError("the body was sent before the start of the response")
+        status = int(self._start["status"])
+        headers: Headers = [(bytes(k), bytes(v)) for k, v in self._start.get("headers", ())]
+        headers.append((b"date", formatdate(time.time(), usegmt=True).encode()))
+        if not keep_alive:
+            headers.append((b"connection", b"close"))
+        data = self._parser.send(h11.Response(status_code=status, headers=headers)) or b""
+        self.begun = True
+        self._has_body = not self._is_head and status not in STATUS_WITHOUT_BODY
+        has_length = any(name.lower() == b"content-length" for name, _ in headers)
+        self._writes_chunks = self._has_body and self._chunks_allowed and not has_length
+        return data
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/running_server.py
@@ -0,0 +1,27 @@
+"""Handle of an HTTP server that accepts connections."""
+
+import attrs
+import trio
+
+STOP_SECONDS = 30.0
+
+
+@attrs.define(kw_only=True)
+class RunningServer:
+    """What a server reports through ``task_status`` once it listens.
+
+    :param address: the address it listens on, with the port that the system chose for port 0.
+    """
+
+    address: str
+    stop_requested: trio.Event = attrs.field(factory=trio.Event)
+    stop_deadline: float = float("inf")
+
+    def stop(self, deadline: float | None = None) -> None:
+        """Stop accepting; requests that are being answered may finish until a deadline.
+
+        :param deadline: process time in seconds; :data:`STOP_SECONDS` from now if not given.
+        """
+        latest = trio.current_time() + STOP_SECONDS
+        self.stop_deadline = latest if deadline is None else deadline
+        self.stop_requested.set()
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/socket_transport.py
@@ -0,0 +1,121 @@
+"""A TCP socket that is read and written without a task switch where possible."""
+
+import socket
+import struct
+
+import trio
+
+RECEIVE_BYTES = 65536
+STALL_SECONDS = 10.0
+FINISH_SECONDS = 1.0
+FINISH_BYTES = 1 << 20
+ABORT_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+class SocketTransport:
+    """Owns a connected non-blocking socket.
+
+    trio's own sockets pass through the scheduler after each call. Here ``send`` returns without
+    a task switch when the system's buffer takes all the data, which is nearly always the case for
+    the events of a generation.
+
+    :param sock: the connected socket.
+    :param stall_seconds: how long the other side may take no data before ``send`` fails.
+    """
+
+    def __init__(self, *, sock: socket.socket, stall_seconds: float = STALL_SECONDS) -> None:
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._socket = sock
+        self._stall_seconds = stall_seconds
+        self._receive_now = sock.recv
+        self._send_now = sock.send
+        self._closed = False
+
+    async def receive(self) -> bytes:
+        """Wait for data; an empty result means that the other side has finished sending."""
+        while True:
+            await self._wait(trio.lowlevel.wait_readable)
+            try:
+                return self._receive_now(RECEIVE_BYTES)
+            except BlockingIOError:
+                continue
+
+    async def send(self, data: bytes) -> None:
+        """Send all data.
+
+        :param data: the bytes to send.
+        :raises TimeoutError: if the other side takes nothing for ``stall_seconds``.
+        """
+        try:
+            sent = self._send_now(data)
+        except BlockingIOError:
+            sent = 0
+        if sent != len(data):
+            await self._send_rest(memoryview(data)[sent:])
+
+    def is_readable(self) -> bool:
+        """Return true if data, the end or an error can be read without waiting."""
+        try:
+            self._socket.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return True
+
+    async def finish(self) -> None:
+        """Close after the other side had a chance to read what was sent.
+
+        Closing a socket with unread input resets the connection, and the other side may then lose
+        an answer that it has not read yet.
+        """
+        with trio.move_on_at(trio.current_time() + FINISH_SECONDS):
+            try:
+                self._socket.shutdown(socket.SHUT_WR)
+                await self._discard_input()
+            except OSError:
+                pass
+        self.close()
+
+    def close(self) -> None:
+        """Close at once."""
+        if not self._closed:
+            self._closed = True
+            trio.lowlevel.notify_closing(self._socket)
+            self._socket.close()
+
+    def abort(self) -> None:
+        """Close at once and drop what the other side has not taken."""
+        if not self._closed:
+            self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, ABORT_ON_CLOSE)
+            self.close()
+
+    async def _send_rest(self, rest: memoryview) -> None:
+        try:
+            while rest:
+                with trio.move_on_at(trio.current_time() + self._stall_seconds) as scope:
+                    await self._wait(trio.lowlevel.wait_writable)
+                if scope.cancelled_caught:
+                    raise TimeoutError("the other side does not read")
+                try:
+                    rest = rest[self._send_now(rest) :]
+                except BlockingIOError:
+                    continue
+        except BaseException:
+            # A message that was sent in part cannot be followed by another one.
+            self.abort()
+            raise
+
+    async def _wait(self, condition) -> None:  # type: ignore[no-untyped-def]
+        if self._closed:
+            raise ConnectionAbortedError("the connection is closed")
+        try:
+            await condition(self._socket)
+        except trio.ClosedResourceError as error:
+            raise ConnectionAbortedError("the connection was closed") from error
+
+    async def _discard_input(self) -> None:
+        discarded = 0
+        while discarded < FINISH_BYTES and (data := await self.receive()):
+            discarded += len(data)
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/stream_transport.py
@@ -0,0 +1,54 @@
+"""A trio stream, for example TLS, under HTTP."""
+
+import trio
+
+from gypsumpost_daemon.socket_transport import FINISH_SECONDS, RECEIVE_BYTES, STALL_SECONDS
+
+PIECE_BYTES = 65536
+
+
+class StreamTransport:
+    """Adapts a trio stream.
+
+    :param stream: the connected stream.
+    :param stall_seconds: how long the other side may take no data before ``send`` fails.
+    """
+
+    def __init__(self, *, stream: trio.SSLStream, stall_seconds: float = STALL_SECONDS) -> None:
+        self._stream = stream
+        self._stall_seconds = stall_seconds
+
+    async def receive(self) -> bytes:
+        """Wait for data; an empty result means that the other side has finished sending."""
+        try:
+            return bytes(await self._stream.receive_some(RECEIVE_BYTES))
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise ConnectionAbortedError(str(error)) from error
+
+    async def send(self, data: bytes) -> None:
+        """Send all data, or raise ``TimeoutError`` if the other side takes none for too long.
+
+        :param data: the bytes to send.
+        """
+        for start in range(0, len(data), PIECE_BYTES):
+            with trio.move_on_at(trio.current_time() + self._stall_seconds) as scope:
+                await self._send_piece(data[start : start + PIECE_BYTES])
+            if scope.cancelled_caught:
+                raise TimeoutError("the other side does not read")
+
+    async def finish(self) -> None:
+        """Close after the closing message of TLS was sent."""
+        with trio.move_on_at(trio.current_time() + FINISH_SECONDS):
+            await self._stream.aclose()
+        self.close()
+
+    def close(self) -> None:
+        """Close at once."""
+        transport = self._stream.transport_stream
+        transport.socket.close()
+
+    async def _send_piece(self, piece: bytes) -> None:
+        try:
+            await self._stream.send_all(piece)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise ConnectionAbortedError(str(error)) from error
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/transport.py
@@ -0,0 +1,19 @@
+"""Interface of a byte stream under HTTP."""
+
+from typing import Protocol
+
+
+class Transport(Protocol):
+    """A connected byte stream; every failure is raised as an ``OSError``."""
+
+    async def receive(self) -> bytes:
+        """Wait for data; an empty result means that the other side has finished sending."""
+
+    async def send(self, data: bytes) -> None:
+        """Send all data, or raise ``TimeoutError`` if the other side takes none for too long."""
+
+    async def finish(self) -> None:
+        """Close after the other side had a chance to read what was sent."""
+
+    def close(self) -> None:
+        """Close at once."""
