Choose engines by expected time with own-domain preference

The first router took engines in turn and ignored load, speed, death and stops. Engines now have estimates of speed by batch size and of load corrected by the daemon's own sends, a health state (death, slow start, capped ejection), a prefix memory, and a place in a bounded probe pool.

--- /dev/null
+++ b/packages/core/gypsumpost_core/engine_estimate.py
@@ -0,0 +1,130 @@
+"""Estimates of an engine's speed and load."""
+
+from collections import deque
+
+import attrs
+
+from gypsumpost_core.engine_load import EngineLoad
+from gypsumpost_core.routing_settings import RoutingSettings
+from gypsumpost_core.sample_clock import SampleClock
+from gypsumpost_core.smoothed_value import SmoothedValue
+from gypsumpost_core.weighted_line import WeightedLine
+
+CHANGE_LIMIT = 4096
+"""Own starts and ends that are kept while no report arrives."""
+
+
+@attrs.define(kw_only=True)
+class EngineEstimate:
+    """Speed by batch size, prefill speed, and load corrected by this daemon's own sends.
+
+    :param settings: routing settings.
+    :param report: latest load report.
+    :param in_flight: attempts of this daemon on the engine.
+    """
+
+    settings: RoutingSettings
+    report: EngineLoad | None = None
+    in_flight: int = 0
+    token_samples: int = 0
+    _sampled_at: float = float("-inf")
+    _slots: int = 0
+    _changes: deque[tuple[float, int]] = attrs.field(factory=lambda: deque(maxlen=CHANGE_LIMIT))
+    _change_sum: int = 0
+    _clock: SampleClock = attrs.field(factory=SampleClock)
+    _token_line: WeightedLine = attrs.field(factory=WeightedLine)
+    _prefill: SmoothedValue = attrs.field(factory=SmoothedValue)
+
+    def __attrs_post_init__(self) -> None:
+        self._token_line.observe(1, self.settings.token_time)
+        self._token_line.observe(self.settings.slots, 2 * self.settings.token_time)
+
+    def apply_report(self, load: EngineLoad, now: float) -> bool:
+        """Take in a load report.
+
+        :param load: the report.
+        :param now: process time of its arrival in seconds.
+        :returns: false if the report is older than the one known.
+        """
+        sampled_at = self._clock.convert(load.sampled_at, now)
+        if self.report is not None and sampled_at < self._sampled_at:
+            return False
+        self.report = load
+        self._sampled_at = sampled_at
+        if load.waiting or load.running > self._slots > 0:
+            self._slots = load.running
+        while self._changes and self._changes[0][0] <= sampled_at:
+            self._changes.popleft()
+        self._change_sum = sum(change for _, change in self._changes)
+        return True
+
+    def add_start(self, now: float) -> None:
+        """Note an attempt sent to the engine."""
+        self.in_flight += 1
+        self._add_change(now, 1)
+
+    def add_end(self, now: float) -> None:
+        """Note the end of an attempt."""
+        self.in_flight = max(0, self.in_flight - 1)
+        self._add_change(now, -1)
+
+    def observe_first_token(self, wait: float, prompt_tokens: int) -> None:
+        """Note the time to the first token of an attempt that did not queue."""
+        if self.estimate_queue() < 1 and prompt_tokens > 0:
+            self._prefill.observe(wait / prompt_tokens)
+
+    def observe_tokens(self, count: int, gap: float) -> None:
+        """Note tokens and the seconds since the tokens before."""
+        if count > 0:
+            self.token_samples += 1
+            self._token_line.observe(self.estimate_load(), gap / count)
+
+    def estimate_load(self) -> int:
+        """Return the expected number of generations on the engine, queued ones included."""
+        if self.report is None:
+            return self.in_flight
+        reported = self.report.running + self.report.waiting
+        return max(self.in_flight, reported + self._change_sum)
+
+    def get_slots(self) -> int:
+        """Return the batch limit, as seen when the engine last queued requests."""
+        return self._slots or self.settings.slots
+
+    def estimate_queue(self) -> float:
+        """Return the expected length of the engine's queue."""
+        return max(0.0, self.estimate_load() + 1 - self.get_slots())
+
+    def estimate_token_time(self, load: float) -> float:
+        """Return the seconds per token of one stream at a load."""
+        return self._token_line.predict(min(load, self.get_slots()))
+
+    def get_prefill_time(self) -> float:
+        """Return the seconds per prompt token."""
+        return self._prefill.mean if self._prefill.count else self.settings.prefill_time
+
+    def expect_first_token(self, prompt_tokens: float, output_tokens: float) -> float:
+        """Return the expected seconds from sending to the first token.
+
+        :param prompt_tokens: prompt tokens that are not cached.
+        :param output_tokens: expected output tokens of the generations ahead.
+        """
+        token_time = self.estimate_token_time(self.estimate_load() + 1)
+        turn_time = output_tokens * token_time / self.get_slots()
+        wait = self.estimate_queue() * turn_time
+        return wait + prompt_tokens * self.get_prefill_time() + token_time
+
+    def expect_output_time(self, output_tokens: float) -> float:
+        """Return the expected seconds from the first to the last token."""
+        return output_tokens * self.estimate_token_time(self.estimate_load() + 1)
+
+    def reset_load(self) -> None:
+        """Forget the load of an engine process that is gone."""
+        self.report = None
+        self._sampled_at = float("-inf")
+        self._clock.reset()
+        self._changes.clear()
+        self._change_sum = 0
+
+    def _add_change(self, now: float, change: int) -> None:
+        self._changes.append((now, change))
+        self._change_sum += change
--- /dev/null
+++ b/packages/core/gypsumpost_core/engine_fleet.py
@@ -0,0 +1,83 @@
+"""All engines that this daemon knows, and which of them can run a request."""
+
+from collections.abc import Iterable
+
+import attrs
+
+from gypsumpost_core.endpoint import Endpoint
+from gypsumpost_core.endpoint_kind import EndpointKind
+from gypsumpost_core.endpoint_status import EndpointStatus
+from gypsumpost_core.engine_view import EngineView
+from gypsumpost_core.leaving_register import LeavingRegister
+from gypsumpost_core.route_request import RouteRequest
+from gypsumpost_core.routing_settings import RoutingSettings
+
+
+@attrs.define(kw_only=True)
+class EngineFleet:
+    """Views of the engines by name and by model, and which engines are leaving.
+
+    :param failure_domain: the failure domain of this daemon.
+    :param settings: routing settings.
+    """
+
+    failure_domain: str
+    settings: RoutingSettings
+    engines: dict[str, EngineView] = attrs.field(factory=dict)
+    leaving: LeavingRegister = attrs.field(init=False)
+    _by_model: dict[str, list[EngineView]] = attrs.field(factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        self.leaving = LeavingRegister(list_lag=self.settings.list_lag)
+
+    def update_endpoints(self, endpoints: Iterable[Endpoint], now: float) -> None:
+        """Replace the list of endpoints, keeping what is known of those that stay."""
+        listed = [endpoint for endpoint in endpoints if endpoint.kind is EndpointKind.ENGINE]
+        self.engines = {endpoint.name: self._update_view(endpoint) for endpoint in listed}
+        self._by_model = {}
+        for engine in self.engines.values():
+            for model in {ref.model for ref in engine.endpoint.models}:
+                self._by_model.setdefault(model, []).append(engine)
+        live = {e.name for e in listed if e.status is EndpointStatus.LIVE}
+        self.leaving.observe_list(live, now)
+
+    def list_model(self, model: str) -> list[EngineView]:
+        """Return all engines that have a model."""
+        return self._by_model.get(model, [])
+
+    def is_leaving(self, name: str) -> bool:
+        """Return true if an endpoint must not receive new work."""
+        engine = self.engines.get(name)
+        listed = engine is not None and engine.endpoint.status is EndpointStatus.LEAVING
+        return listed or name in self.leaving
+
+    def list_candidates(self, request: RouteRequest, now: float) -> list[EngineView]:
+        """Return the engines among which a policy may choose.
+
+        Each condition but the first is dropped when no engine meets it, so that a request is
+        tried rather than refused. The own domain goes first while one of its engines has room.
+        """
+        fitting = [e for e in self.list_model(request.model) if self._fits(e, request)]
+        alive = [engine for engine in fitting if not engine.health.is_down(now)] or fitting
+        trusted = [engine for engine in alive if not engine.health.is_ejected(now)] or alive
+        started = [engine for engine in trusted if engine.may_start(now)] or trusted
+        own = [e for e in started if e.endpoint.failure_domain == self.failure_domain]
+        return own if any(not engine.is_full() for engine in own) else started
+
+    def count_slots(self, model: str, now: float) -> int:
+        """Return the batch slots of a model's engines that can take work."""
+        usable = [e for e in self.list_model(model) if not self.is_leaving(e.endpoint.name)]
+        return sum(e.estimate.get_slots() for e in usable if not e.health.is_down(now))
+
+    def _fits(self, engine: EngineView, request: RouteRequest) -> bool:
+        name = engine.endpoint.name
+        if name in request.excluded or self.is_leaving(name):
+            return False
+        return request.exact is None or request.exact in engine.endpoint.models
+
+    def _update_view(self, endpoint: Endpoint) -> EngineView:
+        engine = self.engines.get(endpoint.name)
+        if engine is None:
+            return EngineView.create(endpoint, self.settings)
+        engine.endpoint = endpoint
+        return engine
--- /dev/null
+++ b/packages/core/gypsumpost_core/engine_review.py
@@ -0,0 +1,37 @@
+"""Ejection of slow or wrong engines."""
+
+import statistics
+from collections.abc import Sequence
+
+from gypsumpost_core.engine_view import EngineView
+from gypsumpost_core.routing_settings import RoutingSettings
+
+
+def review_engines(engines: Sequence[EngineView], settings: RoutingSettings, now: float) -> None:
+    """Eject slow or wrong engines of one model, the worst first, up to the allowed fraction.
+
+    :param engines: all engines of the model.
+    :param settings: routing settings.
+    :param now: process time in seconds.
+    """
+    ejected = sum(engine.health.is_ejected(now) for engine in engines)
+    room = int(len(engines) * settings.max_ejected_fraction) - ejected
+    for engine in _list_failing(engines, settings, now)[: max(0, room)]:
+        engine.health.eject(now)
+
+
+def _list_failing(
+    engines: Sequence[EngineView], settings: RoutingSettings, now: float
+) -> list[EngineView]:
+    measured = [e for e in engines if e.estimate.token_samples >= settings.ejection_samples]
+    active = [engine for engine in engines if not engine.health.is_ejected(now)]
+    wrong = [engine for engine in active if engine.health.is_wrong()]
+    if len(measured) < 3:
+        return wrong
+    bound = settings.slow_ratio * statistics.median(_get_speed(engine) for engine in measured)
+    slow = [e for e in active if e in measured and e not in wrong and _get_speed(e) > bound]
+    return wrong + sorted(slow, key=_get_speed, reverse=True)
+
+
+def _get_speed(engine: EngineView) -> float:
+    return engine.estimate.estimate_token_time(1)
--- /dev/null
+++ b/packages/core/gypsumpost_core/engine_view.py
@@ -0,0 +1,55 @@
+"""Everything that routing knows of one engine."""
+
+import attrs
+
+from gypsumpost_core.endpoint import Endpoint
+from gypsumpost_core.engine_estimate import EngineEstimate
+from gypsumpost_core.engine_health import EngineHealth
+from gypsumpost_core.prefix_memory import PrefixMemory
+from gypsumpost_core.route_request import RouteRequest
+from gypsumpost_core.routing_settings import RoutingSettings
+from gypsumpost_core.silence_bound import SilenceBound
+
+
+@attrs.define(kw_only=True, eq=False)
+class EngineView:
+    """An engine as this daemon sees it.
+
+    :param endpoint: the platform's entry.
+    :param estimate: speed and load.
+    :param health: death, slow start and ejection.
+    :param prefixes: likely contents of its prefix cache.
+    :param silence: bound on the silence of its streams.
+    """
+
+    endpoint: Endpoint
+    estimate: EngineEstimate
+    health: EngineHealth
+    prefixes: PrefixMemory
+    silence: SilenceBound
+
+    @classmethod
+    def create(cls, endpoint: Endpoint, settings: RoutingSettings) -> "EngineView":
+        """Create the view of an engine of which nothing is known yet."""
+        return cls(
+            endpoint=endpoint,
+            estimate=EngineEstimate(settings=settings),
+            health=EngineHealth(settings=settings),
+            prefixes=PrefixMemory(limit=settings.prefix_entries),
+            silence=SilenceBound(),
+        )
+
+    def is_full(self) -> bool:
+        """Return true if a further request would wait in the engine's queue."""
+        return self.estimate.estimate_queue() >= self.estimate.settings.spill_queue
+
+    def may_start(self, now: float) -> bool:
+        """Return true if the slow start leaves room for a further attempt."""
+        limit = self.health.get_start_limit(self.estimate.get_slots(), now)
+        return self.estimate.in_flight < limit
+
+    def expect_first_token(self, request: RouteRequest, output_tokens: float) -> float:
+        """Return the expected seconds to the first token of a request."""
+        cached = self.prefixes.estimate_cached_share(request.prefix_digests)
+        uncached = request.prompt_tokens * (1 - cached)
+        return self.estimate.expect_first_token(uncached, output_tokens)
--- /dev/null
+++ b/packages/core/gypsumpost_core/expected_time_policy.py
@@ -0,0 +1,51 @@
+"""The routing policy by expected time to the first and last token."""
+
+from collections.abc import Sequence
+
+from gypsumpost_core.engine_view import EngineView
+from gypsumpost_core.route_request import RouteRequest
+from gypsumpost_core.routing_policy import ROUTING, RoutingContext
+
+
+@ROUTING.register("expected-time")
+class ExpectedTimePolicy:
+    """Compares a few probed engines by expected time.
+
+    Few engines are compared, so that daemons that see the same lagging reports do not all send
+    to the same engine.
+    """
+
+    def pick(
+        self, request: RouteRequest, candidates: Sequence[EngineView], context: RoutingContext
+    ) -> EngineView:
+        """Return the engine with the lowest expected time of some probed ones."""
+        compared = _draw_engines(request, candidates, context)
+        return min(compared, key=lambda engine: _expect_time(engine, request, context))
+
+
+def _draw_engines(
+    request: RouteRequest, candidates: Sequence[EngineView], context: RoutingContext
+) -> list[EngineView]:
+    count = context.settings.choices
+    probed = [engine for engine in candidates if engine.endpoint.name in context.probed]
+    drawn = context.chance.sample(probed, min(count, len(probed)))
+    if len(drawn) < count:
+        rest = [engine for engine in candidates if engine.endpoint.name not in context.probed]
+        drawn += context.chance.sample(rest, min(count - len(drawn), len(rest)))
+    if request.prefix_digests:
+        drawn.append(max(candidates, key=lambda engine: _estimate_cached(engine, request)))
+    return drawn
+
+
+def _estimate_cached(engine: EngineView, request: RouteRequest) -> float:
+    return engine.prefixes.estimate_cached_share(request.prefix_digests)
+
+
+def _expect_time(engine: EngineView, request: RouteRequest, context: RoutingContext) -> float:
+    output_tokens = context.output_tokens
+    if request.max_tokens:
+        output_tokens = min(output_tokens, request.max_tokens)
+    first = engine.expect_first_token(request, context.output_tokens)
+    last = first + engine.estimate.expect_output_time(output_tokens)
+    foreign = engine.endpoint.failure_domain != context.failure_domain
+    return first + last + (context.settings.domain_penalty if foreign else 0.0)
--- /dev/null
+++ b/packages/core/gypsumpost_core/probe_pool.py
@@ -0,0 +1,77 @@
+"""A bounded pool of recent load probes and the order of the next ones."""
+
+from collections import OrderedDict, deque
+from collections.abc import Iterable
+
+import attrs
+
+from gypsumpost_core.endpoint import Endpoint
+from gypsumpost_core.routing_settings import RoutingSettings
+
+
+@attrs.define(kw_only=True)
+class ProbePool:
+    """Which engines were probed lately, and which to probe next.
+
+    The probes per second are a setting and do not grow with the fleet.
+
+    :param settings: routing settings.
+    :param failure_domain: the failure domain of this daemon.
+    """
+
+    settings: RoutingSettings
+    failure_domain: str
+    _probed_at: OrderedDict[str, float] = attrs.field(factory=OrderedDict)
+    _own: deque[str] = attrs.field(factory=deque)
+    _foreign: deque[str] = attrs.field(factory=deque)
+    _sent: int = 0
+    _allowance: float = 0.0
+    _refilled_at: float | None = None
+
+    def update_endpoints(self, endpoints: Iterable[Endpoint]) -> None:
+        """Replace the engines to probe, keeping the order of those that stay."""
+        domains = {endpoint.name: endpoint.failure_domain for endpoint in endpoints}
+        own = [name for name, domain in domains.items() if domain == self.failure_domain]
+        self._own = _merge(self._own, own)
+        self._foreign = _merge(self._foreign, [n for n in domains if n not in set(own)])
+
+    def add_probe(self, name: str, now: float) -> None:
+        """Note an answered probe."""
+        self._probed_at[name] = now
+        self._probed_at.move_to_end(name)
+        if len(self._probed_at) > self.settings.pool_size:
+            self._probed_at.popitem(last=False)
+
+    def list_fresh(self, now: float) -> set[str]:
+        """Return the engines whose last probe is recent enough for a choice."""
+        oldest = now - self.settings.probe_age
+        return {name for name, probed_at in self._probed_at.items() if probed_at >= oldest}
+
+    def list_targets(self, now: float) -> list[str]:
+        """Return the engines to probe now; the least recently probed go first."""
+        self._refill(now)
+        count = min(int(self._allowance), len(self._own) + len(self._foreign))
+        self._allowance -= count
+        return list(dict.fromkeys(self._take_target() for _ in range(count)))
+
+    def _refill(self, now: float) -> None:
+        elapsed = 0.0 if self._refilled_at is None else now - self._refilled_at
+        rate = self.settings.probes_per_second
+        first = rate if self._refilled_at is None else 0.0
+        self._allowance = min(rate, self._allowance + elapsed * rate + first)
+        self._refilled_at = now
+
+    def _take_target(self) -> str:
+        self._sent += 1
+        foreign_turn = self._sent % self.settings.foreign_probe_interval == 0
+        queue = self._foreign if self._foreign and (foreign_turn or not self._own) else self._own
+        name = queue.popleft()
+        queue.append(name)
+        return name
+
+
+def _merge(order: deque[str], names: list[str]) -> deque[str]:
+    known = set(order)
+    wanted = set(names)
+    kept = [name for name in order if name in wanted]
+    return deque([name for name in names if name not in known] + kept)
--- a/packages/core/gypsumpost_core/router.py
+++ b/packages/core/gypsumpost_core/router.py
@@ -1,17 +1,30 @@
 """Choice of an engine for each attempt."""
 
-from collections.abc import Iterable
+import random
+from collections.abc import Iterable, Sequence
 
 from result import Err, Ok, Result
 
+# The imports of the policies fill the registry.
+from gypsumpost_core import expected_time_policy, routing_policies  # noqa: F401
 from gypsumpost_core.attempt_outcome import AttemptOutcome
+from gypsumpost_core.cache_event import CacheEvent
 from gypsumpost_core.endpoint import Endpoint
-from gypsumpost_core.endpoint_kind import EndpointKind
-from gypsumpost_core.endpoint_status import EndpointStatus
+from gypsumpost_core.engine_fleet import EngineFleet
 from gypsumpost_core.engine_load import EngineLoad
+from gypsumpost_core.engine_review import review_engines
+from gypsumpost_core.engine_view import EngineView
 from gypsumpost_core.failure import Failure
+from gypsumpost_core.invariant import Invariant, require
+from gypsumpost_core.probe_pool import ProbePool
 from gypsumpost_core.route_request import RouteRequest
+from gypsumpost_core.routing_policy import ROUTING, RoutingContext
+from gypsumpost_core.routing_settings import RoutingSettings
 from gypsumpost_core.run_state import RunState
+from gypsumpost_core.smoothed_value import SmoothedValue
+
+REVIEW_INTERVAL = 1.0
+"""Seconds between reviews of a model's engines for ejection."""
 
 
 class Router:
@@ -20,12 +33,26 @@
     :param failure_domain: the failure domain of this daemon.
     :param policy: name of a policy in the ``routing`` registry.
     :param seed: seed of the random choices.
+    :param settings: constants of the decisions.
     """
 
-    def __init__(self, *, failure_domain: str, policy: str = "round-robin", seed: int = 0) -> None:
+    def __init__(
+        self,
+        *,
+        failure_domain: str,
+        policy: str = "expected-time",
+        seed: int = 0,
+        settings: RoutingSettings | None = None,
+    ) -> None:
         self._failure_domain = failure_domain
-        self._endpoints: dict[str, Endpoint] = {}
-        self._next = 0
+        self._settings = settings or RoutingSettings()
+        self._policy = ROUTING.create(policy)
+        self._chance = random.Random(seed)
+        self._fleet = EngineFleet(failure_domain=failure_domain, settings=self._settings)
+        self._pool = ProbePool(settings=self._settings, failure_domain=failure_domain)
+        self._output_tokens = SmoothedValue(weight=0.02)
+        self._tokens_since_end = 0
+        self._reviewed_at: dict[str, float] = {}
 
     def update_endpoints(self, endpoints: Iterable[Endpoint], now: float) -> None:
         """Replace the list of endpoints.
@@ -33,10 +60,62 @@
         :param endpoints: all endpoints that the platform lists.
         :param now: process time in seconds.
         """
-        self._endpoints = {endpoint.name: endpoint for endpoint in endpoints}
+        self._fleet.update_endpoints(endpoints, now)
+        self._pool.update_endpoints(view.endpoint for view in self._fleet.engines.values())
 
     def record_load(self, name: str, load: EngineLoad, now: float) -> None:
-        """Take in a load report."""
+        """Take in a load report.
+
+        :param name: name of the engine.
+        :param load: the report.
+        :param now: process time of its arrival in seconds.
+        """
+        engine = self._fleet.engines.get(name)
+        if engine is None:
+            return
+        if engine.health.observe_boot(load.boot_id, now):
+            engine.estimate.reset_load()
+            engine.prefixes.clear()
+            self._fleet.leaving.observe_restart(name)
+        if load.draining:
+            self.observe_draining(name, now)
+        if engine.estimate.apply_report(load, now):
+            self._pool.add_probe(name, now)
+
+    def record_cache_events(
+        self, name: str, events: Sequence[CacheEvent], first_sequence: int, now: float
+    ) -> None:
+        """Take in prefix cache events of an engine.
+
+        :param name: name of the engine.
+        :param events: consecutive events.
+        :param first_sequence: sequence number of the first event; a gap lowers trust.
+        :param now: process time in seconds.
+        """
+        if name in self._fleet.engines:
+            self._fleet.engines[name].prefixes.apply_events(events, first_sequence)
+
+    def list_probe_targets(self, now: float) -> list[str]:
+        """Return the engines whose load to ask for now.
+
+        :param now: process time in seconds.
+        """
+        return self._pool.list_targets(now)
+
+    def mark_leaving(self, name: str, now: float) -> None:
+        """Declare an endpoint as leaving, by an operator or a peer.
+
+        It stays leaving until the platform lists it as live after that or its boot id changes.
+        """
+        self._fleet.leaving.mark(name, now)
+
+    def observe_draining(self, name: str, now: float) -> None:
+        """Note that an engine itself says that it is leaving."""
+        self._fleet.leaving.mark(name, now)
+
+    def is_leaving(self, name: str) -> bool:
+        """Return true if an endpoint must not receive new work."""
+        return self._fleet.is_leaving(name)
 
     def choose(self, request: RouteRequest, now: float) -> Result[Endpoint, Failure]:
         """Choose an engine, or say why none can take the request.
@@ -44,39 +123,113 @@
         :param request: the attempt that needs an engine.
         :param now: process time in seconds.
         """
-        fitting = [e for e in self._endpoints.values() if _fits(e, request)]
-        if not fitting:
-            return Err(
-                Failure(
-                    status=503,
-                    code="no_engine",
-                    message=f"No engine can run model {request.model} now.",
-                    run_state=RunState.NOT_RUN,
-                )
-            )
-        self._next += 1
-        return Ok(fitting[self._next % len(fitting)])
+        self._review(request.model, now)
+        candidates = self._fleet.list_candidates(request, now)
+        if not candidates:
+            return Err(_create_failure(request))
+        chosen = self._policy.pick(request, candidates, self._create_context(now))
+        name = chosen.endpoint.name
+        leaving = self.is_leaving(name)
+        require(Invariant.NO_NEW_WORK_WHEN_LEAVING, not leaving, chosen.endpoint)
+        return Ok(chosen.endpoint)
 
     def record_start(self, name: str, request: RouteRequest, now: float) -> None:
         """Note that an attempt was sent to an engine."""
+        if name in self._fleet.engines:
+            self._fleet.engines[name].estimate.add_start(now)
+            self._fleet.engines[name].prefixes.add_choice(request.prefix_digests)
 
     def record_first_token(self, name: str, request: RouteRequest, wait: float, now: float) -> None:
         """Note the time from sending an attempt to its first token, in seconds."""
+        if name not in self._fleet.engines:
+            return
+        engine = self._fleet.engines[name]
+        cached = engine.prefixes.estimate_cached_share(request.prefix_digests)
+        # A cached prompt says nothing about the speed of prefill, own choices included.
+        if cached == 0 or not request.prefix_digests:
+            engine.estimate.observe_first_token(wait, request.prompt_tokens)
 
     def record_tokens(self, name: str, count: int, gap: float, now: float) -> None:
         """Note tokens of an attempt and the seconds since its tokens before."""
+        self._tokens_since_end += count
+        if name not in self._fleet.engines:
+            return
+        engine = self._fleet.engines[name]
+        engine.estimate.observe_tokens(count, gap)
+        engine.silence.observe_gap(gap, self._expect_gap(engine))
 
     def record_end(
         self, name: str, request: RouteRequest, outcome: AttemptOutcome, now: float
     ) -> None:
         """Note the end of an attempt."""
-
-
-def _fits(endpoint: Endpoint, request: RouteRequest) -> bool:
-    if endpoint.kind is not EndpointKind.ENGINE or endpoint.status is not EndpointStatus.LIVE:
-        return False
-    if endpoint.name in request.excluded:
-        return False
-    if request.exact is not None:
-        return request.exact in endpoint.models
-    return any(ref.model == request.model for ref in endpoint.models)
+        if outcome is AttemptOutcome.FINISHED:
+            self._output_tokens.observe(self._tokens_since_end)
+            self._tokens_since_end = 0
+        if name in self._fleet.engines:
+            self._fleet.engines[name].estimate.add_end(now)
+            self._fleet.engines[name].health.observe_end(outcome, now)
+
+    def compute_silence_bound(self, name: str) -> float:
+        """Return the accepted silence of a stream between tokens, in seconds."""
+        engine = self._fleet.engines.get(name)
+        if engine is None:
+            return 0.0
+        return engine.silence.compute_bound(self._expect_gap(engine))
+
+    def compute_first_token_bound(self, name: str, request: RouteRequest) -> float:
+        """Return the accepted wait for the first token, in seconds."""
+        engine = self._fleet.engines.get(name)
+        if engine is None:
+            return 0.0
+        wait = engine.expect_first_token(request, self._get_output_tokens())
+        return engine.silence.compute_first_token_bound(wait)
+
+    def expect_elsewhere(self, request: RouteRequest, now: float) -> float | None:
+        """Return the expected seconds to a first token on the best other engine.
+
+        :param request: the continuation, with the present engine excluded.
+        :param now: process time in seconds.
+        :returns: ``None`` if no other engine can run it.
+        """
+        candidates = self._fleet.list_candidates(request, now)
+        output_tokens = self._get_output_tokens()
+        waits = (engine.expect_first_token(request, output_tokens) for engine in candidates)
+        return min(waits, default=None)
+
+    def is_down(self, name: str, now: float) -> bool:
+        """Return true if an engine is taken for dead or is no longer listed."""
+        engine = self._fleet.engines.get(name)
+        return engine is None or engine.health.is_down(now)
+
+    def count_slots(self, model: str, now: float) -> int:
+        """Return the batch slots of a model's engines that can take work."""
+        return self._fleet.count_slots(model, now)
+
+    def _create_context(self, now: float) -> RoutingContext:
+        return RoutingContext(
+            settings=self._settings,
+            failure_domain=self._failure_domain,
+            probed=self._pool.list_fresh(now),
+            output_tokens=self._get_output_tokens(),
+            chance=self._chance,
+        )
+
+    def _review(self, model: str, now: float) -> None:
+        if now - self._reviewed_at.get(model, float("-inf")) >= REVIEW_INTERVAL:
+            self._reviewed_at[model] = now
+            review_engines(self._fleet.list_model(model), self._settings, now)
+
+    def _get_output_tokens(self) -> float:
+        return self._output_tokens.mean or self._settings.output_tokens
+
+    def _expect_gap(self, engine: EngineView) -> float:
+        return engine.estimate.estimate_token_time(engine.estimate.estimate_load())
+
+
+def _create_failure(request: RouteRequest) -> Failure:
+    return Failure(
+        status=503,
+        code="no_engine",
+        message=f"No engine can run model {request.model} now.",
+        run_state=RunState.NOT_RUN,
+    )
