--- /dev/null
+++ b/packages/core/gypsumpost_core/fair_queue.py
@@ -0,0 +1,102 @@
+"""A queue with priorities and weighted fair shares per workspace."""
+
+import heapq
+from collections.abc import Iterator
+
+import attrs
+
+from gypsumpost_core.admission_request import AdmissionRequest
+
+
+@attrs.define(kw_only=True)
+class WorkspaceQueue:
+    """Waiting requests of one workspace.
+
+    :param tag: virtual time at which the workspace may start its next request.
+    :param weight: weight of its latest request.
+    """
+
+    tag: float = 0.0
+    weight: float = 1.0
+    requests: list[tuple[int, int, AdmissionRequest]] = attrs.field(factory=list)
+
+
+@attrs.define(kw_only=True)
+class FairQueue:
+    """Requests in the order of priority, then of virtual time per workspace, then of arrival.
+
+    Virtual time advances by cost over weight for each started request, so a workspace with many
+    waiting requests does not delay the first request of another one.
+    """
+
+    _queues: dict[str, WorkspaceQueue] = attrs.field(factory=dict)
+    _virtual_time: float = 0.0
+    _sequence: int = 0
+    _size: int = 0
+
+    def __len__(self) -> int:
+        return self._size
+
+    def __iter__(self) -> Iterator[AdmissionRequest]:
+        for queue in self._queues.values():
+            yield from (entry[2] for entry in queue.requests)
+
+    def push(self, request: AdmissionRequest) -> None:
+        """Add a request."""
+        queue = self._queues.setdefault(request.workspace, WorkspaceQueue())
+        if not queue.requests:
+            queue.tag = max(queue.tag, self._virtual_time)
+        queue.weight = request.weight
+        self._sequence += 1
+        heapq.heappush(queue.requests, (-request.priority, self._sequence, request))
+        self._size += 1
+
+    def pop(self) -> AdmissionRequest:
+        """Remove and return the request that goes next."""
+        waiting = (queue for queue in self._queues.values() if queue.requests)
+        queue = min(waiting, key=lambda q: (q.requests[0][0], q.tag, q.requests[0][1]))
+        request = heapq.heappop(queue.requests)[2]
+        self._size -= 1
+        self.charge(request)
+        return request
+
+    def charge(self, request: AdmissionRequest) -> None:
+        """Count a started request against its workspace's share."""
+        queue = self._queues.setdefault(request.workspace, WorkspaceQueue())
+        self._virtual_time = max(self._virtual_time, queue.tag)
+        queue.tag = max(queue.tag, self._virtual_time) + request.cost / request.weight
+        self._forget_idle()
+
+    def remove(self, request: AdmissionRequest) -> None:
+        """Remove a waiting request."""
+        queue = self._queues[request.workspace]
+        queue.requests = [entry for entry in queue.requests if entry[2] is not request]
+        heapq.heapify(queue.requests)
+        self._size -= 1
+
+    def find_excess(self) -> AdmissionRequest:
+        """Return the request to drop from a full queue: the last of the largest workspace."""
+        queue = max(self._queues.values(), key=lambda q: len(q.requests) / q.weight)
+        return max(queue.requests)[2]
+
+    def count_ahead(self, request: AdmissionRequest) -> float:
+        """Return the expected number of requests that start before a new one."""
+        own = self._queues.get(request.workspace, WorkspaceQueue())
+        own_ahead = sum(entry[0] <= -request.priority for entry in own.requests)
+        turns = (own_ahead + 1) / request.weight
+        ahead = float(own_ahead)
+        for workspace, queue in self._queues.items():
+            if workspace != request.workspace and queue.requests:
+                higher = sum(entry[0] < -request.priority for entry in queue.requests)
+                equal = sum(entry[0] == -request.priority for entry in queue.requests)
+                ahead += higher + min(equal, turns * queue.weight)
+        return ahead
+
+    def _forget_idle(self) -> None:
+        # An idle workspace whose tag has passed is the same as an unknown one.
+        idle = [name for name, queue in self._queues.items() if self._is_idle(queue)]
+        for name in idle:
+            del self._queues[name]
+
+    def _is_idle(self, queue: WorkspaceQueue) -> bool:
+        return not queue.requests and queue.tag <= self._virtual_time
