--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/engine_response.py
@@ -0,0 +1,25 @@
+"""Interface of a response whose body is still being received."""
+
+from collections.abc import Mapping
+from typing import Protocol
+
+
+class EngineResponse(Protocol):
+    """A response of an endpoint after its headers."""
+
+    @property
+    def status(self) -> int:
+        """HTTP status code."""
+
+    @property
+    def headers(self) -> Mapping[str, str]:
+        """Headers by lower-case name."""
+
+    async def receive(self) -> bytes:
+        """Wait for the next part of the body; an empty result is its regular end.
+
+        :raises OSError: if the connection is lost or the body is malformed.
+        """
+
+    async def aclose(self) -> None:
+        """Release the connection."""
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/engine_stream.py
@@ -0,0 +1,50 @@
+"""The events of one generation on an engine."""
+
+from collections.abc import Mapping
+
+from result import Err, Ok, Result
+
+from gypsumpost_daemon.engine_event import EngineEvent
+from gypsumpost_daemon.engine_event_decoder import decode_event
+from gypsumpost_daemon.engine_failure import EngineFailure
+from gypsumpost_daemon.engine_response import EngineResponse
+from gypsumpost_daemon.event_stream_decoder import EventStreamDecoder
+
+
+class EngineStream:
+    """Reads server-sent events; must be closed with :meth:`aclose`.
+
+    :param response: the engine's response with status 200.
+    """
+
+    def __init__(self, *, response: EngineResponse) -> None:
+        self._response = response
+        self._receive_bytes = response.receive
+        self._feed = EventStreamDecoder().feed
+
+    @property
+    def headers(self) -> Mapping[str, str]:
+        """The response's headers by lower-case name."""
+        return self._response.headers
+
+    async def receive(self) -> Result[list[EngineEvent], EngineFailure]:
+        """Wait for data and return all events that have arrived, at least one.
+
+        The end of the stream is a failure, because a complete stream ends with an event whose
+        ``done`` is true, after which nobody needs to receive again.
+        """
+        while True:
+            try:
+                data = await self._receive_bytes()
+                events = [decode_event(payload) for payload in self._feed(data)]
+            except (OSError, ValueError) as error:
+                return Err(EngineFailure(reason=str(error), may_have_run=True))
+            if events:
+                return Ok(events)
+            if not data:
+                reason = "the engine ended the stream without [DONE]"
+                return Err(EngineFailure(reason=reason, may_have_run=True))
+
+    async def aclose(self) -> None:
+        """Release the connection; the engine sees a disconnect if the stream has not ended."""
+        await self._response.aclose()
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/event_stream_decoder.py
@@ -0,0 +1,44 @@
+"""Splits a byte stream into server-sent events."""
+
+MAX_EVENT_BYTES = 16 << 20
+
+
+class EventStreamDecoder:
+    """Collects bytes until events are complete; lines end with LF, CRLF or CR."""
+
+    def __init__(self) -> None:
+        self._rest = b""
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """Return the data fields of all events that are complete now.
+
+        :param data: the next bytes of the stream.
+        :raises ValueError: if an event is longer than ``MAX_EVENT_BYTES``.
+        """
+        buffer = self._rest + data if self._rest else data
+        held = b""
+        if b"\r" in buffer:
+            # A CR at the end may be the first half of a CRLF.
+            held = b"\r" if buffer.endswith(b"\r") else b""
+            buffer = buffer.removesuffix(held).replace(b"\r\n", b"\n").replace(b"\r", b"\n")
+        complete, separator, rest = buffer.rpartition(b"\n\n")
+        self._rest = rest + held
+        if len(self._rest) > MAX_EVENT_BYTES:
+            raise ValueError(f"an event is longer than {MAX_EVENT_BYTES} bytes")
+        if not separator:
+            return []
+        payloads = [extract_data(block) for block in complete.split(b"\n\n")]
+        return [payload for payload in payloads if payload is not None]
+
+
+def extract_data(block: bytes) -> bytes | None:
+    """Return the data of one event, ``None`` if it has none (for example a comment).
+
+    :param block: the lines of the event.
+    """
+    if block.startswith(b"data: ") and b"\n" not in block:
+        return block[6:]
+    lines = [line[5:] for line in block.split(b"\n") if line.startswith(b"data:")]
+    if not lines:
+        return None
+    return b"\n".join(line.removeprefix(b" ") for line in lines)
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/h11_engine_connection.py
@@ -0,0 +1,134 @@
+"""One HTTP/1.1 connection to an endpoint."""
+
+import contextlib
+import socket
+
+import h11
+import trio
+from result import Err, Ok, Result
+
+from gypsumpost_daemon.addresses import split_address
+from gypsumpost_daemon.engine_failure import EngineFailure
+from gypsumpost_daemon.engine_request import EngineRequest
+from gypsumpost_daemon.socket_transport import SocketTransport
+
+MAX_HEAD_BYTES = 65536
+
+
+class H11EngineConnection:
+    """Owns a socket and its HTTP state; at most one request at a time.
+
+    :param sock: the connected socket.
+    """
+
+    def __init__(self, *, sock: socket.socket) -> None:
+        self._transport = SocketTransport(sock=sock)
+        self._parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+        self._body_ended = False
+
+    async def send(self, request: EngineRequest) -> Result[h11.Response, EngineFailure]:
+        """Send a request and wait for the response's headers.
+
+        :param request: the request.
+        """
+        try:
+            data = self._encode(request)
+        except (h11.LocalProtocolError, UnicodeEncodeError) as error:
+            return Err(EngineFailure(reason=str(error), may_have_run=False))
+        try:
+            await self._transport.send(data)
+            return Ok(await self._receive_head())
+        except OSError as error:
+            return Err(EngineFailure(reason=str(error), may_have_run=True))
+
+    async def receive_body(self) -> bytes:
+        """Wait for the next part of the body; an empty result is its regular end.
+
+        :raises OSError: if the connection is lost or the body is malformed.
+        """
+        pieces: list[bytes] = []
+        while not self._body_ended:
+            event = self._next_event()
+            if isinstance(event, h11.Data):
+                pieces.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                self._body_ended = True
+            elif pieces:
+                break
+            else:
+                self._parser.receive_data(await self._transport.receive())
+        return b"".join(pieces)
+
+    def prepare_next_request(self) -> bool:
+        """Return true if the connection can carry another request."""
+        try:
+            self._parser.start_next_cycle()
+        except h11.LocalProtocolError:
+            return False
+        self._body_ended = False
+        return True
+
+    def is_usable(self) -> bool:
+        """Return false if the endpoint has closed the idle connection."""
+        return not self._transport.is_readable()
+
+    def close(self) -> None:
+        """Close the connection at once."""
+        self._transport.close()
+
+    def _encode(self, request: EngineRequest) -> bytes:
+        head = h11.Request(
+            method=request.method.encode("ascii"),
+            target=request.path.encode("ascii"),
+            headers=request.create_headers(),
+        )
+        data = self._parser.send(head) or b""
+        if request.body:
+            data += self._parser.send(h11.Data(data=request.body)) or b""
+        return data + (self._parser.send(h11.EndOfMessage()) or b"")
+
+    async def _receive_head(self) -> h11.Response:
+        while True:
+            event = self._next_event()
+            if isinstance(event, h11.Response):
+                return event
+            if event is h11.NEED_DATA:
+                self._parser.receive_data(await self._transport.receive())
+            elif not isinstance(event, h11.InformationalResponse):
+                raise ConnectionResetError("the connection was closed before the response")
+
+    def _next_event(self) -> object:
+        try:
+            return self._parser.next_event()
+        except h11.RemoteProtocolError as error:
+            raise ConnectionResetError(f"malformed response: {error}") from error
+
+
+async def connect(address: str, deadline: float) -> Result[H11EngineConnection, EngineFailure]:
+    """Connect to an endpoint.
+
+    :param address: ``ip:port``.
+    :param deadline: process time in seconds at which to stop waiting.
+    """
+    ip, port = split_address(address)
+    sock = socket.socket(socket.AF_INET6 if ":" in ip else socket.AF_INET, socket.SOCK_STREAM)
+    sock.setblocking(False)
+    connected = False
+    reason = "no connection before the deadline"
+    try:
+        with trio.move_on_at(deadline):
+            with contextlib.suppress(BlockingIOError):
+                sock.connect((ip, port))
+            await trio.lowlevel.wait_writable(sock)
+            error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            if error:
+                raise OSError(error, "cannot connect")
+            connected = True
+    except OSError as error:
+        reason = str(error)
+    finally:
+        if not connected:
+            sock.close()
+    if not connected:
+        return Err(EngineFailure(reason=reason, may_have_run=False))
+    return Ok(H11EngineConnection(sock=sock))
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/idle_connections.py
@@ -0,0 +1,55 @@
+"""Connections to endpoints that wait for the next short call."""
+
+from gypsumpost_daemon.h11_engine_connection import H11EngineConnection
+
+IDLE_SECONDS = 15.0
+MAX_IDLE_PER_ADDRESS = 2
+MAX_ADDRESSES = 256
+
+
+class IdleConnections:
+    """Keeps a few connections per endpoint until a stored deadline."""
+
+    def __init__(self) -> None:
+        self._idle: dict[str, list[tuple[float, H11EngineConnection]]] = {}
+
+    def put(self, address: str, connection: H11EngineConnection, now: float) -> None:
+        """Keep a connection whose last response was read to its end.
+
+        :param address: ``ip:port`` of the endpoint.
+        :param connection: the connection.
+        :param now: process time in seconds.
+        """
+        # The address that was used least recently is first.
+        entries = self._idle.pop(address, [])
+        self._idle[address] = entries
+        entries.append((now + IDLE_SECONDS, connection))
+        if len(entries) > MAX_IDLE_PER_ADDRESS:
+            entries.pop(0)[1].close()
+        if len(self._idle) > MAX_ADDRESSES:
+            self._close_address(next(iter(self._idle)))
+
+    def take(self, address: str, now: float) -> H11EngineConnection | None:
+        """Return a usable connection, or ``None``.
+
+        :param address: ``ip:port`` of the endpoint.
+        :param now: process time in seconds.
+        """
+        entries = self._idle.pop(address, [])
+        while entries:
+            deadline, connection = entries.pop()
+            if now < deadline and connection.is_usable():
+                if entries:
+                    self._idle[address] = entries
+                return connection
+            connection.close()
+        return None
+
+    def close(self) -> None:
+        """Close all connections."""
+        for address in list(self._idle):
+            self._close_address(address)
+
+    def _close_address(self, address: str) -> None:
+        for _, connection in self._idle.pop(address):
+            connection.close()
