Serve a generation from caller to engine with copies between daemons

Cause: there was no path from a caller to an engine. Before: no request could be served. After: streaming and whole answers through three daemons and two engine stand-ins on one machine, tried by hand; tests in make check pass. Conclusion: resumption under kills is the next thing to show.

--- /dev/null
+++ b/packages/core/gypsumpost_core/attempt_plan.py
@@ -0,0 +1,19 @@
+"""What an attempt sends to its engine."""
+
+import attrs
+
+
+@attrs.frozen(kw_only=True)
+class AttemptPlan:
+    """Request of one attempt.
+
+    :param attempt: number of the attempt.
+    :param stream_id: id of the attempt's stream on the engine.
+    :param prompt_token_ids: prompt with the output so far, ``None`` to send the caller's prompt.
+    :param max_tokens: most tokens that this attempt may produce.
+    """
+
+    attempt: int
+    stream_id: str
+    prompt_token_ids: tuple[int, ...] | None
+    max_tokens: int
--- /dev/null
+++ b/packages/core/gypsumpost_core/generation_record.py
@@ -0,0 +1,77 @@
+"""State of a generation that is copied to other daemons."""
+
+import attrs
+
+from gypsumpost_core.generation_kind import GenerationKind
+from gypsumpost_core.model_ref import ModelRef
+from gypsumpost_core.piece import Piece
+
+
+@attrs.define(kw_only=True, eq=False)
+class GenerationRecord:
+    """Everything that another daemon needs to go on with a generation.
+
+    :param generation_id: unique id without the hosts that hold the state.
+    :param workspace: the workspace that owns the answer.
+    :param request_id: id of the request in the logs.
+    :param idempotency_key: key that the caller chose, empty if none.
+    :param kind: completion or chat.
+    :param body: the caller's request body.
+    :param model: name of the model as the caller gave it.
+    :param max_tokens: most output tokens of the whole answer.
+    :param stop: stop sequences.
+    :param return_token_ids: true if the caller wants token ids.
+    :param stream: true if the caller wants server-sent events.
+    :param priority: higher goes first.
+    :param created_at: Unix time in seconds of the request.
+    :param deadline: Unix time in seconds after which no attempt starts.
+    :param keep_until: Unix time in seconds after which the state is dropped.
+    :param epoch: number of the current owner, raised by each takeover.
+    :param attempt: number of the current attempt, 0 before the first.
+    :param attempt_base: output tokens that existed when the current attempt began.
+    :param engine: name of the engine of the current attempt.
+    :param engine_address: its address.
+    :param exact: what the engine runs, ``None`` before the first token.
+    :param prompt_token_ids: the exact prompt, empty before the first token.
+    :param pieces: the answer so far.
+    :param finish_reason: why the answer ended, ``None`` while it runs.
+    """
+
+    generation_id: str
+    workspace: str
+    request_id: str
+    kind: GenerationKind
+    body: bytes
+    model: str
+    max_tokens: int
+    idempotency_key: str = ""
+    stop: tuple[str, ...] = ()
+    return_token_ids: bool = False
+    stream: bool = True
+    priority: int = 0
+    created_at: float = 0.0
+    deadline: float = 0.0
+    keep_until: float = 0.0
+    epoch: int = 1
+    attempt: int = 0
+    attempt_base: int = 0
+    engine: str = ""
+    engine_address: str = ""
+    exact: ModelRef | None = None
+    prompt_token_ids: tuple[int, ...] = ()
+    pieces: list[Piece] = attrs.field(factory=list)
+    finish_reason: str | None = None
+
+    @property
+    def length(self) -> int:
+        """Number of output tokens so far."""
+        return self.pieces[-1].end if self.pieces else 0
+
+    @property
+    def stream_id(self) -> str:
+        """Id of the current attempt's stream on its engine."""
+        return f"{self.generation_id}-{self.attempt}"
+
+    def list_token_ids(self) -> list[int]:
+        """Return all output token ids so far."""
+        return [token for piece in self.pieces for token in piece.token_ids]
--- a/packages/core/gypsumpost_core/router.py
+++ b/packages/core/gypsumpost_core/router.py
@@ -176,6 +176,11 @@
             return 0.0
         return engine.silence.compute_bound(self._expect_gap(engine))
 
+    def get_mean_gap(self, name: str) -> float:
+        """Return the mean seconds between deliveries of tokens on an engine, 0 if unknown."""
+        engine = self._fleet.engines.get(name)
+        return 0.0 if engine is None else engine.silence.get_mean_gap()
+
     def compute_first_token_bound(self, name: str, request: RouteRequest) -> float:
         """Return the accepted wait for the first token, in seconds."""
         engine = self._fleet.engines.get(name)
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/copy_codec.py
@@ -0,0 +1,114 @@
+"""Encoding of generation records and their changes between daemons."""
+
+from array import array
+from pathlib import Path
+from typing import Any
+
+import capnp
+
+from gypsumpost_core.generation_kind import GenerationKind
+from gypsumpost_core.generation_record import GenerationRecord
+from gypsumpost_core.model_ref import ModelRef
+from gypsumpost_core.piece import Piece
+
+SCHEMA = capnp.load(str(Path(__file__).with_name("copies.capnp")))
+
+PLAIN_FIELDS = {
+    "generation_id": "generationId",
+    "workspace": "workspace",
+    "request_id": "requestId",
+    "idempotency_key": "idempotencyKey",
+    "body": "body",
+    "model": "model",
+    "max_tokens": "maxTokens",
+    "return_token_ids": "returnTokenIds",
+    "stream": "stream",
+    "priority": "priority",
+    "created_at": "createdAt",
+    "deadline": "deadline",
+    "keep_until": "keepUntil",
+    "epoch": "epoch",
+    "attempt": "attempt",
+    "attempt_base": "attemptBase",
+    "engine": "engine",
+    "engine_address": "engineAddress",
+}
+"""Fields of a record that are copied as they are, with their names in the schema."""
+
+
+def fill_pieces(builder: Any, pieces: list[Piece]) -> None:
+    """Write pieces into a ``Pieces`` builder.
+
+    :param builder: the builder.
+    :param pieces: consecutive pieces.
+    """
+    if not pieces:
+        return
+    tokens = array("I")
+    for piece in pieces:
+        tokens.extend(piece.token_ids)
+    builder.start = pieces[0].start
+    builder.tokenIds = tokens.tobytes()
+    builder.tokenCounts = array("H", [len(piece.token_ids) for piece in pieces]).tobytes()
+    builder.text = "".join(piece.text for piece in pieces)
+    builder.textCounts = array("I", [len(piece.text) for piece in pieces]).tobytes()
+
+
+def read_pieces(reader: Any) -> list[Piece]:
+    """Read pieces from a ``Pieces`` reader.
+
+    :param reader: the reader.
+    """
+    tokens = array("I", reader.tokenIds)
+    text = reader.text
+    pieces = []
+    counts, lengths = array("H", reader.tokenCounts), array("I", reader.textCounts)
+    end, token_at, text_at = reader.start, 0, 0
+    for count, length in zip(counts, lengths, strict=True):
+        end += count
+        ids = tuple(tokens[token_at : token_at + count])
+        pieces.append(Piece(end=end, token_ids=ids, text=text[text_at : text_at + length]))
+        token_at += count
+        text_at += length
+    return pieces
+
+
+def fill_record(builder: Any, record: GenerationRecord) -> None:
+    """Write a record into a ``Record`` builder.
+
+    :param builder: the builder.
+    :param record: the record.
+    """
+    for name, schema_name in PLAIN_FIELDS.items():
+        setattr(builder, schema_name, getattr(record, name))
+    builder.kind = record.kind.value
+    builder.stop = list(record.stop)
+    if record.exact is not None:
+        builder.exactModel = record.exact.model
+        builder.exactVersion = record.exact.version
+        builder.exactAdapter = record.exact.adapter
+    builder.promptTokenIds = array("I", record.prompt_token_ids).tobytes()
+    fill_pieces(builder.init("pieces"), record.pieces)
+    builder.finishReason = record.finish_reason or ""
+
+
+def read_record(reader: Any) -> GenerationRecord:
+    """Read a record from a ``Record`` reader.
+
+    :param reader: the reader.
+    """
+    fields = {name: getattr(reader, schema) for name, schema in PLAIN_FIELDS.items()}
+    exact = None
+    if reader.exactModel:
+        exact = ModelRef(
+            model=reader.exactModel, version=reader.exactVersion, adapter=reader.exactAdapter
+        )
+    return GenerationRecord(
+        **fields,
+        kind=GenerationKind(reader.kind),
+        stop=tuple(reader.stop),
+        exact=exact,
+        prompt_token_ids=tuple(array("I", reader.promptTokenIds)),
+        pieces=read_pieces(reader.pieces),
+        finish_reason=reader.finishReason or None,
+    )
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/copy_outbox.py
@@ -0,0 +1,145 @@
+"""Changes of this daemon's generations on their way to one holder."""
+
+from typing import Any
+
+import attrs
+import trio
+from result import Err
+
+from gypsumpost_daemon.copied_generation import CopiedGeneration
+from gypsumpost_daemon.copy_codec import SCHEMA, fill_pieces, fill_record
+from gypsumpost_daemon.log import Log
+from gypsumpost_daemon.message_kind import MessageKind
+from gypsumpost_daemon.outbox_entry import OutboxEntry
+from gypsumpost_daemon.peer_network import PeerNetwork
+
+LOG = Log(prefix="copy")
+
+ACKNOWLEDGE_SECONDS = 0.5
+"""A holder that takes longer counts as lost; holders answer within a few milliseconds."""
+
+BATCH_INTERVAL = 0.004
+"""Least seconds between two batches, so that a batch carries the tokens of many generations."""
+
+
+@attrs.define(kw_only=True)
+class CopyOutbox:
+    """Sends batches to one holder, the next one when the former is acknowledged.
+
+    :param host_id: the holder.
+    :param network: carries the batches.
+    """
+
+    host_id: str
+    network: PeerNetwork
+    _entries: dict[str, OutboxEntry] = attrs.field(factory=dict, init=False)
+    _changed: dict[str, OutboxEntry] = attrs.field(factory=dict, init=False)
+    _closed: list[str] = attrs.field(factory=list, init=False)
+    _wake: trio.Event = attrs.field(factory=trio.Event, init=False)
+
+    def add(self, task: CopiedGeneration) -> None:
+        """Copy a generation to this holder from now on.
+
+        :param task: the generation.
+        """
+        generation_id = task.generation.record.generation_id
+        self._entries[generation_id] = self._changed[generation_id] = OutboxEntry(task=task)
+        self._wake.set()
+
+    def mark_changed(self, generation_id: str) -> None:
+        """Send a generation's new state with the next batch.
+
+        :param generation_id: the generation.
+        """
+        entry = self._entries.get(generation_id)
+        if entry is not None:
+            self._changed[generation_id] = entry
+            self._wake.set()
+
+    def remove(self, generation_id: str, close: bool) -> None:
+        """Stop copying a generation.
+
+        :param generation_id: the generation.
+        :param close: true if the holder may drop its copy.
+        """
+        self._changed.pop(generation_id, None)
+        if self._entries.pop(generation_id, None) is not None and close:
+            self._closed.append(generation_id)
+            self._wake.set()
+
+    async def run(self) -> None:
+        """Send batches until cancelled."""
+        while True:
+            await self._wake.wait()
+            self._wake = trio.Event()
+            next_batch_at = trio.current_time() + BATCH_INTERVAL
+            await self._send_batch()
+            if self._changed or self._closed:
+                self._wake.set()
+            await trio.sleep_until(next_batch_at)
+
+    async def _send_batch(self) -> None:
+        changed, self._changed = self._changed, {}
+        closed, self._closed = self._closed, []
+        if not changed and not closed:
+            return
+        sent_lengths = {i: e.task.generation.record.length for i, e in changed.items()}
+        payload = _encode_batch(list(changed.values()), closed)
+        deadline = trio.current_time() + ACKNOWLEDGE_SECONDS
+        reply = await self.network.request(
+            self.host_id, MessageKind.APPEND_COPIES, payload, deadline
+        )
+        if isinstance(reply, Err):
+            LOG.write("holder lost", peer=self.host_id, reason=reply.err_value.reason)
+            self.drop_all()
+            return
+        with SCHEMA.CopyReply.from_bytes(reply.ok_value) as message:
+            stale, missing = set(message.stale), set(message.missing)
+        for generation_id, entry in changed.items():
+            if self._entries.get(generation_id) is not entry:
+                continue
+            if generation_id in stale:
+                self.remove(generation_id, close=False)
+                entry.task.handle_stale()
+            elif generation_id in missing:
+                entry.attempt = -1
+                self.mark_changed(generation_id)
+            else:
+                entry.held = sent_lengths[generation_id]
+                entry.task.handle_copy(self.host_id, entry.held)
+
+    def drop_all(self) -> None:
+        """Give up this holder for all generations."""
+        entries, self._entries = self._entries, {}
+        self._changed.clear()
+        for entry in entries.values():
+            entry.task.handle_holder_lost(self.host_id)
+
+
+def _encode_batch(entries: list[OutboxEntry], closed: list[str]) -> bytes:
+    opened = [e for e in entries if e.attempt != e.task.generation.record.attempt]
+    appended = [e for e in entries if e.attempt == e.task.generation.record.attempt]
+    batch = SCHEMA.CopyBatch.new_message(closed=closed)
+    records = batch.init("opened", len(opened))
+    for position, entry in enumerate(opened):
+        record = entry.task.generation.record
+        fill_record(records[position], record)
+        entry.attempt = record.attempt
+    appends = batch.init("appended", len(appended))
+    for position, entry in enumerate(appended):
+        _fill_append(appends[position], entry)
+    return bytes(batch.to_bytes())
+
+
+def _fill_append(builder: Any, entry: OutboxEntry) -> None:
+    generation = entry.task.generation
+    record = generation.record
+    builder.generationId = record.generation_id
+    builder.epoch = record.epoch
+    builder.finishReason = record.finish_reason or ""
+    start = entry.held
+    if generation.finished and record.pieces:
+        # The end of the answer may have been cut by a stop sequence after it was copied.
+        start = min(start, record.pieces[-1].start)
+    pieces = generation.list_pieces_from(start)
+    fill_pieces(builder.init("pieces"), pieces)
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/daemon.py
@@ -0,0 +1,166 @@
+"""Assembles the parts of the daemon and runs them."""
+
+import signal
+from pathlib import Path
+
+import trio
+
+from gypsumpost_core.host import Host
+from gypsumpost_core.resumption_policies import RESUMPTION
+from gypsumpost_core.router import Router
+from gypsumpost_daemon.caller_application import CallerApplication
+from gypsumpost_daemon.copy_client import CopyClient
+from gypsumpost_daemon.copy_store import CopyStore
+from gypsumpost_daemon.endpoint_table import EndpointTable
+from gypsumpost_daemon.engine_client import EngineClient
+from gypsumpost_daemon.engine_prober import EngineProber
+from gypsumpost_daemon.generation_context import GenerationContext
+from gypsumpost_daemon.generation_supervisor import GenerationSupervisor
+from gypsumpost_daemon.host_directory import HostDirectory
+from gypsumpost_daemon.host_list_file import read_host_list
+from gypsumpost_daemon.http_server import HTTP_SERVERS
+from gypsumpost_daemon.key_client import KeyClient
+from gypsumpost_daemon.key_directory import KeyDirectory
+from gypsumpost_daemon.log import Log
+from gypsumpost_daemon.message_kind import MessageKind
+from gypsumpost_daemon.peer_network import PeerNetwork
+from gypsumpost_daemon.running_server import RunningServer
+from gypsumpost_daemon.settings import Settings
+from gypsumpost_daemon.stream_canceller import StreamCanceller
+from gypsumpost_daemon.take_over_client import TakeOverClient
+
+LOG = Log(prefix="daemon")
+
+OPEN_KEY = b"gypsumpost"
+"""Used between daemons without a key file, for trials on one machine."""
+
+
+class Daemon:
+    """All parts of one daemon.
+
+    :param settings: checked settings.
+    """
+
+    def __init__(self, *, settings: Settings) -> None:
+        self._settings = settings
+        own = Host(
+            host_id=settings.host_id,
+            failure_domain=settings.failure_domain,
+            peer_address=settings.peer_address,
+            gossip_address=settings.gossip_address,
+            api_address=settings.api_address,
+        )
+        self._directory = HostDirectory(own=own)
+        self._network = PeerNetwork(directory=self._directory, key=_read_key(settings))
+        self._endpoints = EndpointTable()
+        self._router = Router(failure_domain=own.failure_domain, policy=settings.routing)
+        self._engines = EngineClient(transport=settings.engine_transport)
+        self._canceller = StreamCanceller(engines=self._engines)
+        self._copy_store = CopyStore(max_bytes=settings.held_bytes)
+        self._key_directory = KeyDirectory()
+        self._copy_client = CopyClient(
+            directory=self._directory, network=self._network, placement=settings.copy_placement
+        )
+        self._supervisor = self._create_supervisor()
+        self._application = self._create_application()
+
+    async def run(self) -> None:
+        """Serve until a signal asks for a planned stop and all requests have ended."""
+        self._add_handlers()
+        self._load_host_list()
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self._network.run)
+            await nursery.start(self._canceller.run)
+            await nursery.start(self._copy_client.run)
+            await nursery.start(self._supervisor.run)
+            self._start_background(nursery)
+            server = await self._start_server(nursery)
+            LOG.write("ready", address=server.address)
+            await self._wait_for_stop(server)
+            nursery.cancel_scope.cancel()
+
+    def _create_supervisor(self) -> GenerationSupervisor:
+        resumption = RESUMPTION.create(
+            self._settings.resumption, resume_weight=self._settings.resume_weight
+        )
+        return GenerationSupervisor(
+            host_id=self._settings.host_id,
+            context=GenerationContext(
+                settings=self._settings,
+                router=self._router,
+                resumption=resumption,
+                engines=self._engines,
+                copies=self._copy_client,
+                canceller=self._canceller,
+            ),
+            copies=self._copy_store,
+            take_overs=TakeOverClient(directory=self._directory, network=self._network),
+        )
+
+    def _create_application(self) -> CallerApplication:
+        return CallerApplication(
+            settings=self._settings,
+            supervisor=self._supervisor,
+            keys=KeyClient(
+                directory=self._directory, network=self._network, own_entries=self._key_directory
+            ),
+            find_workspace=self._settings.workspace_keys.find_workspace,
+            list_models=self._endpoints.list_models,
+        )
+
+    def _load_host_list(self) -> None:
+        if not self._settings.host_list_file:
+            return
+        hosts, endpoints = read_host_list(self._settings.host_list_file)
+        for host in hosts:
+            if host.host_id != self._settings.host_id:
+                self._directory.update(host, live=True)
+        self._endpoints.replace(endpoints)
+        self._router.update_endpoints(endpoints, trio.current_time())
+
+    def _add_handlers(self) -> None:
+        add = self._network.add_handler
+        add(MessageKind.APPEND_COPIES, self._copy_store.handle_batch)
+        add(MessageKind.TAKE_OVER, self._supervisor.handle_take_over)
+        add(MessageKind.REGISTER_KEY, self._key_directory.handle)
+
+    def _start_background(self, nursery: trio.Nursery) -> None:
+        prober = EngineProber(
+            router=self._router, engines=self._engines, find_endpoint=self._endpoints.find
+        )
+        nursery.start_soon(prober.run)
+        nursery.start_soon(self._copy_store.run)
+        nursery.start_soon(self._key_directory.run)
+
+    async def _start_server(self, nursery: trio.Nursery) -> RunningServer:
+        async def serve(task_status: trio.TaskStatus[RunningServer]) -> None:
+            await HTTP_SERVERS.create(
+                self._settings.http_server,
+                application=self._application,
+                address=self._settings.api_address,
+                max_body=self._settings.max_body,
+                tls=None,
+                task_status=task_status,
+            )
+
+        server: RunningServer = await nursery.start(serve)
+        return server
+
+    async def _wait_for_stop(self, server: RunningServer) -> None:
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async for _ in signals:
+                break
+        deadline = trio.current_time() + self._settings.stop_deadline
+        LOG.write("stopping", open_requests=self._application.open_requests)
+        self._application.draining = True
+        server.stop(deadline)
+        with trio.move_on_at(deadline):
+            while self._application.open_requests or self._supervisor.running:
+                await trio.sleep(0.05)
+        LOG.write("stopped", open_requests=self._application.open_requests)
+
+
+def _read_key(settings: Settings) -> bytes:
+    if not settings.peer_key_file:
+        return OPEN_KEY
+    return Path(settings.peer_key_file).read_bytes().strip()
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/engine_prober.py
@@ -0,0 +1,71 @@
+"""Asks engines for their load reports."""
+
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+import trio
+from result import Ok
+
+from gypsumpost_core.endpoint import Endpoint
+from gypsumpost_core.engine_load import EngineLoad
+from gypsumpost_core.model_ref import ModelRef
+from gypsumpost_core.router import Router
+from gypsumpost_daemon.engine_client import EngineClient
+
+PROBE_INTERVAL = 0.25
+PROBE_SECONDS = 1.0
+"""Longest wait for one report."""
+
+
+@attrs.define(kw_only=True)
+class EngineProber:
+    """Probes the engines that routing names and hands it their reports.
+
+    :param router: names the engines to probe.
+    :param engines: calls them.
+    :param find_endpoint: returns an endpoint by name.
+    """
+
+    router: Router
+    engines: EngineClient
+    find_endpoint: Callable[[str], Endpoint | None]
+
+    async def run(self) -> None:
+        """Probe until cancelled."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                for name in self.router.list_probe_targets(trio.current_time()):
+                    endpoint = self.find_endpoint(name)
+                    if endpoint is not None:
+                        nursery.start_soon(self._probe, endpoint)
+                await trio.sleep(PROBE_INTERVAL)
+
+    async def _probe(self, endpoint: Endpoint) -> None:
+        deadline = trio.current_time() + PROBE_SECONDS
+        outcome = await self.engines.get_json(endpoint.address, "/load", deadline)
+        load = parse_load(outcome.ok_value) if isinstance(outcome, Ok) else None
+        if load is not None:
+            self.router.record_load(endpoint.name, load, trio.current_time())
+
+
+def parse_load(report: Any) -> EngineLoad | None:
+    """Return a load report, ``None`` if it is malformed.
+
+    :param report: the decoded JSON.
+    """
+    try:
+        return EngineLoad(
+            boot_id=str(report["boot_id"]),
+            running=int(report["running"]),
+            waiting=int(report["waiting"]),
+            cache_used=float(report["cache_used"]),
+            sampled_at=float(report["sampled_at"]),
+            draining=bool(report["draining"]),
+            models=tuple(
+                ModelRef(**{name: str(model[name]) for name in ("model", "version", "adapter")})
+                for model in report["models"]
+            ),
+        )
+    except (KeyError, TypeError, ValueError):
+        return None
--- a/packages/daemon/gypsumpost_daemon/engine_transport.py
+++ b/packages/daemon/gypsumpost_daemon/engine_transport.py
@@ -2,9 +2,9 @@
 
 from typing import Protocol
 
-from gypsumpost_core.registry import Registry
 from result import Result
 
+from gypsumpost_core.registry import Registry
 from gypsumpost_daemon.engine_failure import EngineFailure
 from gypsumpost_daemon.engine_request import EngineRequest
 from gypsumpost_daemon.engine_response import EngineResponse
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/generation_responder.py
@@ -0,0 +1,199 @@
+"""Writes a generation's answer to a caller."""
+
+from typing import Any
+
+import attrs
+import orjson
+import trio
+
+from gypsumpost_core.failure import Failure
+from gypsumpost_core.generation_kind import GenerationKind
+from gypsumpost_core.piece import Piece
+from gypsumpost_core.run_state import RunState
+from gypsumpost_daemon.caller_response import CallerResponse
+from gypsumpost_daemon.error_body import encode_failure
+from gypsumpost_daemon.event_encoder import DONE, EventEncoder, EventSource
+from gypsumpost_daemon.generation_supervisor import GenerationSupervisor
+from gypsumpost_daemon.generation_task import GenerationTask
+from gypsumpost_daemon.http_call import HttpCall
+from gypsumpost_daemon.log import Log
+
+LOG = Log(prefix="caller")
+
+MOVED = Failure(
+    status=409,
+    code="moved",
+    message="Another connection goes on with this answer.",
+    run_state=RunState.RUN,
+)
+
+
+@attrs.define(kw_only=True)
+class GenerationResponder:
+    """Streams an answer or sends it whole.
+
+    :param supervisor: knows where the generation is held.
+    """
+
+    supervisor: GenerationSupervisor
+
+    async def respond(
+        self, call: HttpCall, task: GenerationTask, offset: int, stream: bool, usage: bool
+    ) -> None:
+        """Send the answer from an offset on, until it ends or the caller disconnects.
+
+        :param call: the caller's request.
+        :param task: the generation.
+        :param offset: output tokens that the caller has.
+        :param stream: true for server-sent events.
+        :param usage: true if a stream ends with a usage event.
+        """
+        task.readers += 1
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_cancel_on_disconnect, call, nursery.cancel_scope)
+                if stream:
+                    await self._stream_answer(call, task, offset, usage)
+                else:
+                    await self._send_answer(call, task)
+                nursery.cancel_scope.cancel()
+        finally:
+            task.readers -= 1
+            task.unread_since = trio.current_time()
+
+    async def _send_answer(self, call: HttpCall, task: GenerationTask) -> None:
+        offset = 0
+        while pieces := await task.read(offset):
+            offset = pieces[-1].end
+        failure = _find_failure(task)
+        if failure is not None:
+            await call.respond(encode_failure(failure))
+            return
+        body = orjson.dumps(describe_answer(task))
+        headers = {"content-type": "application/json"} | self._describe_place(task)
+        await call.respond(CallerResponse(status=200, headers=headers, body=body))
+
+    async def _stream_answer(
+        self, call: HttpCall, task: GenerationTask, offset: int, usage: bool
+    ) -> None:
+        pieces = await task.read(offset)
+        failure = _find_failure(task)
+        if not pieces and failure is not None:
+            await call.respond(encode_failure(failure))
+            return
+        headers = {"content-type": "text/event-stream", "cache-control": "no-store"}
+        await call.start(200, headers | self._describe_place(task))
+        encoder = self._create_encoder(task)
+        if offset == 0 and task.record.kind is GenerationKind.CHAT:
+            await call.write(encoder.encode_role())
+        holders = task.holders
+        while pieces:
+            if task.holders is not holders:
+                holders = task.holders
+                encoder.set_copy(self.supervisor.describe_event(task, 0).copy)
+            await call.write(_encode_pieces(encoder, task, pieces))
+            offset = pieces[-1].end
+            pieces = await task.read(offset)
+        await call.write(self._encode_end(task, encoder, offset, usage), more=False)
+
+    def _encode_end(
+        self, task: GenerationTask, encoder: EventEncoder, offset: int, usage: bool
+    ) -> bytes:
+        failure = _find_failure(task)
+        if failure is not None:
+            LOG.write(
+                "answer not completed",
+                request_id=task.record.request_id,
+                generation_id=task.record.generation_id,
+                code=failure.code,
+                offset=offset,
+            )
+            return b"data: " + encode_failure(failure).body + b"\n\n"
+        LOG.write(
+            "answer completed",
+            request_id=task.record.request_id,
+            generation_id=task.record.generation_id,
+            finish_reason=task.record.finish_reason,
+            offset=offset,
+        )
+        end = encoder.encode_tokens(
+            offset,
+            "",
+            (),
+            finish_reason=task.record.finish_reason,
+            usage=describe_usage(task) if usage else None,
+        )
+        return end + DONE
+
+    def _create_encoder(self, task: GenerationTask) -> EventEncoder:
+        record = task.record
+        source = EventSource(
+            generation_id=record.generation_id,
+            home=self.supervisor.host_id,
+            model=record.model,
+            created=int(record.created_at),
+            chat=record.kind is GenerationKind.CHAT,
+            with_token_ids=record.return_token_ids,
+        )
+        return EventEncoder(source=source, copy=self.supervisor.describe_event(task, 0).copy)
+
+    def _describe_place(self, task: GenerationTask) -> dict[str, str]:
+        return {"x-generation-id": self.supervisor.describe_event(task, 0).resume_id}
+
+
+async def _cancel_on_disconnect(call: HttpCall, scope: trio.CancelScope) -> None:
+    await call.wait_disconnect()
+    scope.cancel()
+
+
+def _encode_pieces(encoder: EventEncoder, task: GenerationTask, pieces: list[Piece]) -> bytes:
+    events = []
+    for piece in pieces:
+        prompt = task.record.prompt_token_ids if piece.start == 0 else None
+        events.append(
+            encoder.encode_tokens(piece.start, piece.text, piece.token_ids, prompt_token_ids=prompt)
+        )
+    return events[0] if len(events) == 1 else b"".join(events)
+
+
+def _find_failure(task: GenerationTask) -> Failure | None:
+    return MOVED if task.moved else task.failure
+
+
+def describe_answer(task: GenerationTask) -> dict[str, Any]:
+    """Return the JSON object of a whole answer.
+
+    :param task: a finished generation.
+    """
+    record = task.record
+    text = "".join(piece.text for piece in record.pieces)
+    choice: dict[str, Any] = {"index": 0, "finish_reason": record.finish_reason, "logprobs": None}
+    if record.kind is GenerationKind.CHAT:
+        choice["message"] = {"role": "assistant", "content": text}
+    else:
+        choice["text"] = text
+    answer: dict[str, Any] = {
+        "id": record.generation_id,
+        "object": "chat.completion" if record.kind is GenerationKind.CHAT else "text_completion",
+        "created": int(record.created_at),
+        "model": record.model,
+        "choices": [choice],
+        "usage": describe_usage(task),
+    }
+    if record.return_token_ids:
+        choice["token_ids"] = record.list_token_ids()
+        answer["prompt_token_ids"] = list(record.prompt_token_ids)
+    return answer
+
+
+def describe_usage(task: GenerationTask) -> dict[str, int]:
+    """Return the usage object of an answer.
+
+    :param task: a finished generation.
+    """
+    prompt, output = len(task.record.prompt_token_ids), task.record.length
+    return {
+        "prompt_tokens": prompt,
+        "completion_tokens": output,
+        "total_tokens": prompt + output,
+    }
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/generation_supervisor.py
@@ -0,0 +1,197 @@
+"""All generations that this daemon owns."""
+
+import secrets
+import time
+
+import attrs
+import trio
+
+from gypsumpost_core.event_id import NO_HOST, EventId
+from gypsumpost_core.failure import Failure
+from gypsumpost_core.generation_record import GenerationRecord
+from gypsumpost_core.invariant import Invariant, require
+from gypsumpost_core.run_state import RunState
+from gypsumpost_daemon.copy_codec import SCHEMA, fill_record
+from gypsumpost_daemon.copy_store import CopyStore
+from gypsumpost_daemon.generation_context import GenerationContext
+from gypsumpost_daemon.generation_task import GenerationTask
+from gypsumpost_daemon.log import Log
+from gypsumpost_daemon.peer_request import PeerRequest
+from gypsumpost_daemon.route_builder import build_route
+from gypsumpost_daemon.take_over_client import TakeOverClient
+
+LOG = Log(prefix="generation")
+
+REVIEW_INTERVAL = 0.5
+"""Seconds between searches for generations to drop."""
+
+ABANDON_SECONDS = 30.0
+"""A running generation that nobody reads for this long is stopped."""
+
+ABANDONED = Failure(
+    status=410,
+    code="abandoned",
+    message="The generation was stopped because nobody read it.",
+    run_state=RunState.RUN,
+)
+
+
+def create_generation_id() -> str:
+    """Return a new unguessable id."""
+    return secrets.token_hex(12)
+
+
+@attrs.define(kw_only=True)
+class GenerationSupervisor:
+    """Starts, finds, hands over and drops generations.
+
+    :param host_id: name of this host.
+    :param context: shared by all generation tasks.
+    :param copies: copies held for other daemons.
+    :param take_overs: fetches state from other daemons.
+    """
+
+    host_id: str
+    context: GenerationContext
+    copies: CopyStore
+    take_overs: TakeOverClient
+    _tasks: dict[str, GenerationTask] = attrs.field(factory=dict, init=False)
+    _nursery: trio.Nursery | None = attrs.field(default=None, init=False)
+
+    @property
+    def running(self) -> int:
+        """Number of generations that have not ended."""
+        return sum(not task.ended for task in self._tasks.values())
+
+    @property
+    def kept(self) -> int:
+        """Number of generations in memory, ended ones included."""
+        return len(self._tasks)
+
+    async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Carry the generation tasks until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            task_status.started()
+            while True:
+                await trio.sleep(REVIEW_INTERVAL)
+                self._review_tasks()
+
+    def start(self, record: GenerationRecord) -> GenerationTask:
+        """Start the task of a new or taken over generation.
+
+        :param record: its state.
+        """
+        assert self._nursery is not None
+        route = build_route(record)
+        task = GenerationTask(record=record, route=route, context=self.context)
+        self._tasks[record.generation_id] = task
+        self._nursery.start_soon(task.run)
+        return task
+
+    def find(self, generation_id: str, workspace: str) -> GenerationTask | None:
+        """Return a generation of this daemon.
+
+        :param generation_id: the generation.
+        :param workspace: the workspace that asks; another's generation is not found.
+        """
+        task = self._tasks.get(generation_id)
+        if task is None or task.record.workspace != workspace or task.moved:
+            return None
+        return task
+
+    async def recover(self, event_id: EventId, workspace: str) -> GenerationTask | None:
+        """Find a generation here or take it over from another daemon.
+
+        :param event_id: the last event that the caller has.
+        :param workspace: the caller's workspace.
+        """
+        task = self.find(event_id.generation_id, workspace)
+        if task is not None:
+            return task
+        record = await self.take_overs.fetch(event_id, workspace)
+        if record is None:
+            record = self.copies.take(event_id.generation_id, workspace, self.host_id)
+            self.copies.drop(event_id.generation_id)
+        # Another request for the same generation may have been faster.
+        task = self.find(event_id.generation_id, workspace)
+        if task is not None or record is None:
+            return task
+        require(
+            Invariant.OWN_ANSWER,
+            record.workspace == workspace,
+            (record.generation_id, record.workspace, workspace),
+        )
+        LOG.write(
+            "taken over",
+            generation_id=record.generation_id,
+            request_id=record.request_id,
+            epoch=record.epoch,
+            offset=record.length,
+        )
+        return self.start(record)
+
+    async def handle_take_over(self, request: PeerRequest) -> bytes:
+        """Hand a generation, or the copy of one, to another daemon.
+
+        :param request: a ``TakeOver`` message.
+        """
+        with SCHEMA.TakeOver.from_bytes(request.payload) as message:
+            generation_id, workspace = message.generationId, message.workspace
+        task = self.find(generation_id, workspace)
+        if task is not None and task.failure is None:
+            task.stop()
+            self.copies.hold(task.record, self.host_id)
+        record = self.copies.take(generation_id, workspace, request.host_id)
+        reply = SCHEMA.TakeOverReply.new_message(found=record is not None)
+        if record is not None:
+            fill_record(reply.init("record"), record)
+        return bytes(reply.to_bytes())
+
+    def cancel(self, task: GenerationTask, failure: Failure) -> None:
+        """Stop a generation and drop its state here and at its holders.
+
+        :param task: the generation.
+        :param failure: what readers are told.
+        """
+        task.stop(failure)
+        self._drop(task)
+
+    def describe_event(self, task: GenerationTask, offset: int) -> EventId:
+        """Return the id of an event of a generation.
+
+        :param task: the generation.
+        :param offset: output tokens that the caller has with this event.
+        """
+        holder = task.holders[0] if task.holders else NO_HOST
+        return EventId(
+            generation_id=task.record.generation_id,
+            home=self.host_id,
+            copy=holder,
+            offset=offset,
+        )
+
+    def describe_unplaced(self, generation_id: str) -> EventId:
+        """Return an event id for a generation of which only the id is known.
+
+        :param generation_id: the generation, which is then looked for on this host only.
+        """
+        return EventId(generation_id=generation_id, home=self.host_id, copy=NO_HOST, offset=0)
+
+    def _review_tasks(self) -> None:
+        now = time.time()
+        for task in list(self._tasks.values()):
+            if task.moved or (task.ended and now > task.record.keep_until):
+                self._drop(task)
+            elif _is_abandoned(task):
+                task.stop(ABANDONED)
+
+    def _drop(self, task: GenerationTask) -> None:
+        self._tasks.pop(task.record.generation_id, None)
+        self.context.copies.remove(task.record.generation_id, task.holders, close=not task.moved)
+
+
+def _is_abandoned(task: GenerationTask) -> bool:
+    if task.ended or task.readers:
+        return False
+    return trio.current_time() - task.unread_since > ABANDON_SECONDS
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/held_copy.py
@@ -0,0 +1,17 @@
+"""A copy of a generation that another daemon owns."""
+
+import attrs
+
+from gypsumpost_core.generation_record import GenerationRecord
+
+
+@attrs.define(kw_only=True, eq=False)
+class HeldCopy:
+    """State that is held for another daemon.
+
+    :param record: the copied state.
+    :param owner: host id of the current owner.
+    """
+
+    record: GenerationRecord
+    owner: str
--- a/packages/daemon/gypsumpost_daemon/http_connection.py
+++ b/packages/daemon/gypsumpost_daemon/http_connection.py
@@ -4,9 +4,9 @@
 
 import h11
 import trio
+
 from gypsumpost_core.broken_invariant import BrokenInvariant
 from gypsumpost_core.run_state import RunState
-
 from gypsumpost_daemon.asgi_application import ASGIApplication, Scope
 from gypsumpost_daemon.http_exchange import HttpExchange
 from gypsumpost_daemon.http_limits import HttpLimits
--- a/packages/daemon/gypsumpost_daemon/http_refusal.py
+++ b/packages/daemon/gypsumpost_daemon/http_refusal.py
@@ -2,6 +2,7 @@
 
 import attrs
 import orjson
+
 from gypsumpost_core.run_state import RunState
 
 
--- a/packages/daemon/gypsumpost_daemon/http_server.py
+++ b/packages/daemon/gypsumpost_daemon/http_server.py
@@ -4,7 +4,6 @@
 from typing import Any
 
 from gypsumpost_core.registry import Registry
-
 from gypsumpost_daemon import h11_server, hypercorn_server
 
 HTTP_SERVERS: Registry[Coroutine[Any, Any, None]] = Registry(behaviour="http-server")
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/key_client.py
@@ -0,0 +1,112 @@
+"""Finds generations by idempotency key."""
+
+import hashlib
+
+import attrs
+import trio
+from result import Err, Ok, Result
+
+from gypsumpost_core.event_id import NO_HOST, EventId
+from gypsumpost_core.failure import Failure
+from gypsumpost_core.generation_record import GenerationRecord
+from gypsumpost_core.host import Host
+from gypsumpost_core.rendezvous import rank_hosts
+from gypsumpost_core.run_state import RunState
+from gypsumpost_daemon.copy_codec import SCHEMA
+from gypsumpost_daemon.host_directory import HostDirectory
+from gypsumpost_daemon.key_codec import encode_entry, read_entry
+from gypsumpost_daemon.key_directory import KeyDirectory
+from gypsumpost_daemon.key_entry import KeyEntry
+from gypsumpost_daemon.message_kind import MessageKind
+from gypsumpost_daemon.peer_network import PeerNetwork
+
+REGISTER_SECONDS = 0.3
+"""Longest wait for a holder of the key; without an answer the request runs all the same."""
+
+KEY_REUSED = Failure(
+    status=422,
+    code="idempotency_key_reused",
+    message="The Idempotency-Key was used with another body.",
+    run_state=RunState.NOT_RUN,
+)
+
+
+@attrs.define(kw_only=True)
+class KeyClient:
+    """Asks the hosts that are responsible for a key.
+
+    :param directory: the known hosts.
+    :param network: carries the messages.
+    :param own_entries: entries that this host keeps.
+    """
+
+    directory: HostDirectory
+    network: PeerNetwork
+    own_entries: KeyDirectory
+
+    async def find(self, record: GenerationRecord) -> Result[EventId | None, Failure]:
+        """Register a new generation under its key, or find an earlier one.
+
+        :param record: the new generation.
+        :returns: the place of an earlier generation with the same key and body.
+        """
+        entry = self._create_entry(record, NO_HOST)
+        for known in await self._register(entry, update=False):
+            if known.generation_id == record.generation_id:
+                continue
+            if known.digest != entry.digest:
+                return Err(KEY_REUSED)
+            return Ok(
+                EventId(
+                    generation_id=known.generation_id, home=known.home, copy=known.copy, offset=0
+                )
+            )
+        return Ok(None)
+
+    async def register(self, record: GenerationRecord, holders: list[str]) -> None:
+        """Tell the responsible hosts where a generation is held.
+
+        :param record: the generation.
+        :param holders: host ids of the holders of its copies.
+        """
+        if record.idempotency_key:
+            copy = holders[0] if holders else NO_HOST
+            await self._register(self._create_entry(record, copy), update=True)
+
+    def _create_entry(self, record: GenerationRecord, copy: str) -> KeyEntry:
+        return KeyEntry(
+            workspace=record.workspace,
+            key=record.idempotency_key,
+            digest=hashlib.blake2b(record.body, digest_size=16).hexdigest(),
+            generation_id=record.generation_id,
+            home=self.directory.own.host_id,
+            copy=copy,
+            keep_until=record.keep_until,
+        )
+
+    async def _register(self, entry: KeyEntry, update: bool) -> list[KeyEntry]:
+        known: list[KeyEntry] = []
+        async with trio.open_nursery() as nursery:
+            for host in self._choose_hosts(entry):
+                nursery.start_soon(self._register_at, host, entry, update, known)
+        return known
+
+    async def _register_at(
+        self, host: Host, entry: KeyEntry, update: bool, known: list[KeyEntry]
+    ) -> None:
+        if host.host_id == self.directory.own.host_id:
+            known.append(self.own_entries.register(entry, update))
+            return
+        deadline = trio.current_time() + REGISTER_SECONDS
+        reply = await self.network.request(
+            host.host_id, MessageKind.REGISTER_KEY, encode_entry(entry, update), deadline
+        )
+        if isinstance(reply, Ok):
+            with SCHEMA.RegisterKey.from_bytes(reply.ok_value) as message:
+                known.append(read_entry(message))
+
+    def _choose_hosts(self, entry: KeyEntry) -> list[Host]:
+        ranked = rank_hosts(f"{entry.workspace}\0{entry.key}", self.directory.list_live())
+        first = ranked[0]
+        others = [host for host in ranked[1:] if host.failure_domain != first.failure_domain]
+        return [first, *others[:1]]
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/key_codec.py
@@ -0,0 +1,35 @@
+"""Encoding of key directory entries."""
+
+from typing import Any
+
+from gypsumpost_daemon.copy_codec import SCHEMA
+from gypsumpost_daemon.key_entry import KeyEntry
+
+FIELDS = {
+    "workspace": "workspace",
+    "key": "key",
+    "digest": "digest",
+    "generation_id": "generationId",
+    "home": "home",
+    "copy": "copy",
+    "keep_until": "keepUntil",
+}
+
+
+def encode_entry(entry: KeyEntry, update: bool) -> bytes:
+    """Return a ``RegisterKey`` message.
+
+    :param entry: the entry.
+    :param update: true to replace an entry of the key.
+    """
+    fields = {schema: getattr(entry, name) for name, schema in FIELDS.items()}
+    message = SCHEMA.RegisterKey.new_message(**fields, update=update)
+    return bytes(message.to_bytes())
+
+
+def read_entry(reader: Any) -> KeyEntry:
+    """Read the entry of a ``RegisterKey`` message.
+
+    :param reader: the message.
+    """
+    return KeyEntry(**{name: getattr(reader, schema) for name, schema in FIELDS.items()})
--- a/packages/daemon/gypsumpost_daemon/log.py
+++ b/packages/daemon/gypsumpost_daemon/log.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import eliot
+
 from gypsumpost_core.hybrid_clock import HybridClock
 
 CLOCK = HybridClock()
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/route_builder.py
@@ -0,0 +1,48 @@
+"""What routing needs to know about a caller's request."""
+
+import hashlib
+
+import xxhash
+
+from gypsumpost_core.generation_record import GenerationRecord
+from gypsumpost_core.route_request import RouteRequest
+
+PREFIX_BLOCK_BYTES = 256
+MAX_PREFIX_DIGESTS = 32
+BYTES_PER_TOKEN = 4
+
+
+def build_route(record: GenerationRecord) -> RouteRequest:
+    """Describe a generation for routing.
+
+    :param record: the generation.
+    """
+    return RouteRequest(
+        workspace=record.workspace,
+        model=record.model,
+        prompt_tokens=len(record.prompt_token_ids) or 1 + len(record.body) // BYTES_PER_TOKEN,
+        max_tokens=record.max_tokens,
+        prefix_digests=_digest_prefixes(record.body),
+        fingerprint=compute_fingerprint(record.workspace, record.body),
+        priority=record.priority,
+    )
+
+
+def compute_fingerprint(workspace: str, body: bytes) -> str:
+    """Return a digest that names a request over its repeats.
+
+    :param workspace: the workspace that sent it.
+    :param body: the request's body.
+    """
+    return hashlib.blake2b(body, digest_size=12, key=workspace.encode()[:64]).hexdigest()
+
+
+def _digest_prefixes(body: bytes) -> tuple[int, ...]:
+    digests = []
+    running = xxhash.xxh3_64()
+    for start in range(
+        0, min(len(body), PREFIX_BLOCK_BYTES * MAX_PREFIX_DIGESTS), PREFIX_BLOCK_BYTES
+    ):
+        running.update(body[start : start + PREFIX_BLOCK_BYTES])
+        digests.append(running.intdigest())
+    return tuple(digests)
--- a/packages/daemon/gypsumpost_daemon/settings.py
+++ b/packages/daemon/gypsumpost_daemon/settings.py
@@ -1,14 +1,21 @@
 """All settings of the daemon and their defaults."""
 
 import attrs
+
+from gypsumpost_core.copy_placement import COPY_PLACEMENTS
+from gypsumpost_core.resumption_policies import RESUMPTION
+from gypsumpost_core.routing_policies import ROUTING
 from gypsumpost_core.setting import define_setting
 from gypsumpost_core.setting_parsers import (
     parse_address,
+    parse_choice,
     parse_integer,
     parse_name,
     parse_number,
     parse_optional_address,
 )
+from gypsumpost_daemon.http_server import HTTP_SERVERS
+from gypsumpost_daemon.workspace_keys import WorkspaceKeys, parse_workspace_keys
 
 ADDRESS = "ip:port"
 NAME = "letters, digits and hyphens, at most 63"
@@ -54,6 +61,11 @@
         accepted="ip:port, or empty for none",
         help="Address of the platform's store and list of hosts.",
     )
+    host_list_file: str = define_setting(
+        default="",
+        accepted="path of a readable file, or empty for none",
+        help="File with hosts and endpoints for a deployment without a platform.",
+    )
     peer_key_file: str = define_setting(
         default="",
         accepted="path of a readable file; empty uses a key that is not secret",
@@ -84,3 +96,67 @@
         accepted="a whole number from 1024 to 1073741824",
         help="Longest accepted request body.",
     )
+    request_deadline: float = define_setting(
+        default="900",
+        parse=parse_number(1, 86_400),
+        unit="seconds",
+        accepted="a number from 1 to 86400",
+        help="Deadline of a generation whose caller gives none.",
+    )
+    call_deadline: float = define_setting(
+        default="10",
+        parse=parse_number(0.1, 3600),
+        unit="seconds",
+        accepted="a number from 0.1 to 3600",
+        help="Deadline of a service call whose caller gives none.",
+    )
+    workspace_keys: WorkspaceKeys = define_setting(
+        default="",
+        parse=parse_workspace_keys,
+        accepted="workspace=key pairs separated by commas",
+        help="Workspaces and their bearer keys for a deployment without a platform.",
+    )
+    copy_placement: str = define_setting(
+        default="other-domain",
+        parse=parse_choice(COPY_PLACEMENTS.names()),
+        accepted=", ".join(COPY_PLACEMENTS.names()),
+        help="Where copies of generations are held.",
+    )
+    held_bytes: int = define_setting(
+        default=str(256 * 1024 * 1024),
+        parse=parse_integer(1024 * 1024, 1 << 40),
+        unit="bytes",
+        accepted="a whole number from 1048576 to 1099511627776",
+        help="Most bytes of other daemons' generations to hold.",
+    )
+    routing: str = define_setting(
+        default="expected-time",
+        parse=parse_choice(ROUTING.names()),
+        accepted=", ".join(ROUTING.names()),
+        help="Routing policy.",
+    )
+    resumption: str = define_setting(
+        default="weighed",
+        parse=parse_choice(RESUMPTION.names()),
+        accepted=", ".join(RESUMPTION.names()),
+        help="Policy for generations whose engine is lost or silent.",
+    )
+    http_server: str = define_setting(
+        default="h11",
+        parse=parse_choice(HTTP_SERVERS.names()),
+        accepted=", ".join(HTTP_SERVERS.names()),
+        help="HTTP server of the callers' interface.",
+    )
+    engine_transport: str = define_setting(
+        default="h11",
+        parse=parse_choice(("h11", "httpcore")),
+        accepted="h11, httpcore",
+        help="HTTP client for engines.",
+    )
+    stop_deadline: float = define_setting(
+        default="900",
+        parse=parse_number(0, 86_400),
+        unit="seconds",
+        accepted="a number from 0 to 86400",
+        help="How long a planned stop waits for requests in flight.",
+    )
--- a/packages/daemon/gypsumpost_daemon/tests/test_http_server.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_http_server.py
@@ -7,8 +7,8 @@
 import h11
 import pytest
 import trio
-from gypsumpost_core.broken_invariant import BrokenInvariant
 
+from gypsumpost_core.broken_invariant import BrokenInvariant
 from gypsumpost_daemon import h11_server, socket_transport
 from gypsumpost_daemon.http_limits import HttpLimits
 from gypsumpost_daemon.tests.http_fixtures import (
--- a/packages/daemon/gypsumpost_daemon/tests/test_peer_network.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_peer_network.py
@@ -3,9 +3,9 @@
 import socket
 
 import trio
-from gypsumpost_core.host import Host
 from result import Err, Ok
 
+from gypsumpost_core.host import Host
 from gypsumpost_daemon.host_directory import HostDirectory
 from gypsumpost_daemon.message_kind import MessageKind
 from gypsumpost_daemon.peer_network import PeerNetwork
