Keep every answer whole when an engine and a daemon die

Cause: three faults seen in the demo. A copy was sent before the exact prompt was known, so its new owner could not continue it and started attempts without end. The first frames of a peer connection could arrive with the last line of the handshake, which dropped the connection. A generation whose holders were all avoided was never protected again. Conclusion: attempts without a token now back off and end after 8; the copy begins with the first tokens; the handshake ends with an answer of the accepting side.

--- /dev/null
+++ b/packages/bench/gypsumpost_bench/demo.py
@@ -0,0 +1,89 @@
+"""Shows the whole path: ``python -m gypsumpost_bench.demo``."""
+
+import sys
+
+import trio
+
+from gypsumpost_bench.deployment import KEYS, Deployment, DeploymentPlan
+from gypsumpost_cli.answer import Answer
+from gypsumpost_cli.answer_check import find_answer_error
+from gypsumpost_cli.answer_client import AnswerClient
+
+LIMIT = 50.0
+"""Longest run in seconds."""
+
+REQUESTS = 9
+MAX_TOKENS = 160
+KILL_ENGINE_AFTER = 1.5
+KILL_DAEMON_AFTER = 3.5
+"""Seconds after the requests; both fall into the answers, which take about 7 s."""
+
+
+async def run_demo() -> bool:
+    """Send requests, kill an engine and a daemon, and print what the callers received.
+
+    :returns: true if every answer is whole and correct.
+    """
+    plan = DeploymentPlan(token_gaps=(0.042, 0.042, 0.03, 0.06))
+    with trio.fail_after(LIMIT):
+        answers = await show_answers(plan)
+    return print_answers(answers)
+
+
+async def show_answers(plan: DeploymentPlan) -> list[Answer]:
+    """Send requests to a deployment and kill an engine and a daemon while answers are written.
+
+    :param plan: the deployment.
+    """
+    async with Deployment(plan=plan) as deployment:
+        print(f"{len(deployment.daemons)} daemons and {len(deployment.engines)} engines run")
+        client = AnswerClient(addresses=deployment.list_addresses(), key=KEYS["laurentides"])
+        answers: list[Answer] = []
+        async with trio.open_nursery() as nursery:
+            for number in range(REQUESTS):
+                nursery.start_soon(request_answer, client, number, answers)
+            await trio.sleep(KILL_ENGINE_AFTER)
+            print("SIGKILL to engine-1")
+            deployment.engines["engine-1"].kill()
+            await trio.sleep(KILL_DAEMON_AFTER - KILL_ENGINE_AFTER)
+            print("SIGKILL to d2-host1")
+            deployment.daemons["d2-host1"].kill()
+        await client.aclose()
+    return answers
+
+
+async def request_answer(client: AnswerClient, number: int, answers: list[Answer]) -> None:
+    """Request one answer and add it to the list.
+
+    :param client: the caller.
+    :param number: makes the prompts different.
+    :param answers: the list.
+    """
+    body = {"model": "summary", "max_tokens": MAX_TOKENS, "ignore_eos": True}
+    if number % 3:
+        body["prompt"] = f"Summarise incident {number}."
+    else:
+        body["messages"] = [{"role": "user", "content": f"Summarise incident {number}."}]
+    answers.append(await client.generate(body, chat=number % 3 == 0))
+
+
+def print_answers(answers: list[Answer]) -> bool:
+    """Print a line for each answer.
+
+    :param answers: what the callers received.
+    :returns: true if all are correct.
+    """
+    correct = True
+    for answer in answers:
+        error = find_answer_error(answer, MAX_TOKENS)
+        correct = correct and error is None
+        print(
+            f"{answer.request_id}  {len(answer.token_ids):4} tokens  "
+            f"longest gap {answer.longest_gap:.3f} s  reconnects {answer.reconnects}  "
+            f"{error or 'whole and correct'}"
+        )
+    return correct
+
+
+if __name__ == "__main__":
+    sys.exit(0 if trio.run(run_demo) else 1)
--- a/packages/bench/gypsumpost_bench/engine_application.py
+++ b/packages/bench/gypsumpost_bench/engine_application.py
@@ -15,8 +15,8 @@
 from gypsumpost_bench.engine_sequence import EngineSequence
 from gypsumpost_bench.exchange import Exchange
 from gypsumpost_bench.lifespan import complete_lifespan
-from gypsumpost_bench.token_chain import TokenChain
-from gypsumpost_bench.vocabulary import ANSWER_MARKER, tokenize_text
+from gypsumpost_cli.token_chain import TokenChain
+from gypsumpost_cli.vocabulary import ANSWER_MARKER, tokenize_text
 
 CRASH_TEXT = "crash-this-engine"
 """A prompt with this text ends the process while it runs, as a fault on order."""
--- a/packages/bench/gypsumpost_bench/engine_sequence.py
+++ b/packages/bench/gypsumpost_bench/engine_sequence.py
@@ -5,8 +5,8 @@
 import attrs
 import trio
 
-from gypsumpost_bench.token_chain import TokenChain
-from gypsumpost_bench.vocabulary import END_OF_SEQUENCE, encode_token
+from gypsumpost_cli.token_chain import TokenChain
+from gypsumpost_cli.vocabulary import END_OF_SEQUENCE, encode_token
 
 
 @attrs.define(kw_only=True, eq=False)
--- /dev/null
+++ b/packages/bench/gypsumpost_bench/running_process.py
@@ -0,0 +1,38 @@
+"""A process that the bench started."""
+
+import os
+import signal
+import subprocess
+
+import attrs
+
+
+@attrs.define(kw_only=True)
+class RunningProcess:
+    """A process with the address it serves.
+
+    :param name: name of the stand-in or host.
+    :param address: ``ip:port`` of its HTTP interface.
+    :param process: the process.
+    """
+
+    name: str
+    address: str
+    process: subprocess.Popen[bytes]
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self.process.kill()
+        self.process.wait()
+
+    def pause(self) -> None:
+        """Stop the process until :meth:`wake`."""
+        os.kill(self.process.pid, signal.SIGSTOP)
+
+    def wake(self) -> None:
+        """Let a paused process go on."""
+        os.kill(self.process.pid, signal.SIGCONT)
+
+    def stop(self) -> None:
+        """Ask for a planned stop."""
+        self.process.terminate()
--- /dev/null
+++ b/packages/cli/gypsumpost_cli/answer.py
@@ -0,0 +1,48 @@
+"""What a caller received for one request."""
+
+import attrs
+
+
+@attrs.define(kw_only=True)
+class Answer:
+    """An answer as it was read, over all connections.
+
+    :param request_id: id of the request.
+    :param sent_at: process time in seconds at which the request was sent.
+    :param prompt_token_ids: the exact prompt.
+    :param token_ids: output tokens.
+    :param text: output text.
+    :param finish_reason: why the answer ended, ``None`` if it did not.
+    :param error: why the answer is not whole, ``None`` if it is.
+    :param error_status: HTTP status of a refusal, 0 if there was none.
+    :param run_state: run state of a refusal, empty if there was none.
+    :param arrivals: process time of each event with tokens.
+    :param reconnects: connections after the first.
+    :param last_event_id: id of the last event.
+    """
+
+    request_id: str
+    sent_at: float
+    prompt_token_ids: list[int] = attrs.field(factory=list)
+    token_ids: list[int] = attrs.field(factory=list)
+    text: str = ""
+    finish_reason: str | None = None
+    error: str | None = None
+    error_status: int = 0
+    run_state: str = ""
+    arrivals: list[float] = attrs.field(factory=list)
+    reconnects: int = 0
+    last_event_id: str = ""
+
+    @property
+    def first_token_wait(self) -> float | None:
+        """Seconds from the request to the first token."""
+        return self.arrivals[0] - self.sent_at if self.arrivals else None
+
+    @property
+    def longest_gap(self) -> float:
+        """Longest seconds between two events with tokens."""
+        gaps = [
+            after - before for before, after in zip(self.arrivals, self.arrivals[1:], strict=False)
+        ]
+        return max(gaps, default=0.0)
--- /dev/null
+++ b/packages/cli/gypsumpost_cli/event_reader.py
@@ -0,0 +1,48 @@
+"""Reads server-sent events from parts of a response body."""
+
+from collections.abc import Iterator
+from typing import Any
+
+import attrs
+import orjson
+
+
+@attrs.frozen(kw_only=True)
+class ReceivedEvent:
+    """One event.
+
+    :param event_id: its id, empty if it has none.
+    :param data: the decoded JSON, ``None`` for ``[DONE]``.
+    """
+
+    event_id: str
+    data: dict[str, Any] | None
+
+
+@attrs.define(kw_only=True)
+class EventReader:
+    """Splits a body into events."""
+
+    _buffer: bytes = attrs.field(default=b"", init=False)
+
+    def feed(self, part: bytes) -> Iterator[ReceivedEvent]:
+        """Add a part of the body and return the events that it completes.
+
+        :param part: bytes of the body.
+        """
+        *blocks, self._buffer = (self._buffer + part).split(b"\n\n")
+        for block in blocks:
+            event = _parse_block(block)
+            if event is not None:
+                yield event
+
+
+def _parse_block(block: bytes) -> ReceivedEvent | None:
+    fields = dict(line.split(b": ", 1) for line in block.split(b"\n") if b": " in line)
+    if b"data" not in fields:
+        return None
+    data = fields[b"data"]
+    return ReceivedEvent(
+        event_id=fields.get(b"id", b"").decode(),
+        data=None if data == b"[DONE]" else orjson.loads(data),
+    )
--- a/packages/bench/gypsumpost_bench/tests/test_token_chain.py
+++ b/packages/cli/gypsumpost_cli/tests/test_token_chain.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from gypsumpost_bench.token_chain import TokenChain, find_chain_error
-from gypsumpost_bench.vocabulary import ANSWER_MARKER, tokenize_text
+from gypsumpost_cli.token_chain import TokenChain, find_chain_error
+from gypsumpost_cli.vocabulary import ANSWER_MARKER, tokenize_text
 
 PROMPT = [*tokenize_text("a prompt"), ANSWER_MARKER]
 
--- a/packages/bench/gypsumpost_bench/token_chain.py
+++ b/packages/cli/gypsumpost_cli/token_chain.py
@@ -10,7 +10,7 @@
 
 import xxhash
 
-from gypsumpost_bench.vocabulary import (
+from gypsumpost_cli.vocabulary import (
     ANSWER_MARKER,
     END_OF_SEQUENCE,
     FIRST_BYTE,
--- a/packages/bench/gypsumpost_bench/vocabulary.py
+++ b/packages/cli/gypsumpost_cli/vocabulary.py
@@ -1,4 +1,6 @@
-"""The vocabulary of the engine stand-in."""
+"""The vocabulary of the engine stand-in, which its answers are checked against."""
+
+import codecs
 
 ANSWER_MARKER = 1
 """Ends the prompt; the tokens after the last marker are output."""
@@ -57,9 +59,12 @@
 def decode_tokens(tokens: list[int]) -> str:
     """Return the text of output tokens.
 
-    :param tokens: whole output, so that no character is cut.
+    A character that the end of the output cuts has no text, as an engine never sends it.
+
+    :param tokens: output token ids from the first on.
     """
-    return b"".join(map(encode_token, tokens)).decode(errors="replace")
+    decoder = codecs.getincrementaldecoder("utf-8")()
+    return decoder.decode(b"".join(map(encode_token, tokens)))
 
 
 def _create_word(number: int) -> bytes:
--- a/packages/daemon/gypsumpost_daemon/copy_outbox.py
+++ b/packages/daemon/gypsumpost_daemon/copy_outbox.py
@@ -43,8 +43,8 @@
         :param task: the generation.
         """
         generation_id = task.generation.record.generation_id
-        self._entries[generation_id] = self._changed[generation_id] = OutboxEntry(task=task)
-        self._wake.set()
+        self._entries[generation_id] = OutboxEntry(task=task)
+        self.mark_changed(generation_id)
 
     def mark_changed(self, generation_id: str) -> None:
         """Send a generation's new state with the next batch.
@@ -52,7 +52,9 @@
         :param generation_id: the generation.
         """
         entry = self._entries.get(generation_id)
-        if entry is not None:
+        # Without output there is nothing that a caller could have seen, and the exact prompt,
+        # which a continuation needs, is not known yet.
+        if entry is not None and entry.task.generation.record.pieces:
             self._changed[generation_id] = entry
             self._wake.set()
 
--- a/packages/daemon/gypsumpost_daemon/generation_supervisor.py
+++ b/packages/daemon/gypsumpost_daemon/generation_supervisor.py
@@ -185,6 +185,8 @@
                 self._drop(task)
             elif _is_abandoned(task):
                 task.stop(ABANDONED)
+            else:
+                task.protect_again()
 
     def _drop(self, task: GenerationTask) -> None:
         self._tasks.pop(task.record.generation_id, None)
--- a/packages/daemon/gypsumpost_daemon/generation_task.py
+++ b/packages/daemon/gypsumpost_daemon/generation_task.py
@@ -1,5 +1,6 @@
 """The task that owns one generation."""
 
+import random
 import time
 from collections.abc import Sequence
 
@@ -30,6 +31,13 @@
 NO_ENGINE_WAIT = 0.05
 """Seconds before the next try when no engine can take a continuation."""
 
+MAX_FRUITLESS_ATTEMPTS = 8
+"""Attempts in a row without a token, after which the generation fails."""
+
+FRUITLESS_WAIT = 0.05
+MAX_FRUITLESS_WAIT = 1.0
+"""Seconds before the attempt that follows one without a token; they double each time."""
+
 CONNECT_SECONDS = 1.0
 """Longest wait for the head of an engine's response to a resume call."""
 
@@ -61,6 +69,7 @@
         self._last_token_at = trio.current_time()
         self._resumes = 0
         self._first_token = False
+        self._fruitless = 0
 
     @property
     def record(self) -> GenerationRecord:
@@ -131,6 +140,11 @@
         if not self.moved and self.failure is None:
             self._protect()
 
+    def protect_again(self) -> None:
+        """Look for a holder again if there was none."""
+        if not self.holders and not self.ended:
+            self._protect()
+
     def _protect(self) -> None:
         self._copied.clear()
         self.holders = self._context.copies.add(self)
@@ -155,6 +169,8 @@
                 self._fail("deadline_exceeded", 504, "The request's deadline has passed.")
             elif self.required_length > self.record.length:
                 self._fail("state_lost", 409, "The answer cannot be continued without a gap.")
+            elif self._fruitless >= MAX_FRUITLESS_ATTEMPTS:
+                self._fail("engines_failed", 502, "No engine could go on with the answer.")
             else:
                 await self._run_attempt()
 
@@ -190,6 +206,14 @@
         if outcome is not AttemptOutcome.FINISHED:
             LOG.write("attempt ended", outcome=outcome.value, **self._describe_state())
             self._excluded.add(engine.name)
+            await self._back_off()
+
+    async def _back_off(self) -> None:
+        # The first attempt after a loss starts at once, since the caller is waiting.
+        self._fruitless += 1
+        if self._fruitless > 1:
+            wait = min(FRUITLESS_WAIT * 2**self._fruitless, MAX_FRUITLESS_WAIT)
+            await trio.sleep(wait * random.uniform(0.5, 1.0))
 
     async def _handle_no_engine(self, failure: Failure) -> None:
         if self._excluded:
@@ -295,6 +319,7 @@
         self._first_token = False
         self._last_token_at = now
         self._resumes = 0
+        self._fruitless = 0
 
     def _find_silence_end(self, route: RouteRequest) -> float:
         router = self._context.router
--- a/packages/daemon/gypsumpost_daemon/peer_handshake.py
+++ b/packages/daemon/gypsumpost_daemon/peer_handshake.py
@@ -39,6 +39,9 @@
         if not hmac.compare_digest(hello.get("mac", ""), self._sign("accept", *ids)):
             return Err(f"{expected} did not prove that it knows the shared key")
         await stream.send_all(_encode_line(mac=self._sign("connect", *ids)))
+        # Without this answer the first frames could arrive together with the last line.
+        if await _receive_line(stream) is None:
+            return Err("the handshake ended early")
         return Ok(None)
 
     async def accept(self, stream: trio.abc.Stream) -> Result[str, str]:
@@ -58,6 +61,7 @@
             return Err("the handshake ended early")
         if not hmac.compare_digest(proof.get("mac", ""), self._sign("connect", *ids)):
             return Err("the connecting host did not prove that it knows the shared key")
+        await stream.send_all(_encode_line(accepted=self._host_id))
         return Ok(ids[0])
 
     def _sign(self, *parts: str) -> str:
