Quarantine requests that crash engines after three losses

A request that crashes each engine would take down one after another while its caller sends it again. Evidence is a death soon after the request's start. Two deaths isolate it, three quarantine it in the domain by bounded reports.

--- /dev/null
+++ b/packages/core/gypsumpost_core/crash_suspicion.py
@@ -0,0 +1,157 @@
+"""Suspicion of requests that crash the engines that run them."""
+
+from collections import deque
+from collections.abc import Iterable
+
+import attrs
+
+from gypsumpost_core.attempt_outcome import AttemptOutcome
+from gypsumpost_core.engine_death import EngineDeath
+from gypsumpost_core.failure import Failure
+from gypsumpost_core.isolation import Isolation
+from gypsumpost_core.run_state import RunState
+from gypsumpost_core.run_table import RunTable
+from gypsumpost_core.suspicion_decision import SuspicionDecision, SuspicionVerdict
+from gypsumpost_core.suspicion_register import SuspicionRegister
+from gypsumpost_core.suspicion_report import SuspicionReport
+from gypsumpost_core.suspicion_settings import SuspicionSettings
+
+
+@attrs.define(kw_only=True)
+class CrashSuspicion:
+    """Follows which requests were in flight when engines died.
+
+    A crash-causing request kills soon after each start, so only deaths soon after the start of a
+    run count, and a run that outlives this window or finishes proves innocence. Deaths of several
+    engines at once have a common cause and count against nobody. As a request with two deaths
+    waits for this window before it runs again, it cannot pass its own deaths off as such.
+
+    :param settings: settings of the suspicion.
+    :param unix_offset: Unix time minus process time in seconds, for records shared between hosts.
+    """
+
+    settings: SuspicionSettings = attrs.field(factory=SuspicionSettings)
+    unix_offset: float = 0.0
+    _register: SuspicionRegister = attrs.field(init=False)
+    _isolation: Isolation = attrs.field(init=False)
+    _runs: RunTable = attrs.field(factory=RunTable)
+    _deaths: deque[EngineDeath] = attrs.field(factory=lambda: deque(maxlen=64))
+
+    def __attrs_post_init__(self) -> None:
+        self._register = SuspicionRegister(settings=self.settings)
+        self._isolation = Isolation(settings=self.settings)
+
+    def decide(
+        self, fingerprint: str, engines: Iterable[str], now: float, has_run: bool = False
+    ) -> SuspicionDecision:
+        """Decide how an attempt may run.
+
+        :param fingerprint: digest of workspace and body.
+        :param engines: live engines of this daemon's domain that can run the request.
+        :param now: process time in seconds.
+        :param has_run: true if an engine has already run this request for this caller.
+        """
+        self._settle(fingerprint, now)
+        deaths = self._register.count_deaths(fingerprint, now + self.unix_offset)
+        if not self._is_settled(fingerprint, deaths, now):
+            return self._wait(now)
+        if deaths >= self.settings.quarantine_deaths:
+            return _refuse(has_run)
+        running = self._runs.list_engines(fingerprint)
+        if deaths and running:
+            return self._wait(now)
+        if deaths >= self.settings.isolate_deaths:
+            return self._isolate(fingerprint, engines, now)
+        excluded = self._isolation.list_reserved(now)
+        shared = sorted(running - excluded)
+        engine = shared[0] if len(running) >= self.settings.concurrent_engines and shared else ""
+        return SuspicionDecision(
+            verdict=SuspicionVerdict.RUN_SHARED, excluded=excluded, engine=engine
+        )
+
+    def record_start(self, fingerprint: str, engine: str, now: float) -> None:
+        """Note that an attempt was sent to an engine."""
+        self._runs.add(fingerprint, engine, now)
+
+    def record_end(
+        self, fingerprint: str, engine: str, outcome: AttemptOutcome, now: float
+    ) -> None:
+        """Note the end of an attempt other than by the engine's death.
+
+        A daemon that records the end of each attempt of a dead engine calls ``record_death`` first.
+        """
+        started_at = self._runs.remove(fingerprint, engine)
+        if started_at is None:
+            return
+        self._isolation.release(fingerprint)
+        outlived = now - started_at > self.settings.trigger_window
+        if outcome is AttemptOutcome.FINISHED or outlived:
+            self._register.clear(fingerprint, now + self.unix_offset)
+
+    def record_death(self, engine: str, boot_id: str, now: float) -> None:
+        """Note the death of an engine process.
+
+        :param engine: name of the engine.
+        :param boot_id: boot id of the process that died.
+        :param now: process time in seconds.
+        """
+        unix_now = now + self.unix_offset
+        death = EngineDeath(engine=engine, boot_id=boot_id, died_at=unix_now)
+        for fingerprint, started_at in self._runs.remove_engine(engine).items():
+            if now - started_at <= self.settings.trigger_window:
+                self._register.add_death(fingerprint, death, unix_now)
+            else:
+                self._register.clear(fingerprint, unix_now)
+        self._isolation.release_engine(engine)
+        self._deaths.append(death)
+        self._discount_common_cause(unix_now)
+
+    def list_reports(self, now: float) -> list[SuspicionReport]:
+        """Return the reports to send to the other daemons of the domain, each once."""
+        return self._register.list_reports(now + self.unix_offset)
+
+    def apply_report(self, report: SuspicionReport, now: float) -> None:
+        """Take in the report of another daemon of the domain."""
+        self._register.apply_report(report, now + self.unix_offset)
+
+    def expire(self, now: float) -> None:
+        """Drop the records whose deadline has passed."""
+        self._register.expire(now + self.unix_offset)
+
+    def _is_settled(self, fingerprint: str, deaths: int, now: float) -> bool:
+        # While a domain is being lost, a request can meet several dying engines in a row. Only
+        # after the window is it known whether more engines died for the same cause.
+        recent = self._register.count_recent_deaths(fingerprint, now + self.unix_offset)
+        return recent == 0 or max(recent, deaths) < self.settings.isolate_deaths
+
+    def _settle(self, fingerprint: str, now: float) -> None:
+        started_at = self._runs.find_oldest_start(fingerprint)
+        if started_at is not None and now - started_at > self.settings.trigger_window:
+            self._register.clear(fingerprint, now + self.unix_offset)
+            self._isolation.release(fingerprint)
+
+    def _isolate(self, fingerprint: str, engines: Iterable[str], now: float) -> SuspicionDecision:
+        engine = self._isolation.reserve(fingerprint, engines, self._runs, now)
+        if engine is None:
+            return self._wait(now)
+        return SuspicionDecision(verdict=SuspicionVerdict.RUN_ISOLATED, engine=engine)
+
+    def _wait(self, now: float) -> SuspicionDecision:
+        check_at = now + self.settings.check_interval
+        return SuspicionDecision(verdict=SuspicionVerdict.WAIT, check_at=check_at)
+
+    def _discount_common_cause(self, unix_now: float) -> None:
+        oldest = unix_now - self.settings.common_cause_window
+        recent = {death.get_key() for death in self._deaths if death.died_at >= oldest}
+        if len(recent) >= self.settings.common_cause_deaths:
+            self._register.discount(recent, unix_now)
+
+
+def _refuse(has_run: bool) -> SuspicionDecision:
+    failure = Failure(
+        status=422,
+        code="request_quarantined",
+        message="Engines crashed each time this request ran; it is refused for now.",
+        run_state=RunState.RUN if has_run else RunState.NOT_RUN,
+    )
+    return SuspicionDecision(verdict=SuspicionVerdict.QUARANTINED, failure=failure)
--- /dev/null
+++ b/packages/core/gypsumpost_core/isolation.py
@@ -0,0 +1,88 @@
+"""Engines reserved for the isolated runs of suspected requests."""
+
+from collections.abc import Iterable
+
+import attrs
+
+from gypsumpost_core.run_table import RunTable
+from gypsumpost_core.suspicion_settings import SuspicionSettings
+
+
+@attrs.define(kw_only=True)
+class Reservation:
+    """An engine that takes no other new requests of this daemon.
+
+    :param engine: name of the engine.
+    :param ready_at: process time from which it is used even if older requests still run there.
+    :param expires_at: process time at which it is released if the request does not come back.
+    """
+
+    engine: str
+    ready_at: float
+    expires_at: float
+
+
+@attrs.define(kw_only=True)
+class Isolation:
+    """Reservations by fingerprint.
+
+    :param settings: settings of the suspicion.
+    """
+
+    settings: SuspicionSettings
+    _reservations: dict[str, Reservation] = attrs.field(factory=dict)
+
+    def list_reserved(self, now: float) -> frozenset[str]:
+        """Return the engines that other requests must not use."""
+        self._drop_expired(now)
+        return frozenset(reservation.engine for reservation in self._reservations.values())
+
+    def reserve(
+        self, fingerprint: str, engines: Iterable[str], runs: RunTable, now: float
+    ) -> str | None:
+        """Reserve the least used engine for a request.
+
+        :param fingerprint: the suspected request.
+        :param engines: engines that can run it.
+        :param runs: what runs where.
+        :param now: process time in seconds.
+        :returns: the engine if the request may start there now, else ``None``.
+        """
+        self._drop_expired(now)
+        reservation = self._reservations.get(fingerprint)
+        if reservation is None:
+            reservation = self._create(fingerprint, engines, runs, now)
+        if reservation is None:
+            return None
+        reservation.expires_at = now + 2 * self.settings.trigger_window
+        free = runs.count(reservation.engine) == 0
+        return reservation.engine if free or now >= reservation.ready_at else None
+
+    def release(self, fingerprint: str) -> None:
+        """Release the engine of a request."""
+        self._reservations.pop(fingerprint, None)
+
+    def release_engine(self, engine: str) -> None:
+        """Release an engine that has died or is no longer listed."""
+        for fingerprint, reservation in list(self._reservations.items()):
+            if reservation.engine == engine:
+                del self._reservations[fingerprint]
+
+    def _create(
+        self, fingerprint: str, engines: Iterable[str], runs: RunTable, now: float
+    ) -> Reservation | None:
+        reserved = {reservation.engine for reservation in self._reservations.values()}
+        usable = [engine for engine in engines if engine not in reserved]
+        # One engine at least stays open to the requests that are not suspected.
+        if len(reserved) >= self.settings.reserved_engines or len(usable) < 2:
+            return None
+        engine = min(usable, key=runs.count)
+        ready_at = now + self.settings.isolation_wait
+        reservation = Reservation(engine=engine, ready_at=ready_at, expires_at=now)
+        self._reservations[fingerprint] = reservation
+        return reservation
+
+    def _drop_expired(self, now: float) -> None:
+        for fingerprint, reservation in list(self._reservations.items()):
+            if now >= reservation.expires_at:
+                del self._reservations[fingerprint]
--- /dev/null
+++ b/packages/core/gypsumpost_core/suspicion_decision.py
@@ -0,0 +1,35 @@
+"""How a request may run, by the suspicion against it."""
+
+import enum
+
+import attrs
+
+from gypsumpost_core.failure import Failure
+
+
+class SuspicionVerdict(enum.Enum):
+    """The ways in which a request may run."""
+
+    RUN_SHARED = "run-shared"
+    RUN_ISOLATED = "run-isolated"
+    WAIT = "wait"
+    QUARANTINED = "quarantined"
+
+
+@attrs.frozen(kw_only=True)
+class SuspicionDecision:
+    """The decision about one attempt.
+
+    :param verdict: how the request may run.
+    :param excluded: engines that this attempt must not use; goes into the route request.
+    :param engine: the engine that an isolated attempt must use, or on which another attempt of
+        the same request already runs; empty if routing chooses.
+    :param check_at: process time in seconds at which a waiting request asks again.
+    :param failure: the reason of a refusal.
+    """
+
+    verdict: SuspicionVerdict
+    excluded: frozenset[str] = frozenset()
+    engine: str = ""
+    check_at: float | None = None
+    failure: Failure | None = None
--- /dev/null
+++ b/packages/core/gypsumpost_core/suspicion_register.py
@@ -0,0 +1,104 @@
+"""All records of suspected requests of one failure domain."""
+
+from collections import OrderedDict
+
+import attrs
+
+from gypsumpost_core.engine_death import EngineDeath
+from gypsumpost_core.suspicion_record import SuspicionRecord
+from gypsumpost_core.suspicion_report import SuspicionReport
+from gypsumpost_core.suspicion_settings import SuspicionSettings
+
+
+@attrs.define(kw_only=True)
+class SuspicionRegister:
+    """Bounded records with stored deadlines; all times are Unix times in seconds.
+
+    :param settings: settings of the suspicion.
+    """
+
+    settings: SuspicionSettings
+    _records: OrderedDict[str, SuspicionRecord] = attrs.field(factory=OrderedDict)
+    _unreported: OrderedDict[str, None] = attrs.field(factory=OrderedDict)
+
+    def count_deaths(self, fingerprint: str, now: float) -> int:
+        """Return the number of deaths that count against a request."""
+        record = self._records.get(fingerprint)
+        if record is None or now >= record.expires_at:
+            return 0
+        return len(record.deaths)
+
+    def count_recent_deaths(self, fingerprint: str, now: float) -> int:
+        """Return the number of deaths within the window of a common cause, whatever they mean."""
+        record = self._records.get(fingerprint)
+        oldest = now - self.settings.common_cause_window
+        return len(record.list_since(oldest)) if record is not None else 0
+
+    def add_death(self, fingerprint: str, death: EngineDeath, now: float) -> None:
+        """Count a death against a request and queue a report about it."""
+        record = self._get_record(fingerprint, now)
+        if record.add(death):
+            record.expires_at = now + self._get_lifetime(record)
+            self._unreported[fingerprint] = None
+
+    def discount(self, keys: set[tuple[str, str]], now: float) -> None:
+        """Drop deaths that had a common cause, in one such event for each request."""
+        for record in self._records.values():
+            record.discount(keys, now, now + self.settings.common_cause_window)
+
+    def clear(self, fingerprint: str, now: float) -> None:
+        """Drop the evidence against a request that has proved innocent."""
+        if fingerprint in self._records:
+            self._records[fingerprint].clear(now)
+            self._unreported.pop(fingerprint, None)
+
+    def list_reports(self, now: float) -> list[SuspicionReport]:
+        """Return the reports to send to the other daemons of the domain, each once."""
+        names = list(self._unreported)[: self.settings.report_limit]
+        for name in names:
+            del self._unreported[name]
+        records = [self._records[name] for name in names if name in self._records]
+        return [self._create_report(record) for record in records if record.deaths]
+
+    def apply_report(self, report: SuspicionReport, now: float) -> None:
+        """Take in the report of another daemon of the domain."""
+        if now >= report.expires_at:
+            return
+        record = self._get_record(report.fingerprint, now)
+        added = [record.add(d) for d in report.deaths[: self.settings.quarantine_deaths]]
+        if any(added):
+            latest = now + self._get_lifetime(record)
+            record.expires_at = min(max(record.expires_at, report.expires_at), latest)
+
+    def expire(self, now: float) -> None:
+        """Drop the records whose deadline has passed."""
+        expired = [name for name, record in self._records.items() if now >= record.expires_at]
+        for name in expired:
+            del self._records[name]
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    def _get_record(self, fingerprint: str, now: float) -> SuspicionRecord:
+        record = self._records.get(fingerprint)
+        if record is not None and now < record.expires_at:
+            return record
+        if len(self._records) >= self.settings.record_limit:
+            self.expire(now)
+        if len(self._records) >= self.settings.record_limit:
+            first = min(self._records.values(), key=lambda r: (len(r.deaths), r.expires_at))
+            del self._records[first.fingerprint]
+        record = SuspicionRecord(fingerprint=fingerprint)
+        record.expires_at = now + self.settings.suspicion_time
+        self._records[fingerprint] = record
+        return record
+
+    def _get_lifetime(self, record: SuspicionRecord) -> float:
+        quarantined = len(record.deaths) >= self.settings.quarantine_deaths
+        return self.settings.quarantine_time if quarantined else self.settings.suspicion_time
+
+    def _create_report(self, record: SuspicionRecord) -> SuspicionReport:
+        deaths = tuple(record.deaths.values())[-self.settings.quarantine_deaths :]
+        return SuspicionReport(
+            fingerprint=record.fingerprint, deaths=deaths, expires_at=record.expires_at
+        )
