Hold engines of isolated runs in the whole domain and measure suspicion

Causes: - two daemons isolated different suspects on the same engine. Isolated runs are now announced, the other daemons send nothing there, and daemons start them in turns. - crashes by chance near two deaths of a request counted as a common cause.

--- a/packages/core/gypsumpost_core/crash_suspicion.py
+++ b/packages/core/gypsumpost_core/crash_suspicion.py
@@ -28,10 +28,14 @@
 
     :param settings: settings of the suspicion.
     :param unix_offset: Unix time minus process time in seconds, for records shared between hosts.
+    :param slot_index: rank of this daemon among the live hosts of its domain, from 0.
+    :param slot_count: number of live hosts of the domain.
     """
 
     settings: SuspicionSettings = attrs.field(factory=SuspicionSettings)
     unix_offset: float = 0.0
+    slot_index: int = 0
+    slot_count: int = 1
     _register: SuspicionRegister = attrs.field(init=False)
     _isolation: Isolation = attrs.field(init=False)
     _runs: RunTable = attrs.field(factory=RunTable)
@@ -62,7 +66,7 @@
             return self._wait(now)
         if deaths >= self.settings.isolate_deaths:
             return self._isolate(fingerprint, engines, now)
-        excluded = self._isolation.list_reserved(now)
+        excluded = self._list_held(now)
         shared = sorted(running - excluded)
         engine = shared[0] if len(running) >= self.settings.concurrent_engines and shared else ""
         return SuspicionDecision(
@@ -102,6 +106,7 @@
                 self._register.add_death(fingerprint, death, unix_now)
             else:
                 self._register.clear(fingerprint, unix_now)
+        self._register.drop_explained()
         self._isolation.release_engine(engine)
         self._deaths.append(death)
         self._discount_common_cause(unix_now)
@@ -131,11 +136,38 @@
             self._isolation.release(fingerprint)
 
     def _isolate(self, fingerprint: str, engines: Iterable[str], now: float) -> SuspicionDecision:
-        engine = self._isolation.reserve(fingerprint, engines, self._runs, now)
+        unix_now = now + self.unix_offset
+        held = self._register.list_held_elsewhere(unix_now)
+        if self._register.is_held_elsewhere(fingerprint, unix_now):
+            return self._wait(now)
+        for taken in held:
+            # Two daemons may have reserved the same engine; the one that runs first keeps it.
+            self._isolation.release_engine(taken)
+        usable = [engine for engine in engines if engine not in held]
+        engine = self._isolation.reserve(fingerprint, usable, self._runs, now)
         if engine is None:
             return self._wait(now)
+        turn = self._find_turn(unix_now) - self.unix_offset
+        if turn > now:
+            return SuspicionDecision(verdict=SuspicionVerdict.WAIT, check_at=turn)
+        until = unix_now + self.settings.trigger_window
+        self._register.hold(fingerprint, engine, until, unix_now)
         return SuspicionDecision(verdict=SuspicionVerdict.RUN_ISOLATED, engine=engine)
 
+    def _find_turn(self, unix_now: float) -> float:
+        # Turns let a hold reach the other daemons before one of them starts a run of its own.
+        # The second half of a turn is left for the report to travel.
+        slot = self.settings.slot_time
+        cycle = slot * self.slot_count
+        position = (unix_now - self.slot_index * slot) % cycle
+        if self.slot_count == 1 or position < slot / 2:
+            return unix_now
+        return unix_now + cycle - position
+
+    def _list_held(self, now: float) -> frozenset[str]:
+        held = self._register.list_held_elsewhere(now + self.unix_offset)
+        return self._isolation.list_reserved(now) | held
+
     def _wait(self, now: float) -> SuspicionDecision:
         check_at = now + self.settings.check_interval
         return SuspicionDecision(verdict=SuspicionVerdict.WAIT, check_at=check_at)
@@ -143,8 +175,7 @@
     def _discount_common_cause(self, unix_now: float) -> None:
         oldest = unix_now - self.settings.common_cause_window
         recent = {death.get_key() for death in self._deaths if death.died_at >= oldest}
-        if len(recent) >= self.settings.common_cause_deaths:
-            self._register.discount(recent, unix_now)
+        self._register.discount(recent, unix_now)
 
 
 def _refuse(has_run: bool) -> SuspicionDecision:
--- a/packages/core/gypsumpost_core/isolation.py
+++ b/packages/core/gypsumpost_core/isolation.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 
 import attrs
+import xxhash
 
 from gypsumpost_core.run_table import RunTable
 from gypsumpost_core.suspicion_settings import SuspicionSettings
@@ -72,11 +73,12 @@
         self, fingerprint: str, engines: Iterable[str], runs: RunTable, now: float
     ) -> Reservation | None:
         reserved = {reservation.engine for reservation in self._reservations.values()}
-        usable = [engine for engine in engines if engine not in reserved]
+        usable = sorted(engine for engine in engines if engine not in reserved)
         # One engine at least stays open to the requests that are not suspected.
         if len(reserved) >= self.settings.reserved_engines or len(usable) < 2:
             return None
-        engine = min(usable, key=runs.count)
+        # The digest spreads the requests of several daemons over the engines.
+        engine = min(usable, key=lambda name: (runs.count(name), _digest(fingerprint, name)))
         ready_at = now + self.settings.isolation_wait
         reservation = Reservation(engine=engine, ready_at=ready_at, expires_at=now)
         self._reservations[fingerprint] = reservation
@@ -86,3 +88,7 @@
         for fingerprint, reservation in list(self._reservations.items()):
             if now >= reservation.expires_at:
                 del self._reservations[fingerprint]
+
+
+def _digest(fingerprint: str, engine: str) -> int:
+    return xxhash.xxh3_64_intdigest(f"{fingerprint}\0{engine}".encode())
--- a/packages/core/gypsumpost_core/suspicion_record.py
+++ b/packages/core/gypsumpost_core/suspicion_record.py
@@ -18,12 +18,18 @@
     :param deaths: by engine and boot id.
     :param cleared_at: Unix time of the last proof of innocence; earlier deaths do not count.
     :param expires_at: Unix time at which the record expires.
+    :param held_engine: engine on which a daemon runs the request isolated.
+    :param held_until: Unix time until which it holds the engine.
+    :param held_here: true if this daemon holds it.
     """
 
     fingerprint: str
     deaths: dict[tuple[str, str], EngineDeath] = attrs.field(factory=dict)
     cleared_at: float = float("-inf")
     expires_at: float = 0.0
+    held_engine: str = ""
+    held_until: float = 0.0
+    held_here: bool = False
     _discounted: deque[EngineDeath] = attrs.field(factory=lambda: deque(maxlen=DISCOUNTED_LIMIT))
     _discount_until: float | None = None
 
@@ -34,6 +40,11 @@
         self.deaths[death.get_key()] = death
         return True
 
+    def drop(self, keys: set[tuple[str, str]]) -> None:
+        """Drop deaths that another request has caused."""
+        for key in keys & self.deaths.keys():
+            del self.deaths[key]
+
     def discount(self, keys: set[tuple[str, str]], now: float, until: float) -> None:
         """Drop deaths that had a common cause.
 
--- a/packages/core/gypsumpost_core/suspicion_register.py
+++ b/packages/core/gypsumpost_core/suspicion_register.py
@@ -28,6 +28,23 @@
             return 0
         return len(record.deaths)
 
+    def hold(self, fingerprint: str, engine: str, until: float, now: float) -> None:
+        """Announce that this daemon runs a request isolated on an engine."""
+        record = self._get_record(fingerprint, now)
+        record.held_engine, record.held_until, record.held_here = engine, until, True
+        self._unreported[fingerprint] = None
+
+    def is_held_elsewhere(self, fingerprint: str, now: float) -> bool:
+        """Return true while another daemon runs a request isolated."""
+        record = self._records.get(fingerprint)
+        return record is not None and not record.held_here and now < record.held_until
+
+    def list_held_elsewhere(self, now: float) -> frozenset[str]:
+        """Return the engines on which other daemons run requests isolated."""
+        records = self._records.values()
+        held = (r for r in records if not r.held_here and now < r.held_until)
+        return frozenset(record.held_engine for record in held)
+
     def count_recent_deaths(self, fingerprint: str, now: float) -> int:
         """Return the number of deaths within the window of a common cause, whatever they mean."""
         record = self._records.get(fingerprint)
@@ -43,8 +60,23 @@
 
     def discount(self, keys: set[tuple[str, str]], now: float) -> None:
         """Drop deaths that had a common cause, in one such event for each request."""
+        until = now + self.settings.common_cause_window
+        for record in self._records.values():
+            others = len(keys - record.deaths.keys())
+            earlier = len(record.deaths.keys() - keys)
+            # A request that was isolated for earlier deaths gets no benefit of the doubt: crashes
+            # by chance at the same time cost a fourth engine in the experiment.
+            suspected = earlier >= self.settings.isolate_deaths
+            if others >= self.settings.common_cause_others and not suspected:
+                record.discount(keys, now, until)
+
+    def drop_explained(self) -> None:
+        """Drop the deaths that a quarantined request explains from all other records."""
+        quarantined = [r for r in self._records.values() if self._is_quarantined(r)]
+        explained = {key for record in quarantined for key in record.deaths}
         for record in self._records.values():
-            record.discount(keys, now, now + self.settings.common_cause_window)
+            if not self._is_quarantined(record):
+                record.drop(explained)
 
     def clear(self, fingerprint: str, now: float) -> None:
         """Drop the evidence against a request that has proved innocent."""
@@ -66,9 +98,14 @@
             return
         record = self._get_record(report.fingerprint, now)
         added = [record.add(d) for d in report.deaths[: self.settings.quarantine_deaths]]
+        if now < report.held_until:
+            limit = now + 2 * self.settings.trigger_window
+            record.held_engine, record.held_here = report.held_engine, False
+            record.held_until = min(report.held_until, limit)
         if any(added):
             latest = now + self._get_lifetime(record)
             record.expires_at = min(max(record.expires_at, report.expires_at), latest)
+        self.drop_explained()
 
     def expire(self, now: float) -> None:
         """Drop the records whose deadline has passed."""
@@ -93,12 +130,19 @@
         self._records[fingerprint] = record
         return record
 
+    def _is_quarantined(self, record: SuspicionRecord) -> bool:
+        return len(record.deaths) >= self.settings.quarantine_deaths
+
     def _get_lifetime(self, record: SuspicionRecord) -> float:
-        quarantined = len(record.deaths) >= self.settings.quarantine_deaths
+        quarantined = self._is_quarantined(record)
         return self.settings.quarantine_time if quarantined else self.settings.suspicion_time
 
     def _create_report(self, record: SuspicionRecord) -> SuspicionReport:
         deaths = tuple(record.deaths.values())[-self.settings.quarantine_deaths :]
         return SuspicionReport(
-            fingerprint=record.fingerprint, deaths=deaths, expires_at=record.expires_at
+            fingerprint=record.fingerprint,
+            deaths=deaths,
+            expires_at=record.expires_at,
+            held_engine=record.held_engine if record.held_here else "",
+            held_until=record.held_until if record.held_here else 0.0,
         )
