Scan only the own domain's engines while one of them has room

A choice among 720 engines, a third of them in the own domain, took 1.5 ms, because each condition scanned all engines. The settings of the silence bound are part of the routing settings.

--- a/packages/core/gypsumpost_core/engine_fleet.py
+++ b/packages/core/gypsumpost_core/engine_fleet.py
@@ -26,6 +26,7 @@
     engines: dict[str, EngineView] = attrs.field(factory=dict)
     leaving: LeavingRegister = attrs.field(init=False)
     _by_model: dict[str, list[EngineView]] = attrs.field(factory=dict)
+    _own: dict[str, list[EngineView]] = attrs.field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         self.leaving = LeavingRegister(list_lag=self.settings.list_lag)
@@ -35,9 +36,12 @@
         listed = [endpoint for endpoint in endpoints if endpoint.kind is EndpointKind.ENGINE]
         self.engines = {endpoint.name: self._update_view(endpoint) for endpoint in listed}
         self._by_model = {}
+        self._own = {}
         for engine in self.engines.values():
             for model in {ref.model for ref in engine.endpoint.models}:
                 self._by_model.setdefault(model, []).append(engine)
+                if engine.endpoint.failure_domain == self.failure_domain:
+                    self._own.setdefault(model, []).append(engine)
         live = {e.name for e in listed if e.status is EndpointStatus.LIVE}
         self.leaving.observe_list(live, now)
 
@@ -57,18 +61,25 @@
         Each condition but the first is dropped when no engine meets it, so that a request is
         tried rather than refused. The own domain goes first while one of its engines has room.
         """
+        own = [e for e in self._own.get(request.model, []) if self._is_usable(e, request, now)]
+        if any(not engine.is_full() for engine in own):
+            return own
         fitting = [e for e in self.list_model(request.model) if self._fits(e, request)]
         alive = [engine for engine in fitting if not engine.health.is_down(now)] or fitting
         trusted = [engine for engine in alive if not engine.health.is_ejected(now)] or alive
-        started = [engine for engine in trusted if engine.may_start(now)] or trusted
-        own = [e for e in started if e.endpoint.failure_domain == self.failure_domain]
-        return own if any(not engine.is_full() for engine in own) else started
+        return [engine for engine in trusted if engine.may_start(now)] or trusted
 
     def count_slots(self, model: str, now: float) -> int:
         """Return the batch slots of a model's engines that can take work."""
         usable = [e for e in self.list_model(model) if not self.is_leaving(e.endpoint.name)]
         return sum(e.estimate.get_slots() for e in usable if not e.health.is_down(now))
 
+    def _is_usable(self, engine: EngineView, request: RouteRequest, now: float) -> bool:
+        health = engine.health
+        if health.is_down(now) or health.is_ejected(now) or not self._fits(engine, request):
+            return False
+        return engine.may_start(now)
+
     def _fits(self, engine: EngineView, request: RouteRequest) -> bool:
         name = engine.endpoint.name
         if name in request.excluded or self.is_leaving(name):
--- a/packages/core/gypsumpost_core/engine_view.py
+++ b/packages/core/gypsumpost_core/engine_view.py
@@ -36,7 +36,7 @@
             estimate=EngineEstimate(settings=settings),
             health=EngineHealth(settings=settings),
             prefixes=PrefixMemory(limit=settings.prefix_entries),
-            silence=SilenceBound(),
+            silence=SilenceBound(settings=settings.silence),
         )
 
     def is_full(self) -> bool:
@@ -44,7 +44,7 @@
 
         Other daemons send to the engine between its report and this choice, so a part of the batch
         counts as taken. Without it, the first token p99 at 80% of capacity was 1.7 s in place of
-        0.3 s in the routing experiment.
+        0.6 s in a trial of the routing simulation.
         """
         headroom = self.estimate.settings.headroom * self.estimate.get_slots()
         return self.estimate.estimate_load() + 1 > self.estimate.get_slots() - headroom
--- a/packages/core/gypsumpost_core/expected_time_policy.py
+++ b/packages/core/gypsumpost_core/expected_time_policy.py
@@ -19,10 +19,12 @@
         self, request: RouteRequest, candidates: Sequence[EngineView], context: RoutingContext
     ) -> EngineView:
         """Return the engine with the lowest expected time of some probed ones."""
+        compared = _draw_engines(request, candidates, context)
         # A fast engine with a short queue may complete sooner than an idle slow one, but late
         # first tokens harm more callers than late last ones.
-        open_engines = [engine for engine in candidates if not engine.is_full()] or candidates
-        compared = _draw_engines(request, open_engines, context)
+        if all(engine.is_full() for engine in compared):
+            open_engines = [engine for engine in candidates if not engine.is_full()]
+            compared = open_engines or list(candidates)
         return min(compared, key=lambda engine: _expect_time(engine, request, context))
 
 
@@ -30,7 +32,7 @@
     request: RouteRequest, candidates: Sequence[EngineView], context: RoutingContext
 ) -> list[EngineView]:
     count = context.settings.choices
-    probed = [engine for engine in candidates if engine.endpoint.name in context.probed]
+    probed = [e for e in candidates if e.endpoint.name in context.probed and not e.is_full()]
     drawn = context.chance.sample(probed, min(count, len(probed)))
     if len(drawn) < count:
         rest = [engine for engine in candidates if engine.endpoint.name not in context.probed]
--- a/packages/core/gypsumpost_core/routing_settings.py
+++ b/packages/core/gypsumpost_core/routing_settings.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from gypsumpost_core.silence_bound import SilenceSettings
+
 
 @attrs.frozen(kw_only=True)
 class RoutingSettings:
@@ -30,6 +32,7 @@
     :param ejection_samples: observations that an ejection needs.
     :param prefix_entries: prefixes remembered for each engine.
     :param list_lag: seconds by which the platform's list may lag behind a stop of an endpoint.
+    :param silence: settings of the silence bound.
     """
 
     token_time: float = 0.042
@@ -54,3 +57,4 @@
     ejection_samples: int = 5
     prefix_entries: int = 512
     list_lag: float = 30.0
+    silence: SilenceSettings = attrs.field(factory=SilenceSettings)
