Add the store client and the stand-in platform

The daemon's parts that keep state in the platform's store need a client and something to run against. The client speaks the JSON gateway of etcd v3 and says for each failure whether the call may have taken effect, from httpcore's trace of the first byte. The stand-in enforces etcd's limits on operations and duplicate keys, so that a batch it accepts would be accepted by etcd.

--- /dev/null
+++ b/packages/bench/gypsumpost_bench/memory_store.py
@@ -0,0 +1,119 @@
+"""A store within the process, with the limits and faults of the stand-in."""
+
+from collections.abc import AsyncIterator, Callable
+
+import attrs
+import trio
+from gypsumpost_daemon.store_event import StoreEvent
+from gypsumpost_daemon.store_failure import StoreFailure
+from gypsumpost_daemon.store_transaction import StoreTransaction
+from gypsumpost_daemon.store_transaction_result import StoreTransactionResult
+from result import Err, Ok, Result
+
+from gypsumpost_bench.store_faults import StoreFaults
+from gypsumpost_bench.store_limits import StoreLimits
+from gypsumpost_bench.store_logic import StoreLogic
+from gypsumpost_bench.store_rejection import StoreRejection
+
+ANSWER_LOST = StoreFailure(reason="answer lost", sent=True)
+
+
+@attrs.frozen(kw_only=True)
+class MemoryStore:
+    """Implements the daemon's ``Store``; views of several domains share logic and faults.
+
+    :param logic: the stored state.
+    :param faults: the faults in force.
+    :param limits: the rate limits and counts.
+    :param failure_domain: domain of the caller, for partitions.
+    :param latency: seconds that every call takes.
+    """
+
+    logic: StoreLogic = attrs.field(factory=StoreLogic)
+    faults: StoreFaults = attrs.field(factory=StoreFaults)
+    limits: StoreLimits = attrs.field(factory=StoreLimits)
+    failure_domain: str = ""
+    latency: float = 0.0
+
+    def for_domain(self, failure_domain: str) -> "MemoryStore":
+        """Return a view of the same store for callers of a domain.
+
+        :param failure_domain: the domain, which partitions name.
+        """
+        return attrs.evolve(self, failure_domain=failure_domain)
+
+    async def run_transaction(
+        self, transaction: StoreTransaction, deadline: float
+    ) -> Result[StoreTransactionResult, StoreFailure]:
+        """Run a transaction as the stand-in does."""
+        return await self._call(
+            lambda now: self.limits.try_transaction(transaction, now),
+            lambda now: self.logic.run_transaction(transaction, now),
+            deadline,
+        )
+
+    async def grant_lease(self, ttl_seconds: int, deadline: float) -> Result[int, StoreFailure]:
+        """Create a lease and return its id."""
+        grant = self.logic.grant_lease
+        return await self._call(
+            self.limits.try_write, lambda now: grant(ttl_seconds, now), deadline
+        )
+
+    async def keep_lease(self, lease: int, deadline: float) -> Result[int, StoreFailure]:
+        """Renew a lease and return its remaining seconds, 0 if it has lapsed."""
+        keep = self.logic.keep_lease
+        return await self._call(self.limits.try_write, lambda now: keep(lease, now), deadline)
+
+    async def revoke_lease(self, lease: int, deadline: float) -> Result[None, StoreFailure]:
+        """End a lease and delete its keys."""
+        revoke = self.logic.revoke_lease
+        return await self._call(self.limits.try_write, lambda now: revoke(lease), deadline)
+
+    async def watch(
+        self, key: bytes, range_end: bytes, start_revision: int
+    ) -> AsyncIterator[list[StoreEvent]]:
+        """Yield batches of changes; ends when an ordered fault cuts the watch."""
+        changed = trio.Event()
+
+        def wake() -> None:
+            changed.set()
+
+        stops = [self.logic.listen(wake), self.faults.listen(wake)]
+        next_revision = start_revision or self.logic.revision + 1
+        try:
+            while not self._is_cut():
+                changed = trio.Event()
+                events = self.logic.list_events(key, range_end, next_revision)
+                next_revision = max(next_revision, self.logic.revision + 1)
+                if events:
+                    yield events
+                else:
+                    await changed.wait()
+        finally:
+            for stop in stops:
+                stop()
+
+    def _is_cut(self) -> bool:
+        now = trio.current_time()
+        refusing = self.faults.is_refusing(self.failure_domain, now)
+        return refusing or self.faults.is_cutting_watches(now)
+
+    async def _call(
+        self, admit: Callable[[float], bool], apply: Callable[[float], object], deadline: float
+    ) -> Result:
+        with trio.move_on_at(deadline):
+            await trio.sleep(self.latency + self.faults.find_delay(trio.current_time()))
+            now = trio.current_time()
+            if self.faults.is_refusing(self.failure_domain, now):
+                return Err(StoreFailure(reason="store is down", sent=False))
+            if not admit(now):
+                return Err(StoreFailure(reason="too many calls", sent=False))
+            return self._apply(apply, now)
+        return Err(StoreFailure(reason="no answer in time", sent=False))
+
+    def _apply(self, apply: Callable[[float], object], now: float) -> Result:
+        try:
+            applied = apply(now)
+        except StoreRejection as rejection:
+            return Err(StoreFailure(reason=str(rejection), sent=False))
+        return Err(ANSWER_LOST) if self.faults.is_losing_answers(now) else Ok(applied)
--- /dev/null
+++ b/packages/bench/gypsumpost_bench/stand_in_http.py
@@ -0,0 +1,94 @@
+"""ASGI helpers of the stand-ins."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import hypercorn.trio
+import orjson
+import trio
+from hypercorn.config import Config
+
+AsgiScope = dict[str, Any]
+AsgiReceive = Callable[[], Awaitable[Any]]
+AsgiSend = Callable[[Any], Awaitable[None]]
+AsgiApplication = Callable[[AsgiScope, AsgiReceive, AsgiSend], Awaitable[None]]
+
+JSON_HEADERS = [(b"content-type", b"application/json")]
+
+
+async def serve_application(application: AsgiApplication, address: str) -> None:
+    """Serve HTTP with hypercorn until cancelled.
+
+    :param application: the ASGI application.
+    :param address: ``ip:port`` to listen on.
+    """
+    config = Config()
+    config.bind = [address]
+    config.errorlog = None
+    await hypercorn.trio.serve(
+        application,  # type: ignore[arg-type]
+        config,
+        shutdown_trigger=trio.sleep_forever,
+    )
+
+
+async def accept_lifespan(receive: AsgiReceive, send: AsgiSend) -> None:
+    """Answer the messages of the ASGI lifespan protocol.
+
+    :param receive: ASGI receive function.
+    :param send: ASGI send function.
+    """
+    while True:
+        message = await receive()
+        await send({"type": message["type"] + ".complete"})
+        if message["type"] == "lifespan.shutdown":
+            return
+
+
+async def read_body(receive: AsgiReceive) -> bytes:
+    """Read the whole body of a request.
+
+    :param receive: ASGI receive function.
+    """
+    body = bytearray()
+    while True:
+        message = await receive()
+        if message["type"] != "http.request":
+            return bytes(body)
+        body += message.get("body", b"")
+        if not message.get("more_body"):
+            return bytes(body)
+
+
+async def send_json(send: AsgiSend, status: int, body: object) -> None:
+    """Send a JSON answer.
+
+    :param send: ASGI send function.
+    :param status: HTTP status code.
+    :param body: a value that JSON can express.
+    """
+    data = orjson.dumps(body)
+    headers = [*JSON_HEADERS, (b"content-length", str(len(data)).encode())]
+    await send({"type": "http.response.start", "status": status, "headers": headers})
+    await send({"type": "http.response.body", "body": data})
+
+
+async def drop_connection(send: AsgiSend) -> None:
+    """Close the connection without a complete answer.
+
+    hypercorn answers 500 for an application that sends nothing, so a response is begun; its body
+    is announced and never sent, which makes hypercorn close the connection.
+
+    :param send: ASGI send function.
+    """
+    headers = [*JSON_HEADERS, (b"content-length", b"1")]
+    await send({"type": "http.response.start", "status": 200, "headers": headers})
+    await send({"type": "http.response.body", "body": b"", "more_body": True})
+
+
+def read_headers(scope: AsgiScope) -> dict[str, str]:
+    """Return the headers of a request by lower-case name.
+
+    :param scope: ASGI scope.
+    """
+    return {name.decode().lower(): value.decode() for name, value in scope["headers"]}
--- /dev/null
+++ b/packages/bench/gypsumpost_bench/store_faults.py
@@ -0,0 +1,70 @@
+"""Faults on order of the stand-in store."""
+
+from collections.abc import Callable
+
+from gypsumpost_bench.store_fault import StoreFault
+from gypsumpost_bench.store_fault_kind import StoreFaultKind
+
+
+class StoreFaults:
+    """The faults in force; several may be in force together."""
+
+    def __init__(self) -> None:
+        self._faults: list[StoreFault] = []
+        self._listeners: list[Callable[[], None]] = []
+
+    def order(self, fault: StoreFault) -> None:
+        """Add a fault; ``NONE`` ends all faults.
+
+        :param fault: the fault.
+        """
+        if fault.kind is StoreFaultKind.NONE:
+            self._faults.clear()
+        else:
+            self._faults.append(fault)
+        for listener in list(self._listeners):
+            listener()
+
+    def listen(self, listener: Callable[[], None]) -> Callable[[], None]:
+        """Call a function at each order and return a function that ends this.
+
+        :param listener: must not block.
+        """
+        self._listeners.append(listener)
+        return lambda: self._listeners.remove(listener)
+
+    def is_refusing(self, domain: str, now: float) -> bool:
+        """Return whether a call is refused before it has any effect.
+
+        :param domain: failure domain of the caller.
+        :param now: current time in seconds.
+        """
+        if self._find(StoreFaultKind.DOWN, now):
+            return True
+        cuts = self._find(StoreFaultKind.PARTITION, now)
+        return any(fault.domain == domain for fault in cuts)
+
+    def is_losing_answers(self, now: float) -> bool:
+        """Return whether a call takes effect without an answer.
+
+        :param now: current time in seconds.
+        """
+        return bool(self._find(StoreFaultKind.LOSE_ANSWERS, now))
+
+    def is_cutting_watches(self, now: float) -> bool:
+        """Return whether watches are cut and refused.
+
+        :param now: current time in seconds.
+        """
+        return bool(self._find(StoreFaultKind.CUT_WATCHES, now))
+
+    def find_delay(self, now: float) -> float:
+        """Return the seconds that a call waits.
+
+        :param now: current time in seconds.
+        """
+        return sum(fault.delay for fault in self._find(StoreFaultKind.SLOW, now))
+
+    def _find(self, kind: StoreFaultKind, now: float) -> list[StoreFault]:
+        self._faults = [fault for fault in self._faults if now < fault.until]
+        return [fault for fault in self._faults if fault.kind is kind]
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/sent_trace.py
@@ -0,0 +1,30 @@
+"""Observes with httpcore's trace extension whether a request's first byte was sent."""
+
+from collections.abc import Callable
+from typing import Any
+
+FIRST_BYTE_EVENT = "http11.send_request_headers.started"
+
+
+class SentTrace:
+    """Notes the moment before the first byte of a request is written.
+
+    :param check: called once before the first byte; an exception that it raises keeps the
+        request from being sent.
+    """
+
+    def __init__(self, *, check: Callable[[], None] | None = None) -> None:
+        self.sent = False
+        self._check = check
+
+    async def observe(self, event: str, info: dict[str, Any]) -> None:
+        """Take an event of httpcore's trace extension.
+
+        :param event: name of the event.
+        :param info: its details.
+        """
+        if event != FIRST_BYTE_EVENT:
+            return
+        if self._check is not None:
+            self._check()
+        self.sent = True
