Add the stand-in service

Checks of at-most-once need a service that counts executions by call and that fails in the ways real ones do. It counts by X-Call-Id, shows the counts at GET /executions, and takes orders to die, pause, answer slowly, drain, or close the connection with and without having run the call.

--- /dev/null
+++ b/packages/bench/gypsumpost_bench/service_application.py
@@ -0,0 +1,114 @@
+"""ASGI application of the stand-in service."""
+
+import math
+import os
+import signal
+import time
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+import orjson
+import trio
+
+from gypsumpost_bench.service_fault import ServiceFault
+from gypsumpost_bench.service_fault_kind import ServiceFaultKind
+from gypsumpost_bench.stand_in_http import (
+    AsgiReceive,
+    AsgiScope,
+    AsgiSend,
+    accept_lifespan,
+    drop_connection,
+    read_body,
+    read_headers,
+    send_json,
+)
+
+CALL_ID_HEADER = "x-call-id"
+
+
+def kill_own_process() -> None:
+    """End this process without warning, as a crash does."""
+    os.kill(os.getpid(), signal.SIGKILL)
+
+
+class ServiceApplication:
+    """Runs calls and counts their executions by the header ``X-Call-Id``.
+
+    :param name: name of this process, shown in each answer.
+    :param end_process: called for an ordered death.
+    """
+
+    def __init__(self, *, name: str, end_process: Callable[[], None] = kill_own_process) -> None:
+        self.executions: Counter[str] = Counter()
+        self._name = name
+        self._end_process = end_process
+        self._running = 0
+        self._fault = ServiceFault(kind=ServiceFaultKind.NONE)
+
+    async def __call__(self, scope: AsgiScope, receive: AsgiReceive, send: AsgiSend) -> None:
+        """Serve one connection event as ASGI defines it."""
+        if scope["type"] == "lifespan":
+            await accept_lifespan(receive, send)
+            return
+        body = await read_body(receive)
+        if scope["path"] == "/faults":
+            await send_json(send, 200, {})
+            self.order_fault(orjson.loads(body))
+        elif scope["path"] == "/executions":
+            await send_json(send, 200, {"executions": self.executions})
+        elif scope["path"] == "/load":
+            await send_json(send, 200, self._describe_load())
+        else:
+            await self._run_call(scope, body, send)
+
+    def order_fault(self, order: dict[str, Any]) -> None:
+        """Take the order of a fault.
+
+        :param order: the body of ``POST /faults``.
+        """
+        seconds = float(order.get("seconds", math.inf))
+        self._fault = ServiceFault(
+            kind=ServiceFaultKind(order["kind"]),
+            until=trio.current_time() + seconds,
+            delay=float(order.get("delay", 1.0)),
+        )
+        if self._fault.kind is ServiceFaultKind.DIE:
+            self._end_process()
+        if self._fault.kind is ServiceFaultKind.PAUSE:
+            time.sleep(seconds)  # Stops the whole process as SIGSTOP does.
+
+    def _describe_load(self) -> dict[str, Any]:
+        draining = self._find_fault() is ServiceFaultKind.DRAIN
+        return {"running": self._running, "draining": draining}
+
+    def _find_fault(self) -> ServiceFaultKind:
+        in_force = trio.current_time() < self._fault.until
+        return self._fault.kind if in_force else ServiceFaultKind.NONE
+
+    async def _run_call(self, scope: AsgiScope, body: bytes, send: AsgiSend) -> None:
+        fault = self._find_fault()
+        if fault is ServiceFaultKind.DROP:
+            await drop_connection(send)
+            return
+        call_id = read_headers(scope).get(CALL_ID_HEADER, "")
+        self.executions[call_id] += 1
+        self._running += 1
+        try:
+            if fault is ServiceFaultKind.SLOW:
+                await trio.sleep(self._fault.delay)
+            if fault is ServiceFaultKind.CLOSE:
+                await drop_connection(send)
+                return
+            await send_json(send, 200, self._describe_call(scope, call_id, len(body)))
+        finally:
+            self._running -= 1
+
+    def _describe_call(self, scope: AsgiScope, call_id: str, length: int) -> dict[str, Any]:
+        return {
+            "service": self._name,
+            "path": scope["path"],
+            "call_id": call_id,
+            "execution": self.executions[call_id],
+            "body_length": length,
+        }
