Add the decisions on claims and issued keys

A non-idempotent call is claimed with a nonce before it is sent; the decisions on each answer of the store are pure, and note_sent and check_answer assert at-most-once and truthful-not-run.

not_run is said only where it is certain: with the claim held, or without an answer of the store only if the caller vouches for its first attempt. A repeat during an outage is answered unknown, because an earlier request under the key may have run.

--- /dev/null
+++ b/packages/bench/gypsumpost_bench/tests/claim_attempt.py
@@ -0,0 +1,47 @@
+"""A simulated attempt of an owner to run a call."""
+
+import attrs
+from gypsumpost_core.claim import Claim
+from gypsumpost_core.claim_record import ClaimRecord
+from gypsumpost_core.run_state import RunState
+from gypsumpost_daemon.claim_codec import encode_record
+from gypsumpost_daemon.claim_order import ClaimOrder
+from gypsumpost_daemon.claim_order_kind import ClaimOrderKind
+
+
+@attrs.define(kw_only=True, eq=False)
+class ClaimAttempt:
+    """One request of a caller at one owner.
+
+    :param number: order of the beginnings of all attempts.
+    :param key: the call's key.
+    :param claim: the decisions under test.
+    :param phase: ``claiming``, ``ready``, ``sent`` or ``ended``.
+    :param answer: what the caller was told, ``None`` if it got no answer.
+    """
+
+    number: int
+    key: bytes
+    claim: Claim
+    phase: str = "claiming"
+    answer: RunState | None = None
+
+    @property
+    def record(self) -> ClaimRecord:
+        return self.claim.record
+
+    def order_creation(self) -> ClaimOrder:
+        value = encode_record(self.record)
+        return ClaimOrder(kind=ClaimOrderKind.CREATE, key=self.key, value=value)
+
+    def order_removal(self) -> ClaimOrder:
+        expected = encode_record(self.record)
+        return ClaimOrder(kind=ClaimOrderKind.REMOVE, key=self.key, expected=expected)
+
+    def order_outcome(self, record: ClaimRecord) -> ClaimOrder:
+        return ClaimOrder(
+            kind=ClaimOrderKind.REPLACE,
+            key=self.key,
+            expected=encode_record(self.record),
+            value=encode_record(record),
+        )
--- /dev/null
+++ b/packages/core/gypsumpost_core/issued_call_step.py
@@ -0,0 +1,14 @@
+"""Next step of a call under an issued key."""
+
+import enum
+
+
+class IssuedCallStep(enum.Enum):
+    """What the issuer does with a request under one of its keys."""
+
+    RUN = "run"
+    WAIT = "wait"
+    RETURN_OUTCOME = "return-outcome"
+    REFUSE_MISMATCH = "refuse-mismatch"
+    REFUSE_FULL = "refuse-full"
+    ANSWER_UNKNOWN = "answer-unknown"
--- /dev/null
+++ b/packages/core/gypsumpost_core/tests/test_claim.py
@@ -0,0 +1,99 @@
+"""Tests of the decisions on claims."""
+
+import pytest
+
+from gypsumpost_core.broken_invariant import BrokenInvariant
+from gypsumpost_core.claim import Claim
+from gypsumpost_core.claim_outcome import ClaimOutcome
+from gypsumpost_core.claim_record import ClaimRecord
+from gypsumpost_core.claim_reply import ClaimReply
+from gypsumpost_core.claim_step import ClaimStep
+from gypsumpost_core.run_state import RunState
+
+DONE = ClaimOutcome(run_state=RunState.RUN, status=200)
+
+
+def make_record(nonce: str = "own", digest: str = "d", outcome: ClaimOutcome | None = None):
+    return ClaimRecord(
+        owner="h1",
+        incarnation=1,
+        nonce=nonce,
+        deadline=10.0,
+        request_digest=digest,
+        outcome=outcome,
+    )
+
+
+def make_claim(first_attempt: bool = False) -> Claim:
+    return Claim(record=make_record(), first_attempt=first_attempt)
+
+
+def decide(claim: Claim, stored: ClaimRecord | None, sent: bool = True, lost: bool = False):
+    reply = ClaimReply(created=False, stored=stored, sent=sent)
+    return claim.decide(reply, now=0.0, owner_is_lost=lost)
+
+
+def test_each_answer_of_the_store_leads_to_its_step() -> None:
+    """Guards against sending without the claim and against refusing a finished call."""
+    assert decide(make_claim(), make_record()) is ClaimStep.SEND
+    assert decide(make_claim(), None, sent=True) is ClaimStep.READ_BACK
+    assert decide(make_claim(), None, sent=False) is ClaimStep.REFUSE_STORE
+    assert decide(make_claim(), make_record("other")) is ClaimStep.WAIT
+    assert decide(make_claim(), make_record("other"), lost=True) is ClaimStep.ANSWER_UNKNOWN
+    assert decide(make_claim(), make_record("other", digest="x")) is ClaimStep.REFUSE_MISMATCH
+    done = make_record("other", outcome=DONE)
+    assert decide(make_claim(), done, lost=True) is ClaimStep.RETURN_OUTCOME
+
+
+def test_not_run_is_said_only_where_it_is_certain() -> None:
+    """Guards against not_run for a key that an earlier request may have run."""
+    repeat = make_claim()
+    decide(repeat, None, sent=False)
+    assert repeat.find_run_state() is RunState.UNKNOWN
+    first = make_claim(first_attempt=True)
+    decide(first, None, sent=True)
+    assert first.find_run_state() is RunState.NOT_RUN
+    decide(first, make_record("other"))
+    assert first.find_run_state() is RunState.UNKNOWN
+    held = make_claim()
+    decide(held, make_record())
+    assert held.find_run_state() is RunState.NOT_RUN
+    held.note_sent(now=1.0)
+    assert held.find_run_state() is RunState.UNKNOWN
+
+
+def test_sending_again_late_or_without_the_claim_trips_at_most_once() -> None:
+    """Guards against a policy that sends where the claim does not allow it."""
+    for prepare in (
+        lambda claim: None,
+        lambda claim: (decide(claim, make_record()), claim.give_up()),
+        lambda claim: (decide(claim, make_record()), claim.note_sent(now=1.0)),
+    ):
+        claim = make_claim()
+        prepare(claim)
+        with pytest.raises(BrokenInvariant, match="at-most-once"):
+            claim.note_sent(now=2.0)
+    late = make_claim()
+    decide(late, make_record())
+    assert not late.may_send(now=10.0)
+    with pytest.raises(BrokenInvariant, match="at-most-once"):
+        late.note_sent(now=10.0)
+
+
+def test_wrong_not_run_trips_truthful_not_run() -> None:
+    """Guards against a policy that says not_run of a call that was or may still be sent."""
+    sent = make_claim()
+    decide(sent, make_record())
+    sent.note_sent(now=1.0)
+    sent.give_up()
+    with pytest.raises(BrokenInvariant, match="truthful-not-run"):
+        sent.check_answer(RunState.NOT_RUN)
+    still_held = make_claim()
+    decide(still_held, make_record())
+    with pytest.raises(BrokenInvariant, match="truthful-not-run"):
+        still_held.check_answer(RunState.NOT_RUN)
+    refused = make_claim(first_attempt=True)
+    decide(refused, None, sent=True)
+    refused.check_answer(RunState.NOT_RUN)
+    decide(refused, make_record())
+    assert not refused.may_send(now=1.0)
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/claim_order_reply.py
@@ -0,0 +1,15 @@
+"""What the store did with a claim order."""
+
+import attrs
+
+
+@attrs.frozen(kw_only=True)
+class ClaimOrderReply:
+    """Answer to a claim order.
+
+    :param applied: true if the change was made.
+    :param current: the stored value if the change was not made, ``None`` for an absent key.
+    """
+
+    applied: bool
+    current: bytes | None = None
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/claim_transaction.py
@@ -0,0 +1,54 @@
+"""Store transactions that carry claim orders."""
+
+from collections.abc import Sequence
+
+from gypsumpost_daemon.claim_order import ClaimOrder
+from gypsumpost_daemon.claim_order_kind import ClaimOrderKind
+from gypsumpost_daemon.claim_order_reply import ClaimOrderReply
+from gypsumpost_daemon.store_transaction import (
+    StoreCompare,
+    StoreDelete,
+    StoreGet,
+    StoreOperation,
+    StorePut,
+    StoreTransaction,
+)
+from gypsumpost_daemon.store_transaction_result import StoreTransactionResult
+
+
+def build_transaction(orders: Sequence[ClaimOrder]) -> StoreTransaction:
+    """Return one transaction with a nested transaction for each order.
+
+    :param orders: the orders; their keys differ, as etcd refuses a key that is put twice.
+    """
+    return StoreTransaction(success=tuple(_build_nested(order) for order in orders))
+
+
+def read_replies(result: StoreTransactionResult) -> list[ClaimOrderReply]:
+    """Return the reply to each order.
+
+    :param result: result of the transaction.
+    """
+    return [_read_nested(nested) for nested in result.results]
+
+
+def _build_nested(order: ClaimOrder) -> StoreTransaction:
+    if order.kind is ClaimOrderKind.CREATE:
+        compare = StoreCompare(key=order.key, create_revision=0)
+    else:
+        compare = StoreCompare(key=order.key, value=order.expected)
+    change: StoreOperation = StorePut(key=order.key, value=order.value)
+    if order.kind is ClaimOrderKind.REMOVE:
+        change = StoreDelete(key=order.key)
+    return StoreTransaction(
+        compare=(compare,), success=(change,), failure=(StoreGet(key=order.key),)
+    )
+
+
+def _read_nested(nested: object) -> ClaimOrderReply:
+    assert isinstance(nested, StoreTransactionResult)
+    if nested.succeeded:
+        return ClaimOrderReply(applied=True)
+    (found,) = nested.results
+    assert isinstance(found, tuple)
+    return ClaimOrderReply(applied=False, current=found[0].value if found else None)
