Add the experiment calls

It measures store calls per call in both claim modes, calls served and the longest stall in a store outage, and counts duplicates and false not_run of racing duplicates under faults in random order.

--- /dev/null
+++ b/packages/bench/gypsumpost_bench/experiment_calls.py
@@ -0,0 +1,231 @@
+"""Experiment: non-idempotent calls, their cost at the store and their truthfulness."""
+
+import random
+from collections.abc import Awaitable, Callable
+
+import orjson
+import trio
+from gypsumpost_core.run_state import RunState
+
+from gypsumpost_bench.call_cluster import CallCluster
+from gypsumpost_bench.call_counts import CallCounts, read_run_state
+from gypsumpost_bench.call_faults import order_faults
+from gypsumpost_bench.claim_load import ClaimLoad
+from gypsumpost_bench.experiment import EXPERIMENTS
+from gypsumpost_bench.experiment_row import ExperimentRow
+from gypsumpost_bench.memory_store import MemoryStore
+from gypsumpost_bench.store_fault import StoreFault
+from gypsumpost_bench.store_fault_kind import StoreFaultKind
+from gypsumpost_bench.store_limits import StoreLimits
+
+DOMAINS = ("d1", "d1", "d2", "d2", "d3", "d3")
+STORE_LATENCY_SECONDS = 0.002
+CALLS_PER_SECOND = 1000
+CALLERS = 100
+QUICK_CALLS = 1000
+FULL_CALLS = 5000
+QUICK_KEYS = 60
+FULL_KEYS = 400
+DUPLICATES = 3
+SEED = 20
+MAX_STORE_ATTEMPTS = 1.1
+
+Run = Callable[[CallCluster], Awaitable[None]]
+
+
+@EXPERIMENTS.register("calls")
+def run_calls(*, quick: bool) -> list[ExperimentRow]:
+    """Measure calls.
+
+    :param quick: true for fewer calls.
+    """
+    calls = QUICK_CALLS if quick else FULL_CALLS
+    keys = QUICK_KEYS if quick else FULL_KEYS
+    return [*measure_writes(calls), *measure_outage(calls), *measure_faults(keys)]
+
+
+def measure_writes(calls: int) -> list[ExperimentRow]:
+    """Measure store calls and served calls, batched and with one write per claim and outcome.
+
+    :param calls: number of calls.
+    """
+    writes, served = {}, {}
+    for mode in ("batched", "write-per-call"):
+        limits = StoreLimits()
+        cluster = _make_cluster(limits, mode)
+        load = ClaimLoad(modes=cluster.modes, calls_per_second=CALLS_PER_SECOND)
+        _run_cluster(cluster, lambda started, load=load: load.run(calls))  # type: ignore[misc]
+        writes[mode] = limits.write_count / calls
+        served[mode] = load.answered / calls
+    note = (
+        f"{calls} calls at {CALLS_PER_SECOND}/s (claim and outcome, no service) over "
+        f"{len(DOMAINS)} daemons in 3 domains; store limited to 500 writes/s"
+    )
+    return [
+        ExperimentRow(
+            name="store calls per non-idempotent call",
+            unit="writes",
+            figure=writes["batched"],
+            baseline=writes["write-per-call"],
+            baseline_name="write-per-call",
+            note=note,
+        ),
+        ExperimentRow(
+            name="calls whose claim and outcome the store took",
+            unit="share",
+            figure=served["batched"],
+            baseline=served["write-per-call"],
+            baseline_name="write-per-call",
+            note=note,
+        ),
+    ]
+
+
+def measure_outage(calls: int) -> list[ExperimentRow]:
+    """Measure calls while the store is down: issued keys against refusal.
+
+    :param calls: number of calls of each kind.
+    """
+    issued, refused = CallCounts(), CallCounts()
+    limits = StoreLimits()
+
+    async def run(cluster: CallCluster) -> None:
+        keys = await _issue_keys(cluster, calls)
+        cluster.store.faults.order(StoreFault(kind=StoreFaultKind.DOWN))
+        await _call_often(cluster, calls, keys, issued)
+        before = limits.call_count
+        await _call_often(cluster, calls, [""], refused)
+        attempts.append((limits.call_count - before) / calls)
+
+    attempts: list[float] = []
+    _run_cluster(_make_cluster(limits, "write-per-call"), run)
+    return [
+        ExperimentRow(
+            name="calls served in a store outage with issued keys",
+            unit="share",
+            figure=issued.served / calls,
+            baseline=refused.served / calls,
+            baseline_name="chosen keys, refused with not_run",
+            note=f"{calls} calls of each kind, {refused.refused} refused with not_run",
+        ),
+        ExperimentRow(
+            name="longest stall in a store outage with issued keys",
+            unit="s",
+            figure=issued.longest,
+            baseline=refused.longest,
+            baseline_name="chosen keys, refused with not_run",
+            note=f"{CALLERS} callers at once; callers, daemons and services share one process, "
+            "so the time is mostly theirs for processing HTTP",
+        ),
+        ExperimentRow(
+            name="store attempts per call in a store outage",
+            unit="attempts",
+            figure=attempts[0],
+            target="at most 1.1",
+            met=attempts[0] <= MAX_STORE_ATTEMPTS,
+            note="write-per-call, so that each attempt is one call to the store",
+        ),
+    ]
+
+
+def measure_faults(keys: int) -> list[ExperimentRow]:
+    """Count duplicates and false not_run of racing duplicates under faults in random order.
+
+    :param keys: number of keys, each sent several times.
+    """
+    chance = random.Random(SEED)
+    false_answers: list[str] = []
+    answers: list[str] = []
+    cluster = _make_cluster(StoreLimits(), "batched")
+
+    async def send(started: CallCluster, key: str, attempt: int) -> None:
+        daemon = chance.randrange(len(DOMAINS))
+        response = await started.call(
+            daemon, idempotency_key=key, x_call_id=key, x_call_attempt=str(attempt)
+        )
+        state = read_run_state(response)
+        answers.append(state)
+        if state == RunState.NOT_RUN.value and started.count_executions()[key]:
+            false_answers.append(key)
+
+    async def send_often(started: CallCluster, number: int) -> None:
+        # Every second caller waits for its first answer and may vouch that it is the first.
+        key = f"key-{number}"
+        if number % 2:
+            await send(started, key, 1)
+        async with trio.open_nursery() as racing:
+            for attempt in range(2, 2 + DUPLICATES):
+                racing.start_soon(send, started, key, attempt)
+
+    async def run(started: CallCluster) -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(order_faults, started, chance)
+            async with trio.open_nursery() as callers:
+                for number in range(keys):
+                    callers.start_soon(send_often, started, number)
+                    await trio.sleep(0.01)
+            nursery.cancel_scope.cancel()
+
+    _run_cluster(cluster, run)
+    executions = cluster.count_executions()
+    duplicates = sum(count - 1 for count in executions.values())
+    note = (
+        f"{keys} keys, {DUPLICATES} racing duplicates each, at {len(DOMAINS)} daemons, "
+        f"seed {SEED}; "
+        f"{len(executions)} run, answers: {answers.count('')} of the service, "
+        f"{answers.count('not_run')} not_run, {answers.count('unknown')} unknown"
+    )
+    return [
+        _describe_zero("duplicates of non-idempotent calls", duplicates, note),
+        _describe_zero("false not_run", len(false_answers), note),
+    ]
+
+
+def _describe_zero(name: str, count: int, note: str) -> ExperimentRow:
+    return ExperimentRow(
+        name=name, unit="calls", figure=count, target="0", met=count == 0, note=note
+    )
+
+
+def _make_cluster(limits: StoreLimits, mode: str) -> CallCluster:
+    store = MemoryStore(limits=limits, latency=STORE_LATENCY_SECONDS)
+    return CallCluster(store=store, claim_mode=mode, domains=DOMAINS)
+
+
+def _run_cluster(cluster: CallCluster, run: Run) -> None:
+    async def start_and_run() -> None:
+        async with trio.open_nursery() as nursery:
+            await cluster.start(nursery)
+            await run(cluster)
+            await trio.sleep(1.0)  # Outcomes are written after the answers.
+            nursery.cancel_scope.cancel()
+
+    trio.run(start_and_run)
+
+
+async def _issue_keys(cluster: CallCluster, calls: int) -> list[str]:
+    keys: list[str] = []
+    for number in range(calls):
+        response = await cluster.call(number % len(DOMAINS), "/keys")
+        keys.append(orjson.loads(response.body)["key"])
+    return keys
+
+
+async def _call_often(
+    cluster: CallCluster, calls: int, keys: list[str], counts: CallCounts
+) -> None:
+    # An empty key stands for a key that the caller chooses.
+    numbers = iter(range(calls))
+
+    async def call() -> None:
+        for number in numbers:
+            key = keys[number % len(keys)] or f"chosen-{number}"
+            started = trio.current_time()
+            response = await cluster.call(
+                number % len(DOMAINS), idempotency_key=key, x_call_id=key, x_call_attempt="1"
+            )
+            counts.note(response, trio.current_time() - started)
+
+    async with trio.open_nursery() as nursery:
+        for _ in range(CALLERS):
+            nursery.start_soon(call)
