--- /dev/null
+++ b/packages/bench/gypsumpost_bench/experiment_token_path.py
@@ -0,0 +1,80 @@
+"""Experiment ``token-path``: what a token costs between engine and caller, and how late it is."""
+
+import sys
+
+from gypsumpost_bench.experiment import EXPERIMENTS
+from gypsumpost_bench.experiment_row import ExperimentRow
+from gypsumpost_bench.token_path_run import TokenPathCase, TokenPathFigures, run_case
+
+RATES = (1000, 3000, 6400)
+BASELINE = ("hypercorn", "httpcore", "none")
+COMBINATIONS = (
+    BASELINE,
+    ("hypercorn", "h11", "none"),
+    ("h11", "httpcore", "none"),
+    ("h11", "h11", "none"),
+    ("h11", "h11", "adaptive"),
+)
+GAP_TARGET = 60.0
+FIRST_TARGET = 5.0
+RATE_SHARE = 0.98
+"""Share of the offered tokens from which on a rate counts as carried."""
+
+
+@EXPERIMENTS.register("token-path")
+def run(*, quick: bool) -> list[ExperimentRow]:
+    """Measure all combinations at all rates.
+
+    :param quick: true for fewer rates and short windows.
+    """
+    rows: list[ExperimentRow] = []
+    for rate in RATES[1:2] if quick else RATES:
+        baseline: TokenPathFigures | None = None
+        for server, transport, coalescing in COMBINATIONS:
+            case = TokenPathCase(
+                server=server, transport=transport, coalescing=coalescing, rate=rate
+            )
+            figures = run_case(case, quick=quick)
+            baseline = baseline or figures
+            rows += create_rows(case, figures, baseline)
+    return rows
+
+
+def create_rows(
+    case: TokenPathCase, figures: TokenPathFigures, baseline: TokenPathFigures
+) -> list[ExperimentRow]:
+    """Return the rows of one case.
+
+    :param case: what was measured.
+    :param figures: its figures.
+    :param baseline: figures of hypercorn with httpcore at the same rate.
+    """
+    name = f"{case.server}+{case.transport}, coalescing {case.coalescing}, {case.rate} tokens/s"
+    note = f"{figures.rate:.0f} tokens/s delivered, {figures.incomplete} short streams incomplete"
+    carried = figures.rate >= RATE_SHARE * case.rate and not figures.incomplete
+    limits: list[tuple[str, str, str, float | None]] = [
+        ("microseconds", "relay processor time per token", "us", 1e6 / RATES[-1]),
+        ("gap_p95", "p95 gap between tokens", "ms", GAP_TARGET),
+        ("first_p95", "p95 added to the first token", "ms", FIRST_TARGET),
+        ("burst_first_p95", "p95 added to the first token, 100 connections/s", "ms", FIRST_TARGET),
+        ("burst_gap_p95", "p95 gap between tokens, 100 connections/s", "ms", GAP_TARGET),
+    ]
+    return [
+        ExperimentRow(
+            name=f"{text}: {name}",
+            unit=unit,
+            figure=getattr(figures, field),
+            target=f"< {target:g} {unit}",
+            baseline=getattr(baseline, field),
+            baseline_name="+".join(BASELINE[:2]),
+            note=note,
+            met=carried and getattr(figures, field) < target,
+        )
+        for field, text, unit, target in limits
+        if target is not None
+    ]
+
+
+if __name__ == "__main__":
+    for row in run(quick="--quick" in sys.argv):
+        print(f"{row.figure:9.1f} {row.unit} (baseline {row.baseline:.1f}) {row.name}; {row.note}")
--- /dev/null
+++ b/packages/bench/gypsumpost_bench/token_path_plan.py
@@ -0,0 +1,42 @@
+"""Times of one run of the token-path experiment."""
+
+import attrs
+
+
+@attrs.frozen(kw_only=True)
+class TokenPathPlan:
+    """What the load clients do; times are ``time.monotonic`` seconds.
+
+    :param start: when the first long stream is opened.
+    :param ramp_end: when the last long stream is opened.
+    :param steady_start: start of the window without new connections.
+    :param steady_end: its end, from which some short streams are opened.
+    :param burst_start: start of the second with many new connections.
+    :param end: when all streams are closed.
+    :param streams: number of long streams.
+    :param probes: number of short streams between ``steady_end`` and ``burst_start``.
+    :param burst: number of short streams in the second after ``burst_start``.
+    """
+
+    start: float
+    ramp_end: float
+    steady_start: float
+    steady_end: float
+    burst_start: float
+    end: float
+    streams: int
+    probes: int
+    burst: int
+
+    def create_openings(self) -> list[tuple[float, str]]:
+        """Return when to open which kind of stream, in order of time."""
+        phases = [
+            ("long", self.streams, self.start, self.ramp_end),
+            ("probe", self.probes, self.steady_end, self.burst_start - 1),
+            ("burst", self.burst, self.burst_start, self.burst_start + 1),
+        ]
+        return [
+            (begin + (end - begin) * number / count, kind)
+            for kind, count, begin, end in phases
+            for number in range(count)
+        ]
--- /dev/null
+++ b/packages/bench/gypsumpost_bench/token_path_run.py
@@ -0,0 +1,175 @@
+"""One run of the token-path experiment in processes of its own."""
+
+import contextlib
+import http.client
+import json
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+
+import attrs
+from gypsumpost_daemon.addresses import split_address
+
+from gypsumpost_bench.token_path_engine import TOKEN_SECONDS
+from gypsumpost_bench.token_path_plan import TokenPathPlan
+
+ENGINES = 2
+CLIENTS = 2
+RAMP_SECONDS = 2.5
+SETTLE_SECONDS = 0.7
+PROBES_PER_SECOND = 10
+BURST = 100
+
+
+@attrs.frozen(kw_only=True)
+class TokenPathCase:
+    """What is measured.
+
+    :param server: a name of the registry ``http-server``.
+    :param transport: a name of the registry ``engine-transport``.
+    :param coalescing: a name of the registry ``coalescing``.
+    :param rate: offered tokens per second.
+    """
+
+    server: str
+    transport: str
+    coalescing: str
+    rate: int
+
+
+@attrs.frozen(kw_only=True)
+class TokenPathFigures:
+    """The figures of one run.
+
+    :param microseconds: processor time of the relay per token, in the window without openings.
+    :param rate: delivered tokens per second in that window.
+    :param gap_p95: in milliseconds, in that window.
+    :param first_p95: added time to the first token in milliseconds, 10 openings per second.
+    :param burst_first_p95: the same with 100 openings in one second.
+    :param burst_gap_p95: gaps in that second, in milliseconds.
+    :param incomplete: short streams that did not end with all their tokens.
+    """
+
+    microseconds: float
+    rate: float
+    gap_p95: float
+    first_p95: float
+    burst_first_p95: float
+    burst_gap_p95: float
+    incomplete: int
+
+
+@contextlib.contextmanager
+def start_process(module: str, *arguments: str) -> Iterator[subprocess.Popen[str]]:
+    """Start a module of this package and end it at the exit, also after a failure.
+
+    :param module: name of the module.
+    :param arguments: its command line.
+    """
+    command = [sys.executable, "-m", f"gypsumpost_bench.{module}", *arguments]
+    process = subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
+    try:
+        yield process
+    finally:
+        process.terminate()
+        process.wait()
+        if process.stdout is not None:
+            process.stdout.close()
+
+
+def read_line(process: subprocess.Popen[str]) -> str:
+    """Return the next line that a process prints."""
+    assert process.stdout is not None
+    line = process.stdout.readline().strip()
+    if not line:
+        raise RuntimeError(f"process {process.args!r} ended early")
+    return line
+
+
+def read_usage(address: str) -> float:
+    """Return the processor seconds that the relay has used."""
+    connection = http.client.HTTPConnection(*split_address(address), timeout=30)
+    connection.request("GET", "/usage")
+    usage = json.loads(connection.getresponse().read())
+    connection.close()
+    return float(usage)
+
+
+def find_percentile(values: list[float], fraction: float) -> float:
+    """Return a percentile, ``nan`` without values."""
+    if not values:
+        return float("nan")
+    return sorted(values)[min(int(len(values) * fraction), len(values) - 1)]
+
+
+def create_plan(rate: int, quick: bool) -> TokenPathPlan:
+    """Return the plan for each of the clients.
+
+    :param rate: offered tokens per second of all clients.
+    :param quick: true for short windows.
+    """
+    start = time.monotonic() + 0.5
+    steady_start = start + RAMP_SECONDS + SETTLE_SECONDS
+    steady_end = steady_start + (1.5 if quick else 4)
+    probe_seconds = 1.0 if quick else 4.0
+    burst_start = steady_end + probe_seconds + 1
+    return TokenPathPlan(
+        start=start,
+        ramp_end=start + RAMP_SECONDS,
+        steady_start=steady_start,
+        steady_end=steady_end,
+        burst_start=burst_start,
+        end=burst_start + 3,
+        streams=round(rate * TOKEN_SECONDS / CLIENTS),
+        probes=round(probe_seconds * PROBES_PER_SECOND / CLIENTS),
+        burst=BURST // CLIENTS,
+    )
+
+
+def run_case(case: TokenPathCase, *, quick: bool) -> TokenPathFigures:
+    """Measure one case.
+
+    :param case: what is measured.
+    :param quick: true for short windows.
+    """
+    with contextlib.ExitStack() as stack:
+        engines = [stack.enter_context(start_process("token_path_engine")) for _ in range(ENGINES)]
+        addresses = [read_line(engine) for engine in engines]
+        names = (case.server, case.transport, case.coalescing)
+        relay = stack.enter_context(start_process("token_path_relay", *names, *addresses))
+        address = read_line(relay)
+        plan = create_plan(case.rate, quick)
+        given = json.dumps({"address": split_address(address), "plan": attrs.asdict(plan)})
+        clients = [
+            stack.enter_context(start_process("token_path_client", given)) for _ in range(CLIENTS)
+        ]
+        time.sleep(plan.steady_start - time.monotonic())
+        used = -read_usage(address)
+        time.sleep(max(plan.steady_end - time.monotonic(), 0))
+        used += read_usage(address)
+        results = [json.loads(read_line(client)) for client in clients]
+    return summarize(results, used, plan.steady_end - plan.steady_start)
+
+
+def summarize(results: list[dict], used: float, seconds: float) -> TokenPathFigures:
+    """Join what the clients have recorded.
+
+    :param results: the clients' figures.
+    :param used: processor seconds of the relay in the window without openings.
+    :param seconds: length of that window.
+    """
+
+    def join(table: str, key: str) -> list[float]:
+        return [value for result in results for value in result[table].get(key, [])]
+
+    steady = join("gaps", "steady")
+    return TokenPathFigures(
+        microseconds=used / max(len(steady), 1) * 1e6,
+        rate=len(steady) / seconds,
+        gap_p95=find_percentile(steady, 0.95),
+        first_p95=find_percentile(join("added", "probe"), 0.95),
+        burst_first_p95=find_percentile(join("added", "burst"), 0.95),
+        burst_gap_p95=find_percentile(join("gaps", "burst"), 0.95),
+        incomplete=sum(result["incomplete"] for result in results),
+    )
