Read chunked engine responses without h11 events

Cause: in a profile of the relay at 3,000 tokens/s h11 spent 2.6 of 6.7 s on three events per chunk.

--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/chunk_decoder.py
@@ -0,0 +1,92 @@
+"""Decodes the chunked transfer coding of HTTP/1.1."""
+
+import re
+
+CHUNK_HEAD = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(?:;[^\r\n]*)?\r\n")
+MAX_LINE_BYTES = 8192
+
+
+class ChunkDecoder:
+    """Takes the bytes after the headers of a chunked message.
+
+    h11 needs three events and a dozen calls for each chunk, which was two fifths of the time per
+    token; an engine sends one chunk per token.
+    """
+
+    def __init__(self) -> None:
+        self._buffer = b""
+        self._missing = 0
+        self._in_trailers = False
+        self.ended = False
+
+    def feed(self, data: bytes) -> bytes:
+        """Return the content that is complete now.
+
+        :param data: the next bytes of the message.
+        :raises ValueError: if they are not valid, or go on after the end.
+        """
+        if self.ended:
+            raise ValueError("there are bytes after the last chunk")
+        buffer = self._buffer + data if self._buffer else data
+        pieces: list[bytes] = []
+        position = self._take_missing(buffer, pieces)
+        while not self._missing and not self._in_trailers:
+            head = CHUNK_HEAD.match(buffer, position)
+            if head is None:
+                check_line(buffer, position)
+                break
+            size = int(head[1], 16)
+            start = head.end()
+            end = start + size
+            if not size:
+                self._in_trailers = True
+                position = start
+            elif buffer.startswith(b"\r\n", end):
+                pieces.append(buffer[start:end])
+                position = end + 2
+            else:
+                self._missing = size + 2
+                position = start + self._take_missing(buffer[start:], pieces)
+        self._buffer = buffer[position:]
+        if self._in_trailers:
+            self._skip_trailers()
+        return pieces[0] if len(pieces) == 1 else b"".join(pieces)
+
+    def _take_missing(self, buffer: bytes, pieces: list[bytes]) -> int:
+        """Take the rest of a chunk that began earlier, and return how many bytes were used."""
+        if not self._missing:
+            return 0
+        content = min(self._missing - 2, len(buffer)) if self._missing > 2 else 0
+        if content:
+            pieces.append(buffer[:content])
+            self._missing -= content
+        if self._missing > 2 or len(buffer) - content < 2:
+            return content
+        if not buffer.startswith(b"\r\n", content):
+            raise ValueError("a chunk does not end with CRLF")
+        self._missing = 0
+        return content + 2
+
+    def _skip_trailers(self) -> None:
+        while not self.ended:
+            line, separator, rest = self._buffer.partition(b"\r\n")
+            if not separator:
+                check_line(self._buffer, 0, any_line=True)
+                return
+            self._buffer = rest
+            self.ended = not line
+        if self._buffer:
+            raise ValueError("there are bytes after the last chunk")
+
+
+def check_line(buffer: bytes, position: int, *, any_line: bool = False) -> None:
+    """Raise ``ValueError`` if a line cannot become valid with more bytes.
+
+    :param buffer: the received bytes.
+    :param position: where the line begins.
+    :param any_line: true for a trailer, whose content does not matter.
+    """
+    if len(buffer) - position > MAX_LINE_BYTES:
+        raise ValueError("a line of a chunked message is too long")
+    if not any_line and buffer.find(b"\n", position) >= 0:
+        raise ValueError("the size of a chunk is malformed")
--- a/packages/daemon/gypsumpost_daemon/h11_engine_connection.py
+++ b/packages/daemon/gypsumpost_daemon/h11_engine_connection.py
@@ -8,6 +8,7 @@
 from result import Err, Ok, Result
 
 from gypsumpost_daemon.addresses import split_address
+from gypsumpost_daemon.chunk_decoder import ChunkDecoder
 from gypsumpost_daemon.engine_failure import EngineFailure
 from gypsumpost_daemon.engine_request import EngineRequest
 from gypsumpost_daemon.socket_transport import SocketTransport
@@ -23,8 +24,11 @@
 
     def __init__(self, *, sock: socket.socket) -> None:
         self._transport = SocketTransport(sock=sock)
-        self._parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+        self._parser = create_parser()
         self._body_ended = False
+        self._chunks: ChunkDecoder | None = None
+        self._early_content = b""
+        self._keeps_alive = False
 
     async def send(self, request: EngineRequest) -> Result[h11.Response, EngineFailure]:
         """Send a request and wait for the response's headers.
@@ -46,6 +50,19 @@
 
         :raises OSError: if the connection is lost or the body is malformed.
         """
+        chunks = self._chunks
+        if chunks is None:
+            return await self._receive_plain_body()
+        content = self._early_content
+        self._early_content = b""
+        while not content and not chunks.ended:
+            data = await self._transport.receive()
+            if not data:
+                raise ConnectionResetError("the connection was closed within the body")
+            content = decode_chunks(chunks, data)
+        return content
+
+    async def _receive_plain_body(self) -> bytes:
         pieces: list[bytes] = []
         while not self._body_ended:
             event = self._next_event()
@@ -61,6 +78,12 @@
 
     def prepare_next_request(self) -> bool:
         """Return true if the connection can carry another request."""
+        if self._chunks is not None:
+            # h11 has not seen the body, so it cannot know that the message has ended.
+            complete = self._chunks.ended and not self._early_content
+            self._chunks = None
+            self._parser = create_parser()
+            return complete and self._keeps_alive
         try:
             self._parser.start_next_cycle()
         except h11.LocalProtocolError:
@@ -91,12 +114,21 @@
         while True:
             event = self._next_event()
             if isinstance(event, h11.Response):
+                self._begin_body(event)
                 return event
             if event is h11.NEED_DATA:
                 self._parser.receive_data(await self._transport.receive())
             elif not isinstance(event, h11.InformationalResponse):
                 raise ConnectionResetError("the connection was closed before the response")
 
+    def _begin_body(self, head: h11.Response) -> None:
+        if (b"transfer-encoding", b"chunked") not in head.headers:
+            return
+        closes = (b"connection", b"close") in head.headers
+        self._keeps_alive = head.http_version == b"1.1" and not closes
+        self._chunks = ChunkDecoder()
+        self._early_content = decode_chunks(self._chunks, self._parser.trailing_data[0])
+
     def _next_event(self) -> object:
         try:
             return self._parser.next_event()
@@ -104,6 +136,24 @@
             raise ConnectionResetError(f"malformed response: {error}") from error
 
 
+def create_parser() -> h11.Connection:
+    """Return the HTTP state of a connection without a request."""
+    return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+
+
+def decode_chunks(chunks: ChunkDecoder, data: bytes) -> bytes:
+    """Decode a part of a chunked body.
+
+    :param chunks: the decoder of the body.
+    :param data: the received bytes.
+    :raises OSError: if they are malformed.
+    """
+    try:
+        return chunks.feed(data) if data else b""
+    except ValueError as error:
+        raise ConnectionResetError(f"malformed response: {error}") from error
+
+
 async def connect(address: str, deadline: float) -> Result[H11EngineConnection, EngineFailure]:
     """Connect to an endpoint.
 
--- a/packages/daemon/gypsumpost_daemon/socket_transport.py
+++ b/packages/daemon/gypsumpost_daemon/socket_transport.py
@@ -4,6 +4,7 @@
 import struct
 
 import trio
+from trio.lowlevel import wait_readable
 
 RECEIVE_BYTES = 65536
 STALL_SECONDS = 10.0
@@ -34,8 +35,13 @@
 
     async def receive(self) -> bytes:
         """Wait for data; an empty result means that the other side has finished sending."""
+        if self._closed:
+            raise ConnectionAbortedError("the connection is closed")
         while True:
-            await self._wait(trio.lowlevel.wait_readable)
+            try:
+                await wait_readable(self._socket)
+            except trio.ClosedResourceError as error:
+                raise ConnectionAbortedError("the connection was closed") from error
             try:
                 return self._receive_now(RECEIVE_BYTES)
             except BlockingIOError:
@@ -95,7 +101,7 @@
         try:
             while rest:
                 with trio.move_on_at(trio.current_time() + self._stall_seconds) as scope:
-                    await self._wait(trio.lowlevel.wait_writable)
+                    await self._wait_writable()
                 if scope.cancelled_caught:
                     raise TimeoutError("the other side does not read")
                 try:
@@ -107,11 +113,11 @@
             self.abort()
             raise
 
-    async def _wait(self, condition) -> None:  # type: ignore[no-untyped-def]
+    async def _wait_writable(self) -> None:
         if self._closed:
             raise ConnectionAbortedError("the connection is closed")
         try:
-            await condition(self._socket)
+            await trio.lowlevel.wait_writable(self._socket)
         except trio.ClosedResourceError as error:
             raise ConnectionAbortedError("the connection was closed") from error
 
