--- a/packages/bench/gypsumpost_bench/token_path_relay.py
+++ b/packages/bench/gypsumpost_bench/token_path_relay.py
@@ -13,6 +13,7 @@
 from gypsumpost_daemon.engine_event import EngineEvent
 from gypsumpost_daemon.engine_stream import EngineStream
 from gypsumpost_daemon.event_encoder import DONE, EventEncoder, EventSource
+from gypsumpost_daemon.garbage_collector import configure_collector
 from gypsumpost_daemon.http_server import HTTP_SERVERS
 from result import Err
 
@@ -139,4 +140,5 @@
 
 
 if __name__ == "__main__":
+    configure_collector()
     trio.run(run, sys.argv[1], sys.argv[2], sys.argv[3], sys.argv[4:])
