--- a/packages/daemon/gypsumpost_daemon/socket_transport.py
+++ b/packages/daemon/gypsumpost_daemon/socket_transport.py
@@ -1,9 +1,11 @@
 """A TCP socket that is read and written without a task switch where possible."""
 
+import contextlib
 import socket
 import struct
 
 import trio
+from trio.lowlevel import wait_readable
 
 RECEIVE_BYTES = 65536
 STALL_SECONDS = 10.0
@@ -31,11 +33,22 @@
         self._receive_now = sock.recv
         self._send_now = sock.send
         self._closed = False
+        self._is_new = True
 
     async def receive(self) -> bytes:
         """Wait for data; an empty result means that the other side has finished sending."""
+        if self._closed:
+            raise ConnectionAbortedError("the connection is closed")
+        if self._is_new:
+            # The first request often arrives with its connection and need not wait for the loop.
+            self._is_new = False
+            with contextlib.suppress(BlockingIOError):
+                return self._receive_now(RECEIVE_BYTES)
         while True:
-            await self._wait(trio.lowlevel.wait_readable)
+            try:
+                await wait_readable(self._socket)
+            except trio.ClosedResourceError as error:
+                raise ConnectionAbortedError("the connection was closed") from error
             try:
                 return self._receive_now(RECEIVE_BYTES)
             except BlockingIOError:
@@ -95,7 +108,7 @@
         try:
             while rest:
                 with trio.move_on_at(trio.current_time() + self._stall_seconds) as scope:
-                    await self._wait(trio.lowlevel.wait_writable)
+                    await self._wait_writable()
                 if scope.cancelled_caught:
                     raise TimeoutError("the other side does not read")
                 try:
@@ -107,11 +120,11 @@
             self.abort()
             raise
 
-    async def _wait(self, condition) -> None:  # type: ignore[no-untyped-def]
+    async def _wait_writable(self) -> None:
         if self._closed:
             raise ConnectionAbortedError("the connection is closed")
         try:
-            await condition(self._socket)
+            await trio.lowlevel.wait_writable(self._socket)
         except trio.ClosedResourceError as error:
             raise ConnectionAbortedError("the connection was closed") from error
 
