Add membership state machine

Daemons need to know which hosts live, in their own failure domain and in the others, with traffic that does not grow with the fleet.

SWIM runs within a domain: direct and indirect probes, suspicion with incarnations, and death only by a process's own failed probe. Tables are compared by digests and read in pages only when the digests differ.

--- /dev/null
+++ b/packages/core/gypsumpost_core/domain_links.py
@@ -0,0 +1,182 @@
+"""Exchange with other failure domains."""
+
+import random
+
+from gypsumpost_core.datagram import Datagram
+from gypsumpost_core.datagram_kind import DatagramKind
+from gypsumpost_core.domain_beat import DomainBeat
+from gypsumpost_core.domain_contact import DomainContact
+from gypsumpost_core.host import Host
+from gypsumpost_core.local_health import LocalHealth
+from gypsumpost_core.membership_outbox import MembershipOutbox
+from gypsumpost_core.membership_settings import MembershipSettings
+from gypsumpost_core.rendezvous import rank_hosts
+from gypsumpost_core.seeds import Seeds
+from gypsumpost_core.table_comparison import TableComparison
+
+ANY_HOST_SHARE = 0.25
+"""Share of exchanges with any host of a domain, as its links may not be those this host knows."""
+
+
+class DomainLinks:
+    """Exchanges bounded digests if this host is a link, and notes which domains are silent.
+
+    :param outbox: takes datagrams and holds the table and the beats.
+    :param seeds: hosts from settings and the platform's list.
+    :param settings: times and bounds.
+    :param health: health of this process.
+    :param rng: source of randomness.
+    """
+
+    def __init__(
+        self,
+        *,
+        outbox: MembershipOutbox,
+        seeds: Seeds,
+        settings: MembershipSettings,
+        health: LocalHealth,
+        rng: random.Random,
+    ) -> None:
+        self._outbox = outbox
+        self._table = outbox.table
+        self._seeds = seeds
+        self._settings = settings
+        self._health = health
+        self._rng = rng
+        self._contacts: dict[str, DomainContact] = {}
+        self._turn: list[str] = []
+        self._next_exchange = 0.0
+        self._links: dict[str, list[Host]] = {}
+        self._links_version = -1
+
+    def tick(self, now: float) -> None:
+        """Exchange with the next domains and look for silent ones.
+
+        :param now: process time in seconds.
+        """
+        for name, contact in self._contacts.items():
+            if now >= contact.silence_deadline and not contact.silent:
+                contact.silent = True
+                self._table.set_domain_silent(name, True)
+        if now >= self._next_exchange:
+            self._next_exchange = now + self._settings.link_interval
+            self._find_domains(now)
+            if self.is_link():
+                self._exchange(now)
+
+    def delay(self, seconds: float) -> None:
+        """Move deadlines after a pause of this process.
+
+        :param seconds: length of the pause.
+        """
+        for contact in self._contacts.values():
+            contact.silence_deadline += seconds
+
+    def is_link(self) -> bool:
+        """Return whether this host is one of the links of its domain."""
+        return self._table.own.host in self._find_links(self._table.own.host.failure_domain)
+
+    def list_links(self) -> list[Host]:
+        """Return one link of each of the next domains."""
+        receivers = [self._choose_host(name) for name in self._take_turn()]
+        return [host for host in receivers if host is not None]
+
+    def take_beat(self, beat: DomainBeat, now: float) -> None:
+        """Take evidence that a domain can be reached.
+
+        :param beat: the evidence.
+        :param now: process time in seconds.
+        """
+        name = beat.failure_domain
+        if name == self._table.own.host.failure_domain:
+            return
+        if beat.clock <= self._outbox.beats.get(name, -1):
+            return
+        self._outbox.beats[name] = beat.clock
+        contact = self._find_contact(name, now)
+        contact.silence_deadline = now + self._compute_silence()
+        if contact.silent:
+            contact.silent = False
+            contact.comparison.restart()
+            self._table.set_domain_silent(name, False)
+
+    def compare(self, datagram: Datagram, now: float) -> None:
+        """Compare what is known about a domain with what one of its hosts knows.
+
+        :param datagram: a datagram of another domain.
+        :param now: process time in seconds.
+        """
+        domain = datagram.sender.host.failure_domain
+        same = datagram.table_digest == self._table.compute_digest(domain)
+        self._find_contact(domain, now).comparison.note_digest(same, now)
+
+    def take_page(self, datagram: Datagram, now: float) -> None:
+        """Continue to read a domain's hosts.
+
+        :param datagram: a page of another domain.
+        :param now: process time in seconds.
+        """
+        sender = datagram.sender.host
+        comparison = self._find_contact(sender.failure_domain, now).comparison
+        if comparison.end_page(datagram.cursor):
+            self._request_page(sender, comparison, now)
+
+    def _find_contact(self, name: str, now: float) -> DomainContact:
+        if name not in self._contacts:
+            deadline = now + self._compute_silence()
+            self._contacts[name] = DomainContact(silence_deadline=deadline)
+        return self._contacts[name]
+
+    def _compute_silence(self) -> float:
+        silence = self._settings.compute_domain_silence(len(self._contacts) or 1)
+        return silence * self._health.factor
+
+    def _find_domains(self, now: float) -> None:
+        names = self._table.list_domains() | self._seeds.list_domains()
+        for name in sorted(names - {self._table.own.host.failure_domain}):
+            self._find_contact(name, now)
+
+    def _exchange(self, now: float) -> None:
+        for host in self.list_links():
+            contact = self._contacts[host.failure_domain]
+            if contact.comparison.is_due(now) and not contact.silent:
+                self._request_page(host, contact.comparison, now)
+            else:
+                self._outbox.send(DatagramKind.PING, host, target_id=host.host_id)
+
+    def _request_page(self, host: Host, comparison: TableComparison, now: float) -> None:
+        self._outbox.send(DatagramKind.SYNC_REQUEST, host, cursor=comparison.begin_page(now))
+
+    def _take_turn(self) -> list[str]:
+        if not self._turn:
+            self._turn = sorted(self._contacts)
+            self._rng.shuffle(self._turn)
+        count = self._settings.domains_per_exchange
+        names, self._turn = self._turn[:count], self._turn[count:]
+        return names
+
+    def _choose_host(self, name: str) -> Host | None:
+        if self._contacts[name].silent or not self._table.list_live(name):
+            hosts = self._list_known(name)
+        elif self._rng.random() < ANY_HOST_SHARE:
+            hosts = self._table.list_live(name)
+        else:
+            hosts = self._find_links(name)
+        return self._rng.choice(hosts) if hosts else None
+
+    def _list_known(self, name: str) -> list[Host]:
+        members = self._table.list_members()
+        known = {m.host.host_id: m.host for m in members if m.host.failure_domain == name}
+        return list((self._seeds.find_in_domain(name) | known).values())
+
+    def _find_links(self, name: str) -> list[Host]:
+        if self._links_version != self._table.version:
+            self._links_version = self._table.version
+            self._links = {}
+        if name not in self._links:
+            hosts = list(self._table.list_live(name))
+            if name == self._table.own.host.failure_domain:
+                hosts.append(self._table.own.host)
+            count = self._settings.links_per_domain
+            self._links[name] = rank_hosts(f"link:{name}", hosts)[:count]
+        return self._links[name]
--- /dev/null
+++ b/packages/core/gypsumpost_core/member.py
@@ -0,0 +1,48 @@
+"""What this process knows about one host."""
+
+import math
+
+import attrs
+import xxhash
+
+from gypsumpost_core.host import Host
+from gypsumpost_core.member_state import MemberState
+from gypsumpost_core.member_update import MemberUpdate
+
+
+@attrs.define(kw_only=True)
+class Member:
+    """A host with its state and the deadlines of that state.
+
+    :param host: the host and its addresses.
+    :param incarnation: highest incarnation heard of.
+    :param state: alive, suspect or dead.
+    :param suspect_deadline: time at which a suspect is declared dead.
+    :param forget_deadline: time until which a dead host is remembered.
+    :param reported: last state that was reported to other parts.
+    """
+
+    host: Host
+    incarnation: int
+    state: MemberState
+    suspect_deadline: float = math.inf
+    forget_deadline: float = math.inf
+    reported: MemberState | None = None
+
+    def describe(self) -> MemberUpdate:
+        """Return the statement that this process makes about the host."""
+        return MemberUpdate(host=self.host, incarnation=self.incarnation, state=self.state)
+
+    def compute_digest(self) -> int:
+        """Return the member's part in the digest of a table; 0 for a dead host."""
+        if self.state is MemberState.DEAD:
+            return 0
+        return xxhash.xxh3_64_intdigest(f"{self.host.host_id}\0{self.incarnation}".encode())
+
+
+def describe_accusation(member: Member) -> tuple[MemberUpdate, ...]:
+    """Return what a host must be told so that it can refute it, empty if it is held for alive.
+
+    :param member: the host.
+    """
+    return () if member.state is MemberState.ALIVE else (member.describe(),)
--- /dev/null
+++ b/packages/core/gypsumpost_core/member_table.py
@@ -0,0 +1,235 @@
+"""The members that this process knows and the rules by which statements replace each other."""
+
+import functools
+import operator
+from collections.abc import Callable
+
+from gypsumpost_core.forget_host import ForgetHost
+from gypsumpost_core.host import Host
+from gypsumpost_core.member import Member
+from gypsumpost_core.member_state import MemberState
+from gypsumpost_core.member_update import MemberUpdate
+from gypsumpost_core.membership_decision import MembershipDecision
+from gypsumpost_core.membership_settings import MembershipSettings
+from gypsumpost_core.report_host import ReportHost
+from gypsumpost_core.update_queue import UpdateQueue
+
+
+class MemberTable:
+    """Applies statements, reports changes and queues them for other hosts.
+
+    :param own: this host.
+    :param incarnation: boot time of this process in Unix milliseconds.
+    :param settings: times and bounds.
+    :param emit: takes the reports.
+    """
+
+    def __init__(
+        self,
+        *,
+        own: Host,
+        incarnation: int,
+        settings: MembershipSettings,
+        emit: Callable[[MembershipDecision], None],
+    ) -> None:
+        self.own = Member(host=own, incarnation=incarnation, state=MemberState.ALIVE)
+        self.recent = UpdateQueue()
+        self.outward = UpdateQueue()
+        self.suspects: set[str] = set()
+        self.dead: set[str] = set()
+        self.urgent = False
+        self.version = 0
+        self.roster_version = 0
+        self._settings = settings
+        self._emit = emit
+        self._members: dict[str, Member] = {}
+        self._digests: dict[str, int] = {}
+        self._silent_domains: set[str] = set()
+        self._live: dict[str, list[Host]] = {}
+        self._live_version = -1
+
+    def get(self, host_id: str) -> Member | None:
+        """Return what is known about another host.
+
+        :param host_id: the host.
+        """
+        return self._members.get(host_id)
+
+    def list_members(self) -> list[Member]:
+        """Return all other hosts that are known."""
+        return list(self._members.values())
+
+    def list_domains(self) -> set[str]:
+        """Return the names of the other domains that have known hosts."""
+        domains = {member.host.failure_domain for member in self._members.values()}
+        return domains - {self.own.host.failure_domain}
+
+    def compute_digest(self, failure_domain: str | None = None) -> int:
+        """Return a digest of the live hosts and their incarnations, this host included.
+
+        :param failure_domain: domain whose hosts count, ``None`` for all.
+        """
+        digest = self.own.compute_digest()
+        if failure_domain is None:
+            return functools.reduce(operator.xor, self._digests.values(), digest)
+        if failure_domain != self.own.host.failure_domain:
+            digest = 0
+        return digest ^ self._digests.get(failure_domain, 0)
+
+    def list_live(self, failure_domain: str) -> list[Host]:
+        """Return the hosts of a domain that are held for live, without this host.
+
+        :param failure_domain: name of the domain.
+        """
+        if self._live_version != self.version:
+            self._live_version = self.version
+            self._live = {}
+            for member in self._members.values():
+                if member.state is not MemberState.DEAD:
+                    self._live.setdefault(member.host.failure_domain, []).append(member.host)
+        return self._live.get(failure_domain, [])
+
+    def list_peers(self) -> list[Host]:
+        """Return the live hosts of this host's own domain, without this host."""
+        return self.list_live(self.own.host.failure_domain)
+
+    def apply(
+        self,
+        update: MemberUpdate,
+        *,
+        now: float,
+        suspect_deadline: float,
+        remember: bool = True,
+        pass_on: bool = True,
+    ) -> None:
+        """Take a statement if it supersedes what is known.
+
+        :param update: the statement.
+        :param now: process time in seconds.
+        :param suspect_deadline: deadline if the statement is a suspicion.
+        :param remember: true to remember the death of a host that is not known yet. Tables that
+            are compared must not do this, or the hosts would remind each other for ever.
+        :param pass_on: false for the table that a joining host reads, which others know already.
+        """
+        if update.host.host_id == self.own.host.host_id:
+            self._refute(update)
+            return
+        if self._is_ignored(update, remember):
+            return
+        member = self._members.get(update.host.host_id)
+        if member is None:
+            member = Member(host=update.host, incarnation=update.incarnation, state=update.state)
+            self._members[update.host.host_id] = member
+            self._toggle_digest(member)
+            self.roster_version += 1
+        self._change(member, update, now, suspect_deadline)
+        if pass_on:
+            self._queue(update)
+
+    def suspect(self, member: Member, *, now: float, deadline: float) -> None:
+        """Suspect a host by this process's own evidence.
+
+        :param member: the host.
+        :param now: process time in seconds.
+        :param deadline: time at which it is declared dead unless it refutes.
+        """
+        update = MemberUpdate(
+            host=member.host, incarnation=member.incarnation, state=MemberState.SUSPECT
+        )
+        self.apply(update, now=now, suspect_deadline=deadline)
+
+    def declare_dead(self, member: Member, *, now: float) -> None:
+        """Declare a suspect dead.
+
+        :param member: the host.
+        :param now: process time in seconds.
+        """
+        update = MemberUpdate(
+            host=member.host, incarnation=member.incarnation, state=MemberState.DEAD
+        )
+        self.apply(update, now=now, suspect_deadline=now)
+
+    def forget_expired(self, now: float) -> None:
+        """Remove the dead hosts whose deadline has passed.
+
+        :param now: process time in seconds.
+        """
+        for host_id in [h for h in self.dead if self._members[h].forget_deadline <= now]:
+            self.dead.discard(host_id)
+            del self._members[host_id]
+            self.version += 1
+            self.roster_version += 1
+            self._emit(ForgetHost(host_id=host_id))
+
+    def set_domain_silent(self, failure_domain: str, silent: bool) -> None:
+        """Note whether a domain can be reached, and report its hosts accordingly.
+
+        :param failure_domain: name of the domain.
+        :param silent: true if nothing has come from it for too long.
+        """
+        if silent:
+            self._silent_domains.add(failure_domain)
+        else:
+            self._silent_domains.discard(failure_domain)
+        for member in self._members.values():
+            if member.host.failure_domain == failure_domain:
+                self._report(member)
+
+    def _is_ignored(self, update: MemberUpdate, remember: bool) -> bool:
+        foreign = update.host.failure_domain != self.own.host.failure_domain
+        if foreign and update.state is MemberState.SUSPECT:
+            return True  # Only hosts of its own domain probe a suspect and hear its refutation.
+        member = self._members.get(update.host.host_id)
+        if member is None:
+            return update.state is MemberState.DEAD and not remember
+        return not update.supersedes(member.state, member.incarnation)
+
+    def _change(
+        self, member: Member, update: MemberUpdate, now: float, suspect_deadline: float
+    ) -> None:
+        host_id = update.host.host_id
+        self.urgent = self.urgent or update.state is MemberState.DEAD
+        self._toggle_digest(member)
+        member.host = update.host
+        member.incarnation = update.incarnation
+        member.state = update.state
+        self._toggle_digest(member)
+        member.suspect_deadline = suspect_deadline
+        member.forget_deadline = now + self._settings.remember_dead
+        self.suspects.discard(host_id)
+        self.dead.discard(host_id)
+        if update.state is MemberState.SUSPECT:
+            self.suspects.add(host_id)
+        if update.state is MemberState.DEAD:
+            self.dead.add(host_id)
+        self.version += 1
+        self._report(member, changed=True)
+
+    def _queue(self, update: MemberUpdate) -> None:
+        self.recent.add(update)
+        own_domain = update.host.failure_domain == self.own.host.failure_domain
+        if own_domain and update.state is not MemberState.SUSPECT:
+            self.outward.add(update)
+
+    def _toggle_digest(self, member: Member) -> None:
+        domain = member.host.failure_domain
+        self._digests[domain] = self._digests.get(domain, 0) ^ member.compute_digest()
+
+    def _report(self, member: Member, changed: bool = False) -> None:
+        state = member.state
+        if state is not MemberState.DEAD and member.host.failure_domain in self._silent_domains:
+            state = MemberState.UNREACHABLE
+        if changed or state is not member.reported:
+            member.reported = state
+            report = ReportHost(host=member.host, incarnation=member.incarnation, state=state)
+            self._emit(report)
+
+    def _refute(self, update: MemberUpdate) -> None:
+        if self.own.state is MemberState.DEAD:
+            return  # This host has announced that it leaves.
+        if not update.supersedes(self.own.state, self.own.incarnation):
+            return
+        # A higher incarnation that is alive comes from before a restart with a slower wall clock.
+        self.own.incarnation = update.incarnation + 1
+        self.urgent = True
+        self._queue(self.own.describe())
--- /dev/null
+++ b/packages/core/gypsumpost_core/membership.py
@@ -0,0 +1,233 @@
+"""The membership state machine of one process."""
+
+import random
+
+from gypsumpost_core.datagram import Datagram
+from gypsumpost_core.datagram_kind import DatagramKind
+from gypsumpost_core.domain_beat import DomainBeat
+from gypsumpost_core.domain_links import DomainLinks
+from gypsumpost_core.host import Host
+from gypsumpost_core.local_health import LocalHealth
+from gypsumpost_core.member import describe_accusation
+from gypsumpost_core.member_state import MemberState
+from gypsumpost_core.membership_decision import MembershipDecision
+from gypsumpost_core.membership_outbox import MembershipOutbox
+from gypsumpost_core.membership_settings import MembershipSettings
+from gypsumpost_core.prober import Prober
+from gypsumpost_core.rejoin import Rejoin
+from gypsumpost_core.report_host import ReportHost
+from gypsumpost_core.report_list_revision import ReportListRevision
+from gypsumpost_core.seeds import Seeds
+from gypsumpost_core.table_pages import TablePages
+
+LATE_TICKS = 5
+"""Ticks that must be missing before this process counts as late."""
+
+
+class Membership:
+    """SWIM within a failure domain, with a few links to the other domains.
+
+    Each method takes an event and returns the decisions that follow from it.
+
+    :param own: this host.
+    :param boot_time: Unix time in seconds at which this process started. It gives a restarted
+        process a higher incarnation than the one that ran before it.
+    :param settings: times and bounds.
+    :param rng: source of randomness.
+    """
+
+    def __init__(
+        self,
+        *,
+        own: Host,
+        boot_time: float,
+        settings: MembershipSettings,
+        rng: random.Random,
+    ) -> None:
+        self._settings = settings
+        self._rng = rng
+        self._health = LocalHealth()
+        self._seeds = Seeds()
+        self._outbox = MembershipOutbox(
+            own=own, incarnation=int(boot_time * 1000), settings=settings
+        )
+        self._table = self._outbox.table
+        pages = TablePages(outbox=self._outbox)
+        self._prober = Prober(outbox=self._outbox, settings=settings, health=self._health, rng=rng)
+        self._links = DomainLinks(
+            outbox=self._outbox,
+            seeds=self._seeds,
+            settings=settings,
+            health=self._health,
+            rng=rng,
+        )
+        self._rejoin = Rejoin(
+            outbox=self._outbox, pages=pages, seeds=self._seeds, settings=settings, rng=rng
+        )
+        self._last_tick: float | None = None
+        self._next_eager = 0.0
+        self._highest_revision = 0
+
+    @property
+    def incarnation(self) -> int:
+        """Return the incarnation of this process."""
+        return self._table.own.incarnation
+
+    @property
+    def health_factor(self) -> float:
+        """Return the factor by which this process slows its suspicions."""
+        return self._health.factor
+
+    def set_list_revision(self, revision: int) -> None:
+        """Set the revision of the operators' lists that datagrams announce.
+
+        :param revision: the revision that this daemon uses.
+        """
+        self._outbox.list_revision = revision
+        self._highest_revision = max(self._highest_revision, revision)
+
+    def set_seeds(self, source: str, hosts: list[Host]) -> list[MembershipDecision]:
+        """Replace the seeds of one source.
+
+        :param source: name of the source, for example ``settings`` or ``platform``.
+        :param hosts: hosts that may exist.
+        """
+        self._seeds.replace(source, hosts)
+        for host in hosts:
+            if host.host_id == self._table.own.host.host_id or self._table.get(host.host_id):
+                continue
+            self._outbox.add_decision(
+                ReportHost(host=host, incarnation=0, state=MemberState.UNREACHABLE)
+            )
+        return self._outbox.take_decisions()
+
+    def tick(self, now: float) -> list[MembershipDecision]:
+        """Handle the passing of time; due every ``settings.tick`` seconds.
+
+        :param now: process time in seconds.
+        """
+        self._notice_pause(now)
+        self._last_tick = now
+        self._rejoin.tick(now)
+        self._prober.tick(now)
+        self._links.tick(now)
+        self._table.forget_expired(now)
+        self._spread_urgent(now)
+        return self._outbox.take_decisions()
+
+    def take_datagram(self, datagram: Datagram, now: float) -> list[MembershipDecision]:
+        """Handle a datagram that was authenticated.
+
+        :param datagram: the datagram.
+        :param now: process time in seconds.
+        """
+        own_id = self._table.own.host.host_id
+        if datagram.sender.host.host_id == own_id:
+            return []
+        if datagram.kind is DatagramKind.PING and datagram.target_id != own_id:
+            return []  # It is meant for a host that had this address before.
+        self._notice_pause(now)
+        self._take_contents(datagram, now)
+        self._answer(datagram, now)
+        self._spread_urgent(now)
+        return self._outbox.take_decisions()
+
+    def leave(self, now: float) -> list[MembershipDecision]:
+        """Announce that this process stops; it takes part no more after this.
+
+        :param now: process time in seconds.
+        """
+        self._table.own.state = MemberState.DEAD
+        self._table.recent.add(self._table.own.describe())
+        self._table.outward.add(self._table.own.describe())
+        self._table.urgent = True
+        self._next_eager = now
+        self._spread_urgent(now)
+        return self._outbox.take_decisions()
+
+    def _notice_pause(self, now: float) -> None:
+        if self._last_tick is None:
+            return
+        late = now - self._last_tick - self._settings.tick
+        if late < LATE_TICKS * self._settings.tick:
+            return
+        # Answers that came during the pause may still be in the socket's buffer.
+        self._last_tick = now
+        self._health.note_trouble(2)
+        self._prober.delay(late)
+        self._links.delay(late)
+
+    def _take_contents(self, datagram: Datagram, now: float) -> None:
+        deadline = self._prober.compute_suspect_deadline(now, own_evidence=False)
+        self._table.apply(datagram.sender, now=now, suspect_deadline=deadline)
+        for update in datagram.updates:
+            self._table.apply(update, now=now, suspect_deadline=deadline)
+        domain = datagram.sender.host.failure_domain
+        foreign = domain != self._table.own.host.failure_domain
+        for update in datagram.page:
+            self._table.apply(
+                update,
+                now=now,
+                suspect_deadline=deadline,
+                remember=False,
+                pass_on=foreign or not self._rejoin.is_joining(),
+            )
+        self._links.take_beat(DomainBeat(failure_domain=domain, clock=datagram.clock), now)
+        for beat in datagram.beats:
+            self._links.take_beat(beat, now)
+        if foreign:
+            self._links.compare(datagram, now)
+        else:
+            self._rejoin.compare(datagram, now)
+        self._take_revision(datagram)
+
+    def _take_revision(self, datagram: Datagram) -> None:
+        if datagram.list_revision > self._highest_revision:
+            self._highest_revision = datagram.list_revision
+            self._outbox.add_decision(
+                ReportListRevision(
+                    host_id=datagram.sender.host.host_id, revision=datagram.list_revision
+                )
+            )
+
+    def _answer(self, datagram: Datagram, now: float) -> None:
+        sender = datagram.sender.host
+        member = self._table.get(sender.host_id)
+        accusation = () if member is None else describe_accusation(member)
+        if datagram.kind is DatagramKind.PING:
+            self._outbox.send(
+                DatagramKind.ACK, sender, sequence=datagram.sequence, first=accusation
+            )
+            return
+        if accusation and datagram.sender.state is MemberState.ALIVE:
+            # A host that came back does not know yet that it was suspected or declared dead.
+            self._outbox.send(DatagramKind.PING, sender, target_id=sender.host_id, first=accusation)
+        self._dispatch(datagram, now)
+
+    def _dispatch(self, datagram: Datagram, now: float) -> None:
+        foreign = datagram.sender.host.failure_domain != self._table.own.host.failure_domain
+        if datagram.kind is DatagramKind.ACK:
+            self._prober.take_ack(datagram, now)
+        elif datagram.kind is DatagramKind.PING_REQUEST:
+            self._prober.take_request(datagram, now)
+        elif datagram.kind is DatagramKind.PING_REQUEST_TAKEN:
+            self._prober.take_request_taken(datagram)
+        elif datagram.kind is DatagramKind.SYNC_REQUEST:
+            self._rejoin.send_page(datagram)
+        elif datagram.kind is DatagramKind.SYNC_REPLY and foreign:
+            self._links.take_page(datagram, now)
+        elif datagram.kind is DatagramKind.SYNC_REPLY:
+            self._rejoin.take_page(datagram, now)
+
+    def _spread_urgent(self, now: float) -> None:
+        """Send deaths and refutations to a few hosts at once, in bursts of bounded rate."""
+        if not self._table.urgent or now < self._next_eager:
+            return
+        self._table.urgent = False
+        self._next_eager = now + self._settings.eager_interval
+        peers = self._table.list_peers()
+        receivers = self._rng.sample(peers, min(self._settings.eager_fanout, len(peers)))
+        if self._links.is_link() or self._table.own.state is MemberState.DEAD:
+            receivers += self._links.list_links()
+        for host in receivers:
+            self._outbox.send(DatagramKind.GOSSIP, host)
--- /dev/null
+++ b/packages/core/gypsumpost_core/probe.py
@@ -0,0 +1,25 @@
+"""A running probe of one host."""
+
+import attrs
+
+
+@attrs.define(kw_only=True)
+class Probe:
+    """Pings of one host until it answers or is declared dead.
+
+    :param host_id: the host.
+    :param incarnation: its incarnation at the start; a change is fresh evidence of life.
+    :param sequence: number that answers repeat.
+    :param next_ping: time of the next ping.
+    :param rounds: pings sent so far.
+    :param asked_helpers: true if other hosts were asked to ping it.
+    :param heard_helpers: true if one of them took the request.
+    """
+
+    host_id: str
+    incarnation: int
+    sequence: int
+    next_ping: float
+    rounds: int = 0
+    asked_helpers: bool = False
+    heard_helpers: bool = False
--- /dev/null
+++ b/packages/core/gypsumpost_core/table_comparison.py
@@ -0,0 +1,79 @@
+"""Comparison of this process's table with those of a domain."""
+
+import math
+
+import attrs
+
+MISMATCH_SECONDS = 3.0
+"""Changes take less than this to reach all hosts of a domain, so most differences pass alone."""
+
+JOIN_SECONDS = 1.0
+"""Shortest time between two passes of a host that has never had the same table as another."""
+
+RETRY_SECONDS = 0.25
+
+
+@attrs.define(kw_only=True)
+class TableComparison:
+    """Reads another table in pages if the digests have differed for too long.
+
+    :param next_pass: time of the next pass; infinite while the digests agree.
+    :param running: true during a pass.
+    :param position: host id after which the next page begins.
+    :param retry_deadline: time at which a page that did not arrive is asked for again.
+    :param matched: true once the digests have agreed.
+    """
+
+    next_pass: float = 0.0
+    running: bool = False
+    position: str = ""
+    retry_deadline: float = 0.0
+    matched: bool = False
+
+    def note_digest(self, same: bool, now: float) -> None:
+        """Take the digest of another table.
+
+        :param same: true if it is that of this process's table.
+        :param now: process time in seconds.
+        """
+        if same:
+            self.matched = True
+            self.running = False
+            self.next_pass = math.inf
+        elif self.next_pass == math.inf:
+            self.next_pass = now + MISMATCH_SECONDS
+
+    def restart(self) -> None:
+        """Begin a pass as soon as possible."""
+        self.next_pass = 0.0
+        self.running = False
+
+    def is_due(self, now: float) -> bool:
+        """Return whether a page must be asked for.
+
+        :param now: process time in seconds.
+        """
+        return now >= (self.retry_deadline if self.running else self.next_pass)
+
+    def begin_page(self, now: float) -> str:
+        """Note that a page is asked for.
+
+        :param now: process time in seconds.
+        :returns: the host id after which it begins.
+        """
+        if not self.running:
+            self.running = True
+            self.position = ""
+            self.next_pass = now + (MISMATCH_SECONDS if self.matched else JOIN_SECONDS)
+        self.retry_deadline = now + RETRY_SECONDS
+        return self.position
+
+    def end_page(self, position: str) -> bool:
+        """Take the position that a page ended at.
+
+        :param position: host id, empty at the end of the table.
+        :returns: true if the next page is wanted at once.
+        """
+        self.running = self.running and bool(position)
+        self.position = position
+        return self.running
--- /dev/null
+++ b/packages/core/gypsumpost_core/tests/test_membership.py
@@ -0,0 +1,260 @@
+"""Tests of membership between several state machines on a simulated clock."""
+
+import attrs
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from gypsumpost_core.datagram import Datagram
+from gypsumpost_core.datagram_kind import DatagramKind
+from gypsumpost_core.host import Host
+from gypsumpost_core.member_state import MemberState
+from gypsumpost_core.member_update import MemberUpdate
+from gypsumpost_core.membership_simulation import MembershipSimulation, create_hosts
+from gypsumpost_core.report_list_revision import ReportListRevision
+from gypsumpost_core.send_datagram import SendDatagram
+
+JOIN_SECONDS = 6.0
+
+
+def create_joined(
+    domains: int = 3, hosts_per_domain: int = 3, seed: int = 1, seconds: float = JOIN_SECONDS
+) -> MembershipSimulation:
+    simulation = MembershipSimulation(hosts=create_hosts(domains, hosts_per_domain), seed=seed)
+    simulation.run(seconds)
+    check_all_live(simulation)
+    return simulation
+
+
+def check_all_live(simulation: MembershipSimulation) -> None:
+    names = {name for name, member in simulation.members.items() if member.running}
+    for name in names:
+        assert simulation.members[name].list_live() == names - {name}, name
+
+
+def find_holders(simulation: MembershipSimulation, host_id: str) -> list[str]:
+    """Return the running members that hold a host for live."""
+    members = simulation.members.values()
+    return [m.host.host_id for m in members if m.running and host_id in m.list_live()]
+
+
+def gossip(sender: Host, *updates: MemberUpdate, incarnation: int = 1) -> Datagram:
+    return Datagram(
+        kind=DatagramKind.GOSSIP,
+        sender=MemberUpdate(host=sender, incarnation=incarnation, state=MemberState.ALIVE),
+        updates=updates,
+    )
+
+
+@pytest.mark.parametrize("victim", [f"host-{d}-{n}" for d in range(3) for n in range(3)])
+def test_lost_host_is_detected_in_every_domain_within_three_seconds(victim: str) -> None:
+    """Guards against a loss that stays unknown where copies of its generations are held."""
+    simulation = create_joined()
+    simulation.members[victim].running = False
+    simulation.run(3.0)
+    assert find_holders(simulation, victim) == []
+    check_all_live(simulation)
+
+
+def test_large_domains_join_and_detect_a_loss() -> None:
+    """Guards against tables that stay incomplete when many hosts start together."""
+    simulation = create_joined(domains=3, hosts_per_domain=30, seconds=15.0)
+    simulation.members["host-1-7"].running = False
+    simulation.run(3.0)
+    assert find_holders(simulation, "host-1-7") == []
+
+
+def test_paused_member_returns_without_declaring_others_dead() -> None:
+    """Guards against a process that takes its own pause for the death of all others."""
+    simulation = create_joined()
+    member = simulation.members["host-0-0"]
+    member.paused = True
+    simulation.run(10.0)
+    assert find_holders(simulation, "host-0-0") == []
+    reports = []
+    simulation.listener = lambda now, observer, report: reports.append((observer, report.state))
+    simulation.resume("host-0-0")
+    simulation.run(5.0)
+    check_all_live(simulation)
+    assert ("host-0-0", MemberState.DEAD) not in reports
+
+
+@pytest.mark.parametrize("seconds", [5.0, 60.0])
+def test_partition_between_domains_heals(seconds: float) -> None:
+    """Guards against domains that place copies across a cut, or never find each other again."""
+    simulation = create_joined()
+    simulation.is_cut = lambda a, b: (a.failure_domain == "domain-0") != (
+        b.failure_domain == "domain-0"
+    )
+    simulation.run(seconds)
+    assert simulation.members["host-0-0"].list_live() == {"host-0-1", "host-0-2"}
+    assert len(simulation.members["host-1-0"].list_live()) == 5
+    simulation.is_cut = lambda a, b: False
+    simulation.run(5.0)
+    check_all_live(simulation)
+
+
+def test_partition_within_a_domain_heals() -> None:
+    """Guards against halves of a domain that hold each other for dead for ever."""
+    simulation = create_joined(domains=1, hosts_per_domain=8)
+    left = {"host-0-0", "host-0-1", "host-0-2"}
+    simulation.is_cut = lambda a, b: (a.host_id in left) != (b.host_id in left)
+    simulation.run(20.0)
+    assert simulation.members["host-0-0"].list_live() == left - {"host-0-0"}
+    simulation.is_cut = lambda a, b: False
+    simulation.run(10.0)
+    check_all_live(simulation)
+
+
+def test_restart_with_the_same_address_has_a_higher_incarnation() -> None:
+    """Guards against a restarted daemon that is held for its dead predecessor."""
+    simulation = create_joined()
+    host = simulation.members["host-2-1"].host
+    before = simulation.members["host-0-0"].view["host-2-1"].incarnation
+    simulation.members["host-2-1"].running = False
+    simulation.run(5.0)
+    simulation.start(host)
+    simulation.run(5.0)
+    check_all_live(simulation)
+    assert simulation.members["host-0-0"].view["host-2-1"].incarnation > before
+
+
+def test_restart_of_all_hosts() -> None:
+    """Guards against members that wait for a peer that already knows the deployment."""
+    simulation = create_joined()
+    for member in list(simulation.members.values()):
+        simulation.start(member.host)
+    simulation.run(JOIN_SECONDS)
+    check_all_live(simulation)
+
+
+def test_leaving_member_is_known_at_once() -> None:
+    """Guards against a planned stop that others must detect by silence."""
+    simulation = create_joined()
+    member = simulation.members["host-0-0"]
+    simulation.carry_out(member, member.membership.leave(simulation.now))
+    member.running = False
+    simulation.run(0.7)
+    assert find_holders(simulation, "host-0-0") == []
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_loss_of_datagrams_kills_no_live_member(seed: int) -> None:
+    """Guards against false deaths when a fifth of all datagrams is lost."""
+    simulation = create_joined(domains=3, hosts_per_domain=5, seed=seed)
+    simulation.loss = 0.2
+    false_deaths = []
+    simulation.listener = lambda now, observer, report: (
+        None if report.live else false_deaths.append((now, observer, report))
+    )
+    simulation.run(60.0)
+    assert false_deaths == []
+
+
+def test_dead_member_is_not_revived_by_stale_gossip() -> None:
+    """Guards against a late datagram that brings a dead host back."""
+    simulation = create_joined()
+    victim = simulation.members["host-0-2"]
+    stale = victim.membership.incarnation
+    victim.running = False
+    simulation.run(4.0)
+    statement = MemberUpdate(host=victim.host, incarnation=stale, state=MemberState.ALIVE)
+    simulation.deliver("host-0-0", gossip(victim.host, incarnation=stale))
+    simulation.deliver("host-0-1", gossip(simulation.members["host-1-0"].host, statement))
+    simulation.run(2.0)
+    assert find_holders(simulation, "host-0-2") == []
+
+
+def test_dead_member_is_forgotten_at_its_deadline() -> None:
+    """Guards against tables that remind each other of dead hosts for ever."""
+    simulation = create_joined(domains=2, hosts_per_domain=2)
+    simulation.members["host-1-1"].running = False
+    simulation.run(640.0)
+    for member in simulation.members.values():
+        assert not member.running or "host-1-1" not in member.view
+
+
+def test_newer_list_revision_is_reported_once() -> None:
+    """Guards against a daemon that does not learn that its lists are old."""
+    simulation = create_joined(domains=1, hosts_per_domain=2)
+    sender = simulation.members["host-0-0"].host
+    membership = simulation.members["host-0-1"].membership
+    datagram = attrs.evolve(gossip(sender), list_revision=7)
+    expected = ReportListRevision(host_id="host-0-0", revision=7)
+    assert expected in membership.take_datagram(datagram, simulation.now)
+    assert expected not in membership.take_datagram(datagram, simulation.now)
+
+
+def test_ping_for_the_former_owner_of_an_address_is_ignored() -> None:
+    """Guards against a replaced host whose successor answers in its name."""
+    simulation = create_joined(domains=1, hosts_per_domain=2)
+    sender = simulation.members["host-0-0"].host
+    ping = attrs.evolve(gossip(sender), kind=DatagramKind.PING, target_id="host-before")
+    assert simulation.members["host-0-1"].membership.take_datagram(ping, simulation.now) == []
+
+
+def test_late_process_slows_its_suspicions() -> None:
+    """Guards against an overloaded process that suspects healthy hosts."""
+    simulation = create_joined(domains=1, hosts_per_domain=3)
+    membership = simulation.members["host-0-0"].membership
+    assert membership.health_factor == 1.0
+    membership.tick(simulation.now + 1.0)
+    assert membership.health_factor > 1.0
+
+
+HOSTS = create_hosts(2, 3)
+UPDATES = st.builds(
+    MemberUpdate,
+    host=st.sampled_from(HOSTS),
+    incarnation=st.integers(0, 3),
+    state=st.sampled_from([MemberState.ALIVE, MemberState.SUSPECT, MemberState.DEAD]),
+)
+
+
+@settings(max_examples=60, derandomize=True, deadline=None)
+@given(st.lists(st.tuples(st.sampled_from(HOSTS), st.lists(UPDATES, max_size=4))))
+def test_incarnations_never_fall_and_death_needs_a_higher_one(
+    script: list[tuple[Host, list[MemberUpdate]]],
+) -> None:
+    """Guards against any order of statements that revives a dead member or lowers a state."""
+    simulation = MembershipSimulation(hosts=HOSTS, seed=0)
+    membership = simulation.members[HOSTS[0].host_id].membership
+    known: dict[str, tuple[int, int]] = {}
+    for number, (sender, updates) in enumerate(script):
+        decisions = membership.take_datagram(gossip(sender, *updates), number * 0.05)
+        for decision in decisions + membership.tick(number * 0.05):
+            if isinstance(decision, SendDatagram):
+                continue
+            assert not isinstance(decision, ReportListRevision)
+            rank = (decision.incarnation, decision.state.value)  # type: ignore[union-attr]
+            host_id = decision.host.host_id  # type: ignore[union-attr]
+            assert rank > known.get(host_id, (-1, 0))
+            known[host_id] = rank
+    for _, updates in script:
+        for update in updates:
+            if update.host.host_id == HOSTS[0].host_id and update.state is not MemberState.ALIVE:
+                assert membership.incarnation > update.incarnation
+
+
+@settings(max_examples=15, derandomize=True, deadline=None)
+@given(
+    st.lists(st.tuples(st.sampled_from(["pause", "stop", "start"]), st.integers(0, 5)), max_size=8),
+    st.integers(0, 1000),
+)
+def test_any_sequence_of_faults_ends_in_agreement(faults: list[tuple[str, int]], seed: int) -> None:
+    """Guards against sequences of pauses, stops and restarts that leave views that differ."""
+    simulation = MembershipSimulation(hosts=HOSTS, seed=seed)
+    for fault, number in faults:
+        member = simulation.members[HOSTS[number].host_id]
+        if fault == "pause":
+            member.paused = True
+        elif fault == "stop":
+            member.running = False
+        else:
+            simulation.start(member.host)
+        simulation.run(1.3)
+    for host_id, member in simulation.members.items():
+        if member.paused:
+            simulation.resume(host_id)
+    simulation.run(15.0)
+    check_all_live(simulation)
