--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/gossip_codec.py
@@ -0,0 +1,135 @@
+"""Encoding and authentication of membership datagrams."""
+
+import functools
+import hashlib
+import hmac
+from pathlib import Path
+from typing import Any
+
+import capnp
+from gypsumpost_core.datagram import Datagram
+from gypsumpost_core.datagram_kind import DatagramKind
+from gypsumpost_core.domain_beat import DomainBeat
+from gypsumpost_core.host import Host
+from gypsumpost_core.member_state import MemberState
+from gypsumpost_core.member_update import MemberUpdate
+from gypsumpost_core.setting_parsers import parse_address, parse_name, parse_optional_address
+from result import Err, Ok, Result
+
+MAC_BYTES = 16
+
+SCHEMA: Any = capnp.load(str(Path(__file__).with_name("gossip.capnp")))
+
+
+class GossipCodec:
+    """Turns datagrams into authenticated bytes and back.
+
+    :param key: the shared key of the deployment.
+    """
+
+    def __init__(self, *, key: bytes) -> None:
+        self._key = key
+
+    def encode(self, datagram: Datagram, clock: int) -> bytes:
+        """Return the bytes of a datagram.
+
+        :param datagram: the datagram.
+        :param clock: the sender's hybrid clock.
+        """
+        message = SCHEMA.Datagram.new_message(
+            kind=datagram.kind.value,
+            sequence=datagram.sequence,
+            targetId=datagram.target_id,
+            cursor=datagram.cursor,
+            tableDigest=datagram.table_digest,
+            listRevision=datagram.list_revision,
+            clock=clock,
+        )
+        _write_update(message.init("sender"), datagram.sender)
+        _write_updates(message, "updates", datagram.updates)
+        _write_updates(message, "page", datagram.page)
+        if datagram.beats:
+            builders = message.init("beats", len(datagram.beats))
+            for builder, beat in zip(builders, datagram.beats, strict=True):
+                builder.failureDomain = beat.failure_domain
+                builder.clock = beat.clock
+        body: bytes = message.to_bytes_packed()
+        return self._sign(body) + body
+
+    def decode(self, data: bytes) -> Result[Datagram, str]:
+        """Return the datagram, or why the bytes are not one.
+
+        :param data: received bytes.
+        """
+        mac, body = data[:MAC_BYTES], data[MAC_BYTES:]
+        if not hmac.compare_digest(mac, self._sign(body)):
+            return Err("wrong authentication code")
+        try:
+            return Ok(_read_datagram(SCHEMA.Datagram.from_bytes_packed(body)))
+        except (capnp.KjException, ValueError, UnicodeDecodeError) as error:
+            return Err("malformed datagram: " + str(error).partition("\n")[0])
+
+    def _sign(self, body: bytes) -> bytes:
+        return hmac.digest(self._key, body, hashlib.sha256)[:MAC_BYTES]
+
+
+def _write_updates(message: Any, name: str, updates: tuple[MemberUpdate, ...]) -> None:
+    if updates:
+        for builder, update in zip(message.init(name, len(updates)), updates, strict=True):
+            _write_update(builder, update)
+
+
+def _write_update(builder: Any, update: MemberUpdate) -> None:
+    host = update.host
+    builder.hostId = host.host_id
+    builder.failureDomain = host.failure_domain
+    builder.peerAddress = host.peer_address
+    builder.gossipAddress = host.gossip_address
+    builder.apiAddress = host.api_address
+    builder.incarnation = update.incarnation
+    builder.state = update.state.value
+
+
+def _read_datagram(message: Any) -> Datagram:
+    return Datagram(
+        kind=DatagramKind(message.kind.raw),
+        sender=_read_update(message.sender),
+        sequence=message.sequence,
+        target_id=message.targetId,
+        cursor=message.cursor,
+        updates=tuple(_read_update(reader) for reader in message.updates),
+        page=tuple(_read_update(reader) for reader in message.page),
+        table_digest=message.tableDigest,
+        beats=tuple(
+            DomainBeat(failure_domain=reader.failureDomain, clock=reader.clock)
+            for reader in message.beats
+        ),
+        list_revision=message.listRevision,
+        clock=message.clock,
+    )
+
+
+def _read_update(reader: Any) -> MemberUpdate:
+    host = _create_host(
+        reader.hostId,
+        reader.failureDomain,
+        reader.peerAddress,
+        reader.gossipAddress,
+        reader.apiAddress,
+    )
+    return MemberUpdate(
+        host=host, incarnation=reader.incarnation, state=MemberState(reader.state.raw)
+    )
+
+
+# Checking the addresses takes most of the time of decoding, and the same hosts come again and
+# again.
+@functools.lru_cache(maxsize=4096)
+def _create_host(host_id: str, domain: str, peer: str, gossip: str, api: str) -> Host:
+    return Host(
+        host_id=parse_name(host_id),
+        failure_domain=parse_name(domain),
+        peer_address=parse_address(peer),
+        gossip_address=parse_address(gossip),
+        api_address=parse_optional_address(api),
+    )
--- a/packages/daemon/gypsumpost_daemon/host_directory.py
+++ b/packages/daemon/gypsumpost_daemon/host_directory.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from gypsumpost_core.host import Host
+from gypsumpost_core.member_state import MemberState
 
 
 class HostDirectory:
@@ -17,16 +18,29 @@
         self.own = own
         self._known: dict[str, Host] = {own.host_id: own}
         self._live: set[str] = {own.host_id}
+        self._states: dict[str, MemberState] = {own.host_id: MemberState.ALIVE}
+        self._incarnations: dict[str, int] = {}
         self._listeners: list[Callable[[Host, bool], None]] = []
 
-    def update(self, host: Host, live: bool) -> None:
+    def update(
+        self,
+        host: Host,
+        live: bool,
+        *,
+        state: MemberState | None = None,
+        incarnation: int = 0,
+    ) -> None:
         """Add a host or change its liveness.
 
         :param host: the host.
         :param live: true unless membership holds the host for dead or gone.
+        :param state: state in membership, ``None`` to derive it from ``live``.
+        :param incarnation: highest known incarnation.
         """
         before = host.host_id in self._live
         self._known[host.host_id] = host
+        self._states[host.host_id] = state or (MemberState.ALIVE if live else MemberState.DEAD)
+        self._incarnations[host.host_id] = incarnation
         if live:
             self._live.add(host.host_id)
         else:
@@ -35,6 +49,19 @@
             for listener in self._listeners:
                 listener(host, live)
 
+    def forget(self, host_id: str) -> None:
+        """Remove a host that membership no longer remembers.
+
+        :param host_id: name of the host.
+        """
+        host = self._known.get(host_id)
+        if host is None or host_id == self.own.host_id:
+            return
+        self.update(host, live=False)
+        del self._known[host_id]
+        del self._states[host_id]
+        del self._incarnations[host_id]
+
     def listen(self, listener: Callable[[Host, bool], None]) -> None:
         """Call a function at each change of a host's liveness.
 
@@ -56,6 +83,20 @@
         """
         return host_id in self._live
 
+    def get_state(self, host_id: str) -> MemberState | None:
+        """Return the state of a known host in membership.
+
+        :param host_id: name of the host.
+        """
+        return self._states.get(host_id)
+
+    def get_incarnation(self, host_id: str) -> int:
+        """Return the highest known incarnation of a host, 0 if there is none.
+
+        :param host_id: name of the host.
+        """
+        return self._incarnations.get(host_id, 0)
+
     def list_live(self) -> list[Host]:
         """Return all live hosts, this one included."""
         return [self._known[host_id] for host_id in sorted(self._live)]
--- a/packages/daemon/gypsumpost_daemon/settings.py
+++ b/packages/daemon/gypsumpost_daemon/settings.py
@@ -1,6 +1,7 @@
 """All settings of the daemon and their defaults."""
 
 import attrs
+from gypsumpost_core.host import Host
 from gypsumpost_core.setting import define_setting
 from gypsumpost_core.setting_parsers import (
     parse_address,
@@ -10,8 +11,11 @@
     parse_optional_address,
 )
 
+from gypsumpost_daemon.seeds_parser import parse_seeds
+
 ADDRESS = "ip:port"
 NAME = "letters, digits and hyphens, at most 63"
+SEEDS = "empty or comma-separated host_id@failure_domain@peer_address@gossip_address"
 
 
 @attrs.frozen(kw_only=True)
@@ -84,3 +88,23 @@
         accepted="a whole number from 1024 to 1073741824",
         help="Longest accepted request body.",
     )
+    seeds: tuple[Host, ...] = define_setting(
+        default="",
+        parse=parse_seeds,
+        accepted=SEEDS,
+        help="Hosts to contact at the start, besides those on the platform's list.",
+    )
+    probe_interval: float = define_setting(
+        default="0.25",
+        parse=parse_number(0.05, 10),
+        unit="seconds",
+        accepted="a number from 0.05 to 10",
+        help="Time between two probes of other hosts.",
+    )
+    probe_timeout: float = define_setting(
+        default="0.1",
+        parse=parse_number(0.02, 5),
+        unit="seconds",
+        accepted="a number from 0.02 to 5",
+        help="Time after which an unanswered probe is repeated; a sixth repeat raises a suspicion.",
+    )
