--- a/packages/daemon/gypsumpost_daemon/settings.py
+++ b/packages/daemon/gypsumpost_daemon/settings.py
@@ -5,6 +5,7 @@
 from gypsumpost_core.copy_placement import COPY_PLACEMENTS
 from gypsumpost_core.resumption_policies import RESUMPTION
 from gypsumpost_core.routing_policies import ROUTING
+from gypsumpost_core.host import Host
 from gypsumpost_core.setting import define_setting
 from gypsumpost_core.setting_parsers import (
     parse_address,
@@ -17,8 +18,11 @@
 from gypsumpost_daemon.http_server import HTTP_SERVERS
 from gypsumpost_daemon.workspace_keys import WorkspaceKeys, parse_workspace_keys
 
+from gypsumpost_daemon.seeds_parser import parse_seeds
+
 ADDRESS = "ip:port"
 NAME = "letters, digits and hyphens, at most 63"
+SEEDS = "empty or comma-separated host_id@failure_domain@peer_address@gossip_address"
 
 
 @attrs.frozen(kw_only=True)
@@ -159,4 +163,23 @@
         unit="seconds",
         accepted="a number from 0 to 86400",
         help="How long a planned stop waits for requests in flight.",
+    seeds: tuple[Host, ...] = define_setting(
+        default="",
+        parse=parse_seeds,
+        accepted=SEEDS,
+        help="Hosts to contact at the start, besides those on the platform's list.",
+    )
+    probe_interval: float = define_setting(
+        default="0.25",
+        parse=parse_number(0.05, 10),
+        unit="seconds",
+        accepted="a number from 0.05 to 10",
+        help="Time between two probes of other hosts.",
+    )
+    probe_timeout: float = define_setting(
+        default="0.1",
+        parse=parse_number(0.02, 5),
+        unit="seconds",
+        accepted="a number from 0.02 to 5",
+        help="Time after which an unanswered probe is repeated; a sixth repeat raises a suspicion.",
     )
