Add the operators' lists as pure values

Plans and allowances need checks that name line and field, one revision over both lists, differences, undo, and a guard against adopting a lower revision.

--- /dev/null
+++ b/packages/core/gypsumpost_core/allowance.py
@@ -0,0 +1,27 @@
+"""An entry of the allowances list."""
+
+import attrs
+
+
+@attrs.frozen(kw_only=True)
+class Allowance:
+    """What each workspace of a plan may use.
+
+    :param name: the plan.
+    :param models: names of the models.
+    :param services: names of the plain services.
+    :param requests_per_second: accepted requests per second.
+    :param tokens_per_second: generated tokens per second.
+    :param concurrent_generations: generations that may run at the same time.
+    :param priority: higher goes first.
+    :param deadline_seconds: longest time that a request may take.
+    """
+
+    name: str
+    models: tuple[str, ...] = ()
+    services: tuple[str, ...] = ()
+    requests_per_second: float
+    tokens_per_second: float
+    concurrent_generations: int
+    priority: int = 0
+    deadline_seconds: float
--- /dev/null
+++ b/packages/core/gypsumpost_core/list_check.py
@@ -0,0 +1,39 @@
+"""Checks that involve both lists."""
+
+from gypsumpost_core.list_error import ListError
+from gypsumpost_core.list_lines import ListLines
+from gypsumpost_core.lists import Lists
+
+
+def check_lists(lists: Lists, lines: ListLines) -> list[ListError]:
+    """Return the contradictions between and within the lists.
+
+    :param lists: the lists as they would be after the edit.
+    :param lines: line numbers of the edited file.
+    """
+    return _check_plans(lists, lines) + _check_keys(lists, lines)
+
+
+def _check_plans(lists: Lists, lines: ListLines) -> list[ListError]:
+    return [
+        ListError(
+            line=lines.find(name, "plan"),
+            field=f"{name}.plan",
+            message=f"no allowance has the name {entry.plan!r}, which workspace {name} uses",
+        )
+        for name, entry in lists.plans.items()
+        if entry.plan not in lists.allowances
+    ]
+
+
+def _check_keys(lists: Lists, lines: ListLines) -> list[ListError]:
+    owners: dict[str, str] = {}
+    errors = []
+    for name, entry in lists.plans.items():
+        for digest in entry.keys:
+            if digest in owners:
+                message = f"the key {digest[:8]}… already belongs to workspace {owners[digest]}"
+                line = lines.find(name, "keys")
+                errors.append(ListError(line=line, field=f"{name}.keys", message=message))
+            owners[digest] = name
+    return errors
--- /dev/null
+++ b/packages/core/gypsumpost_core/list_difference.py
@@ -0,0 +1,70 @@
+"""Difference of two lists, and undo."""
+
+import difflib
+
+from result import Err, Ok, Result
+
+from gypsumpost_core.entry_edit import EntryEdit
+from gypsumpost_core.list_entry import EntryKey, ListEntry
+from gypsumpost_core.list_file import format_entry
+from gypsumpost_core.list_kind import ListKind
+from gypsumpost_core.lists import Lists
+
+
+def compute_difference(before: Lists, after: Lists) -> tuple[EntryEdit, ...]:
+    """Return the entries in which two snapshots differ, by list and name.
+
+    :param before: the earlier snapshot.
+    :param after: the later snapshot.
+    """
+    edits = []
+    for kind in ListKind:
+        old, new = before.get_entries(kind), after.get_entries(kind)
+        for name in sorted(old.keys() | new.keys()):
+            if old.get(name) != new.get(name):
+                key = EntryKey(kind=kind, name=name)
+                edits.append(EntryEdit(key=key, before=old.get(name), after=new.get(name)))
+    return tuple(edits)
+
+
+def format_edits(edits: tuple[EntryEdit, ...]) -> str:
+    """Write edits for a person, in the form of a unified difference.
+
+    :param edits: the edits.
+    """
+    lines: list[str] = []
+    for edit in edits:
+        label = f"{edit.key.kind.value}/{edit.key.name}"
+        old, new = _format_lines(edit.before), _format_lines(edit.after)
+        lines += difflib.unified_diff(old, new, label, label, n=8, lineterm="")
+    return "\n".join(lines)
+
+
+def undo_edits(
+    edits: tuple[EntryEdit, ...], current: Lists
+) -> Result[Lists, tuple[EntryEdit, ...]]:
+    """Return the lists with some earlier edits taken back.
+
+    :param edits: the edits of one history record.
+    :param current: the lists in force.
+    :returns: the lists, or what has changed since in the entries that undo would overwrite.
+    """
+    entries = {kind: dict(current.get_entries(kind)) for kind in ListKind}
+    changed_since = []
+    for edit in edits:
+        now = entries[edit.key.kind].get(edit.key.name)
+        if now != edit.after:
+            changed_since.append(EntryEdit(key=edit.key, before=edit.after, after=now))
+        entries[edit.key.kind].pop(edit.key.name, None)
+        if edit.before is not None:
+            entries[edit.key.kind][edit.key.name] = edit.before
+    if changed_since:
+        return Err(tuple(changed_since))
+    undone = current
+    for kind, by_name in entries.items():
+        undone = undone.replace(kind, by_name.values())
+    return Ok(undone)
+
+
+def _format_lines(entry: ListEntry | None) -> list[str]:
+    return [] if entry is None else format_entry(entry).splitlines()
--- /dev/null
+++ b/packages/core/gypsumpost_core/tests/test_lists.py
@@ -0,0 +1,164 @@
+"""Tests of the operators' lists."""
+
+import attrs
+import pytest
+from hypothesis import given, seed
+from hypothesis import strategies as st
+from result import Err, Ok
+
+from gypsumpost_core.allowance import Allowance
+from gypsumpost_core.broken_invariant import BrokenInvariant
+from gypsumpost_core.history_record import HistoryRecord
+from gypsumpost_core.list_check import check_lists
+from gypsumpost_core.list_difference import compute_difference, format_edits, undo_edits
+from gypsumpost_core.list_file import format_list, parse_list
+from gypsumpost_core.list_holder import ListHolder
+from gypsumpost_core.list_kind import ListKind
+from gypsumpost_core.list_lines import ListLines
+from gypsumpost_core.lists import Lists
+from gypsumpost_core.workspace_plan import WorkspacePlan, digest_key
+
+LARGE = Allowance(
+    name="large",
+    models=("summary",),
+    requests_per_second=20,
+    tokens_per_second=5000,
+    concurrent_generations=40,
+    deadline_seconds=120,
+)
+NAMES = st.sampled_from(["north", "south", "east"])
+PLANS = st.dictionaries(NAMES, st.integers(0, 9).map(lambda n: f"plan-{n}"))
+
+
+def create_lists(plans: dict[str, str]) -> Lists:
+    entries = [WorkspacePlan(name=n, plan=p, keys=(digest_key(n),)) for n, p in plans.items()]
+    return Lists(allowances={"large": LARGE}).replace(ListKind.PLANS, entries)
+
+
+def record_history(states: list[dict[str, str]]) -> list[HistoryRecord]:
+    lists = [create_lists({})] + [create_lists(state) for state in states]
+    return [
+        HistoryRecord(
+            revision=number + 1,
+            nonce="",
+            author="",
+            time=0,
+            edits=compute_difference(lists[number], lists[number + 1]),
+        )
+        for number in range(len(states))
+    ]
+
+
+def test_wrong_adoption_policy_stops_the_process() -> None:
+    """Guards against a policy that puts whatever arrives last in force."""
+    holder = ListHolder(policy=lambda current, candidate: True)
+    holder.adopt(Lists(revision=2))
+    with pytest.raises(BrokenInvariant, match="no-revert"):
+        holder.adopt(Lists(revision=1))
+
+
+@seed(1)
+@given(st.lists(PLANS, max_size=6), st.lists(st.integers(0, 5), max_size=40))
+def test_changes_in_any_order_never_revert(states: list[dict[str, str]], order: list[int]) -> None:
+    """Guards against lost, repeated or reordered changes that skip a revision or go back."""
+    history = record_history(states)
+    holder = ListHolder()
+    holder.adopt(create_lists({}))
+    for index in [i for i in order if i < len(history)] + list(range(len(history))):
+        before = holder.lists.revision
+        applied = holder.apply(history[index].summarize())
+        assert isinstance(applied, Err) == (index + 1 > before + 1)
+        expected = states[holder.lists.revision - 1] if holder.lists.revision else {}
+        assert {n: e.plan for n, e in holder.lists.plans.items()} == expected
+        assert holder.lists.revision >= before
+    assert holder.lists.revision == len(states)
+
+
+@seed(2)
+@given(PLANS, PLANS, PLANS)
+def test_undo_restores_or_reports_later_changes(
+    first: dict[str, str], second: dict[str, str], third: dict[str, str]
+) -> None:
+    """Guards against an undo that silently overwrites a later edit."""
+    edits = compute_difference(create_lists(first), create_lists(second))
+    touched = {edit.key.name for edit in edits}
+    undone = undo_edits(edits, create_lists(third))
+    if any(second.get(name) != third.get(name) for name in touched):
+        assert isinstance(undone, Err)
+        return
+    expected = {n: p for n, p in third.items() if n not in touched}
+    expected |= {n: p for n, p in first.items() if n in touched}
+    assert undone.unwrap().plans == create_lists(expected).plans
+
+
+def test_file_round_trip() -> None:
+    """Guards against a file that cannot be applied again after show."""
+    assert parse_list(ListKind.ALLOWANCES, format_list([LARGE])) == Ok([LARGE])
+    plan = WorkspacePlan(name="north", plan="large", keys=(digest_key("k"),))
+    assert parse_list(ListKind.PLANS, format_list([plan])) == Ok([plan])
+
+
+def list_faults(kind: ListKind, text: str) -> list[tuple[int, str]]:
+    return [(error.line, error.field) for error in parse_list(kind, text).unwrap_err()]
+
+
+def test_errors_name_line_and_field() -> None:
+    """Guards against errors that an operator cannot find in the file."""
+    text = "[small]\nrequests_per_second = -1\ntokens_per_second = true\ncolour = 3\n"
+    assert list_faults(ListKind.ALLOWANCES, text) == [
+        (4, "small.colour"),
+        (2, "small.requests_per_second"),
+        (3, "small.tokens_per_second"),
+        (1, "small.concurrent_generations"),
+        (1, "small.deadline_seconds"),
+    ]
+    assert list_faults(ListKind.PLANS, '[north]\nplan = "large"\n\n[south]\nkeys = ["x"]') == [
+        (4, "south.plan"),
+        (5, "south.keys"),
+    ]
+    assert list_faults(ListKind.PLANS, '[a]\nplan = "x"\n[a]\n') == [(3, "")]
+    assert list_faults(ListKind.PLANS, "plan = 1\n") == [(1, "plan")]
+    assert list_faults(ListKind.PLANS, "n = " + "1" * 5000) == [(1, "")]
+    assert list_faults(ListKind.PLANS, "n = " + "[" * 5000) == [(1, "")]
+    assert list_faults(ListKind.PLANS, '["no name"]\nplan = "x"') == [(1, "no name")]
+
+
+@seed(3)
+@given(st.text(max_size=60))
+def test_any_text_is_parsed_or_refused(text: str) -> None:
+    """Guards against an uploaded file that stops the daemon."""
+    for kind in ListKind:
+        parse_list(kind, text)
+
+
+def test_checks_over_both_lists_name_the_line() -> None:
+    """Guards against a plan without allowance and a key that two workspaces share."""
+    text = '[north]\nplan = "gone"\nkeys = []\n[south]\nplan = "large"\nkeys = []\n'
+    key = (digest_key("k"),)
+    entries = [
+        WorkspacePlan(name="north", plan="gone", keys=key),
+        WorkspacePlan(name="south", plan="large", keys=key),
+    ]
+    lists = Lists(allowances={"large": LARGE}).replace(ListKind.PLANS, entries)
+    faults = [(e.line, e.field) for e in check_lists(lists, ListLines(text=text))]
+    assert faults == [(2, "north.plan"), (6, "south.keys")]
+
+
+def test_find_workspace_and_allowance() -> None:
+    """Guards against a removed key that still opens its workspace."""
+    lists = create_lists({"north": "large"})
+    assert lists.find_workspace("north") == Ok("north")
+    assert lists.find_allowance("north") == LARGE
+    assert lists.find_workspace("south").unwrap_err().status == 401
+    removed = lists.replace(ListKind.PLANS, [])
+    assert removed.find_workspace("north").unwrap_err().status == 401
+    assert removed.find_allowance("north") is None
+
+
+def test_difference_shows_the_changed_field() -> None:
+    """Guards against a conflict message without the difference."""
+    before = create_lists({})
+    after = before.replace(ListKind.ALLOWANCES, [attrs.evolve(LARGE, priority=5)])
+    text = format_edits(compute_difference(before, after))
+    assert "allowances/large" in text
+    assert "-priority = 0\n+priority = 5" in text
