Store edits of the lists by compare-and-swap

An edit writes the entries, the history record and the head in one transaction that holds only for the revision the operator edited. A lost answer is settled by sending the same transaction again and comparing the nonce in the history: a read alone would not do, because a lost call can still take effect after it.

--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/list_editor.py
@@ -0,0 +1,214 @@
+"""Stores the operators' edits of the lists."""
+
+import secrets
+import time
+from collections.abc import Callable
+
+import trio
+from gypsumpost_core.entry_edit import EntryEdit
+from gypsumpost_core.history_record import HistoryRecord
+from gypsumpost_core.list_check import check_lists
+from gypsumpost_core.list_difference import compute_difference, format_edits, undo_edits
+from gypsumpost_core.list_error import ListError
+from gypsumpost_core.list_file import parse_list
+from gypsumpost_core.list_kind import ListKind
+from gypsumpost_core.list_lines import ListLines
+from gypsumpost_core.lists import Lists
+from result import Err
+
+from gypsumpost_daemon.edit_outcome import (
+    EditAccepted,
+    EditConflict,
+    EditNotAccepted,
+    EditOutcome,
+    EditRefused,
+    EditUnknown,
+)
+from gypsumpost_daemon.list_head import ListHead
+from gypsumpost_daemon.list_records import (
+    HEAD_KEY,
+    HISTORY_PREFIX,
+    decode_record,
+    encode_record,
+    get_entry_key,
+    get_history_key,
+)
+from gypsumpost_daemon.store import Store
+from gypsumpost_daemon.store_transaction import (
+    StoreCompare,
+    StoreDelete,
+    StoreGet,
+    StoreOperation,
+    StorePut,
+    StoreTransaction,
+)
+from gypsumpost_daemon.stored_lists import StoredLists, get_keys, read_history, read_lists
+
+MAX_EDITED_ENTRIES = 100
+"""etcd accepts 128 operations in a transaction; head, history and its trimming need three."""
+
+HISTORY_REVISIONS = 20_000
+"""History kept in the store: a day at 19,000 changes a day, about 10 MB."""
+
+RETRY_SECONDS = 0.2
+NONCE_BYTES = 16
+
+
+class ListEditor:
+    """Checks edits and stores them by compare-and-swap on the head.
+
+    :param store: the platform's store.
+    :param create_nonce: returns a new nonce for each edit.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: Store,
+        create_nonce: Callable[[], str] = lambda: secrets.token_hex(NONCE_BYTES),
+    ) -> None:
+        self._store = store
+        self._create_nonce = create_nonce
+
+    async def replace_list(
+        self, kind: ListKind, text: str, *, base: int, author: str, deadline: float
+    ) -> EditOutcome:
+        """Replace a whole list.
+
+        :param kind: which list.
+        :param text: the new list as TOML.
+        :param base: the revision that the operator edited.
+        :param author: name of the operator.
+        :param deadline: process time in seconds at which to stop waiting for the store.
+        """
+        parsed = parse_list(kind, text)
+        if isinstance(parsed, Err):
+            return EditRefused(errors=tuple(parsed.err_value))
+        read = await read_lists(self._store, deadline)
+        if isinstance(read, Err):
+            return EditNotAccepted(reason=read.err_value.reason)
+        wanted = read.ok_value.lists.replace(kind, parsed.ok_value)
+        if read.ok_value.lists.revision != base:
+            return _describe_conflict(read.ok_value.lists, wanted)
+        return await self._store_lists(read.ok_value, wanted, text, author, deadline)
+
+    async def undo(
+        self, kind: ListKind, revision: int, *, author: str, deadline: float
+    ) -> EditOutcome:
+        """Take back what one revision changed in a list.
+
+        :param kind: which list.
+        :param revision: the revision to take back.
+        :param author: name of the operator.
+        :param deadline: process time in seconds at which to stop waiting for the store.
+        """
+        read = await read_lists(self._store, deadline)
+        history = await read_history(self._store, revision, revision, deadline)
+        if isinstance(read, Err):
+            return EditNotAccepted(reason=read.err_value.reason)
+        if isinstance(history, Err):
+            return EditNotAccepted(reason=history.err_value.reason)
+        edits = tuple(e for record in history.ok_value for e in record.edits if e.key.kind is kind)
+        if not edits:
+            message = f"revision {revision} changed no entry of {kind.value} or is not kept"
+            return EditRefused(errors=(ListError(line=0, field=kind.value, message=message),))
+        undone = undo_edits(edits, read.ok_value.lists)
+        if isinstance(undone, Err):
+            difference = format_edits(undone.err_value)
+            return EditConflict(revision=read.ok_value.lists.revision, difference=difference)
+        return await self._store_lists(read.ok_value, undone.ok_value, "", author, deadline)
+
+    async def _store_lists(
+        self, current: StoredLists, wanted: Lists, text: str, author: str, deadline: float
+    ) -> EditOutcome:
+        edits = compute_difference(current.lists, wanted)
+        errors = check_lists(wanted, ListLines(text=text)) or _check_size(edits)
+        if errors:
+            return EditRefused(errors=tuple(errors))
+        if not edits:
+            return EditAccepted(revision=current.lists.revision)
+        record = HistoryRecord(
+            revision=current.lists.revision + 1,
+            nonce=self._create_nonce(),
+            author=author,
+            time=time.time(),
+            edits=edits,
+        )
+        return await self._write(current, record, wanted, deadline)
+
+    async def _write(
+        self, current: StoredLists, record: HistoryRecord, wanted: Lists, deadline: float
+    ) -> EditOutcome:
+        # The same transaction is sent until the store answers. Its condition holds at most once,
+        # and when it no longer holds the history record tells by its nonce who wrote the
+        # revision. Reading alone would not do: a lost call can still take effect after a read.
+        transaction = _create_transaction(current, record)
+        reason, sent = "the deadline has passed", False
+        while trio.current_time() < deadline:
+            done = await self._store.run_transaction(transaction, deadline)
+            if isinstance(done, Err):
+                reason, sent = done.err_value.reason, sent or done.err_value.sent
+                await trio.sleep_until(min(deadline, trio.current_time() + RETRY_SECONDS))
+                continue
+            if done.ok_value.succeeded:
+                return EditAccepted(revision=record.revision)
+            records = get_keys(done.ok_value, 0)
+            if not records:
+                # The head changed, but its record is gone: more edits than the history keeps.
+                return EditUnknown(nonce=record.nonce, reason="the history record is not kept")
+            if decode_record(records[0].value, HistoryRecord).nonce == record.nonce:
+                return EditAccepted(revision=record.revision)
+            return await self._report_conflict(record, wanted, deadline)
+        if sent:
+            return EditUnknown(nonce=record.nonce, reason=reason)
+        return EditNotAccepted(reason=reason)
+
+    async def _report_conflict(
+        self, record: HistoryRecord, wanted: Lists, deadline: float
+    ) -> EditOutcome:
+        read = await read_lists(self._store, deadline)
+        if isinstance(read, Err):
+            return EditConflict(revision=record.revision, difference="")
+        return _describe_conflict(read.ok_value.lists, wanted)
+
+
+def _describe_conflict(current: Lists, wanted: Lists) -> EditConflict:
+    difference = format_edits(compute_difference(current, wanted))
+    return EditConflict(revision=current.revision, difference=difference)
+
+
+def _check_size(edits: tuple[EntryEdit, ...]) -> list[ListError]:
+    if len(edits) <= MAX_EDITED_ENTRIES:
+        return []
+    message = f"the edit changes {len(edits)} entries; accepted: at most {MAX_EDITED_ENTRIES}"
+    return [ListError(line=0, field="", message=message)]
+
+
+def _create_transaction(current: StoredLists, record: HistoryRecord) -> StoreTransaction:
+    condition = (
+        StoreCompare(key=HEAD_KEY, mod_revision=current.head_revision)
+        if current.head_revision
+        else StoreCompare(key=HEAD_KEY, create_revision=0)
+    )
+    head = ListHead(
+        revision=record.revision, nonce=record.nonce, author=record.author, time=record.time
+    )
+    history_key = get_history_key(record.revision)
+    trimmed = get_history_key(max(0, record.revision - HISTORY_REVISIONS))
+    operations: tuple[StoreOperation, ...] = (
+        StorePut(key=HEAD_KEY, value=encode_record(head)),
+        StorePut(key=history_key, value=encode_record(record)),
+        StoreDelete(key=HISTORY_PREFIX, range_end=trimmed),
+    )
+    return StoreTransaction(
+        compare=(condition,),
+        success=operations + tuple(map(_create_operation, record.edits)),
+        failure=(StoreGet(key=history_key),),
+    )
+
+
+def _create_operation(edit: EntryEdit) -> StoreOperation:
+    key = get_entry_key(edit.key)
+    if edit.after is None:
+        return StoreDelete(key=key)
+    return StorePut(key=key, value=encode_record(edit.after))
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/list_records.py
@@ -0,0 +1,64 @@
+"""Keys and values of the lists in the store."""
+
+from typing import TypeVar
+
+from cattrs.preconf.orjson import make_converter
+from gypsumpost_core.list_entry import EntryKey
+from gypsumpost_core.list_kind import ListKind
+
+from gypsumpost_daemon.store_transaction import StoreGet
+
+PREFIX = "/gypsumpost/lists/"
+HEAD_KEY = f"{PREFIX}head".encode()
+HISTORY_PREFIX = f"{PREFIX}history/".encode()
+HISTORY_END = f"{PREFIX}history0".encode()
+"""The character after the slash, so that the range holds exactly the keys below the prefix."""
+
+REVISION_DIGITS = 12
+"""Revisions are padded with zeros, so that the store returns the history in order."""
+
+CONVERTER = make_converter()
+
+T = TypeVar("T")
+
+
+def get_entry_key(key: EntryKey) -> bytes:
+    """Return the store key of an entry.
+
+    :param key: the entry.
+    """
+    return f"{PREFIX}{key.kind.value}/{key.name}".encode()
+
+
+def get_history_key(revision: int) -> bytes:
+    """Return the store key of a history record.
+
+    :param revision: the record's revision.
+    """
+    return HISTORY_PREFIX + str(revision).zfill(REVISION_DIGITS).encode()
+
+
+def get_list_range(kind: ListKind) -> StoreGet:
+    """Return the operation that reads all entries of one list.
+
+    :param kind: which list.
+    """
+    prefix = f"{PREFIX}{kind.value}"
+    return StoreGet(key=f"{prefix}/".encode(), range_end=f"{prefix}0".encode())
+
+
+def encode_record(record: object) -> bytes:
+    """Return the JSON of a head, an entry or a history record.
+
+    :param record: the value.
+    """
+    return CONVERTER.dumps(record)
+
+
+def decode_record(value: bytes, record_class: type[T]) -> T:
+    """Read a head, an entry or a history record from its JSON.
+
+    :param value: the JSON.
+    :param record_class: what the JSON describes.
+    """
+    return CONVERTER.loads(value, record_class)
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/lists.capnp
@@ -0,0 +1,38 @@
+@0xd1c7a4f0b92e3586;
+
+# Messages of LIST_CHANGES and LIST_REVISION. Each request and each reply is an Update.
+
+struct Plan {
+  name @0 :Text;
+  plan @1 :Text;
+  keys @2 :List(Data);
+}
+
+struct Allowance {
+  name @0 :Text;
+  models @1 :List(Text);
+  services @2 :List(Text);
+  requestsPerSecond @3 :Float64;
+  tokensPerSecond @4 :Float64;
+  concurrentGenerations @5 :UInt32;
+  priority @6 :UInt32;
+  deadlineSeconds @7 :Float64;
+}
+
+struct Change {
+  revision @0 :UInt64;
+  plans @1 :List(Plan);
+  allowances @2 :List(Allowance);
+  removedPlans @3 :List(Text);
+  removedAllowances @4 :List(Text);
+}
+
+struct Update {
+  # The sender's revision.
+  revision @0 :UInt64;
+  # Unix time in seconds of the last contact with the store that the sender knows of; 0 for none.
+  storeSeenAt @1 :Float64;
+  changes @2 :List(Change);
+  # All entries, for a receiver that is too far behind for changes.
+  snapshot @3 :Change;
+}
