Spread list changes from two store watchers per domain

Store watches must not grow with the fleet. The first two live hosts of a domain by rendezvous watch the history; a change goes down a tree of fan-out 4 over the domain's hosts, a higher revision seen anywhere makes a daemon ask for what it misses, and a poll every 2 s covers lost messages, domains without the store and starts during an outage.

--- /dev/null
+++ b/packages/core/gypsumpost_core/list_replica.py
@@ -0,0 +1,91 @@
+"""A daemon's copy of the lists and what it can pass on."""
+
+from result import Err
+
+from gypsumpost_core.change_log import ChangeLog
+from gypsumpost_core.list_change import ListChange
+from gypsumpost_core.list_holder import ListHolder
+from gypsumpost_core.list_update import ListUpdate
+from gypsumpost_core.lists import Lists
+
+LOG_CAPACITY = 1000
+"""Changes kept in memory: about an hour at 19,000 changes a day, some hundred kilobytes."""
+
+
+class ListReplica:
+    """The lists in force, the recent changes and the age of the last contact with the store."""
+
+    def __init__(self) -> None:
+        self._holder = ListHolder()
+        self._log = ChangeLog(capacity=LOG_CAPACITY)
+        self.store_seen_at = 0.0
+
+    @property
+    def lists(self) -> Lists:
+        """The lists in force."""
+        return self._holder.lists
+
+    @property
+    def revision(self) -> int:
+        """The revision in force."""
+        return self._holder.lists.revision
+
+    def see_store(self, unix_time: float) -> None:
+        """Note a contact with the store, this daemon's own or another's.
+
+        :param unix_time: Unix time in seconds of the contact.
+        """
+        self.store_seen_at = max(self.store_seen_at, unix_time)
+
+    def apply(self, change: ListChange) -> bool:
+        """Apply a change.
+
+        :param change: the change.
+        :returns: false if changes before it are missing.
+        """
+        applied = self._holder.apply(change)
+        if isinstance(applied, Err):
+            return False
+        if applied.ok_value:
+            self._log.append(change)
+        return True
+
+    def adopt(self, lists: Lists) -> None:
+        """Put a snapshot in force if it is newer.
+
+        :param lists: the snapshot.
+        """
+        if self._holder.adopt(lists):
+            self._log.clear()
+
+    def take(self, update: ListUpdate) -> bool:
+        """Take in what a peer sent.
+
+        :param update: the peer's message.
+        :returns: false if the peer has a higher revision than this daemon now.
+        """
+        self.see_store(update.store_seen_at)
+        if update.snapshot is not None:
+            self.adopt(update.snapshot)
+        for change in update.changes:
+            self.apply(change)
+        return self.revision >= update.revision
+
+    def describe(self) -> ListUpdate:
+        """Return a message with this daemon's revision only."""
+        return ListUpdate(revision=self.revision, store_seen_at=self.store_seen_at)
+
+    def create_update(self, known: int) -> ListUpdate:
+        """Return a message with everything that a peer misses.
+
+        :param known: the peer's revision.
+        """
+        if known >= self.revision:
+            return self.describe()
+        changes = self._log.find_since(known)
+        return ListUpdate(
+            revision=self.revision,
+            store_seen_at=self.store_seen_at,
+            changes=changes or (),
+            snapshot=self.lists if changes is None else None,
+        )
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/list_task.py
@@ -0,0 +1,219 @@
+"""Keeps the lists of this daemon current."""
+
+import random
+import time
+
+import trio
+from gypsumpost_core.list_replica import ListReplica
+from gypsumpost_core.list_status import ListStatus
+from gypsumpost_core.list_update import ListUpdate
+from gypsumpost_core.lists import Lists
+from gypsumpost_core.spread_tree import list_children
+from result import Err
+
+from gypsumpost_daemon.host_directory import HostDirectory
+from gypsumpost_daemon.list_codec import decode_update, encode_update
+from gypsumpost_daemon.list_peers import ListPeers
+from gypsumpost_daemon.log import Log
+from gypsumpost_daemon.message_kind import MessageKind
+from gypsumpost_daemon.peer_channel import PeerChannel
+from gypsumpost_daemon.peer_request import PeerRequest
+from gypsumpost_daemon.store import Store
+from gypsumpost_daemon.store_watcher import StoreWatcher
+
+WATCHERS_PER_DOMAIN = 2
+PEER_SECONDS = 1.0
+POLL_SECONDS = 2.0
+"""A daemon that no other message reaches learns a change by polling within this time."""
+
+FIRST_POLL_SECONDS = 0.25
+"""Time between polls while the daemon has no lists at all."""
+
+SECOND_WATCHER_SECONDS = 0.3
+"""How long a watcher waits before it tells the first watcher what that should know already."""
+
+CUT_OFF_SECONDS = 15.0
+"""Polls carry a contact with the store to all daemons of a domain of some hundred within this."""
+
+PUSH_ATTEMPTS = 3
+
+LOG = Log(prefix="lists")
+
+
+class ListTask:
+    """Owns this daemon's copy of the lists.
+
+    :param directory: the known hosts.
+    :param peers: messages to other daemons.
+    :param store: the platform's store, ``None`` without one.
+    :param seed: seed of the choice of peers to poll.
+    :param watchers: number of daemons of each domain that watch the store.
+    """
+
+    def __init__(
+        self,
+        *,
+        directory: HostDirectory,
+        peers: PeerChannel,
+        store: Store | None,
+        seed: int = 0,
+        watchers: int = WATCHERS_PER_DOMAIN,
+    ) -> None:
+        self._directory = directory
+        self._channel = peers
+        self._random = random.Random(f"{directory.own.host_id}/{seed}")
+        self._peers = ListPeers(directory=directory, watchers=watchers, random_source=self._random)
+        self._replica = ListReplica()
+        self._advanced = trio.Event()
+        self._behind = trio.Event()
+        self._known: dict[str, int] = {}
+        self._watcher: StoreWatcher | None = None
+        if store is not None:
+            self._watcher = StoreWatcher(
+                store=store, replica=self._replica, notify=self._notify, random_source=self._random
+            )
+        peers.add_handler(MessageKind.LIST_CHANGES, self._serve_changes)
+        peers.add_handler(MessageKind.LIST_REVISION, self._serve_revision)
+
+    @property
+    def lists(self) -> Lists:
+        """The lists in force."""
+        return self._replica.lists
+
+    @property
+    def revision(self) -> int:
+        """The revision in force."""
+        return self._replica.revision
+
+    @property
+    def status(self) -> ListStatus:
+        """How current the lists are."""
+        seen_at = self._replica.store_seen_at
+        return ListStatus(
+            revision=self.revision,
+            store_seen_at=seen_at,
+            cut_off=time.time() - seen_at > CUT_OFF_SECONDS,
+            watching=self._watcher is not None and self._peers.is_watcher(),
+        )
+
+    def observe_peer_revision(self, host_id: str, revision: int) -> None:
+        """Note the revision of a peer; a higher one makes this daemon ask for the changes.
+
+        :param host_id: the peer.
+        :param revision: its revision, from gossip or a message.
+        """
+        self._known[host_id] = revision
+        if revision > self.revision:
+            self._behind.set()
+
+    async def ask_revision(self, host_id: str) -> int | None:
+        """Ask a peer for its revision and take what it knows beyond this daemon's.
+
+        :param host_id: the peer.
+        :returns: its revision, ``None`` if it did not answer.
+        """
+        update = await self._ask(host_id, MessageKind.LIST_REVISION, self._replica.describe())
+        return None if update is None else update.revision
+
+    async def run(self) -> None:
+        """Follow the store or the peers until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch_store)
+            nursery.start_soon(self._pass_on)
+            nursery.start_soon(self._fetch_missing)
+            nursery.start_soon(self._poll)
+
+    async def _watch_store(self) -> None:
+        if self._watcher is None:
+            return
+        while True:
+            await self._peers.wait_for_role(watching=True)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._watcher.follow)
+                await self._peers.wait_for_role(watching=False)
+                nursery.cancel_scope.cancel()
+
+    async def _pass_on(self) -> None:
+        passed = self.revision
+        async with trio.open_nursery() as nursery:
+            while True:
+                await self._advanced.wait()
+                self._advanced = trio.Event()
+                before, passed = passed, self.revision
+                if passed == before:
+                    continue
+                for child in list_children(self._directory.own, self._peers.rank_domain()):
+                    nursery.start_soon(self._push, child.host_id, before)
+                first = self._peers.rank_domain()[0].host_id
+                if self._peers.is_watcher() and first != self._directory.own.host_id:
+                    nursery.start_soon(self._remind, first, before)
+
+    async def _push(self, host_id: str, known: int) -> None:
+        known = max(known, self._known.get(host_id, 0))
+        for _ in range(PUSH_ATTEMPTS):
+            if known >= self.revision:
+                return
+            update = self._replica.create_update(known)
+            reply = await self._ask(host_id, MessageKind.LIST_CHANGES, update)
+            if reply is not None:
+                known = reply.revision
+
+    async def _remind(self, host_id: str, known: int) -> None:
+        # The first watcher may have lost the store while this one still has it.
+        await trio.sleep(SECOND_WATCHER_SECONDS)
+        await self._push(host_id, known)
+
+    async def _fetch_missing(self) -> None:
+        while True:
+            await self._behind.wait()
+            self._behind = trio.Event()
+            ahead = [h for h in self._directory.list_peers() if self._is_ahead(h.host_id)]
+            if not ahead:
+                continue
+            source = self._random.choice(ahead).host_id
+            if await self.ask_revision(source) is None:
+                # Its revision is learned again from gossip or the next poll.
+                self._known.pop(source, None)
+            if any(self._is_ahead(host.host_id) for host in ahead):
+                self._behind.set()
+
+    def _is_ahead(self, host_id: str) -> bool:
+        return self._known.get(host_id, 0) > self.revision
+
+    async def _poll(self) -> None:
+        while True:
+            peer = self._peers.choose_poll_peer()
+            if peer is not None:
+                await self.ask_revision(peer.host_id)
+            period = POLL_SECONDS if self.revision else FIRST_POLL_SECONDS
+            await trio.sleep(period * (0.75 + 0.25 * self._random.random()))
+
+    async def _ask(self, host_id: str, kind: MessageKind, update: ListUpdate) -> ListUpdate | None:
+        deadline = trio.current_time() + PEER_SECONDS
+        reply = await self._channel.request(host_id, kind, encode_update(update), deadline)
+        if isinstance(reply, Err):
+            return None
+        return self._take(host_id, reply.ok_value)
+
+    async def _serve_changes(self, request: PeerRequest) -> bytes:
+        self._take(request.host_id, request.payload)
+        return encode_update(self._replica.describe())
+
+    async def _serve_revision(self, request: PeerRequest) -> bytes:
+        asked = self._take(request.host_id, request.payload)
+        known = self.revision if asked is None else asked.revision
+        return encode_update(self._replica.create_update(known))
+
+    def _take(self, host_id: str, payload: bytes) -> ListUpdate | None:
+        decoded = decode_update(payload)
+        if isinstance(decoded, Err):
+            LOG.write("ignored a message", peer=host_id, reason=decoded.err_value)
+            return None
+        update = decoded.ok_value
+        self._replica.take(update)
+        self._notify()
+        self.observe_peer_revision(host_id, update.revision)
+        return update
+
+    def _notify(self) -> None:
+        self._advanced.set()
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/store_watcher.py
@@ -0,0 +1,113 @@
+"""Follows the lists in the store."""
+
+import random
+import time
+from collections.abc import Callable
+
+import trio
+from gypsumpost_core.history_record import HistoryRecord
+from gypsumpost_core.list_replica import ListReplica
+from result import Err
+
+from gypsumpost_daemon.list_head import ListHead
+from gypsumpost_daemon.list_records import HEAD_KEY, HISTORY_END, HISTORY_PREFIX, decode_record
+from gypsumpost_daemon.log import Log
+from gypsumpost_daemon.store import Store
+from gypsumpost_daemon.store_event import StoreEvent
+from gypsumpost_daemon.store_transaction import StoreGet, StoreTransaction
+from gypsumpost_daemon.stored_lists import StoredLists, get_keys, read_history, read_lists
+
+CALL_SECONDS = 2.0
+PROBE_SECONDS = 3.0
+"""A watch that is cut without notice is found by reading the head this often."""
+
+FIRST_RETRY_SECONDS = 0.25
+LAST_RETRY_SECONDS = 5.0
+
+LOG = Log(prefix="lists")
+
+
+class StoreWatcher:
+    """Keeps a replica up to date from the store.
+
+    :param store: the platform's store.
+    :param replica: this daemon's copy of the lists.
+    :param notify: called when the replica may have advanced; must not block.
+    :param random_source: source of the jitter between retries.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: Store,
+        replica: ListReplica,
+        notify: Callable[[], None],
+        random_source: random.Random,
+    ) -> None:
+        self._store = store
+        self._replica = replica
+        self._notify = notify
+        self._random = random_source
+
+    async def follow(self) -> None:
+        """Load the lists and watch their history; start again whenever the store fails."""
+        retry = FIRST_RETRY_SECONDS
+        while True:
+            read = await read_lists(self._store, trio.current_time() + CALL_SECONDS)
+            if isinstance(read, Err):
+                LOG.write("the store did not answer", reason=read.err_value.reason)
+                await trio.sleep(retry * (0.5 + self._random.random()))
+                retry = min(LAST_RETRY_SECONDS, retry * 2)
+                continue
+            retry = FIRST_RETRY_SECONDS
+            await self._load(read.ok_value)
+            await self._watch(read.ok_value.store_revision + 1)
+            # A store that ends every watch at once must not be called in a tight loop.
+            await trio.sleep(retry * (0.5 + self._random.random()))
+
+    async def _load(self, stored: StoredLists) -> None:
+        known, last = self._replica.revision, stored.lists.revision
+        if 0 < known < last:
+            # Changes are cheaper to pass on than a snapshot.
+            deadline = trio.current_time() + CALL_SECONDS
+            history = await read_history(self._store, known + 1, last, deadline)
+            for record in history.unwrap_or([]):
+                self._replica.apply(record.summarize())
+        self._replica.adopt(stored.lists)
+        self._see_store()
+
+    async def _watch(self, start_revision: int) -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._probe, nursery.cancel_scope)
+            async for events in self._store.watch(HISTORY_PREFIX, HISTORY_END, start_revision):
+                if not self._apply(events):
+                    break
+                self._see_store()
+            nursery.cancel_scope.cancel()
+
+    def _apply(self, events: list[StoreEvent]) -> bool:
+        values = [event.value for event in events if event.value is not None]
+        records = [decode_record(value, HistoryRecord) for value in values]
+        return all([self._replica.apply(record.summarize()) for record in records])
+
+    async def _probe(self, watch_scope: trio.CancelScope) -> None:
+        missed = False
+        while True:
+            await trio.sleep(PROBE_SECONDS)
+            read = StoreTransaction(success=(StoreGet(key=HEAD_KEY),))
+            deadline = trio.current_time() + CALL_SECONDS
+            done = await self._store.run_transaction(read, deadline)
+            if isinstance(done, Err):
+                break
+            heads = get_keys(done.ok_value, 0)
+            revision = decode_record(heads[0].value, ListHead).revision if heads else 0
+            # One probe may overtake the watch; two in a row mean that the watch is dead.
+            if missed and revision > self._replica.revision:
+                break
+            missed = revision > self._replica.revision
+            self._see_store()
+        watch_scope.cancel()
+
+    def _see_store(self) -> None:
+        self._replica.see_store(time.time())
+        self._notify()
