Add the administration interface for the lists

Operators read and replace lists as TOML with If-Match, see history and differences, undo a revision, and ask which live hosts have a revision in force. An ASGI application with its own key and address keeps this apart from the callers.

--- a/packages/core/gypsumpost_core/list_difference.py
+++ b/packages/core/gypsumpost_core/list_difference.py
@@ -1,10 +1,12 @@
 """Difference of two lists, and undo."""
 
 import difflib
+from collections.abc import Iterable
 
 from result import Err, Ok, Result
 
 from gypsumpost_core.entry_edit import EntryEdit
+from gypsumpost_core.history_record import HistoryRecord
 from gypsumpost_core.list_entry import EntryKey, ListEntry
 from gypsumpost_core.list_file import format_entry
 from gypsumpost_core.list_kind import ListKind
@@ -68,3 +70,15 @@
 
 def _format_lines(entry: ListEntry | None) -> list[str]:
     return [] if entry is None else format_entry(entry).splitlines()
+
+
+def merge_edits(records: Iterable[HistoryRecord]) -> tuple[EntryEdit, ...]:
+    """Return the total effect of successive history records.
+
+    :param records: the records, oldest first.
+    """
+    merged: dict[EntryKey, EntryEdit] = {}
+    for edit in (edit for record in records for edit in record.edits):
+        first = merged.get(edit.key, edit)
+        merged[edit.key] = EntryEdit(key=edit.key, before=first.before, after=edit.after)
+    return tuple(edit for edit in merged.values() if edit.before != edit.after)
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/admin_lists.py
@@ -0,0 +1,184 @@
+"""The lists in the administration interface."""
+
+import trio
+from gypsumpost_core.list_difference import format_edits, merge_edits
+from gypsumpost_core.list_file import format_list
+from gypsumpost_core.list_kind import ListKind
+from result import Err
+
+from gypsumpost_daemon.admin_application import AdminApplication
+from gypsumpost_daemon.admin_request import AdminRequest
+from gypsumpost_daemon.admin_response import create_error_response, create_json_response
+from gypsumpost_daemon.caller_response import CallerResponse
+from gypsumpost_daemon.edit_outcome import (
+    EditAccepted,
+    EditConflict,
+    EditNotAccepted,
+    EditOutcome,
+    EditRefused,
+    EditUnknown,
+)
+from gypsumpost_daemon.host_directory import HostDirectory
+from gypsumpost_daemon.list_editor import ListEditor
+from gypsumpost_daemon.list_task import ListTask
+from gypsumpost_daemon.store import Store
+from gypsumpost_daemon.stored_lists import read_history, read_lists
+
+EDIT_SECONDS = 10.0
+"""How long an edit may wait for the store until its outcome is reported as unknown."""
+
+READ_SECONDS = 3.0
+HISTORY_RECORDS = 50
+MAX_HISTORY_RECORDS = 1000
+KIND = r"/admin/v1/(?P<kind>plans|allowances)"
+
+OUTCOMES: dict[type, tuple[int, str]] = {
+    EditAccepted: (200, "accepted"),
+    EditConflict: (409, "conflict"),
+    EditRefused: (422, "refused"),
+    EditNotAccepted: (503, "not_accepted"),
+    EditUnknown: (504, "unknown"),
+}
+
+
+class AdminLists:
+    """Handlers for the operators' lists.
+
+    :param store: the platform's store.
+    :param task: this daemon's copy of the lists.
+    :param directory: the known hosts.
+    """
+
+    def __init__(self, *, store: Store, task: ListTask, directory: HostDirectory) -> None:
+        self._store = store
+        self._task = task
+        self._directory = directory
+        self._editor = ListEditor(store=store)
+
+    def add_routes(self, application: AdminApplication) -> None:
+        """Add the handlers to the interface.
+
+        :param application: the interface.
+        """
+        application.add_route("GET", KIND, self.show)
+        application.add_route("PUT", KIND, self.replace)
+        application.add_route("GET", KIND + "/history", self.list_history)
+        application.add_route("GET", KIND + "/diff", self.show_difference)
+        application.add_route("POST", KIND + "/undo", self.undo)
+        application.add_route("GET", "/admin/v1/revisions", self.list_revisions)
+        application.add_route("GET", "/admin/v1/status", self.show_status)
+
+    async def show(self, request: AdminRequest, kind: str) -> CallerResponse:
+        """Return a list as TOML, from the store or else as it is in force here."""
+        read = await read_lists(self._store, trio.current_time() + READ_SECONDS)
+        lists = self._task.lists if isinstance(read, Err) else read.ok_value.lists
+        entries = lists.get_entries(ListKind(kind)).values()
+        headers = {
+            "content-type": "application/toml",
+            "etag": str(lists.revision),
+            "x-source": "memory" if isinstance(read, Err) else "store",
+        }
+        return CallerResponse(status=200, headers=headers, body=format_list(entries).encode())
+
+    async def replace(self, request: AdminRequest, kind: str) -> CallerResponse:
+        """Replace a list; ``If-Match`` names the revision that was edited."""
+        base = _parse_number(request.headers.get("if-match", ""))
+        if base is None:
+            message = "The header If-Match must give the revision that was edited."
+            return create_error_response(428, "revision_missing", message)
+        try:
+            text = request.body.decode()
+        except UnicodeDecodeError:
+            return create_error_response(422, "not_utf8", "The list must be UTF-8 text.")
+        outcome = await self._editor.replace_list(
+            ListKind(kind), text, base=base, author=_get_author(request), deadline=_get_deadline()
+        )
+        return _describe_outcome(outcome)
+
+    async def undo(self, request: AdminRequest, kind: str) -> CallerResponse:
+        """Take back the revision of the query parameter ``revision``."""
+        revision = _parse_number(request.query.get("revision", ""))
+        if revision is None:
+            return _refuse_number("revision")
+        outcome = await self._editor.undo(
+            ListKind(kind), revision, author=_get_author(request), deadline=_get_deadline()
+        )
+        return _describe_outcome(outcome)
+
+    async def list_history(self, request: AdminRequest, kind: str) -> CallerResponse:
+        """Return the newest records that changed a list; ``limit`` bounds their number."""
+        limit = _parse_number(request.query.get("limit", str(HISTORY_RECORDS)))
+        if limit is None:
+            return _refuse_number("limit")
+        last = self._task.revision
+        first = max(1, last + 1 - MAX_HISTORY_RECORDS)
+        history = await read_history(self._store, first, last, trio.current_time() + READ_SECONDS)
+        if isinstance(history, Err):
+            return create_error_response(503, "no_store", history.err_value.reason)
+        rows = [
+            {
+                "revision": record.revision,
+                "author": record.author,
+                "time": record.time,
+                "entries": [edit.key.name for edit in record.edits if edit.key.kind.value == kind],
+            }
+            for record in reversed(history.ok_value)
+        ]
+        return create_json_response(200, [row for row in rows if row["entries"]][:limit])
+
+    async def show_difference(self, request: AdminRequest, kind: str) -> CallerResponse:
+        """Return what changed after revision ``from`` up to revision ``to``."""
+        last = _parse_number(request.query.get("to", str(self._task.revision)))
+        first = _parse_number(request.query.get("from", str(max(0, (last or 0) - 1))))
+        if first is None or last is None:
+            return _refuse_number("from and to")
+        first = max(first, last - MAX_HISTORY_RECORDS)
+        deadline = trio.current_time() + READ_SECONDS
+        history = await read_history(self._store, first + 1, last, deadline)
+        if isinstance(history, Err):
+            return create_error_response(503, "no_store", history.err_value.reason)
+        merged = merge_edits(history.ok_value)
+        text = format_edits(tuple(edit for edit in merged if edit.key.kind.value == kind))
+        headers = {"content-type": "text/plain; charset=utf-8"}
+        return CallerResponse(status=200, headers=headers, body=text.encode())
+
+    async def list_revisions(self, request: AdminRequest) -> CallerResponse:
+        """Return the revision in force on each live host, ``null`` where none answers."""
+        own = self._directory.own.host_id
+        revisions: dict[str, int | None] = {own: self._task.revision}
+
+        async def ask(host_id: str) -> None:
+            revisions[host_id] = await self._task.ask_revision(host_id)
+
+        async with trio.open_nursery() as nursery:
+            for host in self._directory.list_peers():
+                nursery.start_soon(ask, host.host_id)
+        return create_json_response(200, {"revisions": dict(sorted(revisions.items()))})
+
+    async def show_status(self, request: AdminRequest) -> CallerResponse:
+        """Return how current the lists of this daemon are."""
+        content = {"host_id": self._directory.own.host_id, "lists": self._task.status}
+        return create_json_response(200, content)
+
+
+def _describe_outcome(outcome: EditOutcome) -> CallerResponse:
+    status, name = OUTCOMES[type(outcome)]
+    return create_json_response(status, {"outcome": name, "detail": outcome})
+
+
+def _refuse_number(name: str) -> CallerResponse:
+    return create_error_response(400, "not_a_number", f"{name} must be a whole number from 0.")
+
+
+def _parse_number(text: str) -> int | None:
+    digits = text.strip('"')
+    # 15 digits keep the number within what the store's keys and JSON can carry.
+    return int(digits) if digits.isascii() and digits.isdigit() and len(digits) <= 15 else None
+
+
+def _get_author(request: AdminRequest) -> str:
+    return request.headers.get("x-author", "unknown")[:100]
+
+
+def _get_deadline() -> float:
+    return trio.current_time() + EDIT_SECONDS
--- a/packages/daemon/gypsumpost_daemon/settings.py
+++ b/packages/daemon/gypsumpost_daemon/settings.py
@@ -59,6 +59,17 @@
         accepted="path of a readable file; empty uses a key that is not secret",
         help="File with the key that all daemons of the deployment share.",
     )
+    admin_address: str = define_setting(
+        default="",
+        parse=parse_optional_address,
+        accepted="ip:port, or empty for none",
+        help="Address of the operators' HTTP listener.",
+    )
+    admin_key_file: str = define_setting(
+        default="",
+        accepted="path of a readable file; required with --admin-address",
+        help="File with the bearer key of the operators.",
+    )
     log_file: str = define_setting(
         default="-",
         accepted="path, or - for standard output",
