--- /dev/null
+++ b/packages/cli/gypsumpost_cli/main.py
@@ -0,0 +1,38 @@
+"""Entry point of ``gypsumpost``."""
+
+import importlib
+import sys
+from collections.abc import Sequence
+
+import defopt
+from result import Err
+
+from gypsumpost_cli.command_registry import COMMANDS
+
+COMMAND_MODULES = ("list_commands", "edit_commands")
+"""Modules of this package that register commands when they are imported."""
+
+
+def run_command(arguments: Sequence[str]) -> int:
+    """Run one command and return the exit status.
+
+    :param arguments: the command line without the program's name.
+    """
+    for module in COMMAND_MODULES:
+        importlib.import_module(f"gypsumpost_cli.{module}")
+    outcome = defopt.run(
+        COMMANDS.list_commands(),
+        argv=list(arguments),
+        argparse_kwargs={"prog": "gypsumpost"},
+        no_negated_flags=True,
+    )
+    if isinstance(outcome, Err):
+        print(f"gypsumpost: {outcome.err_value.message}", file=sys.stderr)
+        return outcome.err_value.exit_code
+    print(outcome.ok_value)
+    return 0
+
+
+def main() -> None:
+    """Run the command that the process was started with."""
+    sys.exit(run_command(sys.argv[1:]))
