Share allowances between daemons by coordinators

Each workspace has a coordinator by rendezvous over the live hosts. Daemons report their demand when it changes or before their share lapses, and give up what they hold beyond it; the coordinator counts every grant that may still be held, so that the sum stays within the allowance. A new coordinator only confirms what is held until old shares have lapsed, and a side that is cut off uses the fraction of its hosts. Time that a message carries is on the holder's clock, so that differing clocks cannot lengthen a share.

--- /dev/null
+++ b/packages/core/gypsumpost_core/allowance_admission.py
@@ -0,0 +1,201 @@
+"""Checks requests against the allowances of their workspaces."""
+
+import math
+from collections.abc import Callable
+
+from result import Err, Ok, Result
+
+from gypsumpost_core.allowance import Allowance
+from gypsumpost_core.demand_report import DemandReport
+from gypsumpost_core.failure import Failure
+from gypsumpost_core.lists import Lists
+from gypsumpost_core.run_state import RunState
+from gypsumpost_core.share_amounts import ShareAmounts, get_limit
+from gypsumpost_core.share_grant import ShareGrant
+from gypsumpost_core.share_mode import ShareMode
+from gypsumpost_core.workspace_use import WorkspaceUse
+
+PENDING_SECONDS = 0.25
+"""When to repeat a request that came before this daemon had a share."""
+
+BUSY_SECONDS = 1.0
+"""When to repeat a request that all concurrent generations of the share left no room for."""
+
+
+class AllowanceAdmission:
+    """Owns what this daemon uses of each workspace's allowance.
+
+    :param get_lists: returns the lists in force.
+    :param mode: how allowances are shared.
+    :param count_hosts: returns the number of known hosts.
+    :param unix_offset: Unix time minus process time, in seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        get_lists: Callable[[], Lists],
+        mode: ShareMode,
+        count_hosts: Callable[[], int],
+        unix_offset: float,
+    ) -> None:
+        self._get_lists = get_lists
+        self._mode = mode
+        self._count_hosts = count_hosts
+        self._unix_offset = unix_offset
+        self._uses: dict[str, WorkspaceUse] = {}
+
+    def check(self, workspace: str, resource: str, now: float) -> Result[None, Failure]:
+        """Take one request from the share, or say why it is refused.
+
+        An accepted generation must be followed by :meth:`start_generation` without a pause.
+
+        :param workspace: the workspace that asks.
+        :param resource: name of the model or plain service.
+        :param now: process time in seconds.
+        """
+        allowance = self._get_lists().find_allowance(workspace)
+        if allowance is None:
+            return self._refuse(403, "no_plan", "The workspace has no plan.")
+        generation = resource in allowance.models
+        if not generation and resource not in allowance.services:
+            message = f"The plan {allowance.name} does not include {resource}."
+            return self._refuse(403, "not_in_plan", message)
+        use = self._prepare(workspace, allowance, now)
+        refused = self._find_refusal(use, generation, now)
+        use.note_request(refused is None, generation, now)
+        if refused is not None:
+            return refused
+        use.requests.take(1, now)
+        return Ok(None)
+
+    def has_share(self, workspace: str, now: float) -> bool:
+        """Return whether this daemon holds a share of a workspace's allowance.
+
+        :param workspace: the workspace.
+        :param now: process time in seconds.
+        """
+        use = self._uses.get(workspace)
+        return use is not None and use.deadline > now and use.held.requests > 0
+
+    def expect_request(self, workspace: str, now: float) -> None:
+        """Make this daemon ask for a share of a workspace's allowance.
+
+        :param workspace: the workspace.
+        :param now: process time in seconds.
+        """
+        self._get_use(workspace, now).expect_request(now)
+
+    def start_generation(self, workspace: str, now: float) -> None:
+        """Count a generation as running.
+
+        :param workspace: its workspace.
+        :param now: process time in seconds.
+        """
+        self._get_use(workspace, now).running += 1
+
+    def charge_tokens(self, workspace: str, count: int, now: float) -> None:
+        """Charge tokens as they are produced; the generation goes on when the share is used up.
+
+        :param workspace: the workspace.
+        :param count: number of tokens.
+        :param now: process time in seconds.
+        """
+        self._get_use(workspace, now).note_tokens(count, now)
+
+    def finish_generation(self, workspace: str, tokens: int, now: float) -> None:
+        """Count a generation as ended.
+
+        :param workspace: its workspace.
+        :param tokens: number of tokens that it produced.
+        :param now: process time in seconds.
+        """
+        use = self._get_use(workspace, now)
+        use.running -= 1
+        use.note_finish(tokens)
+
+    def list_due(self, now: float) -> list[str]:
+        """Return the workspaces whose demand is to be reported.
+
+        :param now: process time in seconds.
+        """
+        for use in self._uses.values():
+            use.lapse(now)
+        self._uses = {
+            name: use
+            for name, use in self._uses.items()
+            if not use.is_idle(now) or not use.held.is_zero()
+        }
+        return [name for name, use in self._uses.items() if use.is_due(now)]
+
+    def create_report(self, workspace: str, number: int, now: float) -> DemandReport:
+        """Return a report of the demand for one workspace.
+
+        :param workspace: a workspace that :meth:`list_due` returned.
+        :param number: number of the report.
+        :param now: process time in seconds.
+        """
+        allowance = self._get_lists().find_allowance(workspace)
+        limit = ShareAmounts() if allowance is None else get_limit(allowance)
+        return self._get_use(workspace, now).create_report(workspace, number, limit, now)
+
+    def adopt(self, number: int, grant: ShareGrant, now: float) -> None:
+        """Use a granted share.
+
+        :param number: number of the report that it answers.
+        :param grant: the share.
+        :param now: process time in seconds.
+        """
+        use = self._uses.get(grant.workspace)
+        if use is not None:
+            use.lapse(now)
+            use.adopt(number, grant.amounts, grant.deadline - self._unix_offset, now)
+
+    def _get_use(self, workspace: str, now: float) -> WorkspaceUse:
+        use = self._uses.get(workspace)
+        if use is None:
+            use = self._uses[workspace] = WorkspaceUse(now=now)
+        return use
+
+    def _prepare(self, workspace: str, allowance: Allowance, now: float) -> WorkspaceUse:
+        use = self._get_use(workspace, now)
+        fixed = self._mode.compute_fixed(get_limit(allowance), self._count_hosts())
+        if fixed is None:
+            use.lapse(now)
+        elif fixed != use.held:
+            use.adopt(use.held_number + 1, fixed, math.inf, now)
+        return use
+
+    def _find_refusal(self, use: WorkspaceUse, generation: bool, now: float) -> Err[Failure] | None:
+        if use.held.is_zero():
+            message = "This host has no share of the allowance yet."
+            return self._refuse(429, "share_pending", message, now + PENDING_SECONDS)
+        wait = use.requests.compute_wait(1, now)
+        if wait > 0:
+            message = "The requests per second of the plan are used up."
+            return self._refuse(429, "requests_per_second", message, now + wait)
+        if not generation:
+            return None
+        if use.running >= use.held.generations:
+            message = "The concurrent generations of the plan are in use."
+            return self._refuse(429, "concurrent_generations", message, now + BUSY_SECONDS)
+        wait = use.tokens.compute_wait(0, now)
+        if wait > 0:
+            message = "The tokens per second of the plan are used up."
+            return self._refuse(429, "tokens_per_second", message, now + wait)
+        return None
+
+    def _refuse(
+        self, status: int, code: str, message: str, retry_at: float | None = None
+    ) -> Err[Failure]:
+        if retry_at is not None:
+            retry_at = None if math.isinf(retry_at) else retry_at + self._unix_offset
+        return Err(
+            Failure(
+                status=status,
+                code=code,
+                message=message,
+                run_state=RunState.NOT_RUN,
+                retry_at=retry_at,
+            )
+        )
--- /dev/null
+++ b/packages/core/gypsumpost_core/coordinator_views.py
@@ -0,0 +1,78 @@
+"""Which host coordinates a workspace, and since when."""
+
+import math
+from collections.abc import Iterable
+
+from gypsumpost_core.host import Host
+from gypsumpost_core.rendezvous import rank_hosts
+from gypsumpost_core.share_coordinator import TAKEOVER_SECONDS
+
+
+class CoordinatorViews:
+    """Remembers the recent sets of live hosts.
+
+    :param own: this host.
+    :param now: process time in seconds at which this daemon started.
+    """
+
+    def __init__(self, *, own: Host, now: float) -> None:
+        self._own = own
+        # A daemon that has just started may replace an earlier process of the same host.
+        self._views: list[tuple[float, list[Host]]] = [(-math.inf, []), (now, [own])]
+        self._coordinators: dict[str, Host] = {}
+
+    def update(self, live: Iterable[Host], now: float) -> None:
+        """Note the live hosts.
+
+        :param live: all live hosts.
+        :param now: process time in seconds.
+        """
+        hosts = list(live)
+        if hosts != self._views[-1][1]:
+            self._views.append((now, hosts))
+            self._coordinators.clear()
+        # The newest view older than the takeover time says who coordinated before.
+        while len(self._views) > 1 and self._views[1][0] <= now - TAKEOVER_SECONDS:
+            del self._views[0]
+
+    def find_coordinator(self, workspace: str) -> Host:
+        """Return the host that coordinates a workspace.
+
+        :param workspace: the workspace.
+        """
+        coordinator = self._coordinators.get(workspace)
+        if coordinator is None:
+            coordinator = _choose(workspace, self._views[-1][1]) or self._own
+            self._coordinators[workspace] = coordinator
+        return coordinator
+
+    def find_takeover_end(self, workspace: str) -> float:
+        """Return until when shares of another coordinator may be held, in process time.
+
+        :param workspace: a workspace that this host coordinates.
+        """
+        ended = -math.inf
+        for (_, before), (changed_at, _) in zip(self._views, self._views[1:], strict=False):
+            if _choose(workspace, before) != self._own:
+                ended = changed_at + TAKEOVER_SECONDS
+        return ended
+
+
+def _choose(workspace: str, hosts: list[Host]) -> Host | None:
+    ranked = rank_hosts(f"shares/{workspace}", hosts)
+    return ranked[0] if ranked else None
+
+
+def compute_fraction(live: Iterable[Host], known: Iterable[Host]) -> float:
+    """Return the part of each allowance that this side of a partition may use.
+
+    A side counts as cut off when it reaches no host of some known failure domain. The loss of
+    single hosts leaves the whole allowance in use.
+
+    :param live: the hosts that are held for live, this one included.
+    :param known: all hosts, live or not.
+    """
+    live, known = list(live), list(known)
+    if {host.failure_domain for host in known} == {host.failure_domain for host in live}:
+        return 1.0
+    return len(live) / len(known)
--- /dev/null
+++ b/packages/core/gypsumpost_core/tests/test_shares.py
@@ -0,0 +1,286 @@
+"""Tests of shares of allowances."""
+
+import attrs
+import pytest
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
+
+from gypsumpost_core.allowance import Allowance
+from gypsumpost_core.allowance_admission import AllowanceAdmission
+from gypsumpost_core.coordinator_views import CoordinatorViews, compute_fraction
+from gypsumpost_core.demand_report import DemandReport
+from gypsumpost_core.host import Host
+from gypsumpost_core.lists import Lists
+from gypsumpost_core.run_state import RunState
+from gypsumpost_core.share_amounts import ShareAmounts, get_limit
+from gypsumpost_core.share_board import ShareBoard
+from gypsumpost_core.share_division import divide_amounts
+from gypsumpost_core.share_grant import ShareGrant
+from gypsumpost_core.share_mode import SHARE_MODES
+from gypsumpost_core.token_bucket import TokenBucket
+from gypsumpost_core.workspace_plan import WorkspacePlan
+
+ALLOWANCE = Allowance(
+    name="large",
+    models=("summary",),
+    services=("gate",),
+    requests_per_second=100,
+    tokens_per_second=1000,
+    concurrent_generations=20,
+    deadline_seconds=60,
+)
+LISTS = Lists(
+    revision=1,
+    plans={"north": WorkspacePlan(name="north", plan="large")},
+    allowances={"large": ALLOWANCE},
+)
+STEP_SECONDS = 0.1
+DETECTION_STEPS = 10
+HOSTS = [
+    Host(host_id=f"h{n}", failure_domain=f"d{n % 3}", peer_address=f"127.0.0.1:{n + 1}")
+    for n in range(9)
+]
+
+
+class SimulatedDaemon:
+    """The share logic of one daemon without sockets."""
+
+    def __init__(self, own: Host) -> None:
+        self.own = own
+        self.live = list(HOSTS)
+        self.views = CoordinatorViews(own=own, now=0)
+        self.board = ShareBoard(own=own, get_lists=lambda: LISTS, views=self.views)
+        self.admission = create_admission("coordinated")
+        self.number = 0
+
+
+def create_admission(mode: str) -> AllowanceAdmission:
+    return AllowanceAdmission(
+        get_lists=lambda: LISTS,
+        mode=SHARE_MODES.create(mode),
+        count_hosts=lambda: len(HOSTS),
+        unix_offset=0,
+    )
+
+
+@attrs.define(kw_only=True)
+class Message:
+    """A request or reply on its way."""
+
+    due: float
+    sender: int
+    receiver: int
+    number: int
+    sent_at: float
+    reports: list[DemandReport]
+    grants: list[ShareGrant] | None = None
+
+
+class Simulation:
+    """Nine daemons whose messages are lost, repeated, delayed, and cut by partitions."""
+
+    def __init__(self, draw: st.DataObject) -> None:
+        self.draw = draw
+        self.daemons = [SimulatedDaemon(host) for host in HOSTS]
+        self.messages: list[Message] = []
+        self.dead: set[int] = set()
+        self.cut: set[str] = set()
+        self.pending: list[tuple[int, frozenset[int], frozenset[str]]] = []
+        self.random = draw.draw(st.randoms(use_true_random=False))
+
+    def reaches(self, left: int, right: int) -> bool:
+        sides = [HOSTS[n].failure_domain in self.cut for n in (left, right)]
+        return not self.dead & {left, right} and sides[0] == sides[1]
+
+    def run(self, steps: int, events: dict[int, tuple[str, int]], demands: list[int]) -> None:
+        for step in range(steps):
+            if step in events:
+                self.inject(step, *events[step])
+            if step % 20 == 0:
+                self.random.shuffle(demands)
+            self.step(step, step * STEP_SECONDS, demands)
+            held = [d.admission for n, d in enumerate(self.daemons) if n not in self.dead]
+            self.check_sum(held, step * STEP_SECONDS)
+
+    def inject(self, step: int, kind: str, number: int) -> None:
+        if kind == "kill" and len(self.dead) < 4:
+            self.dead.add(number)
+        elif kind == "cut":
+            self.cut = {f"d{number % 3}"}
+        elif kind == "heal":
+            self.cut = set()
+        self.pending.append((step + DETECTION_STEPS, frozenset(self.dead), frozenset(self.cut)))
+
+    def step(self, step: int, now: float, demands: list[int]) -> None:
+        while self.pending and self.pending[0][0] <= step:
+            self.pending.pop(0)
+            for number, daemon in enumerate(self.daemons):
+                daemon.live = [HOSTS[n] for n in range(9) if self.reaches(number, n) or n == number]
+        for number, daemon in enumerate(self.daemons):
+            if number in self.dead:
+                continue
+            daemon.views.update(daemon.live, now)
+            for _ in range(demands[number]):
+                daemon.admission.check("north", "gate", now)
+            self.report(number, daemon, now)
+        for message in [m for m in self.messages if m.due <= now]:
+            self.messages.remove(message)
+            self.deliver(message, now)
+
+    def report(self, number: int, daemon: SimulatedDaemon, now: float) -> None:
+        names = daemon.admission.list_due(now)
+        if not names:
+            return
+        daemon.number += 1
+        reports = [daemon.admission.create_report(name, daemon.number, now) for name in names]
+        receiver = HOSTS.index(daemon.views.find_coordinator(names[0]))
+        message = Message(
+            due=now,
+            sender=number,
+            receiver=receiver,
+            number=daemon.number,
+            sent_at=now,
+            reports=reports,
+        )
+        self.send(message, now)
+
+    def send(self, message: Message, now: float) -> None:
+        for _ in range(self.random.choice([0, 1, 1, 1, 1, 2])):
+            delay = self.random.choice([0, 0, 0, 0.1, 0.4])
+            self.messages.append(attrs.evolve(message, due=now + delay))
+
+    def deliver(self, message: Message, now: float) -> None:
+        if not self.reaches(message.sender, message.receiver):
+            return
+        if message.grants is not None:
+            for grant in message.grants:
+                self.daemons[message.sender].admission.adopt(message.number, grant, now)
+            return
+        daemon = self.daemons[message.receiver]
+        grants = daemon.board.answer(
+            HOSTS[message.sender].host_id,
+            message.number,
+            message.reports,
+            sent_at=message.sent_at,
+            fraction=compute_fraction(daemon.live, HOSTS),
+            now=now,
+        )
+        self.send(attrs.evolve(message, grants=grants), now)
+
+    def check_sum(self, admissions: list[AllowanceAdmission], now: float) -> None:
+        uses = [use for a in admissions if (use := a._uses.get("north")) and use.deadline > now]
+        limit = get_limit(ALLOWANCE)
+        for name in ("requests", "tokens", "generations"):
+            total = sum(getattr(use.held, name) for use in uses)
+            assert total <= getattr(limit, name) + 1e-6, (now, name, total)
+
+
+EVENTS = st.dictionaries(
+    st.integers(20, 140),
+    st.tuples(st.sampled_from(["kill", "cut", "heal"]), st.integers(0, 8)),
+    max_size=4,
+)
+
+
+@seed(5)
+@settings(max_examples=20, deadline=None)
+@given(st.data(), EVENTS, st.lists(st.integers(0, 12), min_size=9, max_size=9))
+def test_sum_of_shares_never_exceeds_the_allowance(
+    data: st.DataObject, events: dict[int, tuple[str, int]], demands: list[int]
+) -> None:
+    """Guards against shares granted twice after losses, coordinator changes and partitions."""
+    Simulation(data).run(200, events, demands)
+
+
+AMOUNTS = st.builds(
+    ShareAmounts,
+    requests=st.floats(0, 200),
+    tokens=st.floats(0, 2000),
+    generations=st.integers(0, 40),
+)
+
+
+@seed(6)
+@given(st.dictionaries(st.sampled_from("abcdefghi"), AMOUNTS, min_size=1))
+def test_division_stays_within_the_limit(demands: dict[str, ShareAmounts]) -> None:
+    """Guards against rounding that grants more generations than allowed, and idle allowance."""
+    limit = get_limit(ALLOWANCE)
+    shares = divide_amounts(limit, demands)
+    assert sum(share.requests for share in shares.values()) <= limit.requests + 1e-6
+    assert sum(share.generations for share in shares.values()) <= limit.generations
+    if sum(demand.requests for demand in demands.values()) <= limit.requests:
+        assert all(shares[n].requests >= demands[n].requests - 1e-6 for n in demands)
+
+
+def test_cold_daemon_takes_over_only_after_old_shares_lapsed() -> None:
+    """Guards against a new coordinator that grants what others may still hold."""
+    daemon = SimulatedDaemon(HOSTS[0])
+    daemon.views.update([HOSTS[0]], 0)
+    wish = DemandReport(
+        workspace="north",
+        held_number=0,
+        held=ShareAmounts(),
+        demand=ShareAmounts(requests=50, tokens=10, generations=2),
+    )
+    for number, now, expected in [(1, 1.0, 0), (2, 4.4, 0), (3, 4.6, 50)]:
+        grants = daemon.board.answer("h0", number, [wish], sent_at=now, fraction=1.0, now=now)
+        assert grants[0].amounts.requests >= expected
+        assert (grants[0].amounts.requests > 0) == (expected > 0)
+
+
+def grant_share(admission: AllowanceAdmission, amounts: ShareAmounts, now: float) -> None:
+    admission.expect_request("north", now)
+    grant = ShareGrant(workspace="north", amounts=amounts, deadline=now + 60)
+    admission.adopt(1, grant, now)
+
+
+def test_refusals_are_not_run_with_a_time_to_retry() -> None:
+    """Guards against a caller who is refused and cannot tell why or until when."""
+    admission = create_admission("coordinated")
+    assert admission.check("south", "summary", 0).unwrap_err().code == "no_plan"
+    assert admission.check("north", "other", 0).unwrap_err().code == "not_in_plan"
+    assert admission.check("north", "summary", 0).unwrap_err().code == "share_pending"
+    grant_share(admission, ShareAmounts(requests=2, tokens=10, generations=1), 0)
+    assert admission.check("north", "summary", 0).is_ok()
+    refused = admission.check("north", "gate", 0).unwrap_err()
+    assert (refused.code, refused.run_state) == ("requests_per_second", RunState.NOT_RUN)
+    assert refused.retry_at == pytest.approx(0.5)
+    admission.start_generation("north", 0)
+    assert admission.check("north", "summary", 1).unwrap_err().code == "concurrent_generations"
+    assert admission.check("north", "gate", 1).is_ok()
+
+
+def test_long_generation_puts_the_bucket_into_debt() -> None:
+    """Guards against generations that are free because they are charged after admission."""
+    admission = create_admission("coordinated")
+    grant_share(admission, ShareAmounts(requests=10, tokens=10, generations=5), 0)
+    assert admission.check("north", "summary", 0).is_ok()
+    admission.start_generation("north", 0)
+    admission.charge_tokens("north", 102, 0)
+    refused = admission.check("north", "summary", 1).unwrap_err()
+    assert (refused.code, refused.retry_at) == ("tokens_per_second", pytest.approx(10.1))
+    assert admission.check("north", "summary", 10.2).is_ok()
+
+
+@seed(7)
+@given(st.lists(st.tuples(st.floats(0, 0.5), st.floats(0, 100)), max_size=40))
+def test_bucket_never_yields_more_than_rate_and_burst(steps: list[tuple[float, float]]) -> None:
+    """Guards against a change of rate that creates tokens."""
+    bucket = TokenBucket(burst_seconds=0.25, minimum_capacity=1, now=0)
+    now = earned = taken = rate = most_rate = 0.0
+    for wait, new_rate in steps:
+        now, earned = now + wait, earned + wait * rate
+        while bucket.compute_wait(1, now) == 0:
+            bucket.take(1, now)
+            taken += 1
+        bucket.set_rate(new_rate, now)
+        rate, most_rate = new_rate, max(most_rate, new_rate)
+    assert taken <= earned + 1 + 1e-6
+
+
+def test_equal_mode_shares_without_messages() -> None:
+    """Guards against a baseline that asks a coordinator."""
+    admission = create_admission("equal")
+    assert admission.check("north", "gate", 0).is_ok()
+    accepted = sum(admission.check("north", "gate", n / 100).is_ok() for n in range(1000))
+    assert 108 <= accepted <= 114
--- /dev/null
+++ b/packages/core/gypsumpost_core/token_bucket.py
@@ -0,0 +1,58 @@
+"""A token bucket that can go into debt."""
+
+import math
+
+
+class TokenBucket:
+    """Accrues at a rate up to a capacity.
+
+    :param burst_seconds: capacity in seconds of the rate.
+    :param minimum_capacity: lowest capacity; the bucket starts with it.
+    :param now: process time in seconds.
+    """
+
+    def __init__(self, *, burst_seconds: float, minimum_capacity: float, now: float) -> None:
+        self._burst_seconds = burst_seconds
+        self._minimum = minimum_capacity
+        self._rate = 0.0
+        self._level = minimum_capacity
+        self._updated = now
+
+    def set_rate(self, rate: float, now: float) -> None:
+        """Change the rate; what has accrued above the new capacity is lost.
+
+        :param rate: units per second.
+        :param now: process time in seconds.
+        """
+        self._accrue(now)
+        self._rate = rate
+        self._level = min(self._level, self._compute_capacity())
+
+    def take(self, count: float, now: float) -> None:
+        """Take units, also below zero.
+
+        :param count: number of units.
+        :param now: process time in seconds.
+        """
+        self._accrue(now)
+        self._level -= count
+
+    def compute_wait(self, level: float, now: float) -> float:
+        """Return the seconds until the bucket holds a level, infinite without a rate.
+
+        :param level: the level.
+        :param now: process time in seconds.
+        """
+        self._accrue(now)
+        missing = level - self._level
+        if missing <= 1e-9:
+            return 0.0
+        return missing / self._rate if self._rate > 0 else math.inf
+
+    def _accrue(self, now: float) -> None:
+        gained = max(0.0, now - self._updated) * self._rate
+        self._level = min(self._level + gained, max(self._level, self._compute_capacity()))
+        self._updated = max(self._updated, now)
+
+    def _compute_capacity(self) -> float:
+        return max(self._minimum, self._rate * self._burst_seconds)
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/share_task.py
@@ -0,0 +1,164 @@
+"""Reports demand, coordinates shares and uses them."""
+
+import time
+from collections.abc import Callable
+
+import trio
+from gypsumpost_core.allowance_admission import AllowanceAdmission
+from gypsumpost_core.coordinator_views import CoordinatorViews, compute_fraction
+from gypsumpost_core.lists import Lists
+from gypsumpost_core.share_board import ShareBoard
+from gypsumpost_core.share_grant import ShareGrant
+from gypsumpost_core.share_mode import SHARE_MODES
+from result import Err
+
+from gypsumpost_daemon.demand_message import DemandMessage
+from gypsumpost_daemon.host_directory import HostDirectory
+from gypsumpost_daemon.log import Log
+from gypsumpost_daemon.message_kind import MessageKind
+from gypsumpost_daemon.peer_channel import PeerChannel
+from gypsumpost_daemon.peer_request import PeerRequest
+from gypsumpost_daemon.share_codec import (
+    decode_grants,
+    decode_reports,
+    encode_grants,
+    encode_reports,
+)
+
+TICK_SECONDS = 0.1
+REPLY_SECONDS = 0.4
+"""Shorter than the time that remains of a share when it is renewed."""
+
+PREPARE_SECONDS = 0.1
+"""The longest that a workspace's first request waits for a share."""
+
+LOG = Log(prefix="shares")
+
+
+class ShareTask:
+    """Owns this daemon's shares and the grants of the workspaces that it coordinates.
+
+    :param directory: the known hosts.
+    :param peers: messages to other daemons.
+    :param get_lists: returns the lists in force.
+    :param mode: name of an entry of the registry ``share-mode``.
+    """
+
+    def __init__(
+        self,
+        *,
+        directory: HostDirectory,
+        peers: PeerChannel,
+        get_lists: Callable[[], Lists],
+        mode: str = "coordinated",
+    ) -> None:
+        now = trio.current_time()
+        self._directory = directory
+        self._channel = peers
+        self._unix_offset = time.time() - now
+        self._views = CoordinatorViews(own=directory.own, now=now)
+        self._board = ShareBoard(own=directory.own, get_lists=get_lists, views=self._views)
+        # Numbers go on rising after a restart, as they start from the clock.
+        self._number = int(time.time() * 1000)
+        self._waiting: set[str] = set()
+        self._wake = trio.Event()
+        self._adopted = trio.Event()
+        self.admission = AllowanceAdmission(
+            get_lists=get_lists,
+            mode=SHARE_MODES.create(mode),
+            count_hosts=lambda: len(directory.list_known()),
+            unix_offset=self._unix_offset,
+        )
+        self._coordinated = mode == "coordinated"
+        peers.add_handler(MessageKind.REPORT_DEMAND, self._serve_reports)
+
+    async def prepare(self, workspace: str) -> None:
+        """Get a share before the first request of a workspace is checked.
+
+        :param workspace: the workspace.
+        """
+        if not self._coordinated or self.admission.has_share(workspace, trio.current_time()):
+            return
+        self.admission.expect_request(workspace, trio.current_time())
+        self._wake.set()
+        with trio.move_on_after(PREPARE_SECONDS):
+            while not self.admission.has_share(workspace, trio.current_time()):
+                adopted = self._adopted
+                await adopted.wait()
+
+    async def run(self) -> None:
+        """Report demand until cancelled."""
+        if not self._coordinated:
+            return
+        async with trio.open_nursery() as nursery:
+            while True:
+                now = trio.current_time()
+                self._views.update(self._directory.list_live(), now)
+                self._board.forget_idle(now)
+                for host_id, names in self._group_due(now).items():
+                    # One message at a time to each coordinator keeps its view simple.
+                    if host_id not in self._waiting:
+                        nursery.start_soon(self._report, host_id, names)
+                with trio.move_on_after(TICK_SECONDS):
+                    await self._wake.wait()
+                self._wake = trio.Event()
+
+    def _group_due(self, now: float) -> dict[str, list[str]]:
+        groups: dict[str, list[str]] = {}
+        for name in self.admission.list_due(now):
+            coordinator = self._views.find_coordinator(name)
+            groups.setdefault(coordinator.host_id, []).append(name)
+        return groups
+
+    async def _report(self, host_id: str, names: list[str]) -> None:
+        self._waiting.add(host_id)
+        try:
+            now = trio.current_time()
+            self._number += 1
+            number = self._number
+            reports = tuple(self.admission.create_report(name, number, now) for name in names)
+            sent_at = now + self._unix_offset
+            message = DemandMessage(number=number, sent_at=sent_at, reports=reports)
+            for grant in await self._ask(host_id, message):
+                self.admission.adopt(number, grant, trio.current_time())
+            self._adopted.set()
+            self._adopted = trio.Event()
+        finally:
+            self._waiting.discard(host_id)
+
+    async def _ask(self, host_id: str, message: DemandMessage) -> tuple[ShareGrant, ...]:
+        if host_id == self._directory.own.host_id:
+            return tuple(self._answer(host_id, message))
+        reply = await self._channel.request(
+            host_id,
+            MessageKind.REPORT_DEMAND,
+            encode_reports(message),
+            trio.current_time() + REPLY_SECONDS,
+        )
+        if isinstance(reply, Err):
+            return ()
+        grants = decode_grants(reply.ok_value)
+        if isinstance(grants, Err):
+            LOG.write("ignored a reply", peer=host_id, reason=grants.err_value)
+            return ()
+        return grants.ok_value
+
+    async def _serve_reports(self, request: PeerRequest) -> bytes:
+        decoded = decode_reports(request.payload)
+        if isinstance(decoded, Err):
+            LOG.write("ignored a message", peer=request.host_id, reason=decoded.err_value)
+            return encode_grants(())
+        return encode_grants(self._answer(request.host_id, decoded.ok_value))
+
+    def _answer(self, host_id: str, message: DemandMessage) -> list[ShareGrant]:
+        now = trio.current_time()
+        live = self._directory.list_live()
+        self._views.update(live, now)
+        return self._board.answer(
+            host_id,
+            message.number,
+            message.reports,
+            sent_at=message.sent_at,
+            fraction=compute_fraction(live, self._directory.list_known()),
+            now=now,
+        )
