Add the experiment on the spread of list changes

It measures spread time, reverts, bytes and store watches on a simulated clock with 1 ms links, against every daemon watching the store.

--- /dev/null
+++ b/packages/bench/gypsumpost_bench/experiment_lists.py
@@ -0,0 +1,202 @@
+"""Experiment ``lists``: spread of list changes between daemons on a simulated clock."""
+
+import math
+
+import attrs
+import trio
+import trio.testing
+from gypsumpost_core.list_kind import ListKind
+from gypsumpost_daemon.edit_outcome import EditAccepted
+from gypsumpost_daemon.list_editor import ListEditor
+from gypsumpost_daemon.list_task import WATCHERS_PER_DOMAIN, ListTask
+
+from gypsumpost_bench.experiment import EXPERIMENTS
+from gypsumpost_bench.experiment_row import ExperimentRow
+from gypsumpost_bench.memory_store import MemoryStore
+from gypsumpost_bench.simulated_fleet import DOMAINS, create_directory, create_hosts
+from gypsumpost_bench.simulated_network import SimulatedNetwork, SimulatedPort
+
+LINK_SECONDS = 0.001
+SETTLE_SECONDS = 5.0
+CHANGE_PERIOD_SECONDS = 4.5
+"""19,000 changes a day are one in 4.5 s."""
+
+LIMIT_SECONDS = 4.0
+SAMPLE_SECONDS = 0.0005
+
+EDITED = """[plan-{number}]
+models = ["summary"]
+requests_per_second = {rate}
+tokens_per_second = 5000
+concurrent_generations = 40
+deadline_seconds = 120
+"""
+
+
+@attrs.frozen(kw_only=True)
+class SpreadResult:
+    """What one run measured.
+
+    :param times: seconds from acceptance to the change being in force, per change and daemon.
+    :param reverts: times that a daemon's revision went down.
+    :param watches: store watches while nothing changes.
+    :param change_bytes: bytes sent per change and daemon beyond those of idle time.
+    :param idle_bytes: bytes sent per second and daemon without changes.
+    """
+
+    times: list[float]
+    reverts: int
+    watches: int
+    change_bytes: float
+    idle_bytes: float
+
+
+async def measure_spread(daemons: int, changes: int, watchers: int, loss: float) -> SpreadResult:
+    """Run a fleet and edit its lists.
+
+    :param daemons: number of daemons.
+    :param changes: number of edits.
+    :param watchers: store watchers per domain.
+    :param loss: share of messages that are lost in each direction.
+    """
+    network = SimulatedNetwork(seed=1, delay=LINK_SECONDS, loss=loss)
+    store = MemoryStore()
+    hosts = create_hosts(daemons)
+    tasks = [
+        ListTask(
+            directory=create_directory(host, hosts),
+            peers=SimulatedPort(network=network, host_id=host.host_id),
+            store=store,
+            watchers=watchers,
+        )
+        for host in hosts
+    ]
+    times: list[float] = []
+    reverts = 0
+    async with trio.open_nursery() as nursery:
+        for task in tasks:
+            nursery.start_soon(task.run)
+        await trio.sleep(SETTLE_SECONDS)
+        await _edit(store, 0)
+        await trio.sleep(SETTLE_SECONDS)
+        watches, before = store.watches, _sum_bytes(network)
+        await trio.sleep(changes * CHANGE_PERIOD_SECONDS)
+        idle = _sum_bytes(network) - before
+        before = _sum_bytes(network)
+        for number in range(1, changes + 1):
+            end = trio.current_time() + CHANGE_PERIOD_SECONDS
+            spread, lower = await _measure_change(store, tasks, number)
+            times += spread
+            reverts += lower
+            await trio.sleep_until(end)
+        sent = _sum_bytes(network) - before
+        nursery.cancel_scope.cancel()
+    return SpreadResult(
+        times=times,
+        reverts=reverts,
+        watches=watches,
+        change_bytes=(sent - idle) / changes / daemons,
+        idle_bytes=idle / (changes * CHANGE_PERIOD_SECONDS) / daemons,
+    )
+
+
+async def _measure_change(
+    store: MemoryStore, tasks: list[ListTask], number: int
+) -> tuple[list[float], int]:
+    await _edit(store, number)
+    start = trio.current_time()
+    revision = number + 1
+    waiting, times, reverts = set(range(len(tasks))), [], 0
+    known = [task.revision for task in tasks]
+    while waiting and trio.current_time() < start + CHANGE_PERIOD_SECONDS:
+        for index, task in enumerate(tasks):
+            reverts += task.revision < known[index]
+            known[index] = task.revision
+        arrived = {index for index in waiting if tasks[index].revision >= revision}
+        times += [trio.current_time() - start] * len(arrived)
+        waiting -= arrived
+        await trio.sleep(SAMPLE_SECONDS)
+    return times + [math.inf] * len(waiting), reverts
+
+
+async def _edit(store: MemoryStore, number: int) -> None:
+    text = EDITED.format(number=number, rate=number + 1)
+    outcome = await ListEditor(store=store).replace_list(
+        ListKind.ALLOWANCES, text, base=number, author="bench", deadline=trio.current_time() + 5
+    )
+    if not isinstance(outcome, EditAccepted):
+        raise RuntimeError(f"the edit was not accepted: {outcome}")
+
+
+def _sum_bytes(network: SimulatedNetwork) -> int:
+    return sum(network.sent_bytes.values())
+
+
+def compute_quantile(values: list[float], part: float) -> float:
+    """Return the value that a part of all values does not exceed.
+
+    :param values: the values.
+    :param part: for example 0.99.
+    """
+    return sorted(values)[max(0, math.ceil(len(values) * part) - 1)]
+
+
+def _run_simulated(daemons: int, changes: int, watchers: int, loss: float) -> SpreadResult:
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    return trio.run(measure_spread, daemons, changes, watchers, loss, clock=clock)
+
+
+@EXPERIMENTS.register("lists")
+def run(*, quick: bool) -> list[ExperimentRow]:
+    """Measure the spread over fleets of different sizes, with and without lost messages.
+
+    :param quick: fewer changes and smaller fleets.
+    """
+    changes = 5 if quick else 40
+    rows: list[ExperimentRow] = []
+    for daemons, loss in [(9, 0.0), (9, 0.1), (27 if quick else 99, 0.0)]:
+        chosen = _run_simulated(daemons, changes, WATCHERS_PER_DOMAIN, loss)
+        baseline = _run_simulated(daemons, changes, daemons, loss)
+        rows += _create_rows(daemons, loss, changes, chosen, baseline)
+    return rows
+
+
+def _create_rows(
+    daemons: int, loss: float, changes: int, chosen: SpreadResult, baseline: SpreadResult
+) -> list[ExperimentRow]:
+    note = (
+        f"{daemons} daemons in {DOMAINS} domains, 1 ms links, {loss:.0%} of messages lost, "
+        f"{changes} changes, simulated clock sampled every 0.5 ms"
+    )
+    name = "every daemon watches the store"
+
+    def create_row(
+        measure: str,
+        unit: str,
+        figure: float,
+        base: float,
+        target: str = "",
+        met: bool | None = None,
+    ) -> ExperimentRow:
+        return ExperimentRow(
+            name=f"lists: {measure}, {daemons} daemons, {loss:.0%} loss",
+            unit=unit,
+            figure=figure,
+            target=target,
+            baseline=base,
+            baseline_name=name,
+            note=note,
+            met=met,
+        )
+
+    p50, p99, last = (compute_quantile(chosen.times, part) for part in (0.5, 0.99, 1.0))
+    base50, base99, base_last = (compute_quantile(baseline.times, p) for p in (0.5, 0.99, 1.0))
+    return [
+        create_row("spread time p50", "s", p50, base50),
+        create_row("spread time p99", "s", p99, base99, "< 4 s", p99 < LIMIT_SECONDS),
+        create_row("spread time of the last", "s", last, base_last, "< 4 s", last < LIMIT_SECONDS),
+        create_row("reverts", "", chosen.reverts, baseline.reverts, "0", chosen.reverts == 0),
+        create_row("bytes per change and daemon", "B", chosen.change_bytes, baseline.change_bytes),
+        create_row("idle bytes per daemon", "B/s", chosen.idle_bytes, baseline.idle_bytes),
+        create_row("store watches", "", chosen.watches, baseline.watches),
+    ]
