--- a/packages/bench/gypsumpost_bench/call_cluster.py
+++ b/packages/bench/gypsumpost_bench/call_cluster.py
@@ -5,6 +5,10 @@
 
 import attrs
 import trio
+
+from gypsumpost_bench.memory_store import MemoryStore
+from gypsumpost_bench.service_application import ServiceApplication
+from gypsumpost_bench.stand_in_http import serve_application
 from gypsumpost_core.endpoint import Endpoint
 from gypsumpost_core.endpoint_kind import EndpointKind
 from gypsumpost_core.host import Host
@@ -16,10 +20,6 @@
 from gypsumpost_daemon.peer_network import PeerNetwork
 from gypsumpost_daemon.service_calls import ServiceCalls
 
-from gypsumpost_bench.memory_store import MemoryStore
-from gypsumpost_bench.service_application import ServiceApplication
-from gypsumpost_bench.stand_in_http import serve_application
-
 SECRET = b"shared key of the bench"
 SERVICE = "gate"
 WORKSPACE = "riders"
--- a/packages/bench/gypsumpost_bench/claim_load.py
+++ b/packages/bench/gypsumpost_bench/claim_load.py
@@ -2,11 +2,12 @@
 
 import attrs
 import trio
+from result import Ok
+
 from gypsumpost_core.run_state import RunState
 from gypsumpost_daemon.claim_mode import ClaimMode
 from gypsumpost_daemon.claim_order import ClaimOrder
 from gypsumpost_daemon.claim_order_kind import ClaimOrderKind
-from result import Ok
 
 CLAIM_SECONDS = 5.0
 CLAIM_VALUE = b"c" * 200
--- a/packages/bench/gypsumpost_bench/experiment_calls.py
+++ b/packages/bench/gypsumpost_bench/experiment_calls.py
@@ -5,7 +5,6 @@
 
 import orjson
 import trio
-from gypsumpost_core.run_state import RunState
 
 from gypsumpost_bench.call_cluster import CallCluster
 from gypsumpost_bench.call_counts import CallCounts, read_run_state
@@ -17,6 +16,7 @@
 from gypsumpost_bench.store_fault import StoreFault
 from gypsumpost_bench.store_fault_kind import StoreFaultKind
 from gypsumpost_bench.store_limits import StoreLimits
+from gypsumpost_core.run_state import RunState
 
 DOMAINS = ("d1", "d1", "d2", "d2", "d3", "d3")
 STORE_LATENCY_SECONDS = 0.002
--- a/packages/bench/gypsumpost_bench/membership_run.py
+++ b/packages/bench/gypsumpost_bench/membership_run.py
@@ -4,6 +4,7 @@
 import random
 import time
 
+from gypsumpost_bench.membership_figures import MembershipFigures
 from gypsumpost_core.datagram import Datagram
 from gypsumpost_core.datagram_kind import DatagramKind
 from gypsumpost_core.member_state import MemberState
@@ -12,8 +13,6 @@
 from gypsumpost_core.report_host import ReportHost
 from gypsumpost_daemon.gossip_codec import GossipCodec
 
-from gypsumpost_bench.membership_figures import MembershipFigures
-
 DOMAINS = 3
 LOSS = 0.2
 JOIN_SECONDS = 20.0
--- a/packages/bench/gypsumpost_bench/memory_store.py
+++ b/packages/bench/gypsumpost_bench/memory_store.py
@@ -4,16 +4,16 @@
 
 import attrs
 import trio
-from gypsumpost_daemon.store_event import StoreEvent
-from gypsumpost_daemon.store_failure import StoreFailure
-from gypsumpost_daemon.store_transaction import StoreTransaction
-from gypsumpost_daemon.store_transaction_result import StoreTransactionResult
 from result import Err, Ok, Result
 
 from gypsumpost_bench.store_faults import StoreFaults
 from gypsumpost_bench.store_limits import StoreLimits
 from gypsumpost_bench.store_logic import StoreLogic
 from gypsumpost_bench.store_rejection import StoreRejection
+from gypsumpost_daemon.store_event import StoreEvent
+from gypsumpost_daemon.store_failure import StoreFailure
+from gypsumpost_daemon.store_transaction import StoreTransaction
+from gypsumpost_daemon.store_transaction_result import StoreTransactionResult
 
 ANSWER_LOST = StoreFailure(reason="answer lost", sent=True)
 
--- a/packages/bench/gypsumpost_bench/platform_application.py
+++ b/packages/bench/gypsumpost_bench/platform_application.py
@@ -5,8 +5,6 @@
 
 import orjson
 import trio
-from gypsumpost_daemon.store_codec import decode_bytes
-from gypsumpost_daemon.store_transaction import StoreTransaction
 from result import Err, Result
 
 from gypsumpost_bench.lagging_list import LaggingList
@@ -33,6 +31,8 @@
     encode_result,
 )
 from gypsumpost_bench.store_rejection import StoreRejection
+from gypsumpost_daemon.store_codec import decode_bytes
+from gypsumpost_daemon.store_transaction import StoreTransaction
 
 DOMAIN_HEADER = "x-failure-domain"
 TOO_MANY_CALLS = "too many calls"
--- a/packages/bench/gypsumpost_bench/retry_simulation.py
+++ b/packages/bench/gypsumpost_bench/retry_simulation.py
@@ -4,9 +4,9 @@
 import random
 
 import attrs
-from gypsumpost_core.retry_budget import RetryBudget
 
 from gypsumpost_bench.simulated_clock import SimulatedClock
+from gypsumpost_core.retry_budget import RetryBudget
 
 DOMAINS = 3
 ENGINES_PER_DOMAIN = 4
--- a/packages/bench/gypsumpost_bench/simulated_job.py
+++ b/packages/bench/gypsumpost_bench/simulated_job.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 import attrs
+
 from gypsumpost_core.attempt_outcome import AttemptOutcome
 
 
--- a/packages/bench/gypsumpost_bench/store_gateway_codec.py
+++ b/packages/bench/gypsumpost_bench/store_gateway_codec.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+from gypsumpost_bench.store_rejection import StoreRejection
 from gypsumpost_daemon.store_codec import decode_bytes, encode_bytes
 from gypsumpost_daemon.store_event import StoreEvent
 from gypsumpost_daemon.store_key_value import StoreKeyValue
@@ -15,8 +16,6 @@
 )
 from gypsumpost_daemon.store_transaction_result import StoreTransactionResult
 
-from gypsumpost_bench.store_rejection import StoreRejection
-
 GET_NAME = "request_range"
 DELETE_NAME = "request_delete_range"
 PUT_NAME = "request_put"
--- a/packages/bench/gypsumpost_bench/store_logic.py
+++ b/packages/bench/gypsumpost_bench/store_logic.py
@@ -2,6 +2,9 @@
 
 from collections.abc import Callable
 
+from gypsumpost_bench.store_check import check_transaction
+from gypsumpost_bench.store_lease import StoreLease
+from gypsumpost_bench.store_rejection import StoreRejection
 from gypsumpost_daemon.store_event import StoreEvent
 from gypsumpost_daemon.store_key_value import StoreKeyValue
 from gypsumpost_daemon.store_transaction import (
@@ -14,10 +17,6 @@
 )
 from gypsumpost_daemon.store_transaction_result import StoreTransactionResult
 
-from gypsumpost_bench.store_check import check_transaction
-from gypsumpost_bench.store_lease import StoreLease
-from gypsumpost_bench.store_rejection import StoreRejection
-
 END_OF_KEYS = b"\0"
 """A ``range_end`` of one zero byte means all keys from ``key`` on, as in etcd."""
 
--- a/packages/bench/gypsumpost_bench/suspicion_simulation.py
+++ b/packages/bench/gypsumpost_bench/suspicion_simulation.py
@@ -3,12 +3,12 @@
 import random
 
 import attrs
+
+from gypsumpost_bench.simulated_clock import SimulatedClock
 from gypsumpost_core.attempt_outcome import AttemptOutcome
 from gypsumpost_core.crash_suspicion import CrashSuspicion
 from gypsumpost_core.suspicion_decision import SuspicionVerdict
 
-from gypsumpost_bench.simulated_clock import SimulatedClock
-
 ENGINES = 9
 DAEMONS = 3
 INNOCENT_RATE = 4.0
--- a/packages/bench/gypsumpost_bench/tests/claim_attempt.py
+++ b/packages/bench/gypsumpost_bench/tests/claim_attempt.py
@@ -1,6 +1,7 @@
 """A simulated attempt of an owner to run a call."""
 
 import attrs
+
 from gypsumpost_core.claim import Claim
 from gypsumpost_core.claim_record import ClaimRecord
 from gypsumpost_core.run_state import RunState
--- a/packages/bench/gypsumpost_bench/tests/test_claims_stateful.py
+++ b/packages/bench/gypsumpost_bench/tests/test_claims_stateful.py
@@ -3,16 +3,6 @@
 import attrs
 import hypothesis.strategies as st
 import pytest
-from gypsumpost_core.claim import Claim
-from gypsumpost_core.claim_outcome import ClaimOutcome
-from gypsumpost_core.claim_record import ClaimRecord
-from gypsumpost_core.claim_reply import ClaimReply
-from gypsumpost_core.claim_step import ClaimStep
-from gypsumpost_core.run_state import RunState
-from gypsumpost_daemon.claim_codec import decode_record
-from gypsumpost_daemon.claim_order import ClaimOrder
-from gypsumpost_daemon.claim_order_reply import ClaimOrderReply
-from gypsumpost_daemon.claim_transaction import build_transaction, read_replies
 from hypothesis import HealthCheck, Phase, settings
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -24,6 +14,16 @@
 
 from gypsumpost_bench.store_logic import StoreLogic
 from gypsumpost_bench.tests.claim_attempt import ClaimAttempt
+from gypsumpost_core.claim import Claim
+from gypsumpost_core.claim_outcome import ClaimOutcome
+from gypsumpost_core.claim_record import ClaimRecord
+from gypsumpost_core.claim_reply import ClaimReply
+from gypsumpost_core.claim_step import ClaimStep
+from gypsumpost_core.run_state import RunState
+from gypsumpost_daemon.claim_codec import decode_record
+from gypsumpost_daemon.claim_order import ClaimOrder
+from gypsumpost_daemon.claim_order_reply import ClaimOrderReply
+from gypsumpost_daemon.claim_transaction import build_transaction, read_replies
 
 OWNERS = ("h1", "h2", "h3")
 KEY = b"a"
--- a/packages/bench/gypsumpost_bench/tests/test_platform_stand_in.py
+++ b/packages/bench/gypsumpost_bench/tests/test_platform_stand_in.py
@@ -5,6 +5,11 @@
 import httpcore
 import orjson
 import trio
+from result import Err, Ok
+
+from gypsumpost_bench.call_cluster import find_free_address
+from gypsumpost_bench.lagging_list import LaggingList
+from gypsumpost_bench.platform_stand_in import run_platform
 from gypsumpost_daemon.store_client import StoreClient
 from gypsumpost_daemon.store_event import StoreEvent
 from gypsumpost_daemon.store_transaction import (
@@ -14,11 +19,6 @@
     StoreTransaction,
 )
 from gypsumpost_daemon.store_transaction_result import StoreTransactionResult
-from result import Err, Ok
-
-from gypsumpost_bench.call_cluster import find_free_address
-from gypsumpost_bench.lagging_list import LaggingList
-from gypsumpost_bench.platform_stand_in import run_platform
 
 DEADLINE_SECONDS = 10
 
--- a/packages/bench/gypsumpost_bench/tests/test_store_logic.py
+++ b/packages/bench/gypsumpost_bench/tests/test_store_logic.py
@@ -1,6 +1,9 @@
 """Tests of the stored logic of the stand-in platform."""
 
 import pytest
+
+from gypsumpost_bench.store_logic import StoreLogic
+from gypsumpost_bench.store_rejection import StoreRejection
 from gypsumpost_daemon.store_transaction import (
     StoreCompare,
     StoreDelete,
@@ -10,9 +13,6 @@
 )
 from gypsumpost_daemon.store_transaction_result import StoreTransactionResult
 
-from gypsumpost_bench.store_logic import StoreLogic
-from gypsumpost_bench.store_rejection import StoreRejection
-
 
 def create_once(key: bytes, value: bytes) -> StoreTransaction:
     return StoreTransaction(
--- a/packages/bench/gypsumpost_bench/token_path_relay.py
+++ b/packages/bench/gypsumpost_bench/token_path_relay.py
@@ -7,6 +7,8 @@
 import time
 
 import trio
+from result import Err
+
 from gypsumpost_daemon.asgi_application import Message, Receive, Scope, Send
 from gypsumpost_daemon.coalescing import COALESCING
 from gypsumpost_daemon.engine_client import EngineClient
@@ -15,7 +17,6 @@
 from gypsumpost_daemon.event_encoder import DONE, EventEncoder, EventSource
 from gypsumpost_daemon.garbage_collector import configure_collector
 from gypsumpost_daemon.http_server import HTTP_SERVERS
-from result import Err
 
 OPEN_SECONDS = 10.0
 MAX_BODY = 1 << 20
--- a/packages/bench/gypsumpost_bench/token_path_run.py
+++ b/packages/bench/gypsumpost_bench/token_path_run.py
@@ -9,10 +9,10 @@
 from collections.abc import Iterator
 
 import attrs
-from gypsumpost_daemon.addresses import split_address
 
 from gypsumpost_bench.token_path_engine import TOKEN_SECONDS
 from gypsumpost_bench.token_path_plan import TokenPathPlan
+from gypsumpost_daemon.addresses import split_address
 
 ENGINES = 2
 CLIENTS = 2
--- a/packages/daemon/gypsumpost_daemon/call_answers.py
+++ b/packages/daemon/gypsumpost_daemon/call_answers.py
@@ -3,7 +3,6 @@
 from gypsumpost_core.claim_outcome import ClaimOutcome
 from gypsumpost_core.failure import Failure
 from gypsumpost_core.run_state import RunState
-
 from gypsumpost_daemon.caller_response import CallerResponse
 from gypsumpost_daemon.error_body import encode_failure, encode_not_run
 from gypsumpost_daemon.service_request import ServiceRequest
--- a/packages/daemon/gypsumpost_daemon/claim_batcher.py
+++ b/packages/daemon/gypsumpost_daemon/claim_batcher.py
@@ -3,9 +3,9 @@
 import time
 
 import trio
-from gypsumpost_core.rendezvous import rank_hosts
 from result import Err, Ok, Result
 
+from gypsumpost_core.rendezvous import rank_hosts
 from gypsumpost_daemon.claim_messages import (
     OrderOutcome,
     decode_orders,
--- a/packages/daemon/gypsumpost_daemon/claim_mode.py
+++ b/packages/daemon/gypsumpost_daemon/claim_mode.py
@@ -2,9 +2,9 @@
 
 from typing import Protocol
 
-from gypsumpost_core.registry import Registry
 from result import Result
 
+from gypsumpost_core.registry import Registry
 from gypsumpost_daemon.claim_order import ClaimOrder
 from gypsumpost_daemon.claim_order_reply import ClaimOrderReply
 from gypsumpost_daemon.store_failure import StoreFailure
--- a/packages/daemon/gypsumpost_daemon/claimed_calls.py
+++ b/packages/daemon/gypsumpost_daemon/claimed_calls.py
@@ -6,6 +6,8 @@
 
 import attrs
 import trio
+from result import Err
+
 from gypsumpost_core.call_retry_budget import CallRetryBudget
 from gypsumpost_core.claim import Claim
 from gypsumpost_core.claim_outcome import ClaimOutcome
@@ -13,8 +15,6 @@
 from gypsumpost_core.claim_reply import ClaimReply
 from gypsumpost_core.claim_step import ClaimStep
 from gypsumpost_core.run_state import RunState
-from result import Err
-
 from gypsumpost_daemon.call_answers import (
     answer_lost_call,
     answer_unsent_call,
--- a/packages/daemon/gypsumpost_daemon/coalescing.py
+++ b/packages/daemon/gypsumpost_daemon/coalescing.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable, Sequence
 
 from gypsumpost_core.registry import Registry
-
 from gypsumpost_daemon.engine_event import EngineEvent
 
 Events = list[EngineEvent]
--- a/packages/daemon/gypsumpost_daemon/compact_addresses.py
+++ b/packages/daemon/gypsumpost_daemon/compact_addresses.py
@@ -3,9 +3,9 @@
 import ipaddress
 
 import attrs
+
 from gypsumpost_core.host import Host
 from gypsumpost_core.setting_parsers import parse_address, parse_optional_address
-
 from gypsumpost_daemon.addresses import split_address
 
 
--- a/packages/daemon/gypsumpost_daemon/error_body.py
+++ b/packages/daemon/gypsumpost_daemon/error_body.py
@@ -4,9 +4,9 @@
 import time
 
 import orjson
+
 from gypsumpost_core.failure import Failure
 from gypsumpost_core.run_state import RunState
-
 from gypsumpost_daemon.caller_response import CallerResponse
 
 SERVER_ERROR_STATUS = 500
--- a/packages/daemon/gypsumpost_daemon/gossip.py
+++ b/packages/daemon/gypsumpost_daemon/gossip.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable, Iterable
 
 import trio
+from result import Err
+
 from gypsumpost_core.forget_host import ForgetHost
 from gypsumpost_core.host import Host
 from gypsumpost_core.membership import Membership
@@ -13,8 +15,6 @@
 from gypsumpost_core.report_host import ReportHost
 from gypsumpost_core.report_list_revision import ReportListRevision
 from gypsumpost_core.send_datagram import SendDatagram
-from result import Err
-
 from gypsumpost_daemon.addresses import split_address
 from gypsumpost_daemon.gossip_codec import GossipCodec
 from gypsumpost_daemon.host_directory import HostDirectory
--- a/packages/daemon/gypsumpost_daemon/gossip_codec.py
+++ b/packages/daemon/gypsumpost_daemon/gossip_codec.py
@@ -7,6 +7,8 @@
 from typing import Any
 
 import capnp
+from result import Err, Ok, Result
+
 from gypsumpost_core.datagram import Datagram
 from gypsumpost_core.datagram_kind import DatagramKind
 from gypsumpost_core.domain_beat import DomainBeat
@@ -14,8 +16,6 @@
 from gypsumpost_core.member_state import MemberState
 from gypsumpost_core.member_update import MemberUpdate
 from gypsumpost_core.setting_parsers import parse_name
-from result import Err, Ok, Result
-
 from gypsumpost_daemon.compact_addresses import CompactAddresses, compact_addresses
 
 MAC_BYTES = 16
--- a/packages/daemon/gypsumpost_daemon/host_list_parser.py
+++ b/packages/daemon/gypsumpost_daemon/host_list_parser.py
@@ -4,14 +4,14 @@
 from typing import Any, TypeVar
 
 import orjson
+from result import Err, Ok, Result
+
 from gypsumpost_core.endpoint import Endpoint
 from gypsumpost_core.endpoint_kind import EndpointKind
 from gypsumpost_core.endpoint_status import EndpointStatus
 from gypsumpost_core.host import Host
 from gypsumpost_core.model_ref import ModelRef
 from gypsumpost_core.setting_parsers import parse_address, parse_name, parse_optional_address
-from result import Err, Ok, Result
-
 from gypsumpost_daemon.host_list_snapshot import HostListSnapshot
 from gypsumpost_daemon.listed_host import ListedHost
 
--- a/packages/daemon/gypsumpost_daemon/host_list_snapshot.py
+++ b/packages/daemon/gypsumpost_daemon/host_list_snapshot.py
@@ -1,8 +1,8 @@
 """One state of the platform's list."""
 
 import attrs
-from gypsumpost_core.endpoint import Endpoint
 
+from gypsumpost_core.endpoint import Endpoint
 from gypsumpost_daemon.listed_host import ListedHost
 
 
--- a/packages/daemon/gypsumpost_daemon/issued_calls.py
+++ b/packages/daemon/gypsumpost_daemon/issued_calls.py
@@ -4,13 +4,13 @@
 
 import orjson
 import trio
+from result import Err
+
 from gypsumpost_core.issued_call_step import IssuedCallStep
 from gypsumpost_core.issued_call_table import IssuedCallTable
 from gypsumpost_core.issued_key import IssuedKey
 from gypsumpost_core.issued_key_signer import IssuedKeySigner
 from gypsumpost_core.run_state import RunState
-from result import Err
-
 from gypsumpost_daemon.call_answers import (
     answer_lost_call,
     answer_unsent_call,
--- a/packages/daemon/gypsumpost_daemon/listed_host.py
+++ b/packages/daemon/gypsumpost_daemon/listed_host.py
@@ -1,6 +1,7 @@
 """A host on the platform's list."""
 
 import attrs
+
 from gypsumpost_core.host import Host
 
 
--- a/packages/daemon/gypsumpost_daemon/service_calls.py
+++ b/packages/daemon/gypsumpost_daemon/service_calls.py
@@ -4,13 +4,13 @@
 from collections.abc import Awaitable, Callable
 
 import trio
+from result import Err
+
 from gypsumpost_core.endpoint import Endpoint
 from gypsumpost_core.issued_call_table import IssuedCallTable
 from gypsumpost_core.issued_key import parse_issued_key
 from gypsumpost_core.issued_key_signer import IssuedKeySigner
 from gypsumpost_core.run_state import RunState
-from result import Err
-
 from gypsumpost_daemon.call_answers import answer_lost_call, answer_unsent_call, echo_headers
 from gypsumpost_daemon.caller_request import CallerRequest
 from gypsumpost_daemon.caller_response import CallerResponse
--- a/packages/daemon/gypsumpost_daemon/service_request.py
+++ b/packages/daemon/gypsumpost_daemon/service_request.py
@@ -3,8 +3,8 @@
 import hashlib
 
 import attrs
-from gypsumpost_core.endpoint import Endpoint
 
+from gypsumpost_core.endpoint import Endpoint
 from gypsumpost_daemon.caller_request import CallerRequest
 
 SERVICES_PREFIX = "/v1/services/"
--- a/packages/daemon/gypsumpost_daemon/service_sender.py
+++ b/packages/daemon/gypsumpost_daemon/service_sender.py
@@ -7,13 +7,13 @@
 
 import httpcore
 import trio
+from result import Err, Ok, Result
+
 from gypsumpost_core.call_retry_budget import CallRetryBudget
 from gypsumpost_core.endpoint import Endpoint
 from gypsumpost_core.endpoint_kind import EndpointKind
 from gypsumpost_core.endpoint_status import EndpointStatus
 from gypsumpost_core.invariant import Invariant, require
-from result import Err, Ok, Result
-
 from gypsumpost_daemon.caller_response import CallerResponse
 from gypsumpost_daemon.send_failure import SendFailure
 from gypsumpost_daemon.sent_trace import SentTrace
--- a/packages/daemon/gypsumpost_daemon/settings.py
+++ b/packages/daemon/gypsumpost_daemon/settings.py
@@ -3,9 +3,9 @@
 import attrs
 
 from gypsumpost_core.copy_placement import COPY_PLACEMENTS
+from gypsumpost_core.host import Host
 from gypsumpost_core.resumption_policies import RESUMPTION
 from gypsumpost_core.routing_policies import ROUTING
-from gypsumpost_core.host import Host
 from gypsumpost_core.setting import define_setting
 from gypsumpost_core.setting_parsers import (
     parse_address,
@@ -16,9 +16,8 @@
     parse_optional_address,
 )
 from gypsumpost_daemon.http_server import HTTP_SERVERS
-from gypsumpost_daemon.workspace_keys import WorkspaceKeys, parse_workspace_keys
-
 from gypsumpost_daemon.seeds_parser import parse_seeds
+from gypsumpost_daemon.workspace_keys import WorkspaceKeys, parse_workspace_keys
 
 ADDRESS = "ip:port"
 NAME = "letters, digits and hyphens, at most 63"
@@ -75,6 +74,17 @@
         accepted="path of a readable file; empty uses a key that is not secret",
         help="File with the key that all daemons of the deployment share.",
     )
+    admin_address: str = define_setting(
+        default="",
+        parse=parse_optional_address,
+        accepted="ip:port, or empty for none",
+        help="Address of the operators' HTTP listener.",
+    )
+    admin_key_file: str = define_setting(
+        default="",
+        accepted="path of a readable file; required with --admin-address",
+        help="File with the bearer key of the operators.",
+    )
     log_file: str = define_setting(
         default="-",
         accepted="path, or - for standard output",
@@ -163,6 +173,7 @@
         unit="seconds",
         accepted="a number from 0 to 86400",
         help="How long a planned stop waits for requests in flight.",
+    )
     seeds: tuple[Host, ...] = define_setting(
         default="",
         parse=parse_seeds,
--- a/packages/daemon/gypsumpost_daemon/tests/test_claim_queue.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_claim_queue.py
@@ -1,7 +1,6 @@
 """Tests of the batches of claim orders."""
 
 from gypsumpost_core.call_retry_budget import CallRetryBudget
-
 from gypsumpost_daemon.claim_order import ClaimOrder
 from gypsumpost_daemon.claim_order_kind import ClaimOrderKind
 from gypsumpost_daemon.claim_queue import MAX_BATCH_BYTES, MAX_BATCH_ORDERS, ClaimQueue
--- a/packages/daemon/gypsumpost_daemon/tests/test_gossip.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_gossip.py
@@ -6,6 +6,10 @@
 import attrs
 import pytest
 import trio
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from result import Err, Ok
+
 from gypsumpost_core.datagram import MAX_DATAGRAM_BYTES, Datagram
 from gypsumpost_core.datagram_kind import DatagramKind
 from gypsumpost_core.domain_beat import DomainBeat
@@ -14,10 +18,6 @@
 from gypsumpost_core.member_update import MemberUpdate
 from gypsumpost_core.membership_settings import MembershipSettings
 from gypsumpost_core.membership_simulation import MembershipSimulation, create_hosts
-from hypothesis import given, settings
-from hypothesis import strategies as st
-from result import Err, Ok
-
 from gypsumpost_daemon.gossip import Gossip
 from gypsumpost_daemon.gossip_codec import GossipCodec
 from gypsumpost_daemon.host_directory import HostDirectory
--- a/packages/daemon/gypsumpost_daemon/tests/test_host_directory.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_host_directory.py
@@ -2,7 +2,6 @@
 
 from gypsumpost_core.host import Host
 from gypsumpost_core.member_state import MemberState
-
 from gypsumpost_daemon.host_directory import HostDirectory
 
 
--- a/packages/daemon/gypsumpost_daemon/tests/test_host_list.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_host_list.py
@@ -5,9 +5,9 @@
 import orjson
 import trio
 import trio.testing
-from gypsumpost_core.endpoint_status import EndpointStatus
 from result import Err, Ok
 
+from gypsumpost_core.endpoint_status import EndpointStatus
 from gypsumpost_daemon.host_list import HostList
 from gypsumpost_daemon.host_list_parser import parse_host_list
 from gypsumpost_daemon.host_list_snapshot import HostListSnapshot
