Prevent missed deaths and false silence at 20% loss

- One of 245 observers with 50 members, and one of 645 with 130, had not heard of a death after 6 s.
- 23 of 130 members once held a whole domain for unreachable (1,012 false reports in 60 s).
A lost domain is therefore known 1 s later; a lost host is not affected.

--- a/packages/bench/gypsumpost_bench/experiment_membership.py
+++ b/packages/bench/gypsumpost_bench/experiment_membership.py
@@ -87,7 +87,7 @@
             target="<= 3000",
             baseline=figures.heartbeat_bytes_per_second,
             baseline_name=BASELINE,
-            note=f"highest of all members {figures.highest_bytes_per_second:.0f}, no changes",
+            note=f"highest of all {figures.highest_bytes_per_second:.0f}, 20 s after all started",
             met=figures.highest_bytes_per_second <= BYTES_TARGET,
         ),
         ExperimentRow(
--- a/packages/core/gypsumpost_core/membership_outbox.py
+++ b/packages/core/gypsumpost_core/membership_outbox.py
@@ -19,8 +19,8 @@
 BEAT_OVERHEAD_BYTES = 28
 MAX_BEATS = 4
 
-RETRANSMITS_PER_DECADE = 4
-"""Sending an update 4 x log10(n) times reaches all but a few in a thousand of n members."""
+RETRANSMITS_PER_DECADE = 6
+"""With 4, one of 250 observers missed a death for 6 s at 20% loss of datagrams."""
 
 RETRANSMITS_PER_DOMAIN = 3
 
--- a/packages/core/gypsumpost_core/membership_settings.py
+++ b/packages/core/gypsumpost_core/membership_settings.py
@@ -47,4 +47,5 @@
         :param other_domains: number of other domains, which the links contact in turn.
         """
         cycle = math.ceil(other_domains / self.domains_per_exchange) * self.link_interval
-        return 1.0 + 2 * cycle
+        # With 2 s for 3 domains, 23 of 130 members lost a whole domain once at 20% datagram loss.
+        return 2.0 + 2 * cycle
