Bound chunked reading to responses that have a body

Cause: a HEAD, 204 or 304 response may name the chunked coding without having chunks; the client then waited for the first chunk until the deadline.

Tests of how connections end are in a module of their own.

--- a/packages/daemon/gypsumpost_daemon/h11_engine_connection.py
+++ b/packages/daemon/gypsumpost_daemon/h11_engine_connection.py
@@ -11,6 +11,7 @@
 from gypsumpost_daemon.chunk_decoder import ChunkDecoder
 from gypsumpost_daemon.engine_failure import EngineFailure
 from gypsumpost_daemon.engine_request import EngineRequest
+from gypsumpost_daemon.http_response import STATUS_WITHOUT_BODY
 from gypsumpost_daemon.socket_transport import SocketTransport
 
 MAX_HEAD_BYTES = 65536
@@ -41,7 +42,7 @@
             return Err(EngineFailure(reason=str(error), may_have_run=False))
         try:
             await self._transport.send(data)
-            return Ok(await self._receive_head())
+            return Ok(await self._receive_head(request.method))
         except OSError as error:
             return Err(EngineFailure(reason=str(error), may_have_run=True))
 
@@ -110,19 +111,20 @@
             data += self._parser.send(h11.Data(data=request.body)) or b""
         return data + (self._parser.send(h11.EndOfMessage()) or b"")
 
-    async def _receive_head(self) -> h11.Response:
+    async def _receive_head(self, method: str) -> h11.Response:
         while True:
             event = self._next_event()
             if isinstance(event, h11.Response):
-                self._begin_body(event)
+                self._begin_body(event, method)
                 return event
             if event is h11.NEED_DATA:
                 self._parser.receive_data(await self._transport.receive())
             elif not isinstance(event, h11.InformationalResponse):
                 raise ConnectionResetError("the connection was closed before the response")
 
-    def _begin_body(self, head: h11.Response) -> None:
-        if (b"transfer-encoding", b"chunked") not in head.headers:
+    def _begin_body(self, head: h11.Response, method: str) -> None:
+        has_body = method != "HEAD" and head.status_code not in STATUS_WITHOUT_BODY
+        if not has_body or (b"transfer-encoding", b"chunked") not in head.headers:
             return
         closes = (b"connection", b"close") in head.headers
         self._keeps_alive = head.http_version == b"1.1" and not closes
--- a/packages/daemon/gypsumpost_daemon/tests/test_engine_client.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_engine_client.py
@@ -13,6 +13,7 @@
 from gypsumpost_daemon.engine_client import EngineClient
 from gypsumpost_daemon.engine_event import EngineEvent
 from gypsumpost_daemon.engine_failure import EngineFailure
+from gypsumpost_daemon.engine_request import EngineRequest
 
 TRANSPORTS = pytest.mark.parametrize("transport", ["h11", "httpcore"])
 STREAM_HEAD = (
@@ -180,10 +181,19 @@
     assert offsets == [*range(20), -1]
 
 
+LOAD = b'{"running":3}'
+
+
 @TRANSPORTS
-async def test_short_calls_share_a_connection(transport):
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"HTTP/1.1 200 OK\r\nContent-Length: 13\r\n\r\n" + LOAD,
+        STREAM_HEAD + create_chunk(LOAD) + b"0\r\n\r\n",
+    ],
+)
+async def test_short_calls_share_a_connection(transport, answer):
     """Guards against a new connection for each load report."""
-    answer = b"HTTP/1.1 200 OK\r\nContent-Length: 13\r\n\r\n" + b'{"running":3}'
     endpoint = Endpoint([answer], keep_open=True)
     async with run_endpoint(endpoint):
         client = EngineClient(transport=transport)
@@ -195,6 +205,23 @@
     assert endpoint.connections == 1
 
 
+@TRANSPORTS
+@pytest.mark.parametrize(("method", "status"), [("HEAD", 200), ("GET", 204), ("GET", 304)])
+async def test_response_without_body_ends_at_its_headers(transport, method, status):
+    """Guards against waiting for chunks that a response of this kind never has."""
+    head = b"HTTP/1.1 %d X\r\nTransfer-Encoding: chunked\r\n\r\n" % status
+    endpoint = Endpoint([head], keep_open=True)
+    async with run_endpoint(endpoint):
+        client = EngineClient(transport=transport)
+        deadline = trio.current_time() + 10
+        request = EngineRequest(
+            address=endpoint.address, method=method, path="/", deadline=deadline
+        )
+        answer = await client.call(request)
+        await client.aclose()
+    assert (answer.unwrap().status, answer.unwrap().body) == (status, b"")
+
+
 async def test_closed_idle_connection_is_replaced():
     """Guards against a failed load report after an engine closed an idle connection."""
     answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/tests/test_http_server_endings.py
@@ -0,0 +1,121 @@
+"""Tests of how connections of the HTTP servers end."""
+
+import functools
+import socket
+
+import attrs
+import h11
+import pytest
+import trio
+import trio.testing
+
+from gypsumpost_daemon import h11_server, socket_transport
+from gypsumpost_daemon.http_exchange import HttpExchange
+from gypsumpost_daemon.http_limits import HttpLimits
+from gypsumpost_daemon.tests.http_fixtures import Streamer, connect, echo, read_to_end, run_server
+
+
+@pytest.mark.parametrize("server", ["h11", "hypercorn"])
+async def test_disconnect_in_mid_answer_reaches_the_application(server):
+    """Guards against generations that run on for a caller that has gone."""
+    application = Streamer()
+    async with run_server(server, application) as running:
+        async with await connect(running) as stream:
+            await stream.send_all(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+            await stream.receive_some(10)
+        with trio.fail_after(10):
+            await application.ended.wait()
+
+
+async def test_slow_reader_is_disconnected(monkeypatch):
+    """Guards against a caller that reads nothing and holds its generation for ever."""
+    short = functools.partial(HttpLimits, stall_seconds=0.05)
+    monkeypatch.setattr(h11_server, "HttpLimits", short)
+    application = Streamer()
+    async with run_server("h11", application) as running, await connect(running) as stream:
+        await stream.send_all(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+        with trio.fail_after(30):
+            await application.ended.wait()
+
+
+@attrs.define
+class FloodTransport:
+    """A caller that sends pipelined requests as fast as they are read, 100 times."""
+
+    reads: int = 0
+
+    async def receive(self) -> bytes:
+        self.reads += 1
+        return b"GET / HTTP/1.1\r\nHost: x\r\n\r\n" * 400 if self.reads <= 100 else b""
+
+    async def send(self, data: bytes) -> None:
+        pass
+
+    async def finish(self) -> None:
+        pass
+
+    def close(self) -> None:
+        pass
+
+
+async def test_input_during_an_answer_is_not_read_without_bound(nursery):
+    """Guards against a caller that fills the memory with pipelined requests."""
+    transport = FloodTransport()
+    parser = h11.Connection(h11.SERVER)
+    parser.receive_data(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+    request = parser.next_event()
+    assert isinstance(request, h11.Request)
+    one = HttpExchange(
+        transport=transport,
+        parser=parser,
+        request=request,
+        limits=HttpLimits(max_body=1),
+        closing=False,
+    )
+    await one.receive()
+    nursery.start_soon(one.receive)
+    await trio.testing.wait_all_tasks_blocked()
+    assert 0 < transport.reads < 20
+    nursery.cancel_scope.cancel()
+
+
+async def test_transport_gives_up_on_a_reader_that_takes_nothing():
+    """Guards against a send that waits without end, and against messages sent in part."""
+    near, far = connect_pair()
+    transport = socket_transport.SocketTransport(sock=near, stall_seconds=0.05)
+    with pytest.raises(TimeoutError):
+        while True:
+            await transport.send(b"x" * 1_000_000)
+    with pytest.raises(OSError):
+        await transport.send(b"x")
+    far.close()
+
+
+def connect_pair():
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        left = socket.create_connection(listener.getsockname())
+        right, _ = listener.accept()
+    return left, right
+
+
+async def test_stop_finishes_open_answers_and_closes_their_connections():
+    """Guards against a planned stop that cuts off a request in flight."""
+    application = Streamer(piece=b"y" * 10, pieces=200)
+    async with run_server("h11", application) as running, await connect(running) as stream:
+        await stream.send_all(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+        received = await stream.receive_some(10)
+        running.stop()
+        received += await read_to_end(stream)
+        with pytest.raises(OSError):
+            await connect(running)
+    assert received.count(b"y" * 10) == 200
+    assert received.endswith(b"0\r\n\r\n")
+
+
+async def test_stop_closes_idle_connections():
+    """Guards against a stop that waits for callers which send nothing."""
+    async with run_server("h11", echo) as running, await connect(running) as stream:
+        await stream.send_all(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+        assert b" 200 " in await stream.receive_some(1000)
+        running.stop()
+        assert await read_to_end(stream) == b""
