--- a/packages/cli/gypsumpost_cli/edit_commands.py
+++ b/packages/cli/gypsumpost_cli/edit_commands.py
@@ -15,6 +15,9 @@
 from gypsumpost_cli.list_client import ListClient
 from gypsumpost_cli.list_commands import open_list, report_accepted
 
+MIN_DIGEST_DIGITS = 8
+"""An empty or very short prefix would remove keys that the operator did not mean."""
+
 
 @COMMANDS.register("edit", group=ListKind.PLANS.value)
 def edit_plan(
@@ -39,6 +42,9 @@
     :param admin_address: ip:port of the operators' listener of any daemon
     :param admin_key_file: file with the operators' key
     """
+    if any(len(prefix) < MIN_DIGEST_DIGITS for prefix in remove_key or ()):
+        message = f"--remove-key: give at least {MIN_DIGEST_DIGITS} digits of each digest"
+        return Err(CommandFailure(message=message, exit_code=EXIT_REFUSED))
     added: tuple[str, ...] = ()
     if add_key_file is not None:
         try:
--- a/packages/cli/gypsumpost_cli/tests/test_list_commands.py
+++ b/packages/cli/gypsumpost_cli/tests/test_list_commands.py
@@ -110,6 +110,7 @@
     file.write_text("")
     assert "--revision" in run("plans", "apply", str(file))[1]
     assert "--plan" in run("plans", "edit", "north")[1]
+    assert "--remove-key" in run("plans", "edit", "north", "--remove-key", "")[1]
     assert run("plans", "edit", "north", "--remove") == (1, "gypsumpost: there is no entry north")
     assert run("plans", "apply", str(tmp_path / "none"))[0] == 2
     missing = run("plans", "show", "--admin-key-file", str(tmp_path / "none"))
