Wire membership, store, lists, allowances and service calls into the daemon

Cause: the parts were built side by side and nothing ran them in one process. Before: a daemon knew hosts and endpoints from a file only and limited nobody. Conclusion: access control is one interface with two implementations, by settings and by lists.

--- a/packages/bench/gypsumpost_bench/share_fleet.py
+++ b/packages/bench/gypsumpost_bench/share_fleet.py
@@ -4,14 +4,14 @@
 from collections.abc import Callable
 
 import trio
+
+from gypsumpost_bench.simulated_fleet import create_directory, create_hosts
+from gypsumpost_bench.simulated_network import SimulatedNetwork, SimulatedPort
 from gypsumpost_core.allowance import Allowance
 from gypsumpost_core.lists import Lists
 from gypsumpost_core.workspace_plan import WorkspacePlan
 from gypsumpost_daemon.share_task import ShareTask
 
-from gypsumpost_bench.simulated_fleet import create_directory, create_hosts
-from gypsumpost_bench.simulated_network import SimulatedNetwork, SimulatedPort
-
 SERVICE = "gate"
 MODEL = "summary"
 TOKENS_PER_GENERATION = 20
--- a/packages/daemon/gypsumpost_daemon/caller_application.py
+++ b/packages/daemon/gypsumpost_daemon/caller_application.py
@@ -17,6 +17,7 @@
 from gypsumpost_core.generation_kind import GenerationKind
 from gypsumpost_core.generation_record import GenerationRecord
 from gypsumpost_core.run_state import RunState
+from gypsumpost_daemon.access_control import AccessControl
 from gypsumpost_daemon.asgi_application import Receive, Scope, Send
 from gypsumpost_daemon.caller_request import CallerRequest
 from gypsumpost_daemon.caller_response import CallerResponse
@@ -49,7 +50,7 @@
     :param settings: settings of the daemon.
     :param supervisor: runs generations.
     :param keys: finds generations by idempotency key.
-    :param find_workspace: returns the workspace of a bearer key, ``None`` for an unknown key.
+    :param access: checks bearer keys and allowances.
     :param list_models: returns the names of the models that engines run now.
     :param handle_service: answers requests below ``/v1/services/``.
     """
@@ -57,7 +58,7 @@
     settings: Settings
     supervisor: GenerationSupervisor
     keys: KeyClient
-    find_workspace: Callable[[str], str | None]
+    access: AccessControl
     list_models: Callable[[], list[str]]
     handle_service: Callable[[CallerRequest], Awaitable[CallerResponse]] | None = None
     draining: bool = attrs.field(default=False, init=False)
@@ -85,9 +86,10 @@
         path = call.scope["path"]
         if path in ("/live", "/ready"):
             return await self._report_health(call, path)
-        workspace = self._authenticate(call)
-        if workspace is None:
-            return _refuse(401, "invalid_key", "The bearer key is missing or unknown.")
+        authenticated = self._authenticate(call)
+        if isinstance(authenticated, Err):
+            return authenticated.err_value
+        workspace = authenticated.ok_value
         body = await call.read_body(self.settings.max_body)
         if body is None:
             limit = self.settings.max_body
@@ -98,18 +100,17 @@
         if path.startswith("/v1/generations/") and method in ("GET", "DELETE"):
             return await self._serve_generation(call, workspace, path.rsplit("/", 1)[1])
         if path == "/v1/models" and method == "GET":
-            await self._list_models(call)
+            await self._list_models(call, workspace)
             return None
         if path.startswith("/v1/services/") and self.handle_service is not None:
-            await call.respond(
-                await self.handle_service(self._describe_call(call, workspace, body))
-            )
-            return None
+            return await self._serve_service(call, workspace, body)
         return _refuse(404, "not_found", f"There is no {method} {path}.")
 
-    def _authenticate(self, call: HttpCall) -> str | None:
+    def _authenticate(self, call: HttpCall) -> Result[str, Failure]:
         scheme, _, key = call.headers.get("authorization", "").partition(" ")
-        return self.find_workspace(key.strip()) if scheme.lower() == "bearer" else None
+        if scheme.lower() != "bearer":
+            return Err(_refuse(401, "invalid_api_key", "The bearer key is missing."))
+        return self.access.find_workspace(key.strip())
 
     async def _report_health(self, call: HttpCall, path: str) -> Failure | None:
         if path == "/ready" and self.draining:
@@ -117,10 +118,21 @@
         await call.respond(_encode_json({"status": "ok"}))
         return None
 
-    async def _list_models(self, call: HttpCall) -> None:
+    async def _serve_service(self, call: HttpCall, workspace: str, body: bytes) -> Failure | None:
+        assert self.handle_service is not None
+        service = call.scope["path"].split("/")[3]
+        admitted = await self.access.admit(workspace, service)
+        if isinstance(admitted, Err):
+            return admitted.err_value
+        await call.respond(await self.handle_service(self._describe_call(call, workspace, body)))
+        return None
+
+    async def _list_models(self, call: HttpCall, workspace: str) -> None:
+        allowance = self.access.find_allowance(workspace)
         models = [
             {"id": name, "object": "model", "created": 0, "owned_by": "gypsumpost"}
             for name in self.list_models()
+            if allowance is None or name in allowance.models
         ]
         await call.respond(_encode_json({"object": "list", "data": models}))
 
@@ -143,6 +155,9 @@
             refusal = self._refuse_new(request)
             if refusal is not None:
                 return refusal
+            admitted = await self.access.admit(workspace, record.model)
+            if isinstance(admitted, Err):
+                return admitted.err_value
             task = self.supervisor.start(record)
             await self.keys.register(task.record, task.holders)
         return await self._respond(call, task, offset, request)
@@ -168,6 +183,9 @@
         deadline = _read_deadline(call, now + self.settings.request_deadline)
         if deadline is None:
             return Err(_refuse(400, "invalid_deadline", "X-Request-Deadline must be Unix seconds."))
+        allowance = self.access.find_allowance(workspace)
+        if allowance is not None:
+            deadline = min(deadline, now + allowance.deadline_seconds)
         if deadline <= now:
             return Err(_refuse(408, "deadline_exceeded", "The request's deadline has passed."))
         key = call.headers.get("idempotency-key", "")
@@ -176,6 +194,8 @@
         priority = _read_priority(call)
         if priority is None:
             return Err(_refuse(400, "invalid_priority", "X-Request-Priority must be -100 to 100."))
+        if allowance is not None:
+            priority = min(priority or allowance.priority, allowance.priority)
         return Ok(
             GenerationRecord(
                 generation_id=create_generation_id(),
--- a/packages/daemon/gypsumpost_daemon/daemon.py
+++ b/packages/daemon/gypsumpost_daemon/daemon.py
@@ -5,17 +5,22 @@
 
 import trio
 
+from gypsumpost_core.endpoint import Endpoint
 from gypsumpost_core.host import Host
+from gypsumpost_core.membership_settings import MembershipSettings
 from gypsumpost_core.resumption_policies import RESUMPTION
 from gypsumpost_core.router import Router
+from gypsumpost_daemon.access_control import AccessControl
 from gypsumpost_daemon.caller_application import CallerApplication
 from gypsumpost_daemon.copy_client import CopyClient
 from gypsumpost_daemon.copy_store import CopyStore
 from gypsumpost_daemon.endpoint_table import EndpointTable
 from gypsumpost_daemon.engine_client import EngineClient
 from gypsumpost_daemon.engine_prober import EngineProber
+from gypsumpost_daemon.garbage_collector import configure_collector
 from gypsumpost_daemon.generation_context import GenerationContext
 from gypsumpost_daemon.generation_supervisor import GenerationSupervisor
+from gypsumpost_daemon.gossip import Gossip
 from gypsumpost_daemon.host_directory import HostDirectory
 from gypsumpost_daemon.host_list_file import read_host_list
 from gypsumpost_daemon.http_server import HTTP_SERVERS
@@ -24,13 +29,24 @@
 from gypsumpost_daemon.log import Log
 from gypsumpost_daemon.message_kind import MessageKind
 from gypsumpost_daemon.peer_network import PeerNetwork
+from gypsumpost_daemon.platform_parts import PlatformParts
 from gypsumpost_daemon.running_server import RunningServer
 from gypsumpost_daemon.settings import Settings
+from gypsumpost_daemon.settings_access import SettingsAccess
 from gypsumpost_daemon.stream_canceller import StreamCanceller
 from gypsumpost_daemon.take_over_client import TakeOverClient
 
 LOG = Log(prefix="daemon")
 
+
+async def serve_daemon(settings: Settings) -> None:
+    """Run a daemon until a planned stop.
+
+    :param settings: checked settings.
+    """
+    await Daemon(settings=settings).run()
+
+
 OPEN_KEY = b"gypsumpost"
 """Used between daemons without a key file, for trials on one machine."""
 
@@ -51,9 +67,17 @@
             api_address=settings.api_address,
         )
         self._directory = HostDirectory(own=own)
-        self._network = PeerNetwork(directory=self._directory, key=_read_key(settings))
+        key = _read_key(settings)
+        self._network = PeerNetwork(directory=self._directory, key=key)
         self._endpoints = EndpointTable()
+        self._gossip = self._create_gossip(key)
+        self._platform: PlatformParts | None = None
+        self._access: AccessControl = SettingsAccess(keys=settings.workspace_keys)
+        if settings.platform_address:
+            self._platform = self._create_platform_parts(key)
+            self._access = self._platform.access
         self._router = Router(failure_domain=own.failure_domain, policy=settings.routing)
+        self._router.update_endpoints(self._endpoints.list_all(), trio.current_time())
         self._engines = EngineClient(transport=settings.engine_transport)
         self._canceller = StreamCanceller(engines=self._engines)
         self._copy_store = CopyStore(max_bytes=settings.held_bytes)
@@ -67,9 +91,12 @@
     async def run(self) -> None:
         """Serve until a signal asks for a planned stop and all requests have ended."""
         self._add_handlers()
-        self._load_host_list()
+        configure_collector()
         async with trio.open_nursery() as nursery:
             await nursery.start(self._network.run)
+            await nursery.start(self._gossip.run)
+            if self._platform is not None:
+                await nursery.start(self._platform.run)
             await nursery.start(self._canceller.run)
             await nursery.start(self._copy_client.run)
             await nursery.start(self._supervisor.run)
@@ -77,6 +104,7 @@
             server = await self._start_server(nursery)
             LOG.write("ready", address=server.address)
             await self._wait_for_stop(server)
+            await self._gossip.leave()
             nursery.cancel_scope.cancel()
 
     def _create_supervisor(self) -> GenerationSupervisor:
@@ -95,6 +123,7 @@
             ),
             copies=self._copy_store,
             take_overs=TakeOverClient(directory=self._directory, network=self._network),
+            access=self._access,
         )
 
     def _create_application(self) -> CallerApplication:
@@ -104,17 +133,39 @@
             keys=KeyClient(
                 directory=self._directory, network=self._network, own_entries=self._key_directory
             ),
-            find_workspace=self._settings.workspace_keys.find_workspace,
+            access=self._access,
             list_models=self._endpoints.list_models,
+            handle_service=self._platform.calls.handle if self._platform else None,
+        )
+
+    def _create_gossip(self, key: bytes) -> Gossip:
+        settings = self._settings
+        listed: list[Host] = []
+        if settings.host_list_file:
+            listed, endpoints = read_host_list(settings.host_list_file)
+            self._endpoints.replace(endpoints)
+        return Gossip(
+            directory=self._directory,
+            key=key,
+            settings=MembershipSettings(
+                probe_interval=settings.probe_interval, probe_timeout=settings.probe_timeout
+            ),
+            seeds=[*settings.seeds, *listed],
+        )
+
+    def _create_platform_parts(self, key: bytes) -> PlatformParts:
+        parts = PlatformParts(
+            settings=self._settings,
+            directory=self._directory,
+            network=self._network,
+            gossip=self._gossip,
+            endpoints=self._endpoints,
+            secret=key,
         )
+        parts.host_list.listen(lambda snapshot: self._take_endpoints(list(snapshot.endpoints)))
+        return parts
 
-    def _load_host_list(self) -> None:
-        if not self._settings.host_list_file:
-            return
-        hosts, endpoints = read_host_list(self._settings.host_list_file)
-        for host in hosts:
-            if host.host_id != self._settings.host_id:
-                self._directory.update(host, live=True)
+    def _take_endpoints(self, endpoints: list[Endpoint]) -> None:
         self._endpoints.replace(endpoints)
         self._router.update_endpoints(endpoints, trio.current_time())
 
--- a/packages/daemon/gypsumpost_daemon/generation_supervisor.py
+++ b/packages/daemon/gypsumpost_daemon/generation_supervisor.py
@@ -11,6 +11,7 @@
 from gypsumpost_core.generation_record import GenerationRecord
 from gypsumpost_core.invariant import Invariant, require
 from gypsumpost_core.run_state import RunState
+from gypsumpost_daemon.access_control import AccessControl
 from gypsumpost_daemon.copy_codec import SCHEMA, fill_record
 from gypsumpost_daemon.copy_store import CopyStore
 from gypsumpost_daemon.generation_context import GenerationContext
@@ -49,12 +50,15 @@
     :param context: shared by all generation tasks.
     :param copies: copies held for other daemons.
     :param take_overs: fetches state from other daemons.
+    :param access: takes account of what workspaces use.
     """
 
     host_id: str
     context: GenerationContext
     copies: CopyStore
     take_overs: TakeOverClient
+    access: AccessControl
+    _charged: dict[str, int] = attrs.field(factory=dict, init=False)
     _tasks: dict[str, GenerationTask] = attrs.field(factory=dict, init=False)
     _nursery: trio.Nursery | None = attrs.field(default=None, init=False)
 
@@ -86,7 +90,7 @@
         route = build_route(record)
         task = GenerationTask(record=record, route=route, context=self.context)
         self._tasks[record.generation_id] = task
-        self._nursery.start_soon(task.run)
+        self._nursery.start_soon(self._run_task, task)
         return task
 
     def find(self, generation_id: str, workspace: str) -> GenerationTask | None:
@@ -178,9 +182,27 @@
         """
         return EventId(generation_id=generation_id, home=self.host_id, copy=NO_HOST, offset=0)
 
+    async def _run_task(self, task: GenerationTask) -> None:
+        record = task.record
+        if not task.generation.finished:
+            self._charged[record.generation_id] = record.length
+            self.access.start_generation(record)
+        await task.run()
+        if record.generation_id in self._charged:
+            self._charge_tokens(record)
+            del self._charged[record.generation_id]
+            self.access.finish_generation(record)
+
+    def _charge_tokens(self, record: GenerationRecord) -> None:
+        charged = self._charged.get(record.generation_id)
+        if charged is not None and record.length > charged:
+            self._charged[record.generation_id] = record.length
+            self.access.charge_tokens(record.workspace, record.length - charged)
+
     def _review_tasks(self) -> None:
         now = time.time()
         for task in list(self._tasks.values()):
+            self._charge_tokens(task.record)
             if task.moved or (task.ended and now > task.record.keep_until):
                 self._drop(task)
             elif _is_abandoned(task):
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/list_access.py
@@ -0,0 +1,49 @@
+"""Access by the operators' lists."""
+
+import attrs
+import trio
+from result import Result
+
+from gypsumpost_core.allowance import Allowance
+from gypsumpost_core.failure import Failure
+from gypsumpost_core.generation_record import GenerationRecord
+from gypsumpost_daemon.list_task import ListTask
+from gypsumpost_daemon.share_task import ShareTask
+
+
+@attrs.frozen(kw_only=True)
+class ListAccess:
+    """Enforces the lists in force with this daemon's shares.
+
+    :param lists: this daemon's copy of the lists.
+    :param shares: this daemon's shares of the allowances.
+    """
+
+    lists: ListTask
+    shares: ShareTask
+
+    def find_workspace(self, key: str) -> Result[str, Failure]:
+        """Return the workspace that a bearer key belongs to."""
+        return self.lists.lists.find_workspace(key)
+
+    def find_allowance(self, workspace: str) -> Allowance | None:
+        """Return what a workspace may use, ``None`` if it has no plan."""
+        return self.lists.lists.find_allowance(workspace)
+
+    async def admit(self, workspace: str, resource: str) -> Result[None, Failure]:
+        """Take one request for a model or service from the workspace's allowance."""
+        await self.shares.prepare(workspace)
+        return self.shares.admission.check(workspace, resource, trio.current_time())
+
+    def start_generation(self, record: GenerationRecord) -> None:
+        """Count a generation as running."""
+        self.shares.admission.start_generation(record.workspace, trio.current_time())
+
+    def charge_tokens(self, workspace: str, count: int) -> None:
+        """Charge generated tokens."""
+        self.shares.admission.charge_tokens(workspace, count, trio.current_time())
+
+    def finish_generation(self, record: GenerationRecord) -> None:
+        """Count a generation as ended."""
+        now = trio.current_time()
+        self.shares.admission.finish_generation(record.workspace, record.length, now)
--- a/packages/daemon/gypsumpost_daemon/main.py
+++ b/packages/daemon/gypsumpost_daemon/main.py
@@ -10,7 +10,7 @@
 from gypsumpost_core.broken_invariant import BrokenInvariant
 from gypsumpost_core.settings_reader import read_settings
 from gypsumpost_daemon.command_line import build_command
-from gypsumpost_daemon.daemon import Daemon
+from gypsumpost_daemon.daemon import serve_daemon
 from gypsumpost_daemon.log import Log, start_logging
 from gypsumpost_daemon.settings import Settings
 
@@ -38,10 +38,9 @@
             print(f"gypsumpostd: {message}", file=sys.stderr)
         return USAGE_STATUS
     start_logging(settings.ok_value.host_id, settings.ok_value.log_file)
-    daemon = Daemon(settings=settings.ok_value)
     status = 0
     try:
-        trio.run(daemon.run)
+        trio.run(serve_daemon, settings.ok_value)
     except* BrokenInvariant as group:
         for error in group.exceptions:
             Log(prefix="daemon").write("stopped by a broken invariant", error=str(error))
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/platform_parts.py
@@ -0,0 +1,102 @@
+"""The parts of the daemon that need the platform."""
+
+import time
+from pathlib import Path
+
+import trio
+
+from gypsumpost_daemon import claim_batcher, direct_claims
+from gypsumpost_daemon.admin_application import AdminApplication
+from gypsumpost_daemon.admin_lists import AdminLists
+from gypsumpost_daemon.admin_server import serve_admin
+from gypsumpost_daemon.claim_mode import CLAIM_MODES
+from gypsumpost_daemon.endpoint_table import EndpointTable
+from gypsumpost_daemon.gossip import Gossip
+from gypsumpost_daemon.host_directory import HostDirectory
+from gypsumpost_daemon.host_list import HostList
+from gypsumpost_daemon.list_access import ListAccess
+from gypsumpost_daemon.list_task import ListTask
+from gypsumpost_daemon.peer_network import PeerNetwork
+from gypsumpost_daemon.service_calls import ServiceCalls
+from gypsumpost_daemon.settings import Settings
+from gypsumpost_daemon.share_task import ShareTask
+from gypsumpost_daemon.store_client import StoreClient
+
+REGISTERED_CLAIM_MODES = (claim_batcher, direct_claims)
+"""Importing these modules fills the registry of claim modes."""
+
+ANNOUNCE_INTERVAL = 0.2
+"""Seconds between looks at the revision in force, which gossip announces."""
+
+
+class PlatformParts:
+    """Store client, lists, shares, service calls and administration.
+
+    :param settings: settings of the daemon.
+    :param directory: the known hosts.
+    :param network: connections to other daemons.
+    :param gossip: membership, which announces the revision in force.
+    :param endpoints: the known endpoints.
+    :param secret: the deployment's shared key.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: Settings,
+        directory: HostDirectory,
+        network: PeerNetwork,
+        gossip: Gossip,
+        endpoints: EndpointTable,
+        secret: bytes,
+    ) -> None:
+        self._settings = settings
+        self._gossip = gossip
+        self.store = StoreClient(
+            addresses=[settings.platform_address], failure_domain=settings.failure_domain
+        )
+        self.host_list = HostList(platform_address=settings.platform_address)
+        self.host_list.listen(gossip.take_host_list)
+        self.lists = ListTask(directory=directory, peers=network, store=self.store)
+        gossip.listen_revision(self.lists.observe_peer_revision)
+        self.shares = ShareTask(
+            directory=directory,
+            peers=network,
+            get_lists=lambda: self.lists.lists,
+            mode=settings.share_mode,
+        )
+        self.access = ListAccess(lists=self.lists, shares=self.shares)
+        self.calls = ServiceCalls(
+            directory=directory,
+            incarnation=time.time_ns() // 1_000_000,
+            network=network,
+            claims=CLAIM_MODES.create(
+                settings.claim_mode, directory=directory, network=network, store=self.store
+            ),
+            secret=secret,
+            list_endpoints=endpoints.list_all,
+        )
+        self._admin_lists = AdminLists(store=self.store, task=self.lists, directory=directory)
+
+    async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Run all parts until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.host_list.run)
+            nursery.start_soon(self.lists.run)
+            nursery.start_soon(self.shares.run)
+            nursery.start_soon(self._announce_revision)
+            await nursery.start(self.calls.run)
+            if self._settings.admin_address:
+                await nursery.start(self._serve_admin)
+            task_status.started()
+
+    async def _serve_admin(self, task_status: trio.TaskStatus[list[str]]) -> None:
+        key = Path(self._settings.admin_key_file).read_text().strip()
+        application = AdminApplication(key=key)
+        self._admin_lists.add_routes(application)
+        await serve_admin(application, self._settings.admin_address, task_status)
+
+    async def _announce_revision(self) -> None:
+        while True:
+            self._gossip.set_list_revision(self.lists.revision)
+            await trio.sleep(ANNOUNCE_INTERVAL)
--- a/packages/daemon/gypsumpost_daemon/settings.py
+++ b/packages/daemon/gypsumpost_daemon/settings.py
@@ -15,6 +15,7 @@
     parse_number,
     parse_optional_address,
 )
+from gypsumpost_core.share_mode import SHARE_MODES
 from gypsumpost_daemon.http_server import HTTP_SERVERS
 from gypsumpost_daemon.seeds_parser import parse_seeds
 from gypsumpost_daemon.workspace_keys import WorkspaceKeys, parse_workspace_keys
@@ -174,6 +175,18 @@
         accepted="a number from 0 to 86400",
         help="How long a planned stop waits for requests in flight.",
     )
+    claim_mode: str = define_setting(
+        default="batched",
+        parse=parse_choice(("batched", "write-per-call")),
+        accepted="batched, write-per-call",
+        help="How claims of non-idempotent calls reach the store.",
+    )
+    share_mode: str = define_setting(
+        default="coordinated",
+        parse=parse_choice(SHARE_MODES.names()),
+        accepted=", ".join(SHARE_MODES.names()),
+        help="How allowances are shared between daemons.",
+    )
     seeds: tuple[Host, ...] = define_setting(
         default="",
         parse=parse_seeds,
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/settings_access.py
@@ -0,0 +1,49 @@
+"""Access by the workspaces in the settings, without allowances."""
+
+import attrs
+from result import Err, Ok, Result
+
+from gypsumpost_core.allowance import Allowance
+from gypsumpost_core.failure import Failure
+from gypsumpost_core.generation_record import GenerationRecord
+from gypsumpost_core.run_state import RunState
+from gypsumpost_daemon.workspace_keys import WorkspaceKeys
+
+UNKNOWN_KEY = Failure(
+    status=401,
+    code="invalid_api_key",
+    message="The bearer key belongs to no workspace.",
+    run_state=RunState.NOT_RUN,
+)
+
+
+@attrs.frozen(kw_only=True)
+class SettingsAccess:
+    """Serves a deployment without a platform, where nothing is limited.
+
+    :param keys: workspaces by bearer key.
+    """
+
+    keys: WorkspaceKeys
+
+    def find_workspace(self, key: str) -> Result[str, Failure]:
+        """Return the workspace that a bearer key belongs to."""
+        workspace = self.keys.find_workspace(key)
+        return Err(UNKNOWN_KEY) if workspace is None else Ok(workspace)
+
+    def find_allowance(self, workspace: str) -> Allowance | None:
+        """Return ``None``, as nothing limits a workspace."""
+        return None
+
+    async def admit(self, workspace: str, resource: str) -> Result[None, Failure]:
+        """Accept every request."""
+        return Ok(None)
+
+    def start_generation(self, record: GenerationRecord) -> None:
+        """Count nothing."""
+
+    def charge_tokens(self, workspace: str, count: int) -> None:
+        """Charge nothing."""
+
+    def finish_generation(self, record: GenerationRecord) -> None:
+        """Count nothing."""
