Run the demo over the whole deployment, with platform, lists and gate calls

Cause: with the platform wired in, the first requests of a workspace were refused: a daemon without a share waited 0.1 s only, while a new coordinator grants nothing for 4.5 s, and a new bucket was empty although its host may use a burst. The routing registry was empty when settings were imported before the router. Conclusion: a first request waits for its share up to 5 s; a new bucket starts with its lowest capacity.

--- a/packages/bench/gypsumpost_bench/demo.py
+++ b/packages/bench/gypsumpost_bench/demo.py
@@ -4,7 +4,10 @@
 
 import trio
 
-from gypsumpost_bench.deployment import KEYS, Deployment, DeploymentPlan
+from gypsumpost_bench.charge_client import ChargeClient, count_executions
+from gypsumpost_bench.deployment import Deployment
+from gypsumpost_bench.deployment_lists import KEYS
+from gypsumpost_bench.deployment_plan import DeploymentPlan
 from gypsumpost_cli.answer import Answer
 from gypsumpost_cli.answer_check import find_answer_error
 from gypsumpost_cli.answer_client import AnswerClient
@@ -14,6 +17,8 @@
 
 REQUESTS = 9
 MAX_TOKENS = 160
+CHARGES = 40
+CHARGE_INTERVAL = 0.1
 KILL_ENGINE_AFTER = 1.5
 KILL_DAEMON_AFTER = 3.5
 """Seconds after the requests; both fall into the answers, which take about 7 s."""
@@ -26,22 +31,24 @@
     """
     plan = DeploymentPlan(token_gaps=(0.042, 0.042, 0.03, 0.06))
     with trio.fail_after(LIMIT):
-        answers = await show_answers(plan)
-    return print_answers(answers)
+        return await show_answers(plan)
 
 
-async def show_answers(plan: DeploymentPlan) -> list[Answer]:
+async def show_answers(plan: DeploymentPlan) -> bool:
     """Send requests to a deployment and kill an engine and a daemon while answers are written.
 
     :param plan: the deployment.
+    :returns: true if every answer is whole and correct and no charge was made twice.
     """
     async with Deployment(plan=plan) as deployment:
         print(f"{len(deployment.daemons)} daemons and {len(deployment.engines)} engines run")
         client = AnswerClient(addresses=deployment.list_addresses(), key=KEYS["laurentides"])
+        charges = ChargeClient(addresses=deployment.list_addresses(), key=KEYS["laurentides"])
         answers: list[Answer] = []
         async with trio.open_nursery() as nursery:
             for number in range(REQUESTS):
                 nursery.start_soon(request_answer, client, number, answers)
+            nursery.start_soon(make_charges, charges)
             await trio.sleep(KILL_ENGINE_AFTER)
             print("SIGKILL to engine-1")
             deployment.engines["engine-1"].kill()
@@ -49,7 +56,8 @@
             print("SIGKILL to d2-host1")
             deployment.daemons["d2-host1"].kill()
         await client.aclose()
-    return answers
+        counts = await count_executions([s.address for s in deployment.services.values()])
+    return print_charges(charges, counts) and print_answers(answers)
 
 
 async def request_answer(client: AnswerClient, number: int, answers: list[Answer]) -> None:
@@ -67,6 +75,32 @@
     answers.append(await client.generate(body, chat=number % 3 == 0))
 
 
+async def make_charges(charges: ChargeClient) -> None:
+    """Make gate charges while an engine and a daemon die.
+
+    :param charges: the caller.
+    """
+    async with trio.open_nursery() as nursery:
+        for number in range(CHARGES):
+            nursery.start_soon(charges.charge, number)
+            await trio.sleep(CHARGE_INTERVAL)
+
+
+def print_charges(charges: ChargeClient, counts: dict[str, int]) -> bool:
+    """Print what became of the gate charges.
+
+    :param charges: the caller.
+    :param counts: executions that the services counted for each call.
+    :returns: true if no charge was made twice and none that was called not run was made.
+    """
+    twice = sum(count > 1 for count in counts.values())
+    false = sum(charges.outcomes.get(i) == "not_run" for i in counts)
+    done = sum(outcome == "run" for outcome in charges.outcomes.values())
+    total = len(charges.outcomes)
+    print(f"{total} gate charges: {done} done, {twice} made twice, {false} falsely said not run")
+    return twice == 0 and false == 0 and done > 0
+
+
 def print_answers(answers: list[Answer]) -> bool:
     """Print a line for each answer.
 
--- a/packages/core/gypsumpost_core/router.py
+++ b/packages/core/gypsumpost_core/router.py
@@ -5,8 +5,6 @@
 
 from result import Err, Ok, Result
 
-# The imports of the policies fill the registry.
-from gypsumpost_core import expected_time_policy, routing_policies  # noqa: F401
 from gypsumpost_core.attempt_outcome import AttemptOutcome
 from gypsumpost_core.cache_event import CacheEvent
 from gypsumpost_core.endpoint import Endpoint
@@ -18,7 +16,8 @@
 from gypsumpost_core.invariant import Invariant, require
 from gypsumpost_core.probe_pool import ProbePool
 from gypsumpost_core.route_request import RouteRequest
-from gypsumpost_core.routing_policy import ROUTING, RoutingContext
+from gypsumpost_core.routing_policies import ROUTING
+from gypsumpost_core.routing_policy import RoutingContext
 from gypsumpost_core.routing_settings import RoutingSettings
 from gypsumpost_core.run_state import RunState
 from gypsumpost_core.smoothed_value import SmoothedValue
--- /dev/null
+++ b/packages/core/gypsumpost_core/routing_baselines.py
@@ -0,0 +1,53 @@
+"""Routing policies that serve as baselines."""
+
+from collections.abc import Sequence
+
+import attrs
+
+from gypsumpost_core.engine_view import EngineView
+from gypsumpost_core.route_request import RouteRequest
+from gypsumpost_core.routing_policy import ROUTING, RoutingContext
+
+
+def get_reported_load(engine: EngineView) -> int:
+    """Return the load of the latest report, uncorrected."""
+    report = engine.estimate.report
+    return report.running + report.waiting if report is not None else 0
+
+
+@ROUTING.register("round-robin")
+@attrs.define(kw_only=True)
+class RoundRobinPolicy:
+    """Takes the engines in turn."""
+
+    _next: int = 0
+
+    def pick(
+        self, request: RouteRequest, candidates: Sequence[EngineView], context: RoutingContext
+    ) -> EngineView:
+        """Return the next engine."""
+        self._next += 1
+        return candidates[self._next % len(candidates)]
+
+
+@ROUTING.register("least-loaded")
+class LeastLoadedPolicy:
+    """Takes the engine with the lowest reported load."""
+
+    def pick(
+        self, request: RouteRequest, candidates: Sequence[EngineView], context: RoutingContext
+    ) -> EngineView:
+        """Return the engine with the lowest reported load."""
+        return min(candidates, key=get_reported_load)
+
+
+@ROUTING.register("random-of-two")
+class RandomOfTwoPolicy:
+    """Takes the engine with the lower reported load of two random ones."""
+
+    def pick(
+        self, request: RouteRequest, candidates: Sequence[EngineView], context: RoutingContext
+    ) -> EngineView:
+        """Return the less loaded of two random engines."""
+        pair = context.chance.sample(candidates, min(2, len(candidates)))
+        return min(pair, key=get_reported_load)
--- a/packages/core/gypsumpost_core/token_bucket.py
+++ b/packages/core/gypsumpost_core/token_bucket.py
@@ -17,6 +17,7 @@
         self._rate = 0.0
         self._level = minimum_capacity
         self._updated = now
+        self._is_new = True
 
     def set_rate(self, rate: float, now: float) -> None:
         """Change the rate; what has accrued above the new capacity is lost.
@@ -29,10 +30,13 @@
         self._level = min(self._level, self._compute_capacity())
 
     def set_minimum(self, capacity: float) -> None:
-        """Change the lowest capacity.
+        """Change the lowest capacity; a new bucket starts with it.
 
         :param capacity: the capacity that the bucket has at any rate.
         """
+        if self._is_new:
+            self._level += capacity - self._minimum
+            self._is_new = False
         self._minimum = capacity
 
     def take(self, count: float, now: float) -> None:
--- a/packages/daemon/gypsumpost_daemon/list_access.py
+++ b/packages/daemon/gypsumpost_daemon/list_access.py
@@ -32,7 +32,9 @@
 
     async def admit(self, workspace: str, resource: str) -> Result[None, Failure]:
         """Take one request for a model or service from the workspace's allowance."""
-        await self.shares.prepare(workspace)
+        allowance = self.find_allowance(workspace)
+        if allowance is not None and allowance.requests_per_second > 0:
+            await self.shares.prepare(workspace)
         return self.shares.admission.check(workspace, resource, trio.current_time())
 
     def start_generation(self, record: GenerationRecord) -> None:
--- a/packages/daemon/gypsumpost_daemon/share_task.py
+++ b/packages/daemon/gypsumpost_daemon/share_task.py
@@ -29,8 +29,9 @@
 REPLY_SECONDS = 0.4
 """Shorter than the time that remains of a share when it is renewed."""
 
-PREPARE_SECONDS = 0.1
-"""The longest that a workspace's first request waits for a share."""
+PREPARE_SECONDS = 5.0
+"""The longest that a workspace's first request waits for a share; a new coordinator grants none
+for 4.5 s, in which it learns what its predecessor granted."""
 
 LOG = Log(prefix="shares")
 
