Split the generation task by job

An attempt that is cancelled while its stream is being opened is now recorded as ended; before, it counted as in flight on its engine for ever. Behaviour is otherwise unchanged.

--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/attempt_reader.py
@@ -0,0 +1,180 @@
+"""Reads the stream of an attempt and finds out when its engine is lost."""
+
+import time
+from collections.abc import Callable, Sequence
+
+import attrs
+import trio
+from result import Err, Ok
+
+from gypsumpost_core.attempt_outcome import AttemptOutcome
+from gypsumpost_core.batch_outcome import BatchOutcome
+from gypsumpost_core.resumption_policy import ResumptionAction, ResumptionDecision, StreamState
+from gypsumpost_core.route_request import RouteRequest
+from gypsumpost_core.token_batch import TokenBatch
+from gypsumpost_daemon.attempt_route import AttemptRoute
+from gypsumpost_daemon.engine_event import EngineEvent
+from gypsumpost_daemon.engine_failure import EngineFailure
+from gypsumpost_daemon.engine_stream import EngineStream
+from gypsumpost_daemon.generation_context import GenerationContext
+from gypsumpost_daemon.generation_status import GenerationStatus
+
+CONNECT_SECONDS = 1.0
+"""Longest wait for the head of an engine's response to a resume call."""
+
+
+@attrs.define(kw_only=True)
+class AttemptReader:
+    """Takes output into the generation, with checks of the stream's silence.
+
+    :param status: the generation.
+    :param routes: describes attempts for routing.
+    :param context: the parts of the daemon that it talks to.
+    :param handle_output: called after output was taken in.
+    """
+
+    status: GenerationStatus
+    routes: AttemptRoute
+    context: GenerationContext
+    handle_output: Callable[[], None]
+    produced: bool = attrs.field(default=False, init=False)
+    _last_token_at: float = attrs.field(factory=trio.current_time, init=False)
+    _resumes: int = attrs.field(default=0, init=False)
+    _first_token: bool = attrs.field(default=False, init=False)
+
+    def begin(self, now: float) -> None:
+        """Note that a new attempt is sent.
+
+        :param now: process time in seconds.
+        """
+        self._last_token_at, self._first_token, self._resumes = now, True, 0
+
+    async def reopen(self) -> Ok[EngineStream] | Err[EngineFailure]:
+        """Open the stream of the current attempt at the first missing token."""
+        offset = self.status.generation.resume_stream()
+        record = self.status.record
+        path = f"/v1/streams/{record.stream_id}?offset={offset}"
+        deadline = trio.current_time() + CONNECT_SECONDS
+        return await self.context.engines.open(record.engine_address, path, {}, None, deadline)
+
+    async def read(self, stream: EngineStream, route: RouteRequest) -> AttemptOutcome:
+        """Read the attempt's stream, resumed as often as the policy says.
+
+        :param stream: the open stream; closed on return.
+        :param route: the attempt as it was sent.
+        """
+        while True:
+            try:
+                outcome = await self._read_stream(stream, route)
+            finally:
+                with trio.CancelScope(shield=True):
+                    await stream.aclose()
+            if outcome is not AttemptOutcome.DIED:
+                return outcome
+            if self._decide(connected=False).action is not ResumptionAction.RESUME:
+                return outcome
+            self._resumes += 1
+            opened = await self.reopen()
+            if isinstance(opened, Err):
+                return outcome
+            stream = opened.ok_value
+
+    def cancel_stream(self) -> None:
+        """Cancel the current attempt on its engine."""
+        record = self.status.record
+        if record.attempt:
+            self.context.canceller.cancel(record.engine_address, record.stream_id)
+
+    async def _read_stream(self, stream: EngineStream, route: RouteRequest) -> AttemptOutcome:
+        check_at = 0.0
+        while True:
+            with trio.move_on_at(max(check_at, self._find_silence_end(route))) as scope:
+                received = await stream.receive()
+            if scope.cancelled_caught:
+                decision = self._decide(connected=True)
+                if decision.action is not ResumptionAction.WAIT:
+                    return AttemptOutcome.SILENT
+                check_at = decision.check_at
+                continue
+            check_at = 0.0
+            if isinstance(received, Err):
+                return AttemptOutcome.DIED
+            outcome = self._take_events(received.ok_value, route)
+            if outcome is not None:
+                return outcome
+
+    def _take_events(
+        self, events: Sequence[EngineEvent], route: RouteRequest
+    ) -> AttemptOutcome | None:
+        count = 0
+        generation = self.status.generation
+        for event in events:
+            if event.done:
+                break
+            outcome = generation.accept(_create_batch(event, self.status.record.attempt))
+            if outcome is BatchOutcome.LOST or event.finish_reason == "cancelled":
+                return AttemptOutcome.DIED
+            count += len(event.token_ids)
+            if outcome is BatchOutcome.FINISHED:
+                self._stop_engine_early(event)
+                break
+        if count:
+            self._record_tokens(count, route)
+        self.handle_output()
+        return AttemptOutcome.FINISHED if generation.finished else None
+
+    def _stop_engine_early(self, event: EngineEvent) -> None:
+        if event.finish_reason is None:
+            self.cancel_stream()
+
+    def _record_tokens(self, count: int, route: RouteRequest) -> None:
+        now = trio.current_time()
+        gap = now - self._last_token_at
+        engine = self.status.record.engine
+        if self._first_token:
+            self.context.router.record_first_token(engine, route, gap, now)
+        else:
+            self.context.router.record_tokens(engine, count, gap, now)
+        self._first_token = False
+        self._last_token_at = now
+        self._resumes = 0
+        self.produced = True
+
+    def _find_silence_end(self, route: RouteRequest) -> float:
+        router, engine = self.context.router, self.status.record.engine
+        if self._first_token:
+            return self._last_token_at + router.compute_first_token_bound(engine, route)
+        return self._last_token_at + router.compute_silence_bound(engine)
+
+    def _decide(self, connected: bool) -> ResumptionDecision:
+        now = trio.current_time()
+        record = self.status.record
+        router, name = self.context.router, record.engine
+        route = self.routes.describe(frozenset({name}))
+        return self.context.resumption.decide(
+            StreamState(
+                now=now,
+                last_token_at=self._last_token_at,
+                connected=connected,
+                engine_down=router.is_down(name, now),
+                resumes=self._resumes,
+                silence_bound=self._find_silence_end(route) - self._last_token_at,
+                mean_gap=router.get_mean_gap(name),
+                elsewhere_time=router.expect_elsewhere(route, now),
+                prompt_tokens=len(record.prompt_token_ids),
+                output_tokens=record.length,
+                deadline=now + record.deadline - time.time(),
+            )
+        )
+
+
+def _create_batch(event: EngineEvent, attempt: int) -> TokenBatch:
+    prompt = event.prompt_token_ids
+    return TokenBatch(
+        attempt=attempt,
+        offset=event.offset,
+        token_ids=tuple(event.token_ids),
+        text=event.text,
+        prompt_token_ids=None if prompt is None else tuple(prompt),
+        finish_reason=event.finish_reason,
+    )
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/attempt_route.py
@@ -0,0 +1,48 @@
+"""What routing needs to know about each attempt of a generation."""
+
+import attrs
+
+from gypsumpost_core.endpoint import Endpoint
+from gypsumpost_core.generation_record import GenerationRecord
+from gypsumpost_core.model_ref import ModelRef
+from gypsumpost_core.route_request import RouteRequest
+
+
+@attrs.define(kw_only=True)
+class AttemptRoute:
+    """Describes attempts for routing and remembers the engines that failed.
+
+    :param record: state of the generation.
+    :param route: what routing needs to know about the request.
+    """
+
+    record: GenerationRecord
+    route: RouteRequest
+    excluded: set[str] = attrs.field(factory=set)
+
+    def describe(self, excluding: frozenset[str] = frozenset()) -> RouteRequest:
+        """Return the description of an attempt that starts with the output so far.
+
+        :param excluding: further engines that it must not use.
+        """
+        record = self.record
+        prompt = len(record.prompt_token_ids) + record.length or self.route.prompt_tokens
+        return attrs.evolve(
+            self.route,
+            exact=record.exact if record.pieces else None,
+            prompt_tokens=prompt,
+            max_tokens=record.max_tokens - record.length,
+            priority=record.priority,
+            excluded=frozenset(self.excluded | excluding),
+        )
+
+
+def find_exact(engine: Endpoint, route: RouteRequest) -> ModelRef:
+    """Return what an engine runs for a request.
+
+    :param engine: the chosen engine.
+    :param route: the attempt.
+    """
+    if route.exact is not None:
+        return route.exact
+    return next(ref for ref in engine.models if ref.model == route.model)
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/attempt_runner.py
@@ -0,0 +1,95 @@
+"""Runs one attempt of a generation on an engine."""
+
+import attrs
+import trio
+from result import Err, Ok
+
+from gypsumpost_core.attempt_outcome import AttemptOutcome
+from gypsumpost_core.endpoint import Endpoint
+from gypsumpost_core.route_request import RouteRequest
+from gypsumpost_daemon.attempt_body import build_attempt
+from gypsumpost_daemon.attempt_reader import AttemptReader
+from gypsumpost_daemon.attempt_route import AttemptRoute, find_exact
+from gypsumpost_daemon.engine_failure import EngineFailure
+from gypsumpost_daemon.engine_stream import EngineStream
+from gypsumpost_daemon.generation_context import GenerationContext
+from gypsumpost_daemon.generation_status import GenerationStatus
+from gypsumpost_daemon.log import Log
+
+LOG = Log(prefix="generation")
+
+
+@attrs.define(kw_only=True)
+class AttemptRunner:
+    """Sends an attempt, reads its output and records how it ended.
+
+    :param status: the generation.
+    :param routes: describes attempts for routing.
+    :param reader: reads the attempt's stream.
+    :param context: the parts of the daemon that it talks to.
+    """
+
+    status: GenerationStatus
+    routes: AttemptRoute
+    reader: AttemptReader
+    context: GenerationContext
+
+    async def run(self, engine: Endpoint, route: RouteRequest) -> AttemptOutcome:
+        """Run the next attempt.
+
+        :param engine: the chosen engine.
+        :param route: the attempt.
+        """
+        now = trio.current_time()
+        outcome = AttemptOutcome.CANCELLED
+        try:
+            opened = await self._open(engine, route, now)
+            if isinstance(opened, Ok):
+                outcome = await self.reader.read(opened.ok_value, route)
+            else:
+                outcome = self._judge_refusal(opened.err_value)
+        finally:
+            self.context.router.record_end(engine.name, route, outcome, trio.current_time())
+            self._cancel_unfinished(outcome)
+        if outcome is not AttemptOutcome.FINISHED:
+            LOG.write("attempt ended", outcome=outcome.value, **self.status.describe())
+            self.routes.excluded.add(engine.name)
+        return outcome
+
+    async def resume(self) -> None:
+        """Read the stream of an attempt that another daemon started."""
+        stream = await self.reader.reopen()
+        if isinstance(stream, Err):
+            reason = str(stream.err_value)
+            LOG.write("stream not resumed", reason=reason, **self.status.describe())
+            self.reader.cancel_stream()
+            return
+        LOG.write("stream resumed", **self.status.describe())
+        outcome = AttemptOutcome.CANCELLED
+        try:
+            outcome = await self.reader.read(stream.ok_value, self.routes.describe())
+        finally:
+            self._cancel_unfinished(outcome)
+
+    async def _open(
+        self, engine: Endpoint, route: RouteRequest, now: float
+    ) -> Ok[EngineStream] | Err[EngineFailure]:
+        plan = self.status.generation.begin_attempt(engine, find_exact(engine, route))
+        path, body = build_attempt(self.status.record, plan)
+        headers = {"x-request-id": plan.stream_id, "content-type": "application/json"}
+        LOG.write("attempt started", **self.status.describe())
+        router = self.context.router
+        router.record_start(engine.name, route, now)
+        bound = router.compute_first_token_bound(engine.name, route)
+        self.reader.begin(now)
+        return await self.context.engines.open(engine.address, path, headers, body, now + bound)
+
+    def _cancel_unfinished(self, outcome: AttemptOutcome) -> None:
+        if outcome is not AttemptOutcome.FINISHED and not self.status.moved:
+            self.reader.cancel_stream()
+
+    def _judge_refusal(self, failure: EngineFailure) -> AttemptOutcome:
+        if failure.status is not None and 400 <= failure.status < 500 and failure.status != 404:
+            self.status.fail("engine_refused", failure.status, "The engine refused the request.")
+            return AttemptOutcome.REFUSED
+        return AttemptOutcome.REFUSED if failure.status is not None else AttemptOutcome.DIED
--- a/packages/daemon/gypsumpost_daemon/caller_application.py
+++ b/packages/daemon/gypsumpost_daemon/caller_application.py
@@ -231,7 +231,7 @@
             return Err(_lose("There is no such generation, or its state is lost."))
         if event_id.offset > task.record.length:
             # The tokens may still be in the engine's live stream; a new attempt would differ.
-            task.required_length = max(task.required_length, event_id.offset)
+            task.require_length(event_id.offset)
         elif not task.generation.has_boundary(event_id.offset):
             return Err(_refuse(400, "invalid_event_id", "Last-Event-ID is not of this answer."))
         return Ok((task, event_id.offset))
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/generation_status.py
@@ -0,0 +1,67 @@
+"""What the parts of a generation's task know of it together."""
+
+import time
+
+import attrs
+
+from gypsumpost_core.failure import Failure
+from gypsumpost_core.generation import Generation
+from gypsumpost_core.generation_record import GenerationRecord
+from gypsumpost_core.run_state import RunState
+from gypsumpost_daemon.log import Log
+
+LOG = Log(prefix="generation")
+
+
+@attrs.define(kw_only=True, eq=False)
+class GenerationStatus:
+    """A generation and how it ended, if not by a whole answer.
+
+    :param generation: the generation.
+    :param failure: what readers are told if the answer failed.
+    :param moved: true once another daemon goes on with the generation.
+    :param required_length: output tokens that a caller already has.
+    """
+
+    generation: Generation
+    failure: Failure | None = None
+    moved: bool = False
+    required_length: int = 0
+
+    @property
+    def record(self) -> GenerationRecord:
+        """The state of the generation."""
+        return self.generation.record
+
+    @property
+    def ended(self) -> bool:
+        """True if readers will see nothing more than they can read now."""
+        return self.moved or self.failure is not None or self.generation.end_committed
+
+    def is_late(self) -> bool:
+        """Return true if no attempt may start any more."""
+        return time.time() >= self.record.deadline
+
+    def fail(self, code: str, status: int, message: str) -> None:
+        """End the generation with an error.
+
+        :param code: machine-readable code.
+        :param status: HTTP status code.
+        :param message: one sentence for the caller.
+        """
+        state = RunState.RUN if self.record.attempt else RunState.NOT_RUN
+        self.failure = Failure(status=status, code=code, message=message, run_state=state)
+        LOG.write("failed", code=code, **self.describe())
+
+    def describe(self) -> dict[str, str | int]:
+        """Return the fields of a log line about the generation."""
+        record = self.record
+        return {
+            "request_id": record.request_id,
+            "generation_id": record.generation_id,
+            "workspace": record.workspace,
+            "attempt": record.attempt,
+            "epoch": record.epoch,
+            "endpoint": record.engine,
+            "offset": record.length,
+        }
