Merge the logs of all daemons into one timeline

Cause: each daemon writes its own log, and wall clocks differ, so that a request which moved between hosts could not be followed.

The command timeline orders events by the hybrid clock and filters them. A request id alone lists every attempt, why it began and what the caller received. Refusals and whole answers without a stream are logged now too.

--- /dev/null
+++ b/packages/cli/gypsumpost_cli/generation_history.py
@@ -0,0 +1,79 @@
+"""The attempts of a generation, why each began, and what its caller received."""
+
+from collections.abc import Sequence
+
+import attrs
+
+from gypsumpost_cli.log_event import LogEvent
+
+ATTEMPT_STARTED = "generation: attempt started"
+ATTEMPT_ENDED = "generation: attempt ended"
+STREAM_RESUMED = "generation: stream resumed"
+STREAM_NOT_RESUMED = "generation: stream not resumed"
+TAKEN_OVER = "generation: taken over"
+CALLER_PREFIX = "caller: "
+
+
+@attrs.frozen(kw_only=True)
+class AttemptStep:
+    """One run of an engine for a generation, as one daemon read it.
+
+    :param event: the event that began it.
+    :param reason: why it began.
+    """
+
+    event: LogEvent
+    reason: str
+
+
+@attrs.frozen(kw_only=True)
+class GenerationHistory:
+    """What happened to one generation.
+
+    :param generation_id: the generation, empty for requests that started none.
+    :param attempts: what its daemons read from engines.
+    :param received: events about what callers received.
+    """
+
+    generation_id: str
+    attempts: tuple[AttemptStep, ...]
+    received: tuple[LogEvent, ...]
+
+
+def trace_generations(events: Sequence[LogEvent]) -> list[GenerationHistory]:
+    """Return the history of each generation, in the order of their first events.
+
+    :param events: events in order.
+    """
+    groups: dict[str, list[LogEvent]] = {}
+    for event in events:
+        if event.generation_id or event.request_id:
+            groups.setdefault(event.generation_id, []).append(event)
+    return [_trace(generation_id, group) for generation_id, group in groups.items()]
+
+
+def _trace(generation_id: str, events: list[LogEvent]) -> GenerationHistory:
+    attempts, reason = [], "the request was new"
+    for event in events:
+        if event.sentence in (ATTEMPT_STARTED, STREAM_RESUMED):
+            attempts.append(AttemptStep(event=event, reason=reason))
+            reason = "the log tells no reason"
+        else:
+            reason = _find_reason(event) or reason
+    received = tuple(event for event in events if event.sentence.startswith(CALLER_PREFIX))
+    return GenerationHistory(
+        generation_id=generation_id, attempts=tuple(attempts), received=received
+    )
+
+
+def _find_reason(event: LogEvent) -> str | None:
+    fields = event.fields
+    if event.sentence == ATTEMPT_ENDED:
+        place = f"attempt {fields.get('attempt')} on {fields.get('endpoint')}"
+        return f"{place} ended at offset {fields.get('offset')}: {fields.get('outcome')}"
+    if event.sentence == TAKEN_OVER:
+        return f"{event.host_id} took the generation over at offset {fields.get('offset')}"
+    if event.sentence == STREAM_NOT_RESUMED:
+        place = f"the stream of attempt {fields.get('attempt')} on {fields.get('endpoint')}"
+        return f"{place} could not be resumed: {fields.get('reason')}"
+    return None
--- /dev/null
+++ b/packages/cli/gypsumpost_cli/log_parser.py
@@ -0,0 +1,70 @@
+"""Reads structured logs; lines that are no events are counted."""
+
+from collections.abc import Iterable
+
+import attrs
+import orjson
+
+from gypsumpost_cli.log_event import RESERVED, LogEvent
+
+
+@attrs.frozen(kw_only=True)
+class ParsedLog:
+    """What was read from the logs.
+
+    :param events: the events, in the order of the lines.
+    :param malformed: number of lines that are not JSON, as a killed process leaves them.
+    :param foreign: number of JSON lines without a clock, which other programs wrote.
+    """
+
+    events: tuple[LogEvent, ...]
+    malformed: int
+    foreign: int
+
+
+def parse_log(lines: Iterable[bytes]) -> ParsedLog:
+    """Read the lines of one or more logs.
+
+    :param lines: lines, with or without their line breaks; empty ones are skipped.
+    """
+    events, malformed, foreign = [], 0, 0
+    for line in lines:
+        if not line.strip():
+            continue
+        try:
+            values = orjson.loads(line)
+        except orjson.JSONDecodeError:
+            malformed += 1
+            continue
+        event = _create_event(values)
+        if event is None:
+            foreign += 1
+        else:
+            events.append(event)
+    return ParsedLog(events=tuple(events), malformed=malformed, foreign=foreign)
+
+
+def _create_event(values: object) -> LogEvent | None:
+    if not isinstance(values, dict):
+        return None
+    clock, wall_time = values.get("clock"), values.get("timestamp", 0.0)
+    # A number that is no 64-bit clock would break the order and the formatting of times.
+    if not isinstance(clock, int) or not 0 <= clock < 1 << 63:
+        return None
+    if not isinstance(wall_time, int | float):
+        return None
+    return LogEvent(
+        clock=clock,
+        host_id=str(values.get("host_id", "")),
+        sentence=str(values.get("message", "")),
+        wall_time=wall_time,
+        fields={name: value for name, value in values.items() if name not in RESERVED},
+    )
+
+
+def merge_events(events: Iterable[LogEvent]) -> list[LogEvent]:
+    """Order events by the hybrid clock, which respects causes when wall clocks differ.
+
+    :param events: events of any number of processes, those of each in the order of its log.
+    """
+    return sorted(events, key=lambda event: (event.clock, event.host_id))
--- a/packages/daemon/gypsumpost_daemon/caller_application.py
+++ b/packages/daemon/gypsumpost_daemon/caller_application.py
@@ -18,6 +18,7 @@
 from gypsumpost_core.generation_record import GenerationRecord
 from gypsumpost_core.run_state import RunState
 from gypsumpost_daemon.asgi_application import Receive, Scope, Send
+from gypsumpost_daemon.caller_events import log_refusal
 from gypsumpost_daemon.caller_request import CallerRequest
 from gypsumpost_daemon.caller_response import CallerResponse
 from gypsumpost_daemon.error_body import encode_failure
@@ -26,11 +27,8 @@
 from gypsumpost_daemon.generation_task import GenerationTask
 from gypsumpost_daemon.http_call import HttpCall
 from gypsumpost_daemon.key_client import KeyClient
-from gypsumpost_daemon.log import Log
 from gypsumpost_daemon.settings import Settings
 
-LOG = Log(prefix="caller")
-
 KINDS = {
     "/v1/completions": GenerationKind.COMPLETION,
     "/v1/chat/completions": GenerationKind.CHAT,
@@ -77,6 +75,7 @@
         try:
             failure = await self._route(call)
             if failure is not None:
+                log_refusal(call.request_id, failure)
                 await call.respond(encode_failure(failure))
         finally:
             self.open_requests -= 1
--- a/packages/daemon/gypsumpost_daemon/generation_responder.py
+++ b/packages/daemon/gypsumpost_daemon/generation_responder.py
@@ -10,15 +10,13 @@
 from gypsumpost_core.generation_kind import GenerationKind
 from gypsumpost_core.piece import Piece
 from gypsumpost_core.run_state import RunState
+from gypsumpost_daemon.caller_events import log_failed_answer, log_whole_answer
 from gypsumpost_daemon.caller_response import CallerResponse
 from gypsumpost_daemon.error_body import encode_failure
 from gypsumpost_daemon.event_encoder import DONE, EventEncoder, EventSource
 from gypsumpost_daemon.generation_supervisor import GenerationSupervisor
 from gypsumpost_daemon.generation_task import GenerationTask
 from gypsumpost_daemon.http_call import HttpCall
-from gypsumpost_daemon.log import Log
-
-LOG = Log(prefix="caller")
 
 MOVED = Failure(
     status=409,
@@ -67,8 +65,10 @@
             offset = pieces[-1].end
         failure = _find_failure(task)
         if failure is not None:
+            log_failed_answer(task.record, failure, 0)
             await call.respond(encode_failure(failure))
             return
+        log_whole_answer(task.record)
         body = orjson.dumps(describe_answer(task))
         headers = {"content-type": "application/json"} | self._describe_place(task)
         await call.respond(CallerResponse(status=200, headers=headers, body=body))
@@ -79,6 +79,7 @@
         pieces = await task.read(offset)
         failure = _find_failure(task)
         if not pieces and failure is not None:
+            log_failed_answer(task.record, failure, offset)
             await call.respond(encode_failure(failure))
             return
         headers = {"content-type": "text/event-stream", "cache-control": "no-store"}
@@ -101,21 +102,9 @@
     ) -> bytes:
         failure = _find_failure(task)
         if failure is not None:
-            LOG.write(
-                "answer not completed",
-                request_id=task.record.request_id,
-                generation_id=task.record.generation_id,
-                code=failure.code,
-                offset=offset,
-            )
+            log_failed_answer(task.record, failure, offset)
             return b"data: " + encode_failure(failure).body + b"\n\n"
-        LOG.write(
-            "answer completed",
-            request_id=task.record.request_id,
-            generation_id=task.record.generation_id,
-            finish_reason=task.record.finish_reason,
-            offset=offset,
-        )
+        log_whole_answer(task.record)
         end = encoder.encode_tokens(
             offset,
             "",
