Add a load command that checks every answer

Cause: there was no way to drive a deployment at a given rate and to tell from the callers' side whether answers were whole.

The command load sends generations and gate calls with seeded exponential gaps, whether or not earlier ones have ended. It reports first tokens, gaps, completions and refusals by code, and checks each answer's token chain. The callers' connections are shared by the client of answers and that of gate calls.

--- a/packages/cli/gypsumpost_cli/answer.py
+++ b/packages/cli/gypsumpost_cli/answer.py
@@ -15,6 +15,7 @@
     :param finish_reason: why the answer ended, ``None`` if it did not.
     :param error: why the answer is not whole, ``None`` if it is.
     :param error_status: HTTP status of a refusal, 0 if there was none.
+    :param error_code: code of the last error, empty if there was none.
     :param run_state: run state of a refusal, empty if there was none.
     :param arrivals: process time of each event with tokens.
     :param reconnects: connections after the first.
@@ -29,6 +30,7 @@
     finish_reason: str | None = None
     error: str | None = None
     error_status: int = 0
+    error_code: str = ""
     run_state: str = ""
     arrivals: list[float] = attrs.field(factory=list)
     reconnects: int = 0
--- a/packages/cli/gypsumpost_cli/answer_client.py
+++ b/packages/cli/gypsumpost_cli/answer_client.py
@@ -1,6 +1,5 @@
 """A caller that resumes its answer after a lost connection."""
 
-import itertools
 import uuid
 from typing import Any
 
@@ -10,6 +9,7 @@
 import trio
 
 from gypsumpost_cli.answer import Answer
+from gypsumpost_cli.entry_pool import EntryPool
 from gypsumpost_cli.event_reader import EventReader, ReceivedEvent
 
 RECONNECT_TRIES = 40
@@ -25,20 +25,20 @@
 
     :param addresses: ``ip:port`` of the entry hosts.
     :param key: bearer key of the workspace.
+    :param retries_refusals: false to take a refusal of the request as its answer, as a load must.
     """
 
     addresses: list[str]
     key: str
-    _turns: Any = attrs.field(init=False)
-    _pool: httpcore.AsyncConnectionPool = attrs.field(init=False)
+    retries_refusals: bool = True
+    _entries: EntryPool = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        self._turns = itertools.cycle(self.addresses)
-        self._pool = httpcore.AsyncConnectionPool(max_connections=10_000, retries=0)
+        self._entries = EntryPool(addresses=self.addresses)
 
     async def aclose(self) -> None:
         """Close all connections."""
-        await self._pool.aclose()
+        await self._entries.aclose()
 
     async def generate(
         self, body: dict[str, Any], chat: bool = False, idempotency_key: str = ""
@@ -78,11 +78,13 @@
             ("X-Request-Id", answer.request_id),
             *headers,
         ]
-        url = f"http://{next(self._turns)}{path}"
+        url = self._entries.create_url(path)
+        connections = self._entries.connections
         try:
-            async with self._pool.stream(method, url, headers=headers, content=body) as response:
+            async with connections.stream(method, url, headers=headers, content=body) as response:
                 if response.status != 200:
-                    return _take_refusal(answer, response.status, await response.aread())
+                    final = _take_refusal(answer, response.status, await response.aread())
+                    return final or not (self.retries_refusals or answer.last_event_id)
                 return await self._read_events(answer, response)
         except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException):
             return False
@@ -95,6 +97,8 @@
                     return True
                 if "error" in event.data:
                     answer.error = event.data["error"]["message"]
+                    answer.error_code = event.data["error"]["code"]
+                    answer.run_state = event.data["error"]["run_state"]
                     return bool(event.data["error"]["code"] != "moved")
                 take_event(answer, event)
         return False
@@ -123,4 +127,5 @@
     error = orjson.loads(body)["error"]
     answer.error = f"{status}: {error['message']}"
     answer.error_status, answer.run_state = status, error["run_state"]
+    answer.error_code = error["code"]
     return status < 500
--- /dev/null
+++ b/packages/cli/gypsumpost_cli/entry_pool.py
@@ -0,0 +1,36 @@
+"""Connections of a caller to the entry hosts."""
+
+import itertools
+from typing import Any
+
+import attrs
+import httpcore
+
+MAX_CONNECTIONS = 10_000
+
+
+@attrs.define(kw_only=True)
+class EntryPool:
+    """Connects to entry hosts in turn.
+
+    :param addresses: ``ip:port`` of the entry hosts.
+    """
+
+    addresses: list[str]
+    connections: httpcore.AsyncConnectionPool = attrs.field(init=False)
+    _turns: Any = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._turns = itertools.cycle(self.addresses)
+        self.connections = httpcore.AsyncConnectionPool(max_connections=MAX_CONNECTIONS, retries=0)
+
+    def create_url(self, path: str) -> str:
+        """Return the URL of a path on the next entry host.
+
+        :param path: the path.
+        """
+        return f"http://{next(self._turns)}{path}"
+
+    async def aclose(self) -> None:
+        """Close all connections."""
+        await self.connections.aclose()
--- /dev/null
+++ b/packages/cli/gypsumpost_cli/gate_client.py
@@ -0,0 +1,68 @@
+"""A caller of a plain service whose calls must happen at most once."""
+
+import uuid
+
+import attrs
+import httpcore
+import orjson
+
+from gypsumpost_cli.entry_pool import EntryPool
+
+TRIES = 5
+"""Connections for one call; its key makes a repeat safe."""
+
+CALL_SECONDS = 20.0
+
+
+@attrs.define(kw_only=True)
+class GateClient:
+    """Sends charges to entry hosts in turn.
+
+    :param entries: connections to the entry hosts.
+    :param key: bearer key of the workspace.
+    :param service: name of the service.
+    """
+
+    entries: EntryPool
+    key: str
+    service: str
+
+    async def charge(self, number: int) -> str:
+        """Send one charge and repeat it under its key while connections are lost.
+
+        :param number: number of the charge, sent in the body.
+        :returns: code and run state of the failure, empty for a success.
+        """
+        idempotency_key = uuid.uuid4().hex
+        for _ in range(TRIES):
+            try:
+                response = await self._send(number, idempotency_key)
+            except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException):
+                continue
+            return "" if response.status < 400 else _name_failure(response)
+        return "connection_lost (unknown)"
+
+    async def _send(self, number: int, idempotency_key: str) -> httpcore.Response:
+        headers = [
+            ("Host", "gypsumpost"),
+            ("Authorization", f"Bearer {self.key}"),
+            ("Idempotency-Key", idempotency_key),
+            ("X-Call-Id", idempotency_key),
+            ("Content-Type", "application/json"),
+        ]
+        timeouts = dict.fromkeys(("connect", "read", "write", "pool"), CALL_SECONDS)
+        return await self.entries.connections.request(
+            "POST",
+            self.entries.create_url(f"/v1/services/{self.service}/charges"),
+            headers=headers,
+            content=orjson.dumps({"charge": number}),
+            extensions={"timeout": timeouts},
+        )
+
+
+def _name_failure(response: httpcore.Response) -> str:
+    try:
+        error = orjson.loads(response.content)["error"]
+        return f"{error['code']} ({error['run_state']})"
+    except (orjson.JSONDecodeError, KeyError, TypeError):
+        return f"status {response.status}"
--- /dev/null
+++ b/packages/cli/gypsumpost_cli/load_arrival.py
@@ -0,0 +1,28 @@
+"""One request of a load."""
+
+import attrs
+
+
+@attrs.frozen(kw_only=True)
+class LoadArrival:
+    """A generation or a gate call.
+
+    :param at: seconds after the start of the load.
+    :param number: number within its kind.
+    :param workspace: index of the workspace.
+    :param max_tokens: output tokens, 0 for a gate call.
+    :param chat: true for a chat.
+    :param prompt: prompt of a generation.
+    """
+
+    at: float
+    number: int
+    workspace: int
+    max_tokens: int = 0
+    chat: bool = False
+    prompt: str = ""
+
+    @property
+    def is_gate_call(self) -> bool:
+        """True for a call to a plain service."""
+        return self.max_tokens == 0
--- /dev/null
+++ b/packages/cli/gypsumpost_cli/load_schedule.py
@@ -0,0 +1,59 @@
+"""The requests of a load, decided by its seed alone."""
+
+import heapq
+import random
+from collections.abc import Iterator
+
+from gypsumpost_cli.load_arrival import LoadArrival
+from gypsumpost_cli.load_plan import LoadPlan
+
+CHAT_SHARE = 1 / 3
+
+
+def schedule_load(plan: LoadPlan) -> Iterator[LoadArrival]:
+    """Return all requests in the order of their arrival.
+
+    :param plan: the load.
+    """
+    generations, calls = _schedule_generations(plan), _schedule_gate_calls(plan)
+    return heapq.merge(generations, calls, key=lambda arrival: arrival.at)
+
+
+def _schedule_generations(plan: LoadPlan) -> Iterator[LoadArrival]:
+    chance = random.Random(f"generations/{plan.seed}")
+    prefixes = [_create_prefix(plan, number) for number in range(max(1, plan.prefixes))]
+    for number, at in enumerate(_list_times(plan.rate, plan.seconds, chance)):
+        is_long = chance.random() < plan.long_share
+        yield LoadArrival(
+            at=at,
+            number=number,
+            workspace=_choose_workspace(plan, chance),
+            max_tokens=plan.long_tokens if is_long else plan.short_tokens,
+            chat=chance.random() < CHAT_SHARE,
+            prompt=f"{chance.choice(prefixes)} Incident {number}.",
+        )
+
+
+def _schedule_gate_calls(plan: LoadPlan) -> Iterator[LoadArrival]:
+    chance = random.Random(f"gate calls/{plan.seed}")
+    for number, at in enumerate(_list_times(plan.gate_rate, plan.seconds, chance)):
+        yield LoadArrival(at=at, number=number, workspace=_choose_workspace(plan, chance))
+
+
+def _list_times(rate: float, seconds: float, chance: random.Random) -> Iterator[float]:
+    if rate <= 0:
+        return
+    at = chance.expovariate(rate)
+    while at < seconds:
+        yield at
+        at += chance.expovariate(rate)
+
+
+def _choose_workspace(plan: LoadPlan, chance: random.Random) -> int:
+    weights = [workspace.weight for workspace in plan.workspaces]
+    return chance.choices(range(len(weights)), weights)[0]
+
+
+def _create_prefix(plan: LoadPlan, number: int) -> str:
+    sentence = f"Station {number} reports by camera, by bike and by rider. "
+    return (sentence * (plan.prefix_characters // len(sentence) + 1))[: plan.prefix_characters]
--- /dev/null
+++ b/packages/cli/gypsumpost_cli/tests/test_load.py
@@ -0,0 +1,66 @@
+"""Tests of the load's schedule, results and command."""
+
+from typing import Any
+
+import pytest
+from result import Err
+
+from gypsumpost_cli.answer import Answer
+from gypsumpost_cli.load_plan import LoadPlan
+from gypsumpost_cli.load_report import describe_results, format_results
+from gypsumpost_cli.load_results import LoadResults
+from gypsumpost_cli.load_schedule import schedule_load
+from gypsumpost_cli.main import run_command
+from gypsumpost_cli.workspace_demand import WorkspaceDemand, parse_demands
+
+WORKSPACES = (
+    WorkspaceDemand(name="north", key="n", weight=3),
+    WorkspaceDemand(name="south", key="s", weight=1),
+)
+PLAN = LoadPlan(rate=50, seconds=40, workspaces=WORKSPACES, seed=7, gate_rate=10, long_share=0.1)
+
+
+def test_schedule_follows_seed_rate_and_mix() -> None:
+    """Guards against runs that cannot be repeated and against a mix other than the one asked."""
+    arrivals = list(schedule_load(PLAN))
+    assert arrivals == list(schedule_load(PLAN))
+    times = [arrival.at for arrival in arrivals]
+    assert times == sorted(times)
+    assert times[-1] < PLAN.seconds
+    generations = [arrival for arrival in arrivals if not arrival.is_gate_call]
+    assert abs(len(generations) - 2000) < 150
+    assert abs(len(arrivals) - len(generations) - 400) < 70
+    assert abs(sum(a.workspace == 0 for a in generations) / len(generations) - 0.75) < 0.05
+    assert abs(sum(a.max_tokens == 600 for a in generations) / len(generations) - 0.1) < 0.03
+    assert len({a.prompt[:100] for a in generations}) == PLAN.prefixes
+
+
+def test_results_tell_wrong_refused_and_failed_apart() -> None:
+    """Guards against a wrong answer that is counted as whole or as a refusal."""
+    results = LoadResults(sent=4, gate_sent=2)
+    common: Any = {"request_id": "r", "sent_at": 1.0}
+    wrong = Answer(**common, token_ids=[1, 2], finish_reason="length", arrivals=[1.5, 1.6])
+    refused = Answer(**common, error="503: no", error_code="no_engine", run_state="not_run")
+    lost = Answer(**common, error="no entry host completed the answer", token_ids=[5])
+    for answer in (wrong, refused, lost):
+        results.record_answer("north", answer, 3, 2.0)
+    results.record_gate_call("", 0.25)
+    assert (results.whole, results.wrong, results.failed, results.refused) == (0, 1, 1, 1)
+    assert results.open == 2
+    described = describe_results(results, 10.0)
+    assert described["generations"]["refusals"] == {"no_engine (not_run)": 1}
+    assert described["generations"]["failures"] == {"connection_lost (unknown)": 1}
+    assert described["gate_seconds"]["max"] == pytest.approx(0.25, rel=0.001)
+    assert "wrong: r: the answer has 2 of 3 tokens" in format_results(described)
+
+
+def test_wrong_flags_are_named_without_keys(capsys: pytest.CaptureFixture[str]) -> None:
+    """Guards against a load that never ends and against keys in error messages."""
+    assert isinstance(parse_demands("north=secret:0"), Err)
+    assert run_command(["load", "--addresses", "a", "--workspaces", "north=secret:x"]) == 1
+    shown = capsys.readouterr().err
+    assert "--workspaces" in shown
+    assert "secret:x" not in shown
+    flags = ["--addresses", "a", "--workspaces", "n=k:1", "--seconds", "inf"]
+    assert run_command(["load", *flags]) == 1
+    assert "--seconds" in capsys.readouterr().err
