Carry out the resumption action restart

The registry entry restart chose an action that the generation task ignored, so that it continued like the others and was no baseline.

A restart puts a new generation without output in the old one's place, keeps the attempt number and checks the invariant one-generation: nothing of the old output may have been shown, here or by a former owner. Whole answers therefore wait for the end in place of reading pieces. A holder's reply for output before the restart commits nothing.

--- a/packages/core/gypsumpost_core/generation.py
+++ b/packages/core/gypsumpost_core/generation.py
@@ -29,6 +29,8 @@
     def __init__(self, *, record: GenerationRecord) -> None:
         self.record = record
         self.committed = 0
+        # A former owner may have shown whatever its copy holds.
+        self.shown = bool(record.pieces)
         self._pending: list[int] = []
         self._matcher = StopMatcher(stop=record.stop)
         self._characters = 0
@@ -77,6 +79,15 @@
             max_tokens=record.max_tokens - record.length,
         )
 
+    def restart(self) -> "Generation":
+        """Return a generation without output in place of this one, of which nobody saw anything.
+
+        The attempt number stays, so that output of the earlier attempts does not count.
+        """
+        state = (self.record.generation_id, self.record.length)
+        require(Invariant.ONE_GENERATION, not self.shown, state)
+        return Generation(record=attrs.evolve(self.record, pieces=[], finish_reason=None))
+
     def resume_stream(self) -> int:
         """Prepare to read the current attempt's stream again.
 
@@ -132,6 +143,7 @@
                 pieces[0].start == start,
                 (self.record.generation_id, start, pieces[0]),
             )
+            self.shown = True
         return pieces
 
     def has_boundary(self, offset: int) -> bool:
--- a/packages/daemon/gypsumpost_daemon/copy_outbox.py
+++ b/packages/daemon/gypsumpost_daemon/copy_outbox.py
@@ -85,7 +85,7 @@
         closed, self._closed = self._closed, []
         if not changed and not closed:
             return
-        sent_lengths = {i: e.task.generation.record.length for i, e in changed.items()}
+        sent = {i: (e.task.generation, e.task.generation.record.length) for i, e in changed.items()}
         payload = _encode_batch(list(changed.values()), closed)
         deadline = trio.current_time() + ACKNOWLEDGE_SECONDS
         reply = await self.network.request(
@@ -106,8 +106,9 @@
             elif generation_id in missing:
                 entry.attempt = -1
                 self.mark_changed(generation_id)
-            else:
-                entry.held = sent_lengths[generation_id]
+            elif sent[generation_id][0] is entry.task.generation:
+                # A restart puts another generation in place, of which the holder has nothing yet.
+                entry.held = sent[generation_id][1]
                 entry.task.handle_copy(self.host_id, entry.held)
 
     def drop_all(self) -> None:
--- a/packages/daemon/gypsumpost_daemon/generation_responder.py
+++ b/packages/daemon/gypsumpost_daemon/generation_responder.py
@@ -62,9 +62,7 @@
             task.unread_since = trio.current_time()
 
     async def _send_answer(self, call: HttpCall, task: GenerationTask) -> None:
-        offset = 0
-        while pieces := await task.read(offset):
-            offset = pieces[-1].end
+        await task.wait_end()
         failure = _find_failure(task)
         if failure is not None:
             await call.respond(encode_failure(failure))
--- a/packages/daemon/gypsumpost_daemon/generation_task.py
+++ b/packages/daemon/gypsumpost_daemon/generation_task.py
@@ -70,6 +70,7 @@
         self._resumes = 0
         self._first_token = False
         self._fruitless = 0
+        self._action = ResumptionAction.CONTINUE
 
     @property
     def record(self) -> GenerationRecord:
@@ -121,6 +122,11 @@
                 return pieces
             await changed.wait()
 
+    async def wait_end(self) -> None:
+        """Wait until the answer has ended or failed; nothing of it counts as shown before."""
+        while not self.ended:
+            await self._changed.wait()
+
     def handle_copy(self, host_id: str, length: int) -> None:
         """Note that a holder has the state up to a number of output tokens."""
         if host_id in self.holders:
@@ -177,7 +183,14 @@
     def _is_late(self) -> bool:
         return time.time() >= self.record.deadline
 
+    def _restart_unseen(self) -> None:
+        if self._action is ResumptionAction.RESTART and not self.generation.shown:
+            self.generation = self.generation.restart()
+            self._copied.clear()
+        self._action = ResumptionAction.CONTINUE
+
     async def _run_attempt(self) -> None:
+        self._restart_unseen()
         now = trio.current_time()
         route = self._describe_attempt()
         chosen = self._context.router.choose(route, now)
@@ -331,7 +344,7 @@
         now = trio.current_time()
         router, name = self._context.router, self.record.engine
         route = self._describe_attempt(excluding=name)
-        return self._context.resumption.decide(
+        decision = self._context.resumption.decide(
             StreamState(
                 now=now,
                 last_token_at=self._last_token_at,
@@ -346,6 +359,8 @@
                 deadline=now + self.record.deadline - time.time(),
             )
         )
+        self._action = decision.action
+        return decision
 
     def _judge_refusal(self, failure: EngineFailure) -> AttemptOutcome:
         if failure.status is not None and 400 <= failure.status < 500 and failure.status != 404:
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/tests/test_copy_outbox.py
@@ -0,0 +1,104 @@
+"""Tests of the outbox of copies."""
+
+import attrs
+import trio
+from result import Ok
+
+from gypsumpost_core.generation import Generation
+from gypsumpost_core.generation_kind import GenerationKind
+from gypsumpost_core.generation_record import GenerationRecord
+from gypsumpost_core.piece import Piece
+from gypsumpost_daemon.copy_outbox import CopyOutbox
+from gypsumpost_daemon.copy_store import CopyStore
+from gypsumpost_daemon.peer_request import PeerRequest
+
+
+def create_record(tokens: int) -> GenerationRecord:
+    return GenerationRecord(
+        generation_id="g",
+        workspace="w",
+        request_id="r",
+        kind=GenerationKind.COMPLETION,
+        body=b"{}",
+        model="summary",
+        max_tokens=10,
+        keep_until=1e12,
+        attempt=1,
+        prompt_token_ids=(1,),
+        pieces=[Piece(end=n + 1, token_ids=(n,), text="é") for n in range(tokens)],
+    )
+
+
+@attrs.define(kw_only=True)
+class CopiedTask:
+    """A generation that notes what was acknowledged."""
+
+    generation: Generation
+    lengths: list[int] = attrs.field(factory=list)
+
+    def handle_copy(self, host_id: str, length: int) -> None:
+        self.lengths.append(length)
+
+    def handle_stale(self) -> None:
+        raise AssertionError("the copy was not taken over")
+
+    def handle_holder_lost(self, host_id: str) -> None:
+        raise AssertionError("the holder answered")
+
+
+@attrs.define(kw_only=True)
+class DirectNetwork:
+    """Hands batches to a store, and calls a function before the reply arrives."""
+
+    store: CopyStore
+    before_reply: list = attrs.field(factory=list)
+
+    async def request(self, host_id, kind, payload, deadline):
+        reply = await self.store.handle_batch(PeerRequest(host_id="home", payload=payload))
+        while self.before_reply:
+            self.before_reply.pop()()
+        return Ok(reply)
+
+
+async def run_outbox(task: CopiedTask, network: DirectNetwork, steps) -> None:
+    outbox = CopyOutbox(host_id="holder", network=network)  # type: ignore[arg-type]
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(outbox.run)
+        outbox.add(task)
+        await trio.sleep(0.1)
+        for step in steps:
+            step()
+            outbox.mark_changed("g")
+            await trio.sleep(0.1)
+        nursery.cancel_scope.cancel()
+
+
+async def test_copy_equals_the_record_after_appends(autojump_clock):
+    """Guards against a continuation from tokens or text that differ from the caller's."""
+    task = CopiedTask(generation=Generation(record=create_record(2)))
+    pieces = task.generation.record.pieces
+    store = CopyStore(max_bytes=1 << 20)
+    append = [
+        lambda: pieces.append(Piece(end=4, token_ids=(8, 9), text="日本")),
+        lambda: pieces.append(Piece(end=5, token_ids=(70_000,), text="z")),
+    ]
+    await run_outbox(task, DirectNetwork(store=store), append)
+    held = store.get("g")
+    assert held is not None
+    assert held.record.pieces == pieces
+    assert task.lengths == [2, 4, 5]
+
+
+async def test_reply_for_output_before_a_restart_commits_nothing(autojump_clock):
+    """Guards against a commit of tokens that exist at the holder only in the discarded output."""
+    task = CopiedTask(generation=Generation(record=create_record(3)))
+
+    def restart() -> None:
+        record = create_record(1)
+        record.attempt = 2
+        task.generation = Generation(record=record)
+
+    store = CopyStore(max_bytes=1 << 20)
+    network = DirectNetwork(store=store, before_reply=[restart])
+    await run_outbox(task, network, [lambda: None])
+    assert task.lengths == [1]
