--- a/packages/daemon/gypsumpost_daemon/attempt_reader.py
+++ b/packages/daemon/gypsumpost_daemon/attempt_reader.py
@@ -38,6 +38,7 @@
     context: GenerationContext
     handle_output: Callable[[], None]
     produced: bool = attrs.field(default=False, init=False)
+    action: ResumptionAction = attrs.field(default=ResumptionAction.CONTINUE, init=False)
     _last_token_at: float = attrs.field(factory=trio.current_time, init=False)
     _resumes: int = attrs.field(default=0, init=False)
     _first_token: bool = attrs.field(default=False, init=False)
@@ -151,7 +152,7 @@
         record = self.status.record
         router, name = self.context.router, record.engine
         route = self.routes.describe(frozenset({name}))
-        return self.context.resumption.decide(
+        decision = self.context.resumption.decide(
             StreamState(
                 now=now,
                 last_token_at=self._last_token_at,
@@ -166,6 +167,8 @@
                 deadline=now + record.deadline - time.time(),
             )
         )
+        self.action = decision.action
+        return decision
 
 
 def _create_batch(event: EngineEvent, attempt: int) -> TokenBatch:
--- a/packages/daemon/gypsumpost_daemon/attempt_sequence.py
+++ b/packages/daemon/gypsumpost_daemon/attempt_sequence.py
@@ -1,6 +1,7 @@
 """Runs the attempts of a generation one after another."""
 
 import random
+from collections.abc import Callable
 
 import attrs
 import trio
@@ -8,6 +9,7 @@
 
 from gypsumpost_core.attempt_outcome import AttemptOutcome
 from gypsumpost_core.failure import Failure
+from gypsumpost_core.resumption_policy import ResumptionAction
 from gypsumpost_daemon.attempt_reader import AttemptReader
 from gypsumpost_daemon.attempt_route import AttemptRoute
 from gypsumpost_daemon.attempt_runner import AttemptRunner
@@ -33,12 +35,14 @@
     :param routes: describes attempts for routing.
     :param reader: reads the attempts' streams.
     :param context: the parts of the daemon that it talks to.
+    :param handle_restart: called when the output so far was discarded.
     """
 
     status: GenerationStatus
     routes: AttemptRoute
     reader: AttemptReader
     context: GenerationContext
+    handle_restart: Callable[[], None]
     _runner: AttemptRunner = attrs.field(init=False)
     _fruitless: int = attrs.field(default=0, init=False)
 
@@ -63,7 +67,16 @@
             else:
                 await self._run_attempt()
 
+    def _restart_unseen(self) -> None:
+        restart = self.reader.action is ResumptionAction.RESTART
+        self.reader.action = ResumptionAction.CONTINUE
+        if restart and not self.status.generation.shown:
+            self.status.generation = self.status.generation.restart()
+            self.routes.record = self.status.record
+            self.handle_restart()
+
     async def _run_attempt(self) -> None:
+        self._restart_unseen()
         route = self.routes.describe()
         chosen = self.context.router.choose(route, trio.current_time())
         if isinstance(chosen, Err):
--- a/packages/daemon/gypsumpost_daemon/generation_task.py
+++ b/packages/daemon/gypsumpost_daemon/generation_task.py
@@ -44,7 +44,11 @@
             status=self._status, routes=routes, context=context, handle_output=self._handle_output
         )
         self._attempts = AttemptSequence(
-            status=self._status, routes=routes, reader=self._reader, context=context
+            status=self._status,
+            routes=routes,
+            reader=self._reader,
+            context=context,
+            handle_restart=self._copied.clear,
         )
 
     @property
@@ -114,6 +118,11 @@
                 return pieces
             await changed.wait()
 
+    async def wait_end(self) -> None:
+        """Wait until the answer has ended or failed; nothing of it counts as shown before."""
+        while not self.ended:
+            await self._changed.wait()
+
     def handle_copy(self, host_id: str, length: int) -> None:
         """Note that a holder has the state up to a number of output tokens."""
         if host_id in self.holders:
