--- a/packages/bench/gypsumpost_bench/engine_application.py
+++ b/packages/bench/gypsumpost_bench/engine_application.py
@@ -14,7 +14,7 @@
 from gypsumpost_bench.engine_batch import EngineBatch
 from gypsumpost_bench.engine_sequence import EngineSequence
 from gypsumpost_bench.exchange import Exchange
-from gypsumpost_bench.lifespan import complete_lifespan
+from gypsumpost_bench.stand_in_http import accept_lifespan
 from gypsumpost_cli.token_chain import TokenChain
 from gypsumpost_cli.vocabulary import ANSWER_MARKER, tokenize_text
 
@@ -55,7 +55,7 @@
     async def __call__(self, scope: dict[str, Any], receive: Any, send: Any) -> None:
         """Serve one ASGI connection scope."""
         if scope["type"] == "lifespan":
-            await complete_lifespan(receive, send)
+            await accept_lifespan(receive, send)
             return
         exchange = Exchange(scope=scope, receive=receive, send=send)
         parts = exchange.path.strip("/").split("/")
--- a/packages/bench/gypsumpost_bench/engine_stand_in.py
+++ b/packages/bench/gypsumpost_bench/engine_stand_in.py
@@ -3,12 +3,11 @@
 import argparse
 
 import trio
-from hypercorn.config import Config
-from hypercorn.trio import serve
 
 from gypsumpost_bench.engine_application import EngineApplication
 from gypsumpost_bench.engine_batch import EngineBatch, EngineSpeed
 from gypsumpost_bench.prefix_cache import PrefixCache
+from gypsumpost_bench.stand_in_http import serve_application
 
 
 def main() -> None:
@@ -36,13 +35,10 @@
         load_lag=arguments.load_lag,
         checks_fencing=arguments.checks_fencing,
     )
-    config = Config()
-    config.bind = [arguments.address]
-    config.accesslog = config.errorlog = None
     async with trio.open_nursery() as nursery:
         nursery.start_soon(batch.run)
         nursery.start_soon(application.sample_load)
-        await serve(application, config, mode="asgi")  # type: ignore[arg-type]
+        await serve_application(application, arguments.address)
 
 
 def _parse_model(text: str) -> dict[str, str]:
--- a/packages/bench/gypsumpost_bench/exchange.py
+++ b/packages/bench/gypsumpost_bench/exchange.py
@@ -6,6 +6,8 @@
 import attrs
 import orjson
 
+from gypsumpost_bench.stand_in_http import read_body, read_headers, send_json
+
 
 @attrs.define(kw_only=True)
 class Exchange:
@@ -35,11 +37,7 @@
 
         :param name: lower-case name.
         """
-        wanted = name.encode()
-        for key, value in self.scope["headers"]:
-            if key.lower() == wanted:
-                return str(value.decode())
-        return ""
+        return read_headers(self.scope).get(name, "")
 
     def read_query(self, name: str, default: str) -> str:
         """Return a query parameter.
@@ -51,12 +49,8 @@
 
     async def read_json(self) -> Any:
         """Return the decoded body, an empty dictionary for no body."""
-        body = b""
-        while True:
-            message = await self.receive()
-            body += message.get("body", b"")
-            if not message.get("more_body"):
-                return orjson.loads(body) if body else {}
+        body = await read_body(self.receive)
+        return orjson.loads(body) if body else {}
 
     async def reply(self, status: int, value: Any) -> None:
         """Send a whole JSON response.
@@ -64,8 +58,7 @@
         :param status: HTTP status code.
         :param value: value to encode.
         """
-        await self.start(status, "application/json")
-        await self.write(orjson.dumps(value), more=False)
+        await send_json(self.send, status, value)
 
     async def start(self, status: int, content_type: str) -> None:
         """Send the head of a response.
--- a/packages/daemon/gypsumpost_daemon/daemon.py
+++ b/packages/daemon/gypsumpost_daemon/daemon.py
@@ -22,7 +22,6 @@
 from gypsumpost_daemon.generation_supervisor import GenerationSupervisor
 from gypsumpost_daemon.gossip import Gossip
 from gypsumpost_daemon.host_directory import HostDirectory
-from gypsumpost_daemon.host_list_file import read_host_list
 from gypsumpost_daemon.http_server import HTTP_SERVERS
 from gypsumpost_daemon.key_client import KeyClient
 from gypsumpost_daemon.key_directory import KeyDirectory
@@ -140,17 +139,15 @@
 
     def _create_gossip(self, key: bytes) -> Gossip:
         settings = self._settings
-        listed: list[Host] = []
-        if settings.host_list_file:
-            listed, endpoints = read_host_list(settings.host_list_file)
-            self._endpoints.replace(endpoints)
+        listed = settings.host_list_file
+        self._endpoints.replace(list(listed.endpoints))
         return Gossip(
             directory=self._directory,
             key=key,
             settings=MembershipSettings(
                 probe_interval=settings.probe_interval, probe_timeout=settings.probe_timeout
             ),
-            seeds=[*settings.seeds, *listed],
+            seeds=[*settings.seeds, *(entry.host for entry in listed.hosts)],
         )
 
     def _create_platform_parts(self, key: bytes) -> PlatformParts:
--- a/packages/daemon/gypsumpost_daemon/settings.py
+++ b/packages/daemon/gypsumpost_daemon/settings.py
@@ -16,6 +16,8 @@
     parse_optional_address,
 )
 from gypsumpost_core.share_mode import SHARE_MODES
+from gypsumpost_daemon.host_list_file import parse_host_list_file
+from gypsumpost_daemon.host_list_snapshot import HostListSnapshot
 from gypsumpost_daemon.http_server import HTTP_SERVERS
 from gypsumpost_daemon.seeds_parser import parse_seeds
 from gypsumpost_daemon.workspace_keys import WorkspaceKeys, parse_workspace_keys
@@ -65,9 +67,10 @@
         accepted="ip:port, or empty for none",
         help="Address of the platform's store and list of hosts.",
     )
-    host_list_file: str = define_setting(
+    host_list_file: HostListSnapshot = define_setting(
         default="",
-        accepted="path of a readable file, or empty for none",
+        parse=parse_host_list_file,
+        accepted="path of a readable file with a correct list, or empty for none",
         help="File with hosts and endpoints for a deployment without a platform.",
     )
     peer_key_file: str = define_setting(
