Refuse an event id beyond the end of a finished answer

Cause: an offset beyond the answer's length was taken for tokens that the engine may still have, also when the answer had ended, and the caller got an empty end. Before: status 200 for offsets 41 and 1000 of an answer of 40 tokens. After: 400, invalid_event_id. The callers' interface has tests with a whole daemon and an engine in one process.

--- a/packages/daemon/gypsumpost_daemon/caller_application.py
+++ b/packages/daemon/gypsumpost_daemon/caller_application.py
@@ -248,7 +248,7 @@
         task = await self._recover(event_id, workspace)
         if task is None:
             return Err(_lose("There is no such generation, or its state is lost."))
-        if event_id.offset > task.record.length:
+        if event_id.offset > task.record.length and not task.generation.finished:
             # The tokens may still be in the engine's live stream; a new attempt would differ.
             task.require_length(event_id.offset)
         elif not task.generation.has_boundary(event_id.offset):
