Show metrics of a daemon at /metrics

Cause: operators could not see attempts, takeovers and stalls without reading logs.

The class Metrics goes to the parts by constructor, and each part owns its counters. Gauges are read at each scrape, and percentiles of first tokens and of stalls come from hdrhistogram; nothing is recorded for single tokens. The text is in the Prometheus format and needs no bearer key.

--- a/packages/daemon/gypsumpost_daemon/caller_application.py
+++ b/packages/daemon/gypsumpost_daemon/caller_application.py
@@ -18,7 +18,7 @@
 from gypsumpost_core.generation_record import GenerationRecord
 from gypsumpost_core.run_state import RunState
 from gypsumpost_daemon.asgi_application import Receive, Scope, Send
-from gypsumpost_daemon.caller_events import log_refusal
+from gypsumpost_daemon.caller_events import CallerEvents
 from gypsumpost_daemon.caller_request import CallerRequest
 from gypsumpost_daemon.caller_response import CallerResponse
 from gypsumpost_daemon.error_body import encode_failure
@@ -27,6 +27,8 @@
 from gypsumpost_daemon.generation_task import GenerationTask
 from gypsumpost_daemon.http_call import HttpCall
 from gypsumpost_daemon.key_client import KeyClient
+from gypsumpost_daemon.metrics import Metrics
+from gypsumpost_daemon.metrics_text import create_metrics_response
 from gypsumpost_daemon.settings import Settings
 
 KINDS = {
@@ -49,6 +51,7 @@
     :param keys: finds generations by idempotency key.
     :param find_workspace: returns the workspace of a bearer key, ``None`` for an unknown key.
     :param list_models: returns the names of the models that engines run now.
+    :param metrics: metrics of the daemon, shown at ``/metrics``.
     :param handle_service: answers requests below ``/v1/services/``.
     """
 
@@ -57,9 +60,14 @@
     keys: KeyClient
     find_workspace: Callable[[str], str | None]
     list_models: Callable[[], list[str]]
+    metrics: Metrics
     handle_service: Callable[[CallerRequest], Awaitable[CallerResponse]] | None = None
     draining: bool = attrs.field(default=False, init=False)
     open_requests: int = attrs.field(default=0, init=False)
+    _events: CallerEvents = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._events = CallerEvents(metrics=self.metrics)
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one ASGI connection scope."""
@@ -75,7 +83,7 @@
         try:
             failure = await self._route(call)
             if failure is not None:
-                log_refusal(call.request_id, failure)
+                self._events.record_refusal(call.request_id, failure)
                 await call.respond(encode_failure(failure))
         finally:
             self.open_requests -= 1
@@ -84,6 +92,9 @@
         path = call.scope["path"]
         if path in ("/live", "/ready"):
             return await self._report_health(call, path)
+        if path == "/metrics":
+            await call.respond(create_metrics_response(self.metrics))
+            return None
         workspace = self._authenticate(call)
         if workspace is None:
             return _refuse(401, "invalid_key", "The bearer key is missing or unknown.")
@@ -100,9 +111,9 @@
             await self._list_models(call)
             return None
         if path.startswith("/v1/services/") and self.handle_service is not None:
-            await call.respond(
-                await self.handle_service(self._describe_call(call, workspace, body))
-            )
+            answer = await self.handle_service(self._describe_call(call, workspace, body))
+            self._events.record_service_call(call.request_id, answer.status)
+            await call.respond(answer)
             return None
         return _refuse(404, "not_found", f"There is no {method} {path}.")
 
@@ -149,7 +160,7 @@
     async def _respond(
         self, call: HttpCall, task: GenerationTask, offset: int, request: CompletionRequest
     ) -> Failure | None:
-        responder = GenerationResponder(supervisor=self.supervisor)
+        responder = GenerationResponder(supervisor=self.supervisor, events=self._events)
         await responder.respond(call, task, offset, request.stream, request.include_usage)
         return None
 
@@ -256,7 +267,7 @@
             self.supervisor.cancel(task, CANCELLED)
             await call.respond(CallerResponse(status=204))
             return None
-        responder = GenerationResponder(supervisor=self.supervisor)
+        responder = GenerationResponder(supervisor=self.supervisor, events=self._events)
         await responder.respond(call, task, offset, task.record.stream or bool(last_event), False)
         return None
 
--- a/packages/daemon/gypsumpost_daemon/caller_events.py
+++ b/packages/daemon/gypsumpost_daemon/caller_events.py
@@ -1,53 +1,78 @@
-"""Log events about what callers received."""
+"""What callers received: log events and counts."""
 
 from gypsumpost_core.failure import Failure
 from gypsumpost_core.generation_record import GenerationRecord
 from gypsumpost_daemon.log import Log
+from gypsumpost_daemon.metrics import Metrics
 
 LOG = Log(prefix="caller")
 
 
-def log_refusal(request_id: str, failure: Failure) -> None:
-    """Log that a request was answered with an error before it had a generation.
+class CallerEvents:
+    """Logs and counts the answers to callers' requests.
 
-    :param request_id: the request.
-    :param failure: the error.
+    :param metrics: metrics of the daemon.
     """
-    LOG.write(
-        "refused",
-        request_id=request_id,
-        status=failure.status,
-        code=failure.code,
-        run_state=failure.run_state.value,
-    )
 
+    def __init__(self, *, metrics: Metrics) -> None:
+        self._requests = metrics.add_counter(
+            "gypsumpost_requests_total",
+            "Callers' requests by outcome: whole, failed, refused or served; code of the error.",
+            "outcome",
+            "code",
+        )
 
-def log_failed_answer(record: GenerationRecord, failure: Failure, offset: int) -> None:
-    """Log that an answer ended with an error.
+    def record_refusal(self, request_id: str, failure: Failure) -> None:
+        """Note that a request was answered with an error before it had a generation.
 
-    :param record: the generation.
-    :param failure: the error.
-    :param offset: output tokens that were sent to the caller.
-    """
-    LOG.write(
-        "answer not completed",
-        request_id=record.request_id,
-        generation_id=record.generation_id,
-        code=failure.code,
-        run_state=failure.run_state.value,
-        offset=offset,
-    )
+        :param request_id: the request.
+        :param failure: the error.
+        """
+        self._requests.add("refused", failure.code)
+        LOG.write(
+            "refused",
+            request_id=request_id,
+            status=failure.status,
+            code=failure.code,
+            run_state=failure.run_state.value,
+        )
 
+    def record_failed_answer(self, record: GenerationRecord, failure: Failure, offset: int) -> None:
+        """Note that an answer ended with an error.
 
-def log_whole_answer(record: GenerationRecord) -> None:
-    """Log that a whole answer was sent to a caller.
+        :param record: the generation.
+        :param failure: the error.
+        :param offset: output tokens that were sent to the caller.
+        """
+        self._requests.add("failed", failure.code)
+        LOG.write(
+            "answer not completed",
+            request_id=record.request_id,
+            generation_id=record.generation_id,
+            code=failure.code,
+            run_state=failure.run_state.value,
+            offset=offset,
+        )
 
-    :param record: the generation.
-    """
-    LOG.write(
-        "answer completed",
-        request_id=record.request_id,
-        generation_id=record.generation_id,
-        finish_reason=record.finish_reason,
-        offset=record.length,
-    )
+    def record_whole_answer(self, record: GenerationRecord) -> None:
+        """Note that a whole answer was sent to a caller.
+
+        :param record: the generation.
+        """
+        self._requests.add("whole", "")
+        LOG.write(
+            "answer completed",
+            request_id=record.request_id,
+            generation_id=record.generation_id,
+            finish_reason=record.finish_reason,
+            offset=record.length,
+        )
+
+    def record_service_call(self, request_id: str, status: int) -> None:
+        """Note the answer to a call of a plain service.
+
+        :param request_id: the request.
+        :param status: HTTP status code that the caller received.
+        """
+        self._requests.add("served", str(status))
+        LOG.write("service call answered", request_id=request_id, status=status)
--- a/packages/daemon/gypsumpost_daemon/daemon.py
+++ b/packages/daemon/gypsumpost_daemon/daemon.py
@@ -11,10 +11,12 @@
 from gypsumpost_daemon.caller_application import CallerApplication
 from gypsumpost_daemon.copy_client import CopyClient
 from gypsumpost_daemon.copy_store import CopyStore
+from gypsumpost_daemon.daemon_gauges import add_gauges
 from gypsumpost_daemon.endpoint_table import EndpointTable
 from gypsumpost_daemon.engine_client import EngineClient
 from gypsumpost_daemon.engine_prober import EngineProber
 from gypsumpost_daemon.generation_context import GenerationContext
+from gypsumpost_daemon.generation_metrics import GenerationMetrics
 from gypsumpost_daemon.generation_supervisor import GenerationSupervisor
 from gypsumpost_daemon.host_directory import HostDirectory
 from gypsumpost_daemon.host_list_file import read_host_list
@@ -23,6 +25,7 @@
 from gypsumpost_daemon.key_directory import KeyDirectory
 from gypsumpost_daemon.log import Log
 from gypsumpost_daemon.message_kind import MessageKind
+from gypsumpost_daemon.metrics import Metrics
 from gypsumpost_daemon.peer_network import PeerNetwork
 from gypsumpost_daemon.running_server import RunningServer
 from gypsumpost_daemon.settings import Settings
@@ -61,8 +64,10 @@
         self._copy_client = CopyClient(
             directory=self._directory, network=self._network, placement=settings.copy_placement
         )
+        self._metrics = Metrics()
         self._supervisor = self._create_supervisor()
         self._application = self._create_application()
+        self._add_gauges()
 
     async def run(self) -> None:
         """Serve until a signal asks for a planned stop and all requests have ended."""
@@ -92,6 +97,7 @@
                 engines=self._engines,
                 copies=self._copy_client,
                 canceller=self._canceller,
+                metrics=GenerationMetrics(metrics=self._metrics),
             ),
             copies=self._copy_store,
             take_overs=TakeOverClient(directory=self._directory, network=self._network),
@@ -106,6 +112,17 @@
             ),
             find_workspace=self._settings.workspace_keys.find_workspace,
             list_models=self._endpoints.list_models,
+            metrics=self._metrics,
+        )
+
+    def _add_gauges(self) -> None:
+        add_gauges(
+            self._metrics,
+            copies=self._copy_store,
+            supervisor=self._supervisor,
+            directory=self._directory,
+            get_list_revision=lambda: 0,
+            count_open_requests=lambda: self._application.open_requests,
         )
 
     def _load_host_list(self) -> None:
--- a/packages/daemon/gypsumpost_daemon/generation_context.py
+++ b/packages/daemon/gypsumpost_daemon/generation_context.py
@@ -6,6 +6,7 @@
 from gypsumpost_core.router import Router
 from gypsumpost_daemon.copy_client import CopyClient
 from gypsumpost_daemon.engine_client import EngineClient
+from gypsumpost_daemon.generation_metrics import GenerationMetrics
 from gypsumpost_daemon.settings import Settings
 from gypsumpost_daemon.stream_canceller import StreamCanceller
 
@@ -20,6 +21,7 @@
     :param engines: opens streams on engines.
     :param copies: keeps copies on other hosts.
     :param canceller: cancels streams that are no longer wanted.
+    :param metrics: counts attempts and measures waits.
     """
 
     settings: Settings
@@ -28,3 +30,4 @@
     engines: EngineClient
     copies: CopyClient
     canceller: StreamCanceller
+    metrics: GenerationMetrics
--- a/packages/daemon/gypsumpost_daemon/generation_responder.py
+++ b/packages/daemon/gypsumpost_daemon/generation_responder.py
@@ -10,7 +10,7 @@
 from gypsumpost_core.generation_kind import GenerationKind
 from gypsumpost_core.piece import Piece
 from gypsumpost_core.run_state import RunState
-from gypsumpost_daemon.caller_events import log_failed_answer, log_whole_answer
+from gypsumpost_daemon.caller_events import CallerEvents
 from gypsumpost_daemon.caller_response import CallerResponse
 from gypsumpost_daemon.error_body import encode_failure
 from gypsumpost_daemon.event_encoder import DONE, EventEncoder, EventSource
@@ -31,9 +31,11 @@
     """Streams an answer or sends it whole.
 
     :param supervisor: knows where the generation is held.
+    :param events: notes what the caller received.
     """
 
     supervisor: GenerationSupervisor
+    events: CallerEvents
 
     async def respond(
         self, call: HttpCall, task: GenerationTask, offset: int, stream: bool, usage: bool
@@ -65,10 +67,10 @@
             offset = pieces[-1].end
         failure = _find_failure(task)
         if failure is not None:
-            log_failed_answer(task.record, failure, 0)
+            self.events.record_failed_answer(task.record, failure, 0)
             await call.respond(encode_failure(failure))
             return
-        log_whole_answer(task.record)
+        self.events.record_whole_answer(task.record)
         body = orjson.dumps(describe_answer(task))
         headers = {"content-type": "application/json"} | self._describe_place(task)
         await call.respond(CallerResponse(status=200, headers=headers, body=body))
@@ -79,7 +81,7 @@
         pieces = await task.read(offset)
         failure = _find_failure(task)
         if not pieces and failure is not None:
-            log_failed_answer(task.record, failure, offset)
+            self.events.record_failed_answer(task.record, failure, offset)
             await call.respond(encode_failure(failure))
             return
         headers = {"content-type": "text/event-stream", "cache-control": "no-store"}
@@ -102,9 +104,9 @@
     ) -> bytes:
         failure = _find_failure(task)
         if failure is not None:
-            log_failed_answer(task.record, failure, offset)
+            self.events.record_failed_answer(task.record, failure, offset)
             return b"data: " + encode_failure(failure).body + b"\n\n"
-        log_whole_answer(task.record)
+        self.events.record_whole_answer(task.record)
         end = encoder.encode_tokens(
             offset,
             "",
--- a/packages/daemon/gypsumpost_daemon/generation_supervisor.py
+++ b/packages/daemon/gypsumpost_daemon/generation_supervisor.py
@@ -68,6 +68,11 @@
         """Number of generations in memory, ended ones included."""
         return len(self._tasks)
 
+    @property
+    def unprotected(self) -> int:
+        """Number of running generations without a copy on another host."""
+        return sum(not task.ended and not task.holders for task in self._tasks.values())
+
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Carry the generation tasks until cancelled."""
         async with trio.open_nursery() as nursery:
@@ -122,6 +127,7 @@
             record.workspace == workspace,
             (record.generation_id, record.workspace, workspace),
         )
+        self.context.metrics.record_takeover()
         LOG.write(
             "taken over",
             generation_id=record.generation_id,
--- a/packages/daemon/gypsumpost_daemon/generation_task.py
+++ b/packages/daemon/gypsumpost_daemon/generation_task.py
@@ -25,6 +25,7 @@
 from gypsumpost_daemon.engine_stream import EngineStream
 from gypsumpost_daemon.generation_context import GenerationContext
 from gypsumpost_daemon.log import Log
+from gypsumpost_daemon.stall_timer import StallTimer
 
 LOG = Log(prefix="generation")
 
@@ -70,6 +71,9 @@
         self._resumes = 0
         self._first_token = False
         self._fruitless = 0
+        self._timer = StallTimer(
+            metrics=context.metrics, started_at=trio.current_time(), resumed=bool(record.pieces)
+        )
 
     @property
     def record(self) -> GenerationRecord:
@@ -201,9 +205,11 @@
                 outcome = self._judge_refusal(opened.err_value)
         finally:
             self._context.router.record_end(engine.name, route, outcome, trio.current_time())
+            self._context.metrics.record_attempt(outcome)
             if outcome is not AttemptOutcome.FINISHED and not self.moved:
                 self._cancel_stream()
         if outcome is not AttemptOutcome.FINISHED:
+            self._timer.note_loss(self._last_token_at)
             LOG.write("attempt ended", outcome=outcome.value, **self._describe_state())
             self._excluded.add(engine.name)
             await self._back_off()
@@ -238,6 +244,7 @@
         finally:
             if outcome is not AttemptOutcome.FINISHED and not self.moved:
                 self._cancel_stream()
+        self._timer.note_loss(self._last_token_at)
 
     async def _open_stream_again(self) -> Ok[EngineStream] | Err[EngineFailure]:
         offset = self.generation.resume_stream()
@@ -260,6 +267,7 @@
             if self._decide(connected=False).action is not ResumptionAction.RESUME:
                 return outcome
             self._resumes += 1
+            self._timer.note_loss(self._last_token_at)
             opened = await self._open_stream_again()
             if isinstance(opened, Err):
                 return outcome
@@ -311,6 +319,7 @@
 
     def _record_tokens(self, count: int, route: RouteRequest) -> None:
         now = trio.current_time()
+        self._timer.note_tokens(now)
         gap = now - self._last_token_at
         if self._first_token:
             self._context.router.record_first_token(self.record.engine, route, gap, now)
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/metrics.py
@@ -0,0 +1,55 @@
+"""The metrics of a daemon."""
+
+from collections.abc import Callable
+
+from gypsumpost_daemon.counter import Counter
+from gypsumpost_daemon.duration_summary import DurationSummary
+from gypsumpost_daemon.gauge import Gauge
+
+Metric = Counter | Gauge | DurationSummary
+
+
+class Metrics:
+    """All metrics by name; each part of the daemon adds and owns its own."""
+
+    def __init__(self) -> None:
+        self._metrics: dict[str, Metric] = {}
+
+    def add_counter(self, name: str, help: str, *labels: str) -> Counter:
+        """Add a counter.
+
+        :param name: name with the suffix ``_total``.
+        :param help: what it counts.
+        :param labels: names of its labels; their values must be few.
+        """
+        counter = Counter(name=name, help=help, labels=labels)
+        self._add(counter)
+        return counter
+
+    def add_gauge(self, name: str, help: str, read: Callable[[], float]) -> None:
+        """Add a value that is read at each scrape.
+
+        :param name: name of the metric.
+        :param help: what it is.
+        :param read: returns the value; must not block.
+        """
+        self._add(Gauge(name=name, help=help, read=read))
+
+    def add_durations(self, name: str, help: str) -> DurationSummary:
+        """Add percentiles of durations.
+
+        :param name: name with the suffix ``_seconds``.
+        :param help: what it measures.
+        """
+        durations = DurationSummary(name=name, help=help)
+        self._add(durations)
+        return durations
+
+    def list_all(self) -> list[Metric]:
+        """Return all metrics by name."""
+        return [self._metrics[name] for name in sorted(self._metrics)]
+
+    def _add(self, metric: Metric) -> None:
+        if metric.name in self._metrics:
+            raise ValueError(f"the metric {metric.name} is added twice")
+        self._metrics[metric.name] = metric
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/tests/test_metrics_route.py
@@ -0,0 +1,40 @@
+"""Tests of the metrics on the callers' listener."""
+
+from typing import Any, cast
+
+from gypsumpost_daemon.caller_application import CallerApplication
+from gypsumpost_daemon.metrics import Metrics
+from gypsumpost_daemon.settings import Settings
+
+PARTS = cast(Any, None)
+"""Parts that these requests never reach."""
+
+
+async def request(application: CallerApplication, path: str) -> tuple[int, bytes]:
+    sent: list[Any] = []
+
+    async def receive() -> Any:
+        return {"type": "http.request", "body": b"", "more_body": False}
+
+    async def send(event: Any) -> None:
+        sent.append(event)
+
+    scope: Any = {"type": "http", "method": "GET", "path": path, "headers": [], "query_string": b""}
+    await application(scope, receive, send)
+    return sent[0]["status"], b"".join(event.get("body", b"") for event in sent[1:])
+
+
+async def test_metrics_need_no_key_and_count_refusals() -> None:
+    """Guards against a scraper that needs a workspace's key, and refusals that are not counted."""
+    application = CallerApplication(
+        settings=Settings(),
+        supervisor=PARTS,
+        keys=PARTS,
+        find_workspace=lambda key: None,
+        list_models=list,
+        metrics=Metrics(),
+    )
+    assert (await request(application, "/v1/models"))[0] == 401
+    status, body = await request(application, "/metrics")
+    assert status == 200
+    assert b'gypsumpost_requests_total{outcome="refused",code="invalid_key"} 1\n' in body
