Stop, start and show endpoints, and show the state of a deployment

Cause: operators could not take an endpoint out of use, nor see which hosts, failure domains and endpoints are cut off or leaving.

An operator's wish is stored at endpoints/<name> by compare-and-swap with a nonce, so that a repeat after a lost answer cannot undo a later change. Two daemons of each domain watch the prefix; they pass the stopped names down the tree that list changes take, and all daemons poll a peer each second. The endpoint table shows a stopped endpoint as leaving, which holds for engines and services and ends at once with a start. Router.mark_leaving is not used, because its mark lapses once the platform's list has shown the endpoint as live for 30 s. The hosts file goes to routing through that table as well.

--- /dev/null
+++ b/packages/cli/gypsumpost_cli/endpoint_text.py
@@ -0,0 +1,32 @@
+"""Endpoints as text."""
+
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+
+def format_endpoints(rows: Sequence[Mapping[str, Any]]) -> str:
+    """Return a line for each endpoint.
+
+    :param rows: endpoints as the administration interface describes them.
+    """
+    return "\n".join(map(describe_endpoint, rows)) or "no endpoints"
+
+
+def describe_endpoint(row: Mapping[str, Any]) -> str:
+    """Return one line for an endpoint.
+
+    :param row: the endpoint as the administration interface describes it.
+    """
+    serves = row["serves"] if isinstance(row["serves"], str) else ", ".join(row["serves"])
+    state = _describe_state(row)
+    return f"{row['name']:16} {row['kind']:8} {row['failure_domain']:10} {state:36} {serves}"
+
+
+def _describe_state(row: Mapping[str, Any]) -> str:
+    if not row["leaving"]:
+        return "in use"
+    cause = "stopped" if row["stopped"] else "leaving"
+    work = row["work"]
+    if work is None:
+        return f"{cause}, does not answer"
+    return f"{cause}, empty" if work == 0 else f"{cause}, {work} requests in flight"
--- a/packages/cli/gypsumpost_cli/main.py
+++ b/packages/cli/gypsumpost_cli/main.py
@@ -9,7 +9,14 @@
 
 from gypsumpost_cli.command_registry import COMMANDS
 
-COMMAND_MODULES = ("list_commands", "edit_commands", "timeline_commands", "load_commands")
+COMMAND_MODULES = (
+    "list_commands",
+    "edit_commands",
+    "endpoint_commands",
+    "status_commands",
+    "timeline_commands",
+    "load_commands",
+)
 """Modules of this package that register commands when they are imported."""
 
 
--- /dev/null
+++ b/packages/cli/gypsumpost_cli/status_text.py
@@ -0,0 +1,60 @@
+"""The state of a deployment as text."""
+
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+from gypsumpost_cli.endpoint_text import describe_endpoint
+
+ALIVE = "alive"
+
+
+def format_status(
+    status: Mapping[str, Any], hosts: Mapping[str, Any], endpoints: Sequence[Mapping[str, Any]]
+) -> str:
+    """Return hosts by failure domain, what is cut off, and endpoints that leave.
+
+    :param status: content of ``status`` of the administration interface.
+    :param hosts: content of ``hosts``.
+    :param endpoints: the rows of ``endpoints``.
+    """
+    lists, rows = status["lists"], hosts["hosts"]
+    parts = [f"as {hosts['seen_by']} sees it: revision {lists['revision']} is in force there"]
+    parts += _list_troubles(lists, rows)
+    for domain in sorted({row["failure_domain"] for row in rows}):
+        parts.append(_format_domain(domain, rows, endpoints, lists["revision"]))
+    leaving = [row for row in endpoints if row["leaving"]]
+    parts.append(f"endpoints: {len(endpoints)}, of which {len(leaving)} receive no new work")
+    parts += [f"  {describe_endpoint(row)}" for row in leaving]
+    return "\n".join(parts)
+
+
+def _list_troubles(lists: Mapping[str, Any], rows: Sequence[Mapping[str, Any]]) -> list[str]:
+    troubles = []
+    if lists["cut_off"]:
+        troubles.append("CUT OFF FROM THE STORE: newer revisions may exist that are not seen here")
+    for domain in sorted({row["failure_domain"] for row in rows}):
+        states = {row["state"] for row in rows if row["failure_domain"] == domain}
+        if ALIVE not in states:
+            troubles.append(f"CUT OFF: no host of {domain} is reached")
+    return troubles
+
+
+def _format_domain(
+    domain: str,
+    rows: Sequence[Mapping[str, Any]],
+    endpoints: Sequence[Mapping[str, Any]],
+    revision: int,
+) -> str:
+    own = [row for row in rows if row["failure_domain"] == domain]
+    alive = sum(row["state"] == ALIVE for row in own)
+    count = sum(row["failure_domain"] == domain for row in endpoints)
+    lines = [f"{domain}: {alive} of {len(own)} hosts alive, {count} endpoints"]
+    lines += [f"  {row['host_id']:16} {row['state']:12} {_tell(row, revision)}" for row in own]
+    return "\n".join(lines)
+
+
+def _tell(row: Mapping[str, Any], revision: int) -> str:
+    if row["revision"] is None:
+        return "no answer"
+    late = "" if row["revision"] == revision else " (differs)"
+    return f"revision {row['revision']}{late}"
--- a/packages/cli/gypsumpost_cli/tests/test_list_commands.py
+++ b/packages/cli/gypsumpost_cli/tests/test_list_commands.py
@@ -1,8 +1,5 @@
 """Tests of the commands for the operators' lists."""
 
-import contextlib
-import socket
-import threading
 from collections.abc import Callable, Iterator
 from pathlib import Path
 
@@ -13,6 +10,7 @@
 from gypsumpost_bench.simulated_fleet import create_directory, create_hosts
 from gypsumpost_bench.simulated_network import SimulatedNetwork, SimulatedPort
 from gypsumpost_cli.main import run_command
+from gypsumpost_cli.tests.admin_thread import run_in_thread, set_up_access
 from gypsumpost_daemon.admin_application import AdminApplication
 from gypsumpost_daemon.admin_lists import AdminLists
 from gypsumpost_daemon.admin_server import serve_admin
@@ -21,50 +19,29 @@
 Run = Callable[..., tuple[int, str]]
 
 
-@contextlib.contextmanager
-def serve_in_thread(address: str) -> Iterator[ScriptedStore]:
-    """Run a daemon's administration interface in a thread, as the commands block."""
-    store, ready, tokens = ScriptedStore(), threading.Event(), []
-
-    async def serve() -> None:
-        host = create_hosts(1)[0]
-        directory = create_directory(host, [host])
-        port = SimulatedPort(network=SimulatedNetwork(), host_id=host.host_id)
-        task = ListTask(directory=directory, peers=port, store=store)
-        application = AdminApplication(key="secret")
-        AdminLists(store=store, task=task, directory=directory).add_routes(application)
-        async with trio.open_nursery() as nursery:
-            tokens.append((trio.lowlevel.current_trio_token(), nursery.cancel_scope))
-            nursery.start_soon(task.run)
-            await nursery.start(serve_admin, application, address)
-            ready.set()
-
-    thread = threading.Thread(target=trio.run, args=(serve,))
-    thread.start()
-    assert ready.wait(10)
-    yield store
-    token, scope = tokens[0]
-    token.run_sync_soon(scope.cancel)
-    thread.join()
+async def run_interface(nursery: trio.Nursery, address: str) -> None:
+    store, host = ScriptedStore(), create_hosts(1)[0]
+    directory = create_directory(host, [host])
+    port = SimulatedPort(network=SimulatedNetwork(), host_id=host.host_id)
+    task = ListTask(directory=directory, peers=port, store=store)
+    application = AdminApplication(key="secret")
+    AdminLists(store=store, task=task, directory=directory).add_routes(application)
+    nursery.start_soon(task.run)
+    await nursery.start(serve_admin, application, address)
 
 
 @pytest.fixture
 def run(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
 ) -> Iterator[Run]:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        address = f"127.0.0.1:{probe.getsockname()[1]}"
-    (tmp_path / "admin.key").write_text("secret\n")
-    monkeypatch.setenv("GYPSUMPOST_ADMIN_ADDRESS", address)
-    monkeypatch.setenv("GYPSUMPOST_ADMIN_KEY_FILE", str(tmp_path / "admin.key"))
+    address = set_up_access(tmp_path, monkeypatch)
 
     def run_and_read(*arguments: str) -> tuple[int, str]:
         code = run_command(arguments)
         captured = capsys.readouterr()
         return code, (captured.out + captured.err).strip()
 
-    with serve_in_thread(address):
+    with run_in_thread(lambda nursery: run_interface(nursery, address)):
         yield run_and_read
 
 
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/admin_endpoints.py
@@ -0,0 +1,113 @@
+"""Endpoints in the administration interface."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import orjson
+import trio
+
+from gypsumpost_core.endpoint import Endpoint
+from gypsumpost_core.endpoint_status import EndpointStatus
+from gypsumpost_daemon.admin_application import AdminApplication
+from gypsumpost_daemon.admin_edits import describe_outcome, get_author, get_edit_deadline
+from gypsumpost_daemon.admin_request import AdminRequest
+from gypsumpost_daemon.admin_response import create_error_response, create_json_response
+from gypsumpost_daemon.caller_response import CallerResponse
+from gypsumpost_daemon.endpoint_desires import EndpointDesires
+from gypsumpost_daemon.endpoint_editor import EndpointEditor
+from gypsumpost_daemon.endpoint_record import STARTED, STOPPED
+from gypsumpost_daemon.endpoint_table import EndpointTable
+
+MAX_QUESTIONS = 20
+"""Leaving endpoints that are asked at the same time whether they are empty."""
+
+AskWork = Callable[[Endpoint], Awaitable[int | None]]
+
+
+class AdminEndpoints:
+    """Handlers that show, stop and start endpoints.
+
+    :param endpoints: the known endpoints.
+    :param desires: which ones operators have stopped.
+    :param editor: stores the operators' wishes, ``None`` without a store.
+    :param is_leaving: whether routing sends an endpoint no new work.
+    :param ask_work: returns the requests that an endpoint runs or queues, ``None`` without answer.
+    """
+
+    def __init__(
+        self,
+        *,
+        endpoints: EndpointTable,
+        desires: EndpointDesires,
+        editor: EndpointEditor | None,
+        is_leaving: Callable[[str], bool],
+        ask_work: AskWork,
+    ) -> None:
+        self._endpoints = endpoints
+        self._desires = desires
+        self._editor = editor
+        self._is_leaving = is_leaving
+        self._ask_work = ask_work
+
+    def add_routes(self, application: AdminApplication) -> None:
+        """Add the handlers to the interface.
+
+        :param application: the interface.
+        """
+        application.add_route("GET", "/admin/v1/endpoints", self.show)
+        application.add_route("PUT", "/admin/v1/endpoints/(?P<name>[^/]+)", self.set_desired)
+
+    async def show(self, request: AdminRequest) -> CallerResponse:
+        """Return all endpoints; a leaving one with the work that it still has."""
+        endpoints = self._endpoints.list_all()
+        work: dict[str, int | None] = {}
+        limiter = trio.CapacityLimiter(MAX_QUESTIONS)
+
+        async def ask(endpoint: Endpoint) -> None:
+            async with limiter:
+                work[endpoint.name] = await self._ask_work(endpoint)
+
+        async with trio.open_nursery() as nursery:
+            for endpoint in filter(self._leaves, endpoints):
+                nursery.start_soon(ask, endpoint)
+        rows = [self._describe(endpoint, work) for endpoint in endpoints]
+        return create_json_response(200, {"endpoints": sorted(rows, key=lambda row: row["name"])})
+
+    async def set_desired(self, request: AdminRequest, name: str) -> CallerResponse:
+        """Store whether an endpoint is to be started or stopped."""
+        if self._editor is None:
+            return create_error_response(503, "no_store", "This daemon has no store.")
+        desired = _read_desired(request.body)
+        if desired is None:
+            message = f'The body must be {{"desired":"{STARTED}"}} or {{"desired":"{STOPPED}"}}.'
+            return create_error_response(422, "wrong_body", message)
+        if self._endpoints.find(name) is None:
+            return create_error_response(404, "not_found", f"There is no endpoint {name}.")
+        outcome = await self._editor.set_desired(
+            name, desired, author=get_author(request), deadline=get_edit_deadline()
+        )
+        return describe_outcome(outcome)
+
+    def _leaves(self, endpoint: Endpoint) -> bool:
+        return endpoint.status is EndpointStatus.LEAVING or self._is_leaving(endpoint.name)
+
+    def _describe(self, endpoint: Endpoint, work: dict[str, int | None]) -> dict[str, Any]:
+        leaving = self._leaves(endpoint)
+        return {
+            "name": endpoint.name,
+            "kind": endpoint.kind.value,
+            "failure_domain": endpoint.failure_domain,
+            "serves": endpoint.service or sorted({ref.model for ref in endpoint.models}),
+            "stopped": endpoint.name in self._desires.stopped,
+            "leaving": leaving,
+            "work": work.get(endpoint.name) if leaving else None,
+        }
+
+
+def _read_desired(body: bytes) -> str | None:
+    try:
+        value = orjson.loads(body)
+    except orjson.JSONDecodeError:
+        return None
+    desired = value.get("desired") if isinstance(value, dict) else None
+    return desired if desired in (STARTED, STOPPED) else None
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/admin_hosts.py
@@ -0,0 +1,48 @@
+"""Hosts in the administration interface."""
+
+from gypsumpost_core.member_state import MemberState
+from gypsumpost_daemon.admin_application import AdminApplication
+from gypsumpost_daemon.admin_request import AdminRequest
+from gypsumpost_daemon.admin_response import create_json_response
+from gypsumpost_daemon.caller_response import CallerResponse
+from gypsumpost_daemon.host_directory import HostDirectory
+from gypsumpost_daemon.host_revisions import ask_revisions
+from gypsumpost_daemon.list_task import ListTask
+
+
+class AdminHosts:
+    """Handler that shows the hosts as this daemon sees them.
+
+    :param directory: the known hosts.
+    :param task: this daemon's copy of the lists.
+    """
+
+    def __init__(self, *, directory: HostDirectory, task: ListTask) -> None:
+        self._directory = directory
+        self._task = task
+
+    def add_routes(self, application: AdminApplication) -> None:
+        """Add the handler to the interface.
+
+        :param application: the interface.
+        """
+        application.add_route("GET", "/admin/v1/hosts", self.show)
+
+    async def show(self, request: AdminRequest) -> CallerResponse:
+        """Return each known host with its state and the revision that it has in force."""
+        revisions = await ask_revisions(self._directory, self._task)
+        rows = [
+            {
+                "host_id": host.host_id,
+                "failure_domain": host.failure_domain,
+                "state": self._name_state(host.host_id),
+                "revision": revisions.get(host.host_id),
+            }
+            for host in self._directory.list_known()
+        ]
+        own = self._directory.own.host_id
+        return create_json_response(200, {"seen_by": own, "hosts": rows})
+
+    def _name_state(self, host_id: str) -> str:
+        state = self._directory.get_state(host_id) or MemberState.UNREACHABLE
+        return state.name.lower()
--- a/packages/daemon/gypsumpost_daemon/admin_lists.py
+++ b/packages/daemon/gypsumpost_daemon/admin_lists.py
@@ -7,39 +7,22 @@
 from gypsumpost_core.list_file import format_list
 from gypsumpost_core.list_kind import ListKind
 from gypsumpost_daemon.admin_application import AdminApplication
+from gypsumpost_daemon.admin_edits import describe_outcome, get_author, get_edit_deadline
 from gypsumpost_daemon.admin_request import AdminRequest
 from gypsumpost_daemon.admin_response import create_error_response, create_json_response
 from gypsumpost_daemon.caller_response import CallerResponse
-from gypsumpost_daemon.edit_outcome import (
-    EditAccepted,
-    EditConflict,
-    EditNotAccepted,
-    EditOutcome,
-    EditRefused,
-    EditUnknown,
-)
 from gypsumpost_daemon.host_directory import HostDirectory
+from gypsumpost_daemon.host_revisions import ask_revisions
 from gypsumpost_daemon.list_editor import ListEditor
 from gypsumpost_daemon.list_task import ListTask
 from gypsumpost_daemon.store import Store
 from gypsumpost_daemon.stored_lists import read_history, read_lists
 
-EDIT_SECONDS = 10.0
-"""How long an edit may wait for the store until its outcome is reported as unknown."""
-
 READ_SECONDS = 3.0
 HISTORY_RECORDS = 50
 MAX_HISTORY_RECORDS = 1000
 KIND = r"/admin/v1/(?P<kind>plans|allowances)"
 
-OUTCOMES: dict[type, tuple[int, str]] = {
-    EditAccepted: (200, "accepted"),
-    EditConflict: (409, "conflict"),
-    EditRefused: (422, "refused"),
-    EditNotAccepted: (503, "not_accepted"),
-    EditUnknown: (504, "unknown"),
-}
-
 
 class AdminLists:
     """Handlers for the operators' lists.
@@ -91,9 +74,13 @@
         except UnicodeDecodeError:
             return create_error_response(422, "not_utf8", "The list must be UTF-8 text.")
         outcome = await self._editor.replace_list(
-            ListKind(kind), text, base=base, author=_get_author(request), deadline=_get_deadline()
+            ListKind(kind),
+            text,
+            base=base,
+            author=get_author(request),
+            deadline=get_edit_deadline(),
         )
-        return _describe_outcome(outcome)
+        return describe_outcome(outcome)
 
     async def undo(self, request: AdminRequest, kind: str) -> CallerResponse:
         """Take back the revision of the query parameter ``revision``."""
@@ -101,9 +88,9 @@
         if revision is None:
             return _refuse_number("revision")
         outcome = await self._editor.undo(
-            ListKind(kind), revision, author=_get_author(request), deadline=_get_deadline()
+            ListKind(kind), revision, author=get_author(request), deadline=get_edit_deadline()
         )
-        return _describe_outcome(outcome)
+        return describe_outcome(outcome)
 
     async def list_history(self, request: AdminRequest, kind: str) -> CallerResponse:
         """Return the newest records that changed a list; ``limit`` bounds their number."""
@@ -144,16 +131,8 @@
 
     async def list_revisions(self, request: AdminRequest) -> CallerResponse:
         """Return the revision in force on each live host, ``null`` where none answers."""
-        own = self._directory.own.host_id
-        revisions: dict[str, int | None] = {own: self._task.revision}
-
-        async def ask(host_id: str) -> None:
-            revisions[host_id] = await self._task.ask_revision(host_id)
-
-        async with trio.open_nursery() as nursery:
-            for host in self._directory.list_peers():
-                nursery.start_soon(ask, host.host_id)
-        return create_json_response(200, {"revisions": dict(sorted(revisions.items()))})
+        revisions = await ask_revisions(self._directory, self._task)
+        return create_json_response(200, {"revisions": revisions})
 
     async def show_status(self, request: AdminRequest) -> CallerResponse:
         """Return how current the lists of this daemon are."""
@@ -161,11 +140,6 @@
         return create_json_response(200, content)
 
 
-def _describe_outcome(outcome: EditOutcome) -> CallerResponse:
-    status, name = OUTCOMES[type(outcome)]
-    return create_json_response(status, {"outcome": name, "detail": outcome})
-
-
 def _refuse_number(name: str) -> CallerResponse:
     return create_error_response(400, "not_a_number", f"{name} must be a whole number from 0.")
 
@@ -174,11 +148,3 @@
     digits = text.strip('"')
     # 15 digits keep the number within what the store's keys and JSON can carry.
     return int(digits) if digits.isascii() and digits.isdigit() and len(digits) <= 15 else None
-
-
-def _get_author(request: AdminRequest) -> str:
-    return request.headers.get("x-author", "unknown")[:100]
-
-
-def _get_deadline() -> float:
-    return trio.current_time() + EDIT_SECONDS
--- a/packages/daemon/gypsumpost_daemon/daemon.py
+++ b/packages/daemon/gypsumpost_daemon/daemon.py
@@ -133,7 +133,7 @@
             if host.host_id != self._settings.host_id:
                 self._directory.update(host, live=True)
         self._endpoints.replace(endpoints)
-        self._router.update_endpoints(endpoints, trio.current_time())
+        self._router.update_endpoints(self._endpoints.list_all(), trio.current_time())
 
     def _add_handlers(self) -> None:
         add = self._network.add_handler
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/endpoint_desires.py
@@ -0,0 +1,135 @@
+"""Keeps the operators' stops of endpoints known on this daemon."""
+
+import random
+from collections.abc import Callable
+
+import trio
+from result import Err
+
+from gypsumpost_core.spread_tree import list_children
+from gypsumpost_daemon.endpoint_watcher import EndpointWatcher
+from gypsumpost_daemon.host_directory import HostDirectory
+from gypsumpost_daemon.list_peers import ListPeers
+from gypsumpost_daemon.log import Log
+from gypsumpost_daemon.message_kind import MessageKind
+from gypsumpost_daemon.peer_channel import PeerChannel
+from gypsumpost_daemon.peer_request import PeerRequest
+from gypsumpost_daemon.stopped_endpoints import StoppedEndpoints
+from gypsumpost_daemon.stopped_endpoints_codec import decode_stopped, encode_stopped
+from gypsumpost_daemon.store import Store
+
+WATCHERS_PER_DOMAIN = 2
+PEER_SECONDS = 0.5
+PUSH_ATTEMPTS = 3
+POLL_SECONDS = 1.0
+"""A daemon that a push does not reach must learn of a stop within 2 s."""
+
+LOG = Log(prefix="endpoints")
+
+
+class EndpointDesires:
+    """Learns which endpoints are stopped, from the store or from peers.
+
+    :param directory: the known hosts.
+    :param peers: messages to other daemons.
+    :param store: the platform's store, ``None`` without one.
+    :param apply: told the stopped endpoints at each change; must not block.
+    :param seed: seed of the choice of peers to poll.
+    """
+
+    def __init__(
+        self,
+        *,
+        directory: HostDirectory,
+        peers: PeerChannel,
+        store: Store | None,
+        apply: Callable[[frozenset[str]], None],
+        seed: int = 0,
+    ) -> None:
+        self._directory = directory
+        self._channel = peers
+        self._apply = apply
+        self._state = StoppedEndpoints()
+        self._changed = trio.Event()
+        self._random = random.Random(f"{directory.own.host_id}/endpoints/{seed}")
+        self._peers = ListPeers(
+            directory=directory, watchers=WATCHERS_PER_DOMAIN, random_source=self._random
+        )
+        self._watcher: EndpointWatcher | None = None
+        if store is not None:
+            self._watcher = EndpointWatcher(
+                store=store, adopt=self._adopt, random_source=self._random
+            )
+        peers.add_handler(MessageKind.ENDPOINT_LEAVING, self._serve)
+
+    @property
+    def stopped(self) -> frozenset[str]:
+        """Names of the stopped endpoints."""
+        return self._state.names
+
+    async def run(self) -> None:
+        """Follow the store or the peers until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch_store)
+            nursery.start_soon(self._pass_on)
+            nursery.start_soon(self._poll)
+
+    async def _watch_store(self) -> None:
+        if self._watcher is not None:
+            await self._peers.run_as_watcher(self._watcher.follow)
+
+    async def _pass_on(self) -> None:
+        async with trio.open_nursery() as nursery:
+            while True:
+                await self._changed.wait()
+                self._changed = trio.Event()
+                for child in list_children(self._directory.own, self._peers.rank_domain()):
+                    nursery.start_soon(self._push, child.host_id)
+
+    async def _push(self, host_id: str) -> None:
+        for _ in range(PUSH_ATTEMPTS):
+            if await self._exchange(host_id):
+                return
+
+    async def _poll(self) -> None:
+        while True:
+            await trio.sleep(POLL_SECONDS * (0.75 + 0.25 * self._random.random()))
+            peer = self._peers.choose_poll_peer()
+            if peer is not None:
+                await self._exchange(peer.host_id)
+
+    async def _exchange(self, host_id: str) -> bool:
+        deadline = trio.current_time() + PEER_SECONDS
+        payload = encode_stopped(self._state)
+        kind = MessageKind.ENDPOINT_LEAVING
+        reply = await self._channel.request(host_id, kind, payload, deadline)
+        if isinstance(reply, Err):
+            return False
+        self._take(host_id, reply.ok_value)
+        return True
+
+    async def _serve(self, request: PeerRequest) -> bytes:
+        self._take(request.host_id, request.payload)
+        return encode_stopped(self._state)
+
+    def _take(self, host_id: str, payload: bytes) -> None:
+        decoded = decode_stopped(payload)
+        if isinstance(decoded, Err):
+            LOG.write("ignored a message", peer=host_id, reason=decoded.err_value)
+        else:
+            self._adopt(decoded.ok_value)
+
+    def _adopt(self, state: StoppedEndpoints) -> None:
+        if state.revision <= self._state.revision:
+            return
+        before, self._state = self._state, state
+        if state.names == before.names:
+            return
+        LOG.write(
+            "stops changed",
+            stopped=sorted(state.names - before.names),
+            started=sorted(before.names - state.names),
+            store_revision=state.revision,
+        )
+        self._apply(state.names)
+        self._changed.set()
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/endpoint_watcher.py
@@ -0,0 +1,103 @@
+"""Follows the operators' wishes for endpoints in the store."""
+
+import random
+from collections.abc import Callable
+from contextlib import aclosing
+
+import trio
+from result import Err, Ok, Result
+
+from gypsumpost_daemon.endpoint_record import (
+    PREFIX,
+    PREFIX_END,
+    STOPPED,
+    find_stopped,
+    read_endpoint_name,
+    read_endpoint_record,
+)
+from gypsumpost_daemon.log import Log
+from gypsumpost_daemon.stopped_endpoints import StoppedEndpoints
+from gypsumpost_daemon.store import Store
+from gypsumpost_daemon.store_event import StoreEvent
+from gypsumpost_daemon.store_failure import StoreFailure
+from gypsumpost_daemon.store_transaction import StoreGet, StoreTransaction
+from gypsumpost_daemon.store_watcher import (
+    CALL_SECONDS,
+    FIRST_RETRY_SECONDS,
+    LAST_RETRY_SECONDS,
+)
+from gypsumpost_daemon.stored_lists import get_keys
+
+READ_AGAIN_SECONDS = 3.0
+"""A watch that is cut without notice costs this much time, not the change."""
+
+LOG = Log(prefix="endpoints")
+
+
+class EndpointWatcher:
+    """Reads the wishes and watches them.
+
+    :param store: the platform's store.
+    :param adopt: takes each state that was read; must not block.
+    :param random_source: source of the jitter between retries.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: Store,
+        adopt: Callable[[StoppedEndpoints], None],
+        random_source: random.Random,
+    ) -> None:
+        self._store = store
+        self._adopt = adopt
+        self._random = random_source
+
+    async def follow(self) -> None:
+        """Read and watch until cancelled."""
+        retry = FIRST_RETRY_SECONDS
+        while True:
+            read = await self._read()
+            if isinstance(read, Err):
+                LOG.write("the store did not answer", reason=read.err_value.reason)
+                await trio.sleep(retry * (0.5 + self._random.random()))
+                retry = min(LAST_RETRY_SECONDS, retry * 2)
+                continue
+            retry = FIRST_RETRY_SECONDS
+            self._adopt(read.ok_value)
+            with trio.move_on_after(READ_AGAIN_SECONDS):
+                await self._watch(read.ok_value)
+                # A store that ends every watch at once must not be called in a tight loop.
+                await trio.sleep(retry)
+
+    async def _read(self) -> Result[StoppedEndpoints, StoreFailure]:
+        read = StoreTransaction(success=(StoreGet(key=PREFIX, range_end=PREFIX_END),))
+        done = await self._store.run_transaction(read, trio.current_time() + CALL_SECONDS)
+        if isinstance(done, Err):
+            return done
+        names = find_stopped(get_keys(done.ok_value, 0))
+        return Ok(StoppedEndpoints(revision=done.ok_value.revision, names=names))
+
+    async def _watch(self, state: StoppedEndpoints) -> None:
+        events = self._store.watch(PREFIX, PREFIX_END, state.revision + 1)
+        async with aclosing(events):  # type: ignore[type-var]
+            async for batch in events:
+                state = apply_events(state, batch)
+                self._adopt(state)
+
+
+def apply_events(state: StoppedEndpoints, events: list[StoreEvent]) -> StoppedEndpoints:
+    """Return the state after changes.
+
+    :param state: the state before.
+    :param events: changes below the prefix, in their order.
+    """
+    names, revision = set(state.names), state.revision
+    for event in events:
+        name = read_endpoint_name(event.key)
+        record = None if event.value is None else read_endpoint_record(event.value)
+        names.discard(name)
+        if isinstance(record, Ok) and record.ok_value.desired == STOPPED:
+            names.add(name)
+        revision = max(revision, event.mod_revision)
+    return StoppedEndpoints(revision=revision, names=frozenset(names))
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/endpoint_work.py
@@ -0,0 +1,42 @@
+"""Asks endpoints how much work they have."""
+
+from typing import Any
+
+import attrs
+import trio
+from result import Err
+
+from gypsumpost_core.endpoint import Endpoint
+from gypsumpost_daemon.engine_client import EngineClient
+
+ASK_SECONDS = 1.0
+
+
+@attrs.frozen(kw_only=True)
+class EndpointWork:
+    """Reads the load reports of engines and plain services.
+
+    :param engines: calls the endpoints.
+    """
+
+    engines: EngineClient
+
+    async def ask(self, endpoint: Endpoint) -> int | None:
+        """Return the requests that an endpoint runs or queues, ``None`` if it does not answer.
+
+        :param endpoint: the endpoint.
+        """
+        deadline = trio.current_time() + ASK_SECONDS
+        report = await self.engines.get_json(endpoint.address, "/load", deadline)
+        return None if isinstance(report, Err) else parse_work(report.ok_value)
+
+
+def parse_work(report: Any) -> int | None:
+    """Return the requests that a load report names, ``None`` if it is malformed.
+
+    :param report: decoded JSON of ``/load`` of an engine or a plain service.
+    """
+    try:
+        return int(report["running"]) + int(report.get("waiting", 0))
+    except (KeyError, TypeError, ValueError, AttributeError):
+        return None
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/host_revisions.py
@@ -0,0 +1,23 @@
+"""Asks the live hosts for the revision of the lists that they have in force."""
+
+import trio
+
+from gypsumpost_daemon.host_directory import HostDirectory
+from gypsumpost_daemon.list_task import ListTask
+
+
+async def ask_revisions(directory: HostDirectory, task: ListTask) -> dict[str, int | None]:
+    """Return the revision of each live host by name, ``None`` where none answers.
+
+    :param directory: the known hosts.
+    :param task: this daemon's copy of the lists, which asks.
+    """
+    revisions: dict[str, int | None] = {directory.own.host_id: task.revision}
+
+    async def ask(host_id: str) -> None:
+        revisions[host_id] = await task.ask_revision(host_id)
+
+    async with trio.open_nursery() as nursery:
+        for host in directory.list_peers():
+            nursery.start_soon(ask, host.host_id)
+    return dict(sorted(revisions.items()))
--- a/packages/daemon/gypsumpost_daemon/list_peers.py
+++ b/packages/daemon/gypsumpost_daemon/list_peers.py
@@ -1,6 +1,7 @@
 """Which daemons watch the store for the lists, and whom a daemon polls."""
 
 import random
+from collections.abc import Awaitable, Callable
 
 import trio
 
@@ -45,6 +46,18 @@
             changed = self._changed
             await changed.wait()
 
+    async def run_as_watcher(self, follow: Callable[[], Awaitable[None]]) -> None:
+        """Run a task whenever this daemon is a watcher, until cancelled.
+
+        :param follow: the task; cancelled when the role ends.
+        """
+        while True:
+            await self.wait_for_role(watching=True)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(follow)
+                await self.wait_for_role(watching=False)
+                nursery.cancel_scope.cancel()
+
     def choose_poll_peer(self) -> Host | None:
         """Return the peer to ask for its revision next.
 
--- a/packages/daemon/gypsumpost_daemon/list_task.py
+++ b/packages/daemon/gypsumpost_daemon/list_task.py
@@ -124,14 +124,8 @@
             nursery.start_soon(self._poll)
 
     async def _watch_store(self) -> None:
-        if self._watcher is None:
-            return
-        while True:
-            await self._peers.wait_for_role(watching=True)
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._watcher.follow)
-                await self._peers.wait_for_role(watching=False)
-                nursery.cancel_scope.cancel()
+        if self._watcher is not None:
+            await self._peers.run_as_watcher(self._watcher.follow)
 
     async def _pass_on(self) -> None:
         passed = self.revision
