--- a/packages/daemon/gypsumpost_daemon/attempt_reader.py
+++ b/packages/daemon/gypsumpost_daemon/attempt_reader.py
@@ -18,6 +18,7 @@
 from gypsumpost_daemon.engine_stream import EngineStream
 from gypsumpost_daemon.generation_context import GenerationContext
 from gypsumpost_daemon.generation_status import GenerationStatus
+from gypsumpost_daemon.stall_timer import StallTimer
 
 CONNECT_SECONDS = 1.0
 """Longest wait for the head of an engine's response to a resume call."""
@@ -31,12 +32,14 @@
     :param routes: describes attempts for routing.
     :param context: the parts of the daemon that it talks to.
     :param handle_output: called after output was taken in.
+    :param timer: measures stalls.
     """
 
     status: GenerationStatus
     routes: AttemptRoute
     context: GenerationContext
     handle_output: Callable[[], None]
+    timer: StallTimer
     produced: bool = attrs.field(default=False, init=False)
     action: ResumptionAction = attrs.field(default=ResumptionAction.CONTINUE, init=False)
     _last_token_at: float = attrs.field(factory=trio.current_time, init=False)
@@ -75,11 +78,16 @@
             if self._decide(connected=False).action is not ResumptionAction.RESUME:
                 return outcome
             self._resumes += 1
+            self.note_loss()
             opened = await self.reopen()
             if isinstance(opened, Err):
                 return outcome
             stream = opened.ok_value
 
+    def note_loss(self) -> None:
+        """Note that the current stream is lost."""
+        self.timer.note_loss(self._last_token_at)
+
     def cancel_stream(self) -> None:
         """Cancel the current attempt on its engine."""
         record = self.status.record
@@ -130,6 +138,7 @@
 
     def _record_tokens(self, count: int, route: RouteRequest) -> None:
         now = trio.current_time()
+        self.timer.note_tokens(now)
         gap = now - self._last_token_at
         engine = self.status.record.engine
         if self._first_token:
--- a/packages/daemon/gypsumpost_daemon/attempt_runner.py
+++ b/packages/daemon/gypsumpost_daemon/attempt_runner.py
@@ -50,8 +50,10 @@
                 outcome = self._judge_refusal(opened.err_value)
         finally:
             self.context.router.record_end(engine.name, route, outcome, trio.current_time())
+            self.context.metrics.record_attempt(outcome)
             self._cancel_unfinished(outcome)
         if outcome is not AttemptOutcome.FINISHED:
+            self.reader.note_loss()
             LOG.write("attempt ended", outcome=outcome.value, **self.status.describe())
             self.routes.excluded.add(engine.name)
         return outcome
@@ -70,6 +72,7 @@
             outcome = await self.reader.read(stream.ok_value, self.routes.describe())
         finally:
             self._cancel_unfinished(outcome)
+        self.reader.note_loss()
 
     async def _open(
         self, engine: Endpoint, route: RouteRequest, now: float
--- a/packages/daemon/gypsumpost_daemon/daemon.py
+++ b/packages/daemon/gypsumpost_daemon/daemon.py
@@ -5,7 +5,6 @@
 
 import trio
 
-from gypsumpost_core.endpoint import Endpoint
 from gypsumpost_core.host import Host
 from gypsumpost_core.membership_settings import MembershipSettings
 from gypsumpost_core.resumption_policies import RESUMPTION
@@ -14,11 +13,13 @@
 from gypsumpost_daemon.caller_application import CallerApplication
 from gypsumpost_daemon.copy_client import CopyClient
 from gypsumpost_daemon.copy_store import CopyStore
+from gypsumpost_daemon.daemon_gauges import add_gauges
 from gypsumpost_daemon.endpoint_table import EndpointTable
 from gypsumpost_daemon.engine_client import EngineClient
 from gypsumpost_daemon.engine_prober import EngineProber
 from gypsumpost_daemon.garbage_collector import configure_collector
 from gypsumpost_daemon.generation_context import GenerationContext
+from gypsumpost_daemon.generation_metrics import GenerationMetrics
 from gypsumpost_daemon.generation_supervisor import GenerationSupervisor
 from gypsumpost_daemon.gossip import Gossip
 from gypsumpost_daemon.host_directory import HostDirectory
@@ -27,6 +28,7 @@
 from gypsumpost_daemon.key_directory import KeyDirectory
 from gypsumpost_daemon.log import Log
 from gypsumpost_daemon.message_kind import MessageKind
+from gypsumpost_daemon.metrics import Metrics
 from gypsumpost_daemon.peer_network import PeerNetwork
 from gypsumpost_daemon.platform_parts import PlatformParts
 from gypsumpost_daemon.running_server import RunningServer
@@ -70,22 +72,24 @@
         self._network = PeerNetwork(directory=self._directory, key=key)
         self._endpoints = EndpointTable()
         self._gossip = self._create_gossip(key)
+        self._router = Router(failure_domain=own.failure_domain, policy=settings.routing)
+        self._router.update_endpoints(self._endpoints.list_all(), trio.current_time())
+        self._engines = EngineClient(transport=settings.engine_transport)
         self._platform: PlatformParts | None = None
         self._access: AccessControl = SettingsAccess(keys=settings.workspace_keys)
         if settings.platform_address:
             self._platform = self._create_platform_parts(key)
             self._access = self._platform.access
-        self._router = Router(failure_domain=own.failure_domain, policy=settings.routing)
-        self._router.update_endpoints(self._endpoints.list_all(), trio.current_time())
-        self._engines = EngineClient(transport=settings.engine_transport)
         self._canceller = StreamCanceller(engines=self._engines)
         self._copy_store = CopyStore(max_bytes=settings.held_bytes)
         self._key_directory = KeyDirectory()
         self._copy_client = CopyClient(
             directory=self._directory, network=self._network, placement=settings.copy_placement
         )
+        self._metrics = Metrics()
         self._supervisor = self._create_supervisor()
         self._application = self._create_application()
+        self._add_gauges()
 
     async def run(self) -> None:
         """Serve until a signal asks for a planned stop and all requests have ended."""
@@ -119,6 +123,7 @@
                 engines=self._engines,
                 copies=self._copy_client,
                 canceller=self._canceller,
+                metrics=GenerationMetrics(metrics=self._metrics),
             ),
             copies=self._copy_store,
             take_overs=TakeOverClient(directory=self._directory, network=self._network),
@@ -135,6 +140,17 @@
             access=self._access,
             list_models=self._endpoints.list_models,
             handle_service=self._platform.calls.handle if self._platform else None,
+            metrics=self._metrics,
+        )
+
+    def _add_gauges(self) -> None:
+        add_gauges(
+            self._metrics,
+            copies=self._copy_store,
+            supervisor=self._supervisor,
+            directory=self._directory,
+            get_list_revision=lambda: self._platform.lists.revision if self._platform else 0,
+            count_open_requests=lambda: self._application.open_requests,
         )
 
     def _create_gossip(self, key: bytes) -> Gossip:
@@ -151,20 +167,16 @@
         )
 
     def _create_platform_parts(self, key: bytes) -> PlatformParts:
-        parts = PlatformParts(
+        return PlatformParts(
             settings=self._settings,
             directory=self._directory,
             network=self._network,
             gossip=self._gossip,
             endpoints=self._endpoints,
+            router=self._router,
+            engines=self._engines,
             secret=key,
         )
-        parts.host_list.listen(lambda snapshot: self._take_endpoints(list(snapshot.endpoints)))
-        return parts
-
-    def _take_endpoints(self, endpoints: list[Endpoint]) -> None:
-        self._endpoints.replace(endpoints)
-        self._router.update_endpoints(endpoints, trio.current_time())
 
     def _add_handlers(self) -> None:
         add = self._network.add_handler
--- a/packages/daemon/gypsumpost_daemon/generation_task.py
+++ b/packages/daemon/gypsumpost_daemon/generation_task.py
@@ -15,6 +15,7 @@
 from gypsumpost_daemon.generation_context import GenerationContext
 from gypsumpost_daemon.generation_status import GenerationStatus
 from gypsumpost_daemon.log import Log
+from gypsumpost_daemon.stall_timer import StallTimer
 
 LOG = Log(prefix="generation")
 
@@ -41,7 +42,15 @@
         self._scope = trio.CancelScope()
         routes = AttemptRoute(record=record, route=route)
         self._reader = AttemptReader(
-            status=self._status, routes=routes, context=context, handle_output=self._handle_output
+            status=self._status,
+            routes=routes,
+            context=context,
+            handle_output=self._handle_output,
+            timer=StallTimer(
+                metrics=context.metrics,
+                started_at=trio.current_time(),
+                resumed=bool(record.pieces),
+            ),
         )
         self._attempts = AttemptSequence(
             status=self._status,
--- a/packages/daemon/gypsumpost_daemon/platform_parts.py
+++ b/packages/daemon/gypsumpost_daemon/platform_parts.py
@@ -5,15 +5,23 @@
 
 import trio
 
+from gypsumpost_core.router import Router
 from gypsumpost_daemon import claim_batcher, direct_claims
 from gypsumpost_daemon.admin_application import AdminApplication
+from gypsumpost_daemon.admin_endpoints import AdminEndpoints
+from gypsumpost_daemon.admin_hosts import AdminHosts
 from gypsumpost_daemon.admin_lists import AdminLists
 from gypsumpost_daemon.admin_server import serve_admin
 from gypsumpost_daemon.claim_mode import CLAIM_MODES
+from gypsumpost_daemon.endpoint_desires import EndpointDesires
+from gypsumpost_daemon.endpoint_editor import EndpointEditor
 from gypsumpost_daemon.endpoint_table import EndpointTable
+from gypsumpost_daemon.endpoint_work import EndpointWork
+from gypsumpost_daemon.engine_client import EngineClient
 from gypsumpost_daemon.gossip import Gossip
 from gypsumpost_daemon.host_directory import HostDirectory
 from gypsumpost_daemon.host_list import HostList
+from gypsumpost_daemon.host_list_snapshot import HostListSnapshot
 from gypsumpost_daemon.list_access import ListAccess
 from gypsumpost_daemon.list_task import ListTask
 from gypsumpost_daemon.peer_network import PeerNetwork
@@ -37,6 +45,8 @@
     :param network: connections to other daemons.
     :param gossip: membership, which announces the revision in force.
     :param endpoints: the known endpoints.
+    :param router: chooses engines among them.
+    :param engines: calls them.
     :param secret: the deployment's shared key.
     """
 
@@ -48,15 +58,23 @@
         network: PeerNetwork,
         gossip: Gossip,
         endpoints: EndpointTable,
+        router: Router,
+        engines: EngineClient,
         secret: bytes,
     ) -> None:
         self._settings = settings
+        self._endpoints = endpoints
+        self._router = router
         self._gossip = gossip
         self.store = StoreClient(
             addresses=[settings.platform_address], failure_domain=settings.failure_domain
         )
         self.host_list = HostList(platform_address=settings.platform_address)
         self.host_list.listen(gossip.take_host_list)
+        self.host_list.listen(self._take_endpoints)
+        self.desires = EndpointDesires(
+            directory=directory, peers=network, store=self.store, apply=self._take_stops
+        )
         self.lists = ListTask(directory=directory, peers=network, store=self.store)
         gossip.listen_revision(self.lists.observe_peer_revision)
         self.shares = ShareTask(
@@ -76,13 +94,24 @@
             secret=secret,
             list_endpoints=endpoints.list_all,
         )
-        self._admin_lists = AdminLists(store=self.store, task=self.lists, directory=directory)
+        self._admin_handlers = (
+            AdminLists(store=self.store, task=self.lists, directory=directory),
+            AdminHosts(directory=directory, task=self.lists),
+            AdminEndpoints(
+                endpoints=endpoints,
+                desires=self.desires,
+                editor=EndpointEditor(store=self.store),
+                is_leaving=router.is_leaving,
+                ask_work=EndpointWork(engines=engines).ask,
+            ),
+        )
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Run all parts until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.host_list.run)
             nursery.start_soon(self.lists.run)
+            nursery.start_soon(self.desires.run)
             nursery.start_soon(self.shares.run)
             nursery.start_soon(self._announce_revision)
             await nursery.start(self.calls.run)
@@ -90,10 +119,19 @@
                 await nursery.start(self._serve_admin)
             task_status.started()
 
+    def _take_endpoints(self, snapshot: HostListSnapshot) -> None:
+        self._endpoints.replace(list(snapshot.endpoints))
+        self._router.update_endpoints(self._endpoints.list_all(), trio.current_time())
+
+    def _take_stops(self, names: frozenset[str]) -> None:
+        self._endpoints.replace_stopped(names)
+        self._router.update_endpoints(self._endpoints.list_all(), trio.current_time())
+
     async def _serve_admin(self, task_status: trio.TaskStatus[list[str]]) -> None:
         key = Path(self._settings.admin_key_file).read_text().strip()
         application = AdminApplication(key=key)
-        self._admin_lists.add_routes(application)
+        for handlers in self._admin_handlers:
+            handlers.add_routes(application)
         await serve_admin(application, self._settings.admin_address, task_status)
 
     async def _announce_revision(self) -> None:
