Add the placement of models and the lease of the orders

Engines accept orders to load and unload models, but nothing decided on them. DemandPlacement computes what each engine of a domain should have loaded, OrderPlanner turns it into one order at a time, and OrderLease decides who may send.

Before a copy of a reference in use is unloaded, another engine must accept an order to load it, because reports lag and a restarted engine has forgotten the token.

--- a/packages/core/gypsumpost_core/engine_load.py
+++ b/packages/core/gypsumpost_core/engine_load.py
@@ -16,6 +16,7 @@
     :param sampled_at: Unix time in seconds at which the engine took the sample.
     :param draining: true if the engine says that it is leaving.
     :param models: what it has loaded.
+    :param model_slots: how many models with adapters its memory holds, 0 if it does not say.
     """
 
     boot_id: str
@@ -25,3 +26,4 @@
     sampled_at: float
     draining: bool
     models: tuple[ModelRef, ...]
+    model_slots: int = 0
--- a/packages/core/gypsumpost_core/invariant.py
+++ b/packages/core/gypsumpost_core/invariant.py
@@ -6,7 +6,7 @@
 
 
 class Invariant(enum.Enum):
-    """The invariants of docs/design.md section 1.1."""
+    """The invariants of docs/design.md section 1.1, internal ones last."""
 
     WHOLE_ANSWER = "whole-answer"
     ONE_GENERATION = "one-generation"
@@ -16,6 +16,8 @@
     NO_NEW_WORK_WHEN_LEAVING = "no-new-work-when-leaving"
     GRACEFUL_STOP = "graceful-stop"
     NO_REVERT = "no-revert"
+    ORDER_WITHIN_LEASE = "order-within-lease"
+    LAST_COPY = "last-copy"
 
 
 def require(invariant: Invariant, condition: bool, state: object) -> None:
--- /dev/null
+++ b/packages/core/gypsumpost_core/order_planner.py
@@ -0,0 +1,165 @@
+"""Turns a desired state into orders, one engine at a time."""
+
+import attrs
+
+from gypsumpost_core.engine_order import EngineOrder, OrderAction
+from gypsumpost_core.engine_report import EngineReport
+from gypsumpost_core.invariant import Invariant, require
+from gypsumpost_core.load_budget import LoadBudget
+from gypsumpost_core.model_ref import ModelRef
+from gypsumpost_core.placement_policy import DesiredState
+from gypsumpost_core.placement_settings import PlacementSettings
+from gypsumpost_core.placement_situation import PlacementSituation
+
+
+@attrs.define(kw_only=True)
+class OrderPlanner:
+    """Chooses the next order of one holder of the lease.
+
+    A planner lives as long as one fencing token. Before a copy of a reference in use is unloaded,
+    an engine that keeps the reference is ordered to load it: its acceptance is fresher than its
+    lagging report, and an engine that checks tokens then refuses late orders of former holders.
+
+    :param settings: delays.
+    :param started_at: process time in seconds at which the lease was taken.
+    """
+
+    settings: PlacementSettings
+    started_at: float
+    _budget: LoadBudget = attrs.field(init=False)
+    _outstanding: EngineOrder | None = attrs.field(default=None, init=False)
+    _repeat_at: float = attrs.field(default=0.0, init=False)
+    _ordered_at: dict[str, float] = attrs.field(factory=dict, init=False)
+    _accepted: bool = attrs.field(default=False, init=False)
+    _confirmed_until: dict[tuple[str, str, ModelRef], float] = attrs.field(factory=dict, init=False)
+
+    @_budget.default
+    def _create_budget(self) -> LoadBudget:
+        interval, burst = self.settings.load_interval, self.settings.load_burst
+        return LoadBudget(interval=interval, burst=burst, now=self.started_at)
+
+    def choose_order(
+        self, desired: DesiredState, situation: PlacementSituation, now: float
+    ) -> EngineOrder | None:
+        """Return the next order to send, ``None`` if there is none now.
+
+        :param desired: the desired state.
+        :param situation: the reports that the desired state was computed from.
+        :param now: process time in seconds.
+        """
+        if self._is_waiting(situation, now):
+            return None
+        # The engine that was ordered longest ago comes first: one that never follows its orders
+        # must not hold up the others.
+        engines = [engine for engine in situation.list_serving() if engine.name in desired]
+        for engine in sorted(engines, key=lambda e: self._ordered_at.get(e.name, 0.0)):
+            order = self._choose_for(engine, desired, situation, now)
+            if order is not None:
+                return order
+        return None
+
+    def note_sent(
+        self, order: EngineOrder, desired: DesiredState, situation: PlacementSituation, now: float
+    ) -> None:
+        """Check an order that is about to be sent and note it.
+
+        :param order: the order.
+        :param desired: the desired state.
+        :param situation: the latest reports.
+        :param now: process time in seconds.
+        :raises BrokenInvariant: if it would unload the last copy of a reference in use.
+        """
+        if order.action is OrderAction.UNLOAD and situation.is_in_use(order.ref):
+            kept = _list_keepers(order.engine, order.ref, desired, situation)
+            require(Invariant.LAST_COPY, bool(kept), {"order": order, "situation": situation})
+        if self._is_load(order, situation):
+            self._budget.take(now)
+        self._outstanding, self._accepted = order, False
+        self._repeat_at = now + self.settings.repeat_after
+        self._ordered_at[order.engine] = now
+
+    def note_accepted(self, order: EngineOrder, now: float) -> None:
+        """Note that an engine accepted the order that was sent last.
+
+        :param order: the order.
+        :param now: process time in seconds.
+        """
+        self._accepted = True
+        if order.action is OrderAction.LOAD:
+            key = order.engine, order.boot_id, order.ref
+            self._confirmed_until[key] = now + self.settings.confirmed_for
+
+    def _is_waiting(self, situation: PlacementSituation, now: float) -> bool:
+        order = self._outstanding
+        if order is None or now >= self._repeat_at:
+            return False
+        for engine in situation.list_serving():
+            # The report alone does not show the effect of an order for what was loaded already.
+            if engine.name == order.engine and self._accepted and _is_done(order, engine):
+                self._outstanding = None
+        return self._outstanding is not None
+
+    def _choose_for(
+        self, engine: EngineReport, desired: DesiredState, situation: PlacementSituation, now: float
+    ) -> EngineOrder | None:
+        wanted = desired[engine.name]
+        for ref in sorted(engine.models - wanted, key=str):
+            order = self._choose_unload(engine, ref, desired, situation, now)
+            if order is not None:
+                return order
+        missing = sorted(wanted - engine.models, key=str)
+        has_room = len(engine.models) < engine.model_slots
+        if missing and has_room and self._budget.may_load(now):
+            return _create_order(engine, OrderAction.LOAD, missing[0])
+        return None
+
+    def _choose_unload(
+        self,
+        engine: EngineReport,
+        ref: ModelRef,
+        desired: DesiredState,
+        situation: PlacementSituation,
+        now: float,
+    ) -> EngineOrder | None:
+        if now < self.started_at + self.settings.unload_after:
+            return None
+        unload = _create_order(engine, OrderAction.UNLOAD, ref)
+        if not situation.is_in_use(ref):
+            return unload
+        keepers = _list_keepers(engine.name, ref, desired, situation)
+        if not keepers:
+            return None
+        confirmed = [keeper for keeper in keepers if self._is_confirmed(keeper, ref, now)]
+        if confirmed:
+            return unload
+        # Only an engine that checks tokens is safe from late orders, so it is preferred.
+        keeper = max(keepers, key=lambda engine: (engine.checks_fencing, engine.name))
+        return _create_order(keeper, OrderAction.LOAD, ref)
+
+    def _is_confirmed(self, engine: EngineReport, ref: ModelRef, now: float) -> bool:
+        return now < self._confirmed_until.get((engine.name, engine.boot_id, ref), 0.0)
+
+    def _is_load(self, order: EngineOrder, situation: PlacementSituation) -> bool:
+        loaded = {engine.name: engine.models for engine in situation.engines}
+        return order.action is OrderAction.LOAD and order.ref not in loaded.get(order.engine, ())
+
+
+def _create_order(engine: EngineReport, action: OrderAction, ref: ModelRef) -> EngineOrder:
+    return EngineOrder(engine=engine.name, boot_id=engine.boot_id, action=action, ref=ref)
+
+
+def _is_done(order: EngineOrder, engine: EngineReport) -> bool:
+    return (order.ref in engine.models) is (order.action is OrderAction.LOAD)
+
+
+def _list_keepers(
+    name: str, ref: ModelRef, desired: DesiredState, situation: PlacementSituation
+) -> list[EngineReport]:
+    # An engine counts only if it both has the reference and is meant to keep it.
+    return [
+        engine
+        for engine in situation.list_serving()
+        if engine.name != name
+        and ref in engine.models
+        and ref in desired.get(engine.name, frozenset())
+    ]
--- /dev/null
+++ b/packages/core/gypsumpost_core/placement.py
@@ -0,0 +1,107 @@
+"""Placement of models by demand."""
+
+import attrs
+
+from gypsumpost_core.engine_report import EngineReport
+from gypsumpost_core.model_ref import ModelRef
+from gypsumpost_core.placement_change import PlacementChange
+from gypsumpost_core.placement_policy import PLACEMENT, DesiredState
+from gypsumpost_core.placement_settings import PlacementSettings
+from gypsumpost_core.placement_situation import PlacementSituation
+
+
+@PLACEMENT.register("demand")
+@attrs.define(kw_only=True)
+class DemandPlacement:
+    """Gives each permitted reference with demand a copy, and overloaded ones more.
+
+    An engine's desired state begins with what it reports and changes only by a difference that
+    lasts until its stored deadline. Nothing is unloaded but to make room.
+
+    :param settings: delays and thresholds.
+    """
+
+    settings: PlacementSettings
+    _desired: dict[str, frozenset[ModelRef]] = attrs.field(factory=dict, init=False)
+    _due: dict[tuple[ModelRef, bool], float] = attrs.field(factory=dict, init=False)
+
+    def compute_desired(self, situation: PlacementSituation, now: float) -> DesiredState:
+        """Return the desired state after the changes that are due.
+
+        :param situation: reports, permissions and demand.
+        :param now: process time in seconds.
+        """
+        self._follow_engines(situation)
+        # A difference that has gone, or has been answered, must last anew the next time.
+        due: dict[tuple[ModelRef, bool], float] = {}
+        for ref in self._list_candidates(situation):
+            change = self._find_change(ref, situation)
+            if change is None:
+                continue
+            key = ref, self.count_copies(ref) == 0
+            deadline = self._due.get(key, now + self._get_delay(ref))
+            if now >= deadline:
+                self._apply(change)
+            else:
+                due[key] = deadline
+        self._due = due
+        return dict(self._desired)
+
+    def count_copies(self, ref: ModelRef) -> int:
+        """Return the number of engines that should have a reference loaded.
+
+        :param ref: the reference.
+        """
+        return sum(ref in models for models in self._desired.values())
+
+    def _follow_engines(self, situation: PlacementSituation) -> None:
+        serving = situation.list_serving()
+        self._desired = {e.name: self._desired.get(e.name, e.models) for e in serving}
+
+    def _list_candidates(self, situation: PlacementSituation) -> list[ModelRef]:
+        used = [ref for ref in situation.allowed if situation.is_in_use(ref)]
+        return sorted(used, key=lambda ref: (self.count_copies(ref) > 0, str(ref)))
+
+    def _get_delay(self, ref: ModelRef) -> float:
+        missing = self.count_copies(ref) == 0
+        return self.settings.missing_after if missing else self.settings.spread_after
+
+    def _find_change(self, ref: ModelRef, situation: PlacementSituation) -> PlacementChange | None:
+        copies = self.count_copies(ref)
+        pressure = situation.demand[ref] / max(1, copies)
+        if copies and pressure <= self.settings.spread_demand:
+            return None
+        others = [e for e in situation.list_serving() if ref not in self._desired[e.name]]
+        free = [e for e in others if len(self._desired[e.name]) < e.model_slots]
+        if free:
+            return PlacementChange(engine=min(free, key=_rank).name, added=ref)
+        options = [
+            option
+            for engine in others
+            for option in self._list_swaps(engine, ref, situation)
+            if not copies or option.cost * self.settings.spread_ratio < pressure
+        ]
+        return min(options, key=lambda option: option.rank(), default=None)
+
+    def _list_swaps(
+        self, engine: EngineReport, ref: ModelRef, situation: PlacementSituation
+    ) -> list[PlacementChange]:
+        found = []
+        for other in self._desired[engine.name]:
+            remaining = self.count_copies(other) - 1
+            if situation.is_in_use(other) and remaining == 0:
+                continue
+            cost = situation.demand.get(other, 0.0) / max(1, remaining)
+            change = PlacementChange(
+                engine=engine.name, added=ref, removed=other, cost=cost, load=engine.load
+            )
+            found.append(change)
+        return found
+
+    def _apply(self, change: PlacementChange) -> None:
+        models = self._desired[change.engine] - {change.removed}
+        self._desired[change.engine] = models | {change.added}
+
+
+def _rank(engine: EngineReport) -> tuple[int, str]:
+    return engine.load, engine.name
--- /dev/null
+++ b/packages/core/gypsumpost_core/placement_policy.py
@@ -0,0 +1,27 @@
+"""The interface of placement policies and their registry."""
+
+from collections.abc import Mapping
+from typing import Protocol
+
+from gypsumpost_core.model_ref import ModelRef
+from gypsumpost_core.placement_situation import PlacementSituation
+from gypsumpost_core.registry import Registry
+
+DesiredState = Mapping[str, frozenset[ModelRef]]
+"""What each engine should have loaded; engines that get no orders are absent."""
+
+
+class PlacementPolicy(Protocol):
+    """Chooses what each engine of a failure domain should have loaded."""
+
+    def compute_desired(self, situation: PlacementSituation, now: float) -> DesiredState:
+        """Return the desired state.
+
+        :param situation: reports, permissions and demand.
+        :param now: process time in seconds.
+        """
+        ...
+
+
+PLACEMENT: Registry[PlacementPolicy] = Registry(behaviour="placement")
+"""Constructors take ``settings``, a :class:`PlacementSettings`."""
--- /dev/null
+++ b/packages/core/gypsumpost_core/static_placement.py
@@ -0,0 +1,22 @@
+"""The placement that serves as a baseline."""
+
+import attrs
+
+from gypsumpost_core.placement_policy import PLACEMENT, DesiredState
+from gypsumpost_core.placement_settings import PlacementSettings
+from gypsumpost_core.placement_situation import PlacementSituation
+
+
+@PLACEMENT.register("static")
+@attrs.define(kw_only=True)
+class StaticPlacement:
+    """What is loaded stays.
+
+    :param settings: not used.
+    """
+
+    settings: PlacementSettings
+
+    def compute_desired(self, situation: PlacementSituation, now: float) -> DesiredState:
+        """Return what the engines report."""
+        return {engine.name: engine.models for engine in situation.list_serving()}
--- a/packages/daemon/gypsumpost_daemon/engine_prober.py
+++ b/packages/daemon/gypsumpost_daemon/engine_prober.py
@@ -66,6 +66,7 @@
                 ModelRef(**{name: str(model[name]) for name in ("model", "version", "adapter")})
                 for model in report["models"]
             ),
+            model_slots=int(report.get("model_slots", 0)),
         )
     except (KeyError, TypeError, ValueError):
         return None
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/order_lease_store.py
@@ -0,0 +1,116 @@
+"""Calls to the store for the lease of a failure domain's orders."""
+
+import secrets
+from collections.abc import Callable
+
+import attrs
+import trio
+from result import Err
+
+from gypsumpost_core.lease_record import LeaseRecord
+from gypsumpost_core.lease_step import LeaseAction, LeaseStep
+from gypsumpost_core.lease_view import LeaseView
+from gypsumpost_core.order_lease import OrderLease
+from gypsumpost_daemon.list_records import decode_record, encode_record
+from gypsumpost_daemon.store import Store
+from gypsumpost_daemon.store_transaction import (
+    StoreCompare,
+    StoreGet,
+    StorePut,
+    StoreTransaction,
+)
+from gypsumpost_daemon.store_transaction_result import StoreTransactionResult
+
+PREFIX = "/gypsumpost/orders/"
+CALL_SECONDS = 2.0
+NONCE_BYTES = 16
+
+
+@attrs.define(kw_only=True)
+class OrderLeaseStore:
+    """Carries out the steps of the lease's state machine.
+
+    The record ``orders/<domain>`` outlives the store's lease, so that the fencing token only
+    grows. The key ``orders/<domain>/held`` is deleted with the store's lease.
+
+    :param store: the platform's store.
+    :param domain: the failure domain.
+    :param create_nonce: returns a new nonce for each taking.
+    """
+
+    store: Store
+    domain: str
+    create_nonce: Callable[[], str] = lambda: secrets.token_hex(NONCE_BYTES)
+
+    async def run_step(self, lease: OrderLease, step: LeaseStep) -> None:
+        """Make the call of a step and report its outcome to the state machine.
+
+        :param lease: the state machine.
+        :param step: its step, not a wait.
+        """
+        sent_at = trio.current_time()
+        deadline = sent_at + CALL_SECONDS
+        if step.action is LeaseAction.GRANT:
+            granted = await self.store.grant_lease(lease.settings.ttl, deadline)
+            if isinstance(granted, Err):
+                lease.note_no_answer(trio.current_time())
+            else:
+                lease.note_granted(granted.ok_value, self.create_nonce(), sent_at)
+        elif step.action is LeaseAction.KEEP:
+            kept = await self.store.keep_lease(step.store_lease, deadline)
+            if isinstance(kept, Err):
+                lease.note_no_answer(trio.current_time())
+            else:
+                lease.note_kept(kept.ok_value, sent_at)
+        else:
+            await self._run_transaction(lease, step, deadline)
+
+    async def _run_transaction(self, lease: OrderLease, step: LeaseStep, deadline: float) -> None:
+        done = await self.store.run_transaction(
+            build_lease_transaction(self.domain, step), deadline
+        )
+        now = trio.current_time()
+        if isinstance(done, Err):
+            lease.note_no_answer(now)
+        elif step.action is LeaseAction.TAKE and done.ok_value.succeeded:
+            lease.note_taken(now)
+        else:
+            lease.note_read(read_view(done.ok_value), now)
+
+
+def build_lease_transaction(domain: str, step: LeaseStep) -> StoreTransaction:
+    """Return the transaction of a step that reads or takes the lease.
+
+    :param domain: the failure domain.
+    :param step: the step.
+    """
+    key = f"{PREFIX}{domain}".encode()
+    held_key = key + b"/held"
+    reads = (StoreGet(key=key), StoreGet(key=held_key))
+    if step.record is None:
+        return StoreTransaction(success=reads)
+    nonce = step.record.nonce.encode()
+    return StoreTransaction(
+        compare=(
+            StoreCompare(key=key, mod_revision=step.revision),
+            StoreCompare(key=held_key, create_revision=0),
+        ),
+        success=(
+            StorePut(key=key, value=encode_record(step.record)),
+            StorePut(key=held_key, value=nonce, lease=step.store_lease),
+        ),
+        failure=reads,
+    )
+
+
+def read_view(result: StoreTransactionResult) -> LeaseView:
+    """Return what a transaction read of a lease.
+
+    :param result: result of a transaction that read the record and the held key.
+    """
+    records, held = result.results
+    assert isinstance(records, tuple) and isinstance(held, tuple)
+    if not records:
+        return LeaseView(record=None, revision=0, held=bool(held))
+    record = decode_record(records[0].value, LeaseRecord)
+    return LeaseView(record=record, revision=records[0].mod_revision, held=bool(held))
