--- a/packages/bench/gypsumpost_bench/engine_application.py
+++ b/packages/bench/gypsumpost_bench/engine_application.py
@@ -37,6 +37,7 @@
     :param models: what the engine has loaded, as JSON objects.
     :param load_lag: seconds by which load reports lag.
     :param checks_fencing: true if orders with an old fencing token are refused.
+    :param model_slots: how many models with adapters the memory holds.
     """
 
     name: str
@@ -44,6 +45,7 @@
     models: list[dict[str, str]]
     load_lag: float
     checks_fencing: bool
+    model_slots: int = 4
     boot_id: str = attrs.field(factory=lambda: uuid.uuid4().hex, init=False)
     refusing: bool = attrs.field(default=False, init=False)
     draining: bool = attrs.field(default=False, init=False)
@@ -101,6 +103,7 @@
             "sampled_at": time.time(),
             "draining": self.draining,
             "models": list(self.models),
+            "model_slots": self.model_slots,
             "tokens_produced": sum(len(s.tokens) for s in self.batch.streams.values()),
         }
 
--- /dev/null
+++ b/packages/bench/gypsumpost_bench/experiment_placement.py
@@ -0,0 +1,99 @@
+"""Measures the orders to engines under faults of the store, daemons and engines."""
+
+from gypsumpost_bench.experiment import EXPERIMENTS
+from gypsumpost_bench.experiment_row import ExperimentRow
+from gypsumpost_bench.placement_run import STEADY_SECONDS, PlacementRun
+
+BASELINE_NAME = "every daemon orders, no lease"
+STORE_CALLS_TARGET = 2.0
+"""Calls per second and domain; 11 domains then take a fiftieth of the store's writes."""
+
+
+@EXPERIMENTS.register("placement")
+def measure_placement(*, quick: bool) -> list[ExperimentRow]:
+    """Measure the orders until the desired state on a simulated clock.
+
+    :param quick: true for fewer runs.
+    """
+    seeds = range(5 if quick else 40)
+    runs = [_run(True, seed) for seed in seeds]
+    base = [_run(False, seed) for seed in seeds]
+    note = (
+        f"{len(runs)} runs with 30 faults, 6 engines of 2 models (3 check tokens), 3 daemons, "
+        f"{sum(run.world.late_executions for run in runs)} orders of former holders executed, "
+        f"{sum(run.world.coincidences for run in runs)} unloads just after a restart elsewhere"
+    )
+    return [
+        _compare("orders per run under faults", "orders", _mean_orders(runs), _mean_orders(base)),
+        _compare(
+            "orders from the last fault to the desired state, worst",
+            "orders",
+            max(run.settling_orders for run in runs),
+            max(run.settling_orders for run in base),
+        ),
+        _compare(
+            "time from the last fault to the desired state, worst",
+            "s",
+            max(run.settling_seconds for run in runs),
+            max(run.settling_seconds for run in base),
+            note="a run that does not reach it counts 600 s; overloaded copies wait for 60 s each",
+        ),
+        _compare(
+            "time from the last fault until every reference in use has a copy, worst",
+            "s",
+            max(run.uncovered_seconds for run in runs),
+            max(run.uncovered_seconds for run in base),
+        ),
+        _compare(
+            "orders in 300 s after the desired state, worst",
+            "orders",
+            max(run.steady_orders for run in runs),
+            max(run.steady_orders for run in base),
+            limit=0.0,
+        ),
+        _compare(
+            "unloads of a last copy in use",
+            "unloads",
+            sum(run.world.last_copy_unloads for run in runs),
+            sum(run.world.last_copy_unloads for run in base),
+            limit=0.0,
+            note=note,
+        ),
+        _compare(
+            "store calls per domain",
+            "calls/s",
+            max(run.steady_store_calls for run in runs) / STEADY_SECONDS,
+            0.0,
+            limit=STORE_CALLS_TARGET,
+        ),
+    ]
+
+
+def _run(leased: bool, seed: int) -> PlacementRun:
+    run = PlacementRun(leased=leased, seed=seed, faults=30)
+    run.run()
+    return run
+
+
+def _mean_orders(runs: list[PlacementRun]) -> float:
+    return sum(run.fault_orders for run in runs) / len(runs)
+
+
+def _compare(
+    name: str,
+    unit: str,
+    figure: float,
+    baseline: float,
+    limit: float | None = None,
+    note: str = "",
+) -> ExperimentRow:
+    return ExperimentRow(
+        name=name,
+        unit=unit,
+        figure=figure,
+        target="" if limit is None else f"<= {limit:g}",
+        baseline=baseline,
+        baseline_name=BASELINE_NAME,
+        note=note,
+        met=None if limit is None else figure <= limit,
+    )
--- /dev/null
+++ b/packages/bench/gypsumpost_bench/ordered_engine.py
@@ -0,0 +1,69 @@
+"""A simulated engine that takes orders."""
+
+import attrs
+
+from gypsumpost_core.engine_order import EngineOrder, OrderAction
+from gypsumpost_core.engine_report import EngineReport
+from gypsumpost_core.model_ref import ModelRef
+
+
+@attrs.define(kw_only=True)
+class OrderedEngine:
+    """An engine whose report lags behind its state.
+
+    :param name: its name.
+    :param model_slots: how many references its memory holds.
+    :param checks_fencing: true if it refuses orders with an old token.
+    :param models: what it has loaded.
+    """
+
+    name: str
+    model_slots: int
+    checks_fencing: bool
+    models: set[ModelRef]
+    token: int = 0
+    boot: int = 1
+    leaving: bool = False
+    restarted_at: float = -1e9
+    lost_models: frozenset[ModelRef] = frozenset()
+    reported: EngineReport = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.publish()
+
+    def publish(self) -> None:
+        """Make the present state the report."""
+        self.reported = EngineReport(
+            name=self.name,
+            boot_id=str(self.boot),
+            models=frozenset(self.models),
+            model_slots=self.model_slots,
+            leaving=self.leaving,
+            checks_fencing=self.checks_fencing,
+        )
+
+    def take(self, order: EngineOrder, token: int) -> bool:
+        """Execute an order and return true, or refuse it.
+
+        :param order: the order.
+        :param token: its fencing token.
+        """
+        if self.checks_fencing and token < self.token:
+            return False
+        self.token = max(self.token, token)
+        if order.action is OrderAction.UNLOAD:
+            self.models.discard(order.ref)
+        elif len(self.models) < self.model_slots:
+            self.models.add(order.ref)
+        return True
+
+    def restart(self, now: float) -> None:
+        """Come back with nothing loaded and no token.
+
+        :param now: simulated time in seconds.
+        """
+        self.lost_models = frozenset(self.models)
+        self.restarted_at = now
+        self.models = set()
+        self.token = 0
+        self.boot += 1
--- /dev/null
+++ b/packages/bench/gypsumpost_bench/ordering_daemon.py
@@ -0,0 +1,90 @@
+"""A simulated daemon that takes the lease and orders engines."""
+
+import attrs
+
+from gypsumpost_core.engine_order import EngineOrder
+from gypsumpost_core.lease_settings import LeaseSettings
+from gypsumpost_core.order_lease import OrderLease
+from gypsumpost_core.order_planner import OrderPlanner
+from gypsumpost_core.placement_policies import PLACEMENT
+from gypsumpost_core.placement_policy import DesiredState, PlacementPolicy
+from gypsumpost_core.placement_settings import PlacementSettings
+from gypsumpost_core.placement_situation import PlacementSituation
+
+
+def create_lease(host_id: str) -> OrderLease:
+    """Return the state machine of a daemon.
+
+    :param host_id: its host.
+    """
+    return OrderLease(host_id=host_id, settings=LeaseSettings())
+
+
+@attrs.define(kw_only=True)
+class OrderingDaemon:
+    """The decisions of the daemon's placement task, without its sockets.
+
+    :param host_id: its host.
+    :param rank: its place in rendezvous order.
+    :param policy: a name of the registry ``placement``.
+    :param leased: false for the baseline in which every daemon orders.
+    """
+
+    host_id: str
+    rank: int
+    policy: str = "demand"
+    leased: bool = True
+    settings: PlacementSettings = attrs.field(factory=PlacementSettings)
+    paused_until: float = 0.0
+    lease: OrderLease = attrs.field(init=False)
+    desired: DesiredState = attrs.field(factory=dict, init=False)
+    _token: int = attrs.field(default=-1, init=False)
+    _planner: OrderPlanner | None = attrs.field(default=None, init=False)
+    _placement: PlacementPolicy | None = attrs.field(default=None, init=False)
+
+    @lease.default
+    def _create_lease(self) -> OrderLease:
+        return create_lease(self.host_id)
+
+    def restart(self) -> None:
+        """Come back without state."""
+        self.lease = create_lease(self.host_id)
+        self._token = -1
+
+    def get_token(self) -> int:
+        """Return the token that orders carry."""
+        return self.lease.fencing_token if self.leased else 0
+
+    def may_send(self, now: float) -> bool:
+        """Return true if the daemon may order now."""
+        return self.lease.may_send(now) if self.leased else True
+
+    def decide_order(self, situation: PlacementSituation, now: float) -> EngineOrder | None:
+        """Run one round up to the last check; return the order that passed it.
+
+        :param situation: the reports.
+        :param now: simulated time in seconds.
+        """
+        if not self.may_send(now):
+            return None
+        placement, planner = self._begin_term(now)
+        self.desired = placement.compute_desired(situation, now)
+        order = planner.choose_order(self.desired, situation, now)
+        if order is None:
+            return None
+        planner.note_sent(order, self.desired, situation, now)
+        if self.leased:
+            self.lease.note_order(self.get_token(), now)
+        return order
+
+    def note_accepted(self, order: EngineOrder, now: float) -> None:
+        """Note that an engine accepted the last order."""
+        if self._planner is not None:
+            self._planner.note_accepted(order, now)
+
+    def _begin_term(self, now: float) -> tuple[PlacementPolicy, OrderPlanner]:
+        if self._placement is None or self._planner is None or self._token != self.get_token():
+            self._token = self.get_token()
+            self._placement = PLACEMENT.create(self.policy, settings=self.settings)
+            self._planner = OrderPlanner(settings=self.settings, started_at=now)
+        return self._placement, self._planner
--- /dev/null
+++ b/packages/bench/gypsumpost_bench/placement_run.py
@@ -0,0 +1,121 @@
+"""One run of a failure domain with faults in random order."""
+
+import random
+
+import attrs
+
+from gypsumpost_bench.late_order import LateOrder
+from gypsumpost_bench.ordered_engine import OrderedEngine
+from gypsumpost_bench.ordering_daemon import OrderingDaemon
+from gypsumpost_bench.placement_world import TICK, PlacementWorld
+from gypsumpost_core.model_ref import ModelRef
+
+REFS = tuple(ModelRef(model=f"m{number}") for number in range(6))
+ENGINES = 6
+DAEMONS = 3
+DEMANDS = (0.0, 10.0, 150.0, 600.0)
+FAULTS = ("pause", "late", "store", "lost", "engine", "daemon", "demand")
+WARM_UP_SECONDS = 60.0
+FAULT_SECONDS = 20.0
+"""Time from one fault to the next; the store is down or loses answers for as long."""
+
+SETTLING_LIMIT_SECONDS = 600.0
+STEADY_SECONDS = 300.0
+
+
+@attrs.define(kw_only=True)
+class PlacementRun:
+    """Faults, then the time and orders until the desired state, then a steady time.
+
+    :param leased: false for the baseline in which every daemon orders.
+    :param seed: seed of the faults; both kinds of run get the same.
+    :param faults: number of faults.
+    """
+
+    leased: bool
+    seed: int
+    faults: int
+    world: PlacementWorld = attrs.field(init=False)
+    fault_orders: int = 0
+    settling_seconds: float = 0.0
+    uncovered_seconds: float = 0.0
+    settling_orders: int = 0
+    steady_orders: int = 0
+    steady_store_calls: int = 0
+
+    @world.default
+    def _create_world(self) -> PlacementWorld:
+        engines = {}
+        for number in range(ENGINES):
+            models = {REFS[number % len(REFS)], REFS[(number + 1) % len(REFS)]}
+            name = f"e{number}"
+            engines[name] = OrderedEngine(
+                name=name, model_slots=2, checks_fencing=number % 2 == 0, models=models
+            )
+        daemons = [
+            OrderingDaemon(host_id=f"h{rank}", rank=rank, leased=self.leased)
+            for rank in range(DAEMONS)
+        ]
+        return PlacementWorld(
+            engines=engines, daemons=daemons, demand=dict.fromkeys(REFS, DEMANDS[1])
+        )
+
+    def run(self) -> None:
+        """Run all phases."""
+        chance = random.Random(self.seed)
+        world = self.world
+        world.run(WARM_UP_SECONDS)
+        for _ in range(self.faults):
+            self._inject(chance)
+            world.run(FAULT_SECONDS)
+            world.store_down = world.losing_answers = False
+        self._deliver_late()
+        self.fault_orders = world.orders_sent
+        self._settle()
+        before = world.orders_sent
+        calls = world.store_calls
+        world.run(STEADY_SECONDS)
+        self.steady_orders = world.orders_sent - before
+        self.steady_store_calls = world.store_calls - calls
+
+    def _inject(self, chance: random.Random) -> None:
+        world = self.world
+        kind = chance.choice(FAULTS)
+        daemon = chance.choice(world.daemons)
+        engine = chance.choice(list(world.engines.values()))
+        ref, demand = chance.choice(REFS), chance.choice(DEMANDS)
+        if kind == "pause":
+            daemon.paused_until = world.now + 30.0
+        elif kind == "late":
+            self._deliver_late()
+            world.pause_next_sender = 15.0
+        elif kind == "store":
+            world.store_down = True
+        elif kind == "lost":
+            world.losing_answers = True
+        elif kind == "engine":
+            engine.restart(world.now)
+        elif kind == "daemon":
+            daemon.restart()
+        # Every fault comes with a change of demand, so that there is something to order.
+        world.demand[ref] = demand
+
+    def _deliver_late(self) -> None:
+        late: list[LateOrder] = list(self.world.late)
+        self.world.late.clear()
+        for order in late:
+            self.world.deliver(order)
+
+    def _settle(self) -> None:
+        world = self.world
+        world.pause_next_sender = 0.0
+        begin, orders = world.now, world.orders_sent
+        settled_at, settled_orders = begin, orders
+        while world.now < begin + SETTLING_LIMIT_SECONDS:
+            world.run(TICK)
+            if world.list_missing():
+                self.uncovered_seconds = world.now - begin
+            if not world.is_settled():
+                settled_at, settled_orders = world.now, world.orders_sent
+        self.settling_seconds = settled_at - begin
+        self.settling_orders = settled_orders - orders
