Wire crash suspicion and retry budgets into the attempts

Before each attempt the task asks the suspicion whether the request may run, alone, later or not at all. A death is recorded after a short load call was refused or showed another boot id, since a reset stream proves nothing. Reports travel by QUARANTINE messages in the own domain and to one host of each other domain, which passes them on. A request that never reached an engine is not blamed for its death, and its failure says not_run.

Retries and continuations ask the retry budget. A continuation waits for it at most 1 s: the budget refills with first attempts only, and a daemon without new requests would hold back answers that were begun until their deadline.

Cancelling a stream after the canceller had stopped raised an error at the end of the daemon.

--- a/packages/core/gypsumpost_core/engine_fleet.py
+++ b/packages/core/gypsumpost_core/engine_fleet.py
@@ -61,6 +61,8 @@
         Each condition but the first is dropped when no engine meets it, so that a request is
         tried rather than refused. The own domain goes first while one of its engines has room.
         """
+        if request.only:
+            return self._list_only(request, now)
         own = [e for e in self._own.get(request.model, []) if self._is_usable(e, request, now)]
         if any(not engine.is_full() for engine in own):
             return own
@@ -69,11 +71,33 @@
         trusted = [engine for engine in alive if not engine.health.is_ejected(now)] or alive
         return [engine for engine in trusted if engine.may_start(now)] or trusted
 
+    def list_isolation(self, request: RouteRequest, now: float) -> list[EngineView]:
+        """Return the live engines among which a suspected request may be isolated.
+
+        They are those of the own domain, or all if there are less than two of them: one must stay
+        open to other requests.
+        """
+        own = self._list_live(self._own.get(request.model, []), request, now)
+        return (
+            own if len(own) > 1 else self._list_live(self.list_model(request.model), request, now)
+        )
+
     def count_slots(self, model: str, now: float) -> int:
         """Return the batch slots of a model's engines that can take work."""
         usable = [e for e in self.list_model(model) if not self.is_leaving(e.endpoint.name)]
         return sum(e.estimate.get_slots() for e in usable if not e.health.is_down(now))
 
+    def _list_live(
+        self, engines: list[EngineView], request: RouteRequest, now: float
+    ) -> list[EngineView]:
+        return [e for e in engines if not e.health.is_down(now) and self._fits(e, request)]
+
+    def _list_only(self, request: RouteRequest, now: float) -> list[EngineView]:
+        engine = self.engines.get(request.only)
+        if engine is None or engine.health.is_down(now) or not self._fits(engine, request):
+            return []
+        return [engine]
+
     def _is_usable(self, engine: EngineView, request: RouteRequest, now: float) -> bool:
         health = engine.health
         if health.is_down(now) or health.is_ejected(now) or not self._fits(engine, request):
--- /dev/null
+++ b/packages/core/gypsumpost_core/no_engine.py
@@ -0,0 +1,18 @@
+"""The refusal of a request that no engine can take."""
+
+from gypsumpost_core.failure import Failure
+from gypsumpost_core.route_request import RouteRequest
+from gypsumpost_core.run_state import RunState
+
+
+def refuse_without_engine(request: RouteRequest) -> Failure:
+    """Return the failure of an attempt for which there is no engine.
+
+    :param request: the attempt.
+    """
+    return Failure(
+        status=503,
+        code="no_engine",
+        message=f"No engine can run model {request.model} now.",
+        run_state=RunState.NOT_RUN,
+    )
--- a/packages/core/gypsumpost_core/route_request.py
+++ b/packages/core/gypsumpost_core/route_request.py
@@ -18,6 +18,7 @@
     :param fingerprint: digest of workspace and body; names the request over repeats.
     :param priority: higher goes first.
     :param excluded: names of endpoints that this request must not use.
+    :param only: name of the one endpoint that this attempt may use, empty if routing chooses.
     """
 
     workspace: str
@@ -29,3 +30,4 @@
     fingerprint: str = ""
     priority: int = 0
     excluded: frozenset[str] = frozenset()
+    only: str = ""
--- a/packages/core/gypsumpost_core/router.py
+++ b/packages/core/gypsumpost_core/router.py
@@ -16,11 +16,11 @@
 from gypsumpost_core.engine_view import EngineView
 from gypsumpost_core.failure import Failure
 from gypsumpost_core.invariant import Invariant, require
+from gypsumpost_core.no_engine import refuse_without_engine
 from gypsumpost_core.probe_pool import ProbePool
 from gypsumpost_core.route_request import RouteRequest
 from gypsumpost_core.routing_policy import ROUTING, RoutingContext
 from gypsumpost_core.routing_settings import RoutingSettings
-from gypsumpost_core.run_state import RunState
 from gypsumpost_core.smoothed_value import SmoothedValue
 
 REVIEW_INTERVAL = 1.0
@@ -126,7 +126,7 @@
         self._review(request.model, now)
         candidates = self._fleet.list_candidates(request, now)
         if not candidates:
-            return Err(_create_failure(request))
+            return Err(refuse_without_engine(request))
         chosen = self._policy.pick(request, candidates, self._create_context(now))
         name = chosen.endpoint.name
         leaving = self.is_leaving(name)
@@ -206,6 +206,15 @@
         engine = self._fleet.engines.get(name)
         return engine is None or engine.health.is_down(now)
 
+    def list_isolation(self, request: RouteRequest, now: float) -> list[str]:
+        """Return the live engines among which a suspected request may be isolated."""
+        return [engine.endpoint.name for engine in self._fleet.list_isolation(request, now)]
+
+    def get_boot_id(self, name: str) -> str | None:
+        """Return the boot id of an engine's latest report, empty before the first one."""
+        engine = self._fleet.engines.get(name)
+        return None if engine is None else engine.health.boot_id
+
     def count_slots(self, model: str, now: float) -> int:
         """Return the batch slots of a model's engines that can take work."""
         return self._fleet.count_slots(model, now)
@@ -229,12 +238,3 @@
 
     def _expect_gap(self, engine: EngineView) -> float:
         return engine.estimate.estimate_token_time(engine.estimate.estimate_load())
-
-
-def _create_failure(request: RouteRequest) -> Failure:
-    return Failure(
-        status=503,
-        code="no_engine",
-        message=f"No engine can run model {request.model} now.",
-        run_state=RunState.NOT_RUN,
-    )
--- a/packages/daemon/gypsumpost_daemon/attempt_reader.py
+++ b/packages/daemon/gypsumpost_daemon/attempt_reader.py
@@ -22,6 +22,9 @@
 CONNECT_SECONDS = 1.0
 """Longest wait for the head of an engine's response to a resume call."""
 
+CANCELLED_BY_ENGINE = "cancelled"
+"""Finish reason of a stream that its engine gave up; it is not the end of the answer."""
+
 
 @attrs.define(kw_only=True)
 class AttemptReader:
@@ -111,8 +114,10 @@
         for event in events:
             if event.done:
                 break
+            if event.finish_reason == CANCELLED_BY_ENGINE:
+                return AttemptOutcome.DIED
             outcome = generation.accept(_create_batch(event, self.status.record.attempt))
-            if outcome is BatchOutcome.LOST or event.finish_reason == "cancelled":
+            if outcome is BatchOutcome.LOST:
                 return AttemptOutcome.DIED
             count += len(event.token_ids)
             if outcome is BatchOutcome.FINISHED:
--- a/packages/daemon/gypsumpost_daemon/attempt_runner.py
+++ b/packages/daemon/gypsumpost_daemon/attempt_runner.py
@@ -33,6 +33,8 @@
     routes: AttemptRoute
     reader: AttemptReader
     context: GenerationContext
+    reached: bool = attrs.field(default=False, init=False)
+    """False if the latest attempt was certainly not run."""
 
     async def run(self, engine: Endpoint, route: RouteRequest) -> AttemptOutcome:
         """Run the next attempt.
@@ -41,15 +43,27 @@
         :param route: the attempt.
         """
         now = trio.current_time()
+        crashes, fingerprint = self.context.crashes, route.fingerprint
+        boot_id = crashes.record_start(fingerprint, engine.name, now)
+        self.reached = True
         outcome = AttemptOutcome.CANCELLED
         try:
             opened = await self._open(engine, route, now)
             if isinstance(opened, Ok):
+                self.status.may_have_run = True
                 outcome = await self.reader.read(opened.ok_value, route)
             else:
                 outcome = self._judge_refusal(opened.err_value)
+                if not self.reached:
+                    # The request never got there, so a death of the engine is none of its doing.
+                    crashes.record_end(fingerprint, engine.name, AttemptOutcome.REFUSED, now)
+            if outcome is AttemptOutcome.DIED:
+                await crashes.confirm_death(engine.name, engine.address, boot_id)
         finally:
-            self.context.router.record_end(engine.name, route, outcome, trio.current_time())
+            ended_at = trio.current_time()
+            self.context.router.record_end(engine.name, route, outcome, ended_at)
+            if self.reached:
+                crashes.record_end(fingerprint, engine.name, outcome, ended_at)
             self._cancel_unfinished(outcome)
         if outcome is not AttemptOutcome.FINISHED:
             LOG.write("attempt ended", outcome=outcome.value, **self.status.describe())
@@ -68,9 +82,16 @@
         outcome = AttemptOutcome.CANCELLED
         try:
             outcome = await self.reader.read(stream.ok_value, self.routes.describe())
+            if outcome is AttemptOutcome.DIED:
+                await self._confirm_lost_engine()
         finally:
             self._cancel_unfinished(outcome)
 
+    async def _confirm_lost_engine(self) -> None:
+        record = self.status.record
+        boot_id = self.context.router.get_boot_id(record.engine) or ""
+        await self.context.crashes.confirm_death(record.engine, record.engine_address, boot_id)
+
     async def _open(
         self, engine: Endpoint, route: RouteRequest, now: float
     ) -> Ok[EngineStream] | Err[EngineFailure]:
@@ -89,6 +110,8 @@
             self.reader.cancel_stream()
 
     def _judge_refusal(self, failure: EngineFailure) -> AttemptOutcome:
+        self.reached = failure.may_have_run
+        self.status.may_have_run |= failure.may_have_run
         if failure.status is not None and 400 <= failure.status < 500 and failure.status != 404:
             self.status.fail("engine_refused", failure.status, "The engine refused the request.")
             return AttemptOutcome.REFUSED
--- a/packages/daemon/gypsumpost_daemon/attempt_sequence.py
+++ b/packages/daemon/gypsumpost_daemon/attempt_sequence.py
@@ -1,18 +1,25 @@
 """Runs the attempts of a generation one after another."""
 
 import random
+import time
 
 import attrs
 import trio
 from result import Err
 
 from gypsumpost_core.attempt_outcome import AttemptOutcome
+from gypsumpost_core.endpoint import Endpoint
 from gypsumpost_core.failure import Failure
+from gypsumpost_core.route_request import RouteRequest
+from gypsumpost_core.suspicion_decision import SuspicionDecision
 from gypsumpost_daemon.attempt_reader import AttemptReader
 from gypsumpost_daemon.attempt_route import AttemptRoute
 from gypsumpost_daemon.attempt_runner import AttemptRunner
 from gypsumpost_daemon.generation_context import GenerationContext
 from gypsumpost_daemon.generation_status import GenerationStatus
+from gypsumpost_daemon.log import Log
+
+LOG = Log(prefix="generation")
 
 NO_ENGINE_WAIT = 0.05
 """Seconds before the next try when no engine can take a continuation."""
@@ -24,6 +31,13 @@
 MAX_FRUITLESS_WAIT = 1.0
 """Seconds before the attempt that follows one without a token; they double each time."""
 
+CONTINUATION_WAIT = 1.0
+"""Longest wait for the retry budget after a loss.
+
+A budget in debt refills only with first attempts. Without this limit, a generation would wait until
+its deadline on a daemon without new requests.
+"""
+
 
 @attrs.define(kw_only=True)
 class AttemptSequence:
@@ -64,30 +78,80 @@
                 await self._run_attempt()
 
     async def _run_attempt(self) -> None:
+        now = trio.current_time()
         route = self.routes.describe()
-        chosen = self.context.router.choose(route, trio.current_time())
+        decision = self.context.crashes.decide(route, self.status.may_have_run, now)
+        if decision.failure is not None:
+            LOG.write("quarantined", **self.status.describe())
+            self.status.failure = decision.failure
+            return
+        if decision.check_at is not None:
+            await trio.sleep_until(min(decision.check_at, self._compute_deadline()))
+            return
+        route = self._restrict(route, decision)
+        chosen = self.context.router.choose(route, now)
         if isinstance(chosen, Err):
-            await self._handle_no_engine(chosen.err_value)
+            held = bool(decision.excluded or decision.engine)
+            await self._handle_no_engine(chosen.err_value, held)
             return
+        await self._run_on(chosen.ok_value, route)
+
+    def _restrict(self, route: RouteRequest, decision: SuspicionDecision) -> RouteRequest:
+        excluded = route.excluded | decision.excluded | self.context.crashes.list_dead()
+        return attrs.evolve(route, excluded=excluded, only=decision.engine)
+
+    async def _run_on(self, engine: Endpoint, route: RouteRequest) -> None:
+        if self.status.record.attempt == 0:
+            self.context.retries.record_first(engine.failure_domain, trio.current_time())
         self.reader.produced = False
-        outcome = await self._runner.run(chosen.ok_value, route)
+        outcome = await self._runner.run(engine, route)
         if self.reader.produced:
             self._fruitless = 0
-        if outcome is not AttemptOutcome.FINISHED:
-            await self._back_off()
+        if outcome is AttemptOutcome.FINISHED or self.status.failure is not None:
+            return
+        self._fruitless += 1
+        lost = outcome in (AttemptOutcome.DIED, AttemptOutcome.SILENT)
+        if lost and self._runner.reached:
+            await self._wait_to_continue(engine)
+        else:
+            await self._wait_to_retry(engine)
 
-    async def _back_off(self) -> None:
+    async def _wait_to_continue(self, engine: Endpoint) -> None:
         # The first attempt after a loss starts at once, since the caller is waiting.
-        self._fruitless += 1
         if self._fruitless > 1:
             wait = min(FRUITLESS_WAIT * 2**self._fruitless, MAX_FRUITLESS_WAIT)
             await trio.sleep(wait * random.uniform(0.5, 1.0))
+        deadline = self._compute_deadline()
+        latest = min(trio.current_time() + CONTINUATION_WAIT, deadline)
+        while True:
+            now = trio.current_time()
+            domain = engine.failure_domain
+            decision = self.context.retries.decide_continuation(engine.name, domain, now, deadline)
+            if decision.allowed or now >= latest:
+                return
+            await trio.sleep_until(min(decision.at or latest, latest))
+
+    async def _wait_to_retry(self, engine: Endpoint) -> None:
+        now, deadline = trio.current_time(), self._compute_deadline()
+        domain, attempt = engine.failure_domain, max(1, self._fruitless)
+        decision = self.context.retries.decide_retry(domain, attempt, now, deadline)
+        if decision.allowed and decision.at is not None:
+            await trio.sleep_until(decision.at)
+        elif self.status.record.pieces:
+            # An answer that was begun is not given up for want of budget, only slowed down.
+            await trio.sleep(MAX_FRUITLESS_WAIT)
+        else:
+            message = "The endpoint failed and the budget for retries is used up."
+            self.status.fail("retry_budget_exhausted", 503, message)
+
+    def _compute_deadline(self) -> float:
+        return trio.current_time() + self.status.record.deadline - time.time()
 
-    async def _handle_no_engine(self, failure: Failure) -> None:
+    async def _handle_no_engine(self, failure: Failure, held: bool) -> None:
         if self.routes.excluded:
             # Engines that failed may have come back while all others were tried.
             self.routes.excluded.clear()
-        elif self.status.record.attempt == 0:
+        elif self.status.record.attempt == 0 and not held:
             self.status.failure = failure
             return
         await trio.sleep(NO_ENGINE_WAIT)
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/crash_guard.py
@@ -0,0 +1,151 @@
+"""Applies the suspicion of crash-causing requests to the attempts of this daemon."""
+
+from collections.abc import Callable
+from itertools import islice
+
+import attrs
+import trio
+from result import Err
+
+from gypsumpost_core.attempt_outcome import AttemptOutcome
+from gypsumpost_core.crash_suspicion import CrashSuspicion
+from gypsumpost_core.route_request import RouteRequest
+from gypsumpost_core.router import Router
+from gypsumpost_core.suspicion_decision import SuspicionDecision, SuspicionVerdict
+from gypsumpost_daemon.engine_client import EngineClient
+from gypsumpost_daemon.log import Log
+
+LOG = Log(prefix="engine")
+
+CONFIRM_SECONDS = 0.3
+"""Longest wait for the call that shows whether an engine has died.
+
+The caller of a lost generation waits for it too.
+"""
+
+PROBES_PER_ROUND = 4
+"""Dead engines that are asked for their load at a time, to see them return."""
+
+
+@attrs.define(kw_only=True, eq=False)
+class DeathCheck:
+    """A check of an engine that several generations wait for.
+
+    :param done: true once the check has a result.
+    :param ended: set when it has ended or was cancelled.
+    """
+
+    done: bool = False
+    ended: trio.Event = attrs.field(factory=trio.Event)
+
+
+def ignore_change() -> None:
+    """Do nothing."""
+
+
+@attrs.define(kw_only=True)
+class CrashGuard:
+    """Asks the suspicion about attempts and tells it of the deaths of engines.
+
+    :param suspicion: decides.
+    :param router: knows the engines.
+    :param engines: calls engines to confirm a death.
+    :param handle_change: called when there may be something to report to other daemons.
+    """
+
+    suspicion: CrashSuspicion
+    router: Router
+    engines: EngineClient
+    handle_change: Callable[[], None] = ignore_change
+    _checks: dict[str, DeathCheck] = attrs.field(factory=dict, init=False)
+    _dead: dict[str, str] = attrs.field(factory=dict, init=False)
+    _recorded: dict[str, str] = attrs.field(factory=dict, init=False)
+
+    def decide(self, route: RouteRequest, has_run: bool, now: float) -> SuspicionDecision:
+        """Decide how an attempt may run.
+
+        :param route: the attempt.
+        :param has_run: true if an attempt of the request was sent before.
+        :param now: process time in seconds.
+        """
+        dead = self.list_dead()
+        engines = [name for name in self.router.list_isolation(route, now) if name not in dead]
+        decision = self.suspicion.decide(route.fingerprint, engines, now, has_run)
+        if decision.verdict is SuspicionVerdict.RUN_ISOLATED:
+            self.handle_change()
+        return decision
+
+    def list_dead(self) -> frozenset[str]:
+        """Return the engines that have died and not been seen with a new boot id since."""
+        if not self._dead:
+            return frozenset()
+        for name, boot_id in list(self._dead.items()):
+            if self.router.get_boot_id(name) != boot_id:
+                del self._dead[name]
+        return frozenset(self._dead)
+
+    def list_probe_targets(self) -> list[str]:
+        """Return some dead engines to ask for their load, in turn."""
+        dead = self.list_dead()
+        names = list(islice(self._dead, PROBES_PER_ROUND)) if dead else []
+        for name in names:
+            self._dead[name] = self._dead.pop(name)
+        return names
+
+    def record_start(self, fingerprint: str, engine: str, now: float) -> str:
+        """Note that an attempt is sent to an engine; return the engine's boot id."""
+        self.suspicion.record_start(fingerprint, engine, now)
+        return self.router.get_boot_id(engine) or ""
+
+    def record_end(
+        self, fingerprint: str, engine: str, outcome: AttemptOutcome, now: float
+    ) -> None:
+        """Note the end of an attempt; a death must have been confirmed before."""
+        self.suspicion.record_end(fingerprint, engine, outcome, now)
+
+    async def confirm_death(self, engine: str, address: str, boot_id: str) -> None:
+        """Find out whether an engine has died whose stream was lost, and record its death.
+
+        A lost connection alone is no proof. Nothing listens at a dead engine's address, or it has
+        restarted with another boot id.
+
+        :param engine: name of the engine.
+        :param address: its address.
+        :param boot_id: boot id of the process that had the stream, empty if not known.
+        """
+        while self._recorded.get(engine) != boot_id or engine in self._checks:
+            check = self._checks.get(engine)
+            if check is None:
+                await self._run_check(engine, address, boot_id)
+                return
+            await check.ended.wait()
+            if check.done:
+                return
+
+    async def _run_check(self, engine: str, address: str, boot_id: str) -> None:
+        check = self._checks[engine] = DeathCheck()
+        try:
+            if await self._has_died(engine, address, boot_id):
+                self._record_death(engine, boot_id)
+            check.done = True
+        finally:
+            del self._checks[engine]
+            check.ended.set()
+
+    async def _has_died(self, engine: str, address: str, boot_id: str) -> bool:
+        known = self.router.get_boot_id(engine)
+        if known and boot_id and known != boot_id:
+            return True
+        deadline = trio.current_time() + CONFIRM_SECONDS
+        outcome = await self.engines.get_json(address, "/load", deadline)
+        if isinstance(outcome, Err):
+            return outcome.err_value.refused
+        report = outcome.ok_value
+        reported = report.get("boot_id") if isinstance(report, dict) else None
+        return bool(boot_id and reported) and reported != boot_id
+
+    def _record_death(self, engine: str, boot_id: str) -> None:
+        LOG.write("died", endpoint=engine, boot_id=boot_id)
+        self._dead[engine] = self._recorded[engine] = boot_id
+        self.suspicion.record_death(engine, boot_id, trio.current_time())
+        self.handle_change()
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/crash_reporter.py
@@ -0,0 +1,135 @@
+"""Exchanges reports about crash-causing requests with other daemons."""
+
+import time
+
+import trio
+from result import Err, Ok
+
+from gypsumpost_core.crash_suspicion import CrashSuspicion
+from gypsumpost_core.host import Host
+from gypsumpost_core.rendezvous import rank_hosts
+from gypsumpost_core.suspicion_report import SuspicionReport
+from gypsumpost_daemon.host_directory import HostDirectory
+from gypsumpost_daemon.log import Log
+from gypsumpost_daemon.message_kind import MessageKind
+from gypsumpost_daemon.peer_channel import PeerChannel
+from gypsumpost_daemon.peer_request import PeerRequest
+from gypsumpost_daemon.quarantine_codec import decode_suspicions, encode_suspicions
+
+LOG = Log(prefix="quarantine")
+
+TICK_SECONDS = 1.0
+"""Longest time between reviews of the records and of the live hosts."""
+
+SEND_SECONDS = 0.5
+"""Longest wait for one host."""
+
+SEND_TRIES = 3
+FOREIGN_HOSTS = 2
+"""Hosts of another domain that are tried in turn until one has the report."""
+
+
+class CrashReporter:
+    """Sends reports to the own domain, and to one host of each other domain.
+
+    A host that gets a report from another domain passes it on to its own domain once.
+
+    :param suspicion: the records.
+    :param directory: the known hosts.
+    :param peers: messages to other daemons.
+    """
+
+    def __init__(
+        self, *, suspicion: CrashSuspicion, directory: HostDirectory, peers: PeerChannel
+    ) -> None:
+        self._suspicion = suspicion
+        self._directory = directory
+        self._peers = peers
+        self._wake = trio.Event()
+        self._nursery: trio.Nursery | None = None
+        peers.add_handler(MessageKind.QUARANTINE, self.handle)
+
+    def wake(self) -> None:
+        """Send reports now, as there may be new ones."""
+        self._wake.set()
+
+    async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Send reports until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            self._update_clock()
+            task_status.started()
+            try:
+                await self._send_forever()
+            finally:
+                self._nursery = None
+
+    async def _send_forever(self) -> None:
+        while True:
+            with trio.move_on_after(TICK_SECONDS):
+                await self._wake.wait()
+            self._wake = trio.Event()
+            now = trio.current_time()
+            self._update_clock()
+            self._suspicion.expire(now)
+            while reports := self._suspicion.list_reports(now):
+                self._send(reports, self._list_own_peers())
+                self._send_abroad(reports)
+
+    async def handle(self, request: PeerRequest) -> bytes:
+        """Take in reports of another daemon.
+
+        :param request: a ``Quarantine`` message.
+        """
+        decoded = decode_suspicions(request.payload)
+        if isinstance(decoded, Err):
+            LOG.write("ignored a message", peer=request.host_id, reason=decoded.err_value)
+            return b""
+        for report in decoded.ok_value:
+            self._suspicion.apply_report(report, trio.current_time())
+        sender = self._directory.get(request.host_id)
+        if sender is not None and sender.failure_domain != self._get_domain():
+            self._send(list(decoded.ok_value), self._list_own_peers())
+        return b""
+
+    def _update_clock(self) -> None:
+        suspicion = self._suspicion
+        suspicion.unix_offset = time.time() - trio.current_time()
+        own = self._directory.own
+        hosts = [h for h in self._directory.list_live() if h.failure_domain == self._get_domain()]
+        suspicion.slot_count = max(1, len(hosts))
+        suspicion.slot_index = sum(host.host_id < own.host_id for host in hosts)
+
+    def _get_domain(self) -> str:
+        return self._directory.own.failure_domain
+
+    def _list_own_peers(self) -> list[Host]:
+        peers = self._directory.list_peers()
+        return [peer for peer in peers if peer.failure_domain == self._get_domain()]
+
+    def _send(self, reports: list[SuspicionReport], hosts: list[Host]) -> None:
+        payload = encode_suspicions(reports)
+        for host in hosts:
+            self._start(payload, [host] * SEND_TRIES)
+
+    def _send_abroad(self, reports: list[SuspicionReport]) -> None:
+        payload = encode_suspicions(reports)
+        domains: dict[str, list[Host]] = {}
+        for peer in self._directory.list_peers():
+            if peer.failure_domain != self._get_domain():
+                domains.setdefault(peer.failure_domain, []).append(peer)
+        for hosts in domains.values():
+            self._start(payload, rank_hosts(reports[0].fingerprint, hosts)[:FOREIGN_HOSTS])
+
+    def _start(self, payload: bytes, hosts: list[Host]) -> None:
+        if self._nursery is not None:
+            self._nursery.start_soon(self._deliver, payload, hosts)
+
+    async def _deliver(self, payload: bytes, hosts: list[Host]) -> None:
+        for host in hosts:
+            deadline = trio.current_time() + SEND_SECONDS
+            kind = MessageKind.QUARANTINE
+            reply = await self._peers.request(host.host_id, kind, payload, deadline)
+            if isinstance(reply, Ok):
+                return
+        LOG.write("report not delivered", peer=hosts[-1].host_id)
--- a/packages/daemon/gypsumpost_daemon/daemon.py
+++ b/packages/daemon/gypsumpost_daemon/daemon.py
@@ -1,16 +1,21 @@
 """Assembles the parts of the daemon and runs them."""
 
+import random
 import signal
 from pathlib import Path
 
 import trio
 
+from gypsumpost_core.crash_suspicion import CrashSuspicion
 from gypsumpost_core.host import Host
 from gypsumpost_core.resumption_policies import RESUMPTION
+from gypsumpost_core.retry_budget import RetryBudget
 from gypsumpost_core.router import Router
 from gypsumpost_daemon.caller_application import CallerApplication
 from gypsumpost_daemon.copy_client import CopyClient
 from gypsumpost_daemon.copy_store import CopyStore
+from gypsumpost_daemon.crash_guard import CrashGuard
+from gypsumpost_daemon.crash_reporter import CrashReporter
 from gypsumpost_daemon.endpoint_table import EndpointTable
 from gypsumpost_daemon.engine_client import EngineClient
 from gypsumpost_daemon.engine_prober import EngineProber
@@ -56,6 +61,16 @@
         self._router = Router(failure_domain=own.failure_domain, policy=settings.routing)
         self._engines = EngineClient(transport=settings.engine_transport)
         self._canceller = StreamCanceller(engines=self._engines)
+        self._suspicion = CrashSuspicion()
+        self._reporter = CrashReporter(
+            suspicion=self._suspicion, directory=self._directory, peers=self._network
+        )
+        self._crashes = CrashGuard(
+            suspicion=self._suspicion,
+            router=self._router,
+            engines=self._engines,
+            handle_change=self._reporter.wake,
+        )
         self._copy_store = CopyStore(max_bytes=settings.held_bytes)
         self._key_directory = KeyDirectory()
         self._copy_client = CopyClient(
@@ -72,6 +87,7 @@
             await nursery.start(self._network.run)
             await nursery.start(self._canceller.run)
             await nursery.start(self._copy_client.run)
+            await nursery.start(self._reporter.run)
             await nursery.start(self._supervisor.run)
             self._start_background(nursery)
             server = await self._start_server(nursery)
@@ -92,6 +108,8 @@
                 engines=self._engines,
                 copies=self._copy_client,
                 canceller=self._canceller,
+                crashes=self._crashes,
+                retries=RetryBudget(chance=random.Random()),
             ),
             copies=self._copy_store,
             take_overs=TakeOverClient(directory=self._directory, network=self._network),
@@ -126,7 +144,10 @@
 
     def _start_background(self, nursery: trio.Nursery) -> None:
         prober = EngineProber(
-            router=self._router, engines=self._engines, find_endpoint=self._endpoints.find
+            router=self._router,
+            engines=self._engines,
+            find_endpoint=self._endpoints.find,
+            list_dead=self._crashes.list_probe_targets,
         )
         nursery.start_soon(prober.run)
         nursery.start_soon(self._copy_store.run)
--- a/packages/daemon/gypsumpost_daemon/engine_failure.py
+++ b/packages/daemon/gypsumpost_daemon/engine_failure.py
@@ -14,9 +14,11 @@
     :param may_have_run: false only if the endpoint cannot have run the request.
     :param status: HTTP status of a refusal, ``None`` if there was no complete answer.
     :param body: body of a refusal, cut to a bounded length.
+    :param refused: true if the host refused the connection, so that nothing listens there.
     """
 
     reason: str
     may_have_run: bool
     status: int | None = None
     body: bytes = b""
+    refused: bool = False
--- a/packages/daemon/gypsumpost_daemon/engine_prober.py
+++ b/packages/daemon/gypsumpost_daemon/engine_prober.py
@@ -25,17 +25,20 @@
     :param router: names the engines to probe.
     :param engines: calls them.
     :param find_endpoint: returns an endpoint by name.
+    :param list_dead: returns dead engines to ask as well, so that their return is seen soon.
     """
 
     router: Router
     engines: EngineClient
     find_endpoint: Callable[[str], Endpoint | None]
+    list_dead: Callable[[], list[str]] = list
 
     async def run(self) -> None:
         """Probe until cancelled."""
         async with trio.open_nursery() as nursery:
             while True:
-                for name in self.router.list_probe_targets(trio.current_time()):
+                targets = self.router.list_probe_targets(trio.current_time())
+                for name in dict.fromkeys(targets + self.list_dead()):
                     endpoint = self.find_endpoint(name)
                     if endpoint is not None:
                         nursery.start_soon(self._probe, endpoint)
--- a/packages/daemon/gypsumpost_daemon/generation_context.py
+++ b/packages/daemon/gypsumpost_daemon/generation_context.py
@@ -3,8 +3,10 @@
 import attrs
 
 from gypsumpost_core.resumption_policy import ResumptionPolicy
+from gypsumpost_core.retry_budget import RetryBudget
 from gypsumpost_core.router import Router
 from gypsumpost_daemon.copy_client import CopyClient
+from gypsumpost_daemon.crash_guard import CrashGuard
 from gypsumpost_daemon.engine_client import EngineClient
 from gypsumpost_daemon.settings import Settings
 from gypsumpost_daemon.stream_canceller import StreamCanceller
@@ -20,6 +22,8 @@
     :param engines: opens streams on engines.
     :param copies: keeps copies on other hosts.
     :param canceller: cancels streams that are no longer wanted.
+    :param crashes: keeps requests that crash engines from running on.
+    :param retries: limits retries and continuations.
     """
 
     settings: Settings
@@ -28,3 +32,5 @@
     engines: EngineClient
     copies: CopyClient
     canceller: StreamCanceller
+    crashes: CrashGuard
+    retries: RetryBudget
--- a/packages/daemon/gypsumpost_daemon/generation_status.py
+++ b/packages/daemon/gypsumpost_daemon/generation_status.py
@@ -21,12 +21,18 @@
     :param failure: what readers are told if the answer failed.
     :param moved: true once another daemon goes on with the generation.
     :param required_length: output tokens that a caller already has.
+    :param may_have_run: false while no engine can have run any attempt.
     """
 
     generation: Generation
     failure: Failure | None = None
     moved: bool = False
     required_length: int = 0
+    may_have_run: bool = attrs.field()
+
+    @may_have_run.default
+    def _find_earlier_attempts(self) -> bool:
+        return self.record.attempt > 0
 
     @property
     def record(self) -> GenerationRecord:
@@ -49,7 +55,7 @@
         :param status: HTTP status code.
         :param message: one sentence for the caller.
         """
-        state = RunState.RUN if self.record.attempt else RunState.NOT_RUN
+        state = RunState.RUN if self.may_have_run else RunState.NOT_RUN
         self.failure = Failure(status=status, code=code, message=message, run_state=state)
         LOG.write("failed", code=code, **self.describe())
 
--- a/packages/daemon/gypsumpost_daemon/h11_engine_connection.py
+++ b/packages/daemon/gypsumpost_daemon/h11_engine_connection.py
@@ -1,6 +1,7 @@
 """One HTTP/1.1 connection to an endpoint."""
 
 import contextlib
+import errno
 import socket
 
 import h11
@@ -163,7 +164,7 @@
     ip, port = split_address(address)
     sock = socket.socket(socket.AF_INET6 if ":" in ip else socket.AF_INET, socket.SOCK_STREAM)
     sock.setblocking(False)
-    connected = False
+    connected = refused = False
     reason = "no connection before the deadline"
     try:
         with trio.move_on_at(deadline):
@@ -175,10 +176,10 @@
                 raise OSError(error, "cannot connect")
             connected = True
     except OSError as error:
-        reason = str(error)
+        reason, refused = str(error), error.errno == errno.ECONNREFUSED
     finally:
         if not connected:
             sock.close()
     if not connected:
-        return Err(EngineFailure(reason=reason, may_have_run=False))
+        return Err(EngineFailure(reason=reason, may_have_run=False, refused=refused))
     return Ok(H11EngineConnection(sock=sock))
--- a/packages/daemon/gypsumpost_daemon/httpcore_engine_transport.py
+++ b/packages/daemon/gypsumpost_daemon/httpcore_engine_transport.py
@@ -70,7 +70,8 @@
                 response = await self._pool.handle_async_request(outgoing)
                 return Ok(HttpcoreEngineResponse(response))
         except NOT_SENT as error:
-            return Err(EngineFailure(reason=repr(error), may_have_run=False))
+            refused = is_refusal(error)
+            return Err(EngineFailure(reason=repr(error), may_have_run=False, refused=refused))
         except LOST as error:
             return Err(EngineFailure(reason=repr(error), may_have_run=True))
         return Err(EngineFailure(reason="no response before the deadline", may_have_run=True))
@@ -78,3 +79,17 @@
     async def aclose(self) -> None:
         """Close idle connections."""
         await self._pool.aclose()
+
+
+def is_refusal(error: BaseException | None) -> bool:
+    """Return true if an error was raised because a connection was refused.
+
+    :param error: the error; trio and httpcore wrap the system's error as its cause.
+    """
+    while error is not None:
+        if isinstance(error, ConnectionRefusedError):
+            return True
+        if isinstance(error, BaseExceptionGroup):
+            return all(map(is_refusal, error.exceptions))
+        error = error.__cause__ or error.__context__
+    return False
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/quarantine_codec.py
@@ -0,0 +1,68 @@
+"""Encoding of suspicion reports between daemons."""
+
+import math
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Any
+
+import capnp
+from result import Err, Ok, Result
+
+from gypsumpost_core.engine_death import EngineDeath
+from gypsumpost_core.suspicion_report import SuspicionReport
+
+SCHEMA = capnp.load(str(Path(__file__).with_name("quarantine.capnp")))
+
+
+def encode_suspicions(reports: Iterable[SuspicionReport]) -> bytes:
+    """Return a ``Quarantine`` message as packed bytes.
+
+    :param reports: the reports.
+    """
+    described = [
+        {
+            "fingerprint": report.fingerprint,
+            "deaths": [
+                {"engine": d.engine, "bootId": d.boot_id, "diedAt": d.died_at}
+                for d in report.deaths
+            ],
+            "expiresAt": report.expires_at,
+            "heldEngine": report.held_engine,
+            "heldUntil": report.held_until,
+        }
+        for report in reports
+    ]
+    return SCHEMA.Quarantine.new_message(reports=described).to_bytes_packed()
+
+
+def decode_suspicions(payload: bytes) -> Result[tuple[SuspicionReport, ...], str]:
+    """Read a ``Quarantine`` message.
+
+    :param payload: the packed bytes.
+    :returns: the reports, or why they cannot be read.
+    """
+    try:
+        message = SCHEMA.Quarantine.from_bytes_packed(payload)
+        return Ok(tuple(_read_report(report) for report in message.reports))
+    except (capnp.KjException, ValueError) as error:
+        return Err(str(error))
+
+
+def _read_report(report: Any) -> SuspicionReport:
+    return SuspicionReport(
+        fingerprint=report.fingerprint,
+        deaths=tuple(
+            EngineDeath(engine=d.engine, boot_id=d.bootId, died_at=_read_time(d.diedAt))
+            for d in report.deaths
+        ),
+        expires_at=_read_time(report.expiresAt),
+        held_engine=report.heldEngine,
+        held_until=_read_time(report.heldUntil),
+    )
+
+
+def _read_time(seconds: float) -> float:
+    # Times that are not finite would never expire.
+    if not math.isfinite(seconds):
+        raise ValueError("a time is not finite")
+    return seconds
--- a/packages/daemon/gypsumpost_daemon/stream_canceller.py
+++ b/packages/daemon/gypsumpost_daemon/stream_canceller.py
@@ -45,7 +45,11 @@
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             task_status.started()
-            await trio.sleep_forever()
+            try:
+                await trio.sleep_forever()
+            finally:
+                # Generations that end with the daemon may come later than this task's end.
+                self._nursery = None
 
     def cancel(self, address: str, stream_id: str) -> None:
         """Cancel a stream.
