--- a/packages/daemon/gypsumpost_daemon/generation_context.py
+++ b/packages/daemon/gypsumpost_daemon/generation_context.py
@@ -3,8 +3,10 @@
 import attrs
 
 from gypsumpost_core.resumption_policy import ResumptionPolicy
+from gypsumpost_core.retry_budget import RetryBudget
 from gypsumpost_core.router import Router
 from gypsumpost_daemon.copy_client import CopyClient
+from gypsumpost_daemon.crash_guard import CrashGuard
 from gypsumpost_daemon.engine_client import EngineClient
 from gypsumpost_daemon.generation_metrics import GenerationMetrics
 from gypsumpost_daemon.settings import Settings
@@ -22,6 +24,8 @@
     :param copies: keeps copies on other hosts.
     :param canceller: cancels streams that are no longer wanted.
     :param metrics: counts attempts and measures waits.
+    :param crashes: keeps requests that crash engines from running on.
+    :param retries: limits retries and continuations.
     """
 
     settings: Settings
@@ -31,3 +35,5 @@
     copies: CopyClient
     canceller: StreamCanceller
     metrics: GenerationMetrics
+    crashes: CrashGuard
+    retries: RetryBudget
