--- a/packages/cli/gypsumpost_cli/gate_client.py
+++ b/packages/cli/gypsumpost_cli/gate_client.py
@@ -34,20 +34,22 @@
         :returns: code and run state of the failure, empty for a success.
         """
         idempotency_key = uuid.uuid4().hex
-        for _ in range(TRIES):
+        for attempt in range(1, TRIES + 1):
             try:
-                response = await self._send(number, idempotency_key)
+                response = await self._send(number, idempotency_key, attempt)
             except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException):
                 continue
             return "" if response.status < 400 else _name_failure(response)
         return "connection_lost (unknown)"
 
-    async def _send(self, number: int, idempotency_key: str) -> httpcore.Response:
+    async def _send(self, number: int, idempotency_key: str, attempt: int) -> httpcore.Response:
         headers = [
             ("Host", "gypsumpost"),
             ("Authorization", f"Bearer {self.key}"),
             ("Idempotency-Key", idempotency_key),
             ("X-Call-Id", idempotency_key),
+            # A first attempt vouches that the key is new, so that a refusal can say not_run.
+            ("X-Call-Attempt", str(attempt)),
             ("Content-Type", "application/json"),
         ]
         timeouts = dict.fromkeys(("connect", "read", "write", "pool"), CALL_SECONDS)
--- a/packages/cli/gypsumpost_cli/status_text.py
+++ b/packages/cli/gypsumpost_cli/status_text.py
@@ -33,8 +33,9 @@
     if lists["cut_off"]:
         troubles.append("CUT OFF FROM THE STORE: newer revisions may exist that are not seen here")
     for domain in sorted({row["failure_domain"] for row in rows}):
-        states = {row["state"] for row in rows if row["failure_domain"] == domain}
-        if ALIVE not in states:
+        own = [row for row in rows if row["failure_domain"] == domain]
+        # Membership needs some seconds to tell a silent domain; a missing answer tells it at once.
+        if not any(row["state"] == ALIVE and row["revision"] is not None for row in own):
             troubles.append(f"CUT OFF: no host of {domain} is reached")
     return troubles
 
--- a/packages/daemon/gypsumpost_daemon/caller_application.py
+++ b/packages/daemon/gypsumpost_daemon/caller_application.py
@@ -182,7 +182,8 @@
             return Err(_refuse(408, "deadline_exceeded", "The request's deadline has passed."))
         key = call.headers.get("idempotency-key", "")
         if len(key) > MAX_KEY_CHARACTERS:
-            return Err(_refuse(400, "invalid_key", "Idempotency-Key is over 200 characters."))
+            message = f"Idempotency-Key is over {MAX_KEY_CHARACTERS} characters."
+            return Err(_refuse(400, "invalid_idempotency_key", message))
         priority = _read_priority(call)
         if priority is None:
             return Err(_refuse(400, "invalid_priority", "X-Request-Priority must be -100 to 100."))
