Add soak runs of whole deployments under seeded faults

Callers, charges and racing edits run against real daemons while a seeded plan kills, pauses and stops processes and disturbs the store. Small checks judge the recorded history.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 # The checkout's own packages come first, so that several checkouts can share one environment.
 export PYTHONPATH := $(CURDIR)/packages/core:$(CURDIR)/packages/daemon:$(CURDIR)/packages/cli:$(CURDIR)/packages/bench
 
-.PHONY: test check demo measure format
+.PHONY: test check demo measure soak format
 
 $(VENV)/installed: requirements.txt $(wildcard packages/*/pyproject.toml)
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -31,3 +31,9 @@
 
 measure: $(VENV)/installed
 	$(BIN)/python -m gypsumpost_bench.measure
+
+SEED ?= 1
+MINUTES ?= 1
+
+soak: $(VENV)/installed
+	$(BIN)/python -m gypsumpost_bench.soak --seed $(SEED) --minutes $(MINUTES)
--- a/packages/bench/gypsumpost_bench/deployment.py
+++ b/packages/bench/gypsumpost_bench/deployment.py
@@ -61,6 +61,21 @@
         """Return the callers' addresses of all daemons."""
         return [daemon.address for daemon in self.daemons.values()]
 
+    def restart(self, running: RunningProcess) -> None:
+        """Start an ended process again with the same command and address.
+
+        :param running: the process; it is changed in place.
+        """
+        running.incarnation += 1
+        running.process = self._open_process(self.get_output_path(running), running.command)
+
+    def get_output_path(self, running: RunningProcess) -> Path:
+        """Return the file with the output of the current incarnation of a process.
+
+        :param running: the process.
+        """
+        return self.directory / f"{running.name}.{running.incarnation}.out"
+
     async def _start_all(self) -> None:
         self._start_engines()
         self._start_services()
@@ -82,6 +97,7 @@
             name = f"{SERVICE}-{number + 1}"
             module = "gypsumpost_bench.service_stand_in"
             flags = ["-m", module, "--address", address, "--name", name]
+            flags += ["--execution-log", str(self.directory / f"{name}.executions")]
             self.services[name] = self._start(name, address, flags)
 
     async def _start_platform(self, path: Path) -> None:
@@ -173,14 +189,16 @@
         ]
 
     def _start(self, name: str, address: str, arguments: list[str]) -> RunningProcess:
-        with open(self.directory / f"{name}.out", "wb") as output:
-            process = subprocess.Popen(
-                [sys.executable, *arguments],
-                stdin=subprocess.DEVNULL,
-                stdout=output,
-                stderr=subprocess.STDOUT,
+        command = [sys.executable, *arguments]
+        process = self._open_process(self.directory / f"{name}.1.out", command)
+        return RunningProcess(name=name, address=address, process=process, command=command)
+
+    @staticmethod
+    def _open_process(path: Path, command: list[str]) -> subprocess.Popen[bytes]:
+        with open(path, "wb") as output:
+            return subprocess.Popen(
+                command, stdin=subprocess.DEVNULL, stdout=output, stderr=subprocess.STDOUT
             )
-        return RunningProcess(name=name, address=address, process=process)
 
     def _end_all(self) -> None:
         started = [*self.daemons.values(), *self.engines.values(), *self.services.values()]
--- /dev/null
+++ b/packages/bench/gypsumpost_bench/edit_event.py
@@ -0,0 +1,19 @@
+"""An operator's edit of a list."""
+
+import attrs
+
+
+@attrs.frozen(kw_only=True)
+class EditEvent:
+    """An edit and its outcome.
+
+    :param base: revision that was edited.
+    :param value: the value that the edit set, different for each edit.
+    :param outcome: outcome as the daemon told it; ``lost`` if it did not answer.
+    :param revision: the new revision of an accepted edit, else 0.
+    """
+
+    base: int
+    value: int
+    outcome: str
+    revision: int = 0
--- a/packages/bench/gypsumpost_bench/engine_application.py
+++ b/packages/bench/gypsumpost_bench/engine_application.py
@@ -225,7 +225,7 @@
             time.sleep(float(fault["seconds"]))
         elif kind == "stall":
             for sequence in self.batch.running:
-                sequence.stalled = True
+                sequence.stalled = not fault.get("end", False)
         elif kind == "refuse":
             self.refusing = bool(fault.get("on", True))
         elif kind == "slow":
--- /dev/null
+++ b/packages/bench/gypsumpost_bench/fault_event.py
@@ -0,0 +1,21 @@
+"""A fault that was injected."""
+
+import attrs
+
+from gypsumpost_bench.fault_kind import FaultKind
+
+
+@attrs.frozen(kw_only=True)
+class FaultEvent:
+    """A fault and how long it lasted.
+
+    :param kind: what was done.
+    :param target: name of the process or domain.
+    :param started_at: time of the fault.
+    :param ended_at: time at which the target served again.
+    """
+
+    kind: FaultKind
+    target: str
+    started_at: float
+    ended_at: float
--- /dev/null
+++ b/packages/bench/gypsumpost_bench/fault_injector.py
@@ -0,0 +1,191 @@
+"""Carries out the planned faults of a soak run."""
+
+import json
+from typing import Any
+
+import attrs
+import httpcore
+import orjson
+import trio
+
+from gypsumpost_bench.caller_kind import CallerKind
+from gypsumpost_bench.deployment import Deployment, wait_until_serving
+from gypsumpost_bench.fault_event import FaultEvent
+from gypsumpost_bench.fault_kind import FaultKind
+from gypsumpost_bench.fault_plan import PlannedFault
+from gypsumpost_bench.history import History
+from gypsumpost_bench.process_event import ProcessEvent
+from gypsumpost_bench.running_process import RunningProcess
+from gypsumpost_bench.soak_callers import SoakCallers
+
+STOP_SECONDS = 60.0
+"""Longest wait for the end of a planned stop."""
+
+READY_PATHS = {"engine": "/load", "service": "/load", "daemon": "/ready"}
+
+
+@attrs.define(kw_only=True)
+class FaultInjector:
+    """Injects faults into a deployment and restores the targets.
+
+    :param deployment: the processes.
+    :param history: takes the faults and the ends of processes.
+    :param callers: send the requests that crash engines.
+    """
+
+    deployment: Deployment
+    history: History
+    callers: SoakCallers
+    _handled: set[str] = attrs.field(factory=set, init=False)
+
+    async def run(self, plan: list[PlannedFault], started_at: float) -> None:
+        """Inject all faults and return when all targets are restored.
+
+        :param plan: faults in the order of their times.
+        :param started_at: process time at which the plan begins.
+        """
+        async with trio.open_nursery() as nursery:
+            for fault in plan:
+                await trio.sleep_until(started_at + fault.at)
+                nursery.start_soon(self._inject, fault)
+
+    async def watch_processes(self) -> None:
+        """Start processes again that ended by themselves, until cancelled."""
+        parts = {"engine": self.deployment.engines, "service": self.deployment.services}
+        parts["daemon"] = self.deployment.daemons
+        while True:
+            for part, processes in parts.items():
+                for running in processes.values():
+                    if running.name not in self._handled and running.process.poll() is not None:
+                        await self._restart_ended(part, running)
+            await trio.sleep(0.1)
+
+    async def stop_daemons(self) -> None:
+        """Stop all daemons as planned and record how they end."""
+        async with trio.open_nursery() as nursery:
+            for running in self.deployment.daemons.values():
+                self._handled.add(running.name)
+                nursery.start_soon(self._stop, running)
+
+    async def _restart_ended(self, part: str, running: RunningProcess) -> None:
+        started_at = trio.current_time()
+        self._record_end(running, killed=False)
+        self.deployment.restart(running)
+        await wait_until_serving(running, READY_PATHS[part])
+        if part == "engine":
+            self._record(FaultKind.ENGINE_CRASH, running.name, started_at)
+
+    async def _inject(self, fault: PlannedFault) -> None:
+        started_at = trio.current_time()
+        part, action = fault.kind.part, fault.kind.action
+        if part == "request":
+            await self.callers.request_answer(CallerKind.CRASH)
+        elif part == "store":
+            await self._order_store_fault(fault)
+        elif fault.kind is FaultKind.ENGINE_LEAVE:
+            await self._leave(fault)
+        elif action in ("kill", "pause", "stop"):
+            await self._signal(fault)
+        elif part == "engine":
+            await self._order_engine_fault(fault)
+        else:
+            order = {"kind": action, "seconds": fault.seconds, "delay": 1.0}
+            await send_order(self.deployment.services[fault.target].address, order)
+            await trio.sleep(fault.seconds)
+        self._record(fault.kind, fault.target, started_at)
+
+    async def _signal(self, fault: PlannedFault) -> None:
+        part = fault.kind.part
+        processes = {
+            "engine": self.deployment.engines,
+            "service": self.deployment.services,
+            "daemon": self.deployment.daemons,
+        }
+        running = processes[part][fault.target]
+        self._handled.add(running.name)
+        try:
+            if fault.kind.action == "pause":
+                running.pause()
+                await trio.sleep(fault.seconds)
+                running.wake()
+                return
+            if fault.kind.action == "stop":
+                await self._stop(running)
+            else:
+                running.kill()
+                self._record_end(running, killed=True)
+            await trio.sleep(fault.seconds)
+            self.deployment.restart(running)
+            await wait_until_serving(running, READY_PATHS[part])
+        finally:
+            self._handled.discard(running.name)
+
+    async def _stop(self, running: RunningProcess) -> None:
+        running.stop()
+        with trio.move_on_after(STOP_SECONDS):
+            while running.process.poll() is None:
+                await trio.sleep(0.05)
+        killed = running.process.poll() is None
+        if killed:
+            running.kill()
+        self._record_end(running, killed=False)
+
+    async def _order_engine_fault(self, fault: PlannedFault) -> None:
+        address = self.deployment.engines[fault.target].address
+        action = fault.kind.action
+        await send_order(address, {"kind": action, "on": True, "factor": 8.0})
+        await trio.sleep(fault.seconds)
+        await send_order(address, {"kind": action, "on": False, "factor": 1.0, "end": True})
+
+    async def _order_store_fault(self, fault: PlannedFault) -> None:
+        assert self.deployment.platform is not None
+        order = {"kind": fault.kind.action, "seconds": fault.seconds, "delay": 0.5}
+        await send_order(self.deployment.platform.address, order | {"domain": fault.target})
+        await trio.sleep(fault.seconds)
+
+    async def _leave(self, fault: PlannedFault) -> None:
+        self._set_status(fault.target, "leaving")
+        await trio.sleep(fault.seconds)
+        self._set_status(fault.target, "live")
+
+    def _set_status(self, name: str, status: str) -> None:
+        path = self.deployment.directory / "hosts.json"
+        content = json.loads(path.read_text())
+        for endpoint in content["endpoints"]:
+            if endpoint["name"] == name:
+                endpoint["status"] = status
+        path.write_text(json.dumps(content))
+
+    def _record(self, kind: FaultKind, target: str, started_at: float) -> None:
+        self.history.faults.append(
+            FaultEvent(
+                kind=kind, target=target, started_at=started_at, ended_at=trio.current_time()
+            )
+        )
+
+    def _record_end(self, running: RunningProcess, killed: bool) -> None:
+        output = self.deployment.get_output_path(running).read_text(errors="replace")
+        self.history.ends.append(
+            ProcessEvent(
+                name=running.name,
+                incarnation=running.incarnation,
+                at=trio.current_time(),
+                status=running.process.returncode,
+                killed=killed,
+                output=output,
+            )
+        )
+
+
+async def send_order(address: str, order: dict[str, Any]) -> None:
+    """Order a fault of a stand-in; one that does not answer is left as it is.
+
+    :param address: ``ip:port`` of the stand-in.
+    :param order: the body of ``POST /faults``.
+    """
+    async with httpcore.AsyncConnectionPool() as pool:
+        try:
+            with trio.fail_after(3):
+                await pool.request("POST", f"http://{address}/faults", content=orjson.dumps(order))
+        except (httpcore.NetworkError, httpcore.ProtocolError, trio.TooSlowError):
+            pass
--- /dev/null
+++ b/packages/bench/gypsumpost_bench/refusal_event.py
@@ -0,0 +1,17 @@
+"""The answer to a request that must be refused."""
+
+import attrs
+
+
+@attrs.frozen(kw_only=True)
+class RefusalEvent:
+    """A malformed request or one with a foreign resume id.
+
+    :param name: what was wrong with the request.
+    :param status: HTTP status of the answer, 0 if the connection was lost.
+    :param run_state: run state of the error object, empty if there was none.
+    """
+
+    name: str
+    status: int
+    run_state: str
--- a/packages/bench/gypsumpost_bench/running_process.py
+++ b/packages/bench/gypsumpost_bench/running_process.py
@@ -14,11 +14,15 @@
     :param name: name of the stand-in or host.
     :param address: ``ip:port`` of its HTTP interface.
     :param process: the process.
+    :param command: what it was started with.
+    :param incarnation: number of the start under this address, from 1.
     """
 
     name: str
     address: str
     process: subprocess.Popen[bytes]
+    command: list[str]
+    incarnation: int = 1
 
     def kill(self) -> None:
         """End the process at once."""
--- a/packages/bench/gypsumpost_bench/service_application.py
+++ b/packages/bench/gypsumpost_bench/service_application.py
@@ -37,12 +37,20 @@
 
     :param name: name of this process, shown in each answer.
     :param end_process: called for an ordered death.
+    :param execution_log: file to append the id of each executed call to, empty for none.
     """
 
-    def __init__(self, *, name: str, end_process: Callable[[], None] = kill_own_process) -> None:
+    def __init__(
+        self,
+        *,
+        name: str,
+        end_process: Callable[[], None] = kill_own_process,
+        execution_log: str = "",
+    ) -> None:
         self.executions: Counter[str] = Counter()
         self._name = name
         self._end_process = end_process
+        self._execution_log = execution_log
         self._running = 0
         self._fault = ServiceFault(kind=ServiceFaultKind.NONE)
 
@@ -92,7 +100,7 @@
             await drop_connection(send)
             return
         call_id = read_headers(scope).get(CALL_ID_HEADER, "")
-        self.executions[call_id] += 1
+        self._count_execution(call_id)
         self._running += 1
         try:
             if fault is ServiceFaultKind.SLOW:
@@ -104,6 +112,12 @@
         finally:
             self._running -= 1
 
+    def _count_execution(self, call_id: str) -> None:
+        self.executions[call_id] += 1
+        if self._execution_log:
+            with open(self._execution_log, "a") as file:
+                file.write(call_id + "\n")
+
     def _describe_call(self, scope: AsgiScope, call_id: str, length: int) -> dict[str, Any]:
         return {
             "service": self._name,
--- /dev/null
+++ b/packages/bench/gypsumpost_bench/soak_plan.py
@@ -0,0 +1,73 @@
+"""What a soak run does."""
+
+import random
+
+import attrs
+
+from gypsumpost_bench.deployment_plan import DeploymentPlan
+from gypsumpost_bench.fault_kind import FaultKind
+from gypsumpost_bench.fault_plan import PlannedFault, plan_faults
+
+
+@attrs.frozen(kw_only=True)
+class SoakPlan:
+    """A deployment, its load and its faults.
+
+    :param seed: source of all choices.
+    :param seconds: length of the load.
+    :param deployment: what is started.
+    :param faults: the faults in the order of their times.
+    :param request_interval: mean seconds between requests of callers.
+    :param charge_interval: mean seconds between charges.
+    :param edit_interval: mean seconds between edits.
+    :param max_tokens: longest answer.
+    """
+
+    seed: int
+    seconds: float
+    deployment: DeploymentPlan
+    faults: list[PlannedFault]
+    request_interval: float = 0.15
+    charge_interval: float = 0.15
+    edit_interval: float = 1.0
+    max_tokens: int = 100
+
+
+def create_soak_plan(seed: int, seconds: float) -> SoakPlan:
+    """Draw a plan from a seed.
+
+    :param seed: the seed.
+    :param seconds: length of the load.
+    """
+    rng = random.Random(seed)
+    gaps = [0.02, 0.03, 0.042, 0.042, 0.06, 0.08]
+    rng.shuffle(gaps)
+    deployment = DeploymentPlan(
+        hosts_per_domain=rng.choice((2, 3)),
+        token_gaps=tuple(gaps),
+        daemon_flags=("--stop-deadline", "50"),
+    )
+    targets = list_targets(deployment)
+    faults = plan_faults(rng, seconds, targets, list_kinds(), interval=1.0)
+    return SoakPlan(seed=seed, seconds=seconds, deployment=deployment, faults=faults)
+
+
+def list_targets(plan: DeploymentPlan) -> dict[str, list[str]]:
+    """Return the names of what faults can be done to, for each part.
+
+    :param plan: the deployment.
+    """
+    return {
+        "engine": [f"engine-{n + 1}" for n in range(len(plan.token_gaps))],
+        "service": [f"gate-{n + 1}" for n in range(len(plan.domains) * plan.services)],
+        "daemon": [
+            f"{domain}-host{n + 1}" for domain in plan.domains for n in range(plan.hosts_per_domain)
+        ],
+        "store": list(plan.domains),
+        "request": ["all engines"],
+    }
+
+
+def list_kinds() -> list[FaultKind]:
+    """Return all kinds of fault that a plan draws from."""
+    return [kind for kind in FaultKind if kind is not FaultKind.ENGINE_CRASH]
--- /dev/null
+++ b/packages/bench/gypsumpost_bench/soak_run.py
@@ -0,0 +1,89 @@
+"""Runs a soak plan against a deployment and records what happens."""
+
+import random
+import shutil
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import attrs
+import trio
+
+from gypsumpost_bench.deployment import Deployment
+from gypsumpost_bench.fault_injector import FaultInjector
+from gypsumpost_bench.history import History
+from gypsumpost_bench.soak_callers import SoakCallers
+from gypsumpost_bench.soak_charges import SoakCharges
+from gypsumpost_bench.soak_operators import SoakOperators
+from gypsumpost_bench.soak_plan import SoakPlan
+from gypsumpost_bench.soak_verdicts import judge_history
+
+DRAIN_SECONDS = 60.0
+"""Longest wait for the callers after the load ends."""
+
+
+@attrs.define(kw_only=True)
+class SoakRun:
+    """One run.
+
+    :param plan: what to do.
+    """
+
+    plan: SoakPlan
+    history: History = attrs.field(factory=History, init=False)
+    verdicts: dict[str, list[str]] = attrs.field(factory=dict, init=False)
+
+    async def run(self, output: Path) -> bool:
+        """Run the plan and judge it.
+
+        :param output: directory for the history and logs of a failed run.
+        :returns: true if no check found a fault.
+        """
+        self.history.engines = len(self.plan.deployment.token_gaps)
+        async with Deployment(plan=self.plan.deployment) as deployment:
+            await self._load(deployment)
+            for name in deployment.services:
+                path = deployment.directory / f"{name}.executions"
+                self.history.executions += path.read_text().split() if path.exists() else []
+            addresses = {name: each.address for name, each in deployment.daemons.items()}
+            self.verdicts = judge_history(self.history, addresses)
+            if any(self.verdicts.values()):
+                shutil.copytree(deployment.directory, output, dirs_exist_ok=True)
+                self.history.write(output / "history.json")
+        return not any(self.verdicts.values())
+
+    async def _load(self, deployment: Deployment) -> None:
+        rng = random.Random(self.plan.seed + 1)
+        addresses = deployment.list_addresses()
+        callers = SoakCallers(
+            rng=rng, addresses=addresses, history=self.history, max_tokens=self.plan.max_tokens
+        )
+        charges = SoakCharges(rng=rng, addresses=addresses, history=self.history)
+        operators = SoakOperators(
+            rng=rng,
+            addresses=dict(zip(deployment.daemons, deployment.admin_addresses, strict=True)),
+            daemons=deployment.daemons,
+            history=self.history,
+        )
+        injector = FaultInjector(deployment=deployment, history=self.history, callers=callers)
+        async with trio.open_nursery() as background:
+            background.start_soon(injector.watch_processes)
+            for name in deployment.daemons:
+                background.start_soon(operators.record_revisions, name)
+            with trio.move_on_after(self.plan.seconds + DRAIN_SECONDS):
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(injector.run, self.plan.faults, trio.current_time())
+                    repeat = self._repeat
+                    nursery.start_soon(repeat, callers.send_request, self.plan.request_interval)
+                    nursery.start_soon(repeat, charges.charge, self.plan.charge_interval)
+                    nursery.start_soon(repeat, operators.race_edits, self.plan.edit_interval)
+            await injector.stop_daemons()
+            background.cancel_scope.cancel()
+
+    async def _repeat(self, action: Callable[[], Awaitable[None]], interval: float) -> None:
+        rng = random.Random(f"{self.plan.seed} {interval}")
+        with trio.move_on_after(self.plan.seconds, shield=False) as load:
+            async with trio.open_nursery() as nursery:
+                while trio.current_time() < load.deadline:
+                    nursery.start_soon(action)
+                    await trio.sleep(rng.expovariate(1 / interval))
+                load.deadline = float("inf")
--- /dev/null
+++ b/packages/bench/gypsumpost_bench/soak_verdicts.py
@@ -0,0 +1,174 @@
+"""Verdicts on the history of a soak run."""
+
+import re
+from collections import Counter
+from collections.abc import Callable, Iterator
+
+from gypsumpost_bench.answer_event import AnswerEvent
+from gypsumpost_bench.caller_kind import CallerKind
+from gypsumpost_bench.fault_kind import FaultKind
+from gypsumpost_bench.history import History
+from gypsumpost_cli.answer_check import find_answer_error
+from gypsumpost_cli.connection import ConnectionEnd
+
+MAX_STALL = 3.0
+"""Longest stall in seconds that design section 1.7 allows."""
+
+SERVED_BY_CALLER = (CallerKind.SLOW, CallerKind.DISAPPEAR)
+"""Callers whose own pace makes the gaps, so that gaps say nothing about the system."""
+
+FAILURE_OUTPUT = re.compile(r"Traceback|Error\b|broken invariant")
+
+
+def check_answers(history: History) -> Iterator[str]:
+    """Check that each completed answer is one whole chain and belongs to its own prompt."""
+    for event in history.answers:
+        answer = event.answer
+        if event.kind is CallerKind.DISAPPEAR:
+            answer.finish_reason = answer.finish_reason or "dropped"
+        error = None if answer.error else find_answer_error(answer, event.max_tokens)
+        if error is not None:
+            yield f"answer {answer.request_id} ({event.kind.value}): {error}"
+        if answer.token_ids and answer.prompt_token_ids != event.prompt_token_ids:
+            yield f"answer {answer.request_id} ({event.kind.value}) is to another prompt"
+
+
+def check_stalls(history: History) -> Iterator[str]:
+    """Check that no answer stalls while an engine and a daemon serve."""
+    for event in history.answers:
+        arrivals = event.answer.arrivals
+        if event.kind in SERVED_BY_CALLER or event.answer.error:
+            continue
+        for before, after in zip(arrivals, arrivals[1:], strict=False):
+            if after - before > MAX_STALL and not _lacks_engines(history, before, after):
+                faults = _list_faults(history, before, after)
+                yield (
+                    f"answer {event.answer.request_id} ({event.kind.value}) stalled "
+                    f"{after - before:.2f} s at {before:.1f} during {faults}"
+                )
+
+
+def _lacks_engines(history: History, start: float, end: float) -> bool:
+    names = {
+        fault.target
+        for fault in history.faults
+        if fault.kind.part == "engine" and fault.started_at < end and fault.ended_at > start
+    }
+    return len(names) >= history.engines
+
+
+def _list_faults(history: History, start: float, end: float) -> str:
+    names = [
+        f"{fault.kind.value} of {fault.target}"
+        for fault in history.faults
+        if fault.started_at < end and fault.ended_at > start - 1
+    ]
+    return ", ".join(names) or "no fault"
+
+
+def check_charges(history: History) -> Iterator[str]:
+    """Check that no charge is made twice and that the callers were told the truth."""
+    counts = Counter(history.executions)
+    for charge in history.charges:
+        count = counts[charge.call_id]
+        if count > 1:
+            yield f"charge {charge.call_id} was made {count} times: {charge}"
+        if charge.find_false_not_run(count):
+            yield f"charge {charge.call_id} was made and told not_run: {charge}"
+        if not count and any(reply.run_state == "run" for reply in charge.replies):
+            yield f"charge {charge.call_id} was told run and never made: {charge}"
+
+
+def check_revisions(history: History) -> Iterator[str]:
+    """Check that no daemon goes back to an older revision of the lists."""
+    highest: dict[tuple[str, int], int] = {}
+    for event in history.revisions:
+        key = (event.host_id, event.incarnation)
+        if event.revision < highest.get(key, 0):
+            yield f"{event.host_id} went from revision {highest[key]} to {event.revision}"
+        highest[key] = max(event.revision, highest.get(key, 0))
+
+
+def check_edits(history: History) -> Iterator[str]:
+    """Check that no two edits were accepted as one revision."""
+    accepted = [edit for edit in history.edits if edit.outcome == "accepted"]
+    for revision, count in Counter(edit.revision for edit in accepted).items():
+        if count > 1:
+            yield f"{count} edits were accepted as revision {revision}"
+
+
+def check_processes(history: History) -> Iterator[str]:
+    """Check that no daemon ended by itself and none printed an exception."""
+    for end in history.ends:
+        if "host" not in end.name:
+            continue
+        if end.status != 0 and not end.killed:
+            yield f"{end.name} ended with status {end.status}: {end.output[-2000:]}"
+        elif FAILURE_OUTPUT.search(end.output):
+            yield f"{end.name} printed an error: {end.output[-2000:]}"
+
+
+def check_planned_stops(history: History, addresses: dict[str, str]) -> Iterator[str]:
+    """Check that a planned stop cuts off no connection that was open before it.
+
+    :param history: the run.
+    :param addresses: callers' address of each daemon.
+    """
+    for stop in history.faults:
+        if stop.kind is not FaultKind.DAEMON_STOP:
+            continue
+        for event in history.answers:
+            for connection in event.answer.connections:
+                if (
+                    connection.address == addresses[stop.target]
+                    and connection.opened_at < stop.started_at < connection.ended_at
+                    and connection.end is ConnectionEnd.LOST
+                ):
+                    yield (
+                        f"the stop of {stop.target} at {stop.started_at:.1f} cut off answer "
+                        f"{event.answer.request_id} ({event.kind.value}) "
+                        f"at {connection.ended_at:.1f}"
+                    )
+
+
+def check_failures(history: History) -> Iterator[str]:
+    """Check that answers that fail do so with an explicit error."""
+    for event in history.answers:
+        if event.kind is not CallerKind.DISAPPEAR and not _is_explicit(event):
+            yield f"answer {event.answer.request_id} ({event.kind.value}) ended without an error"
+
+
+def _is_explicit(event: AnswerEvent) -> bool:
+    return bool(event.answer.error or event.answer.finish_reason)
+
+
+def check_refusals(history: History) -> Iterator[str]:
+    """Check that malformed requests and foreign ids are refused as such."""
+    for refusal in history.refusals:
+        if refusal.status and not 400 <= refusal.status < 500:
+            yield f"{refusal.name} was answered with {refusal.status}"
+
+
+Check = Callable[[History], Iterator[str]]
+
+CHECKS: dict[str, Check] = {
+    "whole and own answers": check_answers,
+    "explicit failures": check_failures,
+    "no stall": check_stalls,
+    "charges at most once, told truly": check_charges,
+    "revisions never go back": check_revisions,
+    "edits accepted once": check_edits,
+    "daemons end as asked": check_processes,
+    "bad requests are refused": check_refusals,
+}
+
+
+def judge_history(history: History, addresses: dict[str, str]) -> dict[str, list[str]]:
+    """Return the faults that each check found.
+
+    :param history: the run.
+    :param addresses: callers' address of each daemon.
+    """
+    verdicts = {name: list(check(history)) for name, check in CHECKS.items()}
+    verdicts["planned stops cut off nothing"] = list(check_planned_stops(history, addresses))
+    return verdicts
--- a/packages/cli/gypsumpost_cli/answer.py
+++ b/packages/cli/gypsumpost_cli/answer.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from gypsumpost_cli.connection import Connection
+
 
 @attrs.define(kw_only=True)
 class Answer:
@@ -19,6 +21,7 @@
     :param arrivals: process time of each event with tokens.
     :param reconnects: connections after the first.
     :param last_event_id: id of the last event.
+    :param connections: all connections in order.
     """
 
     request_id: str
@@ -33,6 +36,7 @@
     arrivals: list[float] = attrs.field(factory=list)
     reconnects: int = 0
     last_event_id: str = ""
+    connections: list[Connection] = attrs.field(factory=list)
 
     @property
     def first_token_wait(self) -> float | None:
--- a/packages/cli/gypsumpost_cli/answer_client.py
+++ b/packages/cli/gypsumpost_cli/answer_client.py
@@ -1,5 +1,6 @@
 """A caller that resumes its answer after a lost connection."""
 
+import contextlib
 import itertools
 import uuid
 from typing import Any
@@ -10,12 +11,15 @@
 import trio
 
 from gypsumpost_cli.answer import Answer
+from gypsumpost_cli.connection import Connection, ConnectionEnd
 from gypsumpost_cli.event_reader import EventReader, ReceivedEvent
 
 RECONNECT_TRIES = 40
 RECONNECT_PAUSE = 0.1
 """Seconds between tries after a refusal; the first reconnect comes at once."""
 
+LOST_CONNECTION = (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException)
+
 PATHS = {False: "/v1/completions", True: "/v1/chat/completions"}
 
 
@@ -25,10 +29,13 @@
 
     :param addresses: ``ip:port`` of the entry hosts.
     :param key: bearer key of the workspace.
+    :param read_timeout: seconds without data after which the caller connects to another host,
+        ``None`` to wait for ever.
     """
 
     addresses: list[str]
     key: str
+    read_timeout: float | None = None
     _turns: Any = attrs.field(init=False)
     _pool: httpcore.AsyncConnectionPool = attrs.field(init=False)
 
@@ -50,6 +57,19 @@
         :param idempotency_key: key to send, empty for none.
         """
         answer = Answer(request_id=uuid.uuid4().hex[:16], sent_at=trio.current_time())
+        await self.continue_answer(answer, body, chat, idempotency_key)
+        return answer
+
+    async def continue_answer(
+        self, answer: Answer, body: dict[str, Any], chat: bool, idempotency_key: str
+    ) -> None:
+        """Read an answer to its end; a caller that is cancelled keeps what it has.
+
+        :param answer: the answer so far, which is added to.
+        :param body: the request; streaming and token ids are added.
+        :param chat: true for a chat.
+        :param idempotency_key: key to send, empty for none.
+        """
         body = body | {"stream": True, "return_token_ids": True}
         headers = [("Content-Type", "application/json")]
         if idempotency_key:
@@ -63,11 +83,10 @@
             else:
                 done = await self._read(answer, "POST", PATHS[chat], headers, content)
             if done:
-                return answer
+                return
             answer.reconnects += 1
             await trio.sleep(RECONNECT_PAUSE if number else 0)
         answer.error = answer.error or "no entry host completed the answer"
-        return answer
 
     async def _read(
         self, answer: Answer, method: str, path: str, headers: list[tuple[str, str]], body: bytes
@@ -78,26 +97,42 @@
             ("X-Request-Id", answer.request_id),
             *headers,
         ]
-        url = f"http://{next(self._turns)}{path}"
-        try:
-            async with self._pool.stream(method, url, headers=headers, content=body) as response:
-                if response.status != 200:
-                    return _take_refusal(answer, response.status, await response.aread())
-                return await self._read_events(answer, response)
-        except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException):
-            return False
-
-    async def _read_events(self, answer: Answer, response: httpcore.Response) -> bool:
+        address, opened_at = next(self._turns), trio.current_time()
+        end = ConnectionEnd.LOST
+        with contextlib.suppress(*LOST_CONNECTION):
+            end = await self._exchange(answer, method, f"http://{address}{path}", headers, body)
+        answer.connections.append(
+            Connection(address=address, opened_at=opened_at, ended_at=trio.current_time(), end=end)
+        )
+        return end is ConnectionEnd.DONE
+
+    async def _exchange(
+        self, answer: Answer, method: str, url: str, headers: list[tuple[str, str]], body: bytes
+    ) -> ConnectionEnd:
+        timeout = {"connect": self.read_timeout, "read": self.read_timeout}
+        async with self._pool.stream(
+            method, url, headers=headers, content=body, extensions={"timeout": timeout}
+        ) as response:
+            if response.status != 200:
+                return _take_refusal(answer, response.status, await response.aread())
+            return await self._read_events(answer, response)
+
+    async def _read_events(self, answer: Answer, response: httpcore.Response) -> ConnectionEnd:
         reader = EventReader()
         async for part in response.aiter_stream():
             for event in reader.feed(part):
                 if event.data is None:
-                    return True
+                    return ConnectionEnd.DONE
                 if "error" in event.data:
                     answer.error = event.data["error"]["message"]
-                    return bool(event.data["error"]["code"] != "moved")
+                    moved = event.data["error"]["code"] == "moved"
+                    return ConnectionEnd.REFUSED if moved else ConnectionEnd.DONE
                 take_event(answer, event)
-        return False
+            await self._wait_between_parts()
+        return ConnectionEnd.LOST
+
+    async def _wait_between_parts(self) -> None:
+        """Read on at once; callers of tests and trials may read slowly."""
 
 
 def take_event(answer: Answer, event: ReceivedEvent) -> None:
@@ -119,8 +154,10 @@
     answer.finish_reason = choice["finish_reason"] or answer.finish_reason
 
 
-def _take_refusal(answer: Answer, status: int, body: bytes) -> bool:
+def _take_refusal(answer: Answer, status: int, body: bytes) -> ConnectionEnd:
     error = orjson.loads(body)["error"]
     answer.error = f"{status}: {error['message']}"
     answer.error_status, answer.run_state = status, error["run_state"]
-    return status < 500
+    # Another connection of this caller took the answer over, or the host cannot serve now.
+    again = status >= 500 or error["code"] == "moved"
+    return ConnectionEnd.REFUSED if again else ConnectionEnd.DONE
