Bound held copies and finished answers, and fix faults of the copy path

CopyStore took max_bytes and ignored it. It now counts the estimated bytes of body, prompt and answer, refuses opened records and appends beyond the bound, and names them in the reply; an earlier state stays until its owner closes it. The owner then chooses another holder, else goes on unprotected with "-" in the event ids. Finished answers leave earliest first beyond the new setting replay_bytes, except those that a reader holds anyway.

Faults found by the new tests, all fixed: - Two owners of one epoch (takeovers from home and holder at once) could both append to one copy. The second owner is now stale. - An answer that a stop sequence cut to nothing kept its first pieces at the holder, marked as finished. Changes now always carry their start. - Racing requests with one Idempotency-Key could each follow the other's generation. All now choose the earliest of the entries that the holders have. - Event ids accepted offsets with leading zeros and digits of other scripts. - Token ids of an engine beyond 32 bits raised in the copy's encoder; such an event is now malformed engine output. A piece may have over 65535 tokens.

--- a/packages/core/gypsumpost_core/event_id.py
+++ b/packages/core/gypsumpost_core/event_id.py
@@ -5,7 +5,9 @@
 import attrs
 
 NO_HOST = "-"
-_PATTERN = re.compile(r"([A-Za-z0-9]{8,64})\.([A-Za-z0-9-]{1,63})\.([A-Za-z0-9-]{1,63}):(\d{1,9})")
+_PATTERN = re.compile(
+    r"([A-Za-z0-9]{8,64})\.([A-Za-z0-9-]{1,63})\.([A-Za-z0-9-]{1,63}):(0|[1-9][0-9]{0,8})"
+)
 
 
 @attrs.frozen(kw_only=True)
--- /dev/null
+++ b/packages/core/gypsumpost_core/record_size.py
@@ -0,0 +1,36 @@
+"""Estimates of the memory that generation records take."""
+
+import sys
+from collections.abc import Iterable
+
+from gypsumpost_core.generation_record import GenerationRecord
+from gypsumpost_core.piece import Piece
+
+RECORD_BYTES = 2048
+"""Bytes of a record besides body, prompt and answer."""
+
+TOKEN_BYTES = 36
+"""Bytes of a token id: an integer object (28) and its place in a tuple (8)."""
+
+PIECE_BYTES = 104
+"""Bytes of a piece (56), its empty tuple (40) and its place in the list (8)."""
+
+
+def measure_pieces(pieces: Iterable[Piece]) -> int:
+    """Return the bytes that pieces of an answer take.
+
+    :param pieces: the pieces.
+    """
+    return sum(
+        PIECE_BYTES + TOKEN_BYTES * len(piece.token_ids) + sys.getsizeof(piece.text)
+        for piece in pieces
+    )
+
+
+def measure_record(record: GenerationRecord) -> int:
+    """Return the bytes that a record takes.
+
+    :param record: the record.
+    """
+    prompt = TOKEN_BYTES * len(record.prompt_token_ids)
+    return RECORD_BYTES + len(record.body) + prompt + measure_pieces(record.pieces)
--- a/packages/daemon/gypsumpost_daemon/copies.capnp
+++ b/packages/daemon/gypsumpost_daemon/copies.capnp
@@ -4,7 +4,7 @@
   # Pieces of an answer in columns, which costs less than one struct for each piece.
   start @0 :UInt32;
   tokenIds @1 :Data;      # uint32, little endian
-  tokenCounts @2 :Data;   # uint16 for each piece
+  tokenCounts @2 :Data;   # uint32 for each piece
   text @3 :Text;
   textCounts @4 :Data;    # uint32 characters for each piece
 }
@@ -55,6 +55,7 @@
 struct CopyReply {
   stale @0 :List(Text);     # generations that another daemon has taken over
   missing @1 :List(Text);   # generations that the holder does not have
+  refused @2 :List(Text);   # generations for which the holder has no memory left
 }
 
 struct TakeOver {
@@ -76,4 +77,5 @@
   copy @5 :Text;
   keepUntil @6 :Float64;
   update @7 :Bool;          # replaces an entry of the key
+  createdAt @8 :Float64;
 }
--- a/packages/daemon/gypsumpost_daemon/copy_client.py
+++ b/packages/daemon/gypsumpost_daemon/copy_client.py
@@ -10,7 +10,7 @@
 from gypsumpost_daemon.copied_generation import CopiedGeneration
 from gypsumpost_daemon.copy_outbox import CopyOutbox
 from gypsumpost_daemon.host_directory import HostDirectory
-from gypsumpost_daemon.peer_network import PeerNetwork
+from gypsumpost_daemon.peer_channel import PeerChannel
 
 AVOID_SECONDS = 5.0
 """A lost holder gets no new copies for this long, even while membership holds it for live."""
@@ -26,7 +26,7 @@
     """
 
     directory: HostDirectory
-    network: PeerNetwork
+    network: PeerChannel
     placement: str
     _outboxes: dict[str, CopyOutbox] = attrs.field(factory=dict, init=False)
     _avoid_until: dict[str, float] = attrs.field(factory=dict, init=False)
--- a/packages/daemon/gypsumpost_daemon/copy_codec.py
+++ b/packages/daemon/gypsumpost_daemon/copy_codec.py
@@ -36,20 +36,21 @@
 """Fields of a record that are copied as they are, with their names in the schema."""
 
 
-def fill_pieces(builder: Any, pieces: list[Piece]) -> None:
+def fill_pieces(builder: Any, pieces: list[Piece], end: int = 0) -> None:
     """Write pieces into a ``Pieces`` builder.
 
     :param builder: the builder.
     :param pieces: consecutive pieces.
+    :param end: output tokens before the place of the pieces if there are none.
     """
+    builder.start = pieces[0].start if pieces else end
     if not pieces:
         return
     tokens = array("I")
     for piece in pieces:
         tokens.extend(piece.token_ids)
-    builder.start = pieces[0].start
     builder.tokenIds = tokens.tobytes()
-    builder.tokenCounts = array("H", [len(piece.token_ids) for piece in pieces]).tobytes()
+    builder.tokenCounts = array("I", [len(piece.token_ids) for piece in pieces]).tobytes()
     builder.text = "".join(piece.text for piece in pieces)
     builder.textCounts = array("I", [len(piece.text) for piece in pieces]).tobytes()
 
@@ -62,7 +63,7 @@
     tokens = array("I", reader.tokenIds)
     text = reader.text
     pieces = []
-    counts, lengths = array("H", reader.tokenCounts), array("I", reader.textCounts)
+    counts, lengths = array("I", reader.tokenCounts), array("I", reader.textCounts)
     end, token_at, text_at = reader.start, 0, 0
     for count, length in zip(counts, lengths, strict=True):
         end += count
--- a/packages/daemon/gypsumpost_daemon/copy_outbox.py
+++ b/packages/daemon/gypsumpost_daemon/copy_outbox.py
@@ -8,10 +8,11 @@
 
 from gypsumpost_daemon.copied_generation import CopiedGeneration
 from gypsumpost_daemon.copy_codec import SCHEMA, fill_pieces, fill_record
+from gypsumpost_daemon.copy_refusals import CopyRefusals
 from gypsumpost_daemon.log import Log
 from gypsumpost_daemon.message_kind import MessageKind
 from gypsumpost_daemon.outbox_entry import OutboxEntry
-from gypsumpost_daemon.peer_network import PeerNetwork
+from gypsumpost_daemon.peer_channel import PeerChannel
 
 LOG = Log(prefix="copy")
 
@@ -31,7 +32,7 @@
     """
 
     host_id: str
-    network: PeerNetwork
+    network: PeerChannel
     _entries: dict[str, OutboxEntry] = attrs.field(factory=dict, init=False)
     _changed: dict[str, OutboxEntry] = attrs.field(factory=dict, init=False)
     _closed: list[str] = attrs.field(factory=list, init=False)
@@ -54,7 +55,8 @@
         entry = self._entries.get(generation_id)
         # Without output there is nothing that a caller could have seen, and the exact prompt,
         # which a continuation needs, is not known yet.
-        if entry is not None and entry.task.generation.record.pieces:
+        # A stop sequence can leave an answer empty of which the holder has pieces.
+        if entry is not None and (entry.task.generation.record.pieces or entry.attempt >= 0):
             self._changed[generation_id] = entry
             self._wake.set()
 
@@ -96,20 +98,39 @@
             self.drop_all()
             return
         with SCHEMA.CopyReply.from_bytes(reply.ok_value) as message:
-            stale, missing = set(message.stale), set(message.missing)
+            refusals = CopyRefusals(
+                stale=list(message.stale),
+                missing=list(message.missing),
+                refused=list(message.refused),
+            )
+        self._apply_reply(changed, sent_lengths, refusals)
+
+    def _apply_reply(
+        self,
+        changed: dict[str, OutboxEntry],
+        sent_lengths: dict[str, int],
+        refusals: CopyRefusals,
+    ) -> None:
         for generation_id, entry in changed.items():
             if self._entries.get(generation_id) is not entry:
                 continue
-            if generation_id in stale:
+            if generation_id in refusals.stale:
                 self.remove(generation_id, close=False)
                 entry.task.handle_stale()
-            elif generation_id in missing:
+            elif generation_id in refusals.missing:
                 entry.attempt = -1
                 self.mark_changed(generation_id)
+            elif generation_id in refusals.refused:
+                self._give_up(generation_id, entry)
             else:
                 entry.held = sent_lengths[generation_id]
                 entry.task.handle_copy(self.host_id, entry.held)
 
+    def _give_up(self, generation_id: str, entry: OutboxEntry) -> None:
+        LOG.write("holder refused a copy", peer=self.host_id, generation_id=generation_id)
+        self.remove(generation_id, close=True)
+        entry.task.handle_holder_lost(self.host_id)
+
     def drop_all(self) -> None:
         """Give up this holder for all generations."""
         entries, self._entries = self._entries, {}
@@ -144,4 +165,4 @@
         # The end of the answer may have been cut by a stop sequence after it was copied.
         start = min(start, record.pieces[-1].start)
     pieces = generation.list_pieces_from(start)
-    fill_pieces(builder.init("pieces"), pieces)
+    fill_pieces(builder.init("pieces"), pieces, end=record.length)
--- a/packages/daemon/gypsumpost_daemon/copy_store.py
+++ b/packages/daemon/gypsumpost_daemon/copy_store.py
@@ -8,7 +8,9 @@
 
 from gypsumpost_core.generation_record import GenerationRecord
 from gypsumpost_core.piece import Piece
+from gypsumpost_core.record_size import measure_pieces, measure_record
 from gypsumpost_daemon.copy_codec import SCHEMA, read_pieces, read_record
+from gypsumpost_daemon.copy_refusals import CopyRefusals
 from gypsumpost_daemon.held_copy import HeldCopy
 from gypsumpost_daemon.log import Log
 from gypsumpost_daemon.peer_request import PeerRequest
@@ -25,17 +27,24 @@
 class CopyStore:
     """Holds copies until they are closed, taken over and expired, or their deadline passes.
 
-    :param max_bytes: most bytes of prompts and answers to hold; beyond it new copies are refused.
+    :param max_bytes: most bytes of bodies, prompts and answers to hold; changes beyond it are
+        refused.
     """
 
     max_bytes: int
     _held: dict[str, HeldCopy] = attrs.field(factory=dict, init=False)
+    _bytes: int = attrs.field(default=0, init=False)
 
     @property
     def count(self) -> int:
         """Number of held copies."""
         return len(self._held)
 
+    @property
+    def held_bytes(self) -> int:
+        """Estimated bytes of the held copies."""
+        return self._bytes
+
     async def run(self) -> None:
         """Drop copies whose deadline has passed, until cancelled."""
         while True:
@@ -43,7 +52,7 @@
             now = time.time()
             expired = [i for i, held in self._held.items() if held.record.keep_until < now]
             for generation_id in expired:
-                del self._held[generation_id]
+                self.drop(generation_id)
 
     def get(self, generation_id: str) -> HeldCopy | None:
         """Return a held copy.
@@ -53,28 +62,33 @@
         return self._held.get(generation_id)
 
     def hold(self, record: GenerationRecord, owner: str) -> None:
-        """Hold a record, replacing one of a lower epoch.
+        """Hold a record in place of an earlier state, even beyond the bound.
+
+        The state of a generation that is handed over is in memory already, and dropping it would
+        lose the generation if the reply to the new owner is lost.
 
         :param record: the state.
         :param owner: host id of its owner.
         """
-        self._held[record.generation_id] = HeldCopy(record=record, owner=owner)
+        self.drop(record.generation_id)
+        size = measure_record(record)
+        self._held[record.generation_id] = HeldCopy(record=record, owner=owner, size=size)
+        self._bytes += size
 
     async def handle_batch(self, request: PeerRequest) -> bytes:
         """Apply changes of the generations of one owner.
 
         :param request: a ``CopyBatch`` message.
         """
-        stale: list[str] = []
-        missing: list[str] = []
+        refusals = CopyRefusals()
         with SCHEMA.CopyBatch.from_bytes(request.payload) as batch:
             for reader in batch.opened:
-                self._open(read_record(reader), request.host_id, stale)
+                self._open(read_record(reader), request.host_id, refusals)
             for change in batch.appended:
-                self._append(change, stale, missing)
+                self._append(change, request.host_id, refusals)
             for generation_id in batch.closed:
                 self._close(generation_id, request.host_id)
-        reply = SCHEMA.CopyReply.new_message(stale=stale, missing=missing)
+        reply = SCHEMA.CopyReply.new_message(**attrs.asdict(refusals))
         return bytes(reply.to_bytes())
 
     def take(self, generation_id: str, workspace: str, taker: str) -> GenerationRecord | None:
@@ -107,41 +121,75 @@
 
         :param generation_id: the generation.
         """
-        self._held.pop(generation_id, None)
+        held = self._held.pop(generation_id, None)
+        if held is not None:
+            self._bytes -= held.size
 
-    def _open(self, record: GenerationRecord, owner: str, stale: list[str]) -> None:
+    def _open(self, record: GenerationRecord, owner: str, refusals: CopyRefusals) -> None:
         held = self._held.get(record.generation_id)
-        if held is not None and held.record.epoch > record.epoch:
-            stale.append(record.generation_id)
+        if held is not None and _is_superseded(held, record.epoch, owner):
+            refusals.stale.append(record.generation_id)
+        elif not self._fits(measure_record(record) - (held.size if held else 0)):
+            self._refuse(record, owner, refusals)
         else:
             self.hold(record, owner)
 
-    def _append(self, change: Any, stale: list[str], missing: list[str]) -> None:
+    def _append(self, change: Any, owner: str, refusals: CopyRefusals) -> None:
         generation_id: str = change.generationId
         held = self._held.get(generation_id)
         if held is None:
-            missing.append(generation_id)
+            refusals.missing.append(generation_id)
             return
-        if held.record.epoch != change.epoch:
-            stale.append(generation_id)
+        # Two daemons can own one epoch after takeovers from the home and from the holder at once.
+        if held.record.epoch != change.epoch or held.owner != owner:
+            refusals.stale.append(generation_id)
             return
         pieces = read_pieces(change.pieces)
-        if pieces and not _append_pieces(held.record.pieces, pieces):
-            missing.append(generation_id)
+        if not self._fits(measure_pieces(pieces)):
+            self._refuse(held.record, owner, refusals)
+            return
+        if not self._replace_end(held, change.pieces.start, pieces):
+            refusals.missing.append(generation_id)
             return
         held.record.finish_reason = change.finishReason or None
 
+    def _fits(self, growth: int) -> bool:
+        return growth <= 0 or self._bytes + growth <= self.max_bytes
+
+    def _refuse(self, record: GenerationRecord, owner: str, refusals: CopyRefusals) -> None:
+        # An earlier state stays until the owner closes it, since callers rely on it.
+        refusals.refused.append(record.generation_id)
+        LOG.write(
+            "refused a copy, the bound is reached",
+            generation_id=record.generation_id,
+            request_id=record.request_id,
+            peer=owner,
+            held_bytes=self._bytes,
+            max_bytes=self.max_bytes,
+        )
+
+    def _replace_end(self, held: HeldCopy, start: int, pieces: list[Piece]) -> bool:
+        known = held.record.pieces
+        # The owner repeats pieces after a lost reply, and the end of the answer when a stop
+        # sequence cut it after it was copied.
+        position = len(known)
+        while position and known[position - 1].end > start:
+            position -= 1
+        if (known[position - 1].end if position else 0) != start:
+            return False
+        growth = measure_pieces(pieces) - measure_pieces(known[position:])
+        known[position:] = pieces
+        held.size += growth
+        self._bytes += growth
+        return True
+
     def _close(self, generation_id: str, owner: str) -> None:
         held = self._held.get(generation_id)
         if held is not None and held.owner == owner:
-            del self._held[generation_id]
+            self.drop(generation_id)
 
 
-def _append_pieces(held: list[Piece], pieces: list[Piece]) -> bool:
-    # The owner repeats the last piece when a stop sequence cut it after it was copied.
-    while held and held[-1].end > pieces[0].start:
-        held.pop()
-    if (held[-1].end if held else 0) != pieces[0].start:
-        return False
-    held.extend(pieces)
-    return True
+def _is_superseded(held: HeldCopy, epoch: int, owner: str) -> bool:
+    if held.record.epoch == epoch:
+        return held.owner != owner
+    return held.record.epoch > epoch
--- a/packages/daemon/gypsumpost_daemon/engine_event_decoder.py
+++ b/packages/daemon/gypsumpost_daemon/engine_event_decoder.py
@@ -1,5 +1,6 @@
 """Decodes the JSON of an engine's events."""
 
+from array import array
 from typing import Any
 
 import orjson
@@ -20,7 +21,7 @@
     value = orjson.loads(payload)
     try:
         return create_event(value)
-    except (KeyError, TypeError, IndexError, AttributeError) as error:
+    except (KeyError, TypeError, IndexError, AttributeError, OverflowError) as error:
         raise ValueError(f"the event has an unknown form: {payload[:200]!r}") from error
 
 
@@ -49,6 +50,14 @@
         type(event.offset) is not int
         or type(event.text) is not str
         or type(event.token_ids) is not list
+        or type(event.finish_reason) not in (str, type(None))
     ):
         raise TypeError("a field has a wrong type")
+    _check_token_ids(event.token_ids)
+    _check_token_ids(event.prompt_token_ids or [])
     return event
+
+
+def _check_token_ids(token_ids: list[int]) -> None:
+    # Copies carry token ids as unsigned 32-bit integers; another value would fail there.
+    array("I", token_ids)
--- a/packages/daemon/gypsumpost_daemon/generation_supervisor.py
+++ b/packages/daemon/gypsumpost_daemon/generation_supervisor.py
@@ -10,6 +10,8 @@
 from gypsumpost_core.failure import Failure
 from gypsumpost_core.generation_record import GenerationRecord
 from gypsumpost_core.invariant import Invariant, require
+from gypsumpost_core.record_size import measure_record
+from gypsumpost_core.replay_budget import ReplayBudget
 from gypsumpost_core.run_state import RunState
 from gypsumpost_daemon.access_control import AccessControl
 from gypsumpost_daemon.copy_codec import SCHEMA, fill_record
@@ -60,8 +62,12 @@
     access: AccessControl
     _charged: dict[str, int] = attrs.field(factory=dict, init=False)
     _tasks: dict[str, GenerationTask] = attrs.field(factory=dict, init=False)
+    _replay: ReplayBudget = attrs.field(init=False)
     _nursery: trio.Nursery | None = attrs.field(default=None, init=False)
 
+    def __attrs_post_init__(self) -> None:
+        self._replay = ReplayBudget(max_bytes=self.context.settings.replay_bytes)
+
     @property
     def running(self) -> int:
         """Number of generations that have not ended."""
@@ -192,6 +198,9 @@
             self._charge_tokens(record)
             del self._charged[record.generation_id]
             self.access.finish_generation(record)
+        if record.generation_id in self._tasks:
+            self._replay.add(record.generation_id, measure_record(record))
+            self._drop_excess()
 
     def _charge_tokens(self, record: GenerationRecord) -> None:
         charged = self._charged.get(record.generation_id)
@@ -209,9 +218,20 @@
                 task.stop(ABANDONED)
             else:
                 task.protect_again()
+        self._drop_excess()
+
+    def _drop_excess(self) -> None:
+        for generation_id in self._replay.choose_excess(self._is_in_use):
+            LOG.write("finished answer dropped, the bound is reached", generation_id=generation_id)
+            self._drop(self._tasks[generation_id])
+
+    def _is_in_use(self, generation_id: str) -> bool:
+        task = self._tasks[generation_id]
+        return task.readers > 0 or not task.ended
 
     def _drop(self, task: GenerationTask) -> None:
         self._tasks.pop(task.record.generation_id, None)
+        self._replay.remove(task.record.generation_id)
         self.context.copies.remove(task.record.generation_id, task.holders, close=not task.moved)
 
 
--- a/packages/daemon/gypsumpost_daemon/held_copy.py
+++ b/packages/daemon/gypsumpost_daemon/held_copy.py
@@ -11,7 +11,9 @@
 
     :param record: the copied state.
     :param owner: host id of the current owner.
+    :param size: estimated bytes of the state.
     """
 
     record: GenerationRecord
     owner: str
+    size: int
--- a/packages/daemon/gypsumpost_daemon/key_client.py
+++ b/packages/daemon/gypsumpost_daemon/key_client.py
@@ -18,7 +18,7 @@
 from gypsumpost_daemon.key_directory import KeyDirectory
 from gypsumpost_daemon.key_entry import KeyEntry
 from gypsumpost_daemon.message_kind import MessageKind
-from gypsumpost_daemon.peer_network import PeerNetwork
+from gypsumpost_daemon.peer_channel import PeerChannel
 
 REGISTER_SECONDS = 0.3
 """Longest wait for a holder of the key; without an answer the request runs all the same."""
@@ -41,7 +41,7 @@
     """
 
     directory: HostDirectory
-    network: PeerNetwork
+    network: PeerChannel
     own_entries: KeyDirectory
 
     async def find(self, record: GenerationRecord) -> Result[EventId | None, Failure]:
@@ -51,17 +51,17 @@
         :returns: the place of an earlier generation with the same key and body.
         """
         entry = self._create_entry(record, NO_HOST)
-        for known in await self._register(entry, update=False):
-            if known.generation_id == record.generation_id:
-                continue
-            if known.digest != entry.digest:
-                return Err(KEY_REUSED)
-            return Ok(
-                EventId(
-                    generation_id=known.generation_id, home=known.home, copy=known.copy, offset=0
-                )
-            )
-        return Ok(None)
+        answers = await self._register(entry, update=False)
+        # Racing requests can be first at different hosts. All of them see the same entries and
+        # choose the same one, so that one of them runs and the others follow it.
+        known = min(answers, key=lambda e: (e.created_at, e.generation_id), default=entry)
+        if known.generation_id == record.generation_id:
+            return Ok(None)
+        if known.digest != entry.digest:
+            return Err(KEY_REUSED)
+        return Ok(
+            EventId(generation_id=known.generation_id, home=known.home, copy=known.copy, offset=0)
+        )
 
     async def register(self, record: GenerationRecord, holders: list[str]) -> None:
         """Tell the responsible hosts where a generation is held.
@@ -81,6 +81,7 @@
             generation_id=record.generation_id,
             home=self.directory.own.host_id,
             copy=copy,
+            created_at=record.created_at,
             keep_until=record.keep_until,
         )
 
--- a/packages/daemon/gypsumpost_daemon/key_codec.py
+++ b/packages/daemon/gypsumpost_daemon/key_codec.py
@@ -12,6 +12,7 @@
     "generation_id": "generationId",
     "home": "home",
     "copy": "copy",
+    "created_at": "createdAt",
     "keep_until": "keepUntil",
 }
 
--- a/packages/daemon/gypsumpost_daemon/key_entry.py
+++ b/packages/daemon/gypsumpost_daemon/key_entry.py
@@ -13,6 +13,7 @@
     :param generation_id: the generation.
     :param home: host that owns it.
     :param copy: host that holds a copy, ``-`` for none.
+    :param created_at: Unix time in seconds of the request.
     :param keep_until: Unix time in seconds after which the entry is dropped.
     """
 
@@ -22,4 +23,5 @@
     generation_id: str
     home: str
     copy: str
+    created_at: float
     keep_until: float
--- a/packages/daemon/gypsumpost_daemon/settings.py
+++ b/packages/daemon/gypsumpost_daemon/settings.py
@@ -144,6 +144,13 @@
         accepted="a whole number from 1048576 to 1099511627776",
         help="Most bytes of other daemons' generations to hold.",
     )
+    replay_bytes: int = define_setting(
+        default=str(256 * 1024 * 1024),
+        parse=parse_integer(1024 * 1024, 1 << 40),
+        unit="bytes",
+        accepted="a whole number from 1048576 to 1099511627776",
+        help="Most bytes of finished answers to keep; beyond it the earliest are dropped.",
+    )
     routing: str = define_setting(
         default="expected-time",
         parse=parse_choice(ROUTING.names()),
--- a/packages/daemon/gypsumpost_daemon/take_over_client.py
+++ b/packages/daemon/gypsumpost_daemon/take_over_client.py
@@ -9,7 +9,7 @@
 from gypsumpost_daemon.copy_codec import SCHEMA, read_record
 from gypsumpost_daemon.host_directory import HostDirectory
 from gypsumpost_daemon.message_kind import MessageKind
-from gypsumpost_daemon.peer_network import PeerNetwork
+from gypsumpost_daemon.peer_channel import PeerChannel
 
 TAKE_OVER_SECONDS = 0.5
 """Longest wait for one host; a live host answers within milliseconds."""
@@ -24,7 +24,7 @@
     """
 
     directory: HostDirectory
-    network: PeerNetwork
+    network: PeerChannel
 
     async def fetch(self, event_id: EventId, workspace: str) -> GenerationRecord | None:
         """Take a generation over from its home, else from the holder of its copy.
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/tests/test_copy_outbox.py
@@ -0,0 +1,219 @@
+"""Tests of the way of copies from their owner to the holders."""
+
+from types import SimpleNamespace
+from typing import Any, cast
+
+import trio
+import trio.testing
+
+from gypsumpost_core.generation import Generation
+from gypsumpost_core.record_size import measure_record
+from gypsumpost_daemon.copy_client import CopyClient
+from gypsumpost_daemon.copy_outbox import CopyOutbox
+from gypsumpost_daemon.copy_store import CopyStore
+from gypsumpost_daemon.generation_supervisor import GenerationSupervisor
+from gypsumpost_daemon.generation_task import GenerationTask
+from gypsumpost_daemon.message_kind import MessageKind
+from gypsumpost_daemon.route_builder import build_route
+from gypsumpost_daemon.settings import Settings
+from gypsumpost_daemon.settings_access import SettingsAccess
+from gypsumpost_daemon.take_over_client import TakeOverClient
+from gypsumpost_daemon.tests.copy_fixtures import (
+    GENERATION_ID,
+    FakeNetwork,
+    FakeTask,
+    create_directory,
+    create_record,
+    get_held,
+    read_text,
+)
+from gypsumpost_daemon.tests.test_peer_network import create_host, create_network
+
+BOUND = 1 << 20
+BODY = b'{"model":"m","prompt":"x"}'
+
+
+async def wait_until(condition):
+    with trio.fail_after(10):
+        while not condition():
+            await trio.sleep(0.005)
+
+
+def create_task(text: str = "", **changes):
+    return FakeTask(Generation(record=create_record(text, **changes)))
+
+
+async def test_outbox_copies_over_a_real_connection(nursery):
+    """Guards against changes that the wire or the batches lose."""
+    left, right = create_host("left"), create_host("right")
+    client, server = create_network(left, right, b"k"), create_network(right, left, b"k")
+    store = CopyStore(max_bytes=BOUND)
+    server.add_handler(MessageKind.APPEND_COPIES, store.handle_batch)
+    await nursery.start(client.run)
+    await nursery.start(server.run)
+    outbox = CopyOutbox(host_id="right", network=client)
+    nursery.start_soon(outbox.run)
+    task = create_task("a")
+    outbox.add(task)
+    await wait_until(lambda: task.copied == [("right", 1)])
+    task.accept("éß𝄞")
+    outbox.mark_changed(GENERATION_ID)
+    await wait_until(lambda: task.copied[-1] == ("right", 4))
+    assert read_text(get_held(store).record) == "aéß𝄞"
+    store.drop(GENERATION_ID)
+    task.accept("z")
+    outbox.mark_changed(GENERATION_ID)
+    await wait_until(lambda: task.copied[-1] == ("right", 5))
+    assert read_text(get_held(store).record) == "aéß𝄞z"
+    outbox.remove(GENERATION_ID, close=True)
+    await wait_until(lambda: store.count == 0)
+    nursery.cancel_scope.cancel()
+
+
+async def test_owner_learns_of_a_takeover(autojump_clock, nursery):
+    """Guards against a former owner that goes on with a generation."""
+    store = CopyStore(max_bytes=BOUND)
+    network = FakeNetwork("left", {("right", MessageKind.APPEND_COPIES): store.handle_batch})
+    outbox = CopyOutbox(host_id="right", network=network)
+    nursery.start_soon(outbox.run)
+    task = create_task("a")
+    outbox.add(task)
+    await trio.sleep(1)
+    store.take(GENERATION_ID, "w1", "taker")
+    task.accept("b")
+    outbox.mark_changed(GENERATION_ID)
+    await trio.sleep(1)
+    assert task.stale == 1
+    assert task.copied == [("right", 1)]
+    nursery.cancel_scope.cancel()
+
+
+async def test_answer_that_a_stop_sequence_empties_is_empty_at_the_holder(autojump_clock, nursery):
+    """Guards against a takeover that shows the beginning of a stop sequence."""
+    store = CopyStore(max_bytes=BOUND)
+    network = FakeNetwork("left", {("right", MessageKind.APPEND_COPIES): store.handle_batch})
+    outbox = CopyOutbox(host_id="right", network=network)
+    nursery.start_soon(outbox.run)
+    task = create_task(stop=("<end>",))
+    task.accept("<e")
+    outbox.add(task)
+    await trio.sleep(1)
+    assert read_text(get_held(store).record) == "<e"
+    task.accept("nd>")
+    outbox.mark_changed(GENERATION_ID)
+    await trio.sleep(1)
+    held = get_held(store).record
+    assert (read_text(held), held.finish_reason) == ("", "stop")
+    nursery.cancel_scope.cancel()
+
+
+class Owner:
+    """A daemon with generation tasks that have no engine."""
+
+    def __init__(self, handlers, *peers, **settings):
+        self.directory = create_directory("own", *peers)
+        self.network = FakeNetwork("own", handlers)
+        self.copies = CopyClient(
+            directory=self.directory, network=self.network, placement="other-domain"
+        )
+        self.context = cast(Any, SimpleNamespace(settings=Settings(**settings), copies=self.copies))
+        self.supervisor = GenerationSupervisor(
+            host_id="own",
+            context=self.context,
+            copies=CopyStore(max_bytes=BOUND),
+            take_overs=TakeOverClient(directory=self.directory, network=self.copies.network),
+            access=SettingsAccess(keys=Settings().workspace_keys),
+        )
+
+    def protect(self, record):
+        task = GenerationTask(record=record, route=build_route(record), context=self.context)
+        task.protect_again()
+        return task
+
+    def describe(self, task):
+        return str(self.supervisor.describe_event(task, task.record.length))
+
+
+def serve_stores(**stores):
+    return {
+        (host_id, MessageKind.APPEND_COPIES): store.handle_batch
+        for host_id, store in stores.items()
+    }
+
+
+async def test_another_holder_gets_the_whole_record(autojump_clock, nursery):
+    """Guards against a holder that gets only what follows the loss of the former one."""
+    stores = {name: CopyStore(max_bytes=BOUND) for name in ("left", "right")}
+    owner = Owner(serve_stores(**stores), "left", "right")
+    await nursery.start(owner.copies.run)
+    task = owner.protect(create_record("abc", body=BODY))
+    (first,) = task.holders
+    await trio.sleep(1)
+    assert read_text(get_held(stores[first]).record) == "abc"
+    del owner.network.handlers[(first, MessageKind.APPEND_COPIES)]
+    owner.copies.mark_changed(GENERATION_ID, task.holders)
+    await trio.sleep(1)
+    (second,) = task.holders
+    assert second != first
+    assert read_text(get_held(stores[second]).record) == "abc"
+    assert owner.describe(task) == f"{GENERATION_ID}.own.{second}:3"
+    assert task.generation.committed == 3
+    nursery.cancel_scope.cancel()
+
+
+async def test_owner_of_a_refused_copy_chooses_another_holder(autojump_clock, nursery):
+    """Guards against output that waits forever for a holder without memory."""
+    stores = {name: CopyStore(max_bytes=BOUND) for name in ("left", "right")}
+    owner = Owner(serve_stores(**stores), "left", "right")
+    await nursery.start(owner.copies.run)
+    record = create_record("abc", body=BODY)
+    (first,) = owner.copies.add(create_task("abc", body=BODY))
+    owner.copies.remove(GENERATION_ID, [first], close=False)
+    stores[first].max_bytes = 1
+    task = owner.protect(record)
+    assert task.holders == [first]
+    await trio.sleep(1)
+    (second,) = task.holders
+    assert second != first
+    assert stores[first].count == 0
+    assert read_text(get_held(stores[second]).record) == "abc"
+    nursery.cancel_scope.cancel()
+
+
+async def test_event_ids_say_that_no_holder_has_memory(autojump_clock, nursery):
+    """Guards against a generation that stops, or names a holder, without a copy."""
+    owner = Owner(serve_stores(right=CopyStore(max_bytes=1)), "right")
+    await nursery.start(owner.copies.run)
+    task = owner.protect(create_record("abc", body=BODY))
+    assert owner.describe(task) == f"{GENERATION_ID}.own.right:3"
+    await trio.sleep(1)
+    assert owner.describe(task) == f"{GENERATION_ID}.own.-:3"
+    assert task.generation.committed == 3
+    nursery.cancel_scope.cancel()
+
+
+async def test_earliest_finished_answers_leave_beyond_the_bound(autojump_clock, nursery):
+    """Guards against finished answers that fill the memory until their deadline."""
+    records = [
+        create_record("abc", body=BODY, generation_id=f"generation{n}", finish_reason="stop")
+        for n in range(4)
+    ]
+    owner = Owner({}, replay_bytes=measure_record(records[0]) * 2)
+    supervisor = owner.supervisor
+    await nursery.start(owner.copies.run)
+    await nursery.start(supervisor.run)
+    for record in records[:2]:
+        supervisor.start(record)
+        await trio.sleep(0.01)
+    reading = supervisor.find("generation1", "w1")
+    assert reading is not None
+    reading.readers = 1
+    for record in records[2:]:
+        supervisor.start(record)
+        await trio.sleep(0.01)
+    kept = [
+        record.generation_id for record in records if supervisor.find(record.generation_id, "w1")
+    ]
+    assert kept == ["generation1", "generation3"]
+    await trio.sleep(Settings().retention + 1)
+    nursery.cancel_scope.cancel()
--- a/packages/daemon/gypsumpost_daemon/tests/test_event_stream_decoder.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_event_stream_decoder.py
@@ -66,6 +66,11 @@
         b'{"offset":"0","choices":[{"text":"a"}]}',
         b'{"offset":0,"choices":[{"text":"a","token_ids":"12"}]}',
         b'{"offset":0,"choices":[{"delta":null}]}',
+        b'{"offset":0,"choices":[{"text":"a","token_ids":[4294967296]}]}',
+        b'{"offset":0,"choices":[{"text":"a","token_ids":[-1]}]}',
+        b'{"offset":0,"choices":[{"text":"a","token_ids":["1"]}]}',
+        b'{"offset":0,"choices":[{"text":"a"}],"prompt_token_ids":[1.5]}',
+        b'{"offset":0,"choices":[{"text":"a","finish_reason":7}]}',
     ],
 )
 def test_event_of_unknown_form_is_a_value_error(payload):
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/tests/test_keys.py
@@ -0,0 +1,152 @@
+"""Tests of idempotency keys of generations."""
+
+import functools
+
+import trio
+from result import Ok
+
+from gypsumpost_daemon.key_client import KEY_REUSED, KeyClient
+from gypsumpost_daemon.key_directory import KeyDirectory
+from gypsumpost_daemon.key_entry import KeyEntry
+from gypsumpost_daemon.message_kind import MessageKind
+from gypsumpost_daemon.tests.copy_fixtures import FakeNetwork, create_directory, create_record
+
+HOSTS = ("left", "middle", "right")
+
+
+def create_entry(generation_id="generation1", **changes):
+    fields = {
+        "workspace": "w1",
+        "key": "k1",
+        "digest": "d1",
+        "generation_id": generation_id,
+        "home": "left",
+        "copy": "-",
+        "created_at": 1.0,
+        "keep_until": 4e9,
+    }
+    return KeyEntry(**(fields | changes))
+
+
+class Hosts:
+    """Key clients of three hosts; the handlers of a host can be cut off."""
+
+    def __init__(self):
+        self.handlers = {}
+        self.clients = {name: self._create_client(name) for name in HOSTS}
+
+    def _create_client(self, name):
+        entries = KeyDirectory()
+        self.handlers[name, MessageKind.REGISTER_KEY] = functools.partial(self._answer, entries)
+        others = [other for other in HOSTS if other != name]
+        return KeyClient(
+            directory=create_directory(name, *others),
+            network=FakeNetwork(name, self.handlers),
+            own_entries=entries,
+        )
+
+    async def _answer(self, entries, request):
+        await trio.sleep(0.01)
+        return await entries.handle(request)
+
+    async def find(self, host, generation_id, body=b"{}", workspace="w1"):
+        record = create_record(
+            generation_id=generation_id, idempotency_key="k1", body=body, workspace=workspace
+        )
+        return await self.clients[host].find(record)
+
+
+def test_first_registration_stays_until_an_update():
+    """Guards against a second request that replaces the generation of the first."""
+    directory = KeyDirectory()
+    first, second = create_entry(), create_entry("generation2")
+    assert directory.register(first, update=False) == first
+    assert directory.register(second, update=False) == first
+    assert directory.register(second, update=True) == second
+    assert directory.register(first, update=False) == second
+    other = create_entry("generation3", workspace="w2")
+    assert directory.register(other, update=False) == other
+
+
+def test_full_directory_takes_no_new_keys(monkeypatch):
+    """Guards against keys that fill the memory; the request runs without one."""
+    monkeypatch.setattr("gypsumpost_daemon.key_directory.MAX_ENTRIES", 1)
+    directory = KeyDirectory()
+    directory.register(create_entry(), update=False)
+    other = create_entry("generation2", key="k2")
+    assert directory.register(other, update=False) == other
+    assert directory.count == 1
+
+
+async def test_keys_leave_at_their_deadline(autojump_clock):
+    """Guards against a key that names a generation which is gone."""
+    directory = KeyDirectory()
+    directory.register(create_entry(keep_until=1.0), update=False)
+    directory.register(create_entry(key="k2"), update=False)
+    with trio.move_on_after(2.5):
+        await directory.run()
+    assert directory.count == 1
+
+
+async def test_repeat_at_another_host_finds_the_generation():
+    """Guards against a second generation for a request that is sent again."""
+    hosts = Hosts()
+    assert await hosts.find("left", "generation1") == Ok(None)
+    for host in HOSTS:
+        found = (await hosts.find(host, "generation2")).ok_value
+        assert (found.generation_id, found.home) == ("generation1", "left")
+
+
+async def test_update_names_the_holder_of_the_copy():
+    """Guards against a repeat that cannot find the copy of a lost home."""
+    hosts = Hosts()
+    await hosts.find("left", "generation1")
+    record = create_record(generation_id="generation1", idempotency_key="k1")
+    await hosts.clients["left"].register(record, ["middle"])
+    assert (await hosts.find("right", "generation2")).ok_value.copy == "middle"
+
+
+async def test_racing_registrations_agree_on_one_generation(autojump_clock):
+    """Guards against two racing requests that each follow the other's generation."""
+    hosts = Hosts()
+    found = {}
+
+    async def find(host):
+        outcome = await hosts.find(host, f"generation-{host}")
+        found[host] = outcome.ok_value.generation_id if outcome.ok_value else f"generation-{host}"
+
+    async with trio.open_nursery() as nursery:
+        for host in HOSTS:
+            nursery.start_soon(find, host)
+    assert len(set(found.values())) == 1
+
+
+async def test_other_body_under_the_same_key_is_refused():
+    """Guards against an answer to another request."""
+    hosts = Hosts()
+    await hosts.find("left", "generation1")
+    assert (await hosts.find("right", "generation2", body=b"[]")).err_value == KEY_REUSED
+    assert await hosts.find("right", "generation3", body=b"[]", workspace="w2") == Ok(None)
+
+
+async def test_request_runs_without_reachable_holders():
+    """Guards against generations that fail because the holders of their key are lost."""
+    hosts = Hosts()
+    hosts.handlers.clear()
+    assert await hosts.find("left", "generation1") == Ok(None)
+
+
+async def test_second_holder_answers_when_the_first_is_lost():
+    """Guards against a key that is lost with one host."""
+    hosts = Hosts()
+    await hosts.find("left", "generation1")
+    record = create_record(idempotency_key="k1")
+    client = hosts.clients["right"]
+    responsible = [h.host_id for h in client._choose_hosts(client._create_entry(record, "-"))]
+    for lost in responsible:
+        handlers = dict(hosts.handlers)
+        hosts.handlers.pop((lost, MessageKind.REGISTER_KEY))
+        asker = next(name for name in HOSTS if name not in responsible)
+        found = (await hosts.find(asker, "generation2")).ok_value
+        assert found.generation_id == "generation1"
+        hosts.handlers.update(handlers)
