--- a/packages/daemon/gypsumpost_daemon/tests/serving_host.py
+++ b/packages/daemon/gypsumpost_daemon/tests/serving_host.py
@@ -109,7 +109,7 @@
             router=self.router,
             resumption=RESUMPTION.create("weighed", resume_weight=0.8),
             engines=client,
-            copies=CopyClient(directory=self.directory, network=port, placement="none"),  # type: ignore[arg-type]
+            copies=CopyClient(directory=self.directory, network=port, placement="none"),
             canceller=canceller,
             metrics=GenerationMetrics(metrics=Metrics()),
             crashes=self.guard,
