--- a/Makefile
+++ b/Makefile
@@ -30,4 +30,4 @@
 	$(BIN)/python -m gypsumpost_bench.demo
 
 measure: $(VENV)/installed
-	$(BIN)/python -m gypsumpost_bench.measure
+	$(BIN)/python -m gypsumpost_bench.measure $(if $(QUICK),--quick)
--- a/packages/bench/gypsumpost_bench/deployment.py
+++ b/packages/bench/gypsumpost_bench/deployment.py
@@ -27,12 +27,17 @@
     :param hosts_per_domain: daemons in each domain.
     :param token_gaps: seconds between tokens of each engine; engines go to the domains in turn.
     :param daemon_flags: further flags of the daemons.
+    :param engine_addresses: addresses of engines that run already, besides those of
+        ``token_gaps``.
+    :param daemon_code: what the daemons' interpreter runs.
     """
 
     domains: tuple[str, ...] = ("d1", "d2", "d3")
     hosts_per_domain: int = 1
     token_gaps: tuple[float, ...] = (0.042, 0.042, 0.042)
     daemon_flags: tuple[str, ...] = ()
+    engine_addresses: tuple[str, ...] = ()
+    daemon_code: str = "import gypsumpost_daemon.main as m; m.main()"
 
 
 @attrs.define(kw_only=True)
@@ -82,6 +87,7 @@
         for number, (address, gap) in enumerate(zip(addresses, self.plan.token_gaps, strict=True)):
             name = f"engine-{number + 1}"
             flags = ["--name", name, "--address", address, "--token-gap", str(gap)]
+            flags += ["--counter-file", str(self.directory / f"{name}.count")]
             module = "gypsumpost_bench.engine_stand_in"
             self.engines[name] = self._start(name, address, ["-m", module, *flags])
 
@@ -116,20 +122,23 @@
             flags += ["--" + flag.replace("_", "-"), host[flag]]
         flags += ["--host-list-file", str(path), "--workspace-keys", keys]
         flags += ["--log-file", str(self.directory / f"{name}.log"), *self.plan.daemon_flags]
-        code = "import gypsumpost_daemon.main as m; m.main()"
-        self.daemons[name] = self._start(name, host["api_address"], ["-c", code, *flags])
+        arguments = ["-c", self.plan.daemon_code, *flags]
+        self.daemons[name] = self._start(name, host["api_address"], arguments)
 
     def _describe_endpoints(self) -> list[dict[str, object]]:
+        addresses = {name: engine.address for name, engine in self.engines.items()}
+        for number, address in enumerate(self.plan.engine_addresses):
+            addresses[f"given-engine-{number + 1}"] = address
         return [
             {
                 "name": name,
                 "kind": "engine",
-                "address": engine.address,
+                "address": address,
                 "failure_domain": self.plan.domains[number % len(self.plan.domains)],
                 "status": "live",
                 "models": [MODEL],
             }
-            for number, (name, engine) in enumerate(self.engines.items())
+            for number, (name, address) in enumerate(addresses.items())
         ]
 
     def _start(self, name: str, address: str, arguments: list[str]) -> RunningProcess:
--- a/packages/bench/gypsumpost_bench/engine_batch.py
+++ b/packages/bench/gypsumpost_bench/engine_batch.py
@@ -5,6 +5,7 @@
 
 from gypsumpost_bench.engine_sequence import EngineSequence
 from gypsumpost_bench.prefix_cache import PrefixCache
+from gypsumpost_bench.token_counter import TokenCounter
 
 UNREAD_GRACE_SECONDS = 10.0
 """A stream without a reader for this long is cancelled."""
@@ -33,10 +34,14 @@
 
     :param speed: speed of the engine.
     :param cache: the prefix cache.
+    :param counter: keeps the number of produced tokens where it outlives this process.
     """
 
-    def __init__(self, *, speed: EngineSpeed, cache: PrefixCache) -> None:
+    def __init__(
+        self, *, speed: EngineSpeed, cache: PrefixCache, counter: TokenCounter | None = None
+    ) -> None:
         self._speed = speed
+        self._counter = counter or TokenCounter(path=None)
         self.cache = cache
         self.slow_factor = 1.0
         self.running: list[EngineSequence] = []
@@ -75,6 +80,7 @@
                 sequence.finish_reason is None and not sequence.stalled and now >= sequence.ready_at
             ):
                 sequence.produce_token()
+                self._counter.add()
         self.running = [s for s in self.running if s.finish_reason is None]
         self.waiting = [s for s in self.waiting if s.finish_reason is None]
         self._admit_sequences(now)
--- a/packages/bench/gypsumpost_bench/engine_stand_in.py
+++ b/packages/bench/gypsumpost_bench/engine_stand_in.py
@@ -9,6 +9,7 @@
 from gypsumpost_bench.engine_application import EngineApplication
 from gypsumpost_bench.engine_batch import EngineBatch, EngineSpeed
 from gypsumpost_bench.prefix_cache import PrefixCache
+from gypsumpost_bench.token_counter import TokenCounter
 
 
 def main() -> None:
@@ -18,6 +19,7 @@
     parser.add_argument("--address", default="127.0.0.1:9001")
     parser.add_argument("--model", action="append", help="model:version:adapter")
     parser.add_argument("--token-gap", type=float, default=0.042, help="seconds")
+    parser.add_argument("--counter-file", help="holds the number of produced tokens")
     parser.add_argument("--max-batch", type=int, default=64)
     parser.add_argument("--load-lag", type=float, default=0.5, help="seconds")
     parser.add_argument("--cache-blocks", type=int, default=4096)
@@ -28,7 +30,11 @@
 
 async def _serve_engine(arguments: argparse.Namespace) -> None:
     speed = EngineSpeed(token_gap=arguments.token_gap, max_batch=arguments.max_batch)
-    batch = EngineBatch(speed=speed, cache=PrefixCache(capacity=arguments.cache_blocks))
+    batch = EngineBatch(
+        speed=speed,
+        cache=PrefixCache(capacity=arguments.cache_blocks),
+        counter=TokenCounter(path=arguments.counter_file),
+    )
     application = EngineApplication(
         name=arguments.name,
         batch=batch,
--- /dev/null
+++ b/packages/bench/gypsumpost_bench/experiment_path.py
@@ -0,0 +1,111 @@
+"""Experiment ``path``: what a token costs in a full daemon, with and without copies."""
+
+from gypsumpost_bench.experiment import EXPERIMENTS
+from gypsumpost_bench.experiment_row import ExperimentRow
+from gypsumpost_bench.line_fit import LEAST_POINTS, create_slope_row
+from gypsumpost_bench.path_run import PathCase, PathFigures, run_path
+from gypsumpost_bench.token_path_run import DIRECT, TokenPathCase, TokenPathFigures, run_case
+
+RATES = (1000, 2000, 3000, 4500, 6400)
+COPIES = "other-domain"
+NO_COPIES = "none"
+RATE_SHARE = 0.98
+"""Share of the offered tokens from which on a rate counts as carried."""
+
+GAP_TARGET = 60.0
+FIRST_TARGET = 5.0
+MICROSECONDS_TARGET = 1e6 / RATES[-1]
+
+
+@EXPERIMENTS.register("path")
+def run(*, quick: bool) -> list[ExperimentRow]:
+    """Measure a home daemon and the holder of its copies at several rates.
+
+    :param quick: true for short windows.
+    """
+    rows, loads = [], []
+    reference = TokenPathCase(server=DIRECT, transport="", coalescing="", rate=RATES[-1])
+    direct = run_case(reference, quick=quick)
+    for rate in RATES:
+        copied = run_path(PathCase(placement=COPIES, rate=rate), quick=quick)
+        bare = run_path(PathCase(placement=NO_COPIES, rate=rate), quick=quick)
+        rows += create_rows(rate, copied, bare, direct)
+        if is_carried(rate, copied.path) or len(loads) < LEAST_POINTS:
+            loads.append((copied.path.rate, copied.home_load, copied.holder_load))
+    return [
+        *rows,
+        create_slope_row(
+            "home processor time per further token",
+            "us",
+            [(rate, home * 1e6) for rate, home, _ in loads],
+            "tokens/s against us/s, with copies",
+        ),
+        create_slope_row(
+            "holder processor time per further token",
+            "us",
+            [(rate, holder * 1e6) for rate, _, holder in loads],
+            "tokens/s against us/s; the copies of one home",
+        ),
+    ]
+
+
+def is_carried(rate: int, path: TokenPathFigures) -> bool:
+    """Return whether a daemon kept up with the offered tokens.
+
+    :param rate: offered tokens per second.
+    :param path: what the callers saw.
+    """
+    return path.rate >= RATE_SHARE * rate and not path.incomplete
+
+
+def create_rows(
+    rate: int, copied: PathFigures, bare: PathFigures, direct: TokenPathFigures
+) -> list[ExperimentRow]:
+    """Return the rows of one rate.
+
+    :param rate: offered tokens per second.
+    :param copied: figures with copies to a second daemon.
+    :param bare: figures without copies.
+    :param direct: figures of the clients connected to the engines.
+    """
+    path, base = copied.path, bare.path
+    carried = is_carried(rate, path)
+    note = (
+        f"{path.rate:.0f} tokens/s delivered, home used {copied.home_load:.2f} and holder "
+        f"{copied.holder_load:.2f} of a core, {path.incomplete} short streams incomplete; "
+        f"without a daemon at {RATES[-1]} tokens/s p95 gap {direct.gap_p95:.1f} ms, first token "
+        f"{direct.first_p95:.1f} ms"
+    )
+    # Each row: name, unit, figure, baseline, limit (none if it is not a target).
+    figures: list[tuple[str, str, float, float, float | None]] = [
+        ("tokens/s through one daemon", "tokens/s", path.rate, base.rate, None),
+        (
+            "home processor time per token",
+            "us",
+            path.microseconds,
+            base.microseconds,
+            MICROSECONDS_TARGET if rate == RATES[-1] else None,
+        ),
+        (
+            "holder processor time per token",
+            "us",
+            copied.holder_microseconds,
+            bare.holder_microseconds,
+            None,
+        ),
+        ("p95 gap between tokens", "ms", path.gap_p95, base.gap_p95, GAP_TARGET),
+        ("p95 added to the first token", "ms", path.first_p95, base.first_p95, FIRST_TARGET),
+    ]
+    return [
+        ExperimentRow(
+            name=f"{name}, {rate} tokens/s offered",
+            unit=unit,
+            figure=figure,
+            target="" if limit is None else f"< {limit:g} {unit}",
+            baseline=baseline,
+            baseline_name="copy placement none",
+            note=note,
+            met=None if limit is None else carried and figure < limit,
+        )
+        for name, unit, figure, baseline, limit in figures
+    ]
--- /dev/null
+++ b/packages/bench/gypsumpost_bench/experiment_resume.py
@@ -0,0 +1,169 @@
+"""Experiment ``resume``: stall and redone work after the loss of an engine or a daemon."""
+
+import math
+
+import attrs
+import trio
+
+from gypsumpost_bench.experiment import EXPERIMENTS
+from gypsumpost_bench.experiment_row import ExperimentRow
+from gypsumpost_bench.resume_figures import ResumeFigures, join_figures
+from gypsumpost_bench.resume_run import ENGINES, SILENCE_LIMIT, ResumeRun
+from gypsumpost_bench.resume_scenario import ResumeFault, ResumeScenario
+
+KILL_ROUNDS = 2
+"""Rounds of each scenario with SIGKILL; those with SIGSTOP have one."""
+
+QUICK_TOKENS = 75
+QUICK_FAULT_AFTER = 1.5
+STALL_P99 = 1.0
+STALL_MAX = 3.0
+REDONE_SHARE = 0.02
+RESTART = "restart from the first token, whole answers"
+NO_COPIES = "copy placement none"
+RESTART_FLAGS = ("--resumption", "restart")
+NO_COPY_FLAGS = ("--copy-placement", "none")
+WEIGHTS = ("0.8", "0", "1")
+
+
+@EXPERIMENTS.register("resume")
+def run(*, quick: bool) -> list[ExperimentRow]:
+    """Measure all scenarios with real processes.
+
+    :param quick: true for the kills only, with short answers.
+    """
+    if quick:
+        scenario = ResumeScenario(fault=ResumeFault.KILL_DAEMON)
+        rows = measure_engine(ResumeFault.KILL_ENGINE, WEIGHTS[:1], True)
+        return rows + create_rows(scenario, measure(scenario, True))
+    rows = measure_engine(ResumeFault.KILL_ENGINE, WEIGHTS, False)
+    rows += measure_engine(ResumeFault.PAUSE_ENGINE, WEIGHTS, False)
+    return rows + measure_daemon()
+
+
+def measure_engine(
+    fault: ResumeFault, weights: tuple[str, ...], quick: bool
+) -> list[ExperimentRow]:
+    """Measure the loss of an engine with several weights against a restart.
+
+    :param fault: what happens to the engine.
+    :param weights: values of ``--resume-weight``.
+    :param quick: true for one short round.
+    """
+    baseline = ResumeScenario(fault=fault, condition=RESTART, flags=RESTART_FLAGS, streaming=False)
+    restarted = measure(baseline, quick)
+    rows = [create_error_row(baseline, restarted)]
+    for weight in weights:
+        scenario = ResumeScenario(
+            fault=fault,
+            condition=f"resume weight {weight}",
+            flags=("--resume-weight", weight),
+        )
+        figures = measure(scenario, quick)
+        rows += [*create_rows(scenario, figures), create_redone_row(scenario, figures, restarted)]
+    return rows
+
+
+def measure_daemon() -> list[ExperimentRow]:
+    """Measure the loss of a daemon with and without copies."""
+    scenario = ResumeScenario(fault=ResumeFault.KILL_DAEMON)
+    bare = attrs.evolve(scenario, condition=NO_COPIES, flags=NO_COPY_FLAGS)
+    paused = ResumeScenario(fault=ResumeFault.PAUSE_DAEMON)
+    figures, without = measure(scenario, False), measure(bare, False)
+    rows = create_rows(scenario, figures) + create_rows(paused, measure(paused, False))
+    return [
+        *rows,
+        ExperimentRow(
+            name=f"answers lost: {scenario.name}",
+            unit="answers",
+            figure=len(figures.errors),
+            target="0",
+            baseline=len(without.errors),
+            baseline_name=NO_COPIES,
+            note=f"of {figures.answers}, {len(figures.stalls)} of them at the lost daemon",
+            met=not figures.errors,
+        ),
+    ]
+
+
+def measure(scenario: ResumeScenario, quick: bool) -> ResumeFigures:
+    """Run the rounds of a scenario.
+
+    :param scenario: what to do.
+    :param quick: true for one round.
+    """
+    if quick:
+        short = attrs.evolve(scenario, tokens=QUICK_TOKENS, fault_after=QUICK_FAULT_AFTER)
+        return trio.run(ResumeRun(scenario=short).measure)
+    rounds = 1 if scenario.fault.pauses else KILL_ROUNDS
+    return join_figures([trio.run(ResumeRun(scenario=scenario).measure) for _ in range(rounds)])
+
+
+def create_rows(scenario: ResumeScenario, figures: ResumeFigures) -> list[ExperimentRow]:
+    """Return the rows of the stalls and of the answers' correctness.
+
+    :param scenario: what was done.
+    :param figures: what was seen.
+    """
+    note = (
+        f"longest gap of each of {len(figures.stalls)} affected answers; {scenario.answers} "
+        f"concurrent answers of {figures.tokens} tokens, {ENGINES} engines at 42 ms, 3 daemons"
+    )
+    if scenario.fault is ResumeFault.PAUSE_DAEMON:
+        note += f"; callers reconnect after {SILENCE_LIMIT:g} s of silence"
+    limits = {0.5: math.inf, 0.99: STALL_P99, 1.0: STALL_MAX}
+    if scenario.fault.pauses:
+        limits[0.99] = math.inf
+    rows = []
+    for part, limit in limits.items():
+        stall = figures.find_stall(part)
+        stated = math.isfinite(limit)
+        rows.append(
+            ExperimentRow(
+                name=f"stall {'max' if part == 1 else f'p{part * 100:g}'}: {scenario.name}",
+                unit="s",
+                figure=stall,
+                target=f"< {limit:g} s" if stated else "",
+                note=note,
+                met=stall < limit if stated else None,
+            )
+        )
+    return [*rows, create_error_row(scenario, figures)]
+
+
+def create_error_row(scenario: ResumeScenario, figures: ResumeFigures) -> ExperimentRow:
+    """Return the row that counts wrong answers.
+
+    :param scenario: what was done.
+    :param figures: what was seen.
+    """
+    return ExperimentRow(
+        name=f"answers not whole and correct: {scenario.name}",
+        unit="answers",
+        figure=len(figures.errors),
+        target="0",
+        note=f"of {figures.answers}; {'; '.join(sorted(set(figures.errors))[:3])}".rstrip("; "),
+        met=not figures.errors,
+    )
+
+
+def create_redone_row(
+    scenario: ResumeScenario, figures: ResumeFigures, restarted: ResumeFigures
+) -> ExperimentRow:
+    """Return the row of redone tokens.
+
+    :param scenario: what was done.
+    :param figures: what was seen.
+    :param restarted: figures of the baseline.
+    """
+    return ExperimentRow(
+        name=f"tokens produced more than once: {scenario.name}",
+        unit="tokens",
+        figure=figures.redone,
+        target="< 2% of a restart",
+        baseline=restarted.redone,
+        baseline_name=RESTART,
+        note=f"counted at the engines, dead ones included: {figures.produced} produced, "
+        f"{figures.delivered} delivered; restart {restarted.produced} and {restarted.delivered}",
+        met=figures.redone < REDONE_SHARE * restarted.redone,
+    )
--- /dev/null
+++ b/packages/bench/gypsumpost_bench/experiments.py
@@ -0,0 +1,17 @@
+"""All experiments; importing this module fills their registry."""
+
+from gypsumpost_bench import (  # noqa: F401
+    experiment_admission,
+    experiment_calls,
+    experiment_lists,
+    experiment_membership,
+    experiment_path,
+    experiment_resume,
+    experiment_routing,
+    experiment_slopes,
+    experiment_suspicion,
+    experiment_token_path,
+)
+from gypsumpost_bench.experiment import EXPERIMENTS
+
+__all__ = ["EXPERIMENTS"]
--- /dev/null
+++ b/packages/bench/gypsumpost_bench/line_fit.py
@@ -0,0 +1,93 @@
+"""Straight lines through measured points."""
+
+import statistics
+import time
+import tracemalloc
+from collections.abc import Callable, Iterable
+
+import attrs
+
+from gypsumpost_bench.experiment_row import ExperimentRow
+from gypsumpost_bench.row_table import format_figure
+
+LEAST_POINTS = 4
+
+
+@attrs.frozen(kw_only=True)
+class LineFit:
+    """A least-squares line.
+
+    :param points: measured pairs of size and figure.
+    :param slope: figure for each unit of size.
+    :param intercept: figure at size 0.
+    """
+
+    points: tuple[tuple[float, float], ...]
+    slope: float
+    intercept: float
+
+    def describe(self) -> str:
+        """Return points, line and range of validity as text."""
+        texts = ", ".join(f"({format_figure(x)}, {format_figure(y)})" for x, y in self.points)
+        sizes = [x for x, _ in self.points]
+        return (
+            f"least squares over {texts}; {format_figure(self.intercept)} at 0; valid from "
+            f"{format_figure(min(sizes))} to {format_figure(max(sizes))}"
+        )
+
+
+def fit_line(points: Iterable[tuple[float, float]]) -> LineFit:
+    """Return the line through at least four points.
+
+    :param points: pairs of size and figure.
+    """
+    kept = tuple(points)
+    if len(kept) < LEAST_POINTS:
+        raise ValueError(f"{len(kept)} points are too few for a slope")
+    line = statistics.linear_regression([x for x, _ in kept], [y for _, y in kept])
+    return LineFit(points=kept, slope=line.slope, intercept=line.intercept)
+
+
+def create_slope_row(
+    name: str, unit: str, points: Iterable[tuple[float, float]], note: str = ""
+) -> ExperimentRow:
+    """Return a row with the slope of measured points.
+
+    :param name: what one unit of size costs.
+    :param unit: unit of the slope.
+    :param points: pairs of size and figure.
+    :param note: further conditions.
+    """
+    fit = fit_line(points)
+    text = f"{note}; {fit.describe()}" if note else fit.describe()
+    return ExperimentRow(name=name, unit=unit, figure=fit.slope, note=text)
+
+
+def measure_bytes(build: Callable[[], object]) -> float:
+    """Return the bytes of Python objects that a function builds.
+
+    :param build: returns the objects.
+    """
+    tracemalloc.start()
+    try:
+        before, _ = tracemalloc.get_traced_memory()
+        built = build()
+        after, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    del built
+    return after - before
+
+
+def measure_microseconds(work: Callable[[], object], repeats: int) -> float:
+    """Return the least processor time of a function in microseconds.
+
+    :param work: the function.
+    :param repeats: number of runs; the least is the one that other processes disturbed least.
+    """
+    times = []
+    for _ in range(repeats):
+        start = time.process_time_ns()
+        work()
+        times.append((time.process_time_ns() - start) / 1000)
+    return min(times)
--- a/packages/bench/gypsumpost_bench/tests/test_token_path.py
+++ b/packages/bench/gypsumpost_bench/tests/test_token_path.py
@@ -78,3 +78,12 @@
     assert (figures.microseconds, figures.rate, figures.gap_p95) == (20.0, 50.0, 9.0)
     assert (figures.first_p95, figures.burst_first_p95, figures.incomplete) == (3.0, 4.0, 3)
     assert find_percentile(list(range(1, 101)), 0.95) == 96
+
+
+def test_fake_engine_answers_load_and_cancel_calls_at_once():
+    """Guards against a daemon that takes the fake engine for dead."""
+    for call in (b"GET /load HTTP/1.1", b"POST /v1/streams/g-1/cancel HTTP/1.1"):
+        with socket.socket() as sock:
+            stream = FakeStream(sock, received=call + b"\r\n\r\n")
+            assert stream.read_request()
+            assert stream.plain
--- a/packages/bench/gypsumpost_bench/token_path_client.py
+++ b/packages/bench/gypsumpost_bench/token_path_client.py
@@ -56,7 +56,8 @@
             for key, _ in self._selector.select(max(wake - time.monotonic(), 0)):
                 self._read(key.data)
         short = [one for one in self._streams if one.kind != "long"]
-        incomplete = sum(1 for one in short if one.tokens != SHORT_TOKENS or not one.done)
+        events = SHORT_TOKENS + self._plan.end_events
+        incomplete = sum(1 for one in short if one.tokens != events or not one.done)
         return {"gaps": self._gaps, "added": self._added, "incomplete": incomplete}
 
     def _open(self, kind: str) -> None:
@@ -64,8 +65,11 @@
         sock = socket.create_connection(self._address)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         tokens = LONG_TOKENS if kind == "long" else SHORT_TOKENS
-        body = json.dumps({"model": "model-1", "prompt": "p", "max_tokens": tokens}).encode()
+        request = {"model": "summary", "prompt": "p", "max_tokens": tokens, "stream": True}
+        body = json.dumps(request | {"return_token_ids": True}).encode()
         head = "POST /v1/completions HTTP/1.1\r\nHost: relay\r\nContent-Type: application/json\r\n"
+        if self._plan.key:
+            head += f"Authorization: Bearer {self._plan.key}\r\n"
         sock.sendall(f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body)
         sock.setblocking(False)
         stream = LoadStream(sock, kind, opened_at)
--- a/packages/bench/gypsumpost_bench/token_path_engine.py
+++ b/packages/bench/gypsumpost_bench/token_path_engine.py
@@ -11,6 +11,12 @@
 TOKEN_SECONDS = 0.042
 FIRST_TOKEN_SECONDS = 0.05
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+LOAD = (
+    b'{"boot_id":"1","running":0,"waiting":0,"cache_used":0,"sampled_at":0,"draining":false,'
+    b'"models":[{"model":"summary","version":"1","adapter":""}]}'
+)
+REPLY = b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s"
+PROMPT = '"prompt_token_ids":[5,6,7],"offset":0'
 EVENT = (
     'data: {"id":"cmpl-1","model":"model-1","offset":%d,"choices":'
     '[{"index":0,"text":"%s","token_ids":[%d],"finish_reason":null}]}\n\n'
@@ -27,16 +33,19 @@
     tokens: int = 0
     sent: int = 0
     due: float = 0.0
+    plain: bool = False
 
     def read_request(self) -> bool:
         """Return true once the request is complete."""
         head, separator, body = self.received.partition(b"\r\n\r\n")
         if not separator:
             return False
-        length = int(head.lower().partition(b"content-length: ")[2].partition(b"\r\n")[0])
+        length = int(head.lower().partition(b"content-length: ")[2].partition(b"\r\n")[0] or 0)
         if len(body) < length:
             return False
-        self.tokens = json.loads(body)["max_tokens"]
+        line = head.partition(b"\r\n")[0]
+        self.plain = line.startswith(b"GET ") or b"/cancel " in line
+        self.tokens = 0 if self.plain else json.loads(body)["max_tokens"]
         self.received_at = time.monotonic_ns()
         return True
 
@@ -48,6 +57,8 @@
         if not self.sent:
             text = f"{self.received_at}:{time.monotonic_ns()}"
         event = EVENT % (self.sent, text, self.sent + 1000)
+        if not self.sent:
+            event = event.replace('"offset":0', PROMPT)
         chunk = f"{len(event):x}\r\n{event}\r\n".encode()
         return chunk if self.sent else HEAD + chunk
 
@@ -91,6 +102,10 @@
             return
         stream.received += data
         if not stream.tokens and stream.read_request():
+            if stream.plain:
+                stream.sock.send(REPLY % (len(LOAD), LOAD))
+                self._close(stream)
+                return
             self._schedule(stream, time.monotonic() + FIRST_TOKEN_SECONDS)
 
     def _schedule(self, stream: FakeStream, due: float) -> None:
--- a/packages/bench/gypsumpost_bench/token_path_plan.py
+++ b/packages/bench/gypsumpost_bench/token_path_plan.py
@@ -16,6 +16,8 @@
     :param streams: number of long streams.
     :param probes: number of short streams between ``steady_end`` and ``burst_start``.
     :param burst: number of short streams in the second after ``burst_start``.
+    :param key: bearer key to send, empty for none.
+    :param end_events: events without tokens at the end of a stream.
     """
 
     start: float
@@ -27,6 +29,8 @@
     streams: int
     probes: int
     burst: int
+    key: str = ""
+    end_events: int = 0
 
     def create_openings(self) -> list[tuple[float, str]]:
         """Return when to open which kind of stream, in order of time."""
--- a/packages/cli/gypsumpost_cli/answer_client.py
+++ b/packages/cli/gypsumpost_cli/answer_client.py
@@ -25,10 +25,12 @@
 
     :param addresses: ``ip:port`` of the entry hosts.
     :param key: bearer key of the workspace.
+    :param silence_limit: seconds without data after which it reconnects, ``None`` for no limit.
     """
 
     addresses: list[str]
     key: str
+    silence_limit: float | None = None
     _turns: Any = attrs.field(init=False)
     _pool: httpcore.AsyncConnectionPool = attrs.field(init=False)
 
@@ -79,8 +81,11 @@
             *headers,
         ]
         url = f"http://{next(self._turns)}{path}"
+        timeout = {"timeout": {"read": self.silence_limit}}
         try:
-            async with self._pool.stream(method, url, headers=headers, content=body) as response:
+            async with self._pool.stream(
+                method, url, headers=headers, content=body, extensions=timeout
+            ) as response:
                 if response.status != 200:
                     return _take_refusal(answer, response.status, await response.aread())
                 return await self._read_events(answer, response)
