Send copies in columns and in fewer batches

A profile of the full daemon showed one struct per generation and a batch each 4 ms as the cost of the copies that can be avoided.

Running generations now share columns; an append that ends an answer keeps its own struct.

Batches are 10 ms apart in place of 4 ms, but a generation's first tokens do not wait.

--- a/packages/daemon/gypsumpost_daemon/copies.capnp
+++ b/packages/daemon/gypsumpost_daemon/copies.capnp
@@ -50,6 +50,19 @@
   opened @0 :List(Record);
   appended @1 :List(Append);
   closed @2 :List(Text);
+  columns @3 :AppendColumns;  # appends of generations that have not ended
+}
+
+struct AppendColumns {
+  # Appends in columns: one value for each generation, then one for each piece or token.
+  generationIds @0 :Text;   # separated by commas
+  epochs @1 :Data;          # uint32, little endian, like all counts but tokenCounts
+  starts @2 :Data;
+  pieceCounts @3 :Data;
+  tokenIds @4 :Data;
+  tokenCounts @5 :Data;     # uint16 for each piece
+  text @6 :Text;
+  textCounts @7 :Data;      # characters for each piece
 }
 
 struct CopyReply {
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/copy_append.py
@@ -0,0 +1,21 @@
+"""New output of one generation on its way to a holder."""
+
+import attrs
+
+from gypsumpost_core.piece import Piece
+
+
+@attrs.frozen(kw_only=True)
+class CopyAppend:
+    """What a holder appends to its copy.
+
+    :param generation_id: the generation.
+    :param epoch: number of the owner that sends it.
+    :param pieces: consecutive pieces, possibly none.
+    :param finish_reason: why the answer ended, ``None`` while it runs.
+    """
+
+    generation_id: str
+    epoch: int
+    pieces: list[Piece]
+    finish_reason: str | None = None
--- a/packages/daemon/gypsumpost_daemon/copy_codec.py
+++ b/packages/daemon/gypsumpost_daemon/copy_codec.py
@@ -10,6 +10,7 @@
 from gypsumpost_core.generation_record import GenerationRecord
 from gypsumpost_core.model_ref import ModelRef
 from gypsumpost_core.piece import Piece
+from gypsumpost_daemon.copy_append import CopyAppend
 
 SCHEMA = capnp.load(str(Path(__file__).with_name("copies.capnp")))
 
@@ -73,6 +74,31 @@
     return pieces
 
 
+def fill_append(builder: Any, append: CopyAppend) -> None:
+    """Write the new output of one generation into an ``Append`` builder.
+
+    :param builder: the builder.
+    :param append: the output.
+    """
+    builder.generationId = append.generation_id
+    builder.epoch = append.epoch
+    builder.finishReason = append.finish_reason or ""
+    fill_pieces(builder.init("pieces"), append.pieces)
+
+
+def read_append(reader: Any) -> CopyAppend:
+    """Read the new output of one generation from an ``Append`` reader.
+
+    :param reader: the reader.
+    """
+    return CopyAppend(
+        generation_id=reader.generationId,
+        epoch=reader.epoch,
+        pieces=read_pieces(reader.pieces),
+        finish_reason=reader.finishReason or None,
+    )
+
+
 def fill_record(builder: Any, record: GenerationRecord) -> None:
     """Write a record into a ``Record`` builder.
 
--- a/packages/daemon/gypsumpost_daemon/copy_outbox.py
+++ b/packages/daemon/gypsumpost_daemon/copy_outbox.py
@@ -7,7 +7,9 @@
 from result import Err
 
 from gypsumpost_daemon.copied_generation import CopiedGeneration
-from gypsumpost_daemon.copy_codec import SCHEMA, fill_pieces, fill_record
+from gypsumpost_daemon.copy_append import CopyAppend
+from gypsumpost_daemon.copy_codec import SCHEMA, fill_append, fill_record
+from gypsumpost_daemon.copy_columns import fill_columns
 from gypsumpost_daemon.log import Log
 from gypsumpost_daemon.message_kind import MessageKind
 from gypsumpost_daemon.outbox_entry import OutboxEntry
@@ -18,8 +20,10 @@
 ACKNOWLEDGE_SECONDS = 0.5
 """A holder that takes longer counts as lost; holders answer within a few milliseconds."""
 
-BATCH_INTERVAL = 0.004
-"""Least seconds between two batches, so that a batch carries the tokens of many generations."""
+BATCH_INTERVAL = 0.01
+"""Least seconds between two batches, so that a batch carries the tokens of many generations.
+
+It delays a token by as much; first tokens do not wait for it."""
 
 
 @attrs.define(kw_only=True)
@@ -36,6 +40,7 @@
     _changed: dict[str, OutboxEntry] = attrs.field(factory=dict, init=False)
     _closed: list[str] = attrs.field(factory=list, init=False)
     _wake: trio.Event = attrs.field(factory=trio.Event, init=False)
+    _urgent: trio.Event = attrs.field(factory=trio.Event, init=False)
 
     def add(self, task: CopiedGeneration) -> None:
         """Copy a generation to this holder from now on.
@@ -57,6 +62,8 @@
         if entry is not None and entry.task.generation.record.pieces:
             self._changed[generation_id] = entry
             self._wake.set()
+            if not entry.held:
+                self._urgent.set()
 
     def remove(self, generation_id: str, close: bool) -> None:
         """Stop copying a generation.
@@ -71,14 +78,14 @@
 
     async def run(self) -> None:
         """Send batches until cancelled."""
+        next_batch_at = 0.0
         while True:
             await self._wake.wait()
-            self._wake = trio.Event()
+            with trio.move_on_at(next_batch_at):
+                await self._urgent.wait()
+            self._wake, self._urgent = trio.Event(), trio.Event()
             next_batch_at = trio.current_time() + BATCH_INTERVAL
             await self._send_batch()
-            if self._changed or self._closed:
-                self._wake.set()
-            await trio.sleep_until(next_batch_at)
 
     async def _send_batch(self) -> None:
         changed, self._changed = self._changed, {}
@@ -128,21 +135,29 @@
         record = entry.task.generation.record
         fill_record(records[position], record)
         entry.attempt = record.attempt
-    appends = batch.init("appended", len(appended))
-    for position, entry in enumerate(appended):
-        _fill_append(appends[position], entry)
+    _fill_appends(batch, [_create_append(entry) for entry in appended])
     return bytes(batch.to_bytes())
 
 
-def _fill_append(builder: Any, entry: OutboxEntry) -> None:
+def _fill_appends(batch: Any, appends: list[CopyAppend]) -> None:
+    running = [append for append in appends if append.finish_reason is None]
+    ended = [append for append in appends if append.finish_reason is not None]
+    fill_columns(batch.init("columns"), running)
+    builders = batch.init("appended", len(ended))
+    for position, append in enumerate(ended):
+        fill_append(builders[position], append)
+
+
+def _create_append(entry: OutboxEntry) -> CopyAppend:
     generation = entry.task.generation
     record = generation.record
-    builder.generationId = record.generation_id
-    builder.epoch = record.epoch
-    builder.finishReason = record.finish_reason or ""
     start = entry.held
     if generation.finished and record.pieces:
         # The end of the answer may have been cut by a stop sequence after it was copied.
         start = min(start, record.pieces[-1].start)
-    pieces = generation.list_pieces_from(start)
-    fill_pieces(builder.init("pieces"), pieces)
+    return CopyAppend(
+        generation_id=record.generation_id,
+        epoch=record.epoch,
+        pieces=generation.list_pieces_from(start),
+        finish_reason=record.finish_reason,
+    )
--- a/packages/daemon/gypsumpost_daemon/copy_store.py
+++ b/packages/daemon/gypsumpost_daemon/copy_store.py
@@ -1,14 +1,15 @@
 """Copies of generations that this daemon holds for others."""
 
 import time
-from typing import Any
 
 import attrs
 import trio
 
 from gypsumpost_core.generation_record import GenerationRecord
 from gypsumpost_core.piece import Piece
-from gypsumpost_daemon.copy_codec import SCHEMA, read_pieces, read_record
+from gypsumpost_daemon.copy_append import CopyAppend
+from gypsumpost_daemon.copy_codec import SCHEMA, read_append, read_record
+from gypsumpost_daemon.copy_columns import read_columns
 from gypsumpost_daemon.held_copy import HeldCopy
 from gypsumpost_daemon.log import Log
 from gypsumpost_daemon.peer_request import PeerRequest
@@ -70,8 +71,10 @@
         with SCHEMA.CopyBatch.from_bytes(request.payload) as batch:
             for reader in batch.opened:
                 self._open(read_record(reader), request.host_id, stale)
-            for change in batch.appended:
-                self._append(change, stale, missing)
+            for append in read_columns(batch.columns):
+                self._append(append, stale, missing)
+            for reader in batch.appended:
+                self._append(read_append(reader), stale, missing)
             for generation_id in batch.closed:
                 self._close(generation_id, request.host_id)
         reply = SCHEMA.CopyReply.new_message(stale=stale, missing=missing)
@@ -116,20 +119,16 @@
         else:
             self.hold(record, owner)
 
-    def _append(self, change: Any, stale: list[str], missing: list[str]) -> None:
-        generation_id: str = change.generationId
-        held = self._held.get(generation_id)
+    def _append(self, append: CopyAppend, stale: list[str], missing: list[str]) -> None:
+        held = self._held.get(append.generation_id)
         if held is None:
-            missing.append(generation_id)
-            return
-        if held.record.epoch != change.epoch:
-            stale.append(generation_id)
-            return
-        pieces = read_pieces(change.pieces)
-        if pieces and not _append_pieces(held.record.pieces, pieces):
-            missing.append(generation_id)
-            return
-        held.record.finish_reason = change.finishReason or None
+            missing.append(append.generation_id)
+        elif held.record.epoch != append.epoch:
+            stale.append(append.generation_id)
+        elif append.pieces and not _append_pieces(held.record.pieces, append.pieces):
+            missing.append(append.generation_id)
+        else:
+            held.record.finish_reason = append.finish_reason
 
     def _close(self, generation_id: str, owner: str) -> None:
         held = self._held.get(generation_id)
--- a/packages/daemon/gypsumpost_daemon/main.py
+++ b/packages/daemon/gypsumpost_daemon/main.py
@@ -11,6 +11,7 @@
 from gypsumpost_core.settings_reader import read_settings
 from gypsumpost_daemon.command_line import build_command
 from gypsumpost_daemon.daemon import Daemon
+from gypsumpost_daemon.garbage_collector import configure_collector
 from gypsumpost_daemon.log import Log, start_logging
 from gypsumpost_daemon.settings import Settings
 
@@ -39,6 +40,7 @@
         return USAGE_STATUS
     start_logging(settings.ok_value.host_id, settings.ok_value.log_file)
     daemon = Daemon(settings=settings.ok_value)
+    configure_collector()
     status = 0
     try:
         trio.run(daemon.run)
--- a/packages/daemon/gypsumpost_daemon/tests/test_copy_outbox.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_copy_outbox.py
@@ -8,6 +8,9 @@
 from gypsumpost_core.generation_kind import GenerationKind
 from gypsumpost_core.generation_record import GenerationRecord
 from gypsumpost_core.piece import Piece
+from gypsumpost_daemon.copy_append import CopyAppend
+from gypsumpost_daemon.copy_codec import SCHEMA
+from gypsumpost_daemon.copy_columns import fill_columns, read_columns
 from gypsumpost_daemon.copy_outbox import CopyOutbox
 from gypsumpost_daemon.copy_store import CopyStore
 from gypsumpost_daemon.peer_request import PeerRequest
@@ -89,6 +92,44 @@
     assert task.lengths == [2, 4, 5]
 
 
+def test_columns_keep_the_appends_of_many_generations_apart():
+    """Guards against tokens that reach the copy of another generation."""
+    appends = [
+        CopyAppend(generation_id="a1", epoch=1, pieces=[Piece(end=4, token_ids=(1, 2), text="é")]),
+        CopyAppend(generation_id="b2", epoch=7, pieces=[]),
+        CopyAppend(
+            generation_id="c3",
+            epoch=2,
+            pieces=[
+                Piece(end=1, token_ids=(70_000,), text="日本"),
+                Piece(end=3, token_ids=(5, 6), text="z"),
+            ],
+        ),
+    ]
+    for chosen in ([], appends[:1], appends):
+        builder = SCHEMA.AppendColumns.new_message()
+        fill_columns(builder, chosen)
+        with SCHEMA.AppendColumns.from_bytes(builder.to_bytes()) as reader:
+            assert list(read_columns(reader)) == chosen
+
+
+async def test_end_of_an_answer_reaches_the_copy(autojump_clock):
+    """Guards against a taken over answer that goes on after its end."""
+    task = CopiedTask(generation=Generation(record=create_record(2)))
+    store = CopyStore(max_bytes=1 << 20)
+
+    def finish() -> None:
+        record = task.generation.record
+        record.pieces[-1] = attrs.evolve(record.pieces[-1], text="")
+        record.finish_reason = "stop, by a match"
+
+    await run_outbox(task, DirectNetwork(store=store), [finish])
+    held = store.get("g")
+    assert held is not None
+    assert held.record.finish_reason == "stop, by a match"
+    assert held.record.pieces == task.generation.record.pieces
+
+
 async def test_reply_for_output_before_a_restart_commits_nothing(autojump_clock):
     """Guards against a commit of tokens that exist at the holder only in the discarded output."""
     task = CopiedTask(generation=Generation(record=create_record(3)))
