--- a/packages/bench/gypsumpost_bench/experiment_path.py
+++ b/packages/bench/gypsumpost_bench/experiment_path.py
@@ -23,7 +23,8 @@
 
     :param quick: true for short windows.
     """
-    rows, loads = [], []
+    rows: list[ExperimentRow] = []
+    loads: list[tuple[float, float, float]] = []
     reference = TokenPathCase(server=DIRECT, transport="", coalescing="", rate=RATES[-1])
     direct = run_case(reference, quick=quick)
     for rate in RATES:
