--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,7 @@
 	$(BIN)/python -m gypsumpost_bench.demo
 
 measure: $(VENV)/installed
-	$(BIN)/python -m gypsumpost_bench.measure
+	$(BIN)/python -m gypsumpost_bench.measure $(if $(QUICK),--quick)
 
 SEED ?= 1
 MINUTES ?= 1
--- a/packages/bench/gypsumpost_bench/deployment.py
+++ b/packages/bench/gypsumpost_bench/deployment.py
@@ -112,6 +112,7 @@
         for number, (address, gap) in enumerate(zip(addresses, self.plan.token_gaps, strict=True)):
             name = f"engine-{number + 1}"
             flags = ["--name", name, "--address", address, "--token-gap", str(gap)]
+            flags += ["--counter-file", str(self.directory / f"{name}.count")]
             module = "gypsumpost_bench.engine_stand_in"
             self.engines[name] = self._start(name, address, ["-m", module, *flags])
 
@@ -144,8 +145,8 @@
             flags += ["--" + flag.replace("_", "-"), host[flag]]
         flags += self._create_access_flags(path)
         flags += ["--log-file", str(self.directory / f"{name}.log"), *self.plan.daemon_flags]
-        code = "import gypsumpost_daemon.main as m; m.main()"
-        self.daemons[name] = self._start(name, host["api_address"], ["-c", code, *flags])
+        arguments = ["-c", self.plan.daemon_code, *flags]
+        self.daemons[name] = self._start(name, host["api_address"], arguments)
 
     def _create_access_flags(self, path: Path) -> list[str]:
         if self.platform is None:
@@ -176,16 +177,19 @@
         ]
 
     def _describe_engines(self) -> list[dict[str, object]]:
+        addresses = {name: engine.address for name, engine in self.engines.items()}
+        for number, address in enumerate(self.plan.engine_addresses):
+            addresses[f"given-engine-{number + 1}"] = address
         return [
             {
                 "name": name,
                 "kind": "engine",
-                "address": engine.address,
+                "address": address,
                 "failure_domain": self.plan.domains[number % len(self.plan.domains)],
                 "status": "live",
                 "models": [MODEL],
             }
-            for number, (name, engine) in enumerate(self.engines.items())
+            for number, (name, address) in enumerate(addresses.items())
         ]
 
     def _start(self, name: str, address: str, arguments: list[str]) -> RunningProcess:
--- a/packages/bench/gypsumpost_bench/deployment_plan.py
+++ b/packages/bench/gypsumpost_bench/deployment_plan.py
@@ -13,6 +13,9 @@
     :param services: plain services in each domain.
     :param platform: true for a platform with store and lists, false for a list of hosts in a file.
     :param daemon_flags: further flags of the daemons.
+    :param engine_addresses: addresses of engines that run already, besides those of
+        ``token_gaps``.
+    :param daemon_code: what the daemons' interpreter runs.
     """
 
     domains: tuple[str, ...] = ("d1", "d2", "d3")
@@ -21,3 +24,5 @@
     services: int = 1
     platform: bool = True
     daemon_flags: tuple[str, ...] = ()
+    engine_addresses: tuple[str, ...] = ()
+    daemon_code: str = "import gypsumpost_daemon.main as m; m.main()"
--- a/packages/daemon/gypsumpost_daemon/copy_store.py
+++ b/packages/daemon/gypsumpost_daemon/copy_store.py
@@ -1,7 +1,6 @@
 """Copies of generations that this daemon holds for others."""
 
 import time
-from typing import Any
 
 import attrs
 import trio
@@ -9,7 +8,9 @@
 from gypsumpost_core.generation_record import GenerationRecord
 from gypsumpost_core.piece import Piece
 from gypsumpost_core.record_size import measure_pieces, measure_record
-from gypsumpost_daemon.copy_codec import SCHEMA, read_pieces, read_record
+from gypsumpost_daemon.copy_append import CopyAppend
+from gypsumpost_daemon.copy_codec import SCHEMA, read_append, read_record
+from gypsumpost_daemon.copy_columns import read_columns
 from gypsumpost_daemon.copy_refusals import CopyRefusals
 from gypsumpost_daemon.held_copy import HeldCopy
 from gypsumpost_daemon.log import Log
@@ -84,8 +85,10 @@
         with SCHEMA.CopyBatch.from_bytes(request.payload) as batch:
             for reader in batch.opened:
                 self._open(read_record(reader), request.host_id, refusals)
-            for change in batch.appended:
-                self._append(change, request.host_id, refusals)
+            for append in read_columns(batch.columns):
+                self._append(append, request.host_id, refusals)
+            for reader in batch.appended:
+                self._append(read_append(reader), request.host_id, refusals)
             for generation_id in batch.closed:
                 self._close(generation_id, request.host_id)
         reply = SCHEMA.CopyReply.new_message(**attrs.asdict(refusals))
@@ -134,24 +137,19 @@
         else:
             self.hold(record, owner)
 
-    def _append(self, change: Any, owner: str, refusals: CopyRefusals) -> None:
-        generation_id: str = change.generationId
-        held = self._held.get(generation_id)
+    def _append(self, append: CopyAppend, owner: str, refusals: CopyRefusals) -> None:
+        held = self._held.get(append.generation_id)
         if held is None:
-            refusals.missing.append(generation_id)
-            return
+            refusals.missing.append(append.generation_id)
         # Two daemons can own one epoch after takeovers from the home and from the holder at once.
-        if held.record.epoch != change.epoch or held.owner != owner:
-            refusals.stale.append(generation_id)
-            return
-        pieces = read_pieces(change.pieces)
-        if not self._fits(measure_pieces(pieces)):
+        elif held.record.epoch != append.epoch or held.owner != owner:
+            refusals.stale.append(append.generation_id)
+        elif not self._fits(measure_pieces(append.pieces)):
             self._refuse(held.record, owner, refusals)
-            return
-        if not self._replace_end(held, change.pieces.start, pieces):
-            refusals.missing.append(generation_id)
-            return
-        held.record.finish_reason = change.finishReason or None
+        elif not self._replace_end(held, append.start, append.pieces):
+            refusals.missing.append(append.generation_id)
+        else:
+            held.record.finish_reason = append.finish_reason
 
     def _fits(self, growth: int) -> bool:
         return growth <= 0 or self._bytes + growth <= self.max_bytes
