Delete old claims and outcomes in the store

Claims and outcomes were kept for ever. With a retention, each claim writer puts what it writes under a store lease that all writes of an hour share, so that 50 claims cost one lease call. A key lives for at least the retention after it was last written and at most two hours longer. Without a retention, which stays the default of the claim modes, nothing changes.

A repeat after the retention is a new call; docs/design.md section 9 says so.

--- a/packages/daemon/gypsumpost_daemon/claim_batcher.py
+++ b/packages/daemon/gypsumpost_daemon/claim_batcher.py
@@ -17,7 +17,7 @@
 from gypsumpost_daemon.claim_order import ClaimOrder
 from gypsumpost_daemon.claim_order_reply import ClaimOrderReply
 from gypsumpost_daemon.claim_queue import ClaimQueue
-from gypsumpost_daemon.claim_transaction import build_transaction, read_replies
+from gypsumpost_daemon.claim_writer import ClaimWriter
 from gypsumpost_daemon.host_directory import HostDirectory
 from gypsumpost_daemon.message_kind import MessageKind
 from gypsumpost_daemon.peer_network import PeerNetwork
@@ -57,12 +57,20 @@
     :param directory: the known hosts.
     :param network: connections to other daemons.
     :param store: the store.
+    :param retention_seconds: how long claims and outcomes are kept, ``None`` for ever.
     """
 
-    def __init__(self, *, directory: HostDirectory, network: PeerNetwork, store: Store) -> None:
+    def __init__(
+        self,
+        *,
+        directory: HostDirectory,
+        network: PeerNetwork,
+        store: Store,
+        retention_seconds: float | None = None,
+    ) -> None:
         self._directory = directory
         self._network = network
-        self._store = store
+        self._writer = ClaimWriter.create(store, retention_seconds)
         self._queue = ClaimQueue()
         network.add_handler(MessageKind.CLAIM_CALLS, self._serve_orders)
 
@@ -136,13 +144,11 @@
         return Err(StoreFailure(reason="no answer in time", sent=not waiting))
 
     async def _write_batch(self, batch: list[QueuedOrder]) -> None:
-        transaction = build_transaction([queued.order for queued in batch])
         deadline = trio.current_time() + STORE_SECONDS
-        result = await self._store.run_transaction(transaction, deadline)
+        result = await self._writer.write([queued.order for queued in batch], deadline)
         if isinstance(result, Err):
             for queued in batch:
                 queued.finish(result)
             return
-        replies = read_replies(result.ok_value)
-        for queued, reply in zip(batch, replies, strict=True):
+        for queued, reply in zip(batch, result.ok_value, strict=True):
             queued.finish(Ok(reply))
--- a/packages/daemon/gypsumpost_daemon/claim_mode.py
+++ b/packages/daemon/gypsumpost_daemon/claim_mode.py
@@ -29,4 +29,4 @@
 
 
 CLAIM_MODES: Registry[ClaimMode] = Registry(behaviour="claim-mode")
-"""Constructors take ``directory``, ``network`` and ``store``."""
+"""Constructors take ``directory``, ``network``, ``store`` and optionally ``retention_seconds``."""
--- a/packages/daemon/gypsumpost_daemon/claim_transaction.py
+++ b/packages/daemon/gypsumpost_daemon/claim_transaction.py
@@ -16,12 +16,13 @@
 from gypsumpost_daemon.store_transaction_result import StoreTransactionResult
 
 
-def build_transaction(orders: Sequence[ClaimOrder]) -> StoreTransaction:
+def build_transaction(orders: Sequence[ClaimOrder], lease: int = 0) -> StoreTransaction:
     """Return one transaction with a nested transaction for each order.
 
     :param orders: the orders; their keys differ, as etcd refuses a key that is put twice.
+    :param lease: store lease of what is written, 0 to keep it for ever.
     """
-    return StoreTransaction(success=tuple(_build_nested(order) for order in orders))
+    return StoreTransaction(success=tuple(_build_nested(order, lease) for order in orders))
 
 
 def read_replies(result: StoreTransactionResult) -> list[ClaimOrderReply]:
@@ -32,12 +33,12 @@
     return [_read_nested(nested) for nested in result.results]
 
 
-def _build_nested(order: ClaimOrder) -> StoreTransaction:
+def _build_nested(order: ClaimOrder, lease: int) -> StoreTransaction:
     if order.kind is ClaimOrderKind.CREATE:
         compare = StoreCompare(key=order.key, create_revision=0)
     else:
         compare = StoreCompare(key=order.key, value=order.expected)
-    change: StoreOperation = StorePut(key=order.key, value=order.value)
+    change: StoreOperation = StorePut(key=order.key, value=order.value, lease=lease)
     if order.kind is ClaimOrderKind.REMOVE:
         change = StoreDelete(key=order.key)
     return StoreTransaction(
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/claim_writer.py
@@ -0,0 +1,61 @@
+"""Writes claim orders to the store."""
+
+from collections.abc import Sequence
+
+import attrs
+from result import Err, Ok, Result
+
+from gypsumpost_daemon.claim_leases import ClaimLeases
+from gypsumpost_daemon.claim_order import ClaimOrder
+from gypsumpost_daemon.claim_order_reply import ClaimOrderReply
+from gypsumpost_daemon.claim_transaction import build_transaction, read_replies
+from gypsumpost_daemon.store import Store
+from gypsumpost_daemon.store_failure import StoreFailure
+
+
+@attrs.define(kw_only=True)
+class ClaimWriter:
+    """Writes orders in one transaction, under the lease of the present time slot.
+
+    :param store: the store.
+    :param leases: finds the lease, ``None`` to keep claims for ever.
+    """
+
+    store: Store
+    leases: ClaimLeases | None = None
+
+    @classmethod
+    def create(cls, store: Store, retention_seconds: float | None) -> "ClaimWriter":
+        """Create a writer.
+
+        :param store: the store.
+        :param retention_seconds: how long claims and outcomes are kept, ``None`` for ever.
+        """
+        if retention_seconds is None:
+            return cls(store=store)
+        return cls(
+            store=store, leases=ClaimLeases(store=store, retention_seconds=retention_seconds)
+        )
+
+    async def write(
+        self, orders: Sequence[ClaimOrder], deadline: float
+    ) -> Result[list[ClaimOrderReply], StoreFailure]:
+        """Write orders and return the reply to each.
+
+        :param orders: the orders; their keys differ.
+        :param deadline: process time in seconds at which to stop waiting.
+        """
+        lease = 0
+        if self.leases is not None:
+            found = await self.leases.find(deadline)
+            if isinstance(found, Err):
+                return found
+            lease = found.ok_value
+        transaction = build_transaction(orders, lease)
+        result = await self.store.run_transaction(transaction, deadline)
+        if isinstance(result, Err):
+            # A refusal may mean that the store does not know the lease.
+            if self.leases is not None and not result.err_value.sent:
+                self.leases.forget()
+            return result
+        return Ok(read_replies(result.ok_value))
--- a/packages/daemon/gypsumpost_daemon/direct_claims.py
+++ b/packages/daemon/gypsumpost_daemon/direct_claims.py
@@ -1,13 +1,13 @@
 """Baseline of the claim batcher: one store transaction for each order."""
 
 import trio
-from result import Err, Result
+from result import Err, Ok, Result
 
 from gypsumpost_daemon.claim_batcher import STORE_SECONDS
 from gypsumpost_daemon.claim_mode import CLAIM_MODES
 from gypsumpost_daemon.claim_order import ClaimOrder
 from gypsumpost_daemon.claim_order_reply import ClaimOrderReply
-from gypsumpost_daemon.claim_transaction import build_transaction, read_replies
+from gypsumpost_daemon.claim_writer import ClaimWriter
 from gypsumpost_daemon.host_directory import HostDirectory
 from gypsumpost_daemon.peer_network import PeerNetwork
 from gypsumpost_daemon.store import Store
@@ -21,10 +21,18 @@
     :param directory: not used.
     :param network: not used.
     :param store: the store.
+    :param retention_seconds: how long claims and outcomes are kept, ``None`` for ever.
     """
 
-    def __init__(self, *, directory: HostDirectory, network: PeerNetwork, store: Store) -> None:
-        self._store = store
+    def __init__(
+        self,
+        *,
+        directory: HostDirectory,
+        network: PeerNetwork,
+        store: Store,
+        retention_seconds: float | None = None,
+    ) -> None:
+        self._writer = ClaimWriter.create(store, retention_seconds)
 
     async def run(self) -> None:
         """Wait until cancelled; this mode has no tasks."""
@@ -39,5 +47,5 @@
         :param deadline: process time in seconds at which to stop waiting.
         """
         wait_until = min(deadline, trio.current_time() + STORE_SECONDS)
-        result = await self._store.run_transaction(build_transaction([order]), wait_until)
-        return result if isinstance(result, Err) else result.map(lambda done: read_replies(done)[0])
+        result = await self._writer.write([order], wait_until)
+        return result if isinstance(result, Err) else Ok(result.ok_value[0])
--- a/packages/daemon/gypsumpost_daemon/settings.py
+++ b/packages/daemon/gypsumpost_daemon/settings.py
@@ -124,6 +124,13 @@
         accepted="a number from 0.1 to 3600",
         help="Deadline of a service call whose caller gives none.",
     )
+    call_retention: float = define_setting(
+        default="24",
+        parse=parse_number(1, 720),
+        unit="hours",
+        accepted="a number from 1 to 720",
+        help="How long the store keeps claims and outcomes of calls for repeats.",
+    )
     workspace_keys: WorkspaceKeys = define_setting(
         default="",
         parse=parse_workspace_keys,
