Admit new generations and hand cache events to routing

A gate in the callers' path asks admission before a new generation starts, separately for each model. Its capacity is the batch slots of the model's live engines divided by the live hosts. Refusals are not_run with Retry-After; continuations and takeovers do not pass the gate. The cost of a request is the mean output, at most max_tokens, because with max_tokens alone a request that allows long output is refused for deadlines that its usual output meets.

The prober also asks the engines it probes for cache events, each at most once a second, and hands them on in runs without gaps; a new boot id starts again at event 0.

--- a/packages/core/gypsumpost_core/router.py
+++ b/packages/core/gypsumpost_core/router.py
@@ -186,7 +186,7 @@
         engine = self._fleet.engines.get(name)
         if engine is None:
             return 0.0
-        wait = engine.expect_first_token(request, self._get_output_tokens())
+        wait = engine.expect_first_token(request, self.expect_output_tokens())
         return engine.silence.compute_first_token_bound(wait)
 
     def expect_elsewhere(self, request: RouteRequest, now: float) -> float | None:
@@ -197,7 +197,7 @@
         :returns: ``None`` if no other engine can run it.
         """
         candidates = self._fleet.list_candidates(request, now)
-        output_tokens = self._get_output_tokens()
+        output_tokens = self.expect_output_tokens()
         waits = (engine.expect_first_token(request, output_tokens) for engine in candidates)
         return min(waits, default=None)
 
@@ -215,6 +215,10 @@
         engine = self._fleet.engines.get(name)
         return None if engine is None else engine.health.boot_id
 
+    def expect_output_tokens(self) -> float:
+        """Return the mean output tokens of a generation."""
+        return self._output_tokens.mean or self._settings.output_tokens
+
     def count_slots(self, model: str, now: float) -> int:
         """Return the batch slots of a model's engines that can take work."""
         return self._fleet.count_slots(model, now)
@@ -224,7 +228,7 @@
             settings=self._settings,
             failure_domain=self._failure_domain,
             probed=self._pool.list_fresh(now),
-            output_tokens=self._get_output_tokens(),
+            output_tokens=self.expect_output_tokens(),
             chance=self._chance,
         )
 
@@ -233,8 +237,5 @@
             self._reviewed_at[model] = now
             review_engines(self._fleet.list_model(model), self._settings, now)
 
-    def _get_output_tokens(self) -> float:
-        return self._output_tokens.mean or self._settings.output_tokens
-
     def _expect_gap(self, engine: EngineView) -> float:
         return engine.estimate.estimate_token_time(engine.estimate.estimate_load())
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/admission_gate.py
@@ -0,0 +1,152 @@
+"""Holds new generations back until they are admitted."""
+
+import time
+from collections.abc import Iterable
+
+import attrs
+import trio
+from result import Err, Ok, Result
+
+from gypsumpost_core.admission import Admission
+from gypsumpost_core.admission_decision import AdmissionDecision, AdmissionVerdict
+from gypsumpost_core.admission_request import AdmissionRequest
+from gypsumpost_core.failure import Failure
+from gypsumpost_core.generation_record import GenerationRecord
+from gypsumpost_core.router import Router
+from gypsumpost_daemon.host_directory import HostDirectory
+
+TICK_SECONDS = 0.1
+"""Time between searches for waiting requests that can no longer meet their deadline."""
+
+CAPACITY_SECONDS = 0.5
+"""Time between reviews of the capacity; a review looks at all engines of the model."""
+
+
+@attrs.define(kw_only=True, eq=False)
+class AdmissionWait:
+    """A request that waits for a decision.
+
+    :param model: the model that it asks for.
+    :param decided: set with the decision.
+    :param failure: the reason of a refusal.
+    """
+
+    model: str
+    decided: trio.Event = attrs.field(factory=trio.Event)
+    failure: Failure | None = None
+
+
+@attrs.define(kw_only=True)
+class ModelAdmission:
+    """Admission to the engines of one model.
+
+    :param admission: decides.
+    :param review_at: process time in seconds of the next review of the capacity.
+    """
+
+    admission: Admission
+    review_at: float = 0.0
+
+
+@attrs.define(kw_only=True)
+class AdmissionGate:
+    """Admits new generations, separately for each model, since models share no engines' slots.
+
+    Continuations and takeovers do not pass the gate: their callers have a part of the answer.
+
+    :param router: knows the capacity.
+    :param directory: the hosts that share it.
+    """
+
+    router: Router
+    directory: HostDirectory
+    _models: dict[str, ModelAdmission] = attrs.field(factory=dict, init=False)
+    _requests: dict[str, AdmissionWait] = attrs.field(factory=dict, init=False)
+
+    def describe(self, record: GenerationRecord, weight: float = 1.0) -> AdmissionRequest:
+        """Describe a new generation for admission.
+
+        :param record: the generation.
+        :param weight: share of the workspace against others of the same priority.
+        """
+        # The caller's limit says little: with it as the cost, a request that allows long output
+        # would be refused for a deadline that its usual output meets.
+        cost = min(float(record.max_tokens), self.router.expect_output_tokens())
+        return AdmissionRequest(
+            request_id=record.generation_id,
+            workspace=record.workspace,
+            priority=record.priority,
+            weight=weight,
+            cost=cost,
+            deadline=trio.current_time() + record.deadline - time.time(),
+        )
+
+    async def admit(self, request: AdmissionRequest, model: str) -> Result[None, Failure]:
+        """Wait until a new generation may start, or say why it may not.
+
+        Who is admitted must call :meth:`finish` at the end.
+
+        :param request: the request.
+        :param model: the model that it asks for.
+        """
+        now = trio.current_time()
+        wait = self._requests[request.request_id] = AdmissionWait(model=model)
+        admission = self._review(model, now)
+        self._apply(admission.offer(request, now))
+        try:
+            await wait.decided.wait()
+        except trio.Cancelled:
+            self.finish(request.request_id, completed=False)
+            raise
+        if wait.failure is not None:
+            del self._requests[request.request_id]
+            return Err(wait.failure)
+        return Ok(None)
+
+    def observe_first_token(self, model: str, seconds: float) -> None:
+        """Adapt the limit to the time from sending a first attempt to its first token.
+
+        :param model: the model.
+        :param seconds: the time.
+        """
+        if model in self._models:
+            self._models[model].admission.observe_first_token(seconds, trio.current_time())
+
+    def finish(self, request_id: str, completed: bool) -> None:
+        """Note the end of a generation; one that was never admitted is ignored.
+
+        :param request_id: id of the admitted request.
+        :param completed: false if it was cut short, so that its duration says nothing.
+        """
+        wait = self._requests.pop(request_id, None)
+        if wait is not None:
+            admission = self._models[wait.model].admission
+            self._apply(admission.finish(request_id, trio.current_time(), completed))
+
+    async def run(self) -> None:
+        """Refuse late requests and follow the capacity until cancelled."""
+        while True:
+            await trio.sleep(TICK_SECONDS)
+            now = trio.current_time()
+            for model in list(self._models):
+                admission = self._review(model, now)
+                if admission.count_waiting():
+                    self._apply(admission.expire(now))
+
+    def _review(self, model: str, now: float) -> Admission:
+        entry = self._models.get(model)
+        if entry is None:
+            entry = self._models[model] = ModelAdmission(admission=Admission())
+        if now >= entry.review_at:
+            entry.review_at = now + CAPACITY_SECONDS
+            entry.admission.unix_offset = time.time() - now
+            capacity = self.router.count_slots(model, now) / len(self.directory.list_live())
+            self._apply(entry.admission.update_capacity(capacity, now))
+        return entry.admission
+
+    def _apply(self, decisions: Iterable[AdmissionDecision]) -> None:
+        for decision in decisions:
+            wait = self._requests.get(decision.request_id)
+            if wait is not None and decision.verdict is not AdmissionVerdict.QUEUED:
+                wait.failure = decision.failure
+                wait.decided.set()
--- a/packages/daemon/gypsumpost_daemon/attempt_reader.py
+++ b/packages/daemon/gypsumpost_daemon/attempt_reader.py
@@ -138,6 +138,7 @@
         engine = self.status.record.engine
         if self._first_token:
             self.context.router.record_first_token(engine, route, gap, now)
+            self._report_first_token(gap)
         else:
             self.context.router.record_tokens(engine, count, gap, now)
         self._first_token = False
@@ -145,6 +146,11 @@
         self._resumes = 0
         self.produced = True
 
+    def _report_first_token(self, wait: float) -> None:
+        record = self.status.record
+        if record.attempt == 1:
+            self.context.admission.observe_first_token(record.model, wait)
+
     def _find_silence_end(self, route: RouteRequest) -> float:
         router, engine = self.context.router, self.status.record.engine
         if self._first_token:
--- a/packages/daemon/gypsumpost_daemon/caller_application.py
+++ b/packages/daemon/gypsumpost_daemon/caller_application.py
@@ -17,6 +17,7 @@
 from gypsumpost_core.generation_kind import GenerationKind
 from gypsumpost_core.generation_record import GenerationRecord
 from gypsumpost_core.run_state import RunState
+from gypsumpost_daemon.admission_gate import AdmissionGate
 from gypsumpost_daemon.asgi_application import Receive, Scope, Send
 from gypsumpost_daemon.caller_request import CallerRequest
 from gypsumpost_daemon.caller_response import CallerResponse
@@ -49,6 +50,7 @@
     :param settings: settings of the daemon.
     :param supervisor: runs generations.
     :param keys: finds generations by idempotency key.
+    :param admission: holds new generations back while the engines are busy.
     :param find_workspace: returns the workspace of a bearer key, ``None`` for an unknown key.
     :param list_models: returns the names of the models that engines run now.
     :param handle_service: answers requests below ``/v1/services/``.
@@ -57,6 +59,7 @@
     settings: Settings
     supervisor: GenerationSupervisor
     keys: KeyClient
+    admission: AdmissionGate
     find_workspace: Callable[[str], str | None]
     list_models: Callable[[], list[str]]
     handle_service: Callable[[CallerRequest], Awaitable[CallerResponse]] | None = None
@@ -143,6 +146,9 @@
             refusal = self._refuse_new(request)
             if refusal is not None:
                 return refusal
+            admitted = await self.admission.admit(self.admission.describe(record), record.model)
+            if isinstance(admitted, Err):
+                return admitted.err_value
             task = self.supervisor.start(record)
             await self.keys.register(task.record, task.holders)
         return await self._respond(call, task, offset, request)
--- a/packages/daemon/gypsumpost_daemon/daemon.py
+++ b/packages/daemon/gypsumpost_daemon/daemon.py
@@ -11,6 +11,7 @@
 from gypsumpost_core.resumption_policies import RESUMPTION
 from gypsumpost_core.retry_budget import RetryBudget
 from gypsumpost_core.router import Router
+from gypsumpost_daemon.admission_gate import AdmissionGate
 from gypsumpost_daemon.caller_application import CallerApplication
 from gypsumpost_daemon.copy_client import CopyClient
 from gypsumpost_daemon.copy_store import CopyStore
@@ -71,6 +72,7 @@
             engines=self._engines,
             handle_change=self._reporter.wake,
         )
+        self._admission = AdmissionGate(router=self._router, directory=self._directory)
         self._copy_store = CopyStore(max_bytes=settings.held_bytes)
         self._key_directory = KeyDirectory()
         self._copy_client = CopyClient(
@@ -110,6 +112,7 @@
                 canceller=self._canceller,
                 crashes=self._crashes,
                 retries=RetryBudget(chance=random.Random()),
+                admission=self._admission,
             ),
             copies=self._copy_store,
             take_overs=TakeOverClient(directory=self._directory, network=self._network),
@@ -122,6 +125,7 @@
             keys=KeyClient(
                 directory=self._directory, network=self._network, own_entries=self._key_directory
             ),
+            admission=self._admission,
             find_workspace=self._settings.workspace_keys.find_workspace,
             list_models=self._endpoints.list_models,
         )
@@ -150,6 +154,7 @@
             list_dead=self._crashes.list_probe_targets,
         )
         nursery.start_soon(prober.run)
+        nursery.start_soon(self._admission.run)
         nursery.start_soon(self._copy_store.run)
         nursery.start_soon(self._key_directory.run)
 
--- a/packages/daemon/gypsumpost_daemon/engine_prober.py
+++ b/packages/daemon/gypsumpost_daemon/engine_prober.py
@@ -1,4 +1,4 @@
-"""Asks engines for their load reports."""
+"""Asks engines for their load reports and cache events."""
 
 from collections.abc import Callable
 from typing import Any
@@ -11,6 +11,7 @@
 from gypsumpost_core.engine_load import EngineLoad
 from gypsumpost_core.model_ref import ModelRef
 from gypsumpost_core.router import Router
+from gypsumpost_daemon.cache_event_poller import CacheEventPoller
 from gypsumpost_daemon.engine_client import EngineClient
 
 PROBE_INTERVAL = 0.25
@@ -32,6 +33,10 @@
     engines: EngineClient
     find_endpoint: Callable[[str], Endpoint | None]
     list_dead: Callable[[], list[str]] = list
+    _cache_events: CacheEventPoller = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._cache_events = CacheEventPoller(router=self.router, engines=self.engines)
 
     async def run(self) -> None:
         """Probe until cancelled."""
@@ -50,6 +55,7 @@
         load = parse_load(outcome.ok_value) if isinstance(outcome, Ok) else None
         if load is not None:
             self.router.record_load(endpoint.name, load, trio.current_time())
+            await self._cache_events.poll(endpoint)
 
 
 def parse_load(report: Any) -> EngineLoad | None:
--- a/packages/daemon/gypsumpost_daemon/generation_context.py
+++ b/packages/daemon/gypsumpost_daemon/generation_context.py
@@ -5,6 +5,7 @@
 from gypsumpost_core.resumption_policy import ResumptionPolicy
 from gypsumpost_core.retry_budget import RetryBudget
 from gypsumpost_core.router import Router
+from gypsumpost_daemon.admission_gate import AdmissionGate
 from gypsumpost_daemon.copy_client import CopyClient
 from gypsumpost_daemon.crash_guard import CrashGuard
 from gypsumpost_daemon.engine_client import EngineClient
@@ -24,6 +25,7 @@
     :param canceller: cancels streams that are no longer wanted.
     :param crashes: keeps requests that crash engines from running on.
     :param retries: limits retries and continuations.
+    :param admission: learns how long admitted generations take.
     """
 
     settings: Settings
@@ -34,3 +36,4 @@
     canceller: StreamCanceller
     crashes: CrashGuard
     retries: RetryBudget
+    admission: AdmissionGate
--- a/packages/daemon/gypsumpost_daemon/generation_task.py
+++ b/packages/daemon/gypsumpost_daemon/generation_task.py
@@ -77,8 +77,12 @@
     async def run(self) -> None:
         """Run attempts until the answer is whole, fails, or moves to another daemon."""
         self._protect()
-        with self._scope:
-            await self._attempts.run()
+        try:
+            with self._scope:
+                await self._attempts.run()
+        finally:
+            whole = self.generation.finished and not self.moved
+            self._context.admission.finish(self.record.generation_id, whole)
         if self.generation.finished and not self.moved:
             self.record.keep_until = time.time() + self._context.settings.retention
         self._notify()
--- a/packages/daemon/gypsumpost_daemon/tests/serving_host.py
+++ b/packages/daemon/gypsumpost_daemon/tests/serving_host.py
@@ -18,6 +18,7 @@
 from gypsumpost_core.resumption_policies import RESUMPTION
 from gypsumpost_core.retry_budget import RetryBudget
 from gypsumpost_core.router import Router
+from gypsumpost_daemon.admission_gate import AdmissionGate
 from gypsumpost_daemon.copy_client import CopyClient
 from gypsumpost_daemon.crash_guard import CrashGuard
 from gypsumpost_daemon.crash_reporter import CrashReporter
@@ -85,6 +86,7 @@
     network: SimulatedNetwork
     seed: int = 0
     router: Router = attrs.field(init=False)
+    gate: AdmissionGate = attrs.field(init=False)
     guard: CrashGuard = attrs.field(init=False)
     context: GenerationContext = attrs.field(init=False)
     tasks: list[GenerationTask] = attrs.field(factory=list, init=False)
@@ -101,6 +103,7 @@
         self.guard = CrashGuard(
             suspicion=suspicion, router=self.router, engines=client, handle_change=reporter.wake
         )
+        self.gate = AdmissionGate(router=self.router, directory=self.directory)
         canceller = StreamCanceller(engines=client)
         self.context = GenerationContext(
             settings=Settings(),
@@ -111,6 +114,7 @@
             canceller=canceller,
             crashes=self.guard,
             retries=RetryBudget(chance=random.Random(self.seed)),
+            admission=self.gate,
         )
         prober = EngineProber(
             router=self.router,
@@ -122,6 +126,7 @@
             await nursery.start(reporter.run)
             await nursery.start(canceller.run)
             nursery.start_soon(prober.run)
+            nursery.start_soon(self.gate.run)
             task_status.started()
             await trio.sleep_forever()
 
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/tests/test_admission_gate.py
@@ -0,0 +1,123 @@
+"""Tests of the admission gate on a simulated clock."""
+
+from collections.abc import Iterator
+
+import pytest
+import trio
+import trio.testing
+from result import Err, Ok
+
+from gypsumpost_core.cache_event import CacheEventKind
+from gypsumpost_core.run_state import RunState
+from gypsumpost_daemon.cache_event_poller import parse_events, split_runs
+from gypsumpost_daemon.error_body import encode_failure
+from gypsumpost_daemon.tests.fake_engine import MODEL
+from gypsumpost_daemon.tests.running_hosts import run_hosts
+from gypsumpost_daemon.tests.serving_host import ServingHost, read_answer
+
+
+@pytest.fixture
+def clock(autojump_clock: trio.testing.MockClock, monkeypatch: pytest.MonkeyPatch) -> Iterator:
+    monkeypatch.setattr("time.time", lambda: 1e9 + autojump_clock.current_time())
+    yield autojump_clock
+
+
+async def serve(host: ServingHost, number: int, refusals: list, finished: list) -> None:
+    """Do what the caller's path does with one new generation."""
+    task = host.create_task(f"report {number}", 60)
+    admitted = await host.gate.admit(host.gate.describe(task.record), MODEL.model)
+    if isinstance(admitted, Err):
+        refusals.append(admitted.err_value)
+        return
+    await task.run()
+    assert task.failure is None
+    finished.append(task)
+
+
+async def test_a_flood_is_refused_early_and_the_rest_is_served(clock: object) -> None:
+    """Guards against work that is queued on the engines until nobody waits for it any more."""
+    async with run_hosts(9) as ([host], engines, nursery):
+        refusals: list = []
+        finished: list = []
+        for number in range(300):
+            nursery.start_soon(serve, host, number, refusals, finished)
+            await trio.sleep(0.02)
+        await trio.sleep(12)
+        assert len(refusals) + len(finished) == 300
+        assert len(finished) > 30
+        assert refusals
+        assert {failure.run_state for failure in refusals} == {RunState.NOT_RUN}
+        assert all("retry-after" in encode_failure(failure).headers for failure in refusals)
+        assert sum(len(engine.requests) for engine in engines) == len(finished)
+
+
+async def test_a_waiting_request_starts_when_a_slot_is_free(clock: object) -> None:
+    """Guards against requests that wait although a generation before them has ended."""
+    async with run_hosts(1) as ([host], _, nursery):
+        first, second = host.create_task("one", 50), host.create_task("two", 50)
+        limit = 3
+        for number in range(limit):
+            other = host.gate.describe(host.create_task(f"other {number}").record)
+            assert isinstance(await host.gate.admit(other, MODEL.model), Ok)
+        with trio.move_on_after(1) as scope:
+            await host.gate.admit(host.gate.describe(first.record), MODEL.model)
+        assert scope.cancelled_caught
+        with trio.fail_after(5):
+            nursery.start_soon(host.tasks[2].run)
+            admitted = await host.gate.admit(host.gate.describe(second.record), MODEL.model)
+        assert isinstance(admitted, Ok)
+
+
+async def test_continuations_do_not_wait_for_admission(clock: object) -> None:
+    """Guards against an answer that stalls behind new requests after the loss of an engine."""
+    async with run_hosts(2) as ([host], engines, nursery):
+        task = host.create_task("report", 100)
+        nursery.start_soon(task.run)
+        await trio.sleep(1)
+        for number in range(20):
+            other = host.gate.describe(host.create_task(f"other {number}").record)
+            nursery.start_soon(host.gate.admit, other, MODEL.model)
+        next(engine for engine in engines if engine.requests).die()
+        await trio.sleep(1)
+        assert task.record.attempt == 2
+        await read_answer(task)
+        assert task.record.length == 100
+
+
+async def test_cache_events_reach_routing_once_a_second_in_runs_without_gaps(
+    clock: object,
+) -> None:
+    """Guards against events that are applied twice, or whose gaps do not lower the trust."""
+    async with run_hosts(2) as ([host], engines, _):
+        engine = engines[0]
+        await trio.sleep(10)
+        assert 9 <= engine.cache_calls <= 12
+        handed: list = []
+        record = host.router.record_cache_events
+
+        def observe(name, events, first, now):
+            handed.append((name, first, len(events)))
+            record(name, events, first, now)
+
+        host.router.record_cache_events = observe  # type: ignore[method-assign]
+        for sequence in (0, 1, 2, 4, 5):
+            engine.cache_events.append(
+                {"sequence": sequence, "kind": "stored", "block": f"{sequence:016x}"}
+            )
+        await trio.sleep(5)
+        assert handed == [("e0", 0, 3), ("e0", 4, 2)]
+        engine.die()
+        engine.cache_events[:] = engine.cache_events[:1]
+        engine.boot()
+        await trio.sleep(5)
+        assert handed[2:] == [("e0", 0, 1)]
+
+
+def test_malformed_cache_events_are_ignored() -> None:
+    """Guards against an engine's wrong answer that ends the prober."""
+    answers: tuple = (None, [], {"events": [{}]}, {"events": [{"sequence": 1, "kind": "odd"}]})
+    for answer in answers:
+        assert parse_events(answer, 0) == []
+    events = parse_events({"events": [{"sequence": 3, "kind": "cleared"}]}, 0)
+    [(first, [event])] = split_runs(events)
+    assert (first, event.kind) == (3, CacheEventKind.CLEARED)
--- a/packages/daemon/gypsumpost_daemon/tests/test_generation_attempts.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_generation_attempts.py
@@ -1,23 +1,20 @@
 """Tests of generations on engines that fail, in one process on a simulated clock."""
 
-from collections.abc import AsyncIterator, Iterator
-from contextlib import asynccontextmanager
+from collections.abc import Iterator
 
 import pytest
 import trio
 import trio.testing
 
 from gypsumpost_bench.engine_application import CRASH_TEXT
-from gypsumpost_bench.simulated_fleet import create_directory, create_hosts
-from gypsumpost_bench.simulated_network import SimulatedNetwork
 from gypsumpost_cli.token_chain import TokenChain, find_chain_error
 from gypsumpost_cli.vocabulary import ANSWER_MARKER, FIRST_WORD, decode_tokens, tokenize_text
 from gypsumpost_core.retry_budget import RetrySettings
 from gypsumpost_core.run_state import RunState
 from gypsumpost_daemon.attempt_sequence import CONTINUATION_WAIT
 from gypsumpost_daemon.generation_task import GenerationTask
-from gypsumpost_daemon.tests.fake_engine import FakeEngine
-from gypsumpost_daemon.tests.serving_host import ServingHost, read_answer
+from gypsumpost_daemon.tests.running_hosts import run_hosts
+from gypsumpost_daemon.tests.serving_host import read_answer
 
 
 @pytest.fixture
@@ -26,25 +23,6 @@
     yield autojump_clock
 
 
-@asynccontextmanager
-async def run_hosts(
-    engine_count: int, host_ids: tuple[str, ...] = ("h0",)
-) -> AsyncIterator[tuple[list[ServingHost], list[FakeEngine], trio.Nursery]]:
-    async with trio.open_nursery() as nursery:
-        engines = [FakeEngine(f"e{n}", nursery) for n in range(engine_count)]
-        for engine in engines:
-            engine.boot()
-        fleet, network = create_hosts(9), SimulatedNetwork()
-        by_name = {engine.name: engine for engine in engines}
-        hosts = []
-        for own in [host for host in fleet if host.host_id in host_ids]:
-            hosts.append(ServingHost(by_name, create_directory(own, fleet), network))
-            await nursery.start(hosts[-1].run)
-        await trio.sleep(1)
-        yield hosts, engines, nursery
-        nursery.cancel_scope.cancel()
-
-
 def check_whole(task: GenerationTask, length: int) -> None:
     record = task.record
     assert task.failure is None
