--- a/packages/core/gypsumpost_core/router.py
+++ b/packages/core/gypsumpost_core/router.py
@@ -123,10 +123,15 @@
         :param now: process time in seconds.
         """
         self._review(request.model, now)
-        candidates = self._fleet.list_candidates(request, now)
+        context = self._create_context(now)
+        if self._policy.compares_few:
+            probed = sorted(context.probed)
+            candidates = self._fleet.draw_candidates(request, probed, self._chance, now)
+        else:
+            candidates = self._fleet.list_candidates(request, now)
         if not candidates:
             return Err(refuse_without_engine(request))
-        chosen = self._policy.pick(request, candidates, self._create_context(now))
+        chosen = self._policy.pick(request, candidates, context)
         name = chosen.endpoint.name
         leaving = self.is_leaving(name)
         require(Invariant.NO_NEW_WORK_WHEN_LEAVING, not leaving, chosen.endpoint)
@@ -137,6 +142,7 @@
         if name in self._fleet.engines:
             self._fleet.engines[name].estimate.add_start(now)
             self._fleet.engines[name].prefixes.add_choice(request.prefix_digests)
+            self._fleet.holders.add(request.prefix_digests, name)
 
     def record_first_token(self, name: str, request: RouteRequest, wait: float, now: float) -> None:
         """Note the time from sending an attempt to its first token, in seconds."""
@@ -185,7 +191,7 @@
         engine = self._fleet.engines.get(name)
         if engine is None:
             return 0.0
-        wait = engine.expect_first_token(request, self._get_output_tokens())
+        wait = engine.expect_first_token(request, self.expect_output_tokens())
         return engine.silence.compute_first_token_bound(wait)
 
     def expect_elsewhere(self, request: RouteRequest, now: float) -> float | None:
@@ -196,7 +202,7 @@
         :returns: ``None`` if no other engine can run it.
         """
         candidates = self._fleet.list_candidates(request, now)
-        output_tokens = self._get_output_tokens()
+        output_tokens = self.expect_output_tokens()
         waits = (engine.expect_first_token(request, output_tokens) for engine in candidates)
         return min(waits, default=None)
 
@@ -214,6 +220,10 @@
         engine = self._fleet.engines.get(name)
         return None if engine is None else engine.health.boot_id
 
+    def expect_output_tokens(self) -> float:
+        """Return the mean output tokens of a generation."""
+        return self._output_tokens.mean or self._settings.output_tokens
+
     def count_slots(self, model: str, now: float) -> int:
         """Return the batch slots of a model's engines that can take work."""
         return self._fleet.count_slots(model, now)
@@ -223,7 +233,7 @@
             settings=self._settings,
             failure_domain=self._failure_domain,
             probed=self._pool.list_fresh(now),
-            output_tokens=self._get_output_tokens(),
+            output_tokens=self.expect_output_tokens(),
             chance=self._chance,
         )
 
@@ -232,8 +242,5 @@
             self._reviewed_at[model] = now
             review_engines(self._fleet.list_model(model), self._settings, now)
 
-    def _get_output_tokens(self) -> float:
-        return self._output_tokens.mean or self._settings.output_tokens
-
     def _expect_gap(self, engine: EngineView) -> float:
         return engine.estimate.estimate_token_time(engine.estimate.estimate_load())
--- a/packages/daemon/gypsumpost_daemon/caller_application.py
+++ b/packages/daemon/gypsumpost_daemon/caller_application.py
@@ -18,6 +18,7 @@
 from gypsumpost_core.generation_record import GenerationRecord
 from gypsumpost_core.run_state import RunState
 from gypsumpost_daemon.access_control import AccessControl
+from gypsumpost_daemon.admission_gate import AdmissionGate
 from gypsumpost_daemon.asgi_application import Receive, Scope, Send
 from gypsumpost_daemon.caller_events import CallerEvents
 from gypsumpost_daemon.caller_request import CallerRequest
@@ -51,6 +52,7 @@
     :param supervisor: runs generations.
     :param keys: finds generations by idempotency key.
     :param access: checks bearer keys and allowances.
+    :param admission: holds new generations back while the engines are busy.
     :param list_models: returns the names of the models that engines run now.
     :param metrics: metrics of the daemon, shown at ``/metrics``.
     :param handle_service: answers requests below ``/v1/services/``.
@@ -60,6 +62,7 @@
     supervisor: GenerationSupervisor
     keys: KeyClient
     access: AccessControl
+    admission: AdmissionGate
     list_models: Callable[[], list[str]]
     metrics: Metrics
     handle_service: Callable[[CallerRequest], Awaitable[CallerResponse]] | None = None
@@ -167,10 +170,10 @@
             refusal = self._refuse_new(request)
             if refusal is not None:
                 return refusal
-            admitted = await self.access.admit(workspace, record.model)
+            admitted = await self._admit(record)
             if isinstance(admitted, Err):
                 return admitted.err_value
-            task = self.supervisor.start(record)
+            task = self.supervisor.start(record, counted=True)
             await self.keys.register(task.record, task.holders)
         return await self._respond(call, task, offset, request)
 
@@ -181,6 +184,17 @@
         await responder.respond(call, task, offset, request.stream, request.include_usage)
         return None
 
+    async def _admit(self, record: GenerationRecord) -> Result[None, Failure]:
+        allowed = await self.access.admit(record.workspace, record.model)
+        if isinstance(allowed, Err):
+            return allowed
+        # Counted at once, so that no other request takes its place while it waits for an engine.
+        self.access.start_generation(record)
+        admitted = await self.admission.admit(self.admission.describe(record), record.model)
+        if isinstance(admitted, Err):
+            self.access.finish_generation(record)
+        return admitted
+
     def _refuse_new(self, request: CompletionRequest) -> Failure | None:
         if self.draining:
             return _refuse(503, "stopping", "The daemon is stopping; ask another one.")
--- a/packages/daemon/gypsumpost_daemon/daemon.py
+++ b/packages/daemon/gypsumpost_daemon/daemon.py
@@ -13,6 +13,7 @@
 from gypsumpost_core.retry_budget import RetryBudget
 from gypsumpost_core.router import Router
 from gypsumpost_daemon.access_control import AccessControl
+from gypsumpost_daemon.admission_gate import AdmissionGate
 from gypsumpost_daemon.caller_application import CallerApplication
 from gypsumpost_daemon.copy_client import CopyClient
 from gypsumpost_daemon.copy_store import CopyStore
@@ -96,6 +97,7 @@
             engines=self._engines,
             handle_change=self._reporter.wake,
         )
+        self._admission = AdmissionGate(router=self._router, directory=self._directory)
         self._copy_store = CopyStore(max_bytes=settings.held_bytes)
         self._key_directory = KeyDirectory()
         self._copy_client = CopyClient(
@@ -142,6 +144,7 @@
                 metrics=GenerationMetrics(metrics=self._metrics),
                 crashes=self._crashes,
                 retries=RetryBudget(chance=random.Random()),
+                admission=self._admission,
             ),
             copies=self._copy_store,
             take_overs=TakeOverClient(directory=self._directory, network=self._network),
@@ -156,6 +159,7 @@
                 directory=self._directory, network=self._network, own_entries=self._key_directory
             ),
             access=self._access,
+            admission=self._admission,
             list_models=self._endpoints.list_models,
             handle_service=self._platform.calls.handle if self._platform else None,
             metrics=self._metrics,
@@ -210,6 +214,7 @@
             list_dead=self._crashes.list_probe_targets,
         )
         nursery.start_soon(prober.run)
+        nursery.start_soon(self._admission.run)
         nursery.start_soon(self._copy_store.run)
         nursery.start_soon(self._key_directory.run)
 
--- a/packages/daemon/gypsumpost_daemon/generation_context.py
+++ b/packages/daemon/gypsumpost_daemon/generation_context.py
@@ -5,6 +5,7 @@
 from gypsumpost_core.resumption_policy import ResumptionPolicy
 from gypsumpost_core.retry_budget import RetryBudget
 from gypsumpost_core.router import Router
+from gypsumpost_daemon.admission_gate import AdmissionGate
 from gypsumpost_daemon.copy_client import CopyClient
 from gypsumpost_daemon.crash_guard import CrashGuard
 from gypsumpost_daemon.engine_client import EngineClient
@@ -26,6 +27,7 @@
     :param metrics: counts attempts and measures waits.
     :param crashes: keeps requests that crash engines from running on.
     :param retries: limits retries and continuations.
+    :param admission: learns how long admitted generations take.
     """
 
     settings: Settings
@@ -37,3 +39,4 @@
     metrics: GenerationMetrics
     crashes: CrashGuard
     retries: RetryBudget
+    admission: AdmissionGate
--- a/packages/daemon/gypsumpost_daemon/generation_supervisor.py
+++ b/packages/daemon/gypsumpost_daemon/generation_supervisor.py
@@ -92,16 +92,17 @@
                 await trio.sleep(REVIEW_INTERVAL)
                 self._review_tasks()
 
-    def start(self, record: GenerationRecord) -> GenerationTask:
+    def start(self, record: GenerationRecord, counted: bool = False) -> GenerationTask:
         """Start the task of a new or taken over generation.
 
         :param record: its state.
+        :param counted: true if the workspace's allowance counts it as running already.
         """
         assert self._nursery is not None
         route = build_route(record)
         task = GenerationTask(record=record, route=route, context=self.context)
         self._tasks[record.generation_id] = task
-        self._nursery.start_soon(self._run_task, task)
+        self._nursery.start_soon(self._run_task, task, counted)
         return task
 
     def find(self, generation_id: str, workspace: str) -> GenerationTask | None:
@@ -194,11 +195,12 @@
         """
         return EventId(generation_id=generation_id, home=self.host_id, copy=NO_HOST, offset=0)
 
-    async def _run_task(self, task: GenerationTask) -> None:
+    async def _run_task(self, task: GenerationTask, counted: bool) -> None:
         record = task.record
         if not task.generation.finished:
             self._charged[record.generation_id] = record.length
-            self.access.start_generation(record)
+            if not counted:
+                self.access.start_generation(record)
         await task.run()
         if record.generation_id in self._charged:
             self._charge_tokens(record)
--- a/packages/daemon/gypsumpost_daemon/tests/test_metrics_route.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_metrics_route.py
@@ -32,6 +32,7 @@
         settings=Settings(),
         supervisor=PARTS,
         keys=PARTS,
+        admission=PARTS,
         access=SettingsAccess(keys=parse_workspace_keys("")),
         list_models=list,
         metrics=Metrics(),
