Note callers whose connection ends before their answer

Cause: the timeline of a caller that left mid-answer ended with the last attempt and did not tell how much was written to the connection.

The log and the counter of requests now have the outcome disconnected, with the offset in the log.

--- a/packages/daemon/gypsumpost_daemon/caller_events.py
+++ b/packages/daemon/gypsumpost_daemon/caller_events.py
@@ -17,7 +17,7 @@
     def __init__(self, *, metrics: Metrics) -> None:
         self._requests = metrics.add_counter(
             "gypsumpost_requests_total",
-            "Callers' requests by outcome: whole, failed, refused or served; code of the error.",
+            "Callers' requests by outcome: whole, failed, refused, served or disconnected.",
             "outcome",
             "code",
         )
@@ -68,6 +68,20 @@
             offset=record.length,
         )
 
+    def record_disconnect(self, record: GenerationRecord, offset: int) -> None:
+        """Note that a connection ended before the answer did; the caller may resume elsewhere.
+
+        :param record: the generation.
+        :param offset: output tokens that were written to the connection.
+        """
+        self._requests.add("disconnected", "")
+        LOG.write(
+            "disconnected",
+            request_id=record.request_id,
+            generation_id=record.generation_id,
+            offset=offset,
+        )
+
     def record_service_call(self, request_id: str, status: int) -> None:
         """Note the answer to a call of a plain service.
 
--- a/packages/daemon/gypsumpost_daemon/generation_responder.py
+++ b/packages/daemon/gypsumpost_daemon/generation_responder.py
@@ -36,6 +36,7 @@
 
     supervisor: GenerationSupervisor
     events: CallerEvents
+    _sent: int = attrs.field(default=0, init=False)
 
     async def respond(
         self, call: HttpCall, task: GenerationTask, offset: int, stream: bool, usage: bool
@@ -49,6 +50,7 @@
         :param usage: true if a stream ends with a usage event.
         """
         task.readers += 1
+        self._sent, ended = offset, False
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(_cancel_on_disconnect, call, nursery.cancel_scope)
@@ -56,8 +58,11 @@
                     await self._stream_answer(call, task, offset, usage)
                 else:
                     await self._send_answer(call, task)
+                ended = True
                 nursery.cancel_scope.cancel()
         finally:
+            if not ended:
+                self.events.record_disconnect(task.record, self._sent)
             task.readers -= 1
             task.unread_since = trio.current_time()
 
@@ -95,7 +100,7 @@
                 holders = task.holders
                 encoder.set_copy(self.supervisor.describe_event(task, 0).copy)
             await call.write(_encode_pieces(encoder, task, pieces))
-            offset = pieces[-1].end
+            self._sent = offset = pieces[-1].end
             pieces = await task.read(offset)
         await call.write(self._encode_end(task, encoder, offset, usage), more=False)
 
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/tests/test_generation_responder.py
@@ -0,0 +1,80 @@
+"""Tests of what is noted about callers that leave."""
+
+from typing import Any, cast
+
+import eliot
+import trio
+
+from gypsumpost_core.generation_kind import GenerationKind
+from gypsumpost_core.generation_record import GenerationRecord
+from gypsumpost_core.piece import Piece
+from gypsumpost_daemon.caller_events import CallerEvents
+from gypsumpost_daemon.generation_responder import GenerationResponder
+from gypsumpost_daemon.generation_supervisor import GenerationSupervisor
+from gypsumpost_daemon.metrics import Metrics
+from gypsumpost_daemon.metrics_text import encode_metrics
+
+UNUSED = cast(Any, None)
+
+
+class LeavingCall:
+    """A caller that disconnects after the second part of its answer."""
+
+    def __init__(self) -> None:
+        self.left = trio.Event()
+        self.parts = 0
+
+    async def start(self, status: int, headers: Any) -> None:
+        return
+
+    async def write(self, body: bytes, more: bool = True) -> None:
+        self.parts += 1
+        if self.parts == 2:
+            self.left.set()
+            await trio.sleep_forever()
+
+    async def wait_disconnect(self) -> None:
+        await self.left.wait()
+
+
+class EndlessTask:
+    """A generation that has another token whenever it is read."""
+
+    def __init__(self) -> None:
+        self.record = GenerationRecord(
+            generation_id="g1",
+            workspace="north",
+            request_id="leaving-request",
+            kind=GenerationKind.COMPLETION,
+            body=b"",
+            model="summary",
+            max_tokens=100,
+        )
+        self.holders: list[str] = []
+        self.readers = 0
+        self.unread_since = 0.0
+        self.moved, self.failure = False, None
+
+    async def read(self, offset: int) -> list[Piece]:
+        await trio.lowlevel.checkpoint()
+        return [Piece(end=offset + 1, text="a", token_ids=(7,))]
+
+
+async def test_caller_that_leaves_is_noted_with_its_offset() -> None:
+    """Guards against logs that do not tell how much of an answer a lost caller received."""
+    metrics, task = Metrics(), EndlessTask()
+    logged: list[dict[str, Any]] = []
+    supervisor = GenerationSupervisor(
+        host_id="h1", context=UNUSED, copies=UNUSED, take_overs=UNUSED
+    )
+    responder = GenerationResponder(supervisor=supervisor, events=CallerEvents(metrics=metrics))
+    eliot.add_destinations(logged.append)
+    try:
+        await responder.respond(cast(Any, LeavingCall()), cast(Any, task), 40, True, False)
+    finally:
+        eliot.remove_destination(logged.append)
+    assert b'{outcome="disconnected",code=""} 1\n' in encode_metrics(metrics.list_all())
+    assert task.readers == 0
+    own = [event for event in logged if event.get("request_id") == "leaving-request"]
+    # The second token was not written in full when the connection ended.
+    assert [(event["message"], event["offset"]) for event in own] == [("caller: disconnected", 41)]
