--- a/packages/core/gypsumpost_core/generation.py
+++ b/packages/core/gypsumpost_core/generation.py
@@ -90,15 +90,15 @@
 
         :param batch: the output.
         """
-        if batch.attempt != self.record.attempt or self.finished:
+        if self._is_stale(batch):
             return BatchOutcome.STALE
-        if batch.offset != self._compute_stream_offset():
+        if not self._is_in_place(batch):
             return BatchOutcome.LOST
         if batch.prompt_token_ids is not None and not self.record.pieces:
             self.record.prompt_token_ids = batch.prompt_token_ids
         if not self.record.prompt_token_ids:
             return BatchOutcome.LOST
-        self._pending.extend(batch.token_ids)
+        self._take_tokens(batch)
         if self._pending and (batch.text or batch.finish_reason):
             self._append_piece(batch.text)
         if not self.finished and self._has_ended(batch):
@@ -165,6 +165,20 @@
                 return
         self._advance_safe_pieces()
 
+    def _is_stale(self, batch: TokenBatch) -> bool:
+        return batch.attempt != self.record.attempt or self.finished
+
+    def _is_in_place(self, batch: TokenBatch) -> bool:
+        return batch.offset == self._compute_stream_offset()
+
+    def _take_tokens(self, batch: TokenBatch) -> None:
+        record, offset = self.record, self._compute_stream_offset()
+        if batch.attempt != record.attempt or batch.offset != offset:
+            state = (record.generation_id, batch.attempt, record.attempt, batch.offset, offset)
+            require(Invariant.ONE_GENERATION, batch.attempt == record.attempt, state)
+            require(Invariant.WHOLE_ANSWER, batch.offset == offset, state)
+        self._pending.extend(batch.token_ids)
+
     def _compute_stream_offset(self) -> int:
         return self.record.length - self.record.attempt_base + len(self._pending)
 
--- a/packages/core/gypsumpost_core/stop_matcher.py
+++ b/packages/core/gypsumpost_core/stop_matcher.py
@@ -24,9 +24,12 @@
             self._base += len(text)
             return None
         self._text += text
-        found = [at for at in map(self._text.find, self.stop) if at >= 0]
+        places = [(self._text.find(sequence), len(sequence)) for sequence in self.stop]
+        # The sequence that is complete first counts, so that the result doesn't depend on how
+        # the text is split.
+        found = [(at + length, at) for at, length in places if at >= 0]
         if found:
-            return self._base + min(found)
+            return self._base + min(found)[1]
         self._drop_decided_text()
         return None
 
