Take no lease on a host that is not live

A host that membership no longer counts as live was not found in the rendezvous order, and its placement task failed. It now makes no call to the store.

--- a/packages/bench/gypsumpost_bench/tests/test_placement_task.py
+++ b/packages/bench/gypsumpost_bench/tests/test_placement_task.py
@@ -135,3 +135,16 @@
             await task.run()
         assert task.lease.fencing_token == token
         task = create_task(hosts[0], hosts, client, store)
+
+
+async def test_a_host_that_is_not_live_takes_no_lease(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against a stopping host that takes the lease again or fails to find its rank."""
+    client, store = MemoryEngines({}), MemoryStore()
+    hosts = create_hosts(1)
+    task = create_task(hosts[0], hosts, client, store)
+    task.directory.update(hosts[0], live=False)
+    with trio.move_on_after(30):
+        await task.run()
+    assert store.limits.call_count == 0
--- a/packages/daemon/gypsumpost_daemon/placement_task.py
+++ b/packages/daemon/gypsumpost_daemon/placement_task.py
@@ -89,8 +89,10 @@
         own = self.directory.own
         domain = own.failure_domain
         members = [host for host in self.directory.list_live() if host.failure_domain == domain]
-        ranked = rank_hosts(f"orders/{domain}", members)
-        return [host.host_id for host in ranked].index(own.host_id)
+        ranked = [host.host_id for host in rank_hosts(f"orders/{domain}", members)]
+        # A host that membership does not count as live, as it is stopping, takes no lease.
+        is_live = own.host_id in ranked
+        return ranked.index(own.host_id) if is_live else self.lease.settings.candidates
 
     async def _order_engines(self) -> None:
         while True:
