--- a/packages/daemon/gypsumpost_daemon/tests/test_copy_outbox.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_copy_outbox.py
@@ -8,6 +8,8 @@
 
 from gypsumpost_core.generation import Generation
 from gypsumpost_core.record_size import measure_record
+from gypsumpost_core.router import Router
+from gypsumpost_daemon.admission_gate import AdmissionGate
 from gypsumpost_daemon.copy_client import CopyClient
 from gypsumpost_daemon.copy_outbox import CopyOutbox
 from gypsumpost_daemon.copy_store import CopyStore
@@ -124,6 +126,9 @@
                 settings=Settings(**settings),
                 copies=self.copies,
                 metrics=GenerationMetrics(metrics=Metrics()),
+                admission=AdmissionGate(
+                    router=Router(failure_domain="d1"), directory=self.directory
+                ),
             ),
         )
         self.supervisor = GenerationSupervisor(
--- a/packages/daemon/gypsumpost_daemon/tests/test_generation_responder.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_generation_responder.py
@@ -65,7 +65,7 @@
     metrics, task = Metrics(), EndlessTask()
     logged: list[dict[str, Any]] = []
     supervisor = GenerationSupervisor(
-        host_id="h1", context=UNUSED, copies=UNUSED, take_overs=UNUSED
+        host_id="h1", context=UNUSED, copies=UNUSED, take_overs=UNUSED, access=UNUSED
     )
     responder = GenerationResponder(supervisor=supervisor, events=CallerEvents(metrics=metrics))
     eliot.add_destinations(logged.append)
