Serve over TLS, reload keys and certificates, and check settings that combine

Callers' listener: tls_cert_file and tls_key_file. Between daemons: peer_tls_cert_file, peer_tls_key_file and peer_tls_ca_file with verification on both sides, below the handshake. A task looks at the files every 2 s; what cannot be loaded leaves the old state in force and is logged.

The shared key is read again too. The former key is accepted for 60 s after a change. Issued keys stay signed with the key of the start.

At the start, files must be readable, certificates and keys must load, and parts of a group, admin_address without admin_key_file or platform, and a deployment without platform and workspace keys are refused with the setting's name. A refused value of workspace_keys was printed with its keys, and the text of the settings held them; neither shows them now.

--- a/packages/core/gypsumpost_core/setting.py
+++ b/packages/core/gypsumpost_core/setting.py
@@ -15,16 +15,24 @@
     :param accepted: description of the accepted values, used in error messages.
     :param parse: turns the text of a flag or environment variable into the value and raises
         ``ValueError`` or ``KeyError`` for a text that is not accepted.
+    :param secret: true if messages must not show the value.
     """
 
     unit: str
     help: str
     accepted: str
     parse: Callable[[str], Any]
+    secret: bool = False
 
 
 def define_setting(
-    *, default: Any, help: str, accepted: str, parse: Callable[[str], Any] = str, unit: str = ""
+    *,
+    default: Any,
+    help: str,
+    accepted: str,
+    parse: Callable[[str], Any] = str,
+    unit: str = "",
+    secret: bool = False,
 ) -> Any:
     """Define a field of a settings class.
 
@@ -33,6 +41,7 @@
     :param accepted: see :class:`Setting`.
     :param parse: see :class:`Setting`.
     :param unit: see :class:`Setting`.
+    :param secret: see :class:`Setting`.
     """
-    setting = Setting(unit=unit, help=help, accepted=accepted, parse=parse)
+    setting = Setting(unit=unit, help=help, accepted=accepted, parse=parse, secret=secret)
     return attrs.field(default=parse(default), metadata={"setting": setting, "default": default})
--- a/packages/core/gypsumpost_core/settings_reader.py
+++ b/packages/core/gypsumpost_core/settings_reader.py
@@ -49,7 +49,8 @@
         try:
             values[field.name] = setting.parse(text)
         except (ValueError, KeyError):
-            errors.append(f"{source}: {text!r} is not accepted; accepted: {setting.accepted}")
+            value = "the value" if setting.secret else repr(text)
+            errors.append(f"{source}: {value} is not accepted; accepted: {setting.accepted}")
     return Err(errors) if errors else Ok(settings_class(**values))
 
 
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/caller_tls.py
@@ -0,0 +1,41 @@
+"""TLS towards callers."""
+
+import ssl
+
+import attrs
+
+
+@attrs.define(kw_only=True)
+class CallerTls:
+    """The context of the callers' listener.
+
+    :param cert_file: certificate chain, PEM.
+    :param key_file: its private key, PEM.
+    """
+
+    cert_file: str
+    key_file: str
+    context: ssl.SSLContext = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.context = self._create_context()
+
+    def reload(self) -> None:
+        """Load the files into the context in use.
+
+        :raises OSError: if that is not possible; the old certificate stays in force.
+        """
+        # A certificate that fails to load after its key would leave the context half changed.
+        self._create_context()
+        self.context.load_cert_chain(self.cert_file, self.key_file, password=refuse_password)
+
+    def _create_context(self) -> ssl.SSLContext:
+        context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+        context.set_alpn_protocols(["http/1.1"])
+        context.load_cert_chain(self.cert_file, self.key_file, password=refuse_password)
+        return context
+
+
+def refuse_password() -> str:
+    """Fail for an encrypted key, for which OpenSSL would ask on the terminal and block."""
+    raise ValueError("the private key is encrypted")
--- a/packages/daemon/gypsumpost_daemon/daemon.py
+++ b/packages/daemon/gypsumpost_daemon/daemon.py
@@ -1,12 +1,12 @@
 """Assembles the parts of the daemon and runs them."""
 
 import signal
-from pathlib import Path
 
 import trio
 
 from gypsumpost_core.endpoint import Endpoint
 from gypsumpost_core.host import Host
+from gypsumpost_core.key_ring import KeyRing
 from gypsumpost_core.membership_settings import MembershipSettings
 from gypsumpost_core.resumption_policies import RESUMPTION
 from gypsumpost_core.router import Router
@@ -26,6 +26,7 @@
 from gypsumpost_daemon.http_server import HTTP_SERVERS
 from gypsumpost_daemon.key_client import KeyClient
 from gypsumpost_daemon.key_directory import KeyDirectory
+from gypsumpost_daemon.keys import Keys
 from gypsumpost_daemon.log import Log
 from gypsumpost_daemon.message_kind import MessageKind
 from gypsumpost_daemon.peer_network import PeerNetwork
@@ -47,10 +48,6 @@
     await Daemon(settings=settings).run()
 
 
-OPEN_KEY = b"gypsumpost"
-"""Used between daemons without a key file, for trials on one machine."""
-
-
 class Daemon:
     """All parts of one daemon.
 
@@ -67,14 +64,15 @@
             api_address=settings.api_address,
         )
         self._directory = HostDirectory(own=own)
-        key = _read_key(settings)
-        self._network = PeerNetwork(directory=self._directory, key=key)
+        self._keys = Keys(settings=settings)
+        key = self._keys.ring
+        self._network = PeerNetwork(directory=self._directory, key=key, tls=self._keys.peer_tls)
         self._endpoints = EndpointTable()
         self._gossip = self._create_gossip(key)
         self._platform: PlatformParts | None = None
         self._access: AccessControl = SettingsAccess(keys=settings.workspace_keys)
         if settings.platform_address:
-            self._platform = self._create_platform_parts(key)
+            self._platform = self._create_platform_parts(key.current)
             self._access = self._platform.access
         self._router = Router(failure_domain=own.failure_domain, policy=settings.routing)
         self._router.update_endpoints(self._endpoints.list_all(), trio.current_time())
@@ -138,7 +136,7 @@
             handle_service=self._platform.calls.handle if self._platform else None,
         )
 
-    def _create_gossip(self, key: bytes) -> Gossip:
+    def _create_gossip(self, key: KeyRing) -> Gossip:
         settings = self._settings
         listed: list[Host] = []
         if settings.host_list_file:
@@ -182,6 +180,7 @@
         nursery.start_soon(prober.run)
         nursery.start_soon(self._copy_store.run)
         nursery.start_soon(self._key_directory.run)
+        nursery.start_soon(self._keys.run)
 
     async def _start_server(self, nursery: trio.Nursery) -> RunningServer:
         async def serve(task_status: trio.TaskStatus[RunningServer]) -> None:
@@ -190,7 +189,7 @@
                 application=self._application,
                 address=self._settings.api_address,
                 max_body=self._settings.max_body,
-                tls=None,
+                tls=self._keys.caller_context,
                 task_status=task_status,
             )
 
@@ -209,9 +208,3 @@
             while self._application.open_requests or self._supervisor.running:
                 await trio.sleep(0.05)
         LOG.write("stopped", open_requests=self._application.open_requests)
-
-
-def _read_key(settings: Settings) -> bytes:
-    if not settings.peer_key_file:
-        return OPEN_KEY
-    return Path(settings.peer_key_file).read_bytes().strip()
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/file_reloader.py
@@ -0,0 +1,40 @@
+"""The task that loads changed keys and certificates."""
+
+from collections.abc import Callable
+
+import attrs
+import trio
+
+from gypsumpost_daemon.file_watch import CHECK_INTERVAL, FileWatch
+from gypsumpost_daemon.log import Log
+
+LOG = Log(prefix="keys")
+
+
+@attrs.define(kw_only=True)
+class FileReloader:
+    """Calls a function when files change; what it cannot load leaves the old state in force.
+
+    :param paths: the files.
+    :param load: loads them; raises ``OSError`` or ``ValueError`` if that is not possible.
+    """
+
+    paths: tuple[str, ...]
+    load: Callable[[], None]
+
+    async def run(self) -> None:
+        """Look at the files until cancelled."""
+        watch = FileWatch(paths=self.paths)
+        while True:
+            await trio.sleep(CHECK_INTERVAL)
+            if watch.find_change():
+                self._load()
+
+    def _load(self) -> None:
+        try:
+            self.load()
+        except (OSError, ValueError) as error:
+            # ``ssl.SSLError`` is an ``OSError``; none of the texts holds a part of a key.
+            LOG.write("changed files not loaded", files=list(self.paths), reason=str(error))
+        else:
+            LOG.write("loaded changed files", files=list(self.paths))
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/file_watch.py
@@ -0,0 +1,43 @@
+"""Detects changes of files."""
+
+import os
+from collections.abc import Sequence
+
+import attrs
+
+CHECK_INTERVAL = 2.0
+"""Seconds between two looks at the files."""
+
+State = tuple[tuple[int, int, int] | None, ...]
+
+
+@attrs.define(kw_only=True)
+class FileWatch:
+    """Remembers the state of files at the last look.
+
+    :param paths: the files.
+    """
+
+    paths: Sequence[str]
+    _state: State = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._state = self._read_state()
+
+    def find_change(self) -> bool:
+        """Return true if a file has changed since the last look."""
+        state = self._read_state()
+        changed = state != self._state
+        self._state = state
+        return changed
+
+    def _read_state(self) -> State:
+        return tuple(map(_describe_file, self.paths))
+
+
+def _describe_file(path: str) -> tuple[int, int, int] | None:
+    try:
+        found = os.stat(path)
+    except OSError:
+        return None
+    return found.st_mtime_ns, found.st_size, found.st_ino
--- a/packages/daemon/gypsumpost_daemon/gossip.py
+++ b/packages/daemon/gypsumpost_daemon/gossip.py
@@ -9,6 +9,7 @@
 
 from gypsumpost_core.forget_host import ForgetHost
 from gypsumpost_core.host import Host
+from gypsumpost_core.key_ring import KeyRing
 from gypsumpost_core.membership import Membership
 from gypsumpost_core.membership_decision import MembershipDecision
 from gypsumpost_core.membership_settings import MembershipSettings
@@ -44,7 +45,7 @@
         self,
         *,
         directory: HostDirectory,
-        key: bytes,
+        key: bytes | KeyRing,
         settings: MembershipSettings,
         seeds: Iterable[Host] = (),
         rng: random.Random | None = None,
@@ -115,7 +116,7 @@
             except OSError as error:
                 self._note_rejected(str(error))
                 continue
-            decoded = self._codec.decode(data)
+            decoded = self._codec.decode(data, trio.current_time())
             if isinstance(decoded, Err):
                 self._note_rejected(decoded.err_value)
                 continue
@@ -134,7 +135,7 @@
     async def _send(self, decision: SendDatagram) -> None:
         if self._socket is None:
             return
-        data = self._codec.encode(decision.datagram, CLOCK.read(time.time()))
+        data = self._codec.encode(decision.datagram, CLOCK.read(time.time()), trio.current_time())
         try:
             await self._socket.sendto(data, split_address(decision.address))
         except OSError as error:
--- a/packages/daemon/gypsumpost_daemon/gossip_codec.py
+++ b/packages/daemon/gypsumpost_daemon/gossip_codec.py
@@ -13,6 +13,7 @@
 from gypsumpost_core.datagram_kind import DatagramKind
 from gypsumpost_core.domain_beat import DomainBeat
 from gypsumpost_core.host import Host
+from gypsumpost_core.key_ring import KeyRing, create_key_ring
 from gypsumpost_core.member_state import MemberState
 from gypsumpost_core.member_update import MemberUpdate
 from gypsumpost_core.setting_parsers import parse_name
@@ -29,14 +30,15 @@
     :param key: the shared key of the deployment.
     """
 
-    def __init__(self, *, key: bytes) -> None:
-        self._key = key
+    def __init__(self, *, key: bytes | KeyRing) -> None:
+        self._keys = create_key_ring(key)
 
-    def encode(self, datagram: Datagram, clock: int) -> bytes:
+    def encode(self, datagram: Datagram, clock: int, now: float = 0.0) -> bytes:
         """Return the bytes of a datagram.
 
         :param datagram: the datagram.
         :param clock: the sender's hybrid clock.
+        :param now: process time in seconds.
         """
         message = SCHEMA.Datagram.new_message(
             kind=datagram.kind.value,
@@ -56,23 +58,31 @@
                 builder.failureDomain = beat.failure_domain
                 builder.clock = beat.clock
         body: bytes = message.to_bytes_packed()
-        return self._sign(body) + body
+        return sign_datagram(self._keys.choose_signing(now), body) + body
 
-    def decode(self, data: bytes) -> Result[Datagram, str]:
+    def decode(self, data: bytes, now: float = 0.0) -> Result[Datagram, str]:
         """Return the datagram, or why the bytes are not one.
 
         :param data: received bytes.
+        :param now: process time in seconds.
         """
         mac, body = data[:MAC_BYTES], data[MAC_BYTES:]
-        if not hmac.compare_digest(mac, self._sign(body)):
+        keys = self._keys.list_accepted(now)
+        if not any(hmac.compare_digest(mac, sign_datagram(key, body)) for key in keys):
             return Err("wrong authentication code")
         try:
             return Ok(_read_datagram(SCHEMA.Datagram.from_bytes_packed(body)))
         except (capnp.KjException, ValueError, UnicodeDecodeError) as error:
             return Err("malformed datagram: " + str(error).partition("\n")[0])
 
-    def _sign(self, body: bytes) -> bytes:
-        return hmac.digest(self._key, body, hashlib.sha256)[:MAC_BYTES]
+
+def sign_datagram(key: bytes, body: bytes) -> bytes:
+    """Return the authentication code of a datagram.
+
+    :param key: a shared key.
+    :param body: the encoded datagram.
+    """
+    return hmac.digest(key, body, hashlib.sha256)[:MAC_BYTES]
 
 
 def _write_updates(message: Any, name: str, updates: tuple[MemberUpdate, ...]) -> None:
--- a/packages/daemon/gypsumpost_daemon/main.py
+++ b/packages/daemon/gypsumpost_daemon/main.py
@@ -13,6 +13,7 @@
 from gypsumpost_daemon.daemon import serve_daemon
 from gypsumpost_daemon.log import Log, start_logging
 from gypsumpost_daemon.settings import Settings
+from gypsumpost_daemon.settings_check import check_settings
 
 USAGE_STATUS = 2
 BROKEN_INVARIANT_STATUS = 70
@@ -33,8 +34,9 @@
     :returns: exit status.
     """
     settings = read_settings(Settings, flags, os.environ)
-    if isinstance(settings, Err):
-        for message in settings.err_value:
+    errors = settings.err_value if isinstance(settings, Err) else check_settings(settings.ok_value)
+    if isinstance(settings, Err) or errors:
+        for message in errors:
             print(f"gypsumpostd: {message}", file=sys.stderr)
         return USAGE_STATUS
     start_logging(settings.ok_value.host_id, settings.ok_value.log_file)
--- a/packages/daemon/gypsumpost_daemon/peer_handshake.py
+++ b/packages/daemon/gypsumpost_daemon/peer_handshake.py
@@ -8,6 +8,8 @@
 import trio
 from result import Err, Ok, Result
 
+from gypsumpost_core.key_ring import KeyRing, create_key_ring
+
 NONCE_BYTES = 16
 MAX_LINE_BYTES = 1024
 HANDSHAKE_SECONDS = 2.0
@@ -20,9 +22,9 @@
     :param key: the shared key of the deployment.
     """
 
-    def __init__(self, *, host_id: str, key: bytes) -> None:
+    def __init__(self, *, host_id: str, key: bytes | KeyRing) -> None:
         self._host_id = host_id
-        self._key = key
+        self._keys = create_key_ring(key)
 
     async def connect(self, stream: trio.abc.Stream, expected: str) -> Result[None, str]:
         """Run the connecting side.
@@ -36,9 +38,11 @@
         if hello is None:
             return Err("the handshake ended early")
         ids = (self._host_id, expected, nonce, hello.get("nonce", ""))
-        if not hmac.compare_digest(hello.get("mac", ""), self._sign("accept", *ids)):
+        proofs = [hello.get("mac", ""), hello.get("former_mac", "")]
+        key = self._find_key(proofs, "accept", *ids)
+        if key is None:
             return Err(f"{expected} did not prove that it knows the shared key")
-        await stream.send_all(_encode_line(mac=self._sign("connect", *ids)))
+        await stream.send_all(_encode_line(mac=_sign(key, "connect", *ids)))
         # Without this answer the first frames could arrive together with the last line.
         if await _receive_line(stream) is None:
             return Err("the handshake ended early")
@@ -55,17 +59,32 @@
             return Err("the handshake ended early")
         nonce = secrets.token_hex(NONCE_BYTES)
         ids = (hello.get("host_id", ""), self._host_id, hello.get("nonce", ""), nonce)
-        await stream.send_all(_encode_line(nonce=nonce, mac=self._sign("accept", *ids)))
+        # While the key is replaced, the connecting host may know only one of the two.
+        names = ("mac", "former_mac")
+        macs = [_sign(key, "accept", *ids) for key in self._list_keys()]
+        proofs = dict(zip(names, macs, strict=False))
+        await stream.send_all(_encode_line(nonce=nonce, **proofs))
         proof = await _receive_line(stream)
         if proof is None:
             return Err("the handshake ended early")
-        if not hmac.compare_digest(proof.get("mac", ""), self._sign("connect", *ids)):
+        if self._find_key([proof.get("mac", "")], "connect", *ids) is None:
             return Err("the connecting host did not prove that it knows the shared key")
         await stream.send_all(_encode_line(accepted=self._host_id))
         return Ok(ids[0])
 
-    def _sign(self, *parts: str) -> str:
-        return hmac.new(self._key, "\n".join(parts).encode(), hashlib.sha256).hexdigest()
+    def _list_keys(self) -> list[bytes]:
+        return self._keys.list_accepted(trio.current_time())
+
+    def _find_key(self, macs: list[str], *parts: str) -> bytes | None:
+        for key in self._list_keys():
+            expected = _sign(key, *parts).encode()
+            if any(hmac.compare_digest(mac.encode(), expected) for mac in macs):
+                return key
+        return None
+
+
+def _sign(key: bytes, *parts: str) -> str:
+    return hmac.new(key, "\n".join(parts).encode(), hashlib.sha256).hexdigest()
 
 
 def _encode_line(**fields: str) -> bytes:
--- a/packages/daemon/gypsumpost_daemon/peer_network.py
+++ b/packages/daemon/gypsumpost_daemon/peer_network.py
@@ -6,6 +6,7 @@
 import trio
 from result import Err, Ok, Result
 
+from gypsumpost_core.key_ring import KeyRing
 from gypsumpost_daemon.addresses import split_address
 from gypsumpost_daemon.frame import Frame
 from gypsumpost_daemon.frame_decoder import FrameDecoder
@@ -16,6 +17,7 @@
 from gypsumpost_daemon.peer_handshake import PeerHandshake
 from gypsumpost_daemon.peer_link import RECEIVE_BYTES, PeerLink
 from gypsumpost_daemon.peer_request import PeerRequest
+from gypsumpost_daemon.peer_tls import PeerTls
 
 PeerHandler = Callable[[PeerRequest], Awaitable[bytes]]
 
@@ -27,10 +29,14 @@
 
     :param directory: the known hosts.
     :param key: the shared key of the deployment.
+    :param tls: TLS below the handshake, ``None`` for plain TCP.
     """
 
-    def __init__(self, *, directory: HostDirectory, key: bytes) -> None:
+    def __init__(
+        self, *, directory: HostDirectory, key: bytes | KeyRing, tls: PeerTls | None = None
+    ) -> None:
         self._directory = directory
+        self._tls = tls
         self._handshake = PeerHandshake(host_id=directory.own.host_id, key=key)
         self._handlers: dict[int, PeerHandler] = {}
         self._links: dict[str, PeerLink] = {}
@@ -85,19 +91,30 @@
             return Err(PeerFailure(host_id=host_id, reason="unknown host", sent=False))
         ip, port = split_address(host.peer_address)
         try:
-            stream = await trio.open_tcp_stream(ip, port)
-            proved = await self._handshake.connect(stream, host_id)
-        except (OSError, trio.BrokenResourceError) as error:
+            tcp = await trio.open_tcp_stream(ip, port)
+        except OSError as error:
             return Err(PeerFailure(host_id=host_id, reason=str(error), sent=False))
+        stream: trio.abc.Stream = self._tls.wrap_connected(tcp) if self._tls else tcp
+        proved: Result[None, str] = Err("the handshake was cancelled")
+        try:
+            proved = await self._handshake.connect(stream, host_id)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            proved = Err(str(error.__cause__ or error))
+        finally:
+            if isinstance(proved, Err):
+                with trio.CancelScope(shield=True):
+                    await trio.aclose_forcefully(stream)
         if isinstance(proved, Err):
-            await trio.aclose_forcefully(stream)
             return Err(PeerFailure(host_id=host_id, reason=proved.err_value, sent=False))
         link = PeerLink(host_id=host_id, stream=stream)
         self._links[host_id] = link
         self._nursery.start_soon(link.run)
         return Ok(link)
 
-    async def _serve_connection(self, stream: trio.SocketStream) -> None:
+    async def _serve_connection(self, accepted_stream: trio.SocketStream) -> None:
+        stream: trio.abc.Stream = accepted_stream
+        if self._tls is not None:
+            stream = self._tls.wrap_accepted(accepted_stream)
         try:
             accepted = await self._handshake.accept(stream)
             if isinstance(accepted, Err):
@@ -109,7 +126,7 @@
         finally:
             await trio.aclose_forcefully(stream)
 
-    async def _serve_requests(self, stream: trio.SocketStream, host_id: str) -> None:
+    async def _serve_requests(self, stream: trio.abc.Stream, host_id: str) -> None:
         decoder = FrameDecoder()
         send_lock = trio.StrictFIFOLock()
         async with trio.open_nursery() as nursery:
@@ -120,7 +137,7 @@
             nursery.cancel_scope.cancel()
 
     async def _serve_request(
-        self, stream: trio.SocketStream, send_lock: trio.StrictFIFOLock, host_id: str, frame: Frame
+        self, stream: trio.abc.Stream, send_lock: trio.StrictFIFOLock, host_id: str, frame: Frame
     ) -> None:
         handler = self._handlers.get(frame.kind)
         if handler is None:
--- a/packages/daemon/gypsumpost_daemon/settings.py
+++ b/packages/daemon/gypsumpost_daemon/settings.py
@@ -16,6 +16,7 @@
     parse_optional_address,
 )
 from gypsumpost_core.share_mode import SHARE_MODES
+from gypsumpost_daemon.file_setting import define_file
 from gypsumpost_daemon.http_server import HTTP_SERVERS
 from gypsumpost_daemon.seeds_parser import parse_seeds
 from gypsumpost_daemon.workspace_keys import WorkspaceKeys, parse_workspace_keys
@@ -65,24 +66,41 @@
         accepted="ip:port, or empty for none",
         help="Address of the platform's store and list of hosts.",
     )
-    host_list_file: str = define_setting(
-        default="",
+    host_list_file: str = define_file(
         accepted="path of a readable file, or empty for none",
         help="File with hosts and endpoints for a deployment without a platform.",
     )
-    peer_key_file: str = define_setting(
-        default="",
+    peer_key_file: str = define_file(
         accepted="path of a readable file; empty uses a key that is not secret",
         help="File with the key that all daemons of the deployment share.",
     )
+    tls_cert_file: str = define_file(
+        accepted="path of a readable PEM file; with --tls-key-file, or empty for plain HTTP",
+        help="File with the certificate chain of the callers' listener.",
+    )
+    tls_key_file: str = define_file(
+        accepted="path of a readable PEM file; required with --tls-cert-file",
+        help="File with the private key of --tls-cert-file.",
+    )
+    peer_tls_cert_file: str = define_file(
+        accepted="path of a readable PEM file, or empty for plain TCP between daemons",
+        help="File with the certificate chain of this host towards other daemons.",
+    )
+    peer_tls_key_file: str = define_file(
+        accepted="path of a readable PEM file; required with --peer-tls-cert-file",
+        help="File with the private key of --peer-tls-cert-file.",
+    )
+    peer_tls_ca_file: str = define_file(
+        accepted="path of a readable PEM file; required with --peer-tls-cert-file",
+        help="File with the authorities that sign the daemons' certificates.",
+    )
     admin_address: str = define_setting(
         default="",
         parse=parse_optional_address,
         accepted="ip:port, or empty for none",
         help="Address of the operators' HTTP listener.",
     )
-    admin_key_file: str = define_setting(
-        default="",
+    admin_key_file: str = define_file(
         accepted="path of a readable file; required with --admin-address",
         help="File with the bearer key of the operators.",
     )
@@ -128,6 +146,7 @@
     workspace_keys: WorkspaceKeys = define_setting(
         default="",
         parse=parse_workspace_keys,
+        secret=True,
         accepted="workspace=key pairs separated by commas",
         help="Workspaces and their bearer keys for a deployment without a platform.",
     )
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/settings_check.py
@@ -0,0 +1,87 @@
+"""Checks of settings that depend on each other or on the content of files."""
+
+import ssl
+from collections.abc import Callable
+
+import attrs
+
+from gypsumpost_core.settings_reader import name_flag
+from gypsumpost_daemon.caller_tls import CallerTls
+from gypsumpost_daemon.peer_tls import PeerTls
+from gypsumpost_daemon.settings import Settings
+from gypsumpost_daemon.shared_key_file import read_key
+
+CALLER_TLS = ("tls_cert_file", "tls_key_file")
+PEER_TLS = ("peer_tls_cert_file", "peer_tls_key_file", "peer_tls_ca_file")
+AUTHORITIES = ("tls_cert_file", "peer_tls_cert_file", "peer_tls_ca_file")
+KEYS = ("peer_key_file", "admin_key_file")
+
+
+def check_settings(settings: Settings) -> list[str]:
+    """Return a message for each setting that doesn't fit the others or the file that it names.
+
+    :param settings: settings of which each is accepted by itself.
+    """
+    errors = _check_combinations(settings)
+    errors += _check_files(settings, KEYS, read_key)
+    errors += _check_files(settings, AUTHORITIES, _load_certificates)
+    if errors:
+        return errors
+    if settings.tls_cert_file:
+        errors += _check_chain(settings, CALLER_TLS, CallerTls)
+    if settings.peer_tls_cert_file:
+        errors += _check_chain(settings, PEER_TLS, PeerTls)
+    return errors
+
+
+def _check_combinations(settings: Settings) -> list[str]:
+    errors = [*_check_group(settings, CALLER_TLS), *_check_group(settings, PEER_TLS)]
+    if settings.admin_address and not settings.admin_key_file:
+        errors.append(_describe(settings, "admin_key_file", "with --admin-address"))
+    if settings.admin_address and not settings.platform_address:
+        errors.append(_describe(settings, "platform_address", "with --admin-address"))
+    if not settings.platform_address and not settings.workspace_keys.workspaces:
+        errors.append(_describe(settings, "workspace_keys", "without --platform-address"))
+    return errors
+
+
+def _check_group(settings: Settings, names: tuple[str, ...]) -> list[str]:
+    given = [name for name in names if getattr(settings, name)]
+    missing = [name for name in names if not getattr(settings, name)]
+    if not given:
+        return []
+    return [_describe(settings, name, f"with {name_flag(given[0])}") for name in missing]
+
+
+def _check_files(
+    settings: Settings, names: tuple[str, ...], read: Callable[[str], object]
+) -> list[str]:
+    errors = []
+    for name in filter(lambda name: getattr(settings, name), names):
+        try:
+            read(getattr(settings, name))
+        except (OSError, ValueError) as error:
+            errors.append(_describe(settings, name, f"({error})"))
+    return errors
+
+
+def _check_chain(
+    settings: Settings, names: tuple[str, ...], create: Callable[..., object]
+) -> list[str]:
+    # The certificates have been loaded by themselves, so what fails here is the key.
+    paths = [getattr(settings, name) for name in names]
+    try:
+        create(**dict(zip(("cert_file", "key_file", "ca_file"), paths, strict=False)))
+    except (OSError, ValueError) as error:
+        return [_describe(settings, names[1], f"({error})")]
+    return []
+
+
+def _load_certificates(path: str) -> None:
+    ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT).load_verify_locations(path)
+
+
+def _describe(settings: Settings, name: str, reason: str) -> str:
+    setting = attrs.fields_dict(Settings)[name].metadata["setting"]
+    value = "" if setting.secret else getattr(settings, name)
+    return f"{name_flag(name)}: {value!r} is not accepted {reason}; accepted: {setting.accepted}"
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/shared_key_file.py
@@ -0,0 +1,50 @@
+"""The file with the deployment's shared key."""
+
+from pathlib import Path
+
+import attrs
+import trio
+
+from gypsumpost_core.key_ring import KeyRing
+
+OVERLAP_SECONDS = 60.0
+"""Time after a change in which the former key is accepted too."""
+
+OPEN_KEY = b"gypsumpost"
+"""Used between daemons without a key file, for trials on one machine."""
+
+
+@attrs.define(kw_only=True)
+class SharedKeyFile:
+    """Reads the key and puts a changed one in force.
+
+    :param path: the file; empty for the open key.
+    """
+
+    path: str
+    ring: KeyRing = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.ring = KeyRing(current=read_key(self.path) if self.path else OPEN_KEY)
+
+    def reload(self) -> None:
+        """Put the file's key in force and accept the former one for a while.
+
+        :raises OSError: if the file cannot be read; the old key stays in force.
+        :raises ValueError: if the file holds no key; the old key stays in force.
+        """
+        now = trio.current_time()
+        self.ring.replace(read_key(self.path), now, now + OVERLAP_SECONDS)
+
+
+def read_key(path: str) -> bytes:
+    """Return the key in a file.
+
+    :param path: the file.
+    :raises OSError: if it cannot be read.
+    :raises ValueError: if it holds no key.
+    """
+    key = Path(path).read_bytes().strip()
+    if not key:
+        raise ValueError("the key file is empty")
+    return key
--- a/packages/daemon/gypsumpost_daemon/tests/test_copy_outbox.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_copy_outbox.py
@@ -43,6 +43,15 @@
     return FakeTask(Generation(record=create_record(text, **changes)))
 
 
+def start_outbox(nursery):
+    """Start an outbox of the host ``left`` that reaches a store on the host ``right``."""
+    store = CopyStore(max_bytes=BOUND)
+    network = FakeNetwork("left", serve_stores(right=store))
+    outbox = CopyOutbox(host_id="right", network=network)
+    nursery.start_soon(outbox.run)
+    return store, outbox
+
+
 async def test_outbox_copies_over_a_real_connection(nursery):
     """Guards against changes that the wire or the batches lose."""
     left, right = create_host("left"), create_host("right")
@@ -72,10 +81,7 @@
 
 async def test_owner_learns_of_a_takeover(autojump_clock, nursery):
     """Guards against a former owner that goes on with a generation."""
-    store = CopyStore(max_bytes=BOUND)
-    network = FakeNetwork("left", {("right", MessageKind.APPEND_COPIES): store.handle_batch})
-    outbox = CopyOutbox(host_id="right", network=network)
-    nursery.start_soon(outbox.run)
+    store, outbox = start_outbox(nursery)
     task = create_task("a")
     outbox.add(task)
     await trio.sleep(1)
@@ -90,10 +96,7 @@
 
 async def test_answer_that_a_stop_sequence_empties_is_empty_at_the_holder(autojump_clock, nursery):
     """Guards against a takeover that shows the beginning of a stop sequence."""
-    store = CopyStore(max_bytes=BOUND)
-    network = FakeNetwork("left", {("right", MessageKind.APPEND_COPIES): store.handle_batch})
-    outbox = CopyOutbox(host_id="right", network=network)
-    nursery.start_soon(outbox.run)
+    store, outbox = start_outbox(nursery)
     task = create_task(stop=("<end>",))
     task.accept("<e")
     outbox.add(task)
--- a/packages/daemon/gypsumpost_daemon/tests/test_gossip.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_gossip.py
@@ -19,7 +19,7 @@
 from gypsumpost_core.membership_settings import MembershipSettings
 from gypsumpost_core.membership_simulation import MembershipSimulation, create_hosts
 from gypsumpost_daemon.gossip import Gossip
-from gypsumpost_daemon.gossip_codec import GossipCodec
+from gypsumpost_daemon.gossip_codec import GossipCodec, sign_datagram
 from gypsumpost_daemon.host_directory import HostDirectory
 from gypsumpost_daemon.settings import Settings
 
@@ -158,7 +158,7 @@
     valid = codec.encode(Datagram(kind=DatagramKind.GOSSIP, sender=create_sender()), 1)
     assert codec.decode(valid) != Err("wrong authentication code")
     assert codec.decode(body) == Err("wrong authentication code")
-    assert isinstance(codec.decode(codec._sign(body) + body), Err)
+    assert isinstance(codec.decode(sign_datagram(b"k", body) + body), Err)
 
 
 def create_sender() -> MemberUpdate:
--- a/packages/daemon/gypsumpost_daemon/tests/test_http_server_tls.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_http_server_tls.py
@@ -1,43 +1,21 @@
 """Tests of the h11 server over TLS."""
 
-import datetime
 import functools
-import ipaddress
 import ssl
 
 import pytest
 import trio
-from cryptography import x509
-from cryptography.hazmat.primitives import hashes, serialization
-from cryptography.hazmat.primitives.asymmetric import ec
-from cryptography.x509.oid import NameOID
 
 from gypsumpost_daemon.http_server import HTTP_SERVERS
+from gypsumpost_daemon.tests.certificates import write_certificate
 from gypsumpost_daemon.tests.http_fixtures import MAX_BODY, close_request, connect, echo
 
 
 @pytest.fixture
 def certificate(tmp_path):
     """Path of a key with a certificate for 127.0.0.1 that it signed itself."""
-    key = ec.generate_private_key(ec.SECP256R1())
-    name = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, "test")])
-    address = x509.IPAddress(ipaddress.ip_address("127.0.0.1"))
-    begin = datetime.datetime(2020, 1, 1)
-    signed = (
-        x509.CertificateBuilder()
-        .subject_name(name)
-        .issuer_name(name)
-        .public_key(key.public_key())
-        .serial_number(1)
-        .not_valid_before(begin)
-        .not_valid_after(begin + datetime.timedelta(days=36500))
-        .add_extension(x509.SubjectAlternativeName([address]), critical=False)
-        .sign(key, hashes.SHA256())
-    )
     path = tmp_path / "server.pem"
-    plain = serialization.NoEncryption()
-    pem, pkcs8 = serialization.Encoding.PEM, serialization.PrivateFormat.PKCS8
-    path.write_bytes(key.private_bytes(pem, pkcs8, plain) + signed.public_bytes(pem))
+    write_certificate(path)
     return path
 
 
--- a/packages/daemon/gypsumpost_daemon/workspace_keys.py
+++ b/packages/daemon/gypsumpost_daemon/workspace_keys.py
@@ -12,7 +12,7 @@
     :param workspaces: workspace by key.
     """
 
-    workspaces: Mapping[str, str]
+    workspaces: Mapping[str, str] = attrs.field(repr=False)
 
     def find_workspace(self, key: str) -> str | None:
         """Return the workspace that a key belongs to.
