--- a/packages/daemon/gypsumpost_daemon/daemon.py
+++ b/packages/daemon/gypsumpost_daemon/daemon.py
@@ -2,12 +2,12 @@
 
 import random
 import signal
-from pathlib import Path
 
 import trio
 
 from gypsumpost_core.crash_suspicion import CrashSuspicion
 from gypsumpost_core.host import Host
+from gypsumpost_core.key_ring import KeyRing
 from gypsumpost_core.membership_settings import MembershipSettings
 from gypsumpost_core.resumption_policies import RESUMPTION
 from gypsumpost_core.retry_budget import RetryBudget
@@ -32,6 +32,7 @@
 from gypsumpost_daemon.http_server import HTTP_SERVERS
 from gypsumpost_daemon.key_client import KeyClient
 from gypsumpost_daemon.key_directory import KeyDirectory
+from gypsumpost_daemon.keys import Keys
 from gypsumpost_daemon.log import Log
 from gypsumpost_daemon.message_kind import MessageKind
 from gypsumpost_daemon.metrics import Metrics
@@ -54,10 +55,6 @@
     await Daemon(settings=settings).run()
 
 
-OPEN_KEY = b"gypsumpost"
-"""Used between daemons without a key file, for trials on one machine."""
-
-
 class Daemon:
     """All parts of one daemon.
 
@@ -74,8 +71,9 @@
             api_address=settings.api_address,
         )
         self._directory = HostDirectory(own=own)
-        key = _read_key(settings)
-        self._network = PeerNetwork(directory=self._directory, key=key)
+        self._keys = Keys(settings=settings)
+        key = self._keys.ring
+        self._network = PeerNetwork(directory=self._directory, key=key, tls=self._keys.peer_tls)
         self._endpoints = EndpointTable()
         self._gossip = self._create_gossip(key)
         self._router = Router(failure_domain=own.failure_domain, policy=settings.routing)
@@ -84,7 +82,7 @@
         self._platform: PlatformParts | None = None
         self._access: AccessControl = SettingsAccess(keys=settings.workspace_keys)
         if settings.platform_address:
-            self._platform = self._create_platform_parts(key)
+            self._platform = self._create_platform_parts(key.current)
             self._access = self._platform.access
         self._canceller = StreamCanceller(engines=self._engines)
         self._suspicion = CrashSuspicion()
@@ -175,7 +173,7 @@
             count_open_requests=lambda: self._application.open_requests,
         )
 
-    def _create_gossip(self, key: bytes) -> Gossip:
+    def _create_gossip(self, key: KeyRing) -> Gossip:
         settings = self._settings
         listed = settings.host_list_file
         self._endpoints.replace(list(listed.endpoints))
@@ -217,6 +215,7 @@
         nursery.start_soon(self._admission.run)
         nursery.start_soon(self._copy_store.run)
         nursery.start_soon(self._key_directory.run)
+        nursery.start_soon(self._keys.run)
 
     async def _start_server(self, nursery: trio.Nursery) -> RunningServer:
         async def serve(task_status: trio.TaskStatus[RunningServer]) -> None:
@@ -225,7 +224,7 @@
                 application=self._application,
                 address=self._settings.api_address,
                 max_body=self._settings.max_body,
-                tls=None,
+                tls=self._keys.caller_context,
                 task_status=task_status,
             )
 
@@ -244,9 +243,3 @@
             while self._application.open_requests or self._supervisor.running:
                 await trio.sleep(0.05)
         LOG.write("stopped", open_requests=self._application.open_requests)
-
-
-def _read_key(settings: Settings) -> bytes:
-    if not settings.peer_key_file:
-        return OPEN_KEY
-    return Path(settings.peer_key_file).read_bytes().strip()
--- a/packages/daemon/gypsumpost_daemon/tests/test_generation_responder.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_generation_responder.py
@@ -1,5 +1,6 @@
 """Tests of what is noted about callers that leave."""
 
+from types import SimpleNamespace
 from typing import Any, cast
 
 import eliot
@@ -13,6 +14,7 @@
 from gypsumpost_daemon.generation_supervisor import GenerationSupervisor
 from gypsumpost_daemon.metrics import Metrics
 from gypsumpost_daemon.metrics_text import encode_metrics
+from gypsumpost_daemon.settings import Settings
 
 UNUSED = cast(Any, None)
 
@@ -65,7 +67,11 @@
     metrics, task = Metrics(), EndlessTask()
     logged: list[dict[str, Any]] = []
     supervisor = GenerationSupervisor(
-        host_id="h1", context=UNUSED, copies=UNUSED, take_overs=UNUSED, access=UNUSED
+        host_id="h1",
+        context=cast(Any, SimpleNamespace(settings=Settings())),
+        copies=UNUSED,
+        take_overs=UNUSED,
+        access=UNUSED,
     )
     responder = GenerationResponder(supervisor=supervisor, events=CallerEvents(metrics=metrics))
     eliot.add_destinations(logged.append)
