--- a/packages/bench/gypsumpost_bench/experiment_path.py
+++ b/packages/bench/gypsumpost_bench/experiment_path.py
@@ -7,6 +7,8 @@
 from gypsumpost_bench.token_path_run import DIRECT, TokenPathCase, TokenPathFigures, run_case
 
 RATES = (1000, 2000, 3000, 4500, 6400)
+HOLDERS = (1, 4, 8, 16)
+HOLDERS_RATE = 1000
 COPIES = "other-domain"
 NO_COPIES = "none"
 RATE_SHARE = 0.98
@@ -47,9 +49,27 @@
             [(rate, holder * 1e6) for rate, _, holder in loads],
             "tokens/s against us/s; the copies of one home",
         ),
+        measure_holders(quick),
     ]
 
 
+def measure_holders(quick: bool) -> ExperimentRow:
+    """Measure the home with its copies spread over several holders, at the same rate.
+
+    :param quick: true for short windows.
+    """
+    points = []
+    for holders in HOLDERS:
+        case = PathCase(placement=COPIES, rate=HOLDERS_RATE, holders=holders)
+        points.append((holders, run_path(case, quick=quick).home_load * 1e6))
+    return create_slope_row(
+        "home processor time per further holder of its copies",
+        "us/s",
+        points,
+        f"{HOLDERS_RATE} tokens/s; holders against us/s",
+    )
+
+
 def is_carried(rate: int, path: TokenPathFigures) -> bool:
     """Return whether a daemon kept up with the offered tokens.
 
--- a/packages/bench/gypsumpost_bench/path_run.py
+++ b/packages/bench/gypsumpost_bench/path_run.py
@@ -34,11 +34,13 @@
 
     :param placement: a name of the registry ``copy-placement``.
     :param rate: offered tokens per second, all through the home daemon.
+    :param holders: daemons in the other domain, which share the copies.
     :param profiled: true to run the daemons under the profiler.
     """
 
     placement: str
     rate: int
+    holders: int = 1
     profiled: bool = False
 
 
@@ -68,6 +70,7 @@
         engines = [stack.enter_context(start_process("token_path_engine")) for _ in range(ENGINES)]
         plan = DeploymentPlan(
             domains=("d1", "d2"),
+            hosts_per_domain=case.holders,
             token_gaps=(),
             daemon_flags=("--copy-placement", case.placement, "--stop-deadline", "0"),
             engine_addresses=tuple(map(read_line, engines)),
--- a/packages/bench/gypsumpost_bench/slope_control.py
+++ b/packages/bench/gypsumpost_bench/slope_control.py
@@ -29,6 +29,9 @@
 from gypsumpost_daemon.peer_network import PeerNetwork
 from gypsumpost_daemon.peer_request import PeerRequest
 
+DAEMONS = (10, 50, 200, 400)
+"""Daemons that serve one large workspace."""
+
 WORKSPACES = (550, 1100, 2200, 4400)
 ENGINES = (450, 900, 1800, 3600)
 PEERS = (10, 20, 40, 80)
@@ -105,6 +108,16 @@
         numbers = iter(range(2, 2 + REPEATS))
         return measure_microseconds(lambda: _report(board, "h0", count, next(numbers)), REPEATS)
 
+    def answer_large(daemons: int) -> float:
+        board = ShareBoard(
+            own=OWN,
+            get_lists=lambda: lists[WORKSPACES[0]],
+            views=CoordinatorViews(own=OWN, now=-100.0),
+        )
+        for host in range(daemons):
+            _report(board, f"h{host}", 1)
+        return measure_microseconds(lambda: _report(board, "h0", 1, 2), REPEATS)
+
     def use(count: int) -> float:
         return measure_bytes(lambda: [WorkspaceUse(now=0.0) for _ in range(count)])
 
@@ -115,6 +128,11 @@
         create_slope_row(
             "processor time of a demand report", "us", [(n, answer(n)) for n in WORKSPACES], note
         ),
+        create_slope_row(
+            "processor time of a demand report per daemon that serves its workspace",
+            "us",
+            [(n, answer_large(n)) for n in DAEMONS],
+        ),
         create_slope_row(
             "memory per workspace that a daemon serves", "bytes", [(n, use(n)) for n in WORKSPACES]
         ),
