Add settings of the placement

The policy, and the time between two loads from the weight store, which depends on the deployment. The other durations stay fixed values of PlacementSettings and LeaseSettings.

--- a/packages/daemon/gypsumpost_daemon/settings.py
+++ b/packages/daemon/gypsumpost_daemon/settings.py
@@ -4,6 +4,7 @@
 
 from gypsumpost_core.copy_placement import COPY_PLACEMENTS
 from gypsumpost_core.host import Host
+from gypsumpost_core.placement_policies import PLACEMENT
 from gypsumpost_core.resumption_policies import RESUMPTION
 from gypsumpost_core.routing_policies import ROUTING
 from gypsumpost_core.setting import define_setting
@@ -156,6 +157,19 @@
         accepted=", ".join(ROUTING.names()),
         help="Routing policy.",
     )
+    placement: str = define_setting(
+        default="demand",
+        parse=parse_choice(PLACEMENT.names()),
+        accepted=", ".join(PLACEMENT.names()),
+        help="Policy for what engines have loaded.",
+    )
+    load_interval: float = define_setting(
+        default="10",
+        parse=parse_number(0.1, 3600),
+        unit="seconds",
+        accepted="a number from 0.1 to 3600",
+        help="Time between two loads from the weight store by the engines of a failure domain.",
+    )
     resumption: str = define_setting(
         default="weighed",
         parse=parse_choice(RESUMPTION.names()),
