Test refusals under load at the callers' interface

The tests drive the ASGI application on engines in the same process: callers of a flood get a whole answer or a not_run refusal with Retry-After, slots are free again afterwards, and a crash-causing request is refused with its reason, as run the first time and as not_run when it is sent again.

--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/tests/test_caller_refusals.py
@@ -0,0 +1,120 @@
+"""Tests of refusals under load at the callers' interface, on a simulated clock."""
+
+from collections.abc import Iterator
+from typing import Any
+
+import attrs
+import orjson
+import pytest
+import trio
+import trio.testing
+
+from gypsumpost_bench.engine_application import CRASH_TEXT
+from gypsumpost_daemon.caller_application import CallerApplication
+from gypsumpost_daemon.copy_store import CopyStore
+from gypsumpost_daemon.generation_supervisor import GenerationSupervisor
+from gypsumpost_daemon.key_client import KeyClient
+from gypsumpost_daemon.key_directory import KeyDirectory
+from gypsumpost_daemon.settings import Settings
+from gypsumpost_daemon.take_over_client import TakeOverClient
+from gypsumpost_daemon.tests.fake_engine import MODEL
+from gypsumpost_daemon.tests.running_hosts import run_hosts
+from gypsumpost_daemon.tests.serving_host import ServingHost
+
+
+@pytest.fixture
+def clock(autojump_clock: trio.testing.MockClock, monkeypatch: pytest.MonkeyPatch) -> Iterator:
+    monkeypatch.setattr("time.time", lambda: 1e9 + autojump_clock.current_time())
+    yield autojump_clock
+
+
+@attrs.define
+class Reply:
+    """What a caller got."""
+
+    status: int = 0
+    headers: dict[bytes, bytes] = attrs.field(factory=dict)
+    body: bytes = b""
+
+    def get_error(self) -> dict[str, Any]:
+        return orjson.loads(self.body)["error"]
+
+
+async def start_application(host: ServingHost, nursery: trio.Nursery) -> CallerApplication:
+    peers: Any = host.context.copies.network
+    supervisor = GenerationSupervisor(
+        host_id=host.directory.own.host_id,
+        context=host.context,
+        copies=CopyStore(max_bytes=1 << 20),
+        take_overs=TakeOverClient(directory=host.directory, network=peers),
+    )
+    await nursery.start(supervisor.run)
+    return CallerApplication(
+        settings=Settings(),
+        supervisor=supervisor,
+        keys=KeyClient(directory=host.directory, network=peers, own_entries=KeyDirectory()),
+        admission=host.gate,
+        find_workspace=lambda key: "north",
+        list_models=lambda: [MODEL.model],
+    )
+
+
+async def call(application: CallerApplication, prompt: str, replies: list[Reply]) -> None:
+    reply = Reply()
+    sent = {"model": MODEL.model, "prompt": prompt, "max_tokens": 60}
+    messages = [{"type": "http.request", "body": orjson.dumps(sent), "more_body": False}]
+
+    async def receive() -> dict[str, Any]:
+        if not messages:
+            await trio.sleep_forever()
+        return messages.pop()
+
+    async def send(message: dict[str, Any]) -> None:
+        reply.status = message.get("status", reply.status)
+        reply.headers |= dict(message.get("headers", ()))
+        reply.body += message.get("body", b"")
+
+    scope = {
+        "type": "http",
+        "method": "POST",
+        "path": "/v1/completions",
+        "query_string": b"",
+        "headers": [(b"authorization", b"Bearer key")],
+    }
+    await application(scope, receive, send)
+    replies.append(reply)
+
+
+async def test_callers_of_a_flood_get_an_answer_or_a_refusal(clock: object) -> None:
+    """Guards against a caller's path that does not pass the gate or never frees its slots."""
+    async with run_hosts(2) as ([host], engines, nursery):
+        application = await start_application(host, nursery)
+        replies: list[Reply] = []
+        for number in range(60):
+            nursery.start_soon(call, application, f"report {number}", replies)
+            await trio.sleep(0.05)
+        # Nothing is refused for a long queue before the first generation has ended.
+        await trio.sleep(40)
+        assert len(replies) == 60
+        refused = [reply for reply in replies if reply.status == 503]
+        answered = [reply for reply in replies if reply.status == 200]
+        assert len(refused) + len(answered) == 60
+        assert refused
+        assert all(reply.get_error()["run_state"] == "not_run" for reply in refused)
+        assert all(b"retry-after" in reply.headers for reply in refused)
+        assert len(answered) == sum(len(engine.requests) for engine in engines)
+        await call(application, "after the flood", replies)
+        assert replies[-1].status == 200
+
+
+async def test_a_quarantined_request_is_refused_with_its_reason(clock: object) -> None:
+    """Guards against a caller that is told that a request was not run although it was."""
+    async with run_hosts(6) as ([host], engines, nursery):
+        application = await start_application(host, nursery)
+        replies: list[Reply] = []
+        for run_state in ("run", "not_run"):
+            await call(application, CRASH_TEXT, replies)
+            assert replies[-1].status == 422
+            assert replies[-1].get_error()["code"] == "request_quarantined"
+            assert replies[-1].get_error()["run_state"] == run_state
+        assert sum(engine.lost for engine in engines) <= 3
