--- a/packages/daemon/gypsumpost_daemon/crash_guard.py
+++ b/packages/daemon/gypsumpost_daemon/crash_guard.py
@@ -2,10 +2,11 @@
 
 from collections.abc import Callable
 from itertools import islice
+from typing import Any
 
 import attrs
 import trio
-from result import Err
+from result import Ok
 
 from gypsumpost_core.attempt_outcome import AttemptOutcome
 from gypsumpost_core.crash_suspicion import CrashSuspicion
@@ -23,6 +24,9 @@
 The caller of a lost generation waits for it too.
 """
 
+CONFIRM_PAUSE = 0.02
+"""Seconds until the call is made again when its connection was lost."""
+
 PROBES_PER_ROUND = 4
 """Dead engines that are asked for their load at a time, to see them return."""
 
@@ -137,15 +141,25 @@
         if known and boot_id and known != boot_id:
             return True
         deadline = trio.current_time() + CONFIRM_SECONDS
-        outcome = await self.engines.get_json(address, "/load", deadline)
-        if isinstance(outcome, Err):
-            return outcome.err_value.refused
-        report = outcome.ok_value
-        reported = report.get("boot_id") if isinstance(report, dict) else None
-        return bool(boot_id and reported) and reported != boot_id
+        while True:
+            outcome = await self.engines.get_json(address, "/load", deadline)
+            if isinstance(outcome, Ok):
+                return _shows_restart(outcome.ok_value, boot_id)
+            if outcome.err_value.refused:
+                return True
+            # A dying process may reset its streams before its listener is closed; the call is then
+            # accepted and reset too.
+            if trio.current_time() + CONFIRM_PAUSE >= deadline:
+                return False
+            await trio.sleep(CONFIRM_PAUSE)
 
     def _record_death(self, engine: str, boot_id: str) -> None:
         LOG.write("died", endpoint=engine, boot_id=boot_id)
         self._dead[engine] = self._recorded[engine] = boot_id
         self.suspicion.record_death(engine, boot_id, trio.current_time())
         self.handle_change()
+
+
+def _shows_restart(report: Any, boot_id: str) -> bool:
+    reported = report.get("boot_id") if isinstance(report, dict) else None
+    return bool(boot_id and reported) and reported != boot_id
--- a/packages/daemon/gypsumpost_daemon/tests/fake_engine.py
+++ b/packages/daemon/gypsumpost_daemon/tests/fake_engine.py
@@ -46,6 +46,7 @@
     cache_calls: int = 0
     refusing: bool = False
     refusals: int = 0
+    resets: int = 0
     alive: bool = False
     batch: EngineBatch = attrs.field(init=False)
     gone: trio.Event = attrs.field(init=False)
--- a/packages/daemon/gypsumpost_daemon/tests/serving_host.py
+++ b/packages/daemon/gypsumpost_daemon/tests/serving_host.py
@@ -32,7 +32,7 @@
 from gypsumpost_daemon.route_builder import build_route
 from gypsumpost_daemon.settings import Settings
 from gypsumpost_daemon.stream_canceller import StreamCanceller
-from gypsumpost_daemon.tests.fake_engine import MODEL, REFUSED, FakeEngine
+from gypsumpost_daemon.tests.fake_engine import MODEL, REFUSED, RESET, FakeEngine
 
 
 class FakeEngineClient(EngineClient):
@@ -57,7 +57,8 @@
         with trio.move_on_at(deadline):
             await engine.awake.wait()
             if not engine.alive:
-                return Err(REFUSED)
+                engine.resets -= 1
+                return Err(RESET if engine.resets >= 0 else REFUSED)
             if path == "/load":
                 return Ok(engine.describe_load(time.time()))
             engine.cache_calls += 1
--- a/packages/daemon/gypsumpost_daemon/tests/test_generation_attempts.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_generation_attempts.py
@@ -94,6 +94,15 @@
         assert host.guard.list_dead() == frozenset()
 
 
+async def test_a_death_is_seen_although_the_first_call_is_reset(clock: object) -> None:
+    """A dying engine that still accepts a connection must not hide a death from the suspicion."""
+    async with run_hosts(6) as ([host], engines, _):
+        for engine in engines:
+            engine.resets = 2
+        await host.create_task(CRASH_TEXT).run()
+        assert sum(engine.lost for engine in engines) <= 3
+
+
 async def test_late_output_of_a_paused_engine_is_not_used(clock: object) -> None:
     """Output of an older attempt must not enter the answer when its engine wakes up."""
     async with run_hosts(2) as ([host], engines, nursery):
