--- a/packages/daemon/gypsumpost_daemon/daemon.py
+++ b/packages/daemon/gypsumpost_daemon/daemon.py
@@ -195,6 +195,7 @@
             endpoints=self._endpoints,
             router=self._router,
             engines=self._engines,
+            list_running=lambda: self._supervisor.list_running(),
             secret=key,
         )
 
--- a/packages/daemon/gypsumpost_daemon/generation_supervisor.py
+++ b/packages/daemon/gypsumpost_daemon/generation_supervisor.py
@@ -10,6 +10,7 @@
 from gypsumpost_core.failure import Failure
 from gypsumpost_core.generation_record import GenerationRecord
 from gypsumpost_core.invariant import Invariant, require
+from gypsumpost_core.model_ref import ModelRef
 from gypsumpost_core.record_size import measure_record
 from gypsumpost_core.replay_budget import ReplayBudget
 from gypsumpost_core.run_state import RunState
@@ -73,6 +74,11 @@
         """Number of generations that have not ended."""
         return sum(not task.ended for task in self._tasks.values())
 
+    def list_running(self) -> list[ModelRef]:
+        """Return what each running generation uses, as far as it has an engine."""
+        records = [task.record for task in self._tasks.values() if not task.ended]
+        return [record.exact for record in records if record.exact is not None]
+
     @property
     def kept(self) -> int:
         """Number of generations in memory, ended ones included."""
--- a/packages/daemon/gypsumpost_daemon/platform_parts.py
+++ b/packages/daemon/gypsumpost_daemon/platform_parts.py
@@ -1,10 +1,15 @@
 """The parts of the daemon that need the platform."""
 
 import time
+from collections.abc import Callable, Iterable
 from pathlib import Path
 
 import trio
 
+from gypsumpost_core.lease_settings import LeaseSettings
+from gypsumpost_core.model_ref import ModelRef
+from gypsumpost_core.order_lease import OrderLease
+from gypsumpost_core.placement_settings import PlacementSettings
 from gypsumpost_core.router import Router
 from gypsumpost_daemon import claim_batcher, direct_claims
 from gypsumpost_daemon.admin_application import AdminApplication
@@ -24,7 +29,10 @@
 from gypsumpost_daemon.host_list_snapshot import HostListSnapshot
 from gypsumpost_daemon.list_access import ListAccess
 from gypsumpost_daemon.list_task import ListTask
+from gypsumpost_daemon.model_demand import ModelDemand
+from gypsumpost_daemon.order_lease_store import OrderLeaseStore
 from gypsumpost_daemon.peer_network import PeerNetwork
+from gypsumpost_daemon.placement_task import PlacementTask
 from gypsumpost_daemon.service_calls import ServiceCalls
 from gypsumpost_daemon.settings import Settings
 from gypsumpost_daemon.share_task import ShareTask
@@ -33,6 +41,8 @@
 REGISTERED_CLAIM_MODES = (claim_batcher, direct_claims)
 """Importing these modules fills the registry of claim modes."""
 
+SECONDS_PER_HOUR = 3600
+
 ANNOUNCE_INTERVAL = 0.2
 """Seconds between looks at the revision in force, which gossip announces."""
 
@@ -47,6 +57,7 @@
     :param endpoints: the known endpoints.
     :param router: chooses engines among them.
     :param engines: calls them.
+    :param list_running: returns what this daemon's running generations use.
     :param secret: the deployment's shared key.
     """
 
@@ -60,6 +71,7 @@
         endpoints: EndpointTable,
         router: Router,
         engines: EngineClient,
+        list_running: Callable[[], Iterable[ModelRef]],
         secret: bytes,
     ) -> None:
         self._settings = settings
@@ -89,11 +101,29 @@
             incarnation=time.time_ns() // 1_000_000,
             network=network,
             claims=CLAIM_MODES.create(
-                settings.claim_mode, directory=directory, network=network, store=self.store
+                settings.claim_mode,
+                directory=directory,
+                network=network,
+                store=self.store,
+                retention_seconds=settings.call_retention * SECONDS_PER_HOUR,
             ),
             secret=secret,
             list_endpoints=endpoints.list_all,
         )
+        demand = ModelDemand(
+            get_lists=lambda: self.lists.lists, endpoints=endpoints, list_running=list_running
+        )
+        self.placement = PlacementTask(
+            directory=directory,
+            lease=OrderLease(host_id=settings.host_id, settings=LeaseSettings()),
+            lease_store=OrderLeaseStore(store=self.store, domain=settings.failure_domain),
+            engines=engines,
+            list_endpoints=endpoints.list_all,
+            list_allowed=demand.list_allowed,
+            read_demand=demand.read_demand,
+            policy=settings.placement,
+            settings=PlacementSettings(load_interval=settings.load_interval),
+        )
         self._admin_handlers = (
             AdminLists(store=self.store, task=self.lists, directory=directory),
             AdminHosts(directory=directory, task=self.lists),
@@ -112,6 +142,7 @@
             nursery.start_soon(self.host_list.run)
             nursery.start_soon(self.lists.run)
             nursery.start_soon(self.desires.run)
+            nursery.start_soon(self.placement.run)
             nursery.start_soon(self.shares.run)
             nursery.start_soon(self._announce_revision)
             await nursery.start(self.calls.run)
--- a/packages/daemon/gypsumpost_daemon/tests/test_caller_refusals.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_caller_refusals.py
@@ -15,11 +15,14 @@
 from gypsumpost_daemon.generation_supervisor import GenerationSupervisor
 from gypsumpost_daemon.key_client import KeyClient
 from gypsumpost_daemon.key_directory import KeyDirectory
+from gypsumpost_daemon.metrics import Metrics
 from gypsumpost_daemon.settings import Settings
+from gypsumpost_daemon.settings_access import SettingsAccess
 from gypsumpost_daemon.take_over_client import TakeOverClient
 from gypsumpost_daemon.tests.fake_engine import MODEL
 from gypsumpost_daemon.tests.running_hosts import run_hosts
 from gypsumpost_daemon.tests.serving_host import ServingHost
+from gypsumpost_daemon.workspace_keys import parse_workspace_keys
 
 
 @pytest.fixture
@@ -42,11 +45,13 @@
 
 async def start_application(host: ServingHost, nursery: trio.Nursery) -> CallerApplication:
     peers: Any = host.context.copies.network
+    access = SettingsAccess(keys=parse_workspace_keys("north=key"))
     supervisor = GenerationSupervisor(
         host_id=host.directory.own.host_id,
         context=host.context,
         copies=CopyStore(max_bytes=1 << 20),
         take_overs=TakeOverClient(directory=host.directory, network=peers),
+        access=access,
     )
     await nursery.start(supervisor.run)
     return CallerApplication(
@@ -54,8 +59,9 @@
         supervisor=supervisor,
         keys=KeyClient(directory=host.directory, network=peers, own_entries=KeyDirectory()),
         admission=host.gate,
-        find_workspace=lambda key: "north",
+        access=access,
         list_models=lambda: [MODEL.model],
+        metrics=Metrics(),
     )
 
 
