Wait at most half a second for the budget of a continuation

A paused engine is given up after up to 1.8 s of silence; with a further second for the retry budget and the new prefill, a second loss within a minute could exceed the limit of 3 s for a stall.

--- a/packages/daemon/gypsumpost_daemon/attempt_sequence.py
+++ b/packages/daemon/gypsumpost_daemon/attempt_sequence.py
@@ -31,8 +31,10 @@
 MAX_FRUITLESS_WAIT = 1.0
 """Seconds before the attempt that follows one without a token; they double each time."""
 
-CONTINUATION_WAIT = 1.0
-"""Longest wait for the retry budget after a loss.
+CONTINUATION_WAIT = 0.5
+"""Longest wait in seconds for the retry budget after a loss.
+
+With 1.8 s of silence before it, a stall stays below the limit of 3 s.
 
 A budget in debt refills only with first attempts. Without this limit, a generation would wait until
 its deadline on a daemon without new requests.
