Hand a generation over to one owner only

Cause: a host that had handed a generation over gave the same state to the next daemon that asked, because the request for it named the old home.

The host now names the new owner and gives its own state only to a daemon that could not reach that owner. Takeovers of one generation wait for each other, a former owner of the same epoch is rejected as one of a lower epoch is, and the epoch is part of the stream's id at the engine.

--- a/packages/core/gypsumpost_core/generation.py
+++ b/packages/core/gypsumpost_core/generation.py
@@ -66,6 +66,8 @@
         self._pending.clear()
         record.attempt += 1
         record.attempt_base = record.length
+        # While two owners exist, both may number an attempt alike and choose the same engine.
+        record.stream_id = f"{record.generation_id}-{record.epoch}.{record.attempt}"
         record.engine, record.engine_address, record.exact = engine.name, engine.address, exact
         prompt = None
         if record.pieces:
--- a/packages/core/gypsumpost_core/generation_record.py
+++ b/packages/core/gypsumpost_core/generation_record.py
@@ -31,6 +31,7 @@
     :param attempt_base: output tokens that existed when the current attempt began.
     :param engine: name of the engine of the current attempt.
     :param engine_address: its address.
+    :param stream_id: id of the current attempt's stream on its engine.
     :param exact: what the engine runs, ``None`` before the first token.
     :param prompt_token_ids: the exact prompt, empty before the first token.
     :param pieces: the answer so far.
@@ -57,6 +58,7 @@
     attempt_base: int = 0
     engine: str = ""
     engine_address: str = ""
+    stream_id: str = ""
     exact: ModelRef | None = None
     prompt_token_ids: tuple[int, ...] = ()
     pieces: list[Piece] = attrs.field(factory=list)
@@ -67,11 +69,6 @@
         """Number of output tokens so far."""
         return self.pieces[-1].end if self.pieces else 0
 
-    @property
-    def stream_id(self) -> str:
-        """Id of the current attempt's stream on its engine."""
-        return f"{self.generation_id}-{self.attempt}"
-
     def list_token_ids(self) -> list[int]:
         """Return all output token ids so far."""
         return [token for piece in self.pieces for token in piece.token_ids]
--- a/packages/daemon/gypsumpost_daemon/copies.capnp
+++ b/packages/daemon/gypsumpost_daemon/copies.capnp
@@ -36,6 +36,7 @@
   promptTokenIds @23 :Data;
   pieces @24 :Pieces;
   finishReason @25 :Text;
+  streamId @26 :Text;
 }
 
 struct Append {
@@ -60,11 +61,13 @@
 struct TakeOver {
   generationId @0 :Text;
   workspace @1 :Text;
+  lostOwner @2 :Text;       # owner that the asking host could not reach
 }
 
 struct TakeOverReply {
   found @0 :Bool;
   record @1 :Record;
+  owner @2 :Text;           # host to ask instead, because it was handed the generation
 }
 
 struct RegisterKey {
--- a/packages/daemon/gypsumpost_daemon/copy_codec.py
+++ b/packages/daemon/gypsumpost_daemon/copy_codec.py
@@ -32,6 +32,7 @@
     "attempt_base": "attemptBase",
     "engine": "engine",
     "engine_address": "engineAddress",
+    "stream_id": "streamId",
 }
 """Fields of a record that are copied as they are, with their names in the schema."""
 
--- a/packages/daemon/gypsumpost_daemon/copy_store.py
+++ b/packages/daemon/gypsumpost_daemon/copy_store.py
@@ -71,7 +71,7 @@
             for reader in batch.opened:
                 self._open(read_record(reader), request.host_id, stale)
             for change in batch.appended:
-                self._append(change, stale, missing)
+                self._append(change, request.host_id, stale, missing)
             for generation_id in batch.closed:
                 self._close(generation_id, request.host_id)
         reply = SCHEMA.CopyReply.new_message(stale=stale, missing=missing)
@@ -91,7 +91,7 @@
         if held is None or held.record.workspace != workspace:
             return None
         held.record.epoch += 1
-        held.owner = taker
+        held.owner, held.handed_over = taker, True
         LOG.write(
             "handed over",
             generation_id=generation_id,
@@ -102,6 +102,19 @@
         )
         return held.record
 
+    def find_new_owner(self, generation_id: str, workspace: str) -> str:
+        """Return the host that a generation was handed to from here, empty if there is none.
+
+        Handing the same state to a second host would make two owners, whose answers differ.
+
+        :param generation_id: the generation.
+        :param workspace: the workspace that asks.
+        """
+        held = self._held.get(generation_id)
+        if held is None or held.record.workspace != workspace or not held.handed_over:
+            return ""
+        return held.owner
+
     def drop(self, generation_id: str) -> None:
         """Drop a copy.
 
@@ -111,18 +124,18 @@
 
     def _open(self, record: GenerationRecord, owner: str, stale: list[str]) -> None:
         held = self._held.get(record.generation_id)
-        if held is not None and held.record.epoch > record.epoch:
+        if held is not None and _is_newer(held, record, owner):
             stale.append(record.generation_id)
         else:
             self.hold(record, owner)
 
-    def _append(self, change: Any, stale: list[str], missing: list[str]) -> None:
+    def _append(self, change: Any, owner: str, stale: list[str], missing: list[str]) -> None:
         generation_id: str = change.generationId
         held = self._held.get(generation_id)
         if held is None:
             missing.append(generation_id)
             return
-        if held.record.epoch != change.epoch:
+        if held.record.epoch != change.epoch or held.owner != owner:
             stale.append(generation_id)
             return
         pieces = read_pieces(change.pieces)
@@ -137,6 +150,12 @@
             del self._held[generation_id]
 
 
+def _is_newer(held: HeldCopy, record: GenerationRecord, owner: str) -> bool:
+    if held.record.epoch == record.epoch:
+        return held.owner != owner
+    return held.record.epoch > record.epoch
+
+
 def _append_pieces(held: list[Piece], pieces: list[Piece]) -> bool:
     # The owner repeats the last piece when a stop sequence cut it after it was copied.
     while held and held[-1].end > pieces[0].start:
--- a/packages/daemon/gypsumpost_daemon/generation_supervisor.py
+++ b/packages/daemon/gypsumpost_daemon/generation_supervisor.py
@@ -2,6 +2,7 @@
 
 import secrets
 import time
+from typing import Any
 
 import attrs
 import trio
@@ -16,6 +17,7 @@
 from gypsumpost_daemon.copy_store import CopyStore
 from gypsumpost_daemon.generation_context import GenerationContext
 from gypsumpost_daemon.generation_task import GenerationTask
+from gypsumpost_daemon.keyed_lock import KeyedLock
 from gypsumpost_daemon.log import Log
 from gypsumpost_daemon.peer_request import PeerRequest
 from gypsumpost_daemon.route_builder import build_route
@@ -60,6 +62,7 @@
     access: AccessControl
     _charged: dict[str, int] = attrs.field(factory=dict, init=False)
     _tasks: dict[str, GenerationTask] = attrs.field(factory=dict, init=False)
+    _recovering: KeyedLock = attrs.field(factory=KeyedLock, init=False)
     _nursery: trio.Nursery | None = attrs.field(default=None, init=False)
 
     @property
@@ -110,17 +113,20 @@
         :param event_id: the last event that the caller has.
         :param workspace: the caller's workspace.
         """
-        task = self.find(event_id.generation_id, workspace)
-        if task is not None:
-            return task
-        record = await self.take_overs.fetch(event_id, workspace)
+        # Requests for the same generation wait, so that it is taken over once.
+        async with self._recovering.hold(event_id.generation_id):
+            task = self.find(event_id.generation_id, workspace)
+            return task or await self._take_over(event_id, workspace)
+
+    async def _take_over(self, event_id: EventId, workspace: str) -> GenerationTask | None:
+        owner = self.copies.find_new_owner(event_id.generation_id, workspace)
+        record = await self.take_overs.fetch(event_id, workspace, owner)
         if record is None:
             record = self.copies.take(event_id.generation_id, workspace, self.host_id)
-            self.copies.drop(event_id.generation_id)
-        # Another request for the same generation may have been faster.
-        task = self.find(event_id.generation_id, workspace)
-        if task is not None or record is None:
-            return task
+        if record is None:
+            return None
+        # The former owner may wake; its appends are rejected because of the lower epoch.
+        self.copies.hold(record, self.host_id)
         require(
             Invariant.OWN_ANSWER,
             record.workspace == workspace,
@@ -142,15 +148,25 @@
         """
         with SCHEMA.TakeOver.from_bytes(request.payload) as message:
             generation_id, workspace = message.generationId, message.workspace
+            lost_owner = message.lostOwner
+        # This host may be about to own the generation that it is asked for.
+        async with self._recovering.hold(generation_id):
+            reply = self._hand_over(generation_id, workspace, request.host_id, lost_owner)
+        return bytes(reply.to_bytes())
+
+    def _hand_over(self, generation_id: str, workspace: str, taker: str, lost_owner: str) -> Any:
         task = self.find(generation_id, workspace)
         if task is not None and task.failure is None:
             task.stop()
             self.copies.hold(task.record, self.host_id)
-        record = self.copies.take(generation_id, workspace, request.host_id)
+        owner = self.copies.find_new_owner(generation_id, workspace)
+        if owner not in ("", self.host_id, taker, lost_owner):
+            return SCHEMA.TakeOverReply.new_message(found=False, owner=owner)
+        record = self.copies.take(generation_id, workspace, taker)
         reply = SCHEMA.TakeOverReply.new_message(found=record is not None)
         if record is not None:
             fill_record(reply.init("record"), record)
-        return bytes(reply.to_bytes())
+        return reply
 
     def cancel(self, task: GenerationTask, failure: Failure) -> None:
         """Stop a generation and drop its state here and at its holders.
@@ -212,6 +228,8 @@
 
     def _drop(self, task: GenerationTask) -> None:
         self._tasks.pop(task.record.generation_id, None)
+        if not task.moved:
+            self.copies.drop(task.record.generation_id)
         self.context.copies.remove(task.record.generation_id, task.holders, close=not task.moved)
 
 
--- a/packages/daemon/gypsumpost_daemon/held_copy.py
+++ b/packages/daemon/gypsumpost_daemon/held_copy.py
@@ -11,7 +11,9 @@
 
     :param record: the copied state.
     :param owner: host id of the current owner.
+    :param handed_over: true once the owner got the state from here; the state is then out of date.
     """
 
     record: GenerationRecord
     owner: str
+    handed_over: bool = False
