Tell the truth when a daemon without lists refuses a key

Cause: a daemon that starts during a store outage has no lists for a while and answered each key with a final 401 and not_run. A repeat of a charge that had been made was told not_run too, as was one that an allowance refused; a caller that believes it charges twice.

Without lists the daemon answers 503, which callers repeat at another one. A service call with an idempotency key that is refused before its key is looked up is told unknown.

--- a/packages/daemon/gypsumpost_daemon/caller_application.py
+++ b/packages/daemon/gypsumpost_daemon/caller_application.py
@@ -27,6 +27,7 @@
 from gypsumpost_daemon.generation_task import GenerationTask
 from gypsumpost_daemon.http_call import HttpCall
 from gypsumpost_daemon.key_client import KeyClient
+from gypsumpost_daemon.keyed_refusal import describe_keyed_refusal
 from gypsumpost_daemon.log import Log
 from gypsumpost_daemon.settings import Settings
 
@@ -88,7 +89,7 @@
             return await self._report_health(call, path)
         authenticated = self._authenticate(call)
         if isinstance(authenticated, Err):
-            return authenticated.err_value
+            return describe_keyed_refusal(call, authenticated.err_value)
         workspace = authenticated.ok_value
         body = await call.read_body(self.settings.max_body)
         if body is None:
@@ -123,7 +124,7 @@
         service = call.scope["path"].split("/")[3]
         admitted = await self.access.admit(workspace, service)
         if isinstance(admitted, Err):
-            return admitted.err_value
+            return describe_keyed_refusal(call, admitted.err_value)
         await call.respond(await self.handle_service(self._describe_call(call, workspace, body)))
         return None
 
--- a/packages/daemon/gypsumpost_daemon/list_access.py
+++ b/packages/daemon/gypsumpost_daemon/list_access.py
@@ -2,14 +2,23 @@
 
 import attrs
 import trio
-from result import Result
+from result import Err, Result
 
 from gypsumpost_core.allowance import Allowance
 from gypsumpost_core.failure import Failure
 from gypsumpost_core.generation_record import GenerationRecord
+from gypsumpost_core.run_state import RunState
 from gypsumpost_daemon.list_task import ListTask
 from gypsumpost_daemon.share_task import ShareTask
 
+NO_LISTS = Failure(
+    status=503,
+    code="lists_unknown",
+    message="This daemon has not received the lists of plans yet; ask another one.",
+    run_state=RunState.NOT_RUN,
+)
+"""A daemon that has just started cannot tell a wrong key from one that it does not know yet."""
+
 
 @attrs.frozen(kw_only=True)
 class ListAccess:
@@ -24,6 +33,8 @@
 
     def find_workspace(self, key: str) -> Result[str, Failure]:
         """Return the workspace that a bearer key belongs to."""
+        if not self.lists.revision:
+            return Err(NO_LISTS)
         return self.lists.lists.find_workspace(key)
 
     def find_allowance(self, workspace: str) -> Allowance | None:
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/tests/test_keyed_refusal.py
@@ -0,0 +1,34 @@
+"""Tests of the run states of refused service calls."""
+
+from types import SimpleNamespace
+from typing import Any
+
+from gypsumpost_core.run_state import RunState
+from gypsumpost_daemon.caller_application import CallerApplication
+from gypsumpost_daemon.list_access import NO_LISTS, ListAccess
+
+
+async def call_without_lists(path: str, headers: dict[str, str]) -> RunState:
+    """Send a request to a daemon that has just started and has no lists."""
+    unused: Any = None
+    lists: Any = SimpleNamespace(revision=0)
+    application = CallerApplication(
+        settings=unused,
+        supervisor=unused,
+        keys=unused,
+        access=ListAccess(lists=lists, shares=unused),
+        list_models=list,
+    )
+    scope = {"path": path, "method": "POST"}
+    call: Any = SimpleNamespace(scope=scope, headers={"authorization": "Bearer k"} | headers)
+    failure = await application._route(call)
+    assert failure is not None and failure.code == NO_LISTS.code
+    return failure.run_state
+
+
+async def test_refused_repeat_of_a_charge_is_not_said_not_run() -> None:
+    """Guards against a repeat that is told ``not_run`` after its charge was made (soak 22)."""
+    key = {"idempotency-key": "k"}
+    assert await call_without_lists("/v1/services/gate/charges", key) is RunState.UNKNOWN
+    assert await call_without_lists("/v1/services/gate/charges", {}) is RunState.NOT_RUN
+    assert await call_without_lists("/v1/completions", key) is RunState.NOT_RUN
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/tests/test_list_access.py
@@ -0,0 +1,22 @@
+"""Tests of access by the operators' lists."""
+
+from types import SimpleNamespace
+from typing import Any
+
+from result import Ok
+
+from gypsumpost_core.lists import Lists
+from gypsumpost_daemon.list_access import NO_LISTS, ListAccess
+
+
+def find_workspace(revision: int) -> Any:
+    lists: Any = SimpleNamespace(revision=revision, lists=Lists())
+    shares: Any = None
+    return ListAccess(lists=lists, shares=shares).find_workspace("key-1")
+
+
+def test_daemon_without_lists_refuses_no_key_for_good() -> None:
+    """Guards against a final 401 from a daemon that was started during a store outage (soak 1)."""
+    assert find_workspace(revision=0).err_value == NO_LISTS
+    assert not isinstance(find_workspace(revision=0), Ok)
+    assert find_workspace(revision=1).err_value.status == 401
