--- a/packages/cli/gypsumpost_cli/answer_client.py
+++ b/packages/cli/gypsumpost_cli/answer_client.py
@@ -1,6 +1,5 @@
 """A caller that resumes its answer after a lost connection."""
 
-import contextlib
 import itertools
 import uuid
 from typing import Any
@@ -18,8 +17,6 @@
 RECONNECT_PAUSE = 0.1
 """Seconds between tries after a refusal; the first reconnect comes at once."""
 
-LOST_CONNECTION = (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException)
-
 PATHS = {False: "/v1/completions", True: "/v1/chat/completions"}
 
 
@@ -98,9 +95,12 @@
             *headers,
         ]
         address, opened_at = next(self._turns), trio.current_time()
-        end = ConnectionEnd.LOST
-        with contextlib.suppress(*LOST_CONNECTION):
+        try:
             end = await self._exchange(answer, method, f"http://{address}{path}", headers, body)
+        except httpcore.TimeoutException:
+            end = ConnectionEnd.TIMED_OUT
+        except (httpcore.NetworkError, httpcore.ProtocolError):
+            end = ConnectionEnd.LOST
         answer.connections.append(
             Connection(address=address, opened_at=opened_at, ended_at=trio.current_time(), end=end)
         )
--- a/packages/cli/gypsumpost_cli/connection.py
+++ b/packages/cli/gypsumpost_cli/connection.py
@@ -11,6 +11,7 @@
     DONE = "done"
     REFUSED = "refused"
     LOST = "lost"
+    TIMED_OUT = "timed out"
     DROPPED = "dropped"
 
 
@@ -21,7 +22,7 @@
     :param address: the entry host.
     :param opened_at: process time in seconds at which the request was sent.
     :param ended_at: process time in seconds of its end.
-    :param end: how it ended; ``DROPPED`` by the caller itself.
+    :param end: how it ended; ``DROPPED`` and ``TIMED_OUT`` by the caller itself.
     """
 
     address: str
