--- a/packages/daemon/gypsumpost_daemon/caller_application.py
+++ b/packages/daemon/gypsumpost_daemon/caller_application.py
@@ -29,6 +29,7 @@
 from gypsumpost_daemon.generation_task import GenerationTask
 from gypsumpost_daemon.http_call import HttpCall
 from gypsumpost_daemon.key_client import KeyClient
+from gypsumpost_daemon.keyed_refusal import describe_keyed_refusal
 from gypsumpost_daemon.metrics import Metrics
 from gypsumpost_daemon.metrics_text import create_metrics_response
 from gypsumpost_daemon.settings import Settings
@@ -101,7 +102,7 @@
             return None
         authenticated = self._authenticate(call)
         if isinstance(authenticated, Err):
-            return authenticated.err_value
+            return describe_keyed_refusal(call, authenticated.err_value)
         workspace = authenticated.ok_value
         body = await call.read_body(self.settings.max_body)
         if body is None:
@@ -136,7 +137,7 @@
         service = call.scope["path"].split("/")[3]
         admitted = await self.access.admit(workspace, service)
         if isinstance(admitted, Err):
-            return admitted.err_value
+            return describe_keyed_refusal(call, admitted.err_value)
         answer = await self.handle_service(self._describe_call(call, workspace, body))
         self._events.record_service_call(call.request_id, answer.status)
         await call.respond(answer)
--- a/packages/daemon/gypsumpost_daemon/copy_store.py
+++ b/packages/daemon/gypsumpost_daemon/copy_store.py
@@ -108,7 +108,7 @@
         if held is None or held.record.workspace != workspace:
             return None
         held.record.epoch += 1
-        held.owner = taker
+        held.owner, held.handed_over = taker, True
         LOG.write(
             "handed over",
             generation_id=generation_id,
@@ -119,6 +119,19 @@
         )
         return held.record
 
+    def find_new_owner(self, generation_id: str, workspace: str) -> str:
+        """Return the host that a generation was handed to from here, empty if there is none.
+
+        Handing the same state to a second host would make two owners, whose answers differ.
+
+        :param generation_id: the generation.
+        :param workspace: the workspace that asks.
+        """
+        held = self._held.get(generation_id)
+        if held is None or held.record.workspace != workspace or not held.handed_over:
+            return ""
+        return held.owner
+
     def drop(self, generation_id: str) -> None:
         """Drop a copy.
 
--- a/packages/daemon/gypsumpost_daemon/held_copy.py
+++ b/packages/daemon/gypsumpost_daemon/held_copy.py
@@ -12,8 +12,10 @@
     :param record: the copied state.
     :param owner: host id of the current owner.
     :param size: estimated bytes of the state.
+    :param handed_over: true once the owner got the state from here; the state is then out of date.
     """
 
     record: GenerationRecord
     owner: str
     size: int
+    handed_over: bool = False
