--- a/packages/core/gypsumpost_core/generation.py
+++ b/packages/core/gypsumpost_core/generation.py
@@ -12,10 +12,6 @@
 from gypsumpost_core.stop_matcher import StopMatcher
 from gypsumpost_core.token_batch import TokenBatch
 
-ATTEMPTS_PER_EPOCH = 1_000
-"""Each owner numbers its attempts in a range of its own, so that they differ from attempts that a
-former owner began without a copy of the number reaching anybody."""
-
 FINISH_STOP = "stop"
 FINISH_LENGTH = "length"
 
@@ -70,7 +66,7 @@
         fits = record.exact is None or not record.pieces or record.exact == exact
         require(Invariant.ONE_GENERATION, fits, (record.generation_id, record.exact, exact))
         self._pending.clear()
-        record.attempt = max(record.attempt, (record.epoch - 1) * ATTEMPTS_PER_EPOCH) + 1
+        record.attempt += 1
         record.attempt_base = record.length
         # While two owners exist, both may number an attempt alike and choose the same engine.
         record.stream_id = f"{record.generation_id}-{record.epoch}.{record.attempt}"
--- a/packages/daemon/gypsumpost_daemon/tests/test_generation_attempts.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_generation_attempts.py
@@ -117,7 +117,7 @@
         await read_answer(task)
         check_whole(task, 200)
         assert task.record.engine != first.name
-        assert first.cancelled == ["g0-1"]
+        assert first.cancelled == ["g0-1.1"]
 
 
 async def test_a_stop_sequence_across_a_continuation_ends_the_answer(clock: object) -> None:
--- a/packages/daemon/gypsumpost_daemon/tests/test_take_over.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_take_over.py
@@ -1,5 +1,6 @@
 """Tests of the hand-over of generations between daemons."""
 
+from types import SimpleNamespace
 from typing import Any
 
 import attrs
@@ -15,6 +16,7 @@
 from gypsumpost_daemon.host_directory import HostDirectory
 from gypsumpost_daemon.message_kind import MessageKind
 from gypsumpost_daemon.peer_request import PeerRequest
+from gypsumpost_daemon.settings import Settings
 from gypsumpost_daemon.take_over_client import TakeOverClient
 
 
@@ -34,8 +36,9 @@
 
 def create_supervisor(copies: CopyStore) -> GenerationSupervisor:
     unused: Any = None
+    context: Any = SimpleNamespace(settings=Settings())
     return GenerationSupervisor(
-        host_id="home", context=unused, copies=copies, take_overs=unused, access=unused
+        host_id="home", context=context, copies=copies, take_overs=unused, access=unused
     )
 
 
