Let callers finish after the load of a soak run ends

Cause: the scope that ended the load also cancelled the requests in flight, so that their answers were missing from the history.

That number of runs does not prove that the failure is gone; the test now prints the errors it saw.

--- a/packages/bench/gypsumpost_bench/soak_run.py
+++ b/packages/bench/gypsumpost_bench/soak_run.py
@@ -81,9 +81,8 @@
 
     async def _repeat(self, action: Callable[[], Awaitable[None]], interval: float) -> None:
         rng = random.Random(f"{self.plan.seed} {interval}")
-        with trio.move_on_after(self.plan.seconds, shield=False) as load:
-            async with trio.open_nursery() as nursery:
-                while trio.current_time() < load.deadline:
-                    nursery.start_soon(action)
-                    await trio.sleep(rng.expovariate(1 / interval))
-                load.deadline = float("inf")
+        end = trio.current_time() + self.plan.seconds
+        async with trio.open_nursery() as nursery:
+            while trio.current_time() < end:
+                nursery.start_soon(action)
+                await trio.sleep(rng.expovariate(1 / interval))
--- a/packages/bench/gypsumpost_bench/tests/test_soak.py
+++ b/packages/bench/gypsumpost_bench/tests/test_soak.py
@@ -29,6 +29,7 @@
     await run.run(tmp_path)
     run.verdicts.pop("no stall")
     assert {name: findings for name, findings in run.verdicts.items() if findings} == {}
-    assert any(event.answer.error is None for event in run.history.answers)
+    errors = [event.answer.error for event in run.history.answers]
+    assert None in errors, errors
     assert any(len(charge.replies) > 1 for charge in run.history.charges)
     assert {fault.kind for fault in run.history.faults} >= {fault.kind for fault in FAULTS}
