Let callers of the experiment resume wait for a paused engine

Callers gave up after 1 s of silence in all scenarios. With an engine paused and resume weight 0 that moved generations to other daemons, which waited 1 s for the same engine's stream: stalls of 2.1 to 4.1 s and 166 to 403 tokens redone, which looked like a fault of the policy. Now only callers of a paused daemon give up.

--- a/packages/bench/gypsumpost_bench/resume_run.py
+++ b/packages/bench/gypsumpost_bench/resume_run.py
@@ -8,7 +8,7 @@
 
 from gypsumpost_bench.deployment import KEYS, Deployment, DeploymentPlan
 from gypsumpost_bench.resume_figures import ResumeFigures
-from gypsumpost_bench.resume_scenario import ResumeScenario
+from gypsumpost_bench.resume_scenario import ResumeFault, ResumeScenario
 from gypsumpost_bench.running_process import RunningProcess
 from gypsumpost_bench.token_counter import read_count
 from gypsumpost_bench.whole_answer import request_whole_answer
@@ -53,10 +53,13 @@
                 return self._create_figures(deployment)
 
     async def _send_requests(self, deployment: Deployment) -> None:
+        # A caller that gives up on a paused engine early moves its generation to another daemon,
+        # which then waits for the same engine.
+        paused = self.scenario.fault is ResumeFault.PAUSE_DAEMON
         client = AnswerClient(
             addresses=deployment.list_addresses(),
             key=KEYS[WORKSPACE],
-            silence_limit=SILENCE_LIMIT,
+            silence_limit=SILENCE_LIMIT if paused else None,
         )
         turns = itertools.cycle(deployment.list_addresses())
         async with trio.open_nursery() as nursery:
