Name the attempt in event ids and refuse ids of another continuation

Cause: two daemons can each take a generation over when its owner is lost or slow, and go on with different attempts. A caller that crossed from one to the other got the second's text after the first's, as an event id named the host only. Before: test_two_owners_that_went_on_differently_refuse_each_others_offsets could not be written; every offset of a boundary was accepted. Conclusion: a record lists which attempt produced which part; tokens of one engine stream count as the same part whoever reads it, so resuming a live stream refuses nobody.

--- a/packages/core/gypsumpost_core/event_id.py
+++ b/packages/core/gypsumpost_core/event_id.py
@@ -6,7 +6,8 @@
 
 NO_HOST = "-"
 _PATTERN = re.compile(
-    r"([A-Za-z0-9]{8,64})\.([A-Za-z0-9-]{1,63})\.([A-Za-z0-9-]{1,63}):(0|[1-9][0-9]{0,8})"
+    r"([A-Za-z0-9]{8,64})\.([A-Za-z0-9-]{1,63})(?:_([0-9a-z]{1,32}))?"
+    r"\.([A-Za-z0-9-]{1,63}):(0|[1-9][0-9]{0,8})"
 )
 
 
@@ -18,20 +19,22 @@
     :param home: host of the daemon that sent the event.
     :param copy: host that holds a copy, ``-`` for none.
     :param offset: output tokens that the caller has with this event.
+    :param attempt: name of the attempt that produced the last of them, empty without tokens.
     """
 
     generation_id: str
     home: str
     copy: str
     offset: int
+    attempt: str = ""
 
     def __str__(self) -> str:
-        return f"{self.generation_id}.{self.home}.{self.copy}:{self.offset}"
+        return f"{self.resume_id}:{self.offset}"
 
     @property
     def resume_id(self) -> str:
         """The id without the offset."""
-        return f"{self.generation_id}.{self.home}.{self.copy}"
+        return f"{self.generation_id}.{describe_home(self.home, self.attempt)}.{self.copy}"
 
 
 def parse_event_id(text: str) -> EventId | None:
@@ -43,5 +46,20 @@
     match = _PATTERN.fullmatch(text if ":" in text else f"{text}:0")
     if match is None:
         return None
-    generation_id, home, copy, offset = match.groups()
-    return EventId(generation_id=generation_id, home=home, copy=copy, offset=int(offset))
+    generation_id, home, attempt, copy, offset = match.groups()
+    return EventId(
+        generation_id=generation_id,
+        home=home,
+        attempt=attempt or "",
+        copy=copy,
+        offset=int(offset),
+    )
+
+
+def describe_home(home: str, attempt: str) -> str:
+    """Return the part of an event id that names the home and the attempt.
+
+    :param home: the host.
+    :param attempt: name of the attempt that produced the last token, empty without tokens.
+    """
+    return f"{home}_{attempt}" if attempt else home
--- a/packages/core/gypsumpost_core/generation.py
+++ b/packages/core/gypsumpost_core/generation.py
@@ -67,6 +67,7 @@
         require(Invariant.ONE_GENERATION, fits, (record.generation_id, record.exact, exact))
         self._pending.clear()
         record.attempt += 1
+        record.note_origin()
         record.attempt_base = record.length
         # While two owners exist, both may number an attempt alike and choose the same engine.
         record.stream_id = f"{record.generation_id}-{record.epoch}.{record.attempt}"
@@ -88,7 +89,9 @@
         """
         state = (self.record.generation_id, self.record.length)
         require(Invariant.ONE_GENERATION, not self.shown, state)
-        return Generation(record=attrs.evolve(self.record, pieces=[], finish_reason=None))
+        return Generation(
+            record=attrs.evolve(self.record, pieces=[], origins=[], finish_reason=None)
+        )
 
     def resume_stream(self) -> int:
         """Prepare to read the current attempt's stream again.
--- a/packages/core/gypsumpost_core/generation_record.py
+++ b/packages/core/gypsumpost_core/generation_record.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from gypsumpost_core.attempt_origin import AttemptOrigin
 from gypsumpost_core.generation_kind import GenerationKind
 from gypsumpost_core.model_ref import ModelRef
 from gypsumpost_core.piece import Piece
@@ -35,6 +36,8 @@
     :param exact: what the engine runs, ``None`` before the first token.
     :param prompt_token_ids: the exact prompt, empty before the first token.
     :param pieces: the answer so far.
+    :param owner_tag: random tag of the current owner, which makes its attempts' names unique.
+    :param origins: which attempt produced which part of the answer, in order.
     :param finish_reason: why the answer ended, ``None`` while it runs.
     """
 
@@ -62,6 +65,8 @@
     exact: ModelRef | None = None
     prompt_token_ids: tuple[int, ...] = ()
     pieces: list[Piece] = attrs.field(factory=list)
+    owner_tag: str = ""
+    origins: list[AttemptOrigin] = attrs.field(factory=list)
     finish_reason: str | None = None
 
     @property
@@ -72,3 +77,35 @@
     def list_token_ids(self) -> list[int]:
         """Return all output token ids so far."""
         return [token for piece in self.pieces for token in piece.token_ids]
+
+    def note_origin(self) -> None:
+        """Note that the tokens from here on come from the current attempt."""
+        if self.origins and self.origins[-1].base == self.length:
+            self.origins.pop()
+        name = f"{self.owner_tag}{self.attempt}"
+        self.origins.append(AttemptOrigin(name=name, base=self.length))
+
+    def find_origin(self, offset: int) -> str:
+        """Return the name of the attempt that produced the token before an offset.
+
+        :param offset: number of output tokens; the name is empty for 0.
+        """
+        for origin in reversed(self.origins):
+            if origin.base < offset:
+                return origin.name
+        return ""
+
+    def continues(self, name: str, offset: int) -> bool:
+        """Return whether this answer begins with the tokens that a caller has.
+
+        Two daemons that each took the generation over can go on with it differently.
+
+        :param name: name of the attempt that produced the caller's last token.
+        :param offset: output tokens that the caller has.
+        """
+        if not offset:
+            return True
+        for origin, following in zip(self.origins, [*self.origins[1:], None], strict=True):
+            if origin.name == name:
+                return following is None or offset <= following.base
+        return False
--- /dev/null
+++ b/packages/core/gypsumpost_core/tests/test_attempt_origin.py
@@ -0,0 +1,93 @@
+"""Tests of the origins of an answer's parts."""
+
+import attrs
+
+from gypsumpost_core.endpoint import Endpoint
+from gypsumpost_core.endpoint_kind import EndpointKind
+from gypsumpost_core.event_id import EventId, parse_event_id
+from gypsumpost_core.generation import Generation
+from gypsumpost_core.generation_kind import GenerationKind
+from gypsumpost_core.generation_record import GenerationRecord
+from gypsumpost_core.model_ref import ModelRef
+from gypsumpost_core.token_batch import TokenBatch
+
+MODEL = ModelRef(model="summary")
+ENGINE = Endpoint(
+    name="e1", kind=EndpointKind.ENGINE, address="", failure_domain="d1", models=(MODEL,)
+)
+
+
+def create_record() -> GenerationRecord:
+    return GenerationRecord(
+        generation_id="generation",
+        workspace="w",
+        request_id="r",
+        kind=GenerationKind.COMPLETION,
+        body=b"{}",
+        model="summary",
+        max_tokens=100,
+        owner_tag="aaa",
+    )
+
+
+def produce(record: GenerationRecord, count: int, new_attempt: bool) -> None:
+    generation = Generation(record=record)
+    if new_attempt:
+        generation.begin_attempt(ENGINE, MODEL)
+    for number in range(count):
+        offset = record.length - record.attempt_base
+        generation.accept(
+            TokenBatch(
+                attempt=record.attempt,
+                offset=offset,
+                token_ids=(number,),
+                text="x",
+                prompt_token_ids=(1,) if offset == 0 else None,
+            )
+        )
+
+
+def take_over(record: GenerationRecord, tag: str) -> GenerationRecord:
+    return attrs.evolve(
+        record,
+        owner_tag=tag,
+        epoch=record.epoch + 1,
+        pieces=list(record.pieces),
+        origins=list(record.origins),
+    )
+
+
+def test_two_owners_that_went_on_differently_refuse_each_others_offsets() -> None:
+    """Guards against an answer mixed from two continuations of one generation."""
+    first = create_record()
+    produce(first, 5, new_attempt=True)
+    left, right = take_over(first, "bbb"), take_over(first, "ccc")
+    produce(left, 3, new_attempt=True)
+    produce(right, 3, new_attempt=True)
+    for offset in range(1, 6):
+        assert left.find_origin(offset) == right.find_origin(offset) == "aaa1"
+        assert left.continues("aaa1", offset) and right.continues("aaa1", offset)
+    for offset in range(6, 9):
+        name = left.find_origin(offset)
+        assert left.continues(name, offset)
+        assert not right.continues(name, offset)
+    assert not left.continues("aaa1", 6)
+
+
+def test_owner_that_reads_the_same_stream_accepts_later_offsets() -> None:
+    """Guards against a refusal of tokens that the live stream of the engine still brings."""
+    first = create_record()
+    produce(first, 5, new_attempt=True)
+    second = take_over(first, "bbb")
+    produce(second, 3, new_attempt=False)
+    assert second.find_origin(8) == "aaa1"
+    assert first.continues("aaa1", 8) and second.continues("aaa1", 8)
+
+
+def test_event_id_carries_the_attempt() -> None:
+    """Guards against ids that do not tell which continuation a caller has."""
+    event_id = EventId(
+        generation_id="generation", home="d1-host1", copy="-", offset=7, attempt="aaa1"
+    )
+    assert str(event_id) == "generation.d1-host1_aaa1.-:7"
+    assert parse_event_id(str(event_id)) == event_id
--- a/packages/daemon/gypsumpost_daemon/caller_application.py
+++ b/packages/daemon/gypsumpost_daemon/caller_application.py
@@ -277,6 +277,8 @@
         task = await self._recover(event_id, workspace)
         if task is None:
             return Err(_lose("There is no such generation, or its state is lost."))
+        if not task.record.continues(event_id.attempt, event_id.offset):
+            return Err(_lose("The answer went on differently elsewhere."))
         if event_id.offset > task.record.length and not task.generation.finished:
             # The tokens may still be in the engine's live stream; a new attempt would differ.
             task.require_length(event_id.offset)
--- a/packages/daemon/gypsumpost_daemon/copies.capnp
+++ b/packages/daemon/gypsumpost_daemon/copies.capnp
@@ -37,6 +37,8 @@
   pieces @24 :Pieces;
   finishReason @25 :Text;
   streamId @26 :Text;
+  ownerTag @27 :Text;
+  origins @28 :Text;        # name:base of each attempt, separated by commas
 }
 
 struct Append {
--- a/packages/daemon/gypsumpost_daemon/copy_codec.py
+++ b/packages/daemon/gypsumpost_daemon/copy_codec.py
@@ -6,6 +6,7 @@
 
 import capnp
 
+from gypsumpost_core.attempt_origin import AttemptOrigin
 from gypsumpost_core.generation_kind import GenerationKind
 from gypsumpost_core.generation_record import GenerationRecord
 from gypsumpost_core.model_ref import ModelRef
@@ -33,6 +34,7 @@
     "attempt_base": "attemptBase",
     "engine": "engine",
     "engine_address": "engineAddress",
+    "owner_tag": "ownerTag",
     "stream_id": "streamId",
 }
 """Fields of a record that are copied as they are, with their names in the schema."""
@@ -118,6 +120,7 @@
         builder.exactAdapter = record.exact.adapter
     builder.promptTokenIds = array("I", record.prompt_token_ids).tobytes()
     fill_pieces(builder.init("pieces"), record.pieces)
+    builder.origins = ",".join(f"{origin.name}:{origin.base}" for origin in record.origins)
     builder.finishReason = record.finish_reason or ""
 
 
@@ -139,5 +142,11 @@
         exact=exact,
         prompt_token_ids=tuple(array("I", reader.promptTokenIds)),
         pieces=read_pieces(reader.pieces),
+        origins=[_read_origin(text) for text in reader.origins.split(",") if text],
         finish_reason=reader.finishReason or None,
     )
+
+
+def _read_origin(text: str) -> AttemptOrigin:
+    name, _, base = text.partition(":")
+    return AttemptOrigin(name=name, base=int(base))
--- a/packages/daemon/gypsumpost_daemon/event_encoder.py
+++ b/packages/daemon/gypsumpost_daemon/event_encoder.py
@@ -6,6 +6,8 @@
 import attrs
 import orjson
 
+from gypsumpost_core.event_id import describe_home
+
 DONE = b"data: [DONE]\n\n"
 
 
@@ -33,7 +35,7 @@
     """Encodes events from parts that are prepared once per generation.
 
     Only text, token ids and offsets are encoded for each event. Every event has the id
-    ``<generation>.<home>.<copy or "-">:<tokens released with this event included>``.
+    ``<generation>.<home>_<attempt>.<copy or "-">:<tokens released with this event included>``.
 
     :param source: what is the same in all events.
     :param copy: host that holds the copy, ``-`` for none.
@@ -53,15 +55,17 @@
         text_start = b'"delta":{"content":' if source.chat else b'"text":'
         self._choice_start = b',"choices":[{"index":0,' + text_start
         self._text_end = b"}" if source.chat else b""
-        self.set_copy(copy)
+        self.set_place(copy, "")
 
-    def set_copy(self, copy: str) -> None:
-        """Name another holder of the copy in the ids from now on.
+    def set_place(self, copy: str, attempt: str) -> None:
+        """Name another holder of the copy or another attempt in the ids from now on.
 
         :param copy: host that holds the copy, ``-`` for none.
+        :param attempt: name of the attempt that produced the tokens, empty without tokens.
         """
         source = self._source
-        self._id_start = f"id: {source.generation_id}.{source.home}.{copy}:".encode()
+        home = describe_home(source.home, attempt)
+        self._id_start = f"id: {source.generation_id}.{home}.{copy}:".encode()
         self._data_start = b"\ndata: " + self._object_start + b',"offset":'
 
     def encode_tokens(
--- a/packages/daemon/gypsumpost_daemon/generation_responder.py
+++ b/packages/daemon/gypsumpost_daemon/generation_responder.py
@@ -37,6 +37,7 @@
     supervisor: GenerationSupervisor
     events: CallerEvents
     _sent: int = attrs.field(default=0, init=False)
+    _place: tuple[list[str], str] | None = attrs.field(default=None, init=False)
 
     async def respond(
         self, call: HttpCall, task: GenerationTask, offset: int, stream: bool, usage: bool
@@ -92,12 +93,8 @@
         encoder = self._create_encoder(task)
         if offset == 0 and task.record.kind is GenerationKind.CHAT:
             await call.write(encoder.encode_role())
-        holders = task.holders
         while pieces:
-            if task.holders is not holders:
-                holders = task.holders
-                encoder.set_copy(self.supervisor.describe_event(task, 0).copy)
-            await call.write(_encode_pieces(encoder, task, pieces))
+            await call.write(self._encode_pieces(encoder, task, pieces))
             self._sent = offset = pieces[-1].end
             pieces = await task.read(offset)
         await call.write(self._encode_end(task, encoder, offset, usage), more=False)
@@ -131,6 +128,19 @@
         )
         return EventEncoder(source=source, copy=self.supervisor.describe_event(task, 0).copy)
 
+    def _encode_pieces(
+        self, encoder: EventEncoder, task: GenerationTask, pieces: list[Piece]
+    ) -> bytes:
+        events = []
+        for piece in pieces:
+            place = task.holders, task.record.find_origin(piece.end)
+            if place != self._place:
+                self._place = place
+                copy = self.supervisor.describe_event(task, 0).copy
+                encoder.set_place(copy, place[1])
+            events.append(_encode_piece(encoder, task, piece))
+        return events[0] if len(events) == 1 else b"".join(events)
+
     def _describe_place(self, task: GenerationTask) -> dict[str, str]:
         return {"x-generation-id": self.supervisor.describe_event(task, 0).resume_id}
 
@@ -140,14 +150,9 @@
     scope.cancel()
 
 
-def _encode_pieces(encoder: EventEncoder, task: GenerationTask, pieces: list[Piece]) -> bytes:
-    events = []
-    for piece in pieces:
-        prompt = task.record.prompt_token_ids if piece.start == 0 else None
-        events.append(
-            encoder.encode_tokens(piece.start, piece.text, piece.token_ids, prompt_token_ids=prompt)
-        )
-    return events[0] if len(events) == 1 else b"".join(events)
+def _encode_piece(encoder: EventEncoder, task: GenerationTask, piece: Piece) -> bytes:
+    prompt = task.record.prompt_token_ids if piece.start == 0 else None
+    return encoder.encode_tokens(piece.start, piece.text, piece.token_ids, prompt_token_ids=prompt)
 
 
 def _find_failure(task: GenerationTask) -> Failure | None:
--- a/packages/daemon/gypsumpost_daemon/generation_supervisor.py
+++ b/packages/daemon/gypsumpost_daemon/generation_supervisor.py
@@ -31,6 +31,8 @@
 REVIEW_INTERVAL = 0.5
 """Seconds between searches for generations to drop."""
 
+OWNER_TAG_BYTES = 3
+
 ABANDON_SECONDS = 30.0
 """A running generation that nobody reads for this long is stopped."""
 
@@ -108,6 +110,7 @@
         :param counted: true if the workspace's allowance counts it as running already.
         """
         assert self._nursery is not None
+        record.owner_tag = secrets.token_hex(OWNER_TAG_BYTES)
         route = build_route(record)
         task = GenerationTask(record=record, route=route, context=self.context)
         self._tasks[record.generation_id] = task
@@ -208,6 +211,7 @@
             home=self.host_id,
             copy=holder,
             offset=offset,
+            attempt=task.record.find_origin(offset),
         )
 
     def describe_unplaced(self, generation_id: str) -> EventId:
--- a/packages/daemon/gypsumpost_daemon/tests/test_event_encoder.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_event_encoder.py
@@ -64,7 +64,7 @@
 def test_id_names_the_present_holder_of_the_copy():
     """Guards against a caller that resumes at a host which no longer holds the copy."""
     encoder = create_encoder(False)
-    encoder.set_copy("-")
+    encoder.set_place("-", "")
     assert encoder.encode_tokens(3, "a", [1]).startswith(b"id: g1.h1.-:4\n")
 
 
