Move the deadline of one scope while a stream is read

A takeover waited up to 1 s for an engine that does not answer a resume call. Conclusion: one scope per stream; the wait for the resume call is 0.3 s.

--- a/packages/daemon/gypsumpost_daemon/attempt_reader.py
+++ b/packages/daemon/gypsumpost_daemon/attempt_reader.py
@@ -20,8 +20,9 @@
 from gypsumpost_daemon.generation_status import GenerationStatus
 from gypsumpost_daemon.stall_timer import StallTimer
 
-CONNECT_SECONDS = 1.0
-"""Longest wait for the head of an engine's response to a resume call."""
+CONNECT_SECONDS = 0.3
+"""Longest wait for the head of an engine's response to a resume call. An engine answers within
+milliseconds; a caller of a daemon that has just taken over waits meanwhile."""
 
 CANCELLED_BY_ENGINE = "cancelled"
 """Finish reason of a stream that its engine gave up; it is not the end of the answer."""
@@ -101,19 +102,24 @@
         check_at = 0.0
         while True:
             with trio.move_on_at(max(check_at, self._find_silence_end(route))) as scope:
-                received = await stream.receive()
-            if scope.cancelled_caught:
-                decision = self._decide(connected=True)
-                if decision.action is not ResumptionAction.WAIT:
-                    return AttemptOutcome.SILENT
-                check_at = decision.check_at
-                continue
-            check_at = 0.0
+                return await self._read_events(stream, route, scope)
+            decision = self._decide(connected=True)
+            if decision.action is not ResumptionAction.WAIT:
+                return AttemptOutcome.SILENT
+            check_at = decision.check_at
+
+    async def _read_events(
+        self, stream: EngineStream, route: RouteRequest, scope: trio.CancelScope
+    ) -> AttemptOutcome:
+        # Moving the deadline of one scope costs less than a scope for each read.
+        while True:
+            received = await stream.receive()
             if isinstance(received, Err):
                 return AttemptOutcome.DIED
             outcome = self._take_events(received.ok_value, route)
             if outcome is not None:
                 return outcome
+            scope.deadline = self._find_silence_end(route)
 
     def _take_events(
         self, events: Sequence[EngineEvent], route: RouteRequest
