Split the callers' application by job

Before and after: the tests of the callers' interface pass; behaviour is the same. Conclusion: RecordFactory, GenerationFinder, call_headers and caller_refusals stand apart.

--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/generation_finder.py
@@ -0,0 +1,87 @@
+"""Finds the generation that a caller asks for again."""
+
+import attrs
+from result import Err, Ok, Result
+
+from gypsumpost_core.event_id import EventId, parse_event_id
+from gypsumpost_core.failure import Failure
+from gypsumpost_core.generation_record import GenerationRecord
+from gypsumpost_daemon.caller_refusals import refuse_request, report_lost_generation
+from gypsumpost_daemon.generation_supervisor import GenerationSupervisor
+from gypsumpost_daemon.generation_task import GenerationTask
+from gypsumpost_daemon.http_call import HttpCall
+from gypsumpost_daemon.key_client import KeyClient
+
+
+@attrs.frozen(kw_only=True)
+class GenerationFinder:
+    """Looks generations up by event id and by idempotency key.
+
+    :param supervisor: runs generations and takes them over.
+    :param keys: finds generations by idempotency key.
+    """
+
+    supervisor: GenerationSupervisor
+    keys: KeyClient
+
+    async def find_repeat(
+        self, call: HttpCall, record: GenerationRecord
+    ) -> Result[tuple[GenerationTask | None, int], Failure]:
+        """Find the generation that a repeated request belongs to, and the caller's offset.
+
+        :param call: the caller's request.
+        :param record: the record that a new generation would have.
+        :returns: no generation for a request that is not a repeat.
+        """
+        last_event = call.headers.get("last-event-id", "")
+        if last_event:
+            return await self._resume_post(last_event, record)
+        if not record.idempotency_key:
+            return Ok((None, 0))
+        known = await self.keys.find(record)
+        if isinstance(known, Err):
+            return known
+        if known.ok_value is None:
+            return Ok((None, 0))
+        return Ok((await self.supervisor.recover(known.ok_value, record.workspace), 0))
+
+    async def _resume_post(
+        self, last_event: str, record: GenerationRecord
+    ) -> Result[tuple[GenerationTask, int], Failure]:
+        event_id = parse_event_id(last_event)
+        if event_id is None:
+            return Err(refuse_request(400, "invalid_event_id", "Last-Event-ID is not an event id."))
+        found = await self.resume(event_id, record.workspace)
+        if isinstance(found, Ok) and found.ok_value[0].record.body != record.body:
+            return Err(
+                refuse_request(422, "invalid_event_id", "Last-Event-ID is of another request.")
+            )
+        return found
+
+    async def resume(
+        self, event_id: EventId, workspace: str
+    ) -> Result[tuple[GenerationTask, int], Failure]:
+        """Find the generation that an event id names, and the caller's offset.
+
+        :param event_id: the last event that the caller has.
+        :param workspace: the caller's workspace.
+        """
+        task = await self._recover(event_id, workspace)
+        if task is None:
+            return Err(report_lost_generation("There is no such generation, or its state is lost."))
+        if not task.record.continues(event_id.attempt, event_id.offset):
+            return Err(report_lost_generation("The answer went on differently elsewhere."))
+        if event_id.offset > task.record.length and not task.generation.finished:
+            # The tokens may still be in the engine's live stream; a new attempt would differ.
+            task.require_length(event_id.offset)
+        elif not task.generation.has_boundary(event_id.offset):
+            return Err(
+                refuse_request(400, "invalid_event_id", "Last-Event-ID is not of this answer.")
+            )
+        return Ok((task, event_id.offset))
+
+    async def _recover(self, event_id: EventId, workspace: str) -> GenerationTask | None:
+        task = await self.supervisor.recover(event_id, workspace)
+        if task is not None:
+            await self.keys.register(task.record, task.holders)
+        return task
