Run scripted store faults on the stand-in's own store logic

Cause: two developers had written a store in memory side by side; the second had no leases. Conclusion: one implementation of transactions, ranges and events serves all tests.

--- a/packages/bench/gypsumpost_bench/scripted_store.py
+++ b/packages/bench/gypsumpost_bench/scripted_store.py
@@ -6,22 +6,19 @@
 import trio
 from result import Err, Ok, Result
 
+from gypsumpost_bench.memory_store import MemoryStore
+from gypsumpost_bench.store_logic import StoreLogic
 from gypsumpost_daemon.store_event import StoreEvent
 from gypsumpost_daemon.store_failure import StoreFailure
-from gypsumpost_daemon.store_key_value import StoreKeyValue
-from gypsumpost_daemon.store_transaction import (
-    StoreCompare,
-    StoreGet,
-    StoreOperation,
-    StorePut,
-    StoreTransaction,
-)
+from gypsumpost_daemon.store_transaction import StoreTransaction
 from gypsumpost_daemon.store_transaction_result import StoreTransactionResult
 
+DOWN = StoreFailure(reason="down", sent=False)
+
 
 @attrs.define(kw_only=True)
 class ScriptedStore:
-    """Keeps keys in memory.
+    """The stand-in's store behind a script of faults.
 
     :param faults: for each coming write: ``"before"`` loses the call, ``"after"`` its answer.
     :param down: true while nothing reaches the store.
@@ -29,11 +26,9 @@
 
     faults: list[str] = attrs.field(factory=list)
     down: bool = False
-    revision: int = 1
-    watches: int = 0
-    keys: dict[bytes, StoreKeyValue] = attrs.field(factory=dict)
-    events: list[StoreEvent] = attrs.field(factory=list)
-    changed: trio.Event = attrs.field(factory=trio.Event)
+    watches: int = attrs.field(default=0, init=False)
+    _logic: StoreLogic = attrs.field(factory=StoreLogic, init=False)
+    _waiting: set[trio.Event] = attrs.field(factory=set, init=False)
 
     async def run_transaction(
         self, transaction: StoreTransaction, deadline: float
@@ -41,26 +36,32 @@
         """Run a transaction unless a fault is due."""
         await trio.lowlevel.checkpoint()
         if self.down:
-            return Err(StoreFailure(reason="down", sent=False))
+            return Err(DOWN)
         fault = self.faults.pop(0) if self.faults and transaction.compare else ""
         if fault == "before":
             return Err(StoreFailure(reason="lost call", sent=True))
-        result = self._run(transaction)
+        result = self._logic.run_transaction(transaction, trio.current_time())
         if fault == "after":
             return Err(StoreFailure(reason="lost answer", sent=True))
         return Ok(result)
 
     async def grant_lease(self, ttl_seconds: int, deadline: float) -> Result[int, StoreFailure]:
-        """Leases are not part of this store."""
-        raise NotImplementedError
+        """Create a lease and return its id."""
+        if self.down:
+            return Err(DOWN)
+        return await MemoryStore(logic=self._logic).grant_lease(ttl_seconds, deadline)
 
     async def keep_lease(self, lease: int, deadline: float) -> Result[int, StoreFailure]:
-        """Leases are not part of this store."""
-        raise NotImplementedError
+        """Renew a lease and return its remaining seconds, 0 if it has lapsed."""
+        if self.down:
+            return Err(DOWN)
+        return await MemoryStore(logic=self._logic).keep_lease(lease, deadline)
 
     async def revoke_lease(self, lease: int, deadline: float) -> Result[None, StoreFailure]:
-        """Leases are not part of this store."""
-        raise NotImplementedError
+        """End a lease and delete its keys."""
+        if self.down:
+            return Err(DOWN)
+        return await MemoryStore(logic=self._logic).revoke_lease(lease, deadline)
 
     async def watch(
         self, key: bytes, range_end: bytes, start_revision: int
@@ -69,70 +70,27 @@
         self.watches += 1
         try:
             while not self.down:
-                found = [
-                    event
-                    for event in self.events
-                    if event.mod_revision >= start_revision and key <= event.key < range_end
-                ]
-                if found:
-                    start_revision = found[-1].mod_revision + 1
-                    yield found
-                await self.changed.wait()
+                events = self._logic.list_events(key, range_end, start_revision)
+                if events:
+                    start_revision = events[-1].mod_revision + 1
+                    yield events
+                else:
+                    await self._wait_for_change()
         finally:
             self.watches -= 1
 
+    async def _wait_for_change(self) -> None:
+        changed = trio.Event()
+        self._waiting.add(changed)
+        stop = self._logic.listen(changed.set)
+        try:
+            await changed.wait()
+        finally:
+            stop()
+            self._waiting.discard(changed)
+
     def set_down(self, down: bool) -> None:
         """Cut or restore the store; a cut ends all watches."""
         self.down = down
-        self._wake()
-
-    def _wake(self) -> None:
-        self.changed.set()
-        self.changed = trio.Event()
-
-    def _run(self, transaction: StoreTransaction) -> StoreTransactionResult:
-        succeeded = all(map(self._holds, transaction.compare))
-        operations = transaction.success if succeeded else transaction.failure
-        if any(not isinstance(operation, StoreGet) for operation in operations):
-            self.revision += 1
-        results = tuple(self._operate(operation) for operation in operations)
-        self._wake()
-        return StoreTransactionResult(succeeded=succeeded, revision=self.revision, results=results)
-
-    def _holds(self, compare: StoreCompare) -> bool:
-        pair = self.keys.get(compare.key)
-        if compare.value is not None:
-            return pair is not None and pair.value == compare.value
-        if compare.mod_revision is not None:
-            return (pair.mod_revision if pair else 0) == compare.mod_revision
-        return (pair.create_revision if pair else 0) == compare.create_revision
-
-    def _operate(
-        self, operation: StoreOperation
-    ) -> tuple[StoreKeyValue, ...] | StoreTransactionResult:
-        if isinstance(operation, StoreTransaction):
-            return self._run(operation)
-        if isinstance(operation, StorePut):
-            self._put(operation)
-            return ()
-        end = operation.range_end or operation.key + b"\0"
-        found = tuple(self.keys[key] for key in sorted(self.keys) if operation.key <= key < end)
-        if isinstance(operation, StoreGet):
-            return found
-        for pair in found:
-            del self.keys[pair.key]
-            self._record(pair.key, None)
-        return ()
-
-    def _put(self, operation: StorePut) -> None:
-        before = self.keys.get(operation.key)
-        self.keys[operation.key] = StoreKeyValue(
-            key=operation.key,
-            value=operation.value,
-            create_revision=before.create_revision if before else self.revision,
-            mod_revision=self.revision,
-        )
-        self._record(operation.key, operation.value)
-
-    def _record(self, key: bytes, value: bytes | None) -> None:
-        self.events.append(StoreEvent(key=key, value=value, mod_revision=self.revision))
+        for waiting in self._waiting:
+            waiting.set()
