--- a/packages/bench/gypsumpost_bench/experiments.py
+++ b/packages/bench/gypsumpost_bench/experiments.py
@@ -2,10 +2,12 @@
 
 from gypsumpost_bench import (  # noqa: F401
     experiment_admission,
+    experiment_allowances,
     experiment_calls,
     experiment_lists,
     experiment_membership,
     experiment_path,
+    experiment_placement,
     experiment_resume,
     experiment_routing,
     experiment_slopes,
--- a/packages/bench/gypsumpost_bench/measure.py
+++ b/packages/bench/gypsumpost_bench/measure.py
@@ -20,7 +20,15 @@
 QUICK_NAMES = ("admission", "lists", "membership", "resume")
 """Experiments whose quick runs together take less than a minute."""
 
-SIMULATED_NAMES = ("admission", "lists", "membership", "routing", "suspicion")
+SIMULATED_NAMES = (
+    "admission",
+    "allowances",
+    "lists",
+    "membership",
+    "placement",
+    "routing",
+    "suspicion",
+)
 """Experiments in simulated time; they run in a process beside the others, which saves minutes."""
 
 SHORT_NAMES = ("path", "token-path")
