Admit by the engines' free slots, not by an equal share of daemons

Cause: the admission gate gave each daemon the engines' assumed slots divided by the live daemons. A daemon that got all the load was held at its part while the engines were nearly idle, and an engine that never queued was taken to have 32 slots for ever. Conclusion: a daemon may start what runs plus a quarter of the free slots, and at least its equal share.

--- a/packages/core/gypsumpost_core/engine_estimate.py
+++ b/packages/core/gypsumpost_core/engine_estimate.py
@@ -14,6 +14,10 @@
 """Own starts and ends that are kept while no report arrives."""
 
 
+SLOT_GROWTH = 2.0
+"""Assumed batch limit over the running generations of an engine that has not queued any."""
+
+
 @attrs.define(kw_only=True)
 class EngineEstimate:
     """Speed by batch size, prefill speed, and load corrected by this daemon's own sends.
@@ -87,8 +91,12 @@
         return max(self.in_flight, reported + self._change_sum)
 
     def get_slots(self) -> int:
-        """Return the batch limit, as seen when the engine last queued requests."""
-        return self._slots or self.settings.slots
+        """Return the batch limit, as seen when the engine last queued requests.
+
+        An engine that has never queued any is taken to have room beyond what it runs.
+        """
+        running = self.in_flight if self.report is None else self.report.running
+        return self._slots or max(self.settings.slots, int(running * SLOT_GROWTH) + 1)
 
     def estimate_queue(self) -> float:
         """Return the expected length of the engine's queue."""
--- a/packages/core/gypsumpost_core/engine_fleet.py
+++ b/packages/core/gypsumpost_core/engine_fleet.py
@@ -119,8 +119,16 @@
 
     def count_slots(self, model: str, now: float) -> int:
         """Return the batch slots of a model's engines that can take work."""
-        usable = [e for e in self.list_model(model) if not self.is_leaving(e.endpoint.name)]
-        return sum(e.estimate.get_slots() for e in usable if not e.health.is_down(now))
+        return sum(engine.estimate.get_slots() for engine in self._list_usable(model, now))
+
+    def count_free_slots(self, model: str, now: float) -> int:
+        """Return those of the slots that no generation of any daemon uses."""
+        estimates = [engine.estimate for engine in self._list_usable(model, now)]
+        return sum(max(0, each.get_slots() - each.estimate_load()) for each in estimates)
+
+    def _list_usable(self, model: str, now: float) -> list[EngineView]:
+        staying = [e for e in self.list_model(model) if not self.is_leaving(e.endpoint.name)]
+        return [engine for engine in staying if not engine.health.is_down(now)]
 
     def _list_live(
         self, engines: list[EngineView], request: RouteRequest, now: float
--- a/packages/core/gypsumpost_core/router.py
+++ b/packages/core/gypsumpost_core/router.py
@@ -228,6 +228,10 @@
         """Return the batch slots of a model's engines that can take work."""
         return self._fleet.count_slots(model, now)
 
+    def count_free_slots(self, model: str, now: float) -> int:
+        """Return those of the slots that no generation of any daemon uses."""
+        return self._fleet.count_free_slots(model, now)
+
     def _create_context(self, now: float) -> RoutingContext:
         return RoutingContext(
             settings=self._settings,
--- a/packages/daemon/gypsumpost_daemon/admission_gate.py
+++ b/packages/daemon/gypsumpost_daemon/admission_gate.py
@@ -21,6 +21,9 @@
 CAPACITY_SECONDS = 0.5
 """Time between reviews of the capacity; a review looks at all engines of the model."""
 
+FREE_SHARE = 0.25
+"""Part of the free slots that one daemon takes at a review; several may review at once."""
+
 
 @attrs.define(kw_only=True, eq=False)
 class AdmissionWait:
@@ -140,10 +143,17 @@
         if now >= entry.review_at:
             entry.review_at = now + CAPACITY_SECONDS
             entry.admission.unix_offset = time.time() - now
-            capacity = self.router.count_slots(model, now) / len(self.directory.list_live())
+            capacity = self._compute_capacity(entry.admission, model, now)
             self._apply(entry.admission.update_capacity(capacity, now))
         return entry.admission
 
+    def _compute_capacity(self, admission: Admission, model: str, now: float) -> float:
+        # Daemons get unequal load: a busy one may use what the others leave free, and an idle one
+        # always has its equal share.
+        equal = 1 / len(self.directory.list_live())
+        free = self.router.count_free_slots(model, now) * max(equal, FREE_SHARE)
+        return max(equal * self.router.count_slots(model, now), admission.count_running() + free)
+
     def _apply(self, decisions: Iterable[AdmissionDecision]) -> None:
         for decision in decisions:
             wait = self._requests.get(decision.request_id)
