Let requests that waited for a first share in at its rate

Cause: while a fleet is cold, requests of a workspace wait up to 5 s for the first share and then ask all at once; the share's burst let some in and refused the others, although the allowance was ample. The experiments path and resume ran with the platform and its cold shares since the deployment starts one by default; they measured refusals, not the path. Conclusion: a cold request keeps asking for 7 s at most; path and resume run without a platform.

--- a/packages/bench/gypsumpost_bench/path_run.py
+++ b/packages/bench/gypsumpost_bench/path_run.py
@@ -72,6 +72,8 @@
             domains=("d1", "d2"),
             hosts_per_domain=case.holders,
             token_gaps=(),
+            platform=False,
+            services=0,
             daemon_flags=("--copy-placement", case.placement, "--stop-deadline", "0"),
             engine_addresses=tuple(map(read_line, engines)),
         )
--- a/packages/bench/gypsumpost_bench/resume_run.py
+++ b/packages/bench/gypsumpost_bench/resume_run.py
@@ -45,7 +45,12 @@
 
     async def measure(self) -> ResumeFigures:
         """Run the scenario and return its figures."""
-        plan = DeploymentPlan(token_gaps=(TOKEN_GAP,) * ENGINES, daemon_flags=self.scenario.flags)
+        plan = DeploymentPlan(
+            platform=False,
+            services=0,
+            token_gaps=(TOKEN_GAP,) * ENGINES,
+            daemon_flags=self.scenario.flags,
+        )
         with trio.fail_after(LIMIT):
             async with Deployment(plan=plan) as deployment:
                 await self._send_requests(deployment)
--- a/packages/daemon/gypsumpost_daemon/list_access.py
+++ b/packages/daemon/gypsumpost_daemon/list_access.py
@@ -20,6 +20,14 @@
 """A daemon that has just started cannot tell a wrong key from one that it does not know yet."""
 
 
+TOO_MANY_REQUESTS = 429
+COLD_SECONDS = 7.0
+"""Longest wait of a request that found no share of its workspace's allowance here: a new
+coordinator grants none for 4.5 s, and the first share is small."""
+
+COLD_RETRY_SECONDS = 0.1
+
+
 @attrs.frozen(kw_only=True)
 class ListAccess:
     """Enforces the lists in force with this daemon's shares.
@@ -44,9 +52,21 @@
     async def admit(self, workspace: str, resource: str) -> Result[None, Failure]:
         """Take one request for a model or service from the workspace's allowance."""
         allowance = self.find_allowance(workspace)
-        if allowance is not None and allowance.requests_per_second > 0:
-            await self.shares.prepare(workspace)
-        return self.shares.admission.check(workspace, resource, trio.current_time())
+        admission = self.shares.admission
+        now = trio.current_time()
+        if allowance is None or not allowance.requests_per_second:
+            return admission.check(workspace, resource, now)
+        # Requests that waited for the first share are let in at its rate, not all at once.
+        cold = not admission.has_share(workspace, now)
+        patience = now + COLD_SECONDS if cold else now
+        await self.shares.prepare(workspace)
+        checked = admission.check(workspace, resource, trio.current_time())
+        while isinstance(checked, Err) and checked.err_value.status == TOO_MANY_REQUESTS:
+            if trio.current_time() >= patience:
+                break
+            await trio.sleep(COLD_RETRY_SECONDS)
+            checked = admission.check(workspace, resource, trio.current_time())
+        return checked
 
     def start_generation(self, record: GenerationRecord) -> None:
         """Count a generation as running."""
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/tests/test_list_access_cold.py
@@ -0,0 +1,56 @@
+"""Tests of requests that find no share of an allowance yet."""
+
+from types import SimpleNamespace
+from typing import Any
+
+import trio
+from result import Err, Ok, Result
+
+from gypsumpost_core.failure import Failure
+from gypsumpost_core.run_state import RunState
+from gypsumpost_daemon.list_access import TOO_MANY_REQUESTS, ListAccess
+
+REFUSED = Failure(
+    status=TOO_MANY_REQUESTS, code="requests_per_second", message="", run_state=RunState.NOT_RUN
+)
+
+
+class FakeAdmission:
+    """Refuses requests until a number of checks have been made."""
+
+    def __init__(self, refusals: int, has_share: bool) -> None:
+        self.refusals = refusals
+        self.share = has_share
+
+    def has_share(self, workspace: str, now: float) -> bool:
+        return self.share
+
+    def check(self, workspace: str, resource: str, now: float) -> Result[None, Failure]:
+        self.refusals -= 1
+        return Ok(None) if self.refusals < 0 else Err(REFUSED)
+
+
+async def admit(refusals: int, has_share: bool) -> Result[None, Failure]:
+    async def prepare(workspace: str) -> None:
+        await trio.sleep(5)
+
+    allowance = SimpleNamespace(requests_per_second=10)
+    lists: Any = SimpleNamespace(lists=SimpleNamespace(find_allowance=lambda name: allowance))
+    admission = FakeAdmission(refusals, has_share)
+    shares: Any = SimpleNamespace(admission=admission, prepare=prepare)
+    return await ListAccess(lists=lists, shares=shares).admit("north", "summary")
+
+
+async def test_requests_that_waited_for_a_share_wait_for_its_rate_too(autojump_clock: Any) -> None:
+    """Guards against refusals of callers who arrive together after a start, under an ample plan."""
+    assert isinstance(await admit(refusals=15, has_share=False), Ok)
+
+
+async def test_refusal_under_a_held_share_comes_at_once(autojump_clock: Any) -> None:
+    """Guards against callers who wait for an allowance that is used up."""
+    assert isinstance(await admit(refusals=1, has_share=True), Err)
+
+
+async def test_wait_of_a_cold_request_is_bounded(autojump_clock: Any) -> None:
+    """Guards against callers who wait for ever for a share that never comes."""
+    assert isinstance(await admit(refusals=1000, has_share=False), Err)
