Flood the engines of the callers' refusal test

Cause: the test relied on the equal share of daemons, which the gate no longer uses; 60 requests did not fill two engines of 64 slots, so that nothing had to be refused. Before: 1 of 542 tests failed in a fresh clone.

--- a/packages/daemon/gypsumpost_daemon/tests/test_caller_refusals.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_caller_refusals.py
@@ -93,7 +93,7 @@
 
 async def test_callers_of_a_flood_get_an_answer_or_a_refusal(clock: object) -> None:
     """Guards against a caller's path that does not pass the gate or never frees its slots."""
-    async with run_hosts(2) as ([host], engines, nursery):
+    async with run_hosts(2, slots=3) as ([host], engines, nursery):
         application = await start_application(host, nursery)
         replies: list[Reply] = []
         for number in range(60):
