Answer the ASGI lifespan in one place and drop an unused constant

Cause: the callers' and the operators' applications each had the same loop, and the copy store kept a constant that only the record factory uses. Before and after: formatter, linter and types clean; the 62 tests of these parts pass. Conclusion: behaviour is the same.

--- a/packages/daemon/gypsumpost_daemon/admin_application.py
+++ b/packages/daemon/gypsumpost_daemon/admin_application.py
@@ -10,6 +10,7 @@
 
 from gypsumpost_daemon.admin_request import AdminRequest
 from gypsumpost_daemon.admin_response import create_error_response
+from gypsumpost_daemon.asgi_lifespan import complete_lifespan
 from gypsumpost_daemon.caller_response import CallerResponse
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
@@ -42,7 +43,7 @@
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Serve one ASGI connection scope."""
         if scope["type"] == "lifespan":
-            await _serve_lifespan(receive, send)
+            await complete_lifespan(receive, send)
         elif scope["type"] == "http":
             await _send_response(send, await self._respond(scope, receive))
 
@@ -98,11 +99,3 @@
     headers.append((b"content-length", str(len(response.body)).encode()))
     await send({"type": "http.response.start", "status": response.status, "headers": headers})
     await send({"type": "http.response.body", "body": response.body})
-
-
-async def _serve_lifespan(receive: Any, send: Any) -> None:
-    while True:
-        event = await receive()
-        await send({"type": event["type"] + ".complete"})
-        if event["type"] == "lifespan.shutdown":
-            return
--- a/packages/daemon/gypsumpost_daemon/caller_application.py
+++ b/packages/daemon/gypsumpost_daemon/caller_application.py
@@ -18,6 +18,7 @@
 from gypsumpost_daemon.access_control import AccessControl
 from gypsumpost_daemon.admission_gate import AdmissionGate
 from gypsumpost_daemon.asgi_application import Receive, Scope, Send
+from gypsumpost_daemon.asgi_lifespan import complete_lifespan
 from gypsumpost_daemon.call_headers import read_deadline
 from gypsumpost_daemon.caller_events import CallerEvents
 from gypsumpost_daemon.caller_refusals import CANCELLED, refuse_request
@@ -78,7 +79,7 @@
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one ASGI connection scope."""
         if scope["type"] == "lifespan":
-            await _complete_lifespan(receive, send)
+            await complete_lifespan(receive, send)
         elif scope["type"] == "http":
             await self._serve(scope, receive, send)
 
@@ -251,11 +252,3 @@
 def _encode_json(value: Any) -> CallerResponse:
     headers = {"content-type": "application/json"}
     return CallerResponse(status=200, headers=headers, body=orjson.dumps(value))
-
-
-async def _complete_lifespan(receive: Receive, send: Send) -> None:
-    while True:
-        message = await receive()
-        await send({"type": f"{message['type']}.complete"})
-        if message["type"] == "lifespan.shutdown":
-            return
--- a/packages/daemon/gypsumpost_daemon/copy_store.py
+++ b/packages/daemon/gypsumpost_daemon/copy_store.py
@@ -20,9 +20,6 @@
 EXPIRY_INTERVAL = 1.0
 """Seconds between searches for copies whose deadline has passed."""
 
-HOLD_AFTER_DEADLINE = 120.0
-"""Seconds after the request's deadline for which an unfinished copy is held."""
-
 
 @attrs.define(kw_only=True)
 class CopyStore:
