--- a/Makefile
+++ b/Makefile
@@ -3,28 +3,28 @@
 BIN := $(VENV)/bin
 
 # The checkout's own packages come first, so that several checkouts can share one environment.
-export PYTHONPATH := $(CURDIR)/packages/core:$(CURDIR)/packages/daemon:$(CURDIR)/packages/cli:$(CURDIR)/packages/bench
+export PYTHONPATH := $(CURDIR)/packages/core:$(CURDIR)/packages/daemon:$(CURDIR)/packages/cli:$(CURDIR)/packages/bench:$(CURDIR)/platform
 
 .PHONY: test check demo measure soak format
 
-$(VENV)/installed: requirements.txt $(wildcard packages/*/pyproject.toml)
+$(VENV)/installed: requirements.txt $(wildcard packages/*/pyproject.toml platform/pyproject.toml)
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --disable-pip-version-check --requirement requirements.txt
-	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation $(foreach p,core daemon cli bench,--editable packages/$(p))
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation $(foreach p,core daemon cli bench,--editable packages/$(p)) --editable platform
 	touch $@
 
 test: $(VENV)/installed
 	$(MAKE) --no-print-directory check
 
 check:
-	$(BIN)/black --check --quiet packages
-	$(BIN)/ruff check packages
+	$(BIN)/black --check --quiet packages platform
+	$(BIN)/ruff check packages platform
 	$(BIN)/mypy
 	$(BIN)/pytest
 
 format: $(VENV)/installed
-	$(BIN)/black --quiet packages
-	$(BIN)/ruff check --fix packages
+	$(BIN)/black --quiet packages platform
+	$(BIN)/ruff check --fix packages platform
 
 demo: $(VENV)/installed
 	$(BIN)/python -m gypsumpost_bench.demo
--- /dev/null
+++ b/packages/core/gypsumpost_core/gateway/endpoint_fleet.py
@@ -0,0 +1,91 @@
+"""The endpoints of all services."""
+
+from collections.abc import Iterator
+
+import attrs
+
+from gypsumpost_core.gateway.endpoint_record import EndpointRecord
+from gypsumpost_core.gateway.endpoint_state import NEVER, EndpointState
+
+DOMAIN_SUSPICION_SECONDS = 1.3
+"""Engines of a domain mostly fail together; new work avoids the domain of a lost one this long."""
+
+
+@attrs.define(kw_only=True)
+class EndpointFleet:
+    """Follows which endpoints exist and which of them are taken for lost.
+
+    Losses are observations of this host or of its peers. A loss holds for one start of an
+    endpoint: another start of the same id, or an answer, ends it.
+    """
+
+    _states: dict[str, EndpointState] = attrs.field(factory=dict, init=False)
+    _domain_losses: dict[tuple[str, str], float] = attrs.field(factory=dict, init=False)
+
+    def put(self, record: EndpointRecord) -> None:
+        """Add an endpoint or take in a change of its record.
+
+        :param record: the record.
+        """
+        state = self._states.get(record.endpoint_id)
+        if state is None or state.record.started_at != record.started_at:
+            self._states[record.endpoint_id] = EndpointState(record=record)
+        else:
+            state.record = record
+
+    def remove(self, endpoint_id: str) -> None:
+        """Remove an endpoint that is gone."""
+        self._states.pop(endpoint_id, None)
+
+    def find(self, endpoint_id: str) -> EndpointState | None:
+        """Return an endpoint by its id."""
+        return self._states.get(endpoint_id)
+
+    def __iter__(self) -> Iterator[EndpointState]:
+        return iter(list(self._states.values()))
+
+    def list_service(self, service: str) -> list[EndpointState]:
+        """Return the endpoints of a service that take new work, lost ones included."""
+        return [
+            state
+            for state in self._states.values()
+            if state.record.service == service and not state.record.leaving
+        ]
+
+    def mark_lost(self, endpoint_id: str, started_at: int, now: float) -> bool:
+        """Note that an endpoint does not answer.
+
+        :param endpoint_id: the endpoint.
+        :param started_at: the start that was observed, see :class:`EndpointRecord`.
+        :param now: process time in seconds.
+        :returns: true if this is news.
+        """
+        state = self._states.get(endpoint_id)
+        if state is None or state.record.started_at != started_at:
+            return False
+        news = not state.lost
+        if news:
+            state.lost_at = now
+        domain = (state.record.service, state.record.failure_domain)
+        self._domain_losses[domain] = now
+        return news
+
+    def mark_alive(self, endpoint_id: str, now: float) -> None:
+        """Note a sign of life of an endpoint."""
+        state = self._states.get(endpoint_id)
+        if state is not None:
+            state.lost_at = NEVER
+            state.alive_at = now
+
+    def get_domain_loss(self, service: str, failure_domain: str) -> float:
+        """Return the process time at which an endpoint of a service was last lost in a domain.
+
+        :param service: name of the service.
+        :param failure_domain: name of the domain.
+        """
+        return self._domain_losses.get((service, failure_domain), NEVER)
+
+    def is_domain_suspect(self, service: str, failure_domain: str, now: float) -> bool:
+        """Return true shortly after a loss of an endpoint of the service in the domain."""
+        lost_at = self.get_domain_loss(service, failure_domain)
+        return now < lost_at + DOMAIN_SUSPICION_SECONDS
--- /dev/null
+++ b/packages/core/gypsumpost_core/gateway/engine_choice.py
@@ -0,0 +1,119 @@
+"""Chooses the engine of a stream and the engine that holds its copy."""
+
+from collections.abc import Collection, Mapping
+
+import attrs
+
+from gypsumpost_core.gateway.endpoint_fleet import EndpointFleet
+from gypsumpost_core.gateway.endpoint_state import EndpointState
+from gypsumpost_core.gateway.engine_limits import EngineLimits
+from gypsumpost_core.gateway.engine_use import EngineUse
+
+READING_RATE = 4000.0
+"""Prompt tokens an engine reads in a second, assumed before one was observed."""
+
+RUNNING_SECONDS = 0.03
+"""Delay of a first event by each stream that runs beside it."""
+
+CROSS_DOMAIN_SECONDS = 0.05
+"""Preference for the own domain, as traffic between domains is dear."""
+
+FULL_MEMORY = 0.9
+"""Share of the memory that may be promised; beyond it, engines preempt streams."""
+
+FULL_SECONDS = 20.0
+"""Weight of memory that is promised twice: a preempted prompt is read again."""
+
+NO_USE = EngineUse()
+
+
+@attrs.frozen(kw_only=True)
+class EngineChoice:
+    """Compares engines by the time to the first event and by the room that they have.
+
+    :param fleet: the endpoints.
+    :param use: work of all hosts by engine.
+    :param failure_domain: domain of this host.
+    :param now: process time in seconds.
+    """
+
+    fleet: EndpointFleet
+    use: Mapping[str, EngineUse]
+    failure_domain: str
+    now: float
+
+    def choose_engine(
+        self,
+        service: str,
+        limits: EngineLimits,
+        *,
+        prompt_tokens: int,
+        total_tokens: int,
+        tried: Collection[str] = (),
+    ) -> EndpointState | None:
+        """Return the engine for a new stream, ``None`` if none takes work now.
+
+        :param service: name of the service.
+        :param limits: limits of its engines.
+        :param prompt_tokens: tokens of the prompt.
+        :param total_tokens: tokens that the stream holds at most.
+        :param tried: ids of engines that are not to be used.
+        """
+        usable = [
+            state for state in self._list_sound(service) if state.record.endpoint_id not in tried
+        ]
+        if not usable:
+            return None
+
+        def weigh(state: EndpointState) -> float:
+            use = self._get_use(state)
+            rate = state.reading_rate or READING_RATE
+            seconds = (use.reading_tokens + prompt_tokens) / rate
+            seconds += RUNNING_SECONDS * use.running
+            if state.record.failure_domain != self.failure_domain:
+                seconds += CROSS_DOMAIN_SECONDS
+            return seconds + self._weigh_room(state, limits, total_tokens)
+
+        return min(usable, key=weigh)
+
+    def choose_copy(
+        self, service: str, limits: EngineLimits, *, engine: EndpointState, total_tokens: int
+    ) -> EndpointState | None:
+        """Return the engine that is to hold the copy of a stream, in another domain.
+
+        :param service: name of the service.
+        :param limits: limits of its engines.
+        :param engine: the engine that runs the stream.
+        :param total_tokens: tokens that the stream holds at most.
+        """
+        domain = engine.record.failure_domain
+        usable = [s for s in self._list_sound(service) if s.record.failure_domain != domain]
+        if not limits.keeps_copies or not usable:
+            return None
+
+        def weigh(state: EndpointState) -> float:
+            use = self._get_use(state)
+            held = use.memory_tokens + use.copy_tokens
+            return held / limits.memory_tokens + self._weigh_room(state, limits, total_tokens)
+
+        return min(usable, key=weigh)
+
+    def _list_sound(self, service: str) -> list[EndpointState]:
+        states = [state for state in self.fleet.list_service(service) if not state.lost]
+        calm = [
+            state
+            for state in states
+            if not self.fleet.is_domain_suspect(service, state.record.failure_domain, self.now)
+        ]
+        return calm or states
+
+    def _get_use(self, state: EndpointState) -> EngineUse:
+        return self.use.get(state.record.endpoint_id, NO_USE)
+
+    def _weigh_room(self, state: EndpointState, limits: EngineLimits, total_tokens: int) -> float:
+        use = self._get_use(state)
+        promised = use.memory_tokens + use.copy_tokens + total_tokens
+        excess = promised / limits.memory_tokens - FULL_MEMORY
+        return FULL_SECONDS * max(0.0, excess) + (
+            FULL_SECONDS if use.running >= limits.slots else 0.0
+        )
--- /dev/null
+++ b/packages/core/gypsumpost_core/gateway/engine_use.py
@@ -0,0 +1,26 @@
+"""The work on one engine."""
+
+import attrs
+
+
+@attrs.define(kw_only=True)
+class EngineUse:
+    """What the streams of one host, or of all hosts, take of an engine.
+
+    :param running: streams.
+    :param reading_tokens: prompt tokens that are still to be read.
+    :param memory_tokens: prompt and output tokens of the streams.
+    :param copy_tokens: tokens of the copies that the engine holds for streams of other engines.
+    """
+
+    running: int = 0
+    reading_tokens: int = 0
+    memory_tokens: int = 0
+    copy_tokens: int = 0
+
+    def add(self, other: "EngineUse") -> None:
+        """Add the work that another host reports."""
+        self.running += other.running
+        self.reading_tokens += other.reading_tokens
+        self.memory_tokens += other.memory_tokens
+        self.copy_tokens += other.copy_tokens
--- /dev/null
+++ b/packages/core/gypsumpost_core/gateway/item_table.py
@@ -0,0 +1,57 @@
+"""The items under one prefix of the store, as far as this host has heard of them."""
+
+from collections.abc import Iterable
+
+from gypsumpost_core.gateway.stored_item import StoredItem
+
+
+class ItemTable:
+    """Applies changes that arrive in any order and from several sources.
+
+    Removed keys keep their revision, so that an older write that arrives late has no effect.
+    """
+
+    def __init__(self) -> None:
+        self._items: dict[str, StoredItem] = {}
+        self.revision = 0
+
+    def apply(self, items: Iterable[StoredItem], revision: int) -> list[StoredItem]:
+        """Take in changes and return those that are new.
+
+        :param items: the changes.
+        :param revision: revision of the store up to which the changes are complete.
+        """
+        changed = []
+        for item in items:
+            known = self._items.get(item.key)
+            if known is None or item.revision > known.revision:
+                self._items[item.key] = item
+                changed.append(item)
+        self.revision = max(self.revision, revision)
+        return changed
+
+    def replace(self, items: Iterable[StoredItem], revision: int) -> list[StoredItem]:
+        """Take in all items as of a revision and return what changed, with the keys that went.
+
+        :param items: all items that exist.
+        :param revision: revision of the store at which the reading began.
+        """
+        present = list(items)
+        keys = {item.key for item in present}
+        gone = [
+            StoredItem(key=item.key, revision=revision, value=None)
+            for item in self._items.values()
+            if item.value is not None and item.key not in keys and item.revision <= revision
+        ]
+        return self.apply([*present, *gone], revision)
+
+    def list_present(self) -> list[StoredItem]:
+        """Return the items that exist."""
+        return [item for item in self._items.values() if item.value is not None]
+
+    def list_since(self, revision: int) -> list[StoredItem]:
+        """Return the changes after a revision, removals included.
+
+        :param revision: revision of the store.
+        """
+        return [item for item in self._items.values() if item.revision > revision]
--- /dev/null
+++ b/packages/core/gypsumpost_core/gateway/service.py
@@ -0,0 +1,19 @@
+"""A service: endpoints that answer the same requests."""
+
+import attrs
+
+from gypsumpost_core.gateway.engine_limits import EngineLimits
+
+
+@attrs.frozen(kw_only=True)
+class Service:
+    """A service of the configuration.
+
+    :param name: name of the service.
+    :param max_connections: connections that one endpoint accepts from all callers together.
+    :param engine: limits of its engines, ``None`` for a plain service.
+    """
+
+    name: str
+    max_connections: int
+    engine: EngineLimits | None = None
--- /dev/null
+++ b/packages/core/gypsumpost_core/gateway/use_table.py
@@ -0,0 +1,63 @@
+"""The work on all engines."""
+
+from collections.abc import Mapping
+
+import attrs
+
+from gypsumpost_core.gateway.engine_use import EngineUse
+from gypsumpost_core.gateway.stream_use import StreamUse
+
+REPORT_SECONDS = 2.0
+"""Four times the interval of the peers' reports; older ones no longer count."""
+
+
+@attrs.define(kw_only=True)
+class UseTable:
+    """Adds up the streams of this host and what the peers report of theirs."""
+
+    _streams: dict[int, StreamUse] = attrs.field(factory=dict, init=False)
+    _peers: dict[str, tuple[float, Mapping[str, EngineUse]]] = attrs.field(factory=dict, init=False)
+
+    def put(self, use: StreamUse) -> None:
+        """Count a stream until it is dropped; its fields may change meanwhile."""
+        self._streams[id(use)] = use
+
+    def drop(self, use: StreamUse) -> None:
+        """Stop counting a stream."""
+        self._streams.pop(id(use), None)
+
+    def take_report(self, host_id: str, use: Mapping[str, EngineUse], now: float) -> None:
+        """Replace what a peer has reported.
+
+        :param host_id: the peer.
+        :param use: its work by engine.
+        :param now: process time in seconds.
+        """
+        self._peers[host_id] = (now + REPORT_SECONDS, use)
+
+    def sum_own(self) -> dict[str, EngineUse]:
+        """Return the work of this host by engine."""
+        found: dict[str, EngineUse] = {}
+        for stream in self._streams.values():
+            use = found.setdefault(stream.engine, EngineUse())
+            use.running += 1
+            use.reading_tokens += stream.prompt_tokens if stream.reading else 0
+            use.memory_tokens += stream.total_tokens
+            if stream.copy_engine:
+                copy = found.setdefault(stream.copy_engine, EngineUse())
+                copy.copy_tokens += stream.total_tokens
+        return found
+
+    def sum_all(self, now: float) -> dict[str, EngineUse]:
+        """Return the work of all hosts by engine.
+
+        :param now: process time in seconds.
+        """
+        found = self.sum_own()
+        for host_id, (expires_at, report) in list(self._peers.items()):
+            if expires_at < now:
+                del self._peers[host_id]
+                continue
+            for engine, use in report.items():
+                found.setdefault(engine, EngineUse()).add(use)
+        return found
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/gateway/adapter.py
@@ -0,0 +1,40 @@
+"""Interface between the gateway and the platform that it runs on."""
+
+from typing import Protocol
+
+from result import Result
+
+from gypsumpost_core.gateway.configuration import Configuration
+from gypsumpost_core.gateway.endpoint_record import EndpointRecord
+from gypsumpost_daemon.gateway.gateway_settings import GatewaySettings
+from gypsumpost_daemon.gateway.header_names import HeaderNames
+from gypsumpost_daemon.gateway.item_store import ItemStore
+
+
+class GatewayAdapter(Protocol):
+    """Names, formats and calls of a platform; decides nothing.
+
+    ``headers`` are its header names, ``configuration_prefix`` and ``endpoint_prefix`` begin the
+    keys that are watched, ``configuration_key`` holds the newest configuration.
+    """
+
+    headers: HeaderNames
+    configuration_prefix: str
+    configuration_key: str
+    endpoint_prefix: str
+
+    def read_settings(self) -> Result[GatewaySettings, list[str]]:
+        """Return the settings of this process, or what is wrong with them."""
+        ...
+
+    def create_store(self, settings: GatewaySettings) -> ItemStore:
+        """Return a client of the store."""
+        ...
+
+    def decode_configuration(self, value: bytes) -> Result[Configuration, str]:
+        """Return the configuration in a stored document, or why it cannot be read."""
+        ...
+
+    def decode_endpoint(self, key: str, value: bytes) -> Result[EndpointRecord, str]:
+        """Return the endpoint of an entry, or why the entry names none."""
+        ...
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/gateway/call_forwarder.py
@@ -0,0 +1,201 @@
+"""Forwards calls that are answered at once."""
+
+import trio
+from result import Err, Ok, Result
+
+from gypsumpost_core.gateway.endpoint_choice import choose_endpoint
+from gypsumpost_core.gateway.endpoint_state import EndpointState
+from gypsumpost_core.gateway.request_kind import RequestKind
+from gypsumpost_core.run_state import RunState
+from gypsumpost_daemon.gateway.attempt_failure import AttemptFailure
+from gypsumpost_daemon.gateway.caller_call import CallerCall
+from gypsumpost_daemon.gateway.caller_exchange import CallerExchange
+from gypsumpost_daemon.gateway.endpoint_answer import EndpointAnswer
+from gypsumpost_daemon.gateway.forward_context import ForwardContext
+from gypsumpost_daemon.gateway.forwarder import FORWARDERS
+from gypsumpost_daemon.gateway.message_headers import find_header, select_response_headers
+from gypsumpost_daemon.h11_engine_connection import connect
+from gypsumpost_daemon.log import Log
+
+CONNECT_SECONDS = 0.08
+"""Several round trips; after it another endpoint is tried, as nothing was sent."""
+
+MAX_CONNECTS = 6
+FIRST_SHARE = 0.4
+"""Share of the time left that the first of two attempts may take."""
+
+RETRY_AFTER_SECONDS = 0.1
+NO_ENDPOINT_SHARE = 0.125
+"""Share of the objective for which a call waits for an endpoint."""
+
+SERVER_FAULT = 500
+MISDIRECTED = 421
+UNTRUE_REFUSALS = frozenset({408, 421, 429, 503})
+"""Statuses that promise a caller that its request has not run."""
+
+LOG = Log(prefix="call")
+
+
+@FORWARDERS.register(RequestKind.IDEMPOTENT.value)
+@FORWARDERS.register(RequestKind.NON_IDEMPOTENT.value)
+class CallForwarder:
+    """Sends a call to one endpoint, and to another one where that is safe.
+
+    :param context: what the forwarders share.
+    """
+
+    def __init__(self, *, context: ForwardContext) -> None:
+        self._context = context
+
+    async def forward(self, call: CallerCall, exchange: CallerExchange) -> None:
+        """Answer the request.
+
+        :param call: the request.
+        :param exchange: the caller's side.
+        """
+        tried: set[str] = set()
+        connects = sends = 0
+        may_have_run = False
+        last: EndpointAnswer | None = None
+        reason = "no endpoint takes work"
+        while trio.current_time() < call.deadline and connects < MAX_CONNECTS:
+            if sends >= call.route.max_attempts:
+                break
+            if sends and not self._context.try_retry(call.service):
+                reason = "the retry budget is spent"
+                break
+            state = await self._choose(call, tried)
+            if state is None:
+                break
+            connects += 1
+            tried.add(state.record.endpoint_id)
+            limit = self._limit_attempt(call, sends)
+            done = await self._send(call, state, limit)
+            if isinstance(done, Ok):
+                sends += 1
+                last = done.ok_value
+                if last.status < SERVER_FAULT or not call.route.repeatable:
+                    break
+                may_have_run = True
+                continue
+            sends += done.err_value.sent
+            may_have_run = may_have_run or done.err_value.may_have_run
+            reason = done.err_value.reason
+            LOG.write(
+                "an attempt failed",
+                request=call.request_id,
+                endpoint=state.record.endpoint_id,
+                reason=reason,
+                may_have_run=done.err_value.may_have_run,
+            )
+            if done.err_value.may_have_run and not call.route.repeatable:
+                break
+        if last is not None:
+            await exchange.respond(last.status, select_response_headers(last.headers), last.body)
+            return
+        await self._refuse(call, exchange, may_have_run, reason)
+
+    async def _refuse(
+        self, call: CallerCall, exchange: CallerExchange, may_have_run: bool, reason: str
+    ) -> None:
+        late = trio.current_time() >= call.deadline
+        LOG.write("refused", request=call.request_id, reason=reason, may_have_run=may_have_run)
+        if not may_have_run:
+            text = f"The request has not run: {reason}."
+            await exchange.refuse(503, text, RunState.NOT_RUN, RETRY_AFTER_SECONDS)
+        else:
+            text = f"The endpoint gave no whole answer: {reason}."
+            await exchange.refuse(504 if late else 502, text, RunState.UNKNOWN)
+
+    async def _choose(self, call: CallerCall, tried: set[str]) -> EndpointState | None:
+        context = self._context
+        give_up = trio.current_time() + NO_ENDPOINT_SHARE * call.route.objective
+        while True:
+            state = choose_endpoint(
+                context.directory.fleet.list_service(call.service),
+                failure_domain=context.settings.failure_domain,
+                tried=tried,
+            )
+            if state is not None or trio.current_time() >= give_up:
+                return state
+            await context.directory.wait_change(give_up)
+
+    def _limit_attempt(self, call: CallerCall, sends: int) -> float:
+        """Return the process time at which an attempt is given up for another one."""
+        if not call.route.repeatable or sends + 1 >= call.route.max_attempts:
+            return call.deadline
+        now = trio.current_time()
+        return now + max(FIRST_SHARE * (call.deadline - now), call.route.objective)
+
+    async def _send(
+        self, call: CallerCall, state: EndpointState, limit: float
+    ) -> Result[EndpointAnswer, AttemptFailure]:
+        began = trio.current_time()
+        state.pending += 1
+        failed = True
+        try:
+            done = await self._exchange(call, state, limit)
+            failed = isinstance(done, Err) or done.ok_value.status >= SERVER_FAULT
+            return done
+        finally:
+            state.pending -= 1
+            state.observe_answer(trio.current_time() - began, failed)
+
+    async def _exchange(
+        self, call: CallerCall, state: EndpointState, limit: float
+    ) -> Result[EndpointAnswer, AttemptFailure]:
+        record = state.record
+        opened = await connect(
+            record.address,
+            min(limit, trio.current_time() + CONNECT_SECONDS),
+            fast_chunks=False,
+        )
+        if isinstance(opened, Err):
+            self._context.monitor.suspect(record, opened.err_value.reason)
+            return Err(
+                AttemptFailure(reason=opened.err_value.reason, may_have_run=False, sent=False)
+            )
+        connection = opened.ok_value
+        try:
+            with trio.move_on_at(min(limit, call.deadline)):
+                request = self._context.create_request(call, record.endpoint_id)
+                sent = await connection.send(request)
+                if isinstance(sent, Err):
+                    self._context.monitor.suspect(record, sent.err_value.reason)
+                    failure = sent.err_value
+                    return Err(
+                        AttemptFailure(reason=failure.reason, may_have_run=failure.may_have_run)
+                    )
+                pieces = []
+                while piece := await connection.receive_body():
+                    pieces.append(piece)
+                head = sent.ok_value
+                return self._judge(
+                    call,
+                    state,
+                    EndpointAnswer(
+                        status=head.status_code, headers=list(head.headers), body=b"".join(pieces)
+                    ),
+                )
+        except OSError as error:
+            return Err(AttemptFailure(reason=str(error), may_have_run=True))
+        finally:
+            connection.close()
+        return Err(AttemptFailure(reason="no answer in time", may_have_run=True))
+
+    def _judge(
+        self, call: CallerCall, state: EndpointState, answer: EndpointAnswer
+    ) -> Result[EndpointAnswer, AttemptFailure]:
+        names = self._context.names
+        if answer.status == MISDIRECTED:
+            self._context.monitor.mark_lost(state.record, "another endpoint has the address")
+            return Err(AttemptFailure(reason="another endpoint", may_have_run=False, sent=False))
+        if find_header(answer.headers, names.not_run) is not None:
+            return Err(AttemptFailure(reason=f"refused with {answer.status}", may_have_run=False))
+        answered = find_header(answer.headers, names.request_id)
+        if answered is not None and answered.decode("latin-1") != call.request_id:
+            return Err(AttemptFailure(reason="answer to another request", may_have_run=True))
+        sealed = find_header(answer.headers, names.seal) is not None
+        if not sealed or answer.status in UNTRUE_REFUSALS:
+            return Err(AttemptFailure(reason=f"unsealed {answer.status}", may_have_run=True))
+        return Ok(answer)
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/gateway/caller_exchange.py
@@ -0,0 +1,101 @@
+"""One request of a caller and the response to it."""
+
+import orjson
+
+from gypsumpost_core.run_state import RunState
+from gypsumpost_daemon.asgi_application import Receive, Scope, Send
+from gypsumpost_daemon.http_exchange import ABORT, DISCONNECT
+
+Headers = list[tuple[bytes, bytes]]
+
+
+class CallerExchange:
+    """Reads the body and writes the response through ASGI.
+
+    :param scope: scope of the request.
+    :param receive: ASGI ``receive``.
+    :param send: ASGI ``send``.
+    """
+
+    def __init__(self, *, scope: Scope, receive: Receive, send: Send) -> None:
+        self.method: str = scope["method"]
+        self.raw_path: bytes = scope["raw_path"]
+        self.query: bytes = scope["query_string"]
+        self.headers: Headers = scope["headers"]
+        self._receive = receive
+        self._send = send
+        self.started = False
+        self.status = 0
+
+    @property
+    def target(self) -> str:
+        """Path with the query."""
+        path = self.raw_path.decode("latin-1")
+        return f"{path}?{self.query.decode('latin-1')}" if self.query else path
+
+    async def read_body(self) -> bytes | None:
+        """Return the whole body, ``None`` if the caller left or the request was refused."""
+        pieces = []
+        while True:
+            message = await self._receive()
+            if message["type"] == DISCONNECT:
+                return None
+            pieces.append(message["body"])
+            if not message["more_body"]:
+                return b"".join(pieces)
+
+    async def wait_until_gone(self) -> None:
+        """Wait until the caller has left."""
+        while (await self._receive())["type"] != DISCONNECT:
+            pass
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Begin the response.
+
+        :param status: status code.
+        :param headers: headers; without a length the body is sent in chunks.
+        """
+        self.started = True
+        self.status = status
+        await self._send({"type": "http.response.start", "status": status, "headers": headers})
+
+    async def send(self, body: bytes, *, more: bool) -> None:
+        """Send a part of the body.
+
+        :param body: the part.
+        :param more: false for the last part.
+        """
+        await self._send({"type": "http.response.body", "body": body, "more_body": more})
+
+    async def respond(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a whole response.
+
+        :param status: status code.
+        :param headers: headers without the length.
+        :param body: the body.
+        """
+        await self.start(status, [*headers, (b"content-length", b"%d" % len(body))])
+        await self.send(body, more=False)
+
+    async def refuse(
+        self, status: int, reason: str, run_state: RunState, retry_after: float = 0.0
+    ) -> None:
+        """Send a failure of this host, or break the response off if it has begun.
+
+        :param status: status code.
+        :param reason: one sentence for the caller.
+        :param run_state: whether the request has run.
+        :param retry_after: seconds after which the caller may try again, 0 for no advice.
+        """
+        if self.started:
+            await self.abort()
+            return
+        headers: Headers = [(b"content-type", b"application/json")]
+        if retry_after:
+            headers.append((b"retry-after", b"%.2f" % retry_after))
+        error = {"message": reason, "run_state": run_state.value}
+        await self.respond(status, headers, orjson.dumps({"error": error}))
+
+    async def abort(self) -> None:
+        """Close the connection, so that the response does not look complete."""
+        await self._send({"type": ABORT})
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/gateway/directory.py
@@ -0,0 +1,161 @@
+"""The configuration and the endpoints, as far as this host has heard of them."""
+
+import math
+from collections.abc import Iterable
+
+import trio
+from result import Err
+
+from gypsumpost_core.gateway.endpoint_fleet import EndpointFleet
+from gypsumpost_core.gateway.item_table import ItemTable
+from gypsumpost_core.gateway.route_table import RouteTable
+from gypsumpost_core.gateway.stored_item import StoredItem
+from gypsumpost_daemon.gateway.adapter import GatewayAdapter
+from gypsumpost_daemon.log import Log
+
+RETURN_SECONDS = 2.2
+"""Endpoints whose entries lapsed during an outage of the store write them again in this time."""
+
+LOG = Log(prefix="directory")
+
+
+class Directory:
+    """Takes in items from the store or from peers and keeps what they say.
+
+    :param adapter: decodes the items.
+    """
+
+    def __init__(self, *, adapter: GatewayAdapter) -> None:
+        self._adapter = adapter
+        self.tables = {
+            adapter.configuration_prefix: ItemTable(),
+            adapter.endpoint_prefix: ItemTable(),
+        }
+        self.fleet = EndpointFleet()
+        self.routes: RouteTable | None = None
+        self._loaded: set[str] = set()
+        self._outage_ended_at = -math.inf
+        self._gone_at: dict[str, float] = {}
+        self._changed = trio.Event()
+
+    @property
+    def version(self) -> int:
+        """Version of the configuration in force, 0 before the first."""
+        return self.routes.configuration.version if self.routes else 0
+
+    @property
+    def ready(self) -> bool:
+        """True once the configuration and the endpoints are known."""
+        return self.routes is not None and len(self._loaded) == len(self.tables)
+
+    async def wait_change(self, deadline: float) -> None:
+        """Wait until something has changed.
+
+        :param deadline: process time in seconds at which to stop waiting.
+        """
+        with trio.move_on_at(deadline):
+            await self._changed.wait()
+
+    def note_change(self) -> None:
+        """Wake all who wait for a change."""
+        self._changed.set()
+        self._changed = trio.Event()
+
+    def apply(self, prefix: str, items: Iterable[StoredItem], revision: int, source: str) -> None:
+        """Take in changes.
+
+        :param prefix: the prefix that they were read under.
+        :param items: the changes.
+        :param revision: revision up to which they are complete.
+        :param source: where they come from, for the log.
+        """
+        self._take(prefix, self.tables[prefix].apply(items, revision), source)
+
+    def replace(self, prefix: str, items: Iterable[StoredItem], revision: int, source: str) -> None:
+        """Take in all items under a prefix.
+
+        :param prefix: the prefix that they were read under.
+        :param items: all items.
+        :param revision: revision at which the reading began.
+        :param source: where they come from, for the log.
+        """
+        self._loaded.add(prefix)
+        self._take(prefix, self.tables[prefix].replace(items, revision), source)
+
+    def note_outage(self, now: float) -> None:
+        """Note that the store did not answer.
+
+        :param now: process time in seconds.
+        """
+        self._outage_ended_at = now
+
+    async def run(self) -> None:
+        """Remove endpoints that have not come back after an outage of the store."""
+        while True:
+            now = trio.current_time()
+            due = [key for key, gone_at in self._gone_at.items() if gone_at <= now]
+            for key in due:
+                del self._gone_at[key]
+                self._remove_endpoint(key)
+            await trio.sleep(0.1)
+
+    def _take(self, prefix: str, changed: list[StoredItem], source: str) -> None:
+        for item in changed:
+            if prefix == self._adapter.endpoint_prefix:
+                self._take_endpoint(item)
+            elif item.key == self._adapter.configuration_key and item.value is not None:
+                self._take_configuration(item.value, item.revision, source)
+        if changed:
+            self.note_change()
+
+    def _take_configuration(self, value: bytes, revision: int, source: str) -> None:
+        decoded = self._adapter.decode_configuration(value)
+        if isinstance(decoded, Err):
+            LOG.write("cannot read the configuration", revision=revision, reason=decoded.err_value)
+            return
+        configuration = decoded.ok_value
+        if configuration.version <= self.version:
+            LOG.write("ignored an old configuration", version=configuration.version)
+            return
+        self.routes = RouteTable(configuration=configuration)
+        LOG.write(
+            "took a configuration",
+            version=configuration.version,
+            revision=revision,
+            source=source,
+            routes=len(configuration.routes),
+        )
+
+    def _take_endpoint(self, item: StoredItem) -> None:
+        if item.value is None:
+            now = trio.current_time()
+            gone_at = self._outage_ended_at + RETURN_SECONDS
+            if now < gone_at:
+                self._gone_at[item.key] = gone_at
+            else:
+                self._remove_endpoint(item.key)
+            return
+        self._gone_at.pop(item.key, None)
+        decoded = self._adapter.decode_endpoint(item.key, item.value)
+        if isinstance(decoded, Err):
+            LOG.write("ignored an entry", key=item.key, reason=decoded.err_value)
+            self._remove_endpoint(item.key)
+            return
+        record = decoded.ok_value
+        known = self.fleet.find(record.endpoint_id)
+        if known is None or known.record != record:
+            LOG.write(
+                "an endpoint has changed",
+                endpoint=record.endpoint_id,
+                leaving=record.leaving,
+                started_at=record.started_at,
+                revision=item.revision,
+            )
+        self.fleet.put(record)
+
+    def _remove_endpoint(self, key: str) -> None:
+        endpoint_id = key.removeprefix(self._adapter.endpoint_prefix)
+        if self.fleet.find(endpoint_id) is not None:
+            LOG.write("an endpoint is gone", endpoint=endpoint_id)
+            self.fleet.remove(endpoint_id)
+            self.note_change()
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/gateway/endpoint_monitor.py
@@ -0,0 +1,127 @@
+"""Finds out which endpoints are lost and tells everybody who uses them."""
+
+from collections.abc import Callable
+
+import trio
+
+from gypsumpost_core.gateway.endpoint_record import EndpointRecord
+from gypsumpost_daemon.gateway.directory import Directory
+from gypsumpost_daemon.gateway.endpoint_probe import ProbeResult, probe_endpoint
+from gypsumpost_daemon.log import Log
+
+RETURN_PROBE_SECONDS = 0.3
+"""Interval of probes of a lost endpoint."""
+
+LOG = Log(prefix="endpoint")
+LossListener = Callable[[EndpointRecord, str], None]
+
+
+class EndpointMonitor:
+    """Probes endpoints that are suspected or lost.
+
+    :param directory: the endpoints.
+    """
+
+    def __init__(self, *, directory: Directory) -> None:
+        self._directory = directory
+        self._scopes: dict[str, set[trio.CancelScope]] = {}
+        self._listeners: list[LossListener] = []
+        self._checks: dict[str, trio.Event] = {}
+        self._nursery: trio.Nursery | None = None
+
+    def listen(self, listener: LossListener) -> None:
+        """Call a function at each loss that this host finds.
+
+        :param listener: called with the endpoint and the reason; must not block.
+        """
+        self._listeners.append(listener)
+
+    async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Probe lost endpoints until they are back."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            task_status.started()
+            while True:
+                await trio.sleep(RETURN_PROBE_SECONDS)
+                for state in self._directory.fleet:
+                    if state.lost:
+                        nursery.start_soon(self._probe_lost, state.record)
+
+    def watch(self, endpoint_id: str, scope: trio.CancelScope) -> None:
+        """Cancel a scope when the endpoint is lost, until :meth:`unwatch`."""
+        self._scopes.setdefault(endpoint_id, set()).add(scope)
+
+    def unwatch(self, endpoint_id: str, scope: trio.CancelScope) -> None:
+        """Stop watching for a scope."""
+        scopes = self._scopes.get(endpoint_id)
+        if scopes is not None:
+            scopes.discard(scope)
+            if not scopes:
+                del self._scopes[endpoint_id]
+
+    async def check(self, record: EndpointRecord, reason: str) -> bool:
+        """Probe an endpoint now and return whether it is alive.
+
+        Streams of one engine often ask at the same moment; they share one probe.
+
+        :param record: the endpoint.
+        :param reason: why it is suspected.
+        """
+        running = self._checks.get(record.endpoint_id)
+        if running is None:
+            running = self._checks[record.endpoint_id] = trio.Event()
+            try:
+                found = await probe_endpoint(record.address)
+                if found is ProbeResult.ALIVE:
+                    self._directory.fleet.mark_alive(record.endpoint_id, trio.current_time())
+                else:
+                    self.mark_lost(record, f"{reason}, probe {found.value}")
+            finally:
+                del self._checks[record.endpoint_id]
+                running.set()
+        else:
+            await running.wait()
+        state = self._directory.fleet.find(record.endpoint_id)
+        return state is not None and not state.lost and state.record == record
+
+    def suspect(self, record: EndpointRecord, reason: str) -> None:
+        """Probe an endpoint in the background.
+
+        :param record: the endpoint.
+        :param reason: why it is suspected.
+        """
+        if self._nursery is not None:
+            self._nursery.start_soon(self.check, record, reason)
+
+    def mark_lost(self, record: EndpointRecord, reason: str) -> None:
+        """Note that an endpoint is lost and wake its streams.
+
+        :param record: the endpoint as it was used.
+        :param reason: the evidence.
+        """
+        fleet = self._directory.fleet
+        if not fleet.mark_lost(record.endpoint_id, record.started_at, trio.current_time()):
+            return
+        LOG.write(
+            "lost an endpoint",
+            endpoint=record.endpoint_id,
+            address=record.address,
+            failure_domain=record.failure_domain,
+            reason=reason,
+            streams=len(self._scopes.get(record.endpoint_id, ())),
+        )
+        for scope in list(self._scopes.get(record.endpoint_id, ())):
+            scope.cancel()
+        for listener in self._listeners:
+            listener(record, reason)
+
+    async def _probe_lost(self, record: EndpointRecord) -> None:
+        if record.endpoint_id in self._checks:
+            return
+        if await probe_endpoint(record.address) is not ProbeResult.ALIVE:
+            return
+        state = self._directory.fleet.find(record.endpoint_id)
+        if state is not None and state.lost and state.record == record:
+            LOG.write("an endpoint is back", endpoint=record.endpoint_id)
+            self._directory.fleet.mark_alive(record.endpoint_id, trio.current_time())
+            self._directory.note_change()
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/gateway/event_cutter.py
@@ -0,0 +1,51 @@
+"""Cuts an event stream into whole events."""
+
+import re
+
+import attrs
+
+EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+
+
+@attrs.frozen(kw_only=True)
+class StreamEvent:
+    """One event as its engine sent it.
+
+    :param data: the bytes, with the empty line that ends the event.
+    :param event_id: its id, empty if it has none.
+    """
+
+    data: bytes
+    event_id: bytes
+
+
+class EventCutter:
+    """Holds back the beginning of an event until the event is whole.
+
+    :param id_field: the field that holds the id of an event.
+    """
+
+    def __init__(self, *, id_field: bytes) -> None:
+        self._id = re.compile(rb"(?:^|[\r\n])" + re.escape(id_field) + rb":[ ]?([^\r\n]*)")
+        self._buffer = b""
+
+    def feed(self, data: bytes) -> list[StreamEvent]:
+        """Return the events that are whole now.
+
+        :param data: the next bytes of the stream.
+        """
+        self._buffer += data
+        events = []
+        start = 0
+        for match in EVENT_END.finditer(self._buffer):
+            piece = self._buffer[start : match.end()]
+            start = match.end()
+            found = self._id.search(piece)
+            events.append(StreamEvent(data=piece, event_id=found[1] if found else b""))
+        self._buffer = self._buffer[start:]
+        return events
+
+    @property
+    def incomplete(self) -> bool:
+        """True if an event has begun and not ended."""
+        return bool(self._buffer)
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/gateway/forward_context.py
@@ -0,0 +1,77 @@
+"""What all forwarders of a host share."""
+
+from collections.abc import Callable
+
+import attrs
+import trio
+
+from gypsumpost_core.gateway.retry_window import RetryWindow
+from gypsumpost_core.gateway.use_table import UseTable
+from gypsumpost_daemon.gateway.caller_call import CallerCall
+from gypsumpost_daemon.gateway.directory import Directory
+from gypsumpost_daemon.gateway.endpoint_monitor import EndpointMonitor
+from gypsumpost_daemon.gateway.forwarded_request import ForwardedRequest
+from gypsumpost_daemon.gateway.gateway_settings import GatewaySettings
+from gypsumpost_daemon.gateway.header_names import HeaderNames
+
+BUDGET_SHARE = 0.8
+"""Part of the deployment's retry budget that the hosts use, as their windows are not aligned."""
+
+
+@attrs.define(kw_only=True)
+class ForwardContext:
+    """Directory, budgets and counters of a host.
+
+    :param settings: settings of the host.
+    :param names: header names.
+    :param directory: configuration and endpoints.
+    :param monitor: finds lost endpoints.
+    :param use: work on the engines.
+    :param count_hosts: returns the number of hosts that share budgets.
+    """
+
+    settings: GatewaySettings
+    names: HeaderNames
+    directory: Directory
+    monitor: EndpointMonitor
+    use: UseTable
+    count_hosts: Callable[[], int]
+    _retries: dict[str, RetryWindow] = attrs.field(factory=dict, init=False)
+
+    def get_retries(self, service: str) -> RetryWindow:
+        """Return the retry budget of a service."""
+        if service not in self._retries:
+            self._retries[service] = RetryWindow(
+                ratio=self.settings.retry_ratio * BUDGET_SHARE,
+                allowance=self.settings.retry_allowance * BUDGET_SHARE,
+                window=self.settings.retry_window_seconds,
+            )
+        return self._retries[service]
+
+    def try_retry(self, service: str) -> bool:
+        """Spend one repeated send to a service if the budget allows it."""
+        return self.get_retries(service).try_spend(trio.current_time(), self.count_hosts())
+
+    def create_request(
+        self, call: CallerCall, endpoint_id: str, extra: tuple[tuple[bytes, bytes], ...] = ()
+    ) -> ForwardedRequest:
+        """Return a call as it is sent to an endpoint.
+
+        :param call: the caller's request.
+        :param endpoint_id: the endpoint.
+        :param extra: further headers.
+        """
+        names = self.names
+        remaining = max(1, int((call.deadline - trio.current_time()) * 1000))
+        added = [
+            (names.remaining_ms, b"%d" % remaining),
+            (names.expected_endpoint, endpoint_id.encode()),
+        ]
+        if call.workspace:
+            added.append((names.workspace, call.workspace.encode()))
+        return ForwardedRequest(
+            method=call.method,
+            path=call.path,
+            headers=(*call.headers, *added, *extra),
+            body=call.body,
+        )
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/gateway/forwarder.py
@@ -0,0 +1,19 @@
+"""The registry of ways to forward requests, by kind."""
+
+from typing import Protocol
+
+from gypsumpost_core.registry import Registry
+from gypsumpost_daemon.gateway.caller_call import CallerCall
+from gypsumpost_daemon.gateway.caller_exchange import CallerExchange
+
+
+class Forwarder(Protocol):
+    """Carries a request to endpoints and the answer back."""
+
+    async def forward(self, call: CallerCall, exchange: CallerExchange) -> None:
+        """Answer the request; returns once the response is complete or broken off."""
+        ...
+
+
+FORWARDERS: Registry[Forwarder] = Registry(behaviour="forwarder")
+"""Forwarders by the value of :class:`gypsumpost_core.gateway.request_kind.RequestKind`."""
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_application.py
@@ -0,0 +1,171 @@
+"""The gateway's ASGI application."""
+
+import random
+
+import trio
+
+from gypsumpost_core.gateway.route import Route
+from gypsumpost_core.gateway.route_table import RouteTable
+from gypsumpost_core.run_state import RunState
+from gypsumpost_daemon.asgi_application import Receive, Scope, Send
+from gypsumpost_daemon.gateway import call_forwarder, stream_forwarder  # noqa: F401
+from gypsumpost_daemon.gateway.caller_call import CallerCall
+from gypsumpost_daemon.gateway.caller_exchange import CallerExchange
+from gypsumpost_daemon.gateway.forward_context import ForwardContext
+from gypsumpost_daemon.gateway.forwarder import FORWARDERS, Forwarder
+from gypsumpost_daemon.gateway.message_headers import find_header, select_request_headers
+from gypsumpost_daemon.log import Log
+
+START_RETRY_SECONDS = 0.3
+"""When a caller may come again while this host does not know the configuration yet."""
+
+BEARER = b"bearer "
+
+LOG = Log(prefix="gateway")
+
+
+class GatewayApplication:
+    """Finds the route of each request and hands it to the forwarder of its kind.
+
+    :param context: what the forwarders share.
+    """
+
+    def __init__(self, *, context: ForwardContext) -> None:
+        self._context = context
+        self._forwarders: dict[str, Forwarder] = {
+            name: FORWARDERS.create(name, context=context) for name in FORWARDERS.names()
+        }
+        self.open_requests = 0
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one request.
+
+        :param scope: ASGI scope.
+        :param receive: ASGI ``receive``.
+        :param send: ASGI ``send``.
+        """
+        if scope["type"] != "http":
+            return
+        exchange = CallerExchange(scope=scope, receive=receive, send=send)
+        received_at = trio.current_time()
+        self.open_requests += 1
+        try:
+            body = await exchange.read_body()
+            if body is not None:
+                await self._serve(exchange, body, received_at)
+        finally:
+            self.open_requests -= 1
+
+    async def _serve(self, exchange: CallerExchange, body: bytes, received_at: float) -> None:
+        routes = self._context.directory.routes
+        if routes is None:
+            text = "This host does not know the configuration yet."
+            await exchange.refuse(503, text, RunState.NOT_RUN, START_RETRY_SECONDS)
+            return
+        host = find_header(exchange.headers, b"host") or b""
+        path = exchange.raw_path.decode("latin-1")
+        route = routes.find_route(host.decode("latin-1"), path)
+        if route is None:
+            await self._refuse(exchange, 404, "No route has this host and path.", routes)
+            return
+        workspace, priority = "", route.priority
+        if routes.needs_keys and not route.public:
+            owner = routes.find_workspace(read_key(exchange))
+            if owner is None:
+                await self._refuse(exchange, 401, "The key is not known.", routes)
+                return
+            workspace = owner.name
+            priority = route.priority if owner.priority is None else owner.priority
+        call = self._create_call(exchange, body, route, workspace, priority, received_at)
+        if call is None:
+            await self._refuse(exchange, 400, "A header of the request is malformed.", routes)
+            return
+        self._context.get_retries(call.service).note_request(received_at)
+        await self._forward(call, exchange)
+
+    async def _forward(self, call: CallerCall, exchange: CallerExchange) -> None:
+        async with trio.open_nursery() as nursery:
+
+            async def watch_caller() -> None:
+                await exchange.wait_until_gone()
+                LOG.write("the caller has left", request=call.request_id)
+                nursery.cancel_scope.cancel()
+
+            nursery.start_soon(watch_caller)
+            await self._forwarders[call.route.kind.value].forward(call, exchange)
+            nursery.cancel_scope.cancel()
+
+    def _create_call(
+        self,
+        exchange: CallerExchange,
+        body: bytes,
+        route: Route,
+        workspace: str,
+        priority: int,
+        received_at: float,
+    ) -> CallerCall | None:
+        names = self._context.names
+        headers = exchange.headers
+        single = (names.request_id, names.remaining_ms, *names.identity)
+        if any(sum(name == found for found, _ in headers) > 1 for name in single):
+            return None
+        request_id = find_header(headers, names.request_id)
+        remaining = find_header(headers, names.remaining_ms)
+        counts = parse_numbers(find_header(headers, names.token_counts) or b"0,0")
+        if counts is None or len(counts) != 2 or (remaining and not remaining.isdigit()):
+            return None
+        seconds = route.timeout
+        if remaining:
+            seconds = min(seconds, int(remaining) / 1000)
+        service = random.choices(
+            [share.service for share in route.shares], [share.weight for share in route.shares]
+        )[0]
+        return CallerCall(
+            request_id=(request_id or b"").decode("latin-1"),
+            method=exchange.method,
+            path=exchange.target,
+            headers=select_request_headers(headers, names),
+            body=body,
+            route=route,
+            service=service,
+            workspace=workspace,
+            priority=priority,
+            received_at=received_at,
+            deadline=received_at + seconds,
+            prompt_tokens=counts[0],
+            output_tokens=counts[1],
+            last_event_id=find_header(headers, names.last_event_id) or b"",
+        )
+
+    async def _refuse(
+        self, exchange: CallerExchange, status: int, reason: str, routes: RouteTable
+    ) -> None:
+        request_id = find_header(exchange.headers, self._context.names.request_id) or b""
+        LOG.write(
+            "refused",
+            request=request_id.decode("latin-1"),
+            status=status,
+            reason=reason,
+            version=routes.configuration.version,
+        )
+        await exchange.refuse(status, reason, RunState.NOT_RUN)
+
+
+def read_key(exchange: CallerExchange) -> str:
+    """Return the caller's key, empty if there is none.
+
+    :param exchange: the request.
+    """
+    value = find_header(exchange.headers, b"authorization") or b""
+    if value[: len(BEARER)].lower() != BEARER:
+        return ""
+    return value[len(BEARER) :].strip().decode("latin-1")
+
+
+def parse_numbers(value: bytes) -> list[int] | None:
+    """Return comma-separated whole numbers, ``None`` if the value is malformed.
+
+    :param value: the value of a header.
+    """
+    parts = [part.strip() for part in value.split(b",")]
+    return [int(part) for part in parts] if all(part.isdigit() for part in parts) else None
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
@@ -0,0 +1,133 @@
+"""Assembles the parts of the gateway and runs them."""
+
+import signal
+
+import trio
+
+from gypsumpost_core.gateway.use_table import UseTable
+from gypsumpost_daemon.asgi_application import ASGIApplication
+from gypsumpost_daemon.gateway.adapter import GatewayAdapter
+from gypsumpost_daemon.gateway.directory import Directory
+from gypsumpost_daemon.gateway.endpoint_monitor import EndpointMonitor
+from gypsumpost_daemon.gateway.forward_context import ForwardContext
+from gypsumpost_daemon.gateway.gateway_application import GatewayApplication
+from gypsumpost_daemon.gateway.gateway_settings import GatewaySettings
+from gypsumpost_daemon.gateway.ready_application import ReadyApplication
+from gypsumpost_daemon.gateway.store_follower import StoreFollower
+from gypsumpost_daemon.h11_server import serve_limited
+from gypsumpost_daemon.http_limits import HttpLimits
+from gypsumpost_daemon.log import Log
+from gypsumpost_daemon.running_server import RunningServer
+
+IDLE_MARGIN_SECONDS = 0.5
+"""Idle connections are closed a little after the limit, so that no request crosses the close."""
+
+BALANCER_SECONDS = 2.6
+"""The balancer asks every second and needs two answers to send no more connections."""
+
+STOP_MARGIN_SECONDS = 0.4
+"""Streams that are left are broken off this long before the process is killed."""
+
+READY_BODY_BYTES = 4096
+
+LOG = Log(prefix="gateway")
+
+
+class GatewayDaemon:
+    """All parts of one gateway.
+
+    :param settings: checked settings.
+    :param adapter: names, formats and calls of the platform.
+    """
+
+    def __init__(self, *, settings: GatewaySettings, adapter: GatewayAdapter) -> None:
+        self._settings = settings
+        self._adapter = adapter
+        self._directory = Directory(adapter=adapter)
+        self._monitor = EndpointMonitor(directory=self._directory)
+        self._follower = StoreFollower(
+            store=adapter.create_store(settings), directory=self._directory
+        )
+        self._application = GatewayApplication(
+            context=ForwardContext(
+                settings=settings,
+                names=adapter.headers,
+                directory=self._directory,
+                monitor=self._monitor,
+                use=UseTable(),
+                count_hosts=self._count_hosts,
+            )
+        )
+        self._limits = HttpLimits(max_body=READY_BODY_BYTES)
+        self._stopping = False
+
+    async def run(self) -> None:
+        """Serve until a signal asks for a planned stop and all requests have ended."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._directory.run)
+            nursery.start_soon(self._follower.run)
+            await nursery.start(self._monitor.run)
+            nursery.start_soon(self._follow_limits)
+            ready = ReadyApplication(is_ready=self._is_ready)
+            await self._serve(
+                nursery, ready, self._settings.ready_address, HttpLimits(max_body=READY_BODY_BYTES)
+            )
+            server = await self._serve(
+                nursery, self._application, self._settings.caller_address, self._limits
+            )
+            LOG.write("started", address=server.address)
+            await self._wait_for_stop(server)
+            nursery.cancel_scope.cancel()
+        LOG.write("stopped", open_requests=self._application.open_requests)
+
+    def _is_ready(self) -> bool:
+        return self._directory.ready and not self._stopping
+
+    def _count_hosts(self) -> int:
+        return 9
+
+    async def _serve(
+        self,
+        nursery: trio.Nursery,
+        application: ASGIApplication,
+        address: str,
+        limits: HttpLimits,
+    ) -> RunningServer:
+        async def serve(task_status: trio.TaskStatus[RunningServer]) -> None:
+            await serve_limited(
+                application=application, address=address, limits=limits, task_status=task_status
+            )
+
+        server: RunningServer = await nursery.start(serve)
+        return server
+
+    async def _follow_limits(self) -> None:
+        while True:
+            routes = self._directory.routes
+            if routes is not None:
+                limits = routes.configuration.limits
+                self._limits.max_body = limits.max_body
+                self._limits.max_head = limits.max_head
+                self._limits.head_seconds = limits.head_seconds
+                self._limits.idle_seconds = limits.idle_seconds + IDLE_MARGIN_SECONDS
+            await self._directory.wait_change(float("inf"))
+
+    async def _wait_for_stop(self, server: RunningServer) -> None:
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+            async for number in signals:
+                if number != signal.SIGHUP:
+                    break
+                LOG.write("read the settings again", changed=self._find_changes())
+        now = trio.current_time()
+        deadline = now + self._settings.stop_seconds - STOP_MARGIN_SECONDS
+        LOG.write("stopping", open_requests=self._application.open_requests)
+        self._stopping = True
+        server.drain()
+        await trio.sleep(min(BALANCER_SECONDS, deadline - now))
+        with trio.move_on_at(deadline):
+            while self._application.open_requests:
+                await trio.sleep(0.05)
+        server.stop(deadline)
+
+    def _find_changes(self) -> bool:
+        return self._adapter.read_settings().unwrap_or(self._settings) != self._settings
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/gateway/header_names.py
@@ -0,0 +1,41 @@
+"""Names of the headers that the gateway reads and sets."""
+
+import attrs
+
+
+@attrs.frozen(kw_only=True)
+class HeaderNames:
+    """Header names of a platform, in lower case.
+
+    :param request_id: id of a caller's attempt; endpoints repeat it in their answer.
+    :param remaining_ms: how many milliseconds the caller, or this host, goes on waiting.
+    :param last_event_id: id of the last event that the caller has.
+    :param event_id_field: field of an event that holds its id.
+    :param seal: proof that an answer is the endpoint's own.
+    :param workspace: name of the caller's workspace.
+    :param expected_endpoint: id of the endpoint that the request is meant for.
+    :param load: load of an endpoint, in its answers.
+    :param not_run: set on an answer if the endpoint did not run the request.
+    :param priority: rank of a request among those of the engine.
+    :param token_counts: tokens of the prompt and most tokens of the output.
+    :param copy_target: address of the engine that gets a copy of the stream's memory.
+    :param resume_from: address of a copy and id of the stream that it belongs to.
+    :param identity: headers that belong to the request itself and are passed on unchanged.
+    :param reserved: headers that only the gateway or an endpoint may set.
+    """
+
+    request_id: bytes
+    remaining_ms: bytes
+    last_event_id: bytes
+    event_id_field: bytes
+    seal: bytes
+    workspace: bytes
+    expected_endpoint: bytes
+    load: bytes
+    not_run: bytes
+    priority: bytes
+    token_counts: bytes
+    copy_target: bytes
+    resume_from: bytes
+    identity: tuple[bytes, ...]
+    reserved: tuple[bytes, ...]
--- a/packages/daemon/gypsumpost_daemon/h11_engine_connection.py
+++ b/packages/daemon/gypsumpost_daemon/h11_engine_connection.py
@@ -3,6 +3,7 @@
 import contextlib
 import errno
 import socket
+from collections.abc import Callable
 
 import h11
 import trio
@@ -10,8 +11,8 @@
 
 from gypsumpost_daemon.addresses import split_address
 from gypsumpost_daemon.chunk_decoder import ChunkDecoder
+from gypsumpost_daemon.endpoint_request import EndpointRequest
 from gypsumpost_daemon.engine_failure import EngineFailure
-from gypsumpost_daemon.engine_request import EngineRequest
 from gypsumpost_daemon.http_response import STATUS_WITHOUT_BODY
 from gypsumpost_daemon.socket_transport import SocketTransport
 
@@ -22,19 +23,35 @@
     """Owns a socket and its HTTP state; at most one request at a time.
 
     :param sock: the connected socket.
+    :param fast_chunks: false to leave chunked bodies to h11, which is slower but ignores bytes
+        after the end of a response.
     """
 
-    def __init__(self, *, sock: socket.socket) -> None:
+    def __init__(self, *, sock: socket.socket, fast_chunks: bool = True) -> None:
         self._transport = SocketTransport(sock=sock)
+        self._fast_chunks = fast_chunks
         self._parser = create_parser()
         self._body_ended = False
         self._chunks: ChunkDecoder | None = None
         self._early_content = b""
         self._keeps_alive = False
 
-    async def send(self, request: EngineRequest) -> Result[h11.Response, EngineFailure]:
+    async def send(self, request: EndpointRequest) -> Result[h11.Response, EngineFailure]:
         """Send a request and wait for the response's headers.
 
+        :param request: the request.
+        """
+        written = await self.write(request)
+        if isinstance(written, Err):
+            return written
+        try:
+            return Ok(await self.receive_head(request.method))
+        except OSError as error:
+            return Err(EngineFailure(reason=str(error), may_have_run=True))
+
+    async def write(self, request: EndpointRequest) -> Result[None, EngineFailure]:
+        """Send a request.
+
         :param request: the request.
         """
         try:
@@ -43,9 +60,9 @@
             return Err(EngineFailure(reason=str(error), may_have_run=False))
         try:
             await self._transport.send(data)
-            return Ok(await self._receive_head(request.method))
         except OSError as error:
             return Err(EngineFailure(reason=str(error), may_have_run=True))
+        return Ok(None)
 
     async def receive_body(self) -> bytes:
         """Wait for the next part of the body; an empty result is its regular end.
@@ -101,7 +118,7 @@
         """Close the connection at once."""
         self._transport.close()
 
-    def _encode(self, request: EngineRequest) -> bytes:
+    def _encode(self, request: EndpointRequest) -> bytes:
         head = h11.Request(
             method=request.method.encode("ascii"),
             target=request.path.encode("ascii"),
@@ -112,7 +129,12 @@
             data += self._parser.send(h11.Data(data=request.body)) or b""
         return data + (self._parser.send(h11.EndOfMessage()) or b"")
 
-    async def _receive_head(self, method: str) -> h11.Response:
+    async def receive_head(self, method: str) -> h11.Response:
+        """Wait for the headers of the response; may be called again after a cancelled call.
+
+        :param method: the method of the request.
+        :raises OSError: if the connection is lost or the response is malformed.
+        """
         while True:
             event = self._next_event()
             if isinstance(event, h11.Response):
@@ -125,7 +147,11 @@
 
     def _begin_body(self, head: h11.Response, method: str) -> None:
         has_body = method != "HEAD" and head.status_code not in STATUS_WITHOUT_BODY
-        if not has_body or (b"transfer-encoding", b"chunked") not in head.headers:
+        if (
+            not self._fast_chunks
+            or not has_body
+            or (b"transfer-encoding", b"chunked") not in head.headers
+        ):
             return
         closes = (b"connection", b"close") in head.headers
         self._keeps_alive = head.http_version == b"1.1" and not closes
@@ -157,15 +183,25 @@
         raise ConnectionResetError(f"malformed response: {error}") from error
 
 
-async def connect(address: str, deadline: float) -> Result[H11EngineConnection, EngineFailure]:
+async def connect(
+    address: str,
+    deadline: float,
+    prepare: Callable[[socket.socket], None] | None = None,
+    *,
+    fast_chunks: bool = True,
+) -> Result[H11EngineConnection, EngineFailure]:
     """Connect to an endpoint.
 
     :param address: ``ip:port``.
     :param deadline: process time in seconds at which to stop waiting.
+    :param prepare: sets options of the socket before it is connected.
+    :param fast_chunks: see :class:`H11EngineConnection`.
     """
     ip, port = split_address(address)
     sock = socket.socket(socket.AF_INET6 if ":" in ip else socket.AF_INET, socket.SOCK_STREAM)
     sock.setblocking(False)
+    if prepare is not None:
+        prepare(sock)
     connected = refused = False
     reason = "no connection before the deadline"
     try:
@@ -184,4 +220,4 @@
             sock.close()
     if not connected:
         return Err(EngineFailure(reason=reason, may_have_run=False, refused=refused))
-    return Ok(H11EngineConnection(sock=sock))
+    return Ok(H11EngineConnection(sock=sock, fast_chunks=fast_chunks))
--- a/packages/daemon/gypsumpost_daemon/h11_server.py
+++ b/packages/daemon/gypsumpost_daemon/h11_server.py
@@ -39,9 +39,32 @@
     :param tls: TLS context, ``None`` for plain TCP.
     :param task_status: receives a :class:`RunningServer`.
     """
-    limits = HttpLimits(max_body=max_body)
-    server = H11Server(application=application, limits=limits, tls=tls)
-    await server.run(address, task_status)
+    await serve_limited(
+        application=application,
+        address=address,
+        limits=HttpLimits(max_body=max_body),
+        tls=tls,
+        task_status=task_status,
+    )
+
+
+async def serve_limited(
+    *,
+    application: ASGIApplication,
+    address: str,
+    limits: HttpLimits,
+    tls: ssl.SSLContext | None = None,
+    task_status: trio.TaskStatus[RunningServer] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve an application with limits that may change while it is served.
+
+    :param application: the ASGI application.
+    :param address: ``ip:port`` to listen on.
+    :param limits: the limits.
+    :param tls: TLS context, ``None`` for plain TCP.
+    :param task_status: receives a :class:`RunningServer`.
+    """
+    await H11Server(application=application, limits=limits, tls=tls).run(address, task_status)
 
 
 class H11Server:
@@ -59,6 +82,7 @@
         self._limits = limits
         self._tls = tls
         self._connections: set[HttpConnection] = set()
+        self._draining = False
 
     async def run(self, address: str, task_status: trio.TaskStatus[RunningServer]) -> None:
         """Listen and serve until stopped.
@@ -71,6 +95,7 @@
             async with trio.open_nursery() as nursery:
                 async with trio.open_nursery() as accepting:
                     accepting.start_soon(self._accept, listener, nursery)
+                    accepting.start_soon(self._drain, running)
                     task_status.started(running)
                     await running.stop_requested.wait()
                     accepting.cancel_scope.cancel()
@@ -81,6 +106,12 @@
                 for connection in list(self._connections):
                     connection.stop()
 
+    async def _drain(self, running: RunningServer) -> None:
+        await running.drain_requested.wait()
+        self._draining = True
+        for connection in list(self._connections):
+            connection.stop()
+
     async def _accept(self, listener: socket.socket, nursery: trio.Nursery) -> None:
         while True:
             await trio.lowlevel.wait_readable(listener)
@@ -111,6 +142,8 @@
             server=accepted.getsockname()[:2],
         )
         self._connections.add(connection)
+        if self._draining:
+            connection.stop()
         try:
             await connection.run()
         finally:
--- a/packages/daemon/gypsumpost_daemon/http_connection.py
+++ b/packages/daemon/gypsumpost_daemon/http_connection.py
@@ -118,6 +118,11 @@
                 deadline = trio.current_time() + self._limits.head_seconds
             data = await self._receive_by(deadline)
             if data is None:
+                if not begun and not self._stopping and seconds < self._limits.idle_seconds:
+                    # The limit was raised meanwhile, and the caller may rely on it.
+                    deadline += self._limits.idle_seconds - seconds
+                    seconds = self._limits.idle_seconds
+                    continue
                 return None
             self._parser.receive_data(data)
 
@@ -140,6 +145,10 @@
             raise refuse_malformed("Only HTTP/1.0 and HTTP/1.1 are supported.", 505)
         if request.method == b"CONNECT":
             raise refuse_malformed("CONNECT is not supported.", 405)
+        names = [name for name, _ in request.headers]
+        if b"transfer-encoding" in names and b"content-length" in names:
+            # Another server on the way may believe the other header and see a second request.
+            raise refuse_malformed("Content-Length and Transfer-Encoding exclude each other.")
         for name, value in request.headers:
             if name == b"content-length" and int(value) > self._limits.max_body:
                 raise refuse_long_body(self._limits.max_body)
@@ -147,7 +156,7 @@
     async def _call_application(self, exchange: HttpExchange, request: h11.Request) -> None:
         try:
             await self._application(self._create_scope(request), exchange.receive, exchange.send)
-            if not exchange.answered and not exchange.disconnected:
+            if not exchange.answered and not exchange.disconnected and not exchange.aborted:
                 LOG.write("the application left a request without a complete answer")
                 await exchange.refuse(SERVER_ERROR)
         except Exception as error:
--- a/packages/daemon/gypsumpost_daemon/http_exchange.py
+++ b/packages/daemon/gypsumpost_daemon/http_exchange.py
@@ -13,6 +13,8 @@
 from gypsumpost_daemon.transport import Transport
 
 DISCONNECT = "http.disconnect"
+ABORT = "http.response.abort"
+"""An application's message that the response cannot be completed; the connection is closed."""
 
 
 class HttpExchange:
@@ -46,6 +48,7 @@
         self._body_delivered = False
         self.closing = closing
         self.disconnected = False
+        self.aborted = False
 
     @property
     def reusable(self) -> bool:
@@ -79,7 +82,10 @@
         """
         if self.disconnected or self._response.complete:
             return
-        if self._response.writes_chunks and message.get("more_body"):
+        if message["type"] == ABORT:
+            self.aborted = True
+            self.disconnect()
+        elif self._response.writes_chunks and message.get("more_body"):
             await self._send_chunk(message["body"])
         elif message["type"] == "http.response.body":
             body, more = message.get("body", b""), message.get("more_body", False)
--- a/packages/daemon/gypsumpost_daemon/http_limits.py
+++ b/packages/daemon/gypsumpost_daemon/http_limits.py
@@ -3,9 +3,9 @@
 import attrs
 
 
-@attrs.frozen(kw_only=True)
+@attrs.define(kw_only=True)
 class HttpLimits:
-    """Sizes in bytes and times in seconds.
+    """Sizes in bytes and times in seconds; a change applies to the next request of a connection.
 
     :param max_body: longest request body.
     :param max_head: longest request line with headers.
--- a/packages/daemon/gypsumpost_daemon/main.py
+++ b/packages/daemon/gypsumpost_daemon/main.py
@@ -3,17 +3,13 @@
 import os
 import sys
 
-import defopt
 import trio
 from result import Err
 
 from gypsumpost_core.broken_invariant import BrokenInvariant
-from gypsumpost_core.settings_reader import read_settings
-from gypsumpost_daemon.command_line import build_command
-from gypsumpost_daemon.daemon import serve_daemon
+from gypsumpost_core.settings_reader import name_variable, read_settings
+from gypsumpost_daemon.gateway.gateway_process import run_gateway
 from gypsumpost_daemon.log import Log, start_logging
-from gypsumpost_daemon.settings import Settings
-from gypsumpost_daemon.settings_check import check_settings
 
 USAGE_STATUS = 2
 BROKEN_INVARIANT_STATUS = 70
@@ -21,6 +17,15 @@
 
 def main() -> None:
     """Run the daemon of an entry host."""
+    adapter = os.environ.get(name_variable("adapter"), "")
+    if adapter and len(sys.argv) == 1:
+        # The parts of the other interface take most of the time of a start.
+        sys.exit(run_gateway(adapter))
+    import defopt
+
+    from gypsumpost_daemon.command_line import build_command
+    from gypsumpost_daemon.settings import Settings
+
     command = build_command(
         Settings, "gypsumpostd", "Run the gypsumpost daemon of an entry host.", run_daemon
     )
@@ -33,12 +38,18 @@
     :param flags: text of each flag, ``None`` for a flag that was not given.
     :returns: exit status.
     """
+    from gypsumpost_daemon.daemon import serve_daemon
+    from gypsumpost_daemon.settings import Settings
+    from gypsumpost_daemon.settings_check import check_settings
+
     settings = read_settings(Settings, flags, os.environ)
     errors = settings.err_value if isinstance(settings, Err) else check_settings(settings.ok_value)
     if isinstance(settings, Err) or errors:
         for message in errors:
             print(f"gypsumpostd: {message}", file=sys.stderr)
         return USAGE_STATUS
+    if settings.ok_value.adapter:
+        return run_gateway(settings.ok_value.adapter)
     start_logging(settings.ok_value.host_id, settings.ok_value.log_file)
     status = 0
     try:
--- a/packages/daemon/gypsumpost_daemon/running_server.py
+++ b/packages/daemon/gypsumpost_daemon/running_server.py
@@ -15,8 +15,13 @@
 
     address: str
     stop_requested: trio.Event = attrs.field(factory=trio.Event)
+    drain_requested: trio.Event = attrs.field(factory=trio.Event)
     stop_deadline: float = float("inf")
 
+    def drain(self) -> None:
+        """Go on accepting, but close each connection after its current or first request."""
+        self.drain_requested.set()
+
     def stop(self, deadline: float | None = None) -> None:
         """Stop accepting; requests that are being answered may finish until a deadline.
 
--- a/packages/daemon/gypsumpost_daemon/settings.py
+++ b/packages/daemon/gypsumpost_daemon/settings.py
@@ -45,6 +45,11 @@
         accepted=NAME,
         help="Failure domain that this host stands in.",
     )
+    adapter: str = define_setting(
+        default="",
+        accepted="empty, or the name of an importable module",
+        help="Adapter of the platform that this host runs on; it then reads all other settings.",
+    )
     api_address: str = define_setting(
         default="127.0.0.1:8080",
         parse=parse_address,
