Tell all hosts of the work on engines and of lost endpoints

Each host chose engines from its own streams only, so that several hosts sent theirs to one engine: 23 of 74 streams were late and 98,000 prompt tokens were read in vain. Hosts now send beacons over UDP with their work by engine and their losses; membership stays with gossip.

--- a/packages/core/gypsumpost_core/gateway/endpoint_fleet.py
+++ b/packages/core/gypsumpost_core/gateway/endpoint_fleet.py
@@ -21,18 +21,34 @@
 
     _states: dict[str, EndpointState] = attrs.field(factory=dict, init=False)
     _domain_losses: dict[tuple[str, str], float] = attrs.field(factory=dict, init=False)
+    _replaced: set[tuple[str, int]] = attrs.field(factory=set, init=False)
 
     def put(self, record: EndpointRecord) -> None:
         """Add an endpoint or take in a change of its record.
 
         :param record: the record.
         """
+        if (record.endpoint_id, record.started_at) in self._replaced:
+            return
+        for other in self._list_at(record):
+            # The process that started last has the address.
+            if other.started_at > record.started_at:
+                return
+            del self._states[other.endpoint_id]
         state = self._states.get(record.endpoint_id)
         if state is None or state.record.started_at != record.started_at:
             self._states[record.endpoint_id] = EndpointState(record=record)
         else:
             state.record = record
 
+    def mark_replaced(self, record: EndpointRecord) -> None:
+        """Note that another endpoint has the address of this one.
+
+        :param record: the endpoint that no longer exists.
+        """
+        self._replaced.add((record.endpoint_id, record.started_at))
+        self.remove(record.endpoint_id)
+
     def remove(self, endpoint_id: str) -> None:
         """Remove an endpoint that is gone."""
         self._states.pop(endpoint_id, None)
@@ -66,10 +82,17 @@
         news = not state.lost
         if news:
             state.lost_at = now
-        domain = (state.record.service, state.record.failure_domain)
-        self._domain_losses[domain] = now
+        self.suspect_domain(state.record, now)
         return news
 
+    def suspect_domain(self, record: EndpointRecord, now: float) -> None:
+        """Note that an endpoint of a domain was lost.
+
+        :param record: the endpoint.
+        :param now: process time in seconds.
+        """
+        self._domain_losses[(record.service, record.failure_domain)] = now
+
     def mark_alive(self, endpoint_id: str, now: float) -> None:
         """Note a sign of life of an endpoint."""
         state = self._states.get(endpoint_id)
@@ -89,3 +112,11 @@
         """Return true shortly after a loss of an endpoint of the service in the domain."""
         lost_at = self.get_domain_loss(service, failure_domain)
         return now < lost_at + DOMAIN_SUSPICION_SECONDS
+
+    def _list_at(self, record: EndpointRecord) -> list[EndpointRecord]:
+        return [
+            state.record
+            for state in self._states.values()
+            if state.record.address == record.address
+            and state.record.endpoint_id != record.endpoint_id
+        ]
--- a/packages/core/gypsumpost_core/gateway/item_table.py
+++ b/packages/core/gypsumpost_core/gateway/item_table.py
@@ -9,11 +9,13 @@
     """Applies changes that arrive in any order and from several sources.
 
     Removed keys keep their revision, so that an older write that arrives late has no effect.
+    The changes are complete up to ``revision``; ``newest`` is the revision of the newest item.
     """
 
     def __init__(self) -> None:
         self._items: dict[str, StoredItem] = {}
         self.revision = 0
+        self.newest = 0
 
     def apply(self, items: Iterable[StoredItem], revision: int) -> list[StoredItem]:
         """Take in changes and return those that are new.
@@ -26,6 +28,7 @@
             known = self._items.get(item.key)
             if known is None or item.revision > known.revision:
                 self._items[item.key] = item
+                self.newest = max(self.newest, item.revision)
                 changed.append(item)
         self.revision = max(self.revision, revision)
         return changed
@@ -48,10 +51,3 @@
     def list_present(self) -> list[StoredItem]:
         """Return the items that exist."""
         return [item for item in self._items.values() if item.value is not None]
-
-    def list_since(self, revision: int) -> list[StoredItem]:
-        """Return the changes after a revision, removals included.
-
-        :param revision: revision of the store.
-        """
-        return [item for item in self._items.values() if item.revision > revision]
--- a/packages/core/gypsumpost_core/gateway/use_table.py
+++ b/packages/core/gypsumpost_core/gateway/use_table.py
@@ -1,6 +1,6 @@
 """The work on all engines."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 import attrs
 
@@ -18,13 +18,26 @@
     _streams: dict[int, StreamUse] = attrs.field(factory=dict, init=False)
     _peers: dict[str, tuple[float, Mapping[str, EngineUse]]] = attrs.field(factory=dict, init=False)
 
+    _listeners: list[Callable[[], None]] = attrs.field(factory=list, init=False)
+
+    def listen(self, listener: Callable[[], None]) -> None:
+        """Call a function at each change of this host's work."""
+        self._listeners.append(listener)
+
     def put(self, use: StreamUse) -> None:
         """Count a stream until it is dropped; its fields may change meanwhile."""
         self._streams[id(use)] = use
+        self.note_change()
 
     def drop(self, use: StreamUse) -> None:
         """Stop counting a stream."""
         self._streams.pop(id(use), None)
+        self.note_change()
+
+    def note_change(self) -> None:
+        """Tell the listeners that a stream's use has changed."""
+        for listener in self._listeners:
+            listener()
 
     def take_report(self, host_id: str, use: Mapping[str, EngineUse], now: float) -> None:
         """Replace what a peer has reported.
--- a/packages/daemon/gypsumpost_daemon/gateway/call_forwarder.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/call_forwarder.py
@@ -188,7 +188,7 @@
     ) -> Result[EndpointAnswer, AttemptFailure]:
         names = self._context.names
         if answer.status == MISDIRECTED:
-            self._context.monitor.mark_lost(state.record, "another endpoint has the address")
+            self._context.monitor.mark_replaced(state.record)
             return Err(AttemptFailure(reason="another endpoint", may_have_run=False, sent=False))
         if find_header(answer.headers, names.not_run) is not None:
             return Err(AttemptFailure(reason=f"refused with {answer.status}", may_have_run=False))
--- a/packages/daemon/gypsumpost_daemon/gateway/directory.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/directory.py
@@ -11,6 +11,7 @@
 from gypsumpost_core.gateway.route_table import RouteTable
 from gypsumpost_core.gateway.stored_item import StoredItem
 from gypsumpost_daemon.gateway.adapter import GatewayAdapter
+from gypsumpost_daemon.gateway.item_set import ItemSet
 from gypsumpost_daemon.log import Log
 
 RETURN_SECONDS = 2.2
@@ -43,6 +44,19 @@
         """Version of the configuration in force, 0 before the first."""
         return self.routes.configuration.version if self.routes else 0
 
+    @property
+    def endpoint_revision(self) -> int:
+        """Newest change of an endpoint that is known."""
+        return self.tables[self._adapter.endpoint_prefix].newest
+
+    def list_sets(self) -> list[ItemSet]:
+        """Return all items, for a peer; nothing of a prefix that was not read yet."""
+        return [
+            ItemSet(prefix=prefix, revision=table.revision, items=tuple(table.list_present()))
+            for prefix, table in self.tables.items()
+            if prefix in self._loaded
+        ]
+
     @property
     def ready(self) -> bool:
         """True once the configuration and the endpoints are known."""
--- a/packages/daemon/gypsumpost_daemon/gateway/endpoint_monitor.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/endpoint_monitor.py
@@ -115,6 +115,16 @@
         for listener in self._listeners:
             listener(record, reason)
 
+    def mark_replaced(self, record: EndpointRecord) -> None:
+        """Note that another endpoint has answered at the address.
+
+        :param record: the endpoint that was expected.
+        """
+        LOG.write(
+            "another endpoint has the address", endpoint=record.endpoint_id, address=record.address
+        )
+        self._directory.fleet.mark_replaced(record)
+
     async def _probe_lost(self, record: EndpointRecord) -> None:
         if record.endpoint_id in self._checks:
             return
--- a/packages/daemon/gypsumpost_daemon/gateway/forward_context.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/forward_context.py
@@ -8,6 +8,7 @@
 from gypsumpost_core.gateway.retry_window import RetryWindow
 from gypsumpost_core.gateway.use_table import UseTable
 from gypsumpost_daemon.gateway.caller_call import CallerCall
+from gypsumpost_daemon.gateway.crash_guard import CrashGuard
 from gypsumpost_daemon.gateway.directory import Directory
 from gypsumpost_daemon.gateway.endpoint_monitor import EndpointMonitor
 from gypsumpost_daemon.gateway.forwarded_request import ForwardedRequest
@@ -27,6 +28,7 @@
     :param directory: configuration and endpoints.
     :param monitor: finds lost endpoints.
     :param use: work on the engines.
+    :param crashes: requests that crash endpoints.
     :param count_hosts: returns the number of hosts that share budgets.
     """
 
@@ -35,6 +37,7 @@
     directory: Directory
     monitor: EndpointMonitor
     use: UseTable
+    crashes: CrashGuard
     count_hosts: Callable[[], int]
     _retries: dict[str, RetryWindow] = attrs.field(factory=dict, init=False)
 
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
@@ -5,18 +5,26 @@
 import trio
 
 from gypsumpost_core.gateway.use_table import UseTable
+from gypsumpost_core.host import Host
+from gypsumpost_core.key_ring import KeyRing
+from gypsumpost_core.membership_settings import MembershipSettings
 from gypsumpost_daemon.asgi_application import ASGIApplication
 from gypsumpost_daemon.gateway.adapter import GatewayAdapter
+from gypsumpost_daemon.gateway.crash_guard import CrashGuard
 from gypsumpost_daemon.gateway.directory import Directory
 from gypsumpost_daemon.gateway.endpoint_monitor import EndpointMonitor
 from gypsumpost_daemon.gateway.forward_context import ForwardContext
 from gypsumpost_daemon.gateway.gateway_application import GatewayApplication
 from gypsumpost_daemon.gateway.gateway_settings import GatewaySettings
+from gypsumpost_daemon.gateway.peer_exchange import PeerExchange
 from gypsumpost_daemon.gateway.ready_application import ReadyApplication
 from gypsumpost_daemon.gateway.store_follower import StoreFollower
+from gypsumpost_daemon.gossip import Gossip
 from gypsumpost_daemon.h11_server import serve_limited
+from gypsumpost_daemon.host_directory import HostDirectory
 from gypsumpost_daemon.http_limits import HttpLimits
 from gypsumpost_daemon.log import Log
+from gypsumpost_daemon.peer_network import PeerNetwork
 from gypsumpost_daemon.running_server import RunningServer
 
 IDLE_MARGIN_SECONDS = 0.5
@@ -48,13 +56,43 @@
         self._follower = StoreFollower(
             store=adapter.create_store(settings), directory=self._directory
         )
+        own = Host(
+            host_id=settings.host_id,
+            failure_domain=settings.failure_domain,
+            peer_address=settings.peer_address,
+            gossip_address=settings.gossip_address,
+            api_address=settings.caller_address,
+        )
+        self._hosts = HostDirectory(own=own)
+        key = KeyRing(current=settings.peer_key)
+        self._network = PeerNetwork(directory=self._hosts, key=key)
+        self._gossip = Gossip(
+            directory=self._hosts,
+            key=key,
+            settings=MembershipSettings(),
+        )
+        use = UseTable()
+        crashes = CrashGuard()
+        self._exchange = PeerExchange(
+            address=settings.beacon_address,
+            seed_ips=settings.seed_ips,
+            hosts=self._hosts,
+            gossip=self._gossip,
+            network=self._network,
+            key=key,
+            directory=self._directory,
+            monitor=self._monitor,
+            use=use,
+            crashes=crashes,
+        )
         self._application = GatewayApplication(
             context=ForwardContext(
                 settings=settings,
                 names=adapter.headers,
                 directory=self._directory,
                 monitor=self._monitor,
-                use=UseTable(),
+                use=use,
+                crashes=crashes,
                 count_hosts=self._count_hosts,
             )
         )
@@ -64,6 +102,9 @@
     async def run(self) -> None:
         """Serve until a signal asks for a planned stop and all requests have ended."""
         async with trio.open_nursery() as nursery:
+            await nursery.start(self._network.run)
+            await nursery.start(self._gossip.run)
+            await nursery.start(self._exchange.run)
             nursery.start_soon(self._directory.run)
             nursery.start_soon(self._follower.run)
             await nursery.start(self._monitor.run)
@@ -84,7 +125,7 @@
         return self._directory.ready and not self._stopping
 
     def _count_hosts(self) -> int:
-        return 9
+        return len(self._hosts.list_live())
 
     async def _serve(
         self,
@@ -123,6 +164,7 @@
         LOG.write("stopping", open_requests=self._application.open_requests)
         self._stopping = True
         server.drain()
+        await self._gossip.leave()
         await trio.sleep(min(BALANCER_SECONDS, deadline - now))
         with trio.move_on_at(deadline):
             while self._application.open_requests:
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_settings.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_settings.py
@@ -15,6 +15,8 @@
     :param metrics_address: ``ip:port`` for metrics, empty for none.
     :param peer_address: ``ip:port`` of the TCP listener for other hosts.
     :param gossip_address: ``ip:port`` of the UDP socket for membership.
+    :param beacon_address: ``ip:port`` of the UDP socket for beacons; all hosts use one port.
+    :param peer_key: shared key with which hosts prove that they belong to the deployment.
     :param seed_ips: addresses of hosts that may know others.
     :param store_address: ``ip:port`` of the platform's store.
     :param stop_seconds: time from the signal to stop until the process is killed.
@@ -32,6 +34,8 @@
     metrics_address: str = ""
     peer_address: str
     gossip_address: str
+    beacon_address: str
+    peer_key: bytes = attrs.field(default=b"gypsumpost", repr=False)
     seed_ips: tuple[str, ...] = ()
     store_address: str
     stop_seconds: float = 30.0
--- a/packages/daemon/gypsumpost_daemon/gateway/stream_forwarder.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/stream_forwarder.py
@@ -65,6 +65,7 @@
             with trio.move_on_at(call.deadline):
                 reason = await self._run_attempts(call, exchange, progress)
                 if not reason:
+                    self._log_end(call, progress)
                     return
         finally:
             self._context.use.drop(progress.use)
@@ -95,9 +96,12 @@
             failure = done.err_value
             progress.sends += failure.sent
             progress.may_have_run = progress.may_have_run or failure.may_have_run
-            if copy is not None and not failure.may_have_run:
+            if failure.may_have_run:
+                # The engine may have begun to send its memory to the copy's holder.
+                progress.copy = self._find_record(progress.use.copy_engine)
+            elif copy is not None:
                 progress.copy = None
-            elif not failure.may_have_run:
+            else:
                 tried.add(state.record.endpoint_id)
             LOG.write(
                 "an attempt ended",
@@ -113,6 +117,22 @@
             if not failure.may_have_run:
                 await trio.sleep(PAUSE_SECONDS)
 
+    def _log_end(self, call: CallerCall, progress: StreamProgress) -> None:
+        first = (progress.first_event_at or trio.current_time()) - call.received_at
+        LOG.write(
+            "complete",
+            request=call.request_id,
+            events=progress.events,
+            attempts=progress.sends + 1,
+            first_event_seconds=round(first, 3),
+            longest_gap=round(progress.longest_gap, 3),
+            prompt_tokens=call.prompt_tokens,
+        )
+
+    def _find_record(self, endpoint_id: str) -> EndpointRecord | None:
+        state = self._context.directory.fleet.find(endpoint_id)
+        return state.record if state else None
+
     def _find_copy_engine(self, copy: EndpointRecord | None) -> EndpointState | None:
         if copy is None:
             return None
@@ -205,7 +225,6 @@
                     return Err(
                         AttemptFailure(reason=failure.reason, may_have_run=failure.may_have_run)
                     )
-                progress.copy = target.record if target else None
                 return await self._relay(call, exchange, progress, state, connection)
             return Err(AttemptFailure(reason="the engine is lost", may_have_run=True))
         except OSError as error:
@@ -250,7 +269,7 @@
                 return Err(AttemptFailure(reason="the engine is silent", may_have_run=True))
         headers = list(head.headers)
         if head.status_code == MISDIRECTED:
-            self._context.monitor.mark_lost(state.record, "another endpoint has the address")
+            self._context.monitor.mark_replaced(state.record)
             return Err(AttemptFailure(reason="another endpoint", may_have_run=False, sent=False))
         if find_header(headers, names.not_run) is not None:
             reason = f"refused with {head.status_code}"
@@ -278,15 +297,13 @@
             if reading:
                 state.observe_reading(call.prompt_tokens, now - began)
                 reading = progress.use.reading = False
+                self._context.use.note_change()
             else:
                 state.observe_gap(now - last_at)
             last_at = now
             if not exchange.started:
                 await exchange.start(OK, select_response_headers(headers))
-            if progress.lost_at is not None:
-                progress.lost_at = None
-            progress.events += len(events)
-            progress.last_event_id = events[-1].event_id or progress.last_event_id
+            progress.note_events(len(events), events[-1].event_id, now)
             await exchange.send(b"".join(event.data for event in events), more=True)
         if cutter.incomplete:
             return Err(AttemptFailure(reason="the stream ended in an event", may_have_run=True))
--- a/packages/daemon/gypsumpost_daemon/gateway/stream_progress.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/stream_progress.py
@@ -16,7 +16,9 @@
     :param sends: requests sent to engines so far.
     :param may_have_run: true if an engine may have begun to run the request.
     :param events: events that the caller has.
-    :param lost_at: process time of the loss that is being recovered, ``None`` if there is none.
+    :param first_event_at: process time of the first event, ``None`` before it.
+    :param last_event_at: process time of the last event, ``None`` before the first.
+    :param longest_gap: longest pause between events in seconds.
     """
 
     last_event_id: bytes
@@ -25,4 +27,21 @@
     sends: int = 0
     may_have_run: bool = False
     events: int = 0
-    lost_at: float | None = None
+    first_event_at: float | None = None
+    last_event_at: float | None = None
+    longest_gap: float = 0.0
+
+    def note_events(self, count: int, last_event_id: bytes, now: float) -> None:
+        """Note events that the caller has got.
+
+        :param count: number of events.
+        :param last_event_id: id of the last one, empty if it has none.
+        :param now: process time in seconds.
+        """
+        if self.last_event_at is None:
+            self.first_event_at = now
+        else:
+            self.longest_gap = max(self.longest_gap, now - self.last_event_at)
+        self.last_event_at = now
+        self.events += count
+        self.last_event_id = last_event_id or self.last_event_id
--- a/packages/daemon/gypsumpost_daemon/gossip.py
+++ b/packages/daemon/gypsumpost_daemon/gossip.py
@@ -86,6 +86,13 @@
         """
         self._set_seeds("platform", [listed.host for listed in snapshot.hosts])
 
+    def take_contacts(self, hosts: Iterable[Host]) -> None:
+        """Use hosts that have made themselves known as seeds.
+
+        :param hosts: the hosts.
+        """
+        self._set_seeds("contacts", list(hosts))
+
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Bind the socket and take part in membership until cancelled."""
         ip, port = split_address(self._directory.own.gossip_address)
--- a/packages/daemon/gypsumpost_daemon/message_kind.py
+++ b/packages/daemon/gypsumpost_daemon/message_kind.py
@@ -20,3 +20,4 @@
     REPORT_DEMAND = 40
     QUARANTINE = 50
     ENDPOINT_LEAVING = 51
+    DIRECTORY_STATE = 60
--- a/packages/daemon/gypsumpost_daemon/peer_link.py
+++ b/packages/daemon/gypsumpost_daemon/peer_link.py
@@ -38,14 +38,21 @@
         self._correlations = itertools.count(1)
         self._sender, self._queue = trio.open_memory_channel[bytes](QUEUE_FRAMES)
         self.closed = False
+        self._scope = trio.CancelScope()
+
+    def stop(self) -> None:
+        """Close the connection; requests that wait for a reply fail."""
+        self.closed = True
+        self._scope.cancel()
 
     async def run(self) -> None:
         """Write queued frames and read replies until the connection ends."""
         try:
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._write_frames)
-                await self._read_replies()
-                nursery.cancel_scope.cancel()
+            with self._scope:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._write_frames)
+                    await self._read_replies()
+                    nursery.cancel_scope.cancel()
         except* (trio.BrokenResourceError, trio.ClosedResourceError, ValueError):
             pass  # A broken connection is reported to the waiting requests below.
         finally:
--- a/packages/daemon/gypsumpost_daemon/peer_network.py
+++ b/packages/daemon/gypsumpost_daemon/peer_network.py
@@ -77,6 +77,15 @@
             return await opened.ok_value.request(kind, payload, deadline)
         return Err(PeerFailure(host_id=host_id, reason="no connection in time", sent=False))
 
+    def drop_link(self, host_id: str) -> None:
+        """Close the link to a peer that gave no reply, so that the next request opens another.
+
+        :param host_id: the peer.
+        """
+        link = self._links.pop(host_id, None)
+        if link is not None:
+            link.stop()
+
     async def _open_link(self, host_id: str) -> Result[PeerLink, PeerFailure]:
         # One task connects; others that want the same peer wait for it.
         async with self._connecting.setdefault(host_id, trio.Lock()):
