Ask a lost endpoint's address who answers, and use restarted engines while the store is away

Cause: engines that had crashed and started again during an outage of the store were known by their old ids only. Attempts that sent nothing no longer wait before the next one.

--- a/packages/core/gypsumpost_core/gateway/engine_limits.py
+++ b/packages/core/gypsumpost_core/gateway/engine_limits.py
@@ -12,6 +12,7 @@
     :param keeps_copies: true if an engine sends the memory of its runs to another one on request.
     :param copy_seconds: how long a copy is kept after its last part.
     :param event_tokens: tokens in one event of a stream.
+    :param models: names of the models that the engines serve.
     """
 
     slots: int
@@ -19,3 +20,4 @@
     keeps_copies: bool
     copy_seconds: float
     event_tokens: int = 1
+    models: frozenset[str] = frozenset()
--- a/packages/daemon/gypsumpost_daemon/gateway/adapter.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/adapter.py
@@ -6,6 +6,7 @@
 
 from gypsumpost_core.gateway.configuration import Configuration
 from gypsumpost_core.gateway.endpoint_record import EndpointRecord
+from gypsumpost_core.gateway.engine_state_report import EngineStateReport
 from gypsumpost_daemon.gateway.gateway_settings import GatewaySettings
 from gypsumpost_daemon.gateway.header_names import HeaderNames
 from gypsumpost_daemon.gateway.item_store import ItemStore
@@ -15,13 +16,15 @@
     """Names, formats and calls of a platform; decides nothing.
 
     ``headers`` are its header names, ``configuration_prefix`` and ``endpoint_prefix`` begin the
-    keys that are watched, ``configuration_key`` holds the newest configuration.
+    keys that are watched, ``configuration_key`` holds the newest configuration. ``report_path`` is
+    where engines tell their state.
     """
 
     headers: HeaderNames
     configuration_prefix: str
     configuration_key: str
     endpoint_prefix: str
+    report_path: str
 
     def read_settings(self) -> Result[GatewaySettings, list[str]]:
         """Return the settings of this process, or what is wrong with them."""
@@ -38,3 +41,7 @@
     def decode_endpoint(self, key: str, value: bytes) -> Result[EndpointRecord, str]:
         """Return the endpoint of an entry, or why the entry names none."""
         ...
+
+    def decode_report(self, body: bytes) -> Result[EngineStateReport, str]:
+        """Return an engine's report of its state, or why it cannot be read."""
+        ...
--- a/packages/daemon/gypsumpost_daemon/gateway/directory.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/directory.py
@@ -7,6 +7,7 @@
 from result import Err
 
 from gypsumpost_core.gateway.endpoint_fleet import EndpointFleet
+from gypsumpost_core.gateway.endpoint_record import EndpointRecord
 from gypsumpost_core.gateway.item_table import ItemTable
 from gypsumpost_core.gateway.route_table import RouteTable
 from gypsumpost_core.gateway.stored_item import StoredItem
@@ -37,6 +38,8 @@
         self._loaded: set[str] = set()
         self._outage_ended_at = -math.inf
         self._gone_at: dict[str, float] = {}
+        self._unconfirmed: set[str] = set()
+        self.store_lost = False
         self._changed = trio.Event()
 
     @property
@@ -96,12 +99,44 @@
         self._loaded.add(prefix)
         self._take(prefix, self.tables[prefix].replace(items, revision), source)
 
+    def take_successor(self, record: EndpointRecord, successor: EndpointRecord) -> None:
+        """Take in an engine that has taken the place of another one.
+
+        A successor serves only while the store is away. After that, its entry has to be there.
+
+        :param record: the endpoint that is gone.
+        :param successor: the engine at its address.
+        """
+        if self.store_lost and not successor.leaving and not self.fleet.find(successor.endpoint_id):
+            LOG.write(
+                "an engine has started while the store is away",
+                endpoint=successor.endpoint_id,
+                address=successor.address,
+                replaces=record.endpoint_id,
+            )
+            self.fleet.put(successor)
+            self._unconfirmed.add(successor.endpoint_id)
+            self.note_change()
+
+    def note_return(self, now: float) -> None:
+        """Note that the store answers again.
+
+        :param now: process time in seconds.
+        """
+        self.store_lost = False
+        for endpoint_id in self._unconfirmed:
+            key = self._adapter.endpoint_prefix + endpoint_id
+            if not self.tables[self._adapter.endpoint_prefix].has(key):
+                self._gone_at[key] = now + RETURN_SECONDS
+        self._unconfirmed.clear()
+
     def note_outage(self, now: float) -> None:
         """Note that the store did not answer.
 
         :param now: process time in seconds.
         """
         self._outage_ended_at = now
+        self.store_lost = True
 
     async def run(self) -> None:
         """Remove endpoints that have not come back after an outage of the store."""
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/gateway/endpoint_identity.py
@@ -0,0 +1,91 @@
+"""Finds out which start of which endpoint answers at an address."""
+
+import attrs
+import trio
+from result import Err, Ok, Result
+
+from gypsumpost_core.gateway.endpoint_record import EndpointRecord
+from gypsumpost_core.gateway.service import Service
+from gypsumpost_daemon.gateway.adapter import GatewayAdapter
+from gypsumpost_daemon.gateway.endpoint_answer import EndpointAnswer
+from gypsumpost_daemon.gateway.forwarded_request import ForwardedRequest
+from gypsumpost_daemon.gateway.message_headers import find_header
+from gypsumpost_daemon.h11_engine_connection import connect
+
+ASK_SECONDS = 0.4
+
+
+@attrs.frozen(kw_only=True)
+class EndpointIdentity:
+    """Asks an endpoint who it is.
+
+    :param adapter: names and formats of the platform.
+    """
+
+    adapter: GatewayAdapter
+
+    async def find_successor(
+        self, record: EndpointRecord, service: Service
+    ) -> Result[EndpointRecord | None, str]:
+        """Return who answers at an endpoint's address.
+
+        The result is the same record if the endpoint is alive, the record of the engine that has
+        taken its place, or ``None`` if the address belongs to an endpoint of another kind.
+
+        :param record: the endpoint that was there.
+        :param service: its service.
+        """
+        names = self.adapter.headers
+        health = await self._ask(record.address, service.health_path)
+        if isinstance(health, Err):
+            return health
+        found = find_header(health.ok_value.headers, names.endpoint_id)
+        if found == record.endpoint_id.encode():
+            return Ok(record)
+        if service.engine is None or found is None:
+            return Ok(None)
+        asked = await self._ask(record.address, self.adapter.report_path)
+        if isinstance(asked, Err):
+            return asked
+        report = self.adapter.decode_report(asked.ok_value.body)
+        if isinstance(report, Err) or not report.ok_value.models:
+            return Ok(None)
+        if report.ok_value.models != service.engine.models:
+            return Ok(None)
+        return Ok(
+            attrs.evolve(
+                record,
+                endpoint_id=found.decode("latin-1"),
+                started_at=report.ok_value.started_at,
+                leaving=report.ok_value.leaving,
+            )
+        )
+
+    async def _ask(self, address: str, path: str) -> Result[EndpointAnswer, str]:
+        deadline = trio.current_time() + ASK_SECONDS
+        opened = await connect(address, deadline, fast_chunks=False)
+        if isinstance(opened, Err):
+            return Err(opened.err_value.reason)
+        connection = opened.ok_value
+        request = ForwardedRequest(
+            method="GET", path=path, headers=((b"host", address.encode()),), body=b""
+        )
+        try:
+            with trio.move_on_at(deadline):
+                sent = await connection.send(request)
+                if isinstance(sent, Err):
+                    return Err(sent.err_value.reason)
+                body = bytearray()
+                while piece := await connection.receive_body():
+                    body += piece
+                head = sent.ok_value
+                return Ok(
+                    EndpointAnswer(
+                        status=head.status_code, headers=list(head.headers), body=bytes(body)
+                    )
+                )
+        except OSError as error:
+            return Err(str(error))
+        finally:
+            connection.close()
+        return Err("no answer in time")
--- a/packages/daemon/gypsumpost_daemon/gateway/endpoint_monitor.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/endpoint_monitor.py
@@ -1,18 +1,24 @@
 """Finds out which endpoints are lost and tells everybody who uses them."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import trio
+from result import Err
 
 from gypsumpost_core.gateway.endpoint_record import EndpointRecord
 from gypsumpost_daemon.gateway.directory import Directory
+from gypsumpost_daemon.gateway.endpoint_identity import EndpointIdentity
 from gypsumpost_daemon.gateway.endpoint_probe import ProbeResult, probe_endpoint
 from gypsumpost_daemon.log import Log
 
 RETURN_PROBE_SECONDS = 0.3
 """Interval of probes of a lost endpoint."""
 
+ENTRY_SECONDS = 0.5
+"""How long the entry of a restarted engine may take before the store is asked."""
+
 LOG = Log(prefix="endpoint")
+Refresh = Callable[[], Awaitable[None]]
 LossListener = Callable[[EndpointRecord, str], None]
 
 
@@ -20,10 +26,17 @@
     """Probes endpoints that are suspected or lost.
 
     :param directory: the endpoints.
+    :param identity: asks endpoints who they are.
+    :param refresh: reads the endpoints from the store again.
     """
 
-    def __init__(self, *, directory: Directory) -> None:
+    def __init__(
+        self, *, directory: Directory, identity: EndpointIdentity, refresh: Refresh
+    ) -> None:
         self._directory = directory
+        self._identity = identity
+        self._refresh = refresh
+        self._asking: set[str] = set()
         self._scopes: dict[str, set[trio.CancelScope]] = {}
         self._listeners: list[LossListener] = []
         self._checks: dict[str, trio.Event] = {}
@@ -121,17 +134,53 @@
         :param record: the endpoint that was expected.
         """
         LOG.write(
-            "another endpoint has the address", endpoint=record.endpoint_id, address=record.address
+            "another endpoint has the address",
+            endpoint=record.endpoint_id,
+            address=record.address,
         )
         self._directory.fleet.mark_replaced(record)
+        if self._nursery is not None:
+            self._nursery.start_soon(self._probe_lost, record)
 
     async def _probe_lost(self, record: EndpointRecord) -> None:
-        if record.endpoint_id in self._checks:
+        if record.endpoint_id in self._asking:
             return
-        if await probe_endpoint(record.address) is not ProbeResult.ALIVE:
+        self._asking.add(record.endpoint_id)
+        try:
+            if await probe_endpoint(record.address) is ProbeResult.ALIVE:
+                await self._identify(record)
+        finally:
+            self._asking.discard(record.endpoint_id)
+
+    async def _identify(self, record: EndpointRecord) -> None:
+        routes = self._directory.routes
+        service = routes.find_service(record.service) if routes else None
+        if service is None:
+            return
+        asked = await self._identity.find_successor(record, service)
+        if isinstance(asked, Err):
+            LOG.write(
+                "an endpoint does not say who it is",
+                endpoint=record.endpoint_id,
+                reason=asked.err_value,
+            )
             return
         state = self._directory.fleet.find(record.endpoint_id)
-        if state is not None and state.lost and state.record == record:
+        if asked.ok_value == record and state is not None and state.record == record:
             LOG.write("an endpoint is back", endpoint=record.endpoint_id)
             self._directory.fleet.mark_alive(record.endpoint_id, trio.current_time())
             self._directory.note_change()
+        elif asked.ok_value != record:
+            await self._take_successor(record, asked.ok_value)
+
+    async def _take_successor(
+        self, record: EndpointRecord, successor: EndpointRecord | None
+    ) -> None:
+        self._directory.fleet.mark_replaced(record)
+        if successor is None:
+            return
+        # The entry of an engine that has just started is on its way, unless the store is away.
+        await trio.sleep(ENTRY_SECONDS)
+        if self._directory.fleet.find(successor.endpoint_id) is None:
+            await self._refresh()
+            self._directory.take_successor(record, successor)
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
@@ -12,6 +12,7 @@
 from gypsumpost_daemon.gateway.adapter import GatewayAdapter
 from gypsumpost_daemon.gateway.crash_guard import CrashGuard
 from gypsumpost_daemon.gateway.directory import Directory
+from gypsumpost_daemon.gateway.endpoint_identity import EndpointIdentity
 from gypsumpost_daemon.gateway.endpoint_monitor import EndpointMonitor
 from gypsumpost_daemon.gateway.forward_context import ForwardContext
 from gypsumpost_daemon.gateway.gateway_application import GatewayApplication
@@ -52,10 +53,14 @@
         self._settings = settings
         self._adapter = adapter
         self._directory = Directory(adapter=adapter)
-        self._monitor = EndpointMonitor(directory=self._directory)
         self._follower = StoreFollower(
             store=adapter.create_store(settings), directory=self._directory
         )
+        self._monitor = EndpointMonitor(
+            directory=self._directory,
+            identity=EndpointIdentity(adapter=adapter),
+            refresh=lambda: self._follower.refresh(adapter.endpoint_prefix),
+        )
         own = Host(
             host_id=settings.host_id,
             failure_domain=settings.failure_domain,
--- a/packages/daemon/gypsumpost_daemon/gateway/header_names.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/header_names.py
@@ -14,6 +14,7 @@
     :param seal: proof that an answer is the endpoint's own.
     :param workspace: name of the caller's workspace.
     :param expected_endpoint: id of the endpoint that the request is meant for.
+    :param endpoint_id: id of the endpoint that answers.
     :param load: load of an endpoint, in its answers.
     :param not_run: set on an answer if the endpoint did not run the request.
     :param priority: rank of a request among those of the engine.
@@ -31,6 +32,7 @@
     seal: bytes
     workspace: bytes
     expected_endpoint: bytes
+    endpoint_id: bytes
     load: bytes
     not_run: bytes
     priority: bytes
--- a/packages/daemon/gypsumpost_daemon/gateway/store_follower.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/store_follower.py
@@ -1,5 +1,6 @@
 """Follows the store and fills the directory."""
 
+import math
 import random
 
 import trio
@@ -14,6 +15,9 @@
 LAST_RETRY_SECONDS = 0.8
 """A configuration has to be in force two seconds after the store is back."""
 
+REFRESH_SECONDS = 1.0
+"""Shortest time between two readings that were asked for."""
+
 LOG = Log(prefix="store")
 
 
@@ -30,12 +34,23 @@
         self.answered_at = trio.current_time()
         self.calls = 0
         self._lost = False
+        self._refresh_at = -math.inf
 
     @property
     def lost(self) -> bool:
         """True while the store does not answer."""
         return self._lost
 
+    async def refresh(self, prefix: str) -> None:
+        """Read a prefix again, at most once in a while.
+
+        :param prefix: beginning of the keys.
+        """
+        now = trio.current_time()
+        if now >= self._refresh_at:
+            self._refresh_at = now + REFRESH_SECONDS
+            await self._read(prefix)
+
     async def run(self) -> None:
         """Follow all prefixes until cancelled."""
         async with trio.open_nursery() as nursery:
@@ -87,5 +102,6 @@
         now = trio.current_time()
         if self._lost:
             LOG.write("the store answers again", silent_seconds=round(now - self.answered_at, 3))
+            self._directory.note_return(now)
         self._lost = False
         self.answered_at = now
--- a/packages/daemon/gypsumpost_daemon/gateway/stream_forwarder.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/stream_forwarder.py
@@ -114,7 +114,7 @@
             )
             if failure.may_have_run and not call.route.resumable:
                 return failure.reason
-            if not failure.may_have_run:
+            if failure.sent and not failure.may_have_run:
                 await trio.sleep(PAUSE_SECONDS)
 
     def _log_end(self, call: CallerCall, progress: StreamProgress) -> None:
