--- a/packages/daemon/gypsumpost_daemon/gateway/beacon.capnp
+++ b/packages/daemon/gypsumpost_daemon/gateway/beacon.capnp
@@ -21,6 +21,12 @@
   startedAt @2 :UInt64;
 }
 
+struct CopyReport {
+  fingerprint @0 :Data;
+  requestId @1 :Text;
+  copyEngine @2 :Text;
+}
+
 struct Beacon {
   hostId @0 :Text;
   sequence @1 :UInt64;
@@ -30,6 +36,7 @@
   losses @5 :List(Loss);
   crashes @6 :List(CrashReport);
   failureDomain @7 :Text;
+  copies @8 :List(CopyReport);
 }
 
 struct Item {
--- a/packages/daemon/gypsumpost_daemon/gateway/beacon.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/beacon.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from gypsumpost_core.gateway.copy_report import CopyReport
 from gypsumpost_core.gateway.crash_report import CrashReport
 from gypsumpost_core.gateway.engine_use import EngineUse
 from gypsumpost_core.gateway.loss_report import LossReport
@@ -21,6 +22,7 @@
     :param uses: the sender's work by engine.
     :param losses: endpoints that the sender found lost.
     :param crashes: requests that were running when an engine crashed.
+    :param copies: where the copies of the sender's streams are.
     """
 
     host_id: str
@@ -31,3 +33,4 @@
     uses: Mapping[str, EngineUse]
     losses: tuple[LossReport, ...]
     crashes: tuple[CrashReport, ...]
+    copies: tuple[CopyReport, ...]
--- a/packages/daemon/gypsumpost_daemon/gateway/beacon_codec.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/beacon_codec.py
@@ -7,6 +7,7 @@
 import capnp
 from result import Err, Ok, Result
 
+from gypsumpost_core.gateway.copy_report import CopyReport
 from gypsumpost_core.gateway.crash_report import CrashReport
 from gypsumpost_core.gateway.engine_use import EngineUse
 from gypsumpost_core.gateway.loss_report import LossReport
@@ -49,6 +50,14 @@
             }
             for crash in beacon.crashes
         ],
+        copies=[
+            {
+                "fingerprint": copy.fingerprint,
+                "requestId": copy.request_id,
+                "copyEngine": copy.copy_engine,
+            }
+            for copy in beacon.copies
+        ],
     ).to_bytes_packed()
     return packed
 
@@ -88,6 +97,14 @@
                     )
                     for crash in message.crashes
                 ),
+                copies=tuple(
+                    CopyReport(
+                        fingerprint=bytes(copy.fingerprint),
+                        request_id=copy.requestId,
+                        copy_engine=copy.copyEngine,
+                    )
+                    for copy in message.copies
+                ),
             )
         )
     except (capnp.KjException, ValueError, UnicodeDecodeError) as error:
--- a/packages/daemon/gypsumpost_daemon/gateway/forward_context.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/forward_context.py
@@ -5,6 +5,7 @@
 import attrs
 import trio
 
+from gypsumpost_core.gateway.copy_directory import CopyDirectory
 from gypsumpost_core.gateway.retry_window import RetryWindow
 from gypsumpost_core.gateway.use_table import UseTable
 from gypsumpost_daemon.gateway.caller_call import CallerCall
@@ -29,6 +30,7 @@
     :param monitor: finds lost endpoints.
     :param use: work on the engines.
     :param crashes: requests that crash endpoints.
+    :param copies: where the copies of streams are.
     :param count_hosts: returns the number of hosts that share budgets.
     """
 
@@ -38,6 +40,7 @@
     monitor: EndpointMonitor
     use: UseTable
     crashes: CrashGuard
+    copies: CopyDirectory
     count_hosts: Callable[[], int]
     _retries: dict[str, RetryWindow] = attrs.field(factory=dict, init=False)
 
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_application.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_application.py
@@ -1,9 +1,11 @@
 """The gateway's ASGI application."""
 
+import math
 import random
 
 import trio
 
+from gypsumpost_core.gateway.request_kind import RequestKind
 from gypsumpost_core.gateway.route import Route
 from gypsumpost_core.gateway.route_table import RouteTable
 from gypsumpost_core.run_state import RunState
@@ -19,6 +21,9 @@
 START_RETRY_SECONDS = 0.3
 """When a caller may come again while this host does not know the configuration yet."""
 
+STOP_RETRY_SECONDS = 0.05
+"""When a caller may come again while this host stops; another host takes its connection."""
+
 BEARER = b"bearer "
 
 LOG = Log(prefix="gateway")
@@ -36,6 +41,8 @@
             name: FORWARDERS.create(name, context=context) for name in FORWARDERS.names()
         }
         self.open_requests = 0
+        self.streams_until = math.inf
+        self.calls_until = math.inf
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one request.
@@ -80,6 +87,12 @@
         if call is None:
             await self._refuse(exchange, 400, "A header of the request is malformed.", routes)
             return
+        until = self.streams_until if route.kind is RequestKind.STREAM else self.calls_until
+        if received_at > until:
+            LOG.write("refused", request=call.request_id, reason="this host stops")
+            text = "This host stops."
+            await exchange.refuse(503, text, RunState.NOT_RUN, STOP_RETRY_SECONDS)
+            return
         self._context.get_retries(call.service).note_request(received_at)
         await self._forward(call, exchange)
 
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from gypsumpost_core.gateway.copy_directory import CopyDirectory
 from gypsumpost_core.gateway.use_table import UseTable
 from gypsumpost_core.host import Host
 from gypsumpost_core.key_ring import KeyRing
@@ -37,6 +38,12 @@
 STOP_MARGIN_SECONDS = 0.4
 """Streams that are left are broken off this long before the process is killed."""
 
+STREAM_SECONDS = 2.8
+"""New streams are taken this long after the signal to stop; later ones may not end in time."""
+
+CALL_SECONDS = 1.6
+"""New calls are taken until this long before the end."""
+
 READY_BODY_BYTES = 4096
 
 LOG = Log(prefix="gateway")
@@ -78,6 +85,7 @@
         )
         use = UseTable()
         crashes = CrashGuard()
+        copies = CopyDirectory()
         self._exchange = PeerExchange(
             address=settings.beacon_address,
             seed_ips=settings.seed_ips,
@@ -89,6 +97,7 @@
             monitor=self._monitor,
             use=use,
             crashes=crashes,
+            copies=copies,
         )
         self._application = GatewayApplication(
             context=ForwardContext(
@@ -98,6 +107,7 @@
                 monitor=self._monitor,
                 use=use,
                 crashes=crashes,
+                copies=copies,
                 count_hosts=self._count_hosts,
             )
         )
@@ -168,6 +178,8 @@
         deadline = now + self._settings.stop_seconds - STOP_MARGIN_SECONDS
         LOG.write("stopping", open_requests=self._application.open_requests)
         self._stopping = True
+        self._application.streams_until = now + STREAM_SECONDS
+        self._application.calls_until = deadline - CALL_SECONDS
         server.drain()
         await self._gossip.leave()
         await trio.sleep(min(BALANCER_SECONDS, deadline - now))
--- a/packages/daemon/gypsumpost_daemon/gateway/peer_exchange.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/peer_exchange.py
@@ -7,6 +7,7 @@
 import trio
 from result import Err
 
+from gypsumpost_core.gateway.copy_directory import CopyDirectory
 from gypsumpost_core.gateway.loss_report import LossReport
 from gypsumpost_core.gateway.use_table import UseTable
 from gypsumpost_core.host import Host
@@ -61,6 +62,7 @@
     :param monitor: finds lost endpoints.
     :param use: work on the engines.
     :param crashes: requests that crash engines.
+    :param copies: where the copies of streams are.
     """
 
     def __init__(
@@ -76,6 +78,7 @@
         monitor: EndpointMonitor,
         use: UseTable,
         crashes: CrashGuard,
+        copies: CopyDirectory,
     ) -> None:
         self._ip, self._port = split_address(address)
         self._seed_ips = seed_ips
@@ -88,6 +91,7 @@
         self._monitor = monitor
         self._use = use
         self._crashes = crashes
+        self._copies = copies
         self._sequence = itertools.count(1)
         self._seen: dict[str, int] = {}
         self._losses: dict[LossReport, float] = {}
@@ -137,6 +141,7 @@
             uses=self._use.sum_own(),
             losses=tuple(self._losses),
             crashes=self._crashes.list_reports(now),
+            copies=self._copies.list_own(),
         )
         body = encode_beacon(beacon)
         data = sign_datagram(self._key.choose_signing(now), body) + body
@@ -195,6 +200,7 @@
             return
         self._seen[beacon.host_id] = beacon.sequence
         self._use.take_report(beacon.host_id, beacon.uses, now)
+        self._copies.take_reports(beacon.copies, now)
         for loss in beacon.losses:
             self._take_loss(loss, beacon.host_id, now)
         for crash in beacon.crashes:
--- a/packages/daemon/gypsumpost_daemon/gateway/stream_forwarder.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/stream_forwarder.py
@@ -3,6 +3,7 @@
 import trio
 from result import Err, Ok, Result
 
+from gypsumpost_core.gateway.copy_report import CopyReport
 from gypsumpost_core.gateway.endpoint_record import EndpointRecord
 from gypsumpost_core.gateway.endpoint_state import EndpointState
 from gypsumpost_core.gateway.engine_choice import EngineChoice
@@ -13,6 +14,7 @@
 from gypsumpost_daemon.gateway.attempt_failure import AttemptFailure
 from gypsumpost_daemon.gateway.caller_call import CallerCall
 from gypsumpost_daemon.gateway.caller_exchange import CallerExchange
+from gypsumpost_daemon.gateway.crash_guard import fingerprint
 from gypsumpost_daemon.gateway.event_cutter import EventCutter
 from gypsumpost_daemon.gateway.forward_context import ForwardContext
 from gypsumpost_daemon.gateway.forwarder import FORWARDERS
@@ -61,6 +63,11 @@
                 total_tokens=call.prompt_tokens + call.output_tokens,
             ),
         )
+        digest = fingerprint(call)
+        known = self._context.copies.find(digest, trio.current_time())
+        if known is not None and call.route.resumable:
+            progress.copy = self._find_record(known.copy_engine)
+            progress.copy_request_id = known.request_id
         try:
             with trio.move_on_at(call.deadline):
                 reason = await self._run_attempts(call, exchange, progress)
@@ -69,6 +76,7 @@
                     return
         finally:
             self._context.use.drop(progress.use)
+            self._context.copies.drop(digest)
         if trio.current_time() >= call.deadline:
             reason = "the deadline has passed"
         await self._give_up(call, exchange, progress, reason)
@@ -99,6 +107,7 @@
             if failure.may_have_run:
                 # The engine may have begun to send its memory to the copy's holder.
                 progress.copy = self._find_record(progress.use.copy_engine)
+                progress.copy_request_id = call.request_id
             elif copy is not None:
                 progress.copy = None
             else:
@@ -214,6 +223,14 @@
             from_copy=copy is not None,
             last_event=progress.last_event_id.decode("latin-1"),
         )
+        if target is not None:
+            self._context.copies.put(
+                CopyReport(
+                    fingerprint=fingerprint(call),
+                    request_id=call.request_id,
+                    copy_engine=target.record.endpoint_id,
+                )
+            )
         connection = opened.ok_value
         scope = trio.CancelScope()
         self._context.monitor.watch(record.endpoint_id, scope)
@@ -248,7 +265,7 @@
         if target is not None:
             extra.append((names.copy_target, target.record.address.encode()))
         if copy is not None:
-            extra.append((names.resume_from, f"{copy.address}/{call.request_id}".encode()))
+            extra.append((names.resume_from, f"{copy.address}/{progress.copy_request_id}".encode()))
         return tuple(extra)
 
     async def _relay(
--- a/packages/daemon/gypsumpost_daemon/gateway/stream_progress.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/stream_progress.py
@@ -13,6 +13,7 @@
     :param last_event_id: id of the last event that the caller has, empty for none.
     :param use: what the stream takes of its engines.
     :param copy: the engine that holds the copy, ``None`` for none.
+    :param copy_request_id: id under which the holder knows the copy.
     :param sends: requests sent to engines so far.
     :param may_have_run: true if an engine may have begun to run the request.
     :param events: events that the caller has.
@@ -24,6 +25,7 @@
     last_event_id: bytes
     use: StreamUse
     copy: EndpointRecord | None = None
+    copy_request_id: str = ""
     sends: int = 0
     may_have_run: bool = False
     events: int = 0
