Bound the log, serve metrics, and refuse requests that crash endpoints

Log lines of a gateway are limited to 300 a second and written without blocking; what is left out is counted.

--- a/packages/core/gypsumpost_core/gateway/endpoint_fleet.py
+++ b/packages/core/gypsumpost_core/gateway/endpoint_fleet.py
@@ -1,5 +1,6 @@
 """The endpoints of all services."""
 
+from collections import deque
 from collections.abc import Iterator
 
 import attrs
@@ -10,6 +11,11 @@
 DOMAIN_SUSPICION_SECONDS = 1.3
 """Engines of a domain mostly fail together; new work avoids the domain of a lost one this long."""
 
+COMMON_CAUSE_SECONDS = 0.5
+"""Endpoints of a domain that are lost within this time have a common cause."""
+
+REMEMBERED_LOSSES = 256
+
 
 @attrs.define(kw_only=True)
 class EndpointFleet:
@@ -21,6 +27,9 @@
 
     _states: dict[str, EndpointState] = attrs.field(factory=dict, init=False)
     _domain_losses: dict[tuple[str, str], float] = attrs.field(factory=dict, init=False)
+    _losses: deque[tuple[float, EndpointRecord]] = attrs.field(
+        factory=lambda: deque(maxlen=REMEMBERED_LOSSES), init=False
+    )
     _replaced: set[tuple[str, int]] = attrs.field(factory=set, init=False)
 
     def put(self, record: EndpointRecord) -> None:
@@ -82,9 +91,23 @@
         news = not state.lost
         if news:
             state.lost_at = now
+            self._losses.append((now, state.record))
         self.suspect_domain(state.record, now)
         return news
 
+    def is_common_loss(self, record: EndpointRecord, lost_at: float) -> bool:
+        """Return true if other endpoints of the domain were lost at the same time.
+
+        :param record: an endpoint that was lost.
+        :param lost_at: process time in seconds.
+        """
+        return any(
+            abs(at - lost_at) < COMMON_CAUSE_SECONDS
+            and other.failure_domain == record.failure_domain
+            and other.endpoint_id != record.endpoint_id
+            for at, other in self._losses
+        )
+
     def suspect_domain(self, record: EndpointRecord, now: float) -> None:
         """Note that an endpoint of a domain was lost.
 
--- a/packages/daemon/gypsumpost_daemon/gateway/call_forwarder.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/call_forwarder.py
@@ -4,6 +4,7 @@
 from result import Err, Ok, Result
 
 from gypsumpost_core.gateway.endpoint_choice import choose_endpoint
+from gypsumpost_core.gateway.endpoint_record import EndpointRecord
 from gypsumpost_core.gateway.endpoint_state import EndpointState
 from gypsumpost_core.gateway.request_kind import RequestKind
 from gypsumpost_core.run_state import RunState
@@ -91,6 +92,7 @@
             if done.err_value.may_have_run and not call.route.repeatable:
                 break
         if last is not None:
+            self._context.metrics.record_answer(trio.current_time() - call.received_at)
             await exchange.respond(last.status, select_response_headers(last.headers), last.body)
             return
         await self._refuse(call, exchange, may_have_run, reason)
@@ -136,6 +138,7 @@
         try:
             done = await self._exchange(call, state, limit)
             failed = isinstance(done, Err) or done.ok_value.status >= SERVER_FAULT
+            self._context.metrics.count_attempt(call.service, describe_end(done))
             return done
         finally:
             state.pending -= 1
@@ -161,8 +164,8 @@
                 request = self._context.create_request(call, record.endpoint_id)
                 sent = await connection.send(request)
                 if isinstance(sent, Err):
-                    self._context.monitor.suspect(record, sent.err_value.reason)
                     failure = sent.err_value
+                    self._suspect(call, record, failure.reason)
                     return Err(
                         AttemptFailure(reason=failure.reason, may_have_run=failure.may_have_run)
                     )
@@ -178,11 +181,18 @@
                     ),
                 )
         except OSError as error:
+            self._suspect(call, record, str(error))
             return Err(AttemptFailure(reason=str(error), may_have_run=True))
         finally:
             connection.close()
         return Err(AttemptFailure(reason="no answer in time", may_have_run=True))
 
+    def _suspect(self, call: CallerCall, record: EndpointRecord, reason: str) -> None:
+        def handle_loss() -> None:
+            self._context.crashes.note_crash(call, record)
+
+        self._context.monitor.suspect(record, reason, handle_loss)
+
     def _judge(
         self, call: CallerCall, state: EndpointState, answer: EndpointAnswer
     ) -> Result[EndpointAnswer, AttemptFailure]:
@@ -199,3 +209,13 @@
         if not sealed or answer.status in UNTRUE_REFUSALS:
             return Err(AttemptFailure(reason=f"unsealed {answer.status}", may_have_run=True))
         return Ok(answer)
+
+
+def describe_end(done: Result[EndpointAnswer, AttemptFailure]) -> str:
+    """Return how an attempt ended, as the metrics name it.
+
+    :param done: what the attempt brought.
+    """
+    if isinstance(done, Ok):
+        return "answered"
+    return "lost" if done.err_value.may_have_run else "not-run"
--- a/packages/daemon/gypsumpost_daemon/gateway/caller_exchange.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/caller_exchange.py
@@ -25,7 +25,8 @@
         self._receive = receive
         self._send = send
         self.started = False
-        self.status = 0
+        self._status = 0
+        self.final_status = 0
 
     @property
     def target(self) -> str:
@@ -56,7 +57,7 @@
         :param headers: headers; without a length the body is sent in chunks.
         """
         self.started = True
-        self.status = status
+        self._status = status
         await self._send({"type": "http.response.start", "status": status, "headers": headers})
 
     async def send(self, body: bytes, *, more: bool) -> None:
@@ -66,6 +67,8 @@
         :param more: false for the last part.
         """
         await self._send({"type": "http.response.body", "body": body, "more_body": more})
+        if not more:
+            self.final_status = self._status
 
     async def respond(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a whole response.
--- a/packages/daemon/gypsumpost_daemon/gateway/crash_guard.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/crash_guard.py
@@ -7,18 +7,28 @@
 
 from gypsumpost_core.gateway.crash_register import CrashRegister
 from gypsumpost_core.gateway.crash_report import CrashReport
+from gypsumpost_core.gateway.endpoint_fleet import EndpointFleet
+from gypsumpost_core.gateway.endpoint_record import EndpointRecord
 from gypsumpost_daemon.gateway.caller_call import CallerCall
 from gypsumpost_daemon.log import Log
 
+SETTLE_SECONDS = 0.3
+"""The losses of one cause are all known after this time."""
+
 LOG = Log(prefix="crash")
 
 
 class CrashGuard:
-    """Keeps the register of crashes and tells the peers of new ones."""
+    """Keeps the register of crashes and tells the peers of new ones.
+
+    :param fleet: the endpoints and their losses.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, *, fleet: EndpointFleet) -> None:
+        self._fleet = fleet
         self._register = CrashRegister()
         self._listeners: list[Callable[[], None]] = []
+        self._suspected: list[tuple[float, CrashReport, EndpointRecord]] = []
 
     def listen(self, listener: Callable[[], None]) -> None:
         """Call a function when there is a new report."""
@@ -29,39 +39,53 @@
 
         :param call: the request.
         """
-        return self._register.is_refused(fingerprint(call), trio.current_time())
+        now = trio.current_time()
+        self._settle(now)
+        return self._register.is_refused(fingerprint(call), now)
+
+    def note_crash(self, call: CallerCall, record: EndpointRecord) -> None:
+        """Note that an endpoint was lost while it ran a request.
 
-    def note_crash(
-        self, call: CallerCall, endpoint_id: str, started_at: int, failure_domain: str
-    ) -> None:
-        """Note that an endpoint crashed while it ran a request.
+        Whether other endpoints of the domain were lost with it, which accuses no request, is known
+        a little later.
 
         :param call: the request.
-        :param endpoint_id: the endpoint.
-        :param started_at: Unix milliseconds of its start.
-        :param failure_domain: domain of the endpoint.
+        :param record: the endpoint.
         """
         report = CrashReport(
-            fingerprint=fingerprint(call), endpoint_id=endpoint_id, started_at=started_at
+            fingerprint=fingerprint(call),
+            endpoint_id=record.endpoint_id,
+            started_at=record.started_at,
         )
-        if self._register.add(report, trio.current_time()):
-            LOG.write(
-                "a request was running at a crash",
-                request=call.request_id,
-                endpoint=endpoint_id,
-                failure_domain=failure_domain,
-            )
-            for listener in self._listeners:
-                listener()
+        self._suspected.append((trio.current_time(), report, record))
+        for listener in self._listeners:
+            listener()
 
     def list_reports(self, now: float) -> tuple[CrashReport, ...]:
-        """Return the crashes that peers are to be told of."""
+        """Return the crashes that peers are to be told of.
+
+        :param now: process time in seconds.
+        """
+        self._settle(now)
         return self._register.list_reports(now)
 
     def take_report(self, report: CrashReport, now: float) -> None:
         """Take in what a peer found."""
         self._register.add(report, now, own=False)
 
+    def _settle(self, now: float) -> None:
+        due = [entry for entry in self._suspected if entry[0] + SETTLE_SECONDS <= now]
+        self._suspected = [entry for entry in self._suspected if entry[0] + SETTLE_SECONDS > now]
+        for lost_at, report, record in due:
+            if self._fleet.is_common_loss(record, lost_at):
+                continue
+            if self._register.add(report, now):
+                LOG.write(
+                    "a request was running at a crash",
+                    fingerprint=report.fingerprint.hex(),
+                    endpoint=report.endpoint_id,
+                )
+
 
 def fingerprint(call: CallerCall) -> bytes:
     """Return a digest that is the same when a caller sends a request again.
--- a/packages/daemon/gypsumpost_daemon/gateway/endpoint_monitor.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/endpoint_monitor.py
@@ -97,14 +97,25 @@
         state = self._directory.fleet.find(record.endpoint_id)
         return state is not None and not state.lost and state.record == record
 
-    def suspect(self, record: EndpointRecord, reason: str) -> None:
+    def suspect(
+        self,
+        record: EndpointRecord,
+        reason: str,
+        handle_loss: Callable[[], None] | None = None,
+    ) -> None:
         """Probe an endpoint in the background.
 
         :param record: the endpoint.
         :param reason: why it is suspected.
+        :param handle_loss: called if the endpoint is lost; must not block.
         """
+
+        async def check() -> None:
+            if not await self.check(record, reason) and handle_loss is not None:
+                handle_loss()
+
         if self._nursery is not None:
-            self._nursery.start_soon(self.check, record, reason)
+            self._nursery.start_soon(check)
 
     def mark_lost(self, record: EndpointRecord, reason: str) -> None:
         """Note that an endpoint is lost and wake its streams.
--- a/packages/daemon/gypsumpost_daemon/gateway/forward_context.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/forward_context.py
@@ -13,6 +13,7 @@
 from gypsumpost_daemon.gateway.directory import Directory
 from gypsumpost_daemon.gateway.endpoint_monitor import EndpointMonitor
 from gypsumpost_daemon.gateway.forwarded_request import ForwardedRequest
+from gypsumpost_daemon.gateway.gateway_metrics import GatewayMetrics
 from gypsumpost_daemon.gateway.gateway_settings import GatewaySettings
 from gypsumpost_daemon.gateway.header_names import HeaderNames
 
@@ -31,6 +32,7 @@
     :param use: work on the engines.
     :param crashes: requests that crash endpoints.
     :param copies: where the copies of streams are.
+    :param metrics: counters and histograms.
     :param count_hosts: returns the number of hosts that share budgets.
     """
 
@@ -41,6 +43,7 @@
     use: UseTable
     crashes: CrashGuard
     copies: CopyDirectory
+    metrics: GatewayMetrics
     count_hosts: Callable[[], int]
     _retries: dict[str, RetryWindow] = attrs.field(factory=dict, init=False)
 
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_application.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_application.py
@@ -24,6 +24,9 @@
 STOP_RETRY_SECONDS = 0.05
 """When a caller may come again while this host stops; another host takes its connection."""
 
+CRASHING_STATUS = 502
+"""The request has run before, so that the answer must not promise that it has not."""
+
 BEARER = b"bearer "
 
 LOG = Log(prefix="gateway")
@@ -93,6 +96,11 @@
             text = "This host stops."
             await exchange.refuse(503, text, RunState.NOT_RUN, STOP_RETRY_SECONDS)
             return
+        if self._context.crashes.is_refused(call):
+            LOG.write("refused", request=call.request_id, reason="it crashes endpoints")
+            text = "Endpoints crashed each time this request ran."
+            await exchange.refuse(CRASHING_STATUS, text, RunState.RUN)
+            return
         self._context.get_retries(call.service).note_request(received_at)
         await self._forward(call, exchange)
 
@@ -107,6 +115,7 @@
             nursery.start_soon(watch_caller)
             await self._forwarders[call.route.kind.value].forward(call, exchange)
             nursery.cancel_scope.cancel()
+        self._context.metrics.count_request(call.route.name, exchange.final_status)
 
     def _create_call(
         self,
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
@@ -17,7 +17,9 @@
 from gypsumpost_daemon.gateway.endpoint_monitor import EndpointMonitor
 from gypsumpost_daemon.gateway.forward_context import ForwardContext
 from gypsumpost_daemon.gateway.gateway_application import GatewayApplication
+from gypsumpost_daemon.gateway.gateway_metrics import GatewayMetrics
 from gypsumpost_daemon.gateway.gateway_settings import GatewaySettings
+from gypsumpost_daemon.gateway.metrics_application import MetricsApplication
 from gypsumpost_daemon.gateway.peer_exchange import PeerExchange
 from gypsumpost_daemon.gateway.ready_application import ReadyApplication
 from gypsumpost_daemon.gateway.store_follower import StoreFollower
@@ -26,6 +28,7 @@
 from gypsumpost_daemon.host_directory import HostDirectory
 from gypsumpost_daemon.http_limits import HttpLimits
 from gypsumpost_daemon.log import Log
+from gypsumpost_daemon.metrics import Metrics
 from gypsumpost_daemon.peer_network import PeerNetwork
 from gypsumpost_daemon.running_server import RunningServer
 
@@ -54,10 +57,14 @@
 
     :param settings: checked settings.
     :param adapter: names, formats and calls of the platform.
+    :param metrics: metrics of the process.
     """
 
-    def __init__(self, *, settings: GatewaySettings, adapter: GatewayAdapter) -> None:
+    def __init__(
+        self, *, settings: GatewaySettings, adapter: GatewayAdapter, metrics: Metrics
+    ) -> None:
         self._settings = settings
+        self._metrics = metrics
         self._adapter = adapter
         self._directory = Directory(adapter=adapter)
         self._follower = StoreFollower(
@@ -84,7 +91,7 @@
             settings=MembershipSettings(),
         )
         use = UseTable()
-        crashes = CrashGuard()
+        crashes = CrashGuard(fleet=self._directory.fleet)
         copies = CopyDirectory()
         self._exchange = PeerExchange(
             address=settings.beacon_address,
@@ -108,11 +115,13 @@
                 use=use,
                 crashes=crashes,
                 copies=copies,
+                metrics=GatewayMetrics(metrics=metrics),
                 count_hosts=self._count_hosts,
             )
         )
         self._limits = HttpLimits(max_body=READY_BODY_BYTES)
         self._stopping = False
+        self._add_gauges()
 
     async def run(self) -> None:
         """Serve until a signal asks for a planned stop and all requests have ended."""
@@ -131,11 +140,41 @@
             server = await self._serve(
                 nursery, self._application, self._settings.caller_address, self._limits
             )
+            if self._settings.metrics_address:
+                scrapes = MetricsApplication(metrics=self._metrics)
+                limits = HttpLimits(max_body=READY_BODY_BYTES)
+                await self._serve(nursery, scrapes, self._settings.metrics_address, limits)
             LOG.write("started", address=server.address)
             await self._wait_for_stop(server)
             nursery.cancel_scope.cancel()
         LOG.write("stopped", open_requests=self._application.open_requests)
 
+    def _add_gauges(self) -> None:
+        add = self._metrics.add_gauge
+        follower, directory = self._follower, self._directory
+        add("gypsumpost_store_calls", "Calls to the store.", lambda: follower.calls)
+        add(
+            "gypsumpost_store_silent_seconds",
+            "Time since the store's last answer while it does not answer, else 0.",
+            lambda: trio.current_time() - follower.answered_at if follower.lost else 0.0,
+        )
+        add(
+            "gypsumpost_configuration_version",
+            "Version of the configuration in force.",
+            lambda: directory.version,
+        )
+        add("gypsumpost_hosts_live", "Live hosts, this one included.", self._count_hosts)
+        add(
+            "gypsumpost_endpoints_lost",
+            "Endpoints that are taken for lost.",
+            lambda: sum(state.lost for state in directory.fleet),
+        )
+        add(
+            "gypsumpost_gateway_open_requests",
+            "Requests that are being served.",
+            lambda: self._application.open_requests,
+        )
+
     def _is_ready(self) -> bool:
         return self._directory.ready and not self._stopping
 
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_metrics.py
@@ -0,0 +1,64 @@
+"""Metrics of the gateway."""
+
+from gypsumpost_daemon.metrics import Metrics
+
+
+class GatewayMetrics:
+    """Counters and latency histograms of requests, attempts and resumptions.
+
+    :param metrics: the metrics of the daemon.
+    """
+
+    def __init__(self, *, metrics: Metrics) -> None:
+        self._requests = metrics.add_counter(
+            "gypsumpost_gateway_requests_total", "Requests by route and status.", "route", "status"
+        )
+        self._attempts = metrics.add_counter(
+            "gypsumpost_gateway_attempts_total",
+            "Attempts by service and outcome.",
+            "service",
+            "end",
+        )
+        self._resumptions = metrics.add_counter(
+            "gypsumpost_gateway_resumptions_total",
+            "Streams that went on at another engine, by source of their memory.",
+            "source",
+        )
+        self._read_again = metrics.add_counter(
+            "gypsumpost_gateway_prompts_read_again_total", "Prompts that were read again."
+        )
+        self._answers = metrics.add_durations(
+            "gypsumpost_gateway_answer_seconds", "Time to the whole answer of a call."
+        )
+        self._first_events = metrics.add_durations(
+            "gypsumpost_gateway_first_event_seconds", "Time to the first event of a stream."
+        )
+        self._pauses = metrics.add_durations(
+            "gypsumpost_gateway_resume_pause_seconds", "Pause of a stream that was resumed."
+        )
+
+    def count_request(self, route: str, status: int) -> None:
+        """Count a request by its final status, 0 if the response was broken off."""
+        self._requests.add(route, str(status))
+
+    def count_attempt(self, service: str, end: str) -> None:
+        """Count an attempt by how it ended: ``answered``, ``not-run`` or ``lost``."""
+        self._attempts.add(service, end)
+
+    def count_resumption(self, *, from_copy: bool) -> None:
+        """Count a stream that goes on at another engine."""
+        self._resumptions.add("copy" if from_copy else "prompt")
+        if not from_copy:
+            self._read_again.add()
+
+    def record_answer(self, seconds: float) -> None:
+        """Record the time to the whole answer of a call."""
+        self._answers.record(seconds)
+
+    def record_first_event(self, seconds: float) -> None:
+        """Record the time to the first event of a stream."""
+        self._first_events.record(seconds)
+
+    def record_pause(self, seconds: float) -> None:
+        """Record the pause of a stream that was resumed."""
+        self._pauses.record(seconds)
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_process.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_process.py
@@ -10,11 +10,12 @@
 from gypsumpost_daemon.gateway.adapter import GatewayAdapter
 from gypsumpost_daemon.gateway.gateway_daemon import GatewayDaemon
 from gypsumpost_daemon.gateway.gateway_settings import GatewaySettings
-from gypsumpost_daemon.log import Log, start_logging
+from gypsumpost_daemon.log import start_bounded_logging
+from gypsumpost_daemon.metrics import Metrics
 
 SETTINGS_STATUS = 2
-
-LOG = Log(prefix="gateway")
+LOG_LINES_PER_SECOND = 300
+"""A stream takes three lines, a call that succeeds at once none."""
 
 
 def run_gateway(adapter_name: str) -> int:
@@ -29,15 +30,24 @@
         for message in settings.err_value:
             print(f"gypsumpostd: {message}", file=sys.stderr)
         return SETTINGS_STATUS
-    start_logging(settings.ok_value.host_id, "-")
-    trio.run(serve_gateway, settings.ok_value, adapter)
+    budget, pipe = start_bounded_logging(settings.ok_value.host_id, LOG_LINES_PER_SECOND)
+    metrics = Metrics()
+    metrics.add_gauge(
+        "gypsumpost_log_lines_left_out",
+        "Log lines that were over the budget or that nobody read.",
+        lambda: budget.left_out + pipe.dropped,
+    )
+    trio.run(serve_gateway, settings.ok_value, adapter, metrics)
     return 0
 
 
-async def serve_gateway(settings: GatewaySettings, adapter: GatewayAdapter) -> None:
+async def serve_gateway(
+    settings: GatewaySettings, adapter: GatewayAdapter, metrics: Metrics
+) -> None:
     """Serve until a planned stop.
 
     :param settings: checked settings.
     :param adapter: names, formats and calls of the platform.
+    :param metrics: metrics of the process.
     """
-    await GatewayDaemon(settings=settings, adapter=adapter).run()
+    await GatewayDaemon(settings=settings, adapter=adapter, metrics=metrics).run()
--- a/packages/daemon/gypsumpost_daemon/gateway/stream_forwarder.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/stream_forwarder.py
@@ -89,6 +89,8 @@
         while True:
             if progress.sends >= call.route.max_attempts:
                 return "all attempts are used"
+            if progress.sends and self._context.crashes.is_refused(call):
+                return "endpoints crashed each time it ran"
             if progress.sends and not self._context.try_retry(call.service):
                 return "the retry budget is spent"
             copy = progress.copy
@@ -102,6 +104,9 @@
             if isinstance(done, Ok):
                 return ""
             failure = done.err_value
+            self._context.metrics.count_attempt(
+                call.service, "lost" if failure.may_have_run else "not-run"
+            )
             progress.sends += failure.sent
             progress.may_have_run = progress.may_have_run or failure.may_have_run
             if failure.may_have_run:
@@ -127,6 +132,7 @@
                 await trio.sleep(PAUSE_SECONDS)
 
     def _log_end(self, call: CallerCall, progress: StreamProgress) -> None:
+        self._context.metrics.count_attempt(call.service, "answered")
         first = (progress.first_event_at or trio.current_time()) - call.received_at
         LOG.write(
             "complete",
@@ -212,6 +218,9 @@
             reason = opened.err_value.reason
             await self._context.monitor.check(record, reason)
             return Err(AttemptFailure(reason=reason, may_have_run=False, sent=False))
+        if progress.events:
+            progress.resuming = True
+            self._context.metrics.count_resumption(from_copy=copy is not None)
         request = self._context.create_request(
             call, record.endpoint_id, self._create_headers(call, progress, copy, target)
         )
@@ -243,9 +252,11 @@
                         AttemptFailure(reason=failure.reason, may_have_run=failure.may_have_run)
                     )
                 return await self._relay(call, exchange, progress, state, connection)
+            self._context.crashes.note_crash(call, record)
             return Err(AttemptFailure(reason="the engine is lost", may_have_run=True))
         except OSError as error:
-            await self._context.monitor.check(record, str(error))
+            if not await self._context.monitor.check(record, str(error)):
+                self._context.crashes.note_crash(call, record)
             return Err(AttemptFailure(reason=str(error), may_have_run=True))
         finally:
             self._context.monitor.unwatch(record.endpoint_id, scope)
@@ -320,7 +331,9 @@
             last_at = now
             if not exchange.started:
                 await exchange.start(OK, select_response_headers(headers))
+            self._record(call, progress, now)
             progress.note_events(len(events), events[-1].event_id, now)
+            progress.resuming = False
             await exchange.send(b"".join(event.data for event in events), more=True)
         if cutter.incomplete:
             return Err(AttemptFailure(reason="the stream ended in an event", may_have_run=True))
@@ -329,6 +342,13 @@
         await exchange.send(b"", more=False)
         return Ok(None)
 
+    def _record(self, call: CallerCall, progress: StreamProgress, now: float) -> None:
+        metrics = self._context.metrics
+        if progress.last_event_at is None:
+            metrics.record_first_event(now - call.received_at)
+        elif progress.resuming:
+            metrics.record_pause(now - progress.last_event_at)
+
     async def _is_alive(self, state: EndpointState, silent_since: float) -> bool:
         if trio.current_time() - state.alive_at < compute_check_delay(state, reading=False):
             return True
--- a/packages/daemon/gypsumpost_daemon/gateway/stream_progress.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/stream_progress.py
@@ -16,6 +16,7 @@
     :param copy_request_id: id under which the holder knows the copy.
     :param sends: requests sent to engines so far.
     :param may_have_run: true if an engine may have begun to run the request.
+    :param resuming: true from a loss until the next event.
     :param events: events that the caller has.
     :param first_event_at: process time of the first event, ``None`` before it.
     :param last_event_at: process time of the last event, ``None`` before the first.
@@ -28,6 +29,7 @@
     copy_request_id: str = ""
     sends: int = 0
     may_have_run: bool = False
+    resuming: bool = False
     events: int = 0
     first_event_at: float | None = None
     last_event_at: float | None = None
--- a/packages/daemon/gypsumpost_daemon/log.py
+++ b/packages/daemon/gypsumpost_daemon/log.py
@@ -7,6 +7,8 @@
 import eliot
 
 from gypsumpost_core.hybrid_clock import HybridClock
+from gypsumpost_daemon.log_budget import LogBudget
+from gypsumpost_daemon.log_pipe import LogPipe
 
 CLOCK = HybridClock()
 """The clock of this process; peer messages carry it, so that logs of all daemons can be merged."""
@@ -19,6 +21,7 @@
     """
 
     host_id = ""
+    budget: LogBudget | None = None
 
     def __init__(self, *, prefix: str) -> None:
         self._prefix = prefix
@@ -29,6 +32,8 @@
         :param sentence: a short sentence.
         :param fields: values of the event; never keys or other secrets.
         """
+        if Log.budget is not None and not Log.budget.take(time.monotonic()):
+            return
         eliot.log_message(
             message_type=f"gypsumpost:{self._prefix}",
             message=f"{self._prefix}: {sentence}",
@@ -38,6 +43,20 @@
         )
 
 
+def start_bounded_logging(host_id: str, lines_per_second: int) -> tuple[LogBudget, LogPipe]:
+    """Send the log to standard output in a bounded volume and without ever blocking.
+
+    :param host_id: name of this host, added to each event.
+    :param lines_per_second: lines that are written in one second at most.
+    :returns: the budget and the pipe, which count the lines that were left out.
+    """
+    Log.host_id = host_id
+    Log.budget = LogBudget(lines_per_second=lines_per_second)
+    pipe = LogPipe(descriptor=sys.stdout.fileno())
+    eliot.to_file(pipe)
+    return Log.budget, pipe
+
+
 def start_logging(host_id: str, path: str) -> None:
     """Send the log to a file or to standard output.
 
