--- a/packages/daemon/gypsumpost_daemon/gateway/crash_guard.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/crash_guard.py
@@ -12,6 +12,7 @@
 from gypsumpost_daemon.gateway.caller_call import CallerCall
 from gypsumpost_daemon.log import Log
 
+DIGEST_BYTES = 12
 SETTLE_SECONDS = 0.3
 """The losses of one cause are all known after this time."""
 
@@ -92,8 +93,19 @@
 
     :param call: the request.
     """
-    digest = hashlib.blake2b(digest_size=12)
-    for part in (call.method, call.path, call.workspace):
-        digest.update(part.encode("latin-1", "replace") + b"\0")
-    digest.update(call.body)
+    return digest_request(call.method, call.path, call.workspace, call.body)
+
+
+def digest_request(method: str, path: str, workspace: str, body: bytes) -> bytes:
+    """Return a digest of what stays the same when a request is sent again.
+
+    :param method: HTTP method.
+    :param path: path with the query.
+    :param workspace: name of the workspace.
+    :param body: the body.
+    """
+    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    for part in (method, path, workspace):
+        digest.update(part.encode("utf-8", "surrogateescape") + b"\0")
+    digest.update(body)
     return digest.digest()
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
@@ -66,12 +66,12 @@
         self._settings = settings
         self._metrics = metrics
         self._adapter = adapter
-        self._directory = Directory(adapter=adapter)
+        self.directory = Directory(adapter=adapter)
         self._follower = StoreFollower(
-            store=adapter.create_store(settings), directory=self._directory
+            store=adapter.create_store(settings), directory=self.directory
         )
         self._monitor = EndpointMonitor(
-            directory=self._directory,
+            directory=self.directory,
             identity=EndpointIdentity(adapter=adapter),
             refresh=lambda: self._follower.refresh(adapter.endpoint_prefix),
         )
@@ -91,8 +91,8 @@
             settings=MembershipSettings(),
         )
         use = UseTable()
-        crashes = CrashGuard(fleet=self._directory.fleet)
-        copies = CopyDirectory()
+        crashes = CrashGuard(fleet=self.directory.fleet)
+        self.copies = CopyDirectory()
         self._exchange = PeerExchange(
             address=settings.beacon_address,
             seed_ips=settings.seed_ips,
@@ -100,27 +100,28 @@
             gossip=self._gossip,
             network=self._network,
             key=key,
-            directory=self._directory,
+            directory=self.directory,
             monitor=self._monitor,
             use=use,
             crashes=crashes,
-            copies=copies,
+            copies=self.copies,
         )
-        self._application = GatewayApplication(
+        self.application = GatewayApplication(
             context=ForwardContext(
                 settings=settings,
                 names=adapter.headers,
-                directory=self._directory,
+                directory=self.directory,
                 monitor=self._monitor,
                 use=use,
                 crashes=crashes,
-                copies=copies,
+                copies=self.copies,
                 metrics=GatewayMetrics(metrics=metrics),
                 count_hosts=self._count_hosts,
             )
         )
         self._limits = HttpLimits(max_body=READY_BODY_BYTES)
         self._stopping = False
+        self.serving = False
         self._add_gauges()
 
     async def run(self) -> None:
@@ -129,7 +130,7 @@
             await nursery.start(self._network.run)
             await nursery.start(self._gossip.run)
             await nursery.start(self._exchange.run)
-            nursery.start_soon(self._directory.run)
+            nursery.start_soon(self.directory.run)
             nursery.start_soon(self._follower.run)
             await nursery.start(self._monitor.run)
             nursery.start_soon(self._follow_limits)
@@ -138,20 +139,21 @@
                 nursery, ready, self._settings.ready_address, HttpLimits(max_body=READY_BODY_BYTES)
             )
             server = await self._serve(
-                nursery, self._application, self._settings.caller_address, self._limits
+                nursery, self.application, self._settings.caller_address, self._limits
             )
             if self._settings.metrics_address:
                 scrapes = MetricsApplication(metrics=self._metrics)
                 limits = HttpLimits(max_body=READY_BODY_BYTES)
                 await self._serve(nursery, scrapes, self._settings.metrics_address, limits)
+            self.serving = True
             LOG.write("started", address=server.address)
             await self._wait_for_stop(server)
             nursery.cancel_scope.cancel()
-        LOG.write("stopped", open_requests=self._application.open_requests)
+        LOG.write("stopped", open_requests=self.application.open_requests)
 
     def _add_gauges(self) -> None:
         add = self._metrics.add_gauge
-        follower, directory = self._follower, self._directory
+        follower, directory = self._follower, self.directory
         add("gypsumpost_store_calls", "Calls to the store.", lambda: follower.calls)
         add(
             "gypsumpost_store_silent_seconds",
@@ -172,11 +174,11 @@
         add(
             "gypsumpost_gateway_open_requests",
             "Requests that are being served.",
-            lambda: self._application.open_requests,
+            lambda: self.application.open_requests,
         )
 
     def _is_ready(self) -> bool:
-        return self._directory.ready and not self._stopping
+        return self.directory.ready and not self._stopping
 
     def _count_hosts(self) -> int:
         return len(self._hosts.list_live())
@@ -198,14 +200,14 @@
 
     async def _follow_limits(self) -> None:
         while True:
-            routes = self._directory.routes
+            routes = self.directory.routes
             if routes is not None:
                 limits = routes.configuration.limits
                 self._limits.max_body = limits.max_body
                 self._limits.max_head = limits.max_head
                 self._limits.head_seconds = limits.head_seconds
                 self._limits.idle_seconds = limits.idle_seconds + IDLE_MARGIN_SECONDS
-            await self._directory.wait_change(float("inf"))
+            await self.directory.wait_change(float("inf"))
 
     async def _wait_for_stop(self, server: RunningServer) -> None:
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
@@ -215,15 +217,15 @@
                 LOG.write("read the settings again", changed=self._find_changes())
         now = trio.current_time()
         deadline = now + self._settings.stop_seconds - STOP_MARGIN_SECONDS
-        LOG.write("stopping", open_requests=self._application.open_requests)
+        LOG.write("stopping", open_requests=self.application.open_requests)
         self._stopping = True
-        self._application.streams_until = now + STREAM_SECONDS
-        self._application.calls_until = deadline - CALL_SECONDS
+        self.application.streams_until = now + STREAM_SECONDS
+        self.application.calls_until = deadline - CALL_SECONDS
         server.drain()
         await self._gossip.leave()
         await trio.sleep(min(BALANCER_SECONDS, deadline - now))
         with trio.move_on_at(deadline):
-            while self._application.open_requests:
+            while self.application.open_requests:
                 await trio.sleep(0.05)
         server.stop(deadline)
 
