Report a host as not ready while it reaches neither the store nor any endpoint of a service

Cause of both recorded incidents: a domain was cut off that had no endpoint of the plain service left. Its hosts refused all calls, though the balancer could have sent their callers to other domains.

--- a/packages/core/gypsumpost_core/gateway/route_table.py
+++ b/packages/core/gypsumpost_core/gateway/route_table.py
@@ -43,6 +43,10 @@
         """Return the workspace that holds a key."""
         return self._workspaces.get(key)
 
+    def list_services(self) -> set[str]:
+        """Return the names of the services that routes use."""
+        return {share.service for route in self.configuration.routes for share in route.shares}
+
     @property
     def needs_keys(self) -> bool:
         """True if requests on routes that are not public need a key."""
--- /dev/null
+++ b/packages/core/gypsumpost_core/gateway/tests/test_endpoint_fleet.py
@@ -0,0 +1,64 @@
+"""Which endpoints exist and which are lost."""
+
+import pytest
+
+from gypsumpost_core.gateway.tests.endpoint_fixtures import create_fleet, create_record, get_state
+
+
+def list_ids(fleet):
+    return sorted(state.record.endpoint_id for state in fleet)
+
+
+def test_a_new_start_ends_a_loss():
+    """Guards against a restarted endpoint that stays out."""
+    fleet = create_fleet(create_record("e1"))
+    assert fleet.mark_lost("e1", 1, now=5.0)
+    assert not fleet.mark_lost("e1", 1, now=5.1)
+    fleet.put(create_record("e1", started_at=2))
+    assert not get_state(fleet, "e1").lost
+
+
+def test_a_loss_of_an_older_start_is_ignored():
+    """Guards against late news about a process that has been replaced."""
+    fleet = create_fleet(create_record("e1", started_at=2))
+    assert not fleet.mark_lost("e1", 1, now=5.0)
+    assert not get_state(fleet, "e1").lost
+
+
+@pytest.mark.parametrize("newest_first", [True, False])
+def test_the_last_start_has_the_address(newest_first):
+    """Guards against work for a process whose address another one has taken."""
+    records = [
+        create_record("old", address="x:1"),
+        create_record("new", address="x:1", started_at=2),
+    ]
+    fleet = create_fleet(*(reversed(records) if newest_first else records))
+    assert list_ids(fleet) == ["new"]
+
+
+def test_a_replaced_endpoint_does_not_return():
+    """Guards against an entry that outlives its endpoint and is written again."""
+    record = create_record("e1")
+    fleet = create_fleet(record)
+    fleet.mark_replaced(record)
+    fleet.put(record)
+    assert list_ids(fleet) == []
+    fleet.put(create_record("e1", started_at=2))
+    assert list_ids(fleet) == ["e1"]
+
+
+def test_leaving_endpoints_take_no_new_work():
+    """Guards against new work for an endpoint that drains."""
+    fleet = create_fleet(create_record("e1", leaving=True), create_record("e2"))
+    assert [state.record.endpoint_id for state in fleet.list_service("model")] == ["e2"]
+
+
+def test_a_common_cause_is_seen():
+    """Guards against accusing the requests of engines that were lost together."""
+    records = [create_record("e1"), create_record("e2"), create_record("e3", "b")]
+    fleet = create_fleet(*records)
+    fleet.mark_lost("e1", 1, now=5.0)
+    fleet.mark_lost("e3", 1, now=5.1)
+    assert not fleet.is_common_loss(records[0], 5.0)
+    fleet.mark_lost("e2", 1, now=5.2)
+    assert fleet.is_common_loss(records[0], 5.0)
--- /dev/null
+++ b/packages/core/gypsumpost_core/gateway/tests/test_engine_choice.py
@@ -0,0 +1,83 @@
+"""The engine of a stream and of its copy."""
+
+from gypsumpost_core.gateway.engine_choice import EngineChoice
+from gypsumpost_core.gateway.engine_use import EngineUse
+from gypsumpost_core.gateway.stream_use import StreamUse
+from gypsumpost_core.gateway.tests.endpoint_fixtures import (
+    LIMITS,
+    create_fleet,
+    create_record,
+    get_state,
+)
+from gypsumpost_core.gateway.use_table import UseTable
+
+
+def create_choice(fleet, use=None, now=10.0):
+    return EngineChoice(fleet=fleet, use=use or {}, failure_domain="a", now=now)
+
+
+def choose(choice, tried=()):
+    state = choice.choose_engine(
+        "model", LIMITS, prompt_tokens=5000, total_tokens=6000, tried=tried
+    )
+    return state.record.endpoint_id if state else None
+
+
+def test_work_of_peers_moves_a_stream():
+    """Guards against hosts that all send their streams to one engine (23 of 74 were late)."""
+    fleet = create_fleet(create_record("e1"), create_record("e2"))
+    use = {"e1": EngineUse(running=1, reading_tokens=5000, memory_tokens=6000)}
+    assert choose(create_choice(fleet, use)) == "e2"
+
+
+def test_the_domain_of_a_loss_is_avoided():
+    """Guards against new work for engines that are about to be found lost."""
+    fleet = create_fleet(*(create_record(f"a{n}") for n in (1, 2)), create_record("b1", "b"))
+    fleet.mark_lost("a1", 1, now=10.0)
+    assert choose(create_choice(fleet, now=10.5)) == "b1"
+    assert choose(create_choice(fleet, now=12.0)) == "a2"
+
+
+def test_a_suspect_domain_serves_when_it_is_the_only_one():
+    """Guards against a refusal while engines are there."""
+    fleet = create_fleet(create_record("a1"), create_record("a2"))
+    fleet.mark_lost("a1", 1, now=10.0)
+    assert choose(create_choice(fleet)) == "a2"
+    assert choose(create_choice(fleet), tried=["a2"]) is None
+
+
+def test_full_memory_is_avoided():
+    """Guards against streams that are preempted and read again."""
+    fleet = create_fleet(create_record("a1"), create_record("b1", "b"))
+    use = {
+        "a1": EngineUse(memory_tokens=36_000, copy_tokens=12_000),
+        "b1": EngineUse(running=4, reading_tokens=5000, memory_tokens=24_000),
+    }
+    assert choose(create_choice(fleet, use)) == "b1"
+
+
+def test_a_copy_stands_in_another_domain():
+    """Guards against a copy that is lost together with its stream."""
+    fleet = create_fleet(*(create_record(f"a{n}") for n in (1, 2)), create_record("b1", "b"))
+    choice = create_choice(fleet, {"b1": EngineUse(memory_tokens=20_000)})
+    chosen = choice.choose_copy("model", LIMITS, engine=get_state(fleet, "a1"), total_tokens=6000)
+    assert chosen.record.endpoint_id == "b1"
+    fleet.remove("b1")
+    assert (
+        choice.choose_copy("model", LIMITS, engine=get_state(fleet, "a1"), total_tokens=1) is None
+    )
+
+
+def test_reports_of_silent_peers_expire():
+    """Guards against room that is held for streams of a dead host."""
+    table = UseTable()
+    use = StreamUse(engine="e1", copy_engine="e2", prompt_tokens=10, total_tokens=30)
+    table.put(use)
+    table.take_report("peer", {"e1": EngineUse(running=2, memory_tokens=50)}, now=0.0)
+    assert table.sum_all(1.0)["e1"].running == 3
+    assert table.sum_all(9.0)["e1"].running == 1
+    assert table.sum_own()["e2"].copy_tokens == 30
+    use.reading = False
+    assert table.sum_own()["e1"].reading_tokens == 0
+    table.drop(use)
+    assert not table.sum_own()
--- /dev/null
+++ b/packages/core/gypsumpost_core/gateway/tests/test_item_table.py
@@ -0,0 +1,45 @@
+"""Items from the store and from peers."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gypsumpost_core.gateway.item_table import ItemTable
+from gypsumpost_core.gateway.stored_item import StoredItem
+
+
+def item(key, revision, value=b"v"):
+    return StoredItem(key=key, revision=revision, value=value)
+
+
+CHANGES = st.lists(st.tuples(st.sampled_from("abc"), st.booleans()), min_size=1, max_size=12).map(
+    lambda rows: [
+        item(key, n + 1, b"%d" % n if kept else None) for n, (key, kept) in enumerate(rows)
+    ]
+)
+
+
+@given(CHANGES, st.randoms(use_true_random=False))
+def test_the_order_of_arrival_does_not_matter(changes, random):
+    """Guards against a late older write that undoes a newer one."""
+    ordered, shuffled = ItemTable(), ItemTable()
+    ordered.apply(changes, len(changes))
+    for change in random.sample(changes, len(changes)):
+        shuffled.apply([change], change.revision)
+    key = lambda entry: entry.key  # noqa: E731
+    assert sorted(shuffled.list_present(), key=key) == sorted(ordered.list_present(), key=key)
+
+
+def test_a_reading_removes_what_is_gone():
+    """Guards against endpoints that stay because their removal was missed."""
+    table = ItemTable()
+    table.apply([item("a", 1), item("b", 2)], 2)
+    changed = table.replace([item("b", 2)], 5)
+    assert [(change.key, change.value) for change in changed] == [("a", None)]
+
+
+def test_a_reading_keeps_what_is_newer():
+    """Guards against an old reading that removes an item written since."""
+    table = ItemTable()
+    table.apply([item("a", 7)], 7)
+    assert table.replace([], 5) == []
+    assert table.has("a") and table.revision == 7 and table.newest == 7
--- a/packages/daemon/gypsumpost_daemon/gateway/caller_exchange.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/caller_exchange.py
@@ -96,6 +96,8 @@
         headers: Headers = [(b"content-type", b"application/json")]
         if retry_after:
             headers.append((b"retry-after", b"%.2f" % retry_after))
+            # The balancer may send the caller's next connection to a host that serves it.
+            headers.append((b"connection", b"close"))
         error = {"message": reason, "run_state": run_state.value}
         await self.respond(status, headers, orjson.dumps({"error": error}))
 
--- a/packages/daemon/gypsumpost_daemon/gateway/directory.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/directory.py
@@ -52,6 +52,16 @@
         """Newest change of an endpoint that is known."""
         return self.tables[self._adapter.endpoint_prefix].newest
 
+    def has_lost_service(self) -> bool:
+        """Return true if all endpoints of a service that routes use are taken for lost."""
+        if self.routes is None:
+            return False
+        for name in self.routes.list_services():
+            states = self.fleet.list_service(name)
+            if states and all(state.lost for state in states):
+                return True
+        return False
+
     def list_sets(self) -> list[ItemSet]:
         """Return all items, for a peer; nothing of a prefix that was not read yet."""
         return [
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
@@ -178,7 +178,14 @@
         )
 
     def _is_ready(self) -> bool:
-        return self.directory.ready and not self._stopping
+        return self.directory.ready and not self._stopping and not self._is_cut_off()
+
+    def _is_cut_off(self) -> bool:
+        """Return true if this host reaches neither the store nor any endpoint of a service.
+
+        The balancer then sends callers to other domains, which may reach what this host does not.
+        """
+        return self.directory.store_lost and self.directory.has_lost_service()
 
     def _count_hosts(self) -> int:
         return len(self._hosts.list_live())
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/gateway/tests/test_beacon_codec.py
@@ -0,0 +1,55 @@
+"""Messages between hosts."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+from result import Err
+
+from gypsumpost_core.gateway.copy_report import CopyReport
+from gypsumpost_core.gateway.crash_report import CrashReport
+from gypsumpost_core.gateway.engine_use import EngineUse
+from gypsumpost_core.gateway.loss_report import LossReport
+from gypsumpost_core.gateway.stored_item import StoredItem
+from gypsumpost_daemon.gateway.beacon import Beacon
+from gypsumpost_daemon.gateway.beacon_codec import (
+    decode_beacon,
+    decode_state,
+    encode_beacon,
+    encode_state,
+)
+from gypsumpost_daemon.gateway.item_set import ItemSet
+
+
+def test_a_beacon_survives_the_way():
+    """Guards against fields that are taken for one another."""
+    beacon = Beacon(
+        host_id="h",
+        failure_domain="d",
+        sequence=3,
+        version=4,
+        endpoint_revision=5,
+        uses={"e": EngineUse(running=1, reading_tokens=2, memory_tokens=3, copy_tokens=4)},
+        losses=(LossReport(endpoint_id="e", started_at=6),),
+        crashes=(CrashReport(fingerprint=b"\0\xff", endpoint_id="e", started_at=7),),
+        copies=(CopyReport(fingerprint=b"f", request_id="r", copy_engine="c"),),
+    )
+    assert decode_beacon(encode_beacon(beacon)).unwrap() == beacon
+
+
+def test_a_directory_survives_the_way():
+    """Guards against values that are not text."""
+    sets = [
+        ItemSet(
+            prefix="p/",
+            revision=9,
+            items=(StoredItem(key="p/a", revision=8, value=b"\xff\0"),),
+        )
+    ]
+    assert decode_state(encode_state(sets)).unwrap() == sets
+
+
+@given(st.binary(max_size=60))
+def test_no_datagram_raises(data):
+    """Guards against bytes that stop the process."""
+    decoded = decode_beacon(data)
+    assert isinstance(decoded, Err) or decoded.ok_value.sequence >= 0
+    decode_state(data)
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/gateway/tests/test_message_headers.py
@@ -0,0 +1,46 @@
+"""Headers that are passed on."""
+
+from gypsumpost_daemon.gateway.header_names import HeaderNames
+from gypsumpost_daemon.gateway.message_headers import (
+    select_request_headers,
+    select_response_headers,
+)
+
+NAMES = HeaderNames(
+    request_id=b"request-id",
+    remaining_ms=b"remaining",
+    last_event_id=b"last-event-id",
+    event_id_field=b"id",
+    seal=b"seal",
+    workspace=b"workspace",
+    expected_endpoint=b"expected",
+    endpoint_id=b"endpoint",
+    load=b"load",
+    not_run=b"not-run",
+    priority=b"rank",
+    token_counts=b"counts",
+    copy_target=b"copy",
+    resume_from=b"from",
+    identity=(b"model",),
+    reserved=(b"workspace", b"copy", b"from"),
+)
+
+
+def test_reserved_headers_are_dropped():
+    """Guards against callers that set what only this host may set."""
+    given = [(b"copy", b"1.2.3.4:5"), (b"from", b"x"), (b"authorization", b"k"), (b"own", b"1")]
+    assert select_request_headers(given, NAMES) == ((b"own", b"1"),)
+
+
+def test_callers_cannot_remove_headers():
+    """Guards against an id or a model that a Connection header takes away."""
+    given = [(b"connection", b"request-id, model, own"), (b"request-id", b"r"), (b"model", b"m")]
+    given.append((b"own", b"1"))
+    kept = select_request_headers(given, NAMES)
+    assert kept == ((b"request-id", b"r"), (b"model", b"m"))
+
+
+def test_framing_of_an_endpoint_is_not_passed_on():
+    """Guards against two lengths in one answer."""
+    given = [(b"content-length", b"4"), (b"transfer-encoding", b"chunked"), (b"seal", b"s")]
+    assert select_response_headers(given) == [(b"seal", b"s")]
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/tests/test_log_bounds.py
@@ -0,0 +1,39 @@
+"""The log under load and without a reader."""
+
+import fcntl
+import os
+
+from gypsumpost_daemon.log_budget import LogBudget
+from gypsumpost_daemon.log_pipe import BUFFERED_LINES, LogPipe
+
+
+def test_a_flood_is_bounded_and_counted():
+    """Guards against a log that takes the processor under load."""
+    budget = LogBudget(lines_per_second=10)
+    written = sum(budget.take(5.0 + n / 1000) for n in range(500))
+    assert written == 10 and budget.left_out == 490
+    assert budget.take(6.0)
+
+
+def test_a_reader_that_stops_blocks_nobody():
+    """Guards against requests that wait for the reader of the log."""
+    reader, writer = os.pipe()
+    fcntl.fcntl(writer, fcntl.F_SETPIPE_SZ, 4096)
+    pipe = LogPipe(descriptor=writer)
+    lines = [b"%06d %b\n" % (n, b"x" * 90) for n in range(BUFFERED_LINES + 500)]
+    for line in lines:
+        pipe.write(line)
+    assert 0 < pipe.dropped < 500
+    os.set_blocking(reader, False)
+    received = b""
+    for _ in range(10_000):
+        try:
+            received += os.read(reader, 65536)
+        except BlockingIOError:
+            break
+        pipe.write(b"")
+    numbers = [int(line[:6]) for line in received.splitlines()]
+    assert numbers == sorted(numbers) and numbers[0] == 0 and numbers[-1] == len(lines) - 1
+    assert all(len(line) == 97 for line in received.splitlines())
+    os.close(reader)
+    os.close(writer)
