--- a/packages/daemon/gypsumpost_daemon/gateway/call_forwarder.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/call_forwarder.py
@@ -92,6 +92,14 @@
             if done.err_value.may_have_run and not call.route.repeatable:
                 break
         if last is not None:
+            LOG.write(
+                "answered",
+                request=call.request_id,
+                route=call.route.name,
+                status=last.status,
+                endpoints=sorted(tried),
+                seconds=round(trio.current_time() - call.received_at, 4),
+            )
             self._context.metrics.record_answer(trio.current_time() - call.received_at)
             await exchange.respond(last.status, select_response_headers(last.headers), last.body)
             return
@@ -101,7 +109,15 @@
         self, call: CallerCall, exchange: CallerExchange, may_have_run: bool, reason: str
     ) -> None:
         late = trio.current_time() >= call.deadline
-        LOG.write("refused", request=call.request_id, reason=reason, may_have_run=may_have_run)
+        LOG.write(
+            "refused",
+            request=call.request_id,
+            route=call.route.name,
+            reason=reason,
+            may_have_run=may_have_run,
+            endpoints=len(self._context.directory.fleet.list_service(call.service)),
+            store_lost=self._context.directory.store_lost,
+        )
         if not may_have_run:
             text = f"The request has not run: {reason}."
             await exchange.refuse(503, text, RunState.NOT_RUN, RETRY_AFTER_SECONDS)
--- a/packages/daemon/gypsumpost_daemon/gateway/peer_exchange.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/peer_exchange.py
@@ -4,6 +4,7 @@
 import itertools
 from collections.abc import Collection
 
+import attrs
 import trio
 from result import Err
 
@@ -34,6 +35,9 @@
 CHANGE_SECONDS = 0.02
 """Changes within this time go out in one datagram."""
 
+SECONDS_PER_PEER = 0.0025
+"""Shortest interval of beacons for each peer, so that a host gets 400 of them a second at most."""
+
 IDLE_SECONDS = 0.5
 """Interval of beacons when nothing changes."""
 
@@ -98,6 +102,7 @@
         self._behind_since: float | None = None
         self._ahead: str = ""
         self._changed = trio.Event()
+        self._lost = trio.Event()
         network.add_handler(MessageKind.DIRECTORY_STATE, self._handle_state)
         monitor.listen(
             lambda record, reason: self._note_loss(record.endpoint_id, record.started_at)
@@ -118,15 +123,22 @@
                 nursery.start_soon(self._catch_up)
                 task_status.started()
                 while True:
+                    sent_at = trio.current_time()
                     await self._send(udp)
                     await trio.sleep(CHANGE_SECONDS)
                     with trio.move_on_after(IDLE_SECONDS):
                         await self._changed.wait()
                     self._changed = trio.Event()
+                    # A loss is worth a datagram at once, other changes wait for their turn.
+                    quiet_until = sent_at + SECONDS_PER_PEER * len(self._hosts.list_peers())
+                    with trio.move_on_at(quiet_until):
+                        await self._lost.wait()
+                    self._lost = trio.Event()
 
     def _note_loss(self, endpoint_id: str, started_at: int) -> None:
         report = LossReport(endpoint_id=endpoint_id, started_at=started_at)
         self._losses[report] = trio.current_time() + LOSS_REPORT_SECONDS
+        self._lost.set()
         self.note_change()
 
     async def _send(self, udp: trio.socket.SocketType) -> None:
@@ -143,19 +155,28 @@
             crashes=self._crashes.list_reports(now),
             copies=self._copies.list_own(),
         )
+        # Callers of a lost host come back within its domain, and traffic between domains is dear.
+        near = self._sign(beacon, now)
+        far = self._sign(attrs.evolve(beacon, copies=()), now)
+        own_domain = self._hosts.own.failure_domain
+        for host in self._hosts.list_peers():
+            data = near if host.failure_domain == own_domain else far
+            await self._send_to(udp, split_address(host.peer_address)[0], data)
+        # Membership needs the names of hosts, which only their beacons tell.
+        known = {split_address(host.peer_address)[0] for host in self._hosts.list_known()}
+        for ip in self._seed_ips:
+            if ip not in known:
+                await self._send_to(udp, ip, far)
+
+    def _sign(self, beacon: Beacon, now: float) -> bytes:
         body = encode_beacon(beacon)
-        data = sign_datagram(self._key.choose_signing(now), body) + body
-        for ip in self._list_ips():
-            try:
-                await udp.sendto(data, (ip, self._port))
-            except OSError as error:
-                LOG.write("a beacon was not sent", ip=ip, reason=str(error))
+        return sign_datagram(self._key.choose_signing(now), body) + body
 
-    def _list_ips(self) -> set[str]:
-        known = {split_address(host.peer_address)[0] for host in self._hosts.list_known()}
-        live = {split_address(host.peer_address)[0] for host in self._hosts.list_peers()}
-        # Membership needs the names of hosts, which only their beacons tell.
-        return live | {ip for ip in self._seed_ips if ip not in known}
+    async def _send_to(self, udp: trio.socket.SocketType, ip: str, data: bytes) -> None:
+        try:
+            await udp.sendto(data, (ip, self._port))
+        except OSError as error:
+            LOG.write("a beacon was not sent", ip=ip, reason=str(error))
 
     async def _receive(self, udp: trio.socket.SocketType) -> None:
         while True:
--- a/packages/daemon/gypsumpost_daemon/gateway/stream_forwarder.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/stream_forwarder.py
@@ -231,6 +231,8 @@
             copy=progress.use.copy_engine,
             from_copy=copy is not None,
             last_event=progress.last_event_id.decode("latin-1"),
+            version=self._context.directory.version,
+            store_lost=self._context.directory.store_lost,
         )
         if target is not None:
             self._context.copies.put(
