Give up an engine that accepts connections but sends no event

A probe counted as a sign of life, so that a hanging engine was waited for until the deadline. The silence of the stream itself now counts: 2.5 s between events, the objective before the first one.

--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/gateway/stream_attempt.py
@@ -0,0 +1,227 @@
+"""One run of a stream on one engine."""
+
+import h11
+import trio
+from result import Err, Ok, Result
+
+from gypsumpost_core.gateway.copy_report import CopyReport
+from gypsumpost_core.gateway.endpoint_record import EndpointRecord
+from gypsumpost_core.gateway.endpoint_state import EndpointState
+from gypsumpost_core.gateway.silence_limit import HANG_SECONDS, compute_check_delay
+from gypsumpost_daemon.gateway.attempt_failure import AttemptFailure
+from gypsumpost_daemon.gateway.caller_call import CallerCall
+from gypsumpost_daemon.gateway.caller_exchange import CallerExchange
+from gypsumpost_daemon.gateway.crash_guard import fingerprint
+from gypsumpost_daemon.gateway.event_cutter import EventCutter, StreamEvent
+from gypsumpost_daemon.gateway.forward_context import ForwardContext
+from gypsumpost_daemon.gateway.message_headers import find_header, select_response_headers
+from gypsumpost_daemon.gateway.stream_progress import StreamProgress
+from gypsumpost_daemon.h11_engine_connection import H11EngineConnection, connect
+from gypsumpost_daemon.log import Log
+
+CONNECT_SECONDS = 0.08
+"""Several round trips; after it another engine is tried, as nothing was sent."""
+
+SUCCESS = 200
+MISDIRECTED = 421
+LOWEST_RANK = 9
+
+LOG = Log(prefix="stream")
+
+
+class StreamAttempt:
+    """Sends the request to one engine and passes its events on.
+
+    :param context: what the forwarders share.
+    :param call: the request.
+    :param exchange: the caller's side.
+    :param progress: how far the stream has come; the attempt goes on from there.
+    :param state: the engine.
+    :param copy: the engine's copy of the stream, ``None`` to have the prompt read.
+    :param target: the engine that is to hold a copy of this run, ``None`` for none.
+    """
+
+    def __init__(
+        self,
+        *,
+        context: ForwardContext,
+        call: CallerCall,
+        exchange: CallerExchange,
+        progress: StreamProgress,
+        state: EndpointState,
+        copy: EndpointRecord | None,
+        target: EndpointRecord | None,
+    ) -> None:
+        self._context = context
+        self._call = call
+        self._exchange = exchange
+        self._progress = progress
+        self._state = state
+        self._record = state.record
+        self._copy = copy
+        self._target = target
+        self._cutter = EventCutter(id_field=context.names.event_id_field)
+        self._began = self._last_at = trio.current_time()
+
+    async def run(self) -> Result[None, AttemptFailure]:
+        """Run until the stream is complete or this engine cannot go on with it."""
+        self._note_use()
+        opened = await connect(
+            self._record.address, trio.current_time() + CONNECT_SECONDS, fast_chunks=False
+        )
+        if isinstance(opened, Err):
+            reason = opened.err_value.reason
+            await self._context.monitor.check(self._record, reason)
+            return Err(AttemptFailure(reason=reason, may_have_run=False, sent=False))
+        self._note_send()
+        connection = opened.ok_value
+        scope = trio.CancelScope()
+        self._context.monitor.watch(self._record.endpoint_id, scope)
+        try:
+            with scope:
+                return await self._exchange_on(connection)
+            self._context.crashes.note_crash(self._call, self._record)
+            return Err(AttemptFailure(reason="the engine is lost", may_have_run=True))
+        except OSError as error:
+            if not await self._context.monitor.check(self._record, str(error)):
+                self._context.crashes.note_crash(self._call, self._record)
+            return Err(AttemptFailure(reason=str(error), may_have_run=True))
+        finally:
+            self._context.monitor.unwatch(self._record.endpoint_id, scope)
+            connection.close()
+
+    async def _exchange_on(self, connection: H11EngineConnection) -> Result[None, AttemptFailure]:
+        request = self._context.create_request(
+            self._call, self._record.endpoint_id, self._create_headers()
+        )
+        self._began = self._last_at = trio.current_time()
+        written = await connection.write(request)
+        if isinstance(written, Err):
+            failure = written.err_value
+            return Err(AttemptFailure(reason=failure.reason, may_have_run=failure.may_have_run))
+        head = await self._receive_head(connection)
+        if isinstance(head, Err):
+            return head
+        return await self._relay(connection, head.ok_value)
+
+    def _note_use(self) -> None:
+        use = self._progress.use
+        use.engine = self._record.endpoint_id
+        use.copy_engine = self._target.endpoint_id if self._target else ""
+        use.reading = self._copy is None
+        self._context.use.put(use)
+
+    def _note_send(self) -> None:
+        if self._progress.events:
+            self._progress.resuming = True
+            self._context.metrics.count_resumption(from_copy=self._copy is not None)
+        LOG.write(
+            "sends",
+            request=self._call.request_id,
+            endpoint=self._record.endpoint_id,
+            copy=self._progress.use.copy_engine,
+            from_copy=self._copy is not None,
+            last_event=self._progress.last_event_id.decode("latin-1"),
+            version=self._context.directory.version,
+            store_lost=self._context.directory.store_lost,
+        )
+        if self._target is not None:
+            self._context.copies.put(
+                CopyReport(
+                    fingerprint=fingerprint(self._call),
+                    request_id=self._call.request_id,
+                    copy_engine=self._target.endpoint_id,
+                )
+            )
+
+    def _create_headers(self) -> tuple[tuple[bytes, bytes], ...]:
+        names, progress = self._context.names, self._progress
+        extra = [(names.priority, b"%d" % min(LOWEST_RANK, max(0, self._call.priority)))]
+        if progress.last_event_id:
+            extra.append((names.last_event_id, progress.last_event_id))
+        if self._target is not None:
+            extra.append((names.copy_target, self._target.address.encode()))
+        if self._copy is not None:
+            source = f"{self._copy.address}/{progress.copy_request_id}"
+            extra.append((names.resume_from, source.encode()))
+        return tuple(extra)
+
+    async def _receive_head(
+        self, connection: H11EngineConnection
+    ) -> Result[h11.Response, AttemptFailure]:
+        names = self._context.names
+        head: h11.Response | None = None
+        while head is None:
+            with trio.move_on_after(compute_check_delay(self._state, reading=True)):
+                head = await connection.receive_head(self._call.method)
+            if head is None and not await self._is_alive(reading=True):
+                return Err(AttemptFailure(reason="the engine is silent", may_have_run=True))
+        if head.status_code == MISDIRECTED:
+            self._context.monitor.mark_replaced(self._record)
+            return Err(AttemptFailure(reason="another endpoint", may_have_run=False, sent=False))
+        if find_header(head.headers, names.not_run) is not None:
+            reason = f"refused with {head.status_code}"
+            return Err(AttemptFailure(reason=reason, may_have_run=False))
+        if head.status_code != SUCCESS or find_header(head.headers, names.seal) is None:
+            return Err(AttemptFailure(reason=f"status {head.status_code}", may_have_run=True))
+        return Ok(head)
+
+    async def _relay(
+        self, connection: H11EngineConnection, head: h11.Response
+    ) -> Result[None, AttemptFailure]:
+        while True:
+            reading = self._progress.use.reading
+            data = None
+            with trio.move_on_after(compute_check_delay(self._state, reading=reading)):
+                data = await connection.receive_body()
+            if data is None:
+                if not await self._is_alive(reading=reading):
+                    return Err(AttemptFailure(reason="the engine is silent", may_have_run=True))
+                continue
+            if not data:
+                break
+            events = self._cutter.feed(data)
+            if events:
+                self._observe(reading, trio.current_time())
+                await self._pass_on(events, head)
+        if self._cutter.incomplete:
+            return Err(AttemptFailure(reason="the stream ended in an event", may_have_run=True))
+        await self._start(head)
+        await self._exchange.send(b"", more=False)
+        return Ok(None)
+
+    def _observe(self, reading: bool, now: float) -> None:
+        self._context.directory.fleet.mark_alive(self._record.endpoint_id, now)
+        if reading:
+            self._state.observe_reading(self._call.prompt_tokens, now - self._began)
+            self._progress.use.reading = False
+            self._context.use.note_change()
+        else:
+            self._state.observe_gap(now - self._last_at)
+        self._last_at = now
+
+    async def _pass_on(self, events: list[StreamEvent], head: h11.Response) -> None:
+        await self._start(head)
+        progress, now = self._progress, self._last_at
+        if progress.last_event_at is None:
+            self._context.metrics.record_first_event(now - self._call.received_at)
+        elif progress.resuming:
+            self._context.metrics.record_pause(now - progress.last_event_at)
+        progress.note_events(len(events), events[-1].event_id, now)
+        progress.resuming = False
+        await self._exchange.send(b"".join(event.data for event in events), more=True)
+
+    async def _start(self, head: h11.Response) -> None:
+        # A stream that goes on keeps the head of its first engine.
+        if not self._exchange.started:
+            await self._exchange.start(SUCCESS, select_response_headers(head.headers))
+
+    async def _is_alive(self, *, reading: bool) -> bool:
+        """Return whether to go on waiting for the engine, which has been silent for a while."""
+        now = trio.current_time()
+        limit = self._call.route.objective if reading else HANG_SECONDS
+        if now - self._last_at > limit:
+            return False
+        if now - self._state.alive_at < compute_check_delay(self._state, reading=False):
+            return True
+        return await self._context.monitor.check(self._record, "a stream is silent")
--- a/packages/daemon/gypsumpost_daemon/gateway/stream_forwarder.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/stream_forwarder.py
@@ -1,31 +1,25 @@
 """Forwards streams of events and carries them over the loss of engines."""
 
 import trio
-from result import Err, Ok, Result
+from result import Ok, Result
 
-from gypsumpost_core.gateway.copy_report import CopyReport
 from gypsumpost_core.gateway.endpoint_record import EndpointRecord
 from gypsumpost_core.gateway.endpoint_state import EndpointState
 from gypsumpost_core.gateway.engine_choice import EngineChoice
+from gypsumpost_core.gateway.engine_limits import EngineLimits
 from gypsumpost_core.gateway.request_kind import RequestKind
-from gypsumpost_core.gateway.silence_limit import HANG_SECONDS, compute_check_delay
 from gypsumpost_core.gateway.stream_use import StreamUse
 from gypsumpost_core.run_state import RunState
 from gypsumpost_daemon.gateway.attempt_failure import AttemptFailure
 from gypsumpost_daemon.gateway.caller_call import CallerCall
 from gypsumpost_daemon.gateway.caller_exchange import CallerExchange
 from gypsumpost_daemon.gateway.crash_guard import fingerprint
-from gypsumpost_daemon.gateway.event_cutter import EventCutter
 from gypsumpost_daemon.gateway.forward_context import ForwardContext
 from gypsumpost_daemon.gateway.forwarder import FORWARDERS
-from gypsumpost_daemon.gateway.message_headers import find_header, select_response_headers
+from gypsumpost_daemon.gateway.stream_attempt import StreamAttempt
 from gypsumpost_daemon.gateway.stream_progress import StreamProgress
-from gypsumpost_daemon.h11_engine_connection import H11EngineConnection, connect
 from gypsumpost_daemon.log import Log
 
-CONNECT_SECONDS = 0.08
-"""Several round trips; after it another engine is tried, as nothing was sent."""
-
 WAIT_SHARE = 0.75
 """Share of the objective for which a new stream waits for an engine."""
 
@@ -33,9 +27,6 @@
 PAUSE_SECONDS = 0.02
 """Shortest time between two attempts that were refused."""
 
-OK = 200
-MISDIRECTED = 421
-
 LOG = Log(prefix="stream")
 
 
@@ -100,7 +91,7 @@
                 state = await self._choose_engine(call, progress, tried)
             if state is None:
                 return "no engine takes work"
-            done = await self._attempt(call, exchange, progress, state, copy)
+            done = await self._run_attempt(call, exchange, progress, state, copy)
             if isinstance(done, Ok):
                 return ""
             failure = done.err_value
@@ -177,21 +168,7 @@
             await self._context.directory.wait_change(min(give_up, trio.current_time() + 0.1))
         return None
 
-    def _find_limits(self, call: CallerCall):  # type: ignore[no-untyped-def]
-        routes = self._context.directory.routes
-        service = routes.find_service(call.service) if routes else None
-        return service.engine if service else None
-
-    def _create_choice(self) -> EngineChoice:
-        now = trio.current_time()
-        return EngineChoice(
-            fleet=self._context.directory.fleet,
-            use=self._context.use.sum_all(now),
-            failure_domain=self._context.settings.failure_domain,
-            now=now,
-        )
-
-    async def _attempt(
+    async def _run_attempt(
         self,
         call: CallerCall,
         exchange: CallerExchange,
@@ -199,166 +176,37 @@
         state: EndpointState,
         copy: EndpointRecord | None,
     ) -> Result[None, AttemptFailure]:
-        record = state.record
         limits = self._find_limits(call)
-        target = None
         self._context.use.drop(progress.use)
+        target = None
         if limits is not None:
             target = self._create_choice().choose_copy(
                 call.service, limits, engine=state, total_tokens=progress.use.total_tokens
             )
-        progress.use.engine = record.endpoint_id
-        progress.use.copy_engine = target.record.endpoint_id if target else ""
-        progress.use.reading = copy is None
-        self._context.use.put(progress.use)
-        opened = await connect(
-            record.address, trio.current_time() + CONNECT_SECONDS, fast_chunks=False
-        )
-        if isinstance(opened, Err):
-            reason = opened.err_value.reason
-            await self._context.monitor.check(record, reason)
-            return Err(AttemptFailure(reason=reason, may_have_run=False, sent=False))
-        if progress.events:
-            progress.resuming = True
-            self._context.metrics.count_resumption(from_copy=copy is not None)
-        request = self._context.create_request(
-            call, record.endpoint_id, self._create_headers(call, progress, copy, target)
+        attempt = StreamAttempt(
+            context=self._context,
+            call=call,
+            exchange=exchange,
+            progress=progress,
+            state=state,
+            copy=copy,
+            target=target.record if target else None,
         )
-        LOG.write(
-            "sends",
-            request=call.request_id,
-            endpoint=record.endpoint_id,
-            copy=progress.use.copy_engine,
-            from_copy=copy is not None,
-            last_event=progress.last_event_id.decode("latin-1"),
-            version=self._context.directory.version,
-            store_lost=self._context.directory.store_lost,
-        )
-        if target is not None:
-            self._context.copies.put(
-                CopyReport(
-                    fingerprint=fingerprint(call),
-                    request_id=call.request_id,
-                    copy_engine=target.record.endpoint_id,
-                )
-            )
-        connection = opened.ok_value
-        scope = trio.CancelScope()
-        self._context.monitor.watch(record.endpoint_id, scope)
-        try:
-            with scope:
-                written = await connection.write(request)
-                if isinstance(written, Err):
-                    failure = written.err_value
-                    return Err(
-                        AttemptFailure(reason=failure.reason, may_have_run=failure.may_have_run)
-                    )
-                return await self._relay(call, exchange, progress, state, connection)
-            self._context.crashes.note_crash(call, record)
-            return Err(AttemptFailure(reason="the engine is lost", may_have_run=True))
-        except OSError as error:
-            if not await self._context.monitor.check(record, str(error)):
-                self._context.crashes.note_crash(call, record)
-            return Err(AttemptFailure(reason=str(error), may_have_run=True))
-        finally:
-            self._context.monitor.unwatch(record.endpoint_id, scope)
-            connection.close()
+        return await attempt.run()
 
-    def _create_headers(
-        self,
-        call: CallerCall,
-        progress: StreamProgress,
-        copy: EndpointRecord | None,
-        target: EndpointState | None,
-    ) -> tuple[tuple[bytes, bytes], ...]:
-        names = self._context.names
-        extra = [(names.priority, b"%d" % min(9, max(0, call.priority)))]
-        if progress.last_event_id:
-            extra.append((names.last_event_id, progress.last_event_id))
-        if target is not None:
-            extra.append((names.copy_target, target.record.address.encode()))
-        if copy is not None:
-            extra.append((names.resume_from, f"{copy.address}/{progress.copy_request_id}".encode()))
-        return tuple(extra)
-
-    async def _relay(
-        self,
-        call: CallerCall,
-        exchange: CallerExchange,
-        progress: StreamProgress,
-        state: EndpointState,
-        connection: H11EngineConnection,
-    ) -> Result[None, AttemptFailure]:
-        names = self._context.names
-        began = trio.current_time()
-        head = None
-        while head is None:
-            with trio.move_on_after(compute_check_delay(state, reading=True)):
-                head = await connection.receive_head(call.method)
-            if head is None and not await self._is_alive(state, began):
-                return Err(AttemptFailure(reason="the engine is silent", may_have_run=True))
-        headers = list(head.headers)
-        if head.status_code == MISDIRECTED:
-            self._context.monitor.mark_replaced(state.record)
-            return Err(AttemptFailure(reason="another endpoint", may_have_run=False, sent=False))
-        if find_header(headers, names.not_run) is not None:
-            reason = f"refused with {head.status_code}"
-            return Err(AttemptFailure(reason=reason, may_have_run=False))
-        if head.status_code != OK or find_header(headers, names.seal) is None:
-            return Err(AttemptFailure(reason=f"status {head.status_code}", may_have_run=True))
-        cutter = EventCutter(id_field=names.event_id_field)
-        last_at = began
-        reading = progress.use.reading
-        while True:
-            data = None
-            with trio.move_on_after(compute_check_delay(state, reading=reading)):
-                data = await connection.receive_body()
-            now = trio.current_time()
-            if data is None:
-                if not await self._is_alive(state, last_at):
-                    return Err(AttemptFailure(reason="the engine is silent", may_have_run=True))
-                continue
-            if not data:
-                break
-            events = cutter.feed(data)
-            if not events:
-                continue
-            state.lost_at, state.alive_at = float("-inf"), now
-            if reading:
-                state.observe_reading(call.prompt_tokens, now - began)
-                reading = progress.use.reading = False
-                self._context.use.note_change()
-            else:
-                state.observe_gap(now - last_at)
-            last_at = now
-            if not exchange.started:
-                await exchange.start(OK, select_response_headers(headers))
-            self._record(call, progress, now)
-            progress.note_events(len(events), events[-1].event_id, now)
-            progress.resuming = False
-            await exchange.send(b"".join(event.data for event in events), more=True)
-        if cutter.incomplete:
-            return Err(AttemptFailure(reason="the stream ended in an event", may_have_run=True))
-        if not exchange.started:
-            await exchange.start(OK, select_response_headers(headers))
-        await exchange.send(b"", more=False)
-        return Ok(None)
-
-    def _record(self, call: CallerCall, progress: StreamProgress, now: float) -> None:
-        metrics = self._context.metrics
-        if progress.last_event_at is None:
-            metrics.record_first_event(now - call.received_at)
-        elif progress.resuming:
-            metrics.record_pause(now - progress.last_event_at)
+    def _find_limits(self, call: CallerCall) -> EngineLimits | None:
+        routes = self._context.directory.routes
+        service = routes.find_service(call.service) if routes else None
+        return service.engine if service else None
 
-    async def _is_alive(self, state: EndpointState, silent_since: float) -> bool:
-        if trio.current_time() - state.alive_at < compute_check_delay(state, reading=False):
-            return True
-        alive = await self._context.monitor.check(state.record, "a stream is silent")
-        hangs = trio.current_time() - max(silent_since, 0) > HANG_SECONDS and not (
-            trio.current_time() - state.alive_at < HANG_SECONDS
+    def _create_choice(self) -> EngineChoice:
+        now = trio.current_time()
+        return EngineChoice(
+            fleet=self._context.directory.fleet,
+            use=self._context.use.sum_all(now),
+            failure_domain=self._context.settings.failure_domain,
+            now=now,
         )
-        return alive and not hangs
 
     async def _give_up(
         self, call: CallerCall, exchange: CallerExchange, progress: StreamProgress, reason: str
