--- a/packages/daemon/gypsumpost_daemon/gateway/call_forwarder.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/call_forwarder.py
@@ -84,7 +84,7 @@
             reason = done.err_value.reason
             LOG.write(
                 "an attempt failed",
-                request=call.request_id,
+                request_id=call.request_id,
                 endpoint=state.record.endpoint_id,
                 reason=reason,
                 may_have_run=done.err_value.may_have_run,
@@ -94,7 +94,7 @@
         if last is not None:
             LOG.write(
                 "answered",
-                request=call.request_id,
+                request_id=call.request_id,
                 route=call.route.name,
                 status=last.status,
                 endpoints=sorted(tried),
@@ -111,7 +111,7 @@
         late = trio.current_time() >= call.deadline
         LOG.write(
             "refused",
-            request=call.request_id,
+            request_id=call.request_id,
             route=call.route.name,
             reason=reason,
             may_have_run=may_have_run,
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_application.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_application.py
@@ -92,12 +92,12 @@
             return
         until = self.streams_until if route.kind is RequestKind.STREAM else self.calls_until
         if received_at > until:
-            LOG.write("refused", request=call.request_id, reason="this host stops")
+            LOG.write("refused", request_id=call.request_id, reason="this host stops")
             text = "This host stops."
             await exchange.refuse(503, text, RunState.NOT_RUN, STOP_RETRY_SECONDS)
             return
         if self._context.crashes.is_refused(call):
-            LOG.write("refused", request=call.request_id, reason="it crashes endpoints")
+            LOG.write("refused", request_id=call.request_id, reason="it crashes endpoints")
             text = "Endpoints crashed each time this request ran."
             await exchange.refuse(CRASHING_STATUS, text, RunState.RUN)
             return
@@ -109,7 +109,7 @@
 
             async def watch_caller() -> None:
                 await exchange.wait_until_gone()
-                LOG.write("the caller has left", request=call.request_id)
+                LOG.write("the caller has left", request_id=call.request_id)
                 nursery.cancel_scope.cancel()
 
             nursery.start_soon(watch_caller)
@@ -165,7 +165,7 @@
         request_id = find_header(exchange.headers, self._context.names.request_id) or b""
         LOG.write(
             "refused",
-            request=request_id.decode("latin-1"),
+            request_id=request_id.decode("latin-1"),
             status=status,
             reason=reason,
             version=routes.configuration.version,
--- a/packages/daemon/gypsumpost_daemon/gateway/stream_attempt.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/stream_attempt.py
@@ -117,7 +117,7 @@
             self._context.metrics.count_resumption(from_copy=self._copy is not None)
         LOG.write(
             "sends",
-            request=self._call.request_id,
+            request_id=self._call.request_id,
             endpoint=self._record.endpoint_id,
             copy=self._progress.use.copy_engine,
             from_copy=self._copy is not None,
--- a/packages/daemon/gypsumpost_daemon/gateway/stream_forwarder.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/stream_forwarder.py
@@ -110,7 +110,7 @@
                 tried.add(state.record.endpoint_id)
             LOG.write(
                 "an attempt ended",
-                request=call.request_id,
+                request_id=call.request_id,
                 endpoint=state.record.endpoint_id,
                 reason=failure.reason,
                 may_have_run=failure.may_have_run,
@@ -127,7 +127,7 @@
         first = (progress.first_event_at or trio.current_time()) - call.received_at
         LOG.write(
             "complete",
-            request=call.request_id,
+            request_id=call.request_id,
             events=progress.events,
             attempts=progress.sends + 1,
             first_event_seconds=round(first, 3),
@@ -213,7 +213,7 @@
     ) -> None:
         LOG.write(
             "gave up",
-            request=call.request_id,
+            request_id=call.request_id,
             reason=reason,
             may_have_run=progress.may_have_run,
             events=progress.events,
