--- a/packages/core/gypsumpost_core/gateway/crash_register.py
+++ b/packages/core/gypsumpost_core/gateway/crash_register.py
@@ -41,19 +41,22 @@
         :param fingerprint: digest of the request.
         :param now: process time in seconds.
         """
-        starts = self._crashes.get(fingerprint)
-        if starts is None:
-            return False
-        for key in [key for key, at in starts.items() if at < now - REMEMBER_SECONDS]:
-            del starts[key]
-        if not starts:
-            del self._crashes[fingerprint]
-        return len(starts) >= REFUSED_CRASHES
+        self._forget(now)
+        return len(self._crashes.get(fingerprint, ())) >= REFUSED_CRASHES
 
     def list_reports(self, now: float) -> tuple[CrashReport, ...]:
         """Return the crashes that the peers are to be told of.
 
         :param now: process time in seconds.
         """
+        self._forget(now)
         self._reports = {report: until for report, until in self._reports.items() if until > now}
         return tuple(self._reports)
+
+    def _forget(self, now: float) -> None:
+        oldest = now - REMEMBER_SECONDS
+        for fingerprint, starts in list(self._crashes.items()):
+            for key in [key for key, at in starts.items() if at < oldest]:
+                del starts[key]
+            if not starts:
+                del self._crashes[fingerprint]
--- a/packages/core/gypsumpost_core/gateway/endpoint_fleet.py
+++ b/packages/core/gypsumpost_core/gateway/endpoint_fleet.py
@@ -30,14 +30,14 @@
     _losses: deque[tuple[float, EndpointRecord]] = attrs.field(
         factory=lambda: deque(maxlen=REMEMBERED_LOSSES), init=False
     )
-    _replaced: set[tuple[str, int]] = attrs.field(factory=set, init=False)
+    _replaced: dict[str, int] = attrs.field(factory=dict, init=False)
 
     def put(self, record: EndpointRecord) -> None:
         """Add an endpoint or take in a change of its record.
 
         :param record: the record.
         """
-        if (record.endpoint_id, record.started_at) in self._replaced:
+        if self._replaced.get(record.endpoint_id) == record.started_at:
             return
         for other in self._list_at(record):
             # The process that started last has the address.
@@ -55,12 +55,13 @@
 
         :param record: the endpoint that no longer exists.
         """
-        self._replaced.add((record.endpoint_id, record.started_at))
-        self.remove(record.endpoint_id)
+        self._replaced[record.endpoint_id] = record.started_at
+        self._states.pop(record.endpoint_id, None)
 
     def remove(self, endpoint_id: str) -> None:
-        """Remove an endpoint that is gone."""
+        """Remove an endpoint whose entry is gone."""
         self._states.pop(endpoint_id, None)
+        self._replaced.pop(endpoint_id, None)
 
     def find(self, endpoint_id: str) -> EndpointState | None:
         """Return an endpoint by its id."""
--- a/packages/core/gypsumpost_core/gateway/tests/test_budgets.py
+++ b/packages/core/gypsumpost_core/gateway/tests/test_budgets.py
@@ -33,6 +33,7 @@
     register.add(report("e2"), 3.0, own=False)
     assert register.is_refused(b"f", 3.0) and not register.is_refused(b"g", 3.0)
     assert not register.is_refused(b"f", 200.0)
+    assert not register._crashes
 
 
 def test_own_crashes_are_reported_for_a_while():
--- a/packages/core/gypsumpost_core/gateway/tests/test_endpoint_fleet.py
+++ b/packages/core/gypsumpost_core/gateway/tests/test_endpoint_fleet.py
@@ -47,6 +47,16 @@
     assert list_ids(fleet) == ["e1"]
 
 
+def test_a_replaced_endpoint_is_forgotten_with_its_entry():
+    """Guards against a memory that grows with each restart of an endpoint."""
+    record = create_record("e1")
+    fleet = create_fleet(record)
+    fleet.mark_replaced(record)
+    fleet.remove("e1")
+    fleet.put(record)
+    assert list_ids(fleet) == ["e1"]
+
+
 def test_leaving_endpoints_take_no_new_work():
     """Guards against new work for an endpoint that drains."""
     fleet = create_fleet(create_record("e1", leaving=True), create_record("e2"))
--- a/packages/daemon/gypsumpost_daemon/gateway/stream_forwarder.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/stream_forwarder.py
@@ -25,7 +25,7 @@
 
 RETRY_AFTER_SECONDS = 1.0
 PAUSE_SECONDS = 0.02
-"""Shortest time between two attempts that were refused."""
+"""Shortest time between two attempts that engines refused for want of room."""
 
 LOG = Log(prefix="stream")
 
@@ -119,7 +119,7 @@
             )
             if failure.may_have_run and not call.route.resumable:
                 return failure.reason
-            if failure.sent and not failure.may_have_run:
+            if failure.sent and not failure.may_have_run and copy is None:
                 await trio.sleep(PAUSE_SECONDS)
 
     def _log_end(self, call: CallerCall, progress: StreamProgress) -> None:
