--- a/packages/core/gypsumpost_core/gateway/route.py
+++ b/packages/core/gypsumpost_core/gateway/route.py
@@ -21,7 +21,6 @@
     :param priority: rank among the routes, 0 first.
     :param public: true if no key is needed.
     :param resumable: true if a stream may go on at another endpoint.
-    :param gap_objective: longest pause between events in seconds that is still on time.
     """
 
     name: str
@@ -35,7 +34,6 @@
     priority: int = 5
     public: bool = False
     resumable: bool = False
-    gap_objective: float = 0.7
 
     @property
     def repeatable(self) -> bool:
--- a/packages/core/gypsumpost_core/gateway/service.py
+++ b/packages/core/gypsumpost_core/gateway/service.py
@@ -10,12 +10,10 @@
     """A service of the configuration.
 
     :param name: name of the service.
-    :param max_connections: connections that one endpoint accepts from all callers together.
     :param health_path: path of the health check of its endpoints.
     :param engine: limits of its engines, ``None`` for a plain service.
     """
 
     name: str
-    max_connections: int
     health_path: str = "/health"
     engine: EngineLimits | None = None
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_settings.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_settings.py
@@ -9,7 +9,6 @@
 
     :param host_id: unique name of the host.
     :param failure_domain: failure domain of the host.
-    :param failure_domains: all failure domains.
     :param caller_address: ``ip:port`` for callers.
     :param ready_address: ``ip:port`` for the balancer's question whether the host is ready.
     :param metrics_address: ``ip:port`` for metrics, empty for none.
@@ -20,7 +19,6 @@
     :param seed_ips: addresses of hosts that may know others.
     :param store_address: ``ip:port`` of the platform's store.
     :param stop_seconds: time from the signal to stop until the process is killed.
-    :param drain_seconds: time within which a leaving endpoint gets no more requests.
     :param retry_ratio: repeated sends allowed for each request.
     :param retry_window_seconds: window of the retry budget.
     :param retry_allowance: repeated sends allowed in a window besides, all hosts together.
@@ -28,7 +26,6 @@
 
     host_id: str
     failure_domain: str
-    failure_domains: tuple[str, ...]
     caller_address: str
     ready_address: str
     metrics_address: str = ""
@@ -39,7 +36,6 @@
     seed_ips: tuple[str, ...] = ()
     store_address: str
     stop_seconds: float = 30.0
-    drain_seconds: float = 2.0
     retry_ratio: float = 0.1
     retry_window_seconds: float = 10.0
     retry_allowance: float = 10.0
--- a/packages/daemon/gypsumpost_daemon/gateway/header_names.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/header_names.py
@@ -15,7 +15,6 @@
     :param workspace: name of the caller's workspace.
     :param expected_endpoint: id of the endpoint that the request is meant for.
     :param endpoint_id: id of the endpoint that answers.
-    :param load: load of an endpoint, in its answers.
     :param not_run: set on an answer if the endpoint did not run the request.
     :param priority: rank of a request among those of the engine.
     :param token_counts: tokens of the prompt and most tokens of the output.
@@ -33,7 +32,6 @@
     workspace: bytes
     expected_endpoint: bytes
     endpoint_id: bytes
-    load: bytes
     not_run: bytes
     priority: bytes
     token_counts: bytes
--- a/packages/daemon/gypsumpost_daemon/gateway/tests/test_message_headers.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/tests/test_message_headers.py
@@ -15,7 +15,6 @@
     workspace=b"workspace",
     expected_endpoint=b"expected",
     endpoint_id=b"endpoint",
-    load=b"load",
     not_run=b"not-run",
     priority=b"rank",
     token_counts=b"counts",
