Ask peers for the directory only while behind, and number beacons by the time of the start

A host that had started again within 64 beacons was ignored until its numbers had caught up. Test that a host learns the directory, losses and work from its peers.

--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
@@ -70,7 +70,7 @@
         self._follower = StoreFollower(
             store=adapter.create_store(settings), directory=self.directory
         )
-        self._monitor = EndpointMonitor(
+        self.monitor = EndpointMonitor(
             directory=self.directory,
             identity=EndpointIdentity(adapter=adapter),
             refresh=lambda: self._follower.refresh(adapter.endpoint_prefix),
@@ -90,7 +90,7 @@
             key=key,
             settings=MembershipSettings(),
         )
-        use = UseTable()
+        self.use = UseTable()
         crashes = CrashGuard(fleet=self.directory.fleet)
         self.copies = CopyDirectory()
         self._exchange = PeerExchange(
@@ -101,8 +101,8 @@
             network=self._network,
             key=key,
             directory=self.directory,
-            monitor=self._monitor,
-            use=use,
+            monitor=self.monitor,
+            use=self.use,
             crashes=crashes,
             copies=self.copies,
         )
@@ -111,8 +111,8 @@
                 settings=settings,
                 names=adapter.headers,
                 directory=self.directory,
-                monitor=self._monitor,
-                use=use,
+                monitor=self.monitor,
+                use=self.use,
                 crashes=crashes,
                 copies=self.copies,
                 metrics=GatewayMetrics(metrics=metrics),
@@ -132,7 +132,7 @@
             await nursery.start(self._exchange.run)
             nursery.start_soon(self.directory.run)
             nursery.start_soon(self._follower.run)
-            await nursery.start(self._monitor.run)
+            await nursery.start(self.monitor.run)
             nursery.start_soon(self._follow_limits)
             ready = ReadyApplication(is_ready=self._is_ready)
             await self._serve(
--- a/packages/daemon/gypsumpost_daemon/gateway/peer_exchange.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/peer_exchange.py
@@ -2,6 +2,7 @@
 
 import hmac
 import itertools
+import time
 from collections.abc import Collection
 
 import attrs
@@ -48,6 +49,7 @@
 """How long the store may bring what a peer already has before it is asked of the peer."""
 
 STATE_SECONDS = 0.5
+REORDERED_BEACONS = 64
 RECEIVE_BYTES = 65536
 
 LOG = Log(prefix="peers")
@@ -96,11 +98,12 @@
         self._use = use
         self._crashes = crashes
         self._copies = copies
-        self._sequence = itertools.count(1)
+        # A host that starts again goes on with higher numbers.
+        self._sequence = itertools.count(int(time.time() * 1000))
         self._seen: dict[str, int] = {}
         self._losses: dict[LossReport, float] = {}
         self._behind_since: float | None = None
-        self._ahead: str = ""
+        self._ahead: Beacon | None = None
         self._changed = trio.Event()
         self._lost = trio.Event()
         network.add_handler(MessageKind.DIRECTORY_STATE, self._handle_state)
@@ -216,8 +219,8 @@
 
     def _take(self, beacon: Beacon, now: float) -> None:
         last = self._seen.get(beacon.host_id, 0)
-        # A host that starts again begins at one.
-        if last - 64 < beacon.sequence <= last:
+        # A much lower number is that of a host whose clock was set back before it started again.
+        if last - REORDERED_BEACONS < beacon.sequence <= last:
             return
         self._seen[beacon.host_id] = beacon.sequence
         self._use.take_report(beacon.host_id, beacon.uses, now)
@@ -226,14 +229,18 @@
             self._take_loss(loss, beacon.host_id, now)
         for crash in beacon.crashes:
             self._crashes.take_report(crash, now)
-        if (
-            beacon.version > self._directory.version
-            or beacon.endpoint_revision > self._directory.endpoint_revision
-        ):
-            self._ahead = beacon.host_id
+        if self._is_ahead(beacon):
+            self._ahead = beacon
             if self._behind_since is None:
                 self._behind_since = now
 
+    def _is_ahead(self, beacon: Beacon) -> bool:
+        directory = self._directory
+        return (
+            beacon.version > directory.version
+            or beacon.endpoint_revision > directory.endpoint_revision
+        )
+
     def _take_loss(self, loss: LossReport, host_id: str, now: float) -> None:
         fleet = self._directory.fleet
         state = fleet.find(loss.endpoint_id)
@@ -250,7 +257,8 @@
             if since is None or trio.current_time() < since + BEHIND_SECONDS:
                 continue
             self._behind_since = None
-            await self._fetch(self._ahead)
+            if self._ahead is not None and self._is_ahead(self._ahead):
+                await self._fetch(self._ahead.host_id)
 
     async def _fetch(self, host_id: str) -> None:
         deadline = trio.current_time() + STATE_SECONDS
