Keep an endpoint that refuses its health check, and find the store's return after a failed refresh

An answer without an id was taken for another endpoint, so that a full endpoint was forgotten after a loss. After a failed refresh the store counted as away until a waiting watch ended. Both found by tests of who answers at a lost endpoint's address.

--- a/packages/daemon/gypsumpost_daemon/gateway/endpoint_identity.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/endpoint_identity.py
@@ -40,9 +40,12 @@
         if isinstance(health, Err):
             return health
         found = find_header(health.ok_value.headers, names.endpoint_id)
+        if found is None:
+            # A full endpoint refuses the check like any other request.
+            return Err(f"status {health.ok_value.status} without an id")
         if found == record.endpoint_id.encode():
             return Ok(record)
-        if service.engine is None or found is None:
+        if service.engine is None:
             return Ok(None)
         asked = await self._ask(record.address, self.adapter.report_path)
         if isinstance(asked, Err):
--- a/packages/daemon/gypsumpost_daemon/gateway/store_follower.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/store_follower.py
@@ -35,6 +35,8 @@
         self.calls = 0
         self._lost = False
         self._refresh_at = -math.inf
+        self._failed_at = -math.inf
+        self._failed_prefix = ""
 
     @property
     def lost(self) -> bool:
@@ -56,6 +58,14 @@
         async with trio.open_nursery() as nursery:
             for prefix in self._directory.tables:
                 nursery.start_soon(self._follow, prefix)
+            nursery.start_soon(self._find_return)
+
+    async def _find_return(self) -> None:
+        """Ask the store after a failed refresh, as the watches may wait through the outage."""
+        while True:
+            await trio.sleep(REFRESH_SECONDS)
+            if self._lost and trio.current_time() > self._failed_at + REFRESH_SECONDS:
+                await self._read(self._failed_prefix)
 
     async def _follow(self, prefix: str) -> None:
         retry = FIRST_RETRY_SECONDS
@@ -96,6 +106,8 @@
         if not self._lost or failure.history_lost:
             LOG.write("the store did not answer", prefix=prefix, reason=failure.reason)
         self._lost = True
+        self._failed_at = trio.current_time()
+        self._failed_prefix = prefix
         return failure
 
     def _note_answer(self) -> None:
