--- a/packages/daemon/gypsumpost_daemon/gateway/directory.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/directory.py
@@ -216,5 +216,5 @@
         endpoint_id = key.removeprefix(self._adapter.endpoint_prefix)
         if self.fleet.find(endpoint_id) is not None:
             LOG.write("an endpoint is gone", endpoint=endpoint_id)
-            self.fleet.remove(endpoint_id)
-            self.note_change()
+        self.fleet.remove(endpoint_id)
+        self.note_change()
