Compute the digest of a request once

It was computed up to four times for a stream, over the whole body. It is now a cached property of the request.

--- a/packages/daemon/gypsumpost_daemon/gateway/caller_call.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/caller_call.py
@@ -1,9 +1,12 @@
 """A caller's request on a route."""
 
+from functools import cached_property
+
 import attrs
 
 from gypsumpost_core.gateway.route import Route
 from gypsumpost_daemon.gateway.forwarded_request import Headers
+from gypsumpost_daemon.gateway.request_digest import digest_request
 
 
 @attrs.frozen(kw_only=True)
@@ -40,3 +43,8 @@
     prompt_tokens: int = 0
     output_tokens: int = 0
     last_event_id: bytes = b""
+
+    @cached_property
+    def fingerprint(self) -> bytes:
+        """Digest that is the same when the caller sends the request again."""
+        return digest_request(self.method, self.path, self.workspace, self.body)
--- a/packages/daemon/gypsumpost_daemon/gateway/crash_guard.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/crash_guard.py
@@ -1,6 +1,5 @@
 """Finds requests that crash the endpoints that run them."""
 
-import hashlib
 from collections.abc import Callable
 
 import trio
@@ -12,7 +11,6 @@
 from gypsumpost_daemon.gateway.caller_call import CallerCall
 from gypsumpost_daemon.log import Log
 
-DIGEST_BYTES = 12
 SETTLE_SECONDS = 0.3
 """The losses of one cause are all known after this time."""
 
@@ -42,7 +40,7 @@
         """
         now = trio.current_time()
         self._settle(now)
-        return self._register.is_refused(fingerprint(call), now)
+        return self._register.is_refused(call.fingerprint, now)
 
     def note_crash(self, call: CallerCall, record: EndpointRecord) -> None:
         """Note that an endpoint was lost while it ran a request.
@@ -54,7 +52,7 @@
         :param record: the endpoint.
         """
         report = CrashReport(
-            fingerprint=fingerprint(call),
+            fingerprint=call.fingerprint,
             endpoint_id=record.endpoint_id,
             started_at=record.started_at,
         )
@@ -86,26 +84,3 @@
                     fingerprint=report.fingerprint.hex(),
                     endpoint=report.endpoint_id,
                 )
-
-
-def fingerprint(call: CallerCall) -> bytes:
-    """Return a digest that is the same when a caller sends a request again.
-
-    :param call: the request.
-    """
-    return digest_request(call.method, call.path, call.workspace, call.body)
-
-
-def digest_request(method: str, path: str, workspace: str, body: bytes) -> bytes:
-    """Return a digest of what stays the same when a request is sent again.
-
-    :param method: HTTP method.
-    :param path: path with the query.
-    :param workspace: name of the workspace.
-    :param body: the body.
-    """
-    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
-    for part in (method, path, workspace):
-        digest.update(part.encode("utf-8", "surrogateescape") + b"\0")
-    digest.update(body)
-    return digest.digest()
--- a/packages/daemon/gypsumpost_daemon/gateway/stream_attempt.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/stream_attempt.py
@@ -11,7 +11,6 @@
 from gypsumpost_daemon.gateway.attempt_failure import AttemptFailure
 from gypsumpost_daemon.gateway.caller_call import CallerCall
 from gypsumpost_daemon.gateway.caller_exchange import CallerExchange
-from gypsumpost_daemon.gateway.crash_guard import fingerprint
 from gypsumpost_daemon.gateway.event_cutter import EventCutter, StreamEvent
 from gypsumpost_daemon.gateway.forward_context import ForwardContext
 from gypsumpost_daemon.gateway.message_headers import find_header, select_response_headers
@@ -128,7 +127,7 @@
         if self._target is not None:
             self._context.copies.put(
                 CopyReport(
-                    fingerprint=fingerprint(self._call),
+                    fingerprint=self._call.fingerprint,
                     request_id=self._call.request_id,
                     copy_engine=self._target.endpoint_id,
                 )
--- a/packages/daemon/gypsumpost_daemon/gateway/stream_forwarder.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/stream_forwarder.py
@@ -13,7 +13,6 @@
 from gypsumpost_daemon.gateway.attempt_failure import AttemptFailure
 from gypsumpost_daemon.gateway.caller_call import CallerCall
 from gypsumpost_daemon.gateway.caller_exchange import CallerExchange
-from gypsumpost_daemon.gateway.crash_guard import fingerprint
 from gypsumpost_daemon.gateway.forward_context import ForwardContext
 from gypsumpost_daemon.gateway.forwarder import FORWARDERS
 from gypsumpost_daemon.gateway.stream_attempt import StreamAttempt
@@ -54,7 +53,7 @@
                 total_tokens=call.prompt_tokens + call.output_tokens,
             ),
         )
-        digest = fingerprint(call)
+        digest = call.fingerprint
         known = self._context.copies.find(digest, trio.current_time())
         if known is not None and call.route.resumable:
             progress.copy = self._find_record(known.copy_engine)
