--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
@@ -148,6 +148,7 @@
             self.serving = True
             LOG.write("started", address=server.address)
             await self._wait_for_stop(server)
+            self.serving = False
             nursery.cancel_scope.cancel()
         LOG.write("stopped", open_requests=self.application.open_requests)
 
