Let two hosts of a domain watch the store and relay work between domains

The two hosts of a domain with the fastest links watch the store; the others fetch changes since the revision that they know from peers. Two relays of a domain send the sum of its work to the relays of the others, which pass it on. Beacons take at most a twentieth of a link. Three hosts of a domain probe a lost endpoint and tell the others when it is back.

--- a/packages/core/gypsumpost_core/gateway/crash_register.py
+++ b/packages/core/gypsumpost_core/gateway/crash_register.py
@@ -19,20 +19,18 @@
     _crashes: dict[bytes, dict[tuple[str, int], float]] = attrs.field(factory=dict, init=False)
     _reports: dict[CrashReport, float] = attrs.field(factory=dict, init=False)
 
-    def add(self, report: CrashReport, now: float, *, own: bool = True) -> bool:
-        """Take in a crash and return true if it is news.
+    def add(self, report: CrashReport, now: float) -> bool:
+        """Take in a crash, of which the peers are told, and return true if it is news.
 
         :param report: the crash.
         :param now: process time in seconds.
-        :param own: true if the peers are to be told.
         """
         starts = self._crashes.setdefault(report.fingerprint, {})
         key = (report.endpoint_id, report.started_at)
         news = key not in starts
         if news:
             starts[key] = now
-            if own:
-                self._reports[report] = now + REPORT_SECONDS
+            self._reports[report] = now + REPORT_SECONDS
         return news
 
     def is_refused(self, fingerprint: bytes, now: float) -> bool:
--- a/packages/core/gypsumpost_core/gateway/item_table.py
+++ b/packages/core/gypsumpost_core/gateway/item_table.py
@@ -14,9 +14,15 @@
 
     def __init__(self) -> None:
         self._items: dict[str, StoredItem] = {}
+        self._first_revision: int | None = None
         self.revision = 0
         self.newest = 0
 
+    @property
+    def loaded(self) -> bool:
+        """True once all items were read."""
+        return self._first_revision is not None
+
     def apply(self, items: Iterable[StoredItem], revision: int) -> list[StoredItem]:
         """Take in changes and return those that are new.
 
@@ -46,6 +52,8 @@
             for item in self._items.values()
             if item.value is not None and item.key not in keys and item.revision <= revision
         ]
+        if self._first_revision is None:
+            self._first_revision = revision
         return self.apply([*present, *gone], revision)
 
     def has(self, key: str) -> bool:
@@ -56,3 +64,12 @@
     def list_present(self) -> list[StoredItem]:
         """Return the items that exist."""
         return [item for item in self._items.values() if item.value is not None]
+
+    def list_after(self, revision: int) -> list[StoredItem] | None:
+        """Return the changes after a revision, ``None`` if removals may be missing among them.
+
+        :param revision: revision up to which the changes are known already.
+        """
+        if self._first_revision is None or revision < self._first_revision:
+            return None
+        return [item for item in self._items.values() if item.revision > revision]
--- /dev/null
+++ b/packages/core/gypsumpost_core/gateway/tests/test_host_duties.py
@@ -0,0 +1,81 @@
+"""Duties of the hosts of a domain."""
+
+import attrs
+
+from gypsumpost_core.gateway.host_duties import HEARD_SECONDS, RELAYS, WATCHERS, HostDuties
+from gypsumpost_core.gateway.host_report import HostReport
+from gypsumpost_core.host import Host
+
+
+def create_host(name, domain="d"):
+    return Host(host_id=name, failure_domain=domain, peer_address="127.0.0.1:1")
+
+
+def create_report(name, link_mbps=10, **fields):
+    return HostReport(host_id=name, failure_domain="d", link_mbps=link_mbps, **fields)
+
+
+def create_duties(name="h-0", link_mbps=10):
+    return HostDuties(own=create_host(name), link_mbps=link_mbps)
+
+
+def test_the_fastest_links_do_the_work():
+    """Guards against duties on hosts whose links they would fill."""
+    links = {"h-1": 100, "h-2": 10, "h-3": 10, "h-4": 25}
+    watchers, relays = [], []
+    for name, link in links.items():
+        duties = create_duties(name, link)
+        for other, other_link in links.items():
+            if other != name:
+                duties.take_report(create_report(other, other_link, watching=True), 1.0)
+        if duties.is_watcher(1.0):
+            watchers.append(name)
+        if duties.get_relay_number(1.0) is not None:
+            relays.append(name)
+    assert watchers == relays == ["h-1", "h-4"]
+    assert len(watchers) == WATCHERS == RELAYS
+
+
+def test_another_host_watches_when_the_watchers_fail():
+    """Guards against a domain that learns of no change because its watchers are turned away."""
+    duties = create_duties()
+    for name in ("h-1", "h-2"):
+        duties.take_report(create_report(name, watching=True), 1.0)
+    assert not duties.is_watcher(1.0)
+    duties.take_report(create_report("h-1", store_lost=True), 1.1)
+    assert duties.is_watcher(1.1) and not duties.is_store_lost(1.1)
+    duties.take_report(create_report("h-2", store_lost=True), 1.2)
+    assert duties.is_store_lost(1.2)
+    duties.take_report(create_report("h-1", watching=True), 1.3)
+    duties.take_report(create_report("h-2", watching=True), 1.3)
+    assert not duties.is_watcher(1.3)
+
+
+def test_a_silent_watcher_is_replaced():
+    """Guards against waiting for a host that has frozen."""
+    duties = create_duties()
+    for name in ("h-1", "h-2"):
+        duties.take_report(create_report(name, watching=True), 1.0)
+    duties.take_report(create_report("h-1", watching=True), 2.0)
+    assert duties.is_watcher(1.1 + HEARD_SECONDS)
+
+
+def test_hosts_of_other_domains_do_not_count():
+    """Guards against a domain without a watcher of its own."""
+    duties = create_duties()
+    for name in ("h-1", "h-2"):
+        report = create_report(name, watching=True)
+        duties.take_report(attrs.evolve(report, failure_domain="e"), 1.0)
+    assert duties.is_watcher(1.0) and duties.get_relay_number(1.0) == 0
+
+
+def test_the_relays_of_a_domain_use_different_receivers():
+    """Guards against one lost host that cuts a domain off from the news of another."""
+    duties = create_duties()
+    hosts = [create_host(f"h-{n}", "e") for n in range(4)]
+    receivers = [duties.choose_relay(hosts, number, 1.0) for number in range(RELAYS)]
+    assert len({host.host_id for host in receivers if host is not None}) == RELAYS
+    assert duties.choose_relay(hosts[:1], 1, 1.0) == hosts[0]
+    assert duties.choose_relay([], 0, 1.0) is None
+    duties.take_report(HostReport(host_id="h-3", failure_domain="e", link_mbps=100), 1.0)
+    assert duties.choose_relay(hosts, 0, 1.0) == hosts[3]
--- a/packages/core/gypsumpost_core/gateway/tests/test_item_table.py
+++ b/packages/core/gypsumpost_core/gateway/tests/test_item_table.py
@@ -43,3 +43,22 @@
     table.apply([item("a", 7)], 7)
     assert table.replace([], 5) == []
     assert table.has("a") and table.revision == 7 and table.newest == 7
+
+
+def test_changes_after_a_revision_include_removals():
+    """Guards against a peer that keeps an endpoint because it gets changes only."""
+    table = ItemTable()
+    table.replace([item("a", 1), item("b", 2)], 4)
+    table.apply([item("b", 6, None), item("c", 7)], 7)
+    changes = table.list_after(4)
+    assert changes is not None
+    assert {(change.key, change.value) for change in changes} == {("b", None), ("c", b"v")}
+
+
+def test_changes_are_refused_where_removals_may_be_missing():
+    """Guards against changes from a host that was started after a removal."""
+    table = ItemTable()
+    assert table.list_after(0) is None
+    table.replace([item("a", 1)], 4)
+    assert table.list_after(3) is None
+    assert table.list_after(4) == []
--- a/packages/core/gypsumpost_core/gateway/use_table.py
+++ b/packages/core/gypsumpost_core/gateway/use_table.py
@@ -13,11 +13,13 @@
 
 @attrs.define(kw_only=True)
 class UseTable:
-    """Adds up the streams of this host and what the peers report of theirs."""
+    """Adds up the streams of this host, of the peers of its domain and of the other domains."""
 
     _streams: dict[int, StreamUse] = attrs.field(factory=dict, init=False)
     _peers: dict[str, tuple[float, Mapping[str, EngineUse]]] = attrs.field(factory=dict, init=False)
-
+    _domains: dict[str, tuple[float, Mapping[str, EngineUse]]] = attrs.field(
+        factory=dict, init=False
+    )
     _listeners: list[Callable[[], None]] = attrs.field(factory=list, init=False)
 
     def listen(self, listener: Callable[[], None]) -> None:
@@ -40,7 +42,7 @@
             listener()
 
     def take_report(self, host_id: str, use: Mapping[str, EngineUse], now: float) -> None:
-        """Replace what a peer has reported.
+        """Replace what a peer of the own domain has reported.
 
         :param host_id: the peer.
         :param use: its work by engine.
@@ -48,6 +50,15 @@
         """
         self._peers[host_id] = (now + REPORT_SECONDS, use)
 
+    def take_domain_report(self, domain: str, use: Mapping[str, EngineUse], now: float) -> None:
+        """Replace what another domain has reported.
+
+        :param domain: name of the domain.
+        :param use: the work of its hosts by engine.
+        :param now: process time in seconds.
+        """
+        self._domains[domain] = (now + REPORT_SECONDS, use)
+
     def sum_own(self) -> dict[str, EngineUse]:
         """Return the work of this host by engine."""
         found: dict[str, EngineUse] = {}
@@ -61,16 +72,39 @@
                 copy.copy_tokens += stream.total_tokens
         return found
 
+    def sum_domain(self, now: float) -> dict[str, EngineUse]:
+        """Return the work of the hosts of the own domain by engine.
+
+        :param now: process time in seconds.
+        """
+        found = self.sum_own()
+        add_reports(found, self._peers, now)
+        return found
+
     def sum_all(self, now: float) -> dict[str, EngineUse]:
         """Return the work of all hosts by engine.
 
         :param now: process time in seconds.
         """
-        found = self.sum_own()
-        for host_id, (expires_at, report) in list(self._peers.items()):
-            if expires_at < now:
-                del self._peers[host_id]
-                continue
-            for engine, use in report.items():
-                found.setdefault(engine, EngineUse()).add(use)
+        found = self.sum_domain(now)
+        add_reports(found, self._domains, now)
         return found
+
+
+def add_reports(
+    found: dict[str, EngineUse],
+    reports: dict[str, tuple[float, Mapping[str, EngineUse]]],
+    now: float,
+) -> None:
+    """Add the work that others report, and forget reports that are too old.
+
+    :param found: work by engine; changed.
+    :param reports: for each source the time at which its report expires, and the report.
+    :param now: process time in seconds.
+    """
+    for source, (expires_at, report) in list(reports.items()):
+        if expires_at < now:
+            del reports[source]
+            continue
+        for engine, use in report.items():
+            found.setdefault(engine, EngineUse()).add(use)
--- a/packages/daemon/gypsumpost_daemon/gateway/beacon.capnp
+++ b/packages/daemon/gypsumpost_daemon/gateway/beacon.capnp
@@ -1,6 +1,6 @@
 @0xd1f3a86c5e9b7247;
 
-# Datagrams between gateways, and the reply to DIRECTORY_STATE.
+# Datagrams between gateways, and the request and reply of DIRECTORY_STATE.
 
 struct EngineUse {
   engine @0 :Text;
@@ -10,9 +10,9 @@
   copyTokens @4 :UInt32;
 }
 
-struct Loss {
+struct EndpointStart {
   endpoint @0 :Text;
-  startedAt @1 :UInt64;      # Unix milliseconds of the endpoint's start
+  startedAt @1 :UInt64;      # Unix milliseconds
 }
 
 struct CrashReport {
@@ -27,28 +27,49 @@
   copyEngine @2 :Text;
 }
 
-struct Beacon {
+struct HostReport {
   hostId @0 :Text;
-  sequence @1 :UInt64;
-  version @2 :UInt64;           # version of the configuration in force
-  endpointRevision @3 :UInt64;  # newest change of an endpoint that is known
-  uses @4 :List(EngineUse);
-  losses @5 :List(Loss);
-  crashes @6 :List(CrashReport);
-  failureDomain @7 :Text;
-  copies @8 :List(CopyReport);
+  failureDomain @1 :Text;
+  linkMbps @2 :UInt32;
+  watching @3 :Bool;
+  storeLost @4 :Bool;
+}
+
+struct Beacon {
+  host @0 :HostReport;
+  ip @1 :Text;
+  coversDomain @2 :Bool;
+  sequence @3 :UInt64;
+  version @4 :UInt64;           # version of the configuration in force
+  endpointRevision @5 :UInt64;  # newest change of an endpoint that is known
+  uses @6 :List(EngineUse);
+  losses @7 :List(EndpointStart);
+  returns @8 :List(EndpointStart);
+  crashes @9 :List(CrashReport);
+  copies @10 :List(CopyReport);
 }
 
 struct Item {
   key @0 :Text;
   revision @1 :UInt64;
   value @2 :Data;
+  present @3 :Bool;             # false for a removed item
 }
 
 struct ItemSet {
   prefix @0 :Text;
   revision @1 :UInt64;
   items @2 :List(Item);
+  partial @3 :Bool;             # only what has changed since the revision that was asked for
+}
+
+struct KnownRevision {
+  prefix @0 :Text;
+  revision @1 :UInt64;
+}
+
+struct DirectoryRequest {
+  known @0 :List(KnownRevision);
 }
 
 struct DirectoryState {
--- a/packages/daemon/gypsumpost_daemon/gateway/beacon_codec.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/beacon_codec.py
@@ -1,6 +1,6 @@
 """Encodes what gateways tell each other."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from pathlib import Path
 from typing import Any
 
@@ -9,8 +9,9 @@
 
 from gypsumpost_core.gateway.copy_report import CopyReport
 from gypsumpost_core.gateway.crash_report import CrashReport
+from gypsumpost_core.gateway.endpoint_start import EndpointStart
 from gypsumpost_core.gateway.engine_use import EngineUse
-from gypsumpost_core.gateway.loss_report import LossReport
+from gypsumpost_core.gateway.host_report import HostReport
 from gypsumpost_core.gateway.stored_item import StoredItem
 from gypsumpost_daemon.gateway.beacon import Beacon
 from gypsumpost_daemon.gateway.item_set import ItemSet
@@ -24,8 +25,15 @@
     :param beacon: the beacon.
     """
     packed: bytes = SCHEMA.Beacon.new_message(
-        hostId=beacon.host_id,
-        failureDomain=beacon.failure_domain,
+        host={
+            "hostId": beacon.host.host_id,
+            "failureDomain": beacon.host.failure_domain,
+            "linkMbps": beacon.host.link_mbps,
+            "watching": beacon.host.watching,
+            "storeLost": beacon.host.store_lost,
+        },
+        ip=beacon.ip,
+        coversDomain=beacon.covers_domain,
         sequence=beacon.sequence,
         version=beacon.version,
         endpointRevision=beacon.endpoint_revision,
@@ -39,9 +47,8 @@
             }
             for engine, use in beacon.uses.items()
         ],
-        losses=[
-            {"endpoint": loss.endpoint_id, "startedAt": loss.started_at} for loss in beacon.losses
-        ],
+        losses=encode_starts(beacon.losses),
+        returns=encode_starts(beacon.returns),
         crashes=[
             {
                 "fingerprint": crash.fingerprint,
@@ -71,8 +78,15 @@
         message = SCHEMA.Beacon.from_bytes_packed(data)
         return Ok(
             Beacon(
-                host_id=message.hostId,
-                failure_domain=message.failureDomain,
+                host=HostReport(
+                    host_id=message.host.hostId,
+                    failure_domain=message.host.failureDomain,
+                    link_mbps=message.host.linkMbps,
+                    watching=message.host.watching,
+                    store_lost=message.host.storeLost,
+                ),
+                ip=message.ip,
+                covers_domain=message.coversDomain,
                 sequence=message.sequence,
                 version=message.version,
                 endpoint_revision=message.endpointRevision,
@@ -85,10 +99,8 @@
                     )
                     for use in message.uses
                 },
-                losses=tuple(
-                    LossReport(endpoint_id=loss.endpoint, started_at=loss.startedAt)
-                    for loss in message.losses
-                ),
+                losses=decode_starts(message.losses),
+                returns=decode_starts(message.returns),
                 crashes=tuple(
                     CrashReport(
                         fingerprint=bytes(crash.fingerprint),
@@ -111,6 +123,48 @@
         return Err(str(error).partition("\n")[0])
 
 
+def encode_starts(starts: Iterable[EndpointStart]) -> list[dict[str, Any]]:
+    """Return starts of endpoints as fields of a message.
+
+    :param starts: the starts.
+    """
+    return [{"endpoint": start.endpoint_id, "startedAt": start.started_at} for start in starts]
+
+
+def decode_starts(messages: Any) -> tuple[EndpointStart, ...]:
+    """Return the starts of endpoints in a message.
+
+    :param messages: a list of the schema's ``EndpointStart``.
+    """
+    return tuple(
+        EndpointStart(endpoint_id=message.endpoint, started_at=message.startedAt)
+        for message in messages
+    )
+
+
+def encode_directory_request(known: Mapping[str, int]) -> bytes:
+    """Return the request for a peer's directory as packed bytes.
+
+    :param known: the revision up to which the sender knows all items, by prefix.
+    """
+    packed: bytes = SCHEMA.DirectoryRequest.new_message(
+        known=[{"prefix": prefix, "revision": revision} for prefix, revision in known.items()]
+    ).to_bytes_packed()
+    return packed
+
+
+def decode_directory_request(data: bytes) -> Result[dict[str, int], str]:
+    """Return the revisions that a peer knows by prefix, or why they cannot be read.
+
+    :param data: the packed bytes.
+    """
+    try:
+        message = SCHEMA.DirectoryRequest.from_bytes_packed(data)
+        return Ok({entry.prefix: entry.revision for entry in message.known})
+    except (capnp.KjException, ValueError, UnicodeDecodeError) as error:
+        return Err(str(error).partition("\n")[0])
+
+
 def encode_state(sets: Iterable[ItemSet]) -> bytes:
     """Return the items of a directory as packed bytes.
 
@@ -121,8 +175,14 @@
             {
                 "prefix": entry.prefix,
                 "revision": entry.revision,
+                "partial": entry.partial,
                 "items": [
-                    {"key": item.key, "revision": item.revision, "value": item.value or b""}
+                    {
+                        "key": item.key,
+                        "revision": item.revision,
+                        "present": item.value is not None,
+                        "value": item.value or b"",
+                    }
                     for item in entry.items
                 ],
             }
@@ -144,8 +204,13 @@
                 ItemSet(
                     prefix=entry.prefix,
                     revision=entry.revision,
+                    partial=entry.partial,
                     items=tuple(
-                        StoredItem(key=item.key, revision=item.revision, value=bytes(item.value))
+                        StoredItem(
+                            key=item.key,
+                            revision=item.revision,
+                            value=bytes(item.value) if item.present else None,
+                        )
                         for item in entry.items
                     ),
                 )
--- a/packages/daemon/gypsumpost_daemon/gateway/crash_guard.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/crash_guard.py
@@ -57,8 +57,7 @@
             started_at=record.started_at,
         )
         self._suspected.append((trio.current_time(), report, record))
-        for listener in self._listeners:
-            listener()
+        self._note_change()
 
     def list_reports(self, now: float) -> tuple[CrashReport, ...]:
         """Return the crashes that peers are to be told of.
@@ -69,8 +68,13 @@
         return self._register.list_reports(now)
 
     def take_report(self, report: CrashReport, now: float) -> None:
-        """Take in what a peer found."""
-        self._register.add(report, now, own=False)
+        """Take in what a peer found, and pass it on once if it is news."""
+        if self._register.add(report, now):
+            self._note_change()
+
+    def _note_change(self) -> None:
+        for listener in self._listeners:
+            listener()
 
     def _settle(self, now: float) -> None:
         due = [entry for entry in self._suspected if entry[0] + SETTLE_SECONDS <= now]
--- a/packages/daemon/gypsumpost_daemon/gateway/directory.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/directory.py
@@ -1,7 +1,7 @@
 """The configuration and the endpoints, as far as this host has heard of them."""
 
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 import trio
 from result import Err
@@ -35,7 +35,6 @@
         }
         self.fleet = EndpointFleet()
         self.routes: RouteTable | None = None
-        self._loaded: set[str] = set()
         self._outage_ended_at = -math.inf
         self._gone_at: dict[str, float] = {}
         self._unconfirmed: set[str] = set()
@@ -62,18 +61,49 @@
                 return True
         return False
 
-    def list_sets(self) -> list[ItemSet]:
-        """Return all items, for a peer; nothing of a prefix that was not read yet."""
-        return [
-            ItemSet(prefix=prefix, revision=table.revision, items=tuple(table.list_present()))
-            for prefix, table in self.tables.items()
-            if prefix in self._loaded
-        ]
+    def list_sets(self, known: Mapping[str, int]) -> list[ItemSet]:
+        """Return what a peer lacks; nothing of a prefix that was not read yet.
+
+        :param known: the revision up to which the peer knows all items, by prefix.
+        """
+        sets = []
+        for prefix, table in self.tables.items():
+            if not table.loaded:
+                continue
+            changes = table.list_after(known.get(prefix, 0))
+            sets.append(
+                ItemSet(
+                    prefix=prefix,
+                    revision=table.revision,
+                    items=tuple(table.list_present() if changes is None else changes),
+                    partial=changes is not None,
+                )
+            )
+        return sets
+
+    def list_revisions(self) -> dict[str, int]:
+        """Return the revision up to which all items are known, by prefix."""
+        return {
+            prefix: table.revision if table.loaded else 0 for prefix, table in self.tables.items()
+        }
+
+    def take_set(self, entry: ItemSet, source: str) -> None:
+        """Take in what a peer knows.
+
+        :param entry: the items of a prefix.
+        :param source: the peer, for the log.
+        """
+        if entry.prefix not in self.tables:
+            return
+        if entry.partial:
+            self.apply(entry.prefix, entry.items, entry.revision, source)
+        else:
+            self.replace(entry.prefix, entry.items, entry.revision, source)
 
     @property
     def ready(self) -> bool:
         """True once the configuration and the endpoints are known."""
-        return self.routes is not None and len(self._loaded) == len(self.tables)
+        return self.routes is not None and all(table.loaded for table in self.tables.values())
 
     async def wait_change(self, deadline: float) -> None:
         """Wait until something has changed.
@@ -106,7 +136,6 @@
         :param revision: revision at which the reading began.
         :param source: where they come from, for the log.
         """
-        self._loaded.add(prefix)
         self._take(prefix, self.tables[prefix].replace(items, revision), source)
 
     def take_successor(self, record: EndpointRecord, successor: EndpointRecord) -> None:
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/gateway/directory_exchange.py
@@ -0,0 +1,102 @@
+"""Brings the directory up to date from peers."""
+
+import trio
+from result import Err
+
+from gypsumpost_daemon.gateway.beacon import Beacon
+from gypsumpost_daemon.gateway.beacon_codec import (
+    decode_directory_request,
+    decode_state,
+    encode_directory_request,
+    encode_state,
+)
+from gypsumpost_daemon.gateway.directory import Directory
+from gypsumpost_daemon.log import Log
+from gypsumpost_daemon.message_kind import MessageKind
+from gypsumpost_daemon.peer_network import PeerNetwork
+from gypsumpost_daemon.peer_request import PeerRequest
+
+CHECK_SECONDS = 0.05
+"""Changes within this time are fetched together."""
+
+BEHIND_SECONDS = 0.2
+"""How long the store, or a peer of the own domain, may bring what another host already has."""
+
+REPLY_SECONDS = 1.0
+
+LOG = Log(prefix="peers")
+
+
+class DirectoryExchange:
+    """Fetches changes from peers that know more, and answers peers that know less.
+
+    :param own_domain: failure domain of this host.
+    :param directory: configuration and endpoints.
+    :param network: requests to peers.
+    """
+
+    def __init__(self, *, own_domain: str, directory: Directory, network: PeerNetwork) -> None:
+        self._own_domain = own_domain
+        self._directory = directory
+        self._network = network
+        self._due: float | None = None
+        self._ahead: Beacon | None = None
+        network.add_handler(MessageKind.DIRECTORY_STATE, self._handle_request)
+
+    def take_beacon(self, beacon: Beacon, *, watching: bool) -> None:
+        """Note what a peer knows.
+
+        :param beacon: what the peer says.
+        :param watching: true if this host watches the store itself.
+        """
+        if not self._is_ahead(beacon):
+            return
+        near = beacon.host.failure_domain == self._own_domain
+        delay = 0.0 if near and not watching else BEHIND_SECONDS
+        due = trio.current_time() + delay
+        if self._due is None or due < self._due:
+            self._due = due
+            self._ahead = beacon
+
+    async def run(self) -> None:
+        """Fetch what peers know more, until cancelled."""
+        while True:
+            await trio.sleep(CHECK_SECONDS)
+            if self._due is None or trio.current_time() < self._due:
+                continue
+            self._due = None
+            if self._ahead is not None and self._is_ahead(self._ahead):
+                await self._fetch(self._ahead.host.host_id)
+
+    def _is_ahead(self, beacon: Beacon) -> bool:
+        directory = self._directory
+        return (
+            beacon.version > directory.version
+            or beacon.endpoint_revision > directory.endpoint_revision
+        )
+
+    async def _fetch(self, host_id: str) -> None:
+        deadline = trio.current_time() + REPLY_SECONDS
+        payload = encode_directory_request(self._directory.list_revisions())
+        reply = await self._network.request(host_id, MessageKind.DIRECTORY_STATE, payload, deadline)
+        if isinstance(reply, Err):
+            self._network.drop_link(host_id)
+            LOG.write("a peer gave no directory", peer=host_id, reason=reply.err_value.reason)
+            return
+        decoded = decode_state(reply.ok_value)
+        if isinstance(decoded, Err):
+            LOG.write("cannot read a directory", peer=host_id, reason=decoded.err_value)
+            return
+        for entry in decoded.ok_value:
+            self._directory.take_set(entry, host_id)
+
+    async def _handle_request(self, request: PeerRequest) -> bytes:
+        decoded = decode_directory_request(request.payload)
+        if isinstance(decoded, Err):
+            LOG.write(
+                "cannot read a request for the directory",
+                peer=request.host_id,
+                reason=decoded.err_value,
+            )
+            return encode_state(())
+        return encode_state(self._directory.list_sets(decoded.ok_value))
--- a/packages/daemon/gypsumpost_daemon/gateway/endpoint_monitor.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/endpoint_monitor.py
@@ -1,5 +1,6 @@
 """Finds out which endpoints are lost and tells everybody who uses them."""
 
+import random
 from collections.abc import Awaitable, Callable
 
 import trio
@@ -14,12 +15,15 @@
 RETURN_PROBE_SECONDS = 0.3
 """Interval of probes of a lost endpoint."""
 
+PROBING_HOSTS = 3
+"""Hosts of a domain that probe a lost endpoint in each interval; they tell the others."""
+
 ENTRY_SECONDS = 0.5
 """How long the entry of a restarted engine may take before the store is asked."""
 
 LOG = Log(prefix="endpoint")
 Refresh = Callable[[], Awaitable[None]]
-LossListener = Callable[[EndpointRecord, str], None]
+Listener = Callable[[EndpointRecord], None]
 
 
 class EndpointMonitor:
@@ -28,26 +32,41 @@
     :param directory: the endpoints.
     :param identity: asks endpoints who they are.
     :param refresh: reads the endpoints from the store again.
+    :param count_hosts: returns the number of hosts of the domain, which share the probes.
     """
 
     def __init__(
-        self, *, directory: Directory, identity: EndpointIdentity, refresh: Refresh
+        self,
+        *,
+        directory: Directory,
+        identity: EndpointIdentity,
+        refresh: Refresh,
+        count_hosts: Callable[[], int],
     ) -> None:
         self._directory = directory
         self._identity = identity
         self._refresh = refresh
         self._asking: set[str] = set()
         self._scopes: dict[str, set[trio.CancelScope]] = {}
-        self._listeners: list[LossListener] = []
+        self._count_hosts = count_hosts
+        self._loss_listeners: list[Listener] = []
+        self._return_listeners: list[Listener] = []
         self._checks: dict[str, trio.Event] = {}
         self._nursery: trio.Nursery | None = None
 
-    def listen(self, listener: LossListener) -> None:
+    def listen_losses(self, listener: Listener) -> None:
         """Call a function at each loss that this host finds.
 
-        :param listener: called with the endpoint and the reason; must not block.
+        :param listener: called with the endpoint; must not block.
         """
-        self._listeners.append(listener)
+        self._loss_listeners.append(listener)
+
+    def listen_returns(self, listener: Listener) -> None:
+        """Call a function when this host finds that a lost endpoint is back.
+
+        :param listener: called with the endpoint; must not block.
+        """
+        self._return_listeners.append(listener)
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Probe lost endpoints until they are back."""
@@ -56,8 +75,9 @@
             task_status.started()
             while True:
                 await trio.sleep(RETURN_PROBE_SECONDS)
+                share = PROBING_HOSTS / max(1, self._count_hosts())
                 for state in self._directory.fleet:
-                    if state.lost:
+                    if state.lost and random.random() < share:
                         nursery.start_soon(self._probe_lost, state.record)
 
     def watch(self, endpoint_id: str, scope: trio.CancelScope) -> None:
@@ -97,6 +117,14 @@
         state = self._directory.fleet.find(record.endpoint_id)
         return state is not None and not state.lost and state.record == record
 
+    def expect_return(self, record: EndpointRecord) -> None:
+        """Probe a lost endpoint in the background, as a peer has found it alive.
+
+        :param record: the endpoint.
+        """
+        if self._nursery is not None:
+            self._nursery.start_soon(self._probe_lost, record)
+
     def suspect(
         self,
         record: EndpointRecord,
@@ -136,8 +164,8 @@
         )
         for scope in list(self._scopes.get(record.endpoint_id, ())):
             scope.cancel()
-        for listener in self._listeners:
-            listener(record, reason)
+        for listener in self._loss_listeners:
+            listener(record)
 
     def mark_replaced(self, record: EndpointRecord) -> None:
         """Note that another endpoint has answered at the address.
@@ -150,8 +178,7 @@
             address=record.address,
         )
         self._directory.fleet.mark_replaced(record)
-        if self._nursery is not None:
-            self._nursery.start_soon(self._probe_lost, record)
+        self.expect_return(record)
 
     async def _probe_lost(self, record: EndpointRecord) -> None:
         if record.endpoint_id in self._asking:
@@ -181,6 +208,8 @@
             LOG.write("an endpoint is back", endpoint=record.endpoint_id)
             self._directory.fleet.mark_alive(record.endpoint_id, trio.current_time())
             self._directory.note_change()
+            for listener in self._return_listeners:
+                listener(record)
         elif asked.ok_value != record:
             await self._take_successor(record, asked.ok_value)
 
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
@@ -5,6 +5,7 @@
 import trio
 
 from gypsumpost_core.gateway.copy_directory import CopyDirectory
+from gypsumpost_core.gateway.host_duties import HostDuties
 from gypsumpost_core.gateway.use_table import UseTable
 from gypsumpost_core.host import Host
 from gypsumpost_core.key_ring import KeyRing
@@ -13,8 +14,10 @@
 from gypsumpost_daemon.gateway.adapter import GatewayAdapter
 from gypsumpost_daemon.gateway.crash_guard import CrashGuard
 from gypsumpost_daemon.gateway.directory import Directory
+from gypsumpost_daemon.gateway.directory_exchange import DirectoryExchange
 from gypsumpost_daemon.gateway.endpoint_identity import EndpointIdentity
 from gypsumpost_daemon.gateway.endpoint_monitor import EndpointMonitor
+from gypsumpost_daemon.gateway.endpoint_reports import EndpointReports
 from gypsumpost_daemon.gateway.forward_context import ForwardContext
 from gypsumpost_daemon.gateway.gateway_application import GatewayApplication
 from gypsumpost_daemon.gateway.gateway_metrics import GatewayMetrics
@@ -67,14 +70,6 @@
         self._metrics = metrics
         self._adapter = adapter
         self.directory = Directory(adapter=adapter)
-        self._follower = StoreFollower(
-            store=adapter.create_store(settings), directory=self.directory
-        )
-        self.monitor = EndpointMonitor(
-            directory=self.directory,
-            identity=EndpointIdentity(adapter=adapter),
-            refresh=lambda: self._follower.refresh(adapter.endpoint_prefix),
-        )
         own = Host(
             host_id=settings.host_id,
             failure_domain=settings.failure_domain,
@@ -83,6 +78,18 @@
             api_address=settings.caller_address,
         )
         self._hosts = HostDirectory(own=own)
+        self.duties = HostDuties(own=own, link_mbps=settings.link_mbps)
+        self._follower = StoreFollower(
+            store=adapter.create_store(settings),
+            directory=self.directory,
+            is_watcher=lambda: self.duties.is_watcher(trio.current_time()),
+        )
+        self.monitor = EndpointMonitor(
+            directory=self.directory,
+            identity=EndpointIdentity(adapter=adapter),
+            refresh=lambda: self._follower.refresh(adapter.endpoint_prefix),
+            count_hosts=self._count_domain_hosts,
+        )
         key = KeyRing(current=settings.peer_key)
         self._network = PeerNetwork(directory=self._hosts, key=key)
         self._gossip = Gossip(
@@ -98,10 +105,16 @@
             seed_ips=settings.seed_ips,
             hosts=self._hosts,
             gossip=self._gossip,
-            network=self._network,
             key=key,
             directory=self.directory,
-            monitor=self.monitor,
+            follower=self._follower,
+            duties=self.duties,
+            exchange=DirectoryExchange(
+                own_domain=settings.failure_domain,
+                directory=self.directory,
+                network=self._network,
+            ),
+            reports=EndpointReports(directory=self.directory, monitor=self.monitor),
             use=self.use,
             crashes=crashes,
             copies=self.copies,
@@ -191,6 +204,10 @@
     def _count_hosts(self) -> int:
         return len(self._hosts.list_live())
 
+    def _count_domain_hosts(self) -> int:
+        domain = self._settings.failure_domain
+        return sum(host.failure_domain == domain for host in self._hosts.list_live())
+
     async def _serve(
         self,
         nursery: trio.Nursery,
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_settings.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_settings.py
@@ -18,6 +18,7 @@
     :param peer_key: shared key with which hosts prove that they belong to the deployment.
     :param seed_ips: addresses of hosts that may know others.
     :param store_address: ``ip:port`` of the platform's store.
+    :param link_mbps: bandwidth of the host's link in Mbit/s.
     :param stop_seconds: time from the signal to stop until the process is killed.
     :param retry_ratio: repeated sends allowed for each request.
     :param retry_window_seconds: window of the retry budget.
@@ -35,6 +36,7 @@
     peer_key: bytes = attrs.field(default=b"gypsumpost", repr=False)
     seed_ips: tuple[str, ...] = ()
     store_address: str
+    link_mbps: int = 1000
     stop_seconds: float = 30.0
     retry_ratio: float = 0.1
     retry_window_seconds: float = 10.0
--- a/packages/daemon/gypsumpost_daemon/gateway/item_set.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/item_set.py
@@ -1,4 +1,4 @@
-"""All items under one prefix."""
+"""All items under one prefix, or the changes since a revision."""
 
 import attrs
 
@@ -11,9 +11,11 @@
 
     :param prefix: beginning of their keys.
     :param revision: revision up to which they are complete.
-    :param items: the items that exist.
+    :param items: the items that exist, or the changes with removed items.
+    :param partial: true if these are only the changes since the revision that was asked for.
     """
 
     prefix: str
     revision: int
     items: tuple[StoredItem, ...]
+    partial: bool = False
--- a/packages/daemon/gypsumpost_daemon/gateway/peer_exchange.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/peer_exchange.py
@@ -1,56 +1,48 @@
-"""Exchanges work, losses and the directory with the other hosts."""
+"""Exchanges work, losses and versions with the other hosts."""
 
 import hmac
 import itertools
 import time
-from collections.abc import Collection
+from collections.abc import Collection, Iterable
 
 import attrs
 import trio
 from result import Err
 
 from gypsumpost_core.gateway.copy_directory import CopyDirectory
-from gypsumpost_core.gateway.loss_report import LossReport
+from gypsumpost_core.gateway.host_duties import HostDuties
+from gypsumpost_core.gateway.host_report import HostReport
 from gypsumpost_core.gateway.use_table import UseTable
 from gypsumpost_core.host import Host
 from gypsumpost_core.key_ring import KeyRing
 from gypsumpost_daemon.addresses import split_address
 from gypsumpost_daemon.gateway.beacon import Beacon
-from gypsumpost_daemon.gateway.beacon_codec import (
-    decode_beacon,
-    decode_state,
-    encode_beacon,
-    encode_state,
-)
+from gypsumpost_daemon.gateway.beacon_codec import decode_beacon, encode_beacon
 from gypsumpost_daemon.gateway.crash_guard import CrashGuard
 from gypsumpost_daemon.gateway.directory import Directory
-from gypsumpost_daemon.gateway.endpoint_monitor import EndpointMonitor
+from gypsumpost_daemon.gateway.directory_exchange import DirectoryExchange
+from gypsumpost_daemon.gateway.endpoint_reports import EndpointReports
+from gypsumpost_daemon.gateway.store_follower import StoreFollower
 from gypsumpost_daemon.gossip import Gossip
 from gypsumpost_daemon.gossip_codec import MAC_BYTES, sign_datagram
 from gypsumpost_daemon.host_directory import HostDirectory
 from gypsumpost_daemon.log import Log
-from gypsumpost_daemon.message_kind import MessageKind
-from gypsumpost_daemon.peer_network import PeerNetwork
-from gypsumpost_daemon.peer_request import PeerRequest
 
 CHANGE_SECONDS = 0.02
 """Changes within this time go out in one datagram."""
 
 SECONDS_PER_PEER = 0.0025
-"""Shortest interval of beacons for each peer, so that a host gets 400 of them a second at most."""
+"""Shortest interval of beacons for each receiver, so that a host gets 400 of them a second."""
+
+LINK_SHARE = 0.05
+"""Part of the link that beacons may take; callers and engines need the rest."""
 
 IDLE_SECONDS = 0.5
 """Interval of beacons when nothing changes."""
 
-LOSS_REPORT_SECONDS = 1.0
-"""How long a loss is repeated, as datagrams are lost."""
-
-BEHIND_SECONDS = 0.2
-"""How long the store may bring what a peer already has before it is asked of the peer."""
-
-STATE_SECONDS = 0.5
 REORDERED_BEACONS = 64
 RECEIVE_BYTES = 65536
+BITS_PER_MEGABIT = 1e6
 
 LOG = Log(prefix="peers")
 
@@ -58,14 +50,20 @@
 class PeerExchange:
     """Owns the socket of the beacons.
 
+    Each host tells the hosts of its own domain what it does. Two relays of a domain tell one relay
+    each of every other domain the sum, which passes it on within its domain: traffic between
+    domains is dear, and grows with the engines and not with the square of the hosts.
+
     :param address: ``ip:port`` to receive beacons on; all hosts use the same port.
     :param seed_ips: addresses of hosts that may know others.
     :param hosts: the known hosts.
     :param gossip: membership, which learns of hosts that make themselves known.
-    :param network: requests to peers.
     :param key: shared key of the deployment.
     :param directory: configuration and endpoints.
-    :param monitor: finds lost endpoints.
+    :param follower: follows the store.
+    :param duties: which hosts watch the store and carry beacons between domains.
+    :param exchange: brings the directory up to date.
+    :param reports: lost endpoints.
     :param use: work on the engines.
     :param crashes: requests that crash engines.
     :param copies: where the copies of streams are.
@@ -78,10 +76,12 @@
         seed_ips: Collection[str],
         hosts: HostDirectory,
         gossip: Gossip,
-        network: PeerNetwork,
         key: KeyRing,
         directory: Directory,
-        monitor: EndpointMonitor,
+        follower: StoreFollower,
+        duties: HostDuties,
+        exchange: DirectoryExchange,
+        reports: EndpointReports,
         use: UseTable,
         crashes: CrashGuard,
         copies: CopyDirectory,
@@ -89,27 +89,25 @@
         self._ip, self._port = split_address(address)
         self._seed_ips = seed_ips
         self._hosts = hosts
+        self._domain = hosts.own.failure_domain
         self._gossip = gossip
         self._contacts: dict[str, Host] = {}
-        self._network = network
         self._key = key
         self._directory = directory
-        self._monitor = monitor
+        self._follower = follower
+        self._duties = duties
+        self._exchange = exchange
+        self._reports = reports
         self._use = use
         self._crashes = crashes
         self._copies = copies
         # A host that starts again goes on with higher numbers.
         self._sequence = itertools.count(int(time.time() * 1000))
-        self._seen: dict[str, int] = {}
-        self._losses: dict[LossReport, float] = {}
-        self._behind_since: float | None = None
-        self._ahead: Beacon | None = None
+        self._seen: dict[tuple[str, bool], int] = {}
+        self._relay_at = 0.0
         self._changed = trio.Event()
         self._lost = trio.Event()
-        network.add_handler(MessageKind.DIRECTORY_STATE, self._handle_state)
-        monitor.listen(
-            lambda record, reason: self._note_loss(record.endpoint_id, record.started_at)
-        )
+        reports.listen(self._note_loss)
         use.listen(self.note_change)
         crashes.listen(self.note_change)
 
@@ -123,63 +121,96 @@
             await udp.bind((self._ip, self._port))
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._receive, udp)
-                nursery.start_soon(self._catch_up)
+                nursery.start_soon(self._exchange.run)
                 task_status.started()
                 while True:
-                    sent_at = trio.current_time()
-                    await self._send(udp)
+                    quiet_until = await self._send(udp)
                     await trio.sleep(CHANGE_SECONDS)
                     with trio.move_on_after(IDLE_SECONDS):
                         await self._changed.wait()
                     self._changed = trio.Event()
                     # A loss is worth a datagram at once, other changes wait for their turn.
-                    quiet_until = sent_at + SECONDS_PER_PEER * len(self._hosts.list_peers())
                     with trio.move_on_at(quiet_until):
                         await self._lost.wait()
+                        self._relay_at = 0.0
                     self._lost = trio.Event()
 
-    def _note_loss(self, endpoint_id: str, started_at: int) -> None:
-        report = LossReport(endpoint_id=endpoint_id, started_at=started_at)
-        self._losses[report] = trio.current_time() + LOSS_REPORT_SECONDS
+    def _note_loss(self) -> None:
         self._lost.set()
         self.note_change()
 
-    async def _send(self, udp: trio.socket.SocketType) -> None:
+    async def _send(self, udp: trio.socket.SocketType) -> float:
+        """Send beacons and return the process time before which there should be no others."""
         now = trio.current_time()
-        self._losses = {loss: until for loss, until in self._losses.items() if until > now}
-        beacon = Beacon(
-            host_id=self._hosts.own.host_id,
-            failure_domain=self._hosts.own.failure_domain,
+        peers = self._hosts.list_peers()
+        near = [host for host in peers if host.failure_domain == self._domain]
+        data = self._sign(self._create_beacon(now), now)
+        sent = await self._send_all(udp, [find_ip(host) for host in near], data)
+        # Membership needs the names of hosts, which only their beacons tell.
+        known = {find_ip(host) for host in self._hosts.list_known()}
+        unknown = [ip for ip in self._seed_ips if ip not in known]
+        sent += await self._send_all(udp, unknown, data)
+        if now >= self._relay_at:
+            self._relay_at = now + SECONDS_PER_PEER * len(peers)
+            sent += await self._send_to_domains(udp, peers, now)
+        seconds = sent * 8 / (LINK_SHARE * self._duties.link_mbps * BITS_PER_MEGABIT)
+        return now + max(seconds, SECONDS_PER_PEER * len(near))
+
+    async def _send_to_domains(
+        self, udp: trio.socket.SocketType, peers: list[Host], now: float
+    ) -> int:
+        number = self._duties.get_relay_number(now)
+        domains = {host.failure_domain for host in peers} - {self._domain}
+        if number is None or not domains:
+            return 0
+        beacon = attrs.evolve(
+            self._create_beacon(now),
+            covers_domain=True,
+            uses=self._use.sum_domain(now),
+            copies=(),
+        )
+        data = self._sign(beacon, now)
+        relays = []
+        for domain in sorted(domains):
+            hosts = [host for host in peers if host.failure_domain == domain]
+            relay = self._duties.choose_relay(hosts, number, now)
+            if relay is not None:
+                relays.append(find_ip(relay))
+        return await self._send_all(udp, relays, data)
+
+    def _create_beacon(self, now: float) -> Beacon:
+        return Beacon(
+            host=HostReport(
+                host_id=self._hosts.own.host_id,
+                failure_domain=self._domain,
+                link_mbps=self._duties.link_mbps,
+                watching=self._follower.watching,
+                store_lost=self._follower.lost,
+            ),
+            ip=self._ip,
             sequence=next(self._sequence),
             version=self._directory.version,
             endpoint_revision=self._directory.endpoint_revision,
             uses=self._use.sum_own(),
-            losses=tuple(self._losses),
+            losses=self._reports.list_losses(now),
+            returns=self._reports.list_returns(now),
             crashes=self._crashes.list_reports(now),
             copies=self._copies.list_own(),
         )
-        # Callers of a lost host come back within its domain, and traffic between domains is dear.
-        near = self._sign(beacon, now)
-        far = self._sign(attrs.evolve(beacon, copies=()), now)
-        own_domain = self._hosts.own.failure_domain
-        for host in self._hosts.list_peers():
-            data = near if host.failure_domain == own_domain else far
-            await self._send_to(udp, split_address(host.peer_address)[0], data)
-        # Membership needs the names of hosts, which only their beacons tell.
-        known = {split_address(host.peer_address)[0] for host in self._hosts.list_known()}
-        for ip in self._seed_ips:
-            if ip not in known:
-                await self._send_to(udp, ip, far)
 
     def _sign(self, beacon: Beacon, now: float) -> bytes:
         body = encode_beacon(beacon)
         return sign_datagram(self._key.choose_signing(now), body) + body
 
-    async def _send_to(self, udp: trio.socket.SocketType, ip: str, data: bytes) -> None:
-        try:
-            await udp.sendto(data, (ip, self._port))
-        except OSError as error:
-            LOG.write("a beacon was not sent", ip=ip, reason=str(error))
+    async def _send_all(self, udp: trio.socket.SocketType, ips: Iterable[str], data: bytes) -> int:
+        """Send a datagram to hosts and return the number of bytes."""
+        sent = 0
+        for ip in ips:
+            try:
+                sent += await udp.sendto(data, (ip, self._port))
+            except OSError as error:
+                LOG.write("a beacon was not sent", ip=ip, reason=str(error))
+        return sent
 
     async def _receive(self, udp: trio.socket.SocketType) -> None:
         while True:
@@ -200,80 +231,60 @@
             if isinstance(decoded, Err):
                 LOG.write("ignored a datagram", reason=decoded.err_value)
                 continue
-            self._meet(decoded.ok_value, source[0])
-            self._take(decoded.ok_value, now)
+            beacon = decoded.ok_value
+            self._meet(beacon)
+            if self._is_news(beacon):
+                self._take(beacon, now)
+                if beacon.covers_domain and source[0] == beacon.ip:
+                    await self._pass_on(udp, data)
+
+    async def _pass_on(self, udp: trio.socket.SocketType, data: bytes) -> None:
+        near = [h for h in self._hosts.list_peers() if h.failure_domain == self._domain]
+        await self._send_all(udp, [find_ip(host) for host in near], data)
 
-    def _meet(self, beacon: Beacon, ip: str) -> None:
-        known = self._contacts.get(beacon.host_id) or self._hosts.get(beacon.host_id)
+    def _meet(self, beacon: Beacon) -> None:
+        host_id = beacon.host.host_id
+        known = self._contacts.get(host_id) or self._hosts.get(host_id)
         own = self._hosts.own
-        if known is not None and split_address(known.peer_address)[0] == ip:
+        if known is not None and find_ip(known) == beacon.ip:
             return
-        self._contacts[beacon.host_id] = Host(
-            host_id=beacon.host_id,
-            failure_domain=beacon.failure_domain,
-            peer_address=f"{ip}:{split_address(own.peer_address)[1]}",
-            gossip_address=f"{ip}:{split_address(own.gossip_address)[1]}",
-            api_address=f"{ip}:{split_address(own.api_address)[1]}",
+        self._contacts[host_id] = Host(
+            host_id=host_id,
+            failure_domain=beacon.host.failure_domain,
+            peer_address=f"{beacon.ip}:{split_address(own.peer_address)[1]}",
+            gossip_address=f"{beacon.ip}:{split_address(own.gossip_address)[1]}",
+            api_address=f"{beacon.ip}:{split_address(own.api_address)[1]}",
         )
         self._gossip.take_contacts(self._contacts.values())
 
-    def _take(self, beacon: Beacon, now: float) -> None:
-        last = self._seen.get(beacon.host_id, 0)
+    def _is_news(self, beacon: Beacon) -> bool:
+        key = (beacon.host.host_id, beacon.covers_domain)
+        last = self._seen.get(key, 0)
         # A much lower number is that of a host whose clock was set back before it started again.
         if last - REORDERED_BEACONS < beacon.sequence <= last:
-            return
-        self._seen[beacon.host_id] = beacon.sequence
-        self._use.take_report(beacon.host_id, beacon.uses, now)
-        self._copies.take_reports(beacon.copies, now)
-        for loss in beacon.losses:
-            self._take_loss(loss, beacon.host_id, now)
+            return False
+        self._seen[key] = beacon.sequence
+        return True
+
+    def _take(self, beacon: Beacon, now: float) -> None:
+        report = beacon.host
+        self._duties.take_report(report, now)
+        if beacon.covers_domain:
+            self._use.take_domain_report(report.failure_domain, beacon.uses, now)
+        elif report.failure_domain == self._domain:
+            self._use.take_report(report.host_id, beacon.uses, now)
+            self._copies.take_reports(beacon.copies, now)
+        self._reports.take_beacon(beacon, now)
         for crash in beacon.crashes:
             self._crashes.take_report(crash, now)
-        if self._is_ahead(beacon):
-            self._ahead = beacon
-            if self._behind_since is None:
-                self._behind_since = now
+        if self._duties.is_store_lost(now):
+            self._follower.note_peers_outage()
+        self._exchange.take_beacon(beacon, watching=self._follower.watching)
 
-    def _is_ahead(self, beacon: Beacon) -> bool:
-        directory = self._directory
-        return (
-            beacon.version > directory.version
-            or beacon.endpoint_revision > directory.endpoint_revision
-        )
 
-    def _take_loss(self, loss: LossReport, host_id: str, now: float) -> None:
-        fleet = self._directory.fleet
-        state = fleet.find(loss.endpoint_id)
-        if state is None or state.lost or state.record.started_at != loss.started_at:
-            return
-        if state.alive_at < now - LOSS_REPORT_SECONDS / 4:
-            fleet.suspect_domain(state.record, now)
-            self._monitor.suspect(state.record, f"lost at {host_id}")
+def find_ip(host: Host) -> str:
+    """Return the address of a host without a port.
 
-    async def _catch_up(self) -> None:
-        while True:
-            await trio.sleep(BEHIND_SECONDS / 2)
-            since = self._behind_since
-            if since is None or trio.current_time() < since + BEHIND_SECONDS:
-                continue
-            self._behind_since = None
-            if self._ahead is not None and self._is_ahead(self._ahead):
-                await self._fetch(self._ahead.host_id)
-
-    async def _fetch(self, host_id: str) -> None:
-        deadline = trio.current_time() + STATE_SECONDS
-        reply = await self._network.request(host_id, MessageKind.DIRECTORY_STATE, b"", deadline)
-        if isinstance(reply, Err):
-            self._network.drop_link(host_id)
-            LOG.write("a peer gave no directory", peer=host_id, reason=reply.err_value.reason)
-            return
-        decoded = decode_state(reply.ok_value)
-        if isinstance(decoded, Err):
-            LOG.write("cannot read a directory", peer=host_id, reason=decoded.err_value)
-            return
-        for entry in decoded.ok_value:
-            if entry.prefix in self._directory.tables:
-                self._directory.replace(entry.prefix, entry.items, entry.revision, host_id)
-
-    async def _handle_state(self, request: PeerRequest) -> bytes:
-        return encode_state(self._directory.list_sets())
+    :param host: the host.
+    """
+    return split_address(host.peer_address)[0]
--- a/packages/daemon/gypsumpost_daemon/gateway/store_follower.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/store_follower.py
@@ -2,6 +2,7 @@
 
 import math
 import random
+from collections.abc import Callable
 
 import trio
 from result import Err
@@ -15,6 +16,12 @@
 LAST_RETRY_SECONDS = 0.8
 """A configuration has to be in force two seconds after the store is back."""
 
+PAUSE_SECONDS = 0.05
+"""Changes within this time arrive in one call, as calls are priced."""
+
+DUTY_SECONDS = 0.1
+"""Interval at which a host looks whether it has to watch the store."""
+
 REFRESH_SECONDS = 1.0
 """Shortest time between two readings that were asked for."""
 
@@ -26,30 +33,46 @@
 
     :param store: the store.
     :param directory: the directory to fill.
+    :param is_watcher: returns whether it is this host's duty to watch the store.
     """
 
-    def __init__(self, *, store: ItemStore, directory: Directory) -> None:
+    def __init__(
+        self, *, store: ItemStore, directory: Directory, is_watcher: Callable[[], bool]
+    ) -> None:
         self._store = store
         self._directory = directory
+        self._is_watcher = is_watcher
         self.answered_at = trio.current_time()
         self.calls = 0
         self._lost = False
         self._refresh_at = -math.inf
         self._failed_at = -math.inf
-        self._failed_prefix = ""
+        self._failed_prefix = next(iter(directory.tables))
 
     @property
     def lost(self) -> bool:
         """True while the store does not answer."""
         return self._lost
 
+    @property
+    def watching(self) -> bool:
+        """True if this host watches the store and the store answers."""
+        return self._is_watcher() and self._directory.ready and not self._lost
+
+    def note_peers_outage(self) -> None:
+        """Note that the store answers none of the hosts that watch it for this one."""
+        if not self._lost:
+            self._note_failure(
+                self._failed_prefix, ItemStoreFailure(reason="it answers no peer of the domain")
+            )
+
     async def refresh(self, prefix: str) -> None:
-        """Read a prefix again, at most once in a while.
+        """Read a prefix again, at most once in a while, if this host watches the store.
 
         :param prefix: beginning of the keys.
         """
         now = trio.current_time()
-        if now >= self._refresh_at:
+        if now >= self._refresh_at and self._is_watcher():
             self._refresh_at = now + REFRESH_SECONDS
             await self._read(prefix)
 
@@ -64,23 +87,37 @@
         """Ask the store after a failed refresh, as the watches may wait through the outage."""
         while True:
             await trio.sleep(REFRESH_SECONDS)
-            if self._lost and trio.current_time() > self._failed_at + REFRESH_SECONDS:
+            if (
+                self._lost
+                and self._is_watcher()
+                and trio.current_time() > self._failed_at + REFRESH_SECONDS
+            ):
                 await self._read(self._failed_prefix)
 
     async def _follow(self, prefix: str) -> None:
         retry = FIRST_RETRY_SECONDS
-        known = False
+        history_lost = False
+        table = self._directory.tables[prefix]
         while True:
+            await self._wait_for_duty()
+            known = table.loaded and not history_lost
             done = await (self._watch(prefix) if known else self._read(prefix))
             if done is None:
-                known = True
+                history_lost = False
                 retry = FIRST_RETRY_SECONDS
+                await trio.sleep(PAUSE_SECONDS)
                 continue
-            if done.history_lost:
-                known = False
+            history_lost = history_lost or done.history_lost
             await trio.sleep(retry * (0.5 + random.random()))
             retry = min(LAST_RETRY_SECONDS, retry * 2)
 
+    async def _wait_for_duty(self) -> None:
+        while not self._is_watcher():
+            if self._lost:
+                # The hosts that watch the store now tell this one of its changes.
+                self._note_return()
+            await trio.sleep(DUTY_SECONDS)
+
     async def _read(self, prefix: str) -> ItemStoreFailure | None:
         self.calls += 1
         read = await self._store.read(prefix, trio.current_time() + READ_SECONDS)
@@ -111,9 +148,12 @@
         return failure
 
     def _note_answer(self) -> None:
+        self._note_return()
+        self.answered_at = trio.current_time()
+
+    def _note_return(self) -> None:
         now = trio.current_time()
         if self._lost:
             LOG.write("the store answers again", silent_seconds=round(now - self.answered_at, 3))
             self._directory.note_return(now)
         self._lost = False
-        self.answered_at = now
