--- a/packages/bench/gypsumpost_bench/admission_simulation.py
+++ b/packages/bench/gypsumpost_bench/admission_simulation.py
@@ -8,11 +8,11 @@
 from gypsumpost_bench.simulated_engine import SimulatedEngine
 from gypsumpost_bench.simulated_job import SimulatedJob
 from gypsumpost_bench.simulated_load import MEAN_OUTPUT, MEAN_PROMPT, draw_output, draw_prompt
-from gypsumpost_core.admission import Admission
-from gypsumpost_core.admission_decision import AdmissionDecision, AdmissionVerdict
-from gypsumpost_core.admission_request import AdmissionRequest
-from gypsumpost_core.attempt_outcome import AttemptOutcome
-from gypsumpost_core.concurrency_limit import ConcurrencyLimit
+from gypsumpost_core.generations.attempt_outcome import AttemptOutcome
+from gypsumpost_core.limits.admission import Admission
+from gypsumpost_core.limits.admission_decision import AdmissionDecision, AdmissionVerdict
+from gypsumpost_core.limits.admission_request import AdmissionRequest
+from gypsumpost_core.limits.concurrency_limit import ConcurrencyLimit
 
 ENGINES = 6
 PATIENCE = 45.0
--- a/packages/bench/gypsumpost_bench/call_cluster.py
+++ b/packages/bench/gypsumpost_bench/call_cluster.py
@@ -9,16 +9,16 @@
 from gypsumpost_bench.memory_store import MemoryStore
 from gypsumpost_bench.service_application import ServiceApplication
 from gypsumpost_bench.stand_in_http import serve_application
-from gypsumpost_core.endpoint import Endpoint
-from gypsumpost_core.endpoint_kind import EndpointKind
 from gypsumpost_core.host import Host
-from gypsumpost_daemon import claim_batcher, direct_claims  # noqa: F401  registers the modes
-from gypsumpost_daemon.caller_request import CallerRequest
-from gypsumpost_daemon.caller_response import CallerResponse
-from gypsumpost_daemon.claim_mode import CLAIM_MODES, ClaimMode
-from gypsumpost_daemon.host_directory import HostDirectory
-from gypsumpost_daemon.peer_network import PeerNetwork
-from gypsumpost_daemon.service_calls import ServiceCalls
+from gypsumpost_core.routing.endpoint import Endpoint
+from gypsumpost_core.routing.endpoint_kind import EndpointKind
+from gypsumpost_daemon.callers.caller_request import CallerRequest
+from gypsumpost_daemon.callers.caller_response import CallerResponse
+from gypsumpost_daemon.calls import claim_batcher, direct_claims  # noqa: F401  registers the modes
+from gypsumpost_daemon.calls.claim_mode import CLAIM_MODES, ClaimMode
+from gypsumpost_daemon.calls.service_calls import ServiceCalls
+from gypsumpost_daemon.peers.host_directory import HostDirectory
+from gypsumpost_daemon.peers.peer_network import PeerNetwork
 
 SECRET = b"shared key of the bench"
 SERVICE = "gate"
--- a/packages/bench/gypsumpost_bench/call_counts.py
+++ b/packages/bench/gypsumpost_bench/call_counts.py
@@ -4,7 +4,7 @@
 import orjson
 
 from gypsumpost_core.run_state import RunState
-from gypsumpost_daemon.caller_response import CallerResponse
+from gypsumpost_daemon.callers.caller_response import CallerResponse
 
 OK_STATUS = 200
 
--- a/packages/bench/gypsumpost_bench/claim_load.py
+++ b/packages/bench/gypsumpost_bench/claim_load.py
@@ -5,9 +5,9 @@
 from result import Ok
 
 from gypsumpost_core.run_state import RunState
-from gypsumpost_daemon.claim_mode import ClaimMode
-from gypsumpost_daemon.claim_order import ClaimOrder
-from gypsumpost_daemon.claim_order_kind import ClaimOrderKind
+from gypsumpost_daemon.calls.claim_mode import ClaimMode
+from gypsumpost_daemon.calls.claim_order import ClaimOrder
+from gypsumpost_daemon.calls.claim_order_kind import ClaimOrderKind
 
 CLAIM_SECONDS = 5.0
 CLAIM_VALUE = b"c" * 200
--- a/packages/bench/gypsumpost_bench/deployment_lists.py
+++ b/packages/bench/gypsumpost_bench/deployment_lists.py
@@ -5,7 +5,7 @@
 from result import Err
 
 from gypsumpost_cli.admin_client import AdminClient
-from gypsumpost_core.workspace_plan import digest_key
+from gypsumpost_core.lists.workspace_plan import digest_key
 
 ADMIN_KEY = "key-operators"
 KEYS = {"laurentides": "key-laurentides", "filers": "key-filers"}
--- a/packages/bench/gypsumpost_bench/experiment_lists.py
+++ b/packages/bench/gypsumpost_bench/experiment_lists.py
@@ -11,10 +11,10 @@
 from gypsumpost_bench.scripted_store import ScriptedStore
 from gypsumpost_bench.simulated_fleet import DOMAINS, create_directory, create_hosts
 from gypsumpost_bench.simulated_network import SimulatedNetwork, SimulatedPort
-from gypsumpost_core.list_kind import ListKind
-from gypsumpost_daemon.edit_outcome import EditAccepted
-from gypsumpost_daemon.list_editor import ListEditor
-from gypsumpost_daemon.list_task import WATCHERS_PER_DOMAIN, ListTask
+from gypsumpost_core.lists.list_kind import ListKind
+from gypsumpost_daemon.lists.edit_outcome import EditAccepted
+from gypsumpost_daemon.lists.list_editor import ListEditor
+from gypsumpost_daemon.lists.list_task import WATCHERS_PER_DOMAIN, ListTask
 
 LINK_SECONDS = 0.001
 SETTLE_SECONDS = 5.0
--- a/packages/bench/gypsumpost_bench/late_order.py
+++ b/packages/bench/gypsumpost_bench/late_order.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from gypsumpost_core.engine_order import EngineOrder
+from gypsumpost_core.placement.engine_order import EngineOrder
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/bench/gypsumpost_bench/membership_memory.py
+++ b/packages/bench/gypsumpost_bench/membership_memory.py
@@ -3,15 +3,15 @@
 import random
 import tracemalloc
 
-from gypsumpost_core.datagram import Datagram
-from gypsumpost_core.datagram_kind import DatagramKind
 from gypsumpost_core.host import Host
-from gypsumpost_core.member_state import MemberState
-from gypsumpost_core.member_update import MemberUpdate
-from gypsumpost_core.membership import Membership
-from gypsumpost_core.membership_settings import MembershipSettings
-from gypsumpost_core.membership_simulation import create_hosts
-from gypsumpost_daemon.gossip_codec import GossipCodec
+from gypsumpost_core.membership.datagram import Datagram
+from gypsumpost_core.membership.datagram_kind import DatagramKind
+from gypsumpost_core.membership.member_state import MemberState
+from gypsumpost_core.membership.member_update import MemberUpdate
+from gypsumpost_core.membership.membership import Membership
+from gypsumpost_core.membership.membership_settings import MembershipSettings
+from gypsumpost_core.membership.membership_simulation import create_hosts
+from gypsumpost_daemon.peers.gossip_codec import GossipCodec
 
 DOMAINS = 10
 
--- a/packages/bench/gypsumpost_bench/membership_run.py
+++ b/packages/bench/gypsumpost_bench/membership_run.py
@@ -5,13 +5,13 @@
 import time
 
 from gypsumpost_bench.membership_figures import MembershipFigures
-from gypsumpost_core.datagram import Datagram
-from gypsumpost_core.datagram_kind import DatagramKind
-from gypsumpost_core.member_state import MemberState
-from gypsumpost_core.member_update import MemberUpdate
-from gypsumpost_core.membership_simulation import MembershipSimulation, create_hosts
-from gypsumpost_core.report_host import ReportHost
-from gypsumpost_daemon.gossip_codec import GossipCodec
+from gypsumpost_core.membership.datagram import Datagram
+from gypsumpost_core.membership.datagram_kind import DatagramKind
+from gypsumpost_core.membership.member_state import MemberState
+from gypsumpost_core.membership.member_update import MemberUpdate
+from gypsumpost_core.membership.membership_simulation import MembershipSimulation, create_hosts
+from gypsumpost_core.membership.report_host import ReportHost
+from gypsumpost_daemon.peers.gossip_codec import GossipCodec
 
 DOMAINS = 3
 LOSS = 0.2
--- a/packages/bench/gypsumpost_bench/memory_store.py
+++ b/packages/bench/gypsumpost_bench/memory_store.py
@@ -10,10 +10,10 @@
 from gypsumpost_bench.store_limits import StoreLimits
 from gypsumpost_bench.store_logic import StoreLogic
 from gypsumpost_bench.store_rejection import StoreRejection
-from gypsumpost_daemon.store_event import StoreEvent
-from gypsumpost_daemon.store_failure import StoreFailure
-from gypsumpost_daemon.store_transaction import StoreTransaction
-from gypsumpost_daemon.store_transaction_result import StoreTransactionResult
+from gypsumpost_daemon.store.store_event import StoreEvent
+from gypsumpost_daemon.store.store_failure import StoreFailure
+from gypsumpost_daemon.store.store_transaction import StoreTransaction
+from gypsumpost_daemon.store.store_transaction_result import StoreTransactionResult
 
 ANSWER_LOST = StoreFailure(reason="answer lost", sent=True)
 
--- a/packages/bench/gypsumpost_bench/ordered_engine.py
+++ b/packages/bench/gypsumpost_bench/ordered_engine.py
@@ -2,9 +2,9 @@
 
 import attrs
 
-from gypsumpost_core.engine_order import EngineOrder, OrderAction
-from gypsumpost_core.engine_report import EngineReport
-from gypsumpost_core.model_ref import ModelRef
+from gypsumpost_core.placement.engine_order import EngineOrder, OrderAction
+from gypsumpost_core.placement.engine_report import EngineReport
+from gypsumpost_core.routing.model_ref import ModelRef
 
 
 @attrs.define(kw_only=True)
--- a/packages/bench/gypsumpost_bench/ordering_daemon.py
+++ b/packages/bench/gypsumpost_bench/ordering_daemon.py
@@ -2,14 +2,14 @@
 
 import attrs
 
-from gypsumpost_core.engine_order import EngineOrder
-from gypsumpost_core.lease_settings import LeaseSettings
-from gypsumpost_core.order_lease import OrderLease
-from gypsumpost_core.order_planner import OrderPlanner
-from gypsumpost_core.placement_policies import PLACEMENT
-from gypsumpost_core.placement_policy import DesiredState, PlacementPolicy
-from gypsumpost_core.placement_settings import PlacementSettings
-from gypsumpost_core.placement_situation import PlacementSituation
+from gypsumpost_core.placement.engine_order import EngineOrder
+from gypsumpost_core.placement.lease_settings import LeaseSettings
+from gypsumpost_core.placement.order_lease import OrderLease
+from gypsumpost_core.placement.order_planner import OrderPlanner
+from gypsumpost_core.placement.placement_policies import PLACEMENT
+from gypsumpost_core.placement.placement_policy import DesiredState, PlacementPolicy
+from gypsumpost_core.placement.placement_settings import PlacementSettings
+from gypsumpost_core.placement.placement_situation import PlacementSituation
 
 
 def create_lease(host_id: str) -> OrderLease:
--- a/packages/bench/gypsumpost_bench/placement_run.py
+++ b/packages/bench/gypsumpost_bench/placement_run.py
@@ -8,7 +8,7 @@
 from gypsumpost_bench.ordered_engine import OrderedEngine
 from gypsumpost_bench.ordering_daemon import OrderingDaemon
 from gypsumpost_bench.placement_world import TICK, PlacementWorld
-from gypsumpost_core.model_ref import ModelRef
+from gypsumpost_core.routing.model_ref import ModelRef
 
 REFS = tuple(ModelRef(model=f"m{number}") for number in range(6))
 ENGINES = 6
--- a/packages/bench/gypsumpost_bench/placement_world.py
+++ b/packages/bench/gypsumpost_bench/placement_world.py
@@ -9,12 +9,12 @@
 from gypsumpost_bench.ordering_daemon import OrderingDaemon
 from gypsumpost_bench.store_logic import StoreLogic
 from gypsumpost_bench.store_rejection import StoreRejection
-from gypsumpost_core.engine_order import EngineOrder, OrderAction
-from gypsumpost_core.lease_step import LeaseAction, LeaseStep
-from gypsumpost_core.model_ref import ModelRef
-from gypsumpost_core.order_lease import OrderLease
-from gypsumpost_core.placement_situation import PlacementSituation
-from gypsumpost_daemon.order_lease_store import build_lease_transaction, read_view
+from gypsumpost_core.placement.engine_order import EngineOrder, OrderAction
+from gypsumpost_core.placement.lease_step import LeaseAction, LeaseStep
+from gypsumpost_core.placement.order_lease import OrderLease
+from gypsumpost_core.placement.placement_situation import PlacementSituation
+from gypsumpost_core.routing.model_ref import ModelRef
+from gypsumpost_daemon.placement.order_lease_store import build_lease_transaction, read_view
 
 DOMAIN = "domain-1"
 TICK = 0.5
--- a/packages/bench/gypsumpost_bench/platform_application.py
+++ b/packages/bench/gypsumpost_bench/platform_application.py
@@ -31,8 +31,8 @@
     encode_result,
 )
 from gypsumpost_bench.store_rejection import StoreRejection
-from gypsumpost_daemon.store_codec import decode_bytes
-from gypsumpost_daemon.store_transaction import StoreTransaction
+from gypsumpost_daemon.store.store_codec import decode_bytes
+from gypsumpost_daemon.store.store_transaction import StoreTransaction
 
 DOMAIN_HEADER = "x-failure-domain"
 TOO_MANY_CALLS = "too many calls"
--- a/packages/bench/gypsumpost_bench/retry_simulation.py
+++ b/packages/bench/gypsumpost_bench/retry_simulation.py
@@ -6,7 +6,7 @@
 import attrs
 
 from gypsumpost_bench.simulated_clock import SimulatedClock
-from gypsumpost_core.retry_budget import RetryBudget
+from gypsumpost_core.generations.retry_budget import RetryBudget
 
 DOMAINS = 3
 ENGINES_PER_DOMAIN = 4
--- a/packages/bench/gypsumpost_bench/routing_simulation.py
+++ b/packages/bench/gypsumpost_bench/routing_simulation.py
@@ -8,11 +8,11 @@
 from gypsumpost_bench.simulated_engine import MODEL, SimulatedEngine
 from gypsumpost_bench.simulated_job import SimulatedJob
 from gypsumpost_bench.simulated_load import MEAN_OUTPUT, MEAN_PROMPT, draw_output, draw_prompt
-from gypsumpost_core.attempt_outcome import AttemptOutcome
-from gypsumpost_core.endpoint import Endpoint
-from gypsumpost_core.endpoint_kind import EndpointKind
-from gypsumpost_core.route_request import RouteRequest
-from gypsumpost_core.router import Router
+from gypsumpost_core.generations.attempt_outcome import AttemptOutcome
+from gypsumpost_core.routing.endpoint import Endpoint
+from gypsumpost_core.routing.endpoint_kind import EndpointKind
+from gypsumpost_core.routing.route_request import RouteRequest
+from gypsumpost_core.routing.router import Router
 
 DOMAINS = ("d0", "d1", "d2")
 SPEEDS = (0.02, 0.03, 0.06)
--- a/packages/bench/gypsumpost_bench/scripted_store.py
+++ b/packages/bench/gypsumpost_bench/scripted_store.py
@@ -8,10 +8,10 @@
 
 from gypsumpost_bench.memory_store import MemoryStore
 from gypsumpost_bench.store_logic import StoreLogic
-from gypsumpost_daemon.store_event import StoreEvent
-from gypsumpost_daemon.store_failure import StoreFailure
-from gypsumpost_daemon.store_transaction import StoreTransaction
-from gypsumpost_daemon.store_transaction_result import StoreTransactionResult
+from gypsumpost_daemon.store.store_event import StoreEvent
+from gypsumpost_daemon.store.store_failure import StoreFailure
+from gypsumpost_daemon.store.store_transaction import StoreTransaction
+from gypsumpost_daemon.store.store_transaction_result import StoreTransactionResult
 
 DOWN = StoreFailure(reason="down", sent=False)
 
--- a/packages/bench/gypsumpost_bench/share_fleet.py
+++ b/packages/bench/gypsumpost_bench/share_fleet.py
@@ -7,10 +7,10 @@
 
 from gypsumpost_bench.simulated_fleet import create_directory, create_hosts
 from gypsumpost_bench.simulated_network import SimulatedNetwork, SimulatedPort
-from gypsumpost_core.allowance import Allowance
-from gypsumpost_core.lists import Lists
-from gypsumpost_core.workspace_plan import WorkspacePlan
-from gypsumpost_daemon.share_task import ShareTask
+from gypsumpost_core.lists.allowance import Allowance
+from gypsumpost_core.lists.lists import Lists
+from gypsumpost_core.lists.workspace_plan import WorkspacePlan
+from gypsumpost_daemon.limits.share_task import ShareTask
 
 SERVICE = "gate"
 MODEL = "summary"
--- a/packages/bench/gypsumpost_bench/share_search.py
+++ b/packages/bench/gypsumpost_bench/share_search.py
@@ -5,7 +5,7 @@
 import trio
 
 from gypsumpost_bench.share_fleet import SERVICE, ShareFleet
-from gypsumpost_core.share_coordinator import TAKEOVER_SECONDS
+from gypsumpost_core.limits.share_coordinator import TAKEOVER_SECONDS
 
 DAEMONS = 9
 REQUESTS = 200.0
--- a/packages/bench/gypsumpost_bench/simulated_engine.py
+++ b/packages/bench/gypsumpost_bench/simulated_engine.py
@@ -8,9 +8,9 @@
 
 from gypsumpost_bench.simulated_clock import SimulatedClock
 from gypsumpost_bench.simulated_job import SimulatedJob
-from gypsumpost_core.attempt_outcome import AttemptOutcome
-from gypsumpost_core.engine_load import EngineLoad
-from gypsumpost_core.model_ref import ModelRef
+from gypsumpost_core.generations.attempt_outcome import AttemptOutcome
+from gypsumpost_core.routing.engine_load import EngineLoad
+from gypsumpost_core.routing.model_ref import ModelRef
 
 MODEL = ModelRef(model="m")
 
--- a/packages/bench/gypsumpost_bench/simulated_fleet.py
+++ b/packages/bench/gypsumpost_bench/simulated_fleet.py
@@ -1,7 +1,7 @@
 """Hosts of a fleet in one process."""
 
 from gypsumpost_core.host import Host
-from gypsumpost_daemon.host_directory import HostDirectory
+from gypsumpost_daemon.peers.host_directory import HostDirectory
 
 DOMAINS = 3
 
--- a/packages/bench/gypsumpost_bench/simulated_job.py
+++ b/packages/bench/gypsumpost_bench/simulated_job.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from gypsumpost_core.attempt_outcome import AttemptOutcome
+from gypsumpost_core.generations.attempt_outcome import AttemptOutcome
 
 
 @attrs.define(kw_only=True, eq=False)
--- a/packages/bench/gypsumpost_bench/simulated_network.py
+++ b/packages/bench/gypsumpost_bench/simulated_network.py
@@ -7,10 +7,10 @@
 import trio
 from result import Err, Ok, Result
 
-from gypsumpost_daemon.message_kind import MessageKind
-from gypsumpost_daemon.peer_failure import PeerFailure
-from gypsumpost_daemon.peer_network import PeerHandler
-from gypsumpost_daemon.peer_request import PeerRequest
+from gypsumpost_daemon.peers.message_kind import MessageKind
+from gypsumpost_daemon.peers.peer_failure import PeerFailure
+from gypsumpost_daemon.peers.peer_network import PeerHandler
+from gypsumpost_daemon.peers.peer_request import PeerRequest
 
 FRAME_BYTES = 22
 """Bytes of a frame's header in front of each payload."""
--- a/packages/bench/gypsumpost_bench/slope_control.py
+++ b/packages/bench/gypsumpost_bench/slope_control.py
@@ -8,26 +8,26 @@
 from gypsumpost_bench.experiment_row import ExperimentRow
 from gypsumpost_bench.line_fit import create_slope_row, measure_bytes, measure_microseconds
 from gypsumpost_bench.ports import reserve_addresses
-from gypsumpost_core.allowance import Allowance
-from gypsumpost_core.coordinator_views import CoordinatorViews
-from gypsumpost_core.demand_report import DemandReport
-from gypsumpost_core.endpoint import Endpoint
-from gypsumpost_core.endpoint_kind import EndpointKind
 from gypsumpost_core.host import Host
-from gypsumpost_core.list_change import ListChange
-from gypsumpost_core.list_replica import ListReplica
-from gypsumpost_core.lists import Lists
-from gypsumpost_core.model_ref import ModelRef
-from gypsumpost_core.route_request import RouteRequest
-from gypsumpost_core.router import Router
-from gypsumpost_core.share_amounts import ShareAmounts
-from gypsumpost_core.share_board import ShareBoard
-from gypsumpost_core.workspace_plan import WorkspacePlan
-from gypsumpost_core.workspace_use import WorkspaceUse
-from gypsumpost_daemon.host_directory import HostDirectory
-from gypsumpost_daemon.message_kind import MessageKind
-from gypsumpost_daemon.peer_network import PeerNetwork
-from gypsumpost_daemon.peer_request import PeerRequest
+from gypsumpost_core.limits.coordinator_views import CoordinatorViews
+from gypsumpost_core.limits.demand_report import DemandReport
+from gypsumpost_core.limits.share_amounts import ShareAmounts
+from gypsumpost_core.limits.share_board import ShareBoard
+from gypsumpost_core.limits.workspace_use import WorkspaceUse
+from gypsumpost_core.lists.allowance import Allowance
+from gypsumpost_core.lists.list_change import ListChange
+from gypsumpost_core.lists.list_replica import ListReplica
+from gypsumpost_core.lists.lists import Lists
+from gypsumpost_core.lists.workspace_plan import WorkspacePlan
+from gypsumpost_core.routing.endpoint import Endpoint
+from gypsumpost_core.routing.endpoint_kind import EndpointKind
+from gypsumpost_core.routing.model_ref import ModelRef
+from gypsumpost_core.routing.route_request import RouteRequest
+from gypsumpost_core.routing.router import Router
+from gypsumpost_daemon.peers.host_directory import HostDirectory
+from gypsumpost_daemon.peers.message_kind import MessageKind
+from gypsumpost_daemon.peers.peer_network import PeerNetwork
+from gypsumpost_daemon.peers.peer_request import PeerRequest
 
 DAEMONS = (10, 50, 200, 400)
 """Daemons that serve one large workspace."""
--- a/packages/bench/gypsumpost_bench/slope_generations.py
+++ b/packages/bench/gypsumpost_bench/slope_generations.py
@@ -6,17 +6,17 @@
 
 from gypsumpost_bench.experiment_row import ExperimentRow
 from gypsumpost_bench.line_fit import create_slope_row, measure_bytes, measure_microseconds
-from gypsumpost_core.generation_kind import GenerationKind
-from gypsumpost_core.generation_record import GenerationRecord
-from gypsumpost_core.model_ref import ModelRef
-from gypsumpost_core.piece import Piece
-from gypsumpost_daemon.copy_append import CopyAppend
-from gypsumpost_daemon.copy_codec import SCHEMA, fill_record, read_record
-from gypsumpost_daemon.copy_columns import fill_columns
-from gypsumpost_daemon.copy_store import CopyStore
-from gypsumpost_daemon.generation_task import GenerationTask
-from gypsumpost_daemon.peer_request import PeerRequest
-from gypsumpost_daemon.route_builder import build_route
+from gypsumpost_core.generations.generation_kind import GenerationKind
+from gypsumpost_core.generations.generation_record import GenerationRecord
+from gypsumpost_core.generations.piece import Piece
+from gypsumpost_core.routing.model_ref import ModelRef
+from gypsumpost_daemon.copies.copy_append import CopyAppend
+from gypsumpost_daemon.copies.copy_codec import SCHEMA, fill_record, read_record
+from gypsumpost_daemon.copies.copy_columns import fill_columns
+from gypsumpost_daemon.copies.copy_store import CopyStore
+from gypsumpost_daemon.generations.generation_task import GenerationTask
+from gypsumpost_daemon.generations.route_builder import build_route
+from gypsumpost_daemon.peers.peer_request import PeerRequest
 
 COUNTS = (100, 200, 400, 800)
 BATCHES = (10, 50, 100, 200, 400)
--- a/packages/bench/gypsumpost_bench/store_check.py
+++ b/packages/bench/gypsumpost_bench/store_check.py
@@ -1,7 +1,7 @@
 """Checks that etcd makes before it runs a transaction."""
 
 from gypsumpost_bench.store_rejection import StoreRejection
-from gypsumpost_daemon.store_transaction import StoreOperation, StorePut, StoreTransaction
+from gypsumpost_daemon.store.store_transaction import StoreOperation, StorePut, StoreTransaction
 
 MAX_OPERATIONS = 128
 """Default of etcd's ``--max-txn-ops``, for each level of nesting."""
--- a/packages/bench/gypsumpost_bench/store_gateway_codec.py
+++ b/packages/bench/gypsumpost_bench/store_gateway_codec.py
@@ -3,10 +3,10 @@
 from typing import Any
 
 from gypsumpost_bench.store_rejection import StoreRejection
-from gypsumpost_daemon.store_codec import decode_bytes, encode_bytes
-from gypsumpost_daemon.store_event import StoreEvent
-from gypsumpost_daemon.store_key_value import StoreKeyValue
-from gypsumpost_daemon.store_transaction import (
+from gypsumpost_daemon.store.store_codec import decode_bytes, encode_bytes
+from gypsumpost_daemon.store.store_event import StoreEvent
+from gypsumpost_daemon.store.store_key_value import StoreKeyValue
+from gypsumpost_daemon.store.store_transaction import (
     StoreCompare,
     StoreDelete,
     StoreGet,
@@ -14,7 +14,7 @@
     StorePut,
     StoreTransaction,
 )
-from gypsumpost_daemon.store_transaction_result import StoreTransactionResult
+from gypsumpost_daemon.store.store_transaction_result import StoreTransactionResult
 
 GET_NAME = "request_range"
 DELETE_NAME = "request_delete_range"
--- a/packages/bench/gypsumpost_bench/store_limits.py
+++ b/packages/bench/gypsumpost_bench/store_limits.py
@@ -1,7 +1,7 @@
 """Rate limits of the stand-in store."""
 
 from gypsumpost_bench.rate_limit import RateLimit
-from gypsumpost_daemon.store_transaction import StoreGet, StoreOperation, StoreTransaction
+from gypsumpost_daemon.store.store_transaction import StoreGet, StoreOperation, StoreTransaction
 
 WRITES_PER_SECOND = 500
 READS_PER_SECOND = 2000
--- a/packages/bench/gypsumpost_bench/store_logic.py
+++ b/packages/bench/gypsumpost_bench/store_logic.py
@@ -5,9 +5,9 @@
 from gypsumpost_bench.store_check import check_transaction
 from gypsumpost_bench.store_lease import StoreLease
 from gypsumpost_bench.store_rejection import StoreRejection
-from gypsumpost_daemon.store_event import StoreEvent
-from gypsumpost_daemon.store_key_value import StoreKeyValue
-from gypsumpost_daemon.store_transaction import (
+from gypsumpost_daemon.store.store_event import StoreEvent
+from gypsumpost_daemon.store.store_key_value import StoreKeyValue
+from gypsumpost_daemon.store.store_transaction import (
     StoreCompare,
     StoreDelete,
     StoreGet,
@@ -15,7 +15,7 @@
     StorePut,
     StoreTransaction,
 )
-from gypsumpost_daemon.store_transaction_result import StoreTransactionResult
+from gypsumpost_daemon.store.store_transaction_result import StoreTransactionResult
 
 END_OF_KEYS = b"\0"
 """A ``range_end`` of one zero byte means all keys from ``key`` on, as in etcd."""
--- a/packages/bench/gypsumpost_bench/suspicion_simulation.py
+++ b/packages/bench/gypsumpost_bench/suspicion_simulation.py
@@ -5,9 +5,9 @@
 import attrs
 
 from gypsumpost_bench.simulated_clock import SimulatedClock
-from gypsumpost_core.attempt_outcome import AttemptOutcome
-from gypsumpost_core.crash_suspicion import CrashSuspicion
-from gypsumpost_core.suspicion_decision import SuspicionVerdict
+from gypsumpost_core.generations.attempt_outcome import AttemptOutcome
+from gypsumpost_core.suspicion.crash_suspicion import CrashSuspicion
+from gypsumpost_core.suspicion.suspicion_decision import SuspicionVerdict
 
 ENGINES = 9
 DAEMONS = 3
--- a/packages/bench/gypsumpost_bench/tests/claim_attempt.py
+++ b/packages/bench/gypsumpost_bench/tests/claim_attempt.py
@@ -2,12 +2,12 @@
 
 import attrs
 
-from gypsumpost_core.claim import Claim
-from gypsumpost_core.claim_record import ClaimRecord
+from gypsumpost_core.calls.claim import Claim
+from gypsumpost_core.calls.claim_record import ClaimRecord
 from gypsumpost_core.run_state import RunState
-from gypsumpost_daemon.claim_codec import encode_record
-from gypsumpost_daemon.claim_order import ClaimOrder
-from gypsumpost_daemon.claim_order_kind import ClaimOrderKind
+from gypsumpost_daemon.calls.claim_codec import encode_record
+from gypsumpost_daemon.calls.claim_order import ClaimOrder
+from gypsumpost_daemon.calls.claim_order_kind import ClaimOrderKind
 
 
 @attrs.define(kw_only=True, eq=False)
--- a/packages/bench/gypsumpost_bench/tests/test_caller_interface.py
+++ b/packages/bench/gypsumpost_bench/tests/test_caller_interface.py
@@ -16,13 +16,13 @@
 from gypsumpost_bench.prefix_cache import PrefixCache
 from gypsumpost_bench.stand_in_http import serve_application
 from gypsumpost_cli.token_chain import find_chain_error
-from gypsumpost_core.endpoint import Endpoint
-from gypsumpost_core.endpoint_kind import EndpointKind
-from gypsumpost_core.model_ref import ModelRef
+from gypsumpost_core.routing.endpoint import Endpoint
+from gypsumpost_core.routing.endpoint_kind import EndpointKind
+from gypsumpost_core.routing.model_ref import ModelRef
+from gypsumpost_daemon.callers.workspace_keys import parse_workspace_keys
 from gypsumpost_daemon.daemon import Daemon
-from gypsumpost_daemon.host_list_snapshot import HostListSnapshot
+from gypsumpost_daemon.peers.host_list_snapshot import HostListSnapshot
 from gypsumpost_daemon.settings import Settings
-from gypsumpost_daemon.workspace_keys import parse_workspace_keys
 
 MAX_BODY = 4096
 BODY: dict[str, Any] = {
--- a/packages/bench/gypsumpost_bench/tests/test_claim_modes.py
+++ b/packages/bench/gypsumpost_bench/tests/test_claim_modes.py
@@ -9,13 +9,13 @@
 from gypsumpost_bench.store_fault import StoreFault
 from gypsumpost_bench.store_fault_kind import StoreFaultKind
 from gypsumpost_core.host import Host
-from gypsumpost_daemon import direct_claims  # noqa: F401  registers the mode
-from gypsumpost_daemon.claim_mode import CLAIM_MODES, ClaimMode
-from gypsumpost_daemon.claim_order import ClaimOrder
-from gypsumpost_daemon.claim_order_kind import ClaimOrderKind
-from gypsumpost_daemon.claim_settler import ClaimSettler
-from gypsumpost_daemon.host_directory import HostDirectory
-from gypsumpost_daemon.peer_network import PeerNetwork
+from gypsumpost_daemon.calls import direct_claims  # noqa: F401  registers the mode
+from gypsumpost_daemon.calls.claim_mode import CLAIM_MODES, ClaimMode
+from gypsumpost_daemon.calls.claim_order import ClaimOrder
+from gypsumpost_daemon.calls.claim_order_kind import ClaimOrderKind
+from gypsumpost_daemon.calls.claim_settler import ClaimSettler
+from gypsumpost_daemon.peers.host_directory import HostDirectory
+from gypsumpost_daemon.peers.peer_network import PeerNetwork
 
 
 def make_mode(name: str, store: MemoryStore, peer_domain: str = "d2") -> ClaimMode:
--- a/packages/bench/gypsumpost_bench/tests/test_claim_retention.py
+++ b/packages/bench/gypsumpost_bench/tests/test_claim_retention.py
@@ -8,10 +8,10 @@
 from gypsumpost_bench.memory_store import MemoryStore
 from gypsumpost_bench.store_fault import StoreFault
 from gypsumpost_bench.store_fault_kind import StoreFaultKind
-from gypsumpost_daemon.claim_leases import SLOT_SECONDS, SPARE_SECONDS
-from gypsumpost_daemon.claim_order import ClaimOrder
-from gypsumpost_daemon.claim_order_kind import ClaimOrderKind
-from gypsumpost_daemon.claim_writer import ClaimWriter
+from gypsumpost_daemon.calls.claim_leases import SLOT_SECONDS, SPARE_SECONDS
+from gypsumpost_daemon.calls.claim_order import ClaimOrder
+from gypsumpost_daemon.calls.claim_order_kind import ClaimOrderKind
+from gypsumpost_daemon.calls.claim_writer import ClaimWriter
 
 DAY = 24 * 3600.0
 
--- a/packages/bench/gypsumpost_bench/tests/test_claims_stateful.py
+++ b/packages/bench/gypsumpost_bench/tests/test_claims_stateful.py
@@ -14,16 +14,16 @@
 
 from gypsumpost_bench.store_logic import StoreLogic
 from gypsumpost_bench.tests.claim_attempt import ClaimAttempt
-from gypsumpost_core.claim import Claim
-from gypsumpost_core.claim_outcome import ClaimOutcome
-from gypsumpost_core.claim_record import ClaimRecord
-from gypsumpost_core.claim_reply import ClaimReply
-from gypsumpost_core.claim_step import ClaimStep
+from gypsumpost_core.calls.claim import Claim
+from gypsumpost_core.calls.claim_outcome import ClaimOutcome
+from gypsumpost_core.calls.claim_record import ClaimRecord
+from gypsumpost_core.calls.claim_reply import ClaimReply
+from gypsumpost_core.calls.claim_step import ClaimStep
 from gypsumpost_core.run_state import RunState
-from gypsumpost_daemon.claim_codec import decode_record
-from gypsumpost_daemon.claim_order import ClaimOrder
-from gypsumpost_daemon.claim_order_reply import ClaimOrderReply
-from gypsumpost_daemon.claim_transaction import build_transaction, read_replies
+from gypsumpost_daemon.calls.claim_codec import decode_record
+from gypsumpost_daemon.calls.claim_order import ClaimOrder
+from gypsumpost_daemon.calls.claim_order_reply import ClaimOrderReply
+from gypsumpost_daemon.calls.claim_transaction import build_transaction, read_replies
 
 OWNERS = ("h1", "h2", "h3")
 KEY = b"a"
--- a/packages/bench/gypsumpost_bench/tests/test_placement_stateful.py
+++ b/packages/bench/gypsumpost_bench/tests/test_placement_stateful.py
@@ -15,13 +15,13 @@
 from gypsumpost_bench.ordering_daemon import OrderingDaemon
 from gypsumpost_bench.placement_world import PlacementWorld
 from gypsumpost_core.broken_invariant import BrokenInvariant
-from gypsumpost_core.engine_order import EngineOrder, OrderAction
-from gypsumpost_core.engine_report import EngineReport
-from gypsumpost_core.model_ref import ModelRef
-from gypsumpost_core.order_planner import OrderPlanner
-from gypsumpost_core.placement_policy import DesiredState
-from gypsumpost_core.placement_settings import PlacementSettings
-from gypsumpost_core.placement_situation import PlacementSituation
+from gypsumpost_core.placement.engine_order import EngineOrder, OrderAction
+from gypsumpost_core.placement.engine_report import EngineReport
+from gypsumpost_core.placement.order_planner import OrderPlanner
+from gypsumpost_core.placement.placement_policy import DesiredState
+from gypsumpost_core.placement.placement_settings import PlacementSettings
+from gypsumpost_core.placement.placement_situation import PlacementSituation
+from gypsumpost_core.routing.model_ref import ModelRef
 
 ENGINES = ("e1", "e2", "e3")
 PACES = st.sampled_from((0.5, 2.0, 6.0, 20.0, 40.0))
--- a/packages/bench/gypsumpost_bench/tests/test_placement_task.py
+++ b/packages/bench/gypsumpost_bench/tests/test_placement_task.py
@@ -13,17 +13,17 @@
 from gypsumpost_bench.simulated_fleet import create_directory, create_hosts
 from gypsumpost_bench.store_fault import StoreFault
 from gypsumpost_bench.store_fault_kind import StoreFaultKind
-from gypsumpost_core.endpoint import Endpoint
-from gypsumpost_core.endpoint_kind import EndpointKind
-from gypsumpost_core.engine_order import EngineOrder, OrderAction
 from gypsumpost_core.host import Host
-from gypsumpost_core.lease_settings import LeaseSettings
-from gypsumpost_core.model_ref import ModelRef
-from gypsumpost_core.order_lease import OrderLease
-from gypsumpost_daemon.engine_client import NO_HEADERS, EngineClient
-from gypsumpost_daemon.engine_failure import EngineFailure
-from gypsumpost_daemon.order_lease_store import OrderLeaseStore
-from gypsumpost_daemon.placement_task import PlacementTask
+from gypsumpost_core.placement.engine_order import EngineOrder, OrderAction
+from gypsumpost_core.placement.lease_settings import LeaseSettings
+from gypsumpost_core.placement.order_lease import OrderLease
+from gypsumpost_core.routing.endpoint import Endpoint
+from gypsumpost_core.routing.endpoint_kind import EndpointKind
+from gypsumpost_core.routing.model_ref import ModelRef
+from gypsumpost_daemon.engines.engine_client import NO_HEADERS, EngineClient
+from gypsumpost_daemon.engines.engine_failure import EngineFailure
+from gypsumpost_daemon.placement.order_lease_store import OrderLeaseStore
+from gypsumpost_daemon.placement.placement_task import PlacementTask
 
 REFS = tuple(ModelRef(model=name) for name in "abc")
 
--- a/packages/bench/gypsumpost_bench/tests/test_platform_stand_in.py
+++ b/packages/bench/gypsumpost_bench/tests/test_platform_stand_in.py
@@ -10,15 +10,15 @@
 from gypsumpost_bench.call_cluster import find_free_address
 from gypsumpost_bench.lagging_list import LaggingList
 from gypsumpost_bench.platform_stand_in import run_platform
-from gypsumpost_daemon.store_client import StoreClient
-from gypsumpost_daemon.store_event import StoreEvent
-from gypsumpost_daemon.store_transaction import (
+from gypsumpost_daemon.store.store_client import StoreClient
+from gypsumpost_daemon.store.store_event import StoreEvent
+from gypsumpost_daemon.store.store_transaction import (
     StoreCompare,
     StoreGet,
     StorePut,
     StoreTransaction,
 )
-from gypsumpost_daemon.store_transaction_result import StoreTransactionResult
+from gypsumpost_daemon.store.store_transaction_result import StoreTransactionResult
 
 DEADLINE_SECONDS = 10
 
--- a/packages/bench/gypsumpost_bench/tests/test_service_calls.py
+++ b/packages/bench/gypsumpost_bench/tests/test_service_calls.py
@@ -11,9 +11,9 @@
 from gypsumpost_bench.service_fault_kind import ServiceFaultKind
 from gypsumpost_bench.store_fault import StoreFault
 from gypsumpost_bench.store_fault_kind import StoreFaultKind
-from gypsumpost_core.endpoint_status import EndpointStatus
-from gypsumpost_daemon.caller_response import CallerResponse
-from gypsumpost_daemon.claim_batcher import find_batcher
+from gypsumpost_core.routing.endpoint_status import EndpointStatus
+from gypsumpost_daemon.callers.caller_response import CallerResponse
+from gypsumpost_daemon.calls.claim_batcher import find_batcher
 
 
 @pytest.fixture
--- a/packages/bench/gypsumpost_bench/tests/test_store_logic.py
+++ b/packages/bench/gypsumpost_bench/tests/test_store_logic.py
@@ -4,14 +4,14 @@
 
 from gypsumpost_bench.store_logic import StoreLogic
 from gypsumpost_bench.store_rejection import StoreRejection
-from gypsumpost_daemon.store_transaction import (
+from gypsumpost_daemon.store.store_transaction import (
     StoreCompare,
     StoreDelete,
     StoreGet,
     StorePut,
     StoreTransaction,
 )
-from gypsumpost_daemon.store_transaction_result import StoreTransactionResult
+from gypsumpost_daemon.store.store_transaction_result import StoreTransactionResult
 
 
 def create_once(key: bytes, value: bytes) -> StoreTransaction:
--- a/packages/bench/gypsumpost_bench/tests/test_token_path.py
+++ b/packages/bench/gypsumpost_bench/tests/test_token_path.py
@@ -8,9 +8,9 @@
 from gypsumpost_bench.token_path_engine import HEAD, FakeStream
 from gypsumpost_bench.token_path_plan import TokenPathPlan
 from gypsumpost_bench.token_path_run import find_percentile, summarize
-from gypsumpost_daemon.chunk_decoder import ChunkDecoder
-from gypsumpost_daemon.engine_event_decoder import decode_event
-from gypsumpost_daemon.event_stream_decoder import EventStreamDecoder
+from gypsumpost_daemon.engines.engine_event_decoder import decode_event
+from gypsumpost_daemon.engines.event_stream_decoder import EventStreamDecoder
+from gypsumpost_daemon.http.chunk_decoder import ChunkDecoder
 
 PLAN = TokenPathPlan(
     start=0,
--- a/packages/bench/gypsumpost_bench/token_path_relay.py
+++ b/packages/bench/gypsumpost_bench/token_path_relay.py
@@ -9,14 +9,14 @@
 import trio
 from result import Err
 
-from gypsumpost_daemon.asgi_application import Message, Receive, Scope, Send
-from gypsumpost_daemon.coalescing import COALESCING
-from gypsumpost_daemon.engine_client import EngineClient
-from gypsumpost_daemon.engine_event import EngineEvent
-from gypsumpost_daemon.engine_stream import EngineStream
-from gypsumpost_daemon.event_encoder import DONE, EventEncoder, EventSource
+from gypsumpost_daemon.engines.engine_client import EngineClient
+from gypsumpost_daemon.engines.engine_event import EngineEvent
+from gypsumpost_daemon.engines.engine_stream import EngineStream
 from gypsumpost_daemon.garbage_collector import configure_collector
-from gypsumpost_daemon.http_server import HTTP_SERVERS
+from gypsumpost_daemon.generations.coalescing import COALESCING
+from gypsumpost_daemon.generations.event_encoder import DONE, EventEncoder, EventSource
+from gypsumpost_daemon.http.asgi_application import Message, Receive, Scope, Send
+from gypsumpost_daemon.http.http_server import HTTP_SERVERS
 
 OPEN_SECONDS = 10.0
 MAX_BODY = 1 << 20
--- a/packages/cli/gypsumpost_cli/admin_client.py
+++ b/packages/cli/gypsumpost_cli/admin_client.py
@@ -11,7 +11,7 @@
 from gypsumpost_cli.admin_reply import AdminReply
 from gypsumpost_cli.command_failure import EXIT_UNKNOWN, EXIT_UNREACHABLE, CommandFailure
 from gypsumpost_cli.settings import Settings
-from gypsumpost_core.settings_reader import read_settings
+from gypsumpost_core.settings.settings_reader import read_settings
 
 CALL_SECONDS = 15.0
 """Longer than the daemon waits for the store, so that its answer tells the outcome."""
--- a/packages/cli/gypsumpost_cli/edit_commands.py
+++ b/packages/cli/gypsumpost_cli/edit_commands.py
@@ -10,10 +10,10 @@
 from gypsumpost_cli.command_registry import COMMANDS
 from gypsumpost_cli.list_client import ListClient
 from gypsumpost_cli.list_commands import open_list, report_accepted
-from gypsumpost_core.allowance import Allowance
-from gypsumpost_core.list_entry import ListEntry
-from gypsumpost_core.list_kind import ListKind
-from gypsumpost_core.workspace_plan import WorkspacePlan, digest_key
+from gypsumpost_core.lists.allowance import Allowance
+from gypsumpost_core.lists.list_entry import ListEntry
+from gypsumpost_core.lists.list_kind import ListKind
+from gypsumpost_core.lists.workspace_plan import WorkspacePlan, digest_key
 
 MIN_DIGEST_DIGITS = 8
 """An empty or very short prefix would remove keys that the operator did not mean."""
--- a/packages/cli/gypsumpost_cli/list_client.py
+++ b/packages/cli/gypsumpost_cli/list_client.py
@@ -11,9 +11,9 @@
 
 from gypsumpost_cli.admin_client import AdminClient
 from gypsumpost_cli.command_failure import EXIT_REFUSED, EXIT_UNREACHABLE, CommandFailure
-from gypsumpost_core.list_entry import ListEntry
-from gypsumpost_core.list_file import format_list, parse_list
-from gypsumpost_core.list_kind import ListKind
+from gypsumpost_core.lists.list_entry import ListEntry
+from gypsumpost_core.lists.list_file import format_list, parse_list
+from gypsumpost_core.lists.list_kind import ListKind
 
 REVISION_LINE = re.compile(r"# revision (\d+)\b")
 WAIT_PERIOD_SECONDS = 0.2
--- a/packages/cli/gypsumpost_cli/list_commands.py
+++ b/packages/cli/gypsumpost_cli/list_commands.py
@@ -11,8 +11,8 @@
 from gypsumpost_cli.command_registry import COMMANDS
 from gypsumpost_cli.list_client import ListClient
 from gypsumpost_cli.settings import Settings
-from gypsumpost_core.list_kind import ListKind
-from gypsumpost_core.settings_reader import read_settings
+from gypsumpost_core.lists.list_kind import ListKind
+from gypsumpost_core.settings.settings_reader import read_settings
 
 
 def open_list(
--- a/packages/cli/gypsumpost_cli/settings.py
+++ b/packages/cli/gypsumpost_cli/settings.py
@@ -2,8 +2,8 @@
 
 import attrs
 
-from gypsumpost_core.setting import define_setting
-from gypsumpost_core.setting_parsers import parse_address, parse_number
+from gypsumpost_core.settings.setting import define_setting
+from gypsumpost_core.settings.setting_parsers import parse_address, parse_number
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/cli/gypsumpost_cli/tests/test_endpoint_commands.py
+++ b/packages/cli/gypsumpost_cli/tests/test_endpoint_commands.py
@@ -14,18 +14,18 @@
 from gypsumpost_cli.main import run_command
 from gypsumpost_cli.status_text import format_status
 from gypsumpost_cli.tests.admin_thread import run_in_thread, set_up_access
-from gypsumpost_core.endpoint import Endpoint
-from gypsumpost_core.endpoint_kind import EndpointKind
-from gypsumpost_core.model_ref import ModelRef
-from gypsumpost_daemon.admin_application import AdminApplication
-from gypsumpost_daemon.admin_endpoints import AdminEndpoints
-from gypsumpost_daemon.admin_hosts import AdminHosts
-from gypsumpost_daemon.admin_lists import AdminLists
-from gypsumpost_daemon.admin_server import serve_admin
-from gypsumpost_daemon.endpoint_desires import EndpointDesires
-from gypsumpost_daemon.endpoint_editor import EndpointEditor
-from gypsumpost_daemon.endpoint_table import EndpointTable
-from gypsumpost_daemon.list_task import ListTask
+from gypsumpost_core.routing.endpoint import Endpoint
+from gypsumpost_core.routing.endpoint_kind import EndpointKind
+from gypsumpost_core.routing.model_ref import ModelRef
+from gypsumpost_daemon.admin.admin_application import AdminApplication
+from gypsumpost_daemon.admin.admin_endpoints import AdminEndpoints
+from gypsumpost_daemon.admin.admin_hosts import AdminHosts
+from gypsumpost_daemon.admin.admin_lists import AdminLists
+from gypsumpost_daemon.admin.admin_server import serve_admin
+from gypsumpost_daemon.endpoints.endpoint_desires import EndpointDesires
+from gypsumpost_daemon.endpoints.endpoint_editor import EndpointEditor
+from gypsumpost_daemon.engines.endpoint_table import EndpointTable
+from gypsumpost_daemon.lists.list_task import ListTask
 
 ENGINE = Endpoint(
     name="engine-1",
--- a/packages/cli/gypsumpost_cli/tests/test_list_commands.py
+++ b/packages/cli/gypsumpost_cli/tests/test_list_commands.py
@@ -11,10 +11,10 @@
 from gypsumpost_bench.simulated_network import SimulatedNetwork, SimulatedPort
 from gypsumpost_cli.main import run_command
 from gypsumpost_cli.tests.admin_thread import run_in_thread, set_up_access
-from gypsumpost_daemon.admin_application import AdminApplication
-from gypsumpost_daemon.admin_lists import AdminLists
-from gypsumpost_daemon.admin_server import serve_admin
-from gypsumpost_daemon.list_task import ListTask
+from gypsumpost_daemon.admin.admin_application import AdminApplication
+from gypsumpost_daemon.admin.admin_lists import AdminLists
+from gypsumpost_daemon.admin.admin_server import serve_admin
+from gypsumpost_daemon.lists.list_task import ListTask
 
 Run = Callable[..., tuple[int, str]]
 
--- /dev/null
+++ b/packages/core/gypsumpost_core/calls/__init__.py
@@ -0,0 +1,1 @@
+"""Calls of plain services that may run at most once."""
--- a/packages/core/gypsumpost_core/claim.py
+++ b/packages/core/gypsumpost_core/calls/claim.py
@@ -1,8 +1,8 @@
 """Decisions of one attempt to run a non-idempotent call under a key that its caller chose."""
 
-from gypsumpost_core.claim_record import ClaimRecord
-from gypsumpost_core.claim_reply import ClaimReply
-from gypsumpost_core.claim_step import ClaimStep
+from gypsumpost_core.calls.claim_record import ClaimRecord
+from gypsumpost_core.calls.claim_reply import ClaimReply
+from gypsumpost_core.calls.claim_step import ClaimStep
 from gypsumpost_core.invariant import Invariant, require
 from gypsumpost_core.run_state import RunState
 
--- a/packages/core/gypsumpost_core/claim_reply.py
+++ b/packages/core/gypsumpost_core/calls/claim_reply.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from gypsumpost_core.claim_record import ClaimRecord
+from gypsumpost_core.calls.claim_record import ClaimRecord
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/core/gypsumpost_core/issued_call.py
+++ b/packages/core/gypsumpost_core/calls/issued_call.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from gypsumpost_core.claim_outcome import ClaimOutcome
+from gypsumpost_core.calls.claim_outcome import ClaimOutcome
 
 
 @attrs.define(kw_only=True)
--- a/packages/core/gypsumpost_core/issued_call_table.py
+++ b/packages/core/gypsumpost_core/calls/issued_call_table.py
@@ -2,11 +2,11 @@
 
 import heapq
 
-from gypsumpost_core.claim_outcome import ClaimOutcome
+from gypsumpost_core.calls.claim_outcome import ClaimOutcome
+from gypsumpost_core.calls.issued_call import IssuedCall
+from gypsumpost_core.calls.issued_call_step import IssuedCallStep
+from gypsumpost_core.calls.issued_key import IssuedKey
 from gypsumpost_core.invariant import Invariant, require
-from gypsumpost_core.issued_call import IssuedCall
-from gypsumpost_core.issued_call_step import IssuedCallStep
-from gypsumpost_core.issued_key import IssuedKey
 
 MAX_CALLS = 100_000
 MAX_OUTCOME_BYTES = 16 * 1024 * 1024
--- a/packages/core/gypsumpost_core/issued_key_signer.py
+++ b/packages/core/gypsumpost_core/calls/issued_key_signer.py
@@ -3,7 +3,7 @@
 import hashlib
 import hmac
 
-from gypsumpost_core.issued_key import SEPARATOR, IssuedKey, parse_issued_key
+from gypsumpost_core.calls.issued_key import SEPARATOR, IssuedKey, parse_issued_key
 
 PURPOSE = b"gypsumpost issued key\0"
 SIGNATURE_DIGITS = 32
--- a/packages/core/gypsumpost_core/completion_check.py
+++ b/packages/core/gypsumpost_core/generations/completion_check.py
@@ -6,9 +6,9 @@
 
 from result import Err, Ok, Result
 
-from gypsumpost_core.completion_request import CompletionRequest
 from gypsumpost_core.failure import Failure
-from gypsumpost_core.generation_kind import GenerationKind
+from gypsumpost_core.generations.completion_request import CompletionRequest
+from gypsumpost_core.generations.generation_kind import GenerationKind
 from gypsumpost_core.run_state import RunState
 
 DEFAULT_MAX_TOKENS = 256
--- a/packages/core/gypsumpost_core/completion_request.py
+++ b/packages/core/gypsumpost_core/generations/completion_request.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from gypsumpost_core.generation_kind import GenerationKind
+from gypsumpost_core.generations.generation_kind import GenerationKind
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/core/gypsumpost_core/generation.py
+++ b/packages/core/gypsumpost_core/generations/generation.py
@@ -2,15 +2,15 @@
 
 import attrs
 
-from gypsumpost_core.attempt_plan import AttemptPlan
-from gypsumpost_core.batch_outcome import BatchOutcome
-from gypsumpost_core.endpoint import Endpoint
-from gypsumpost_core.generation_record import GenerationRecord
+from gypsumpost_core.generations.attempt_plan import AttemptPlan
+from gypsumpost_core.generations.batch_outcome import BatchOutcome
+from gypsumpost_core.generations.generation_record import GenerationRecord
+from gypsumpost_core.generations.piece import Piece
+from gypsumpost_core.generations.stop_matcher import StopMatcher
+from gypsumpost_core.generations.token_batch import TokenBatch
 from gypsumpost_core.invariant import Invariant, require
-from gypsumpost_core.model_ref import ModelRef
-from gypsumpost_core.piece import Piece
-from gypsumpost_core.stop_matcher import StopMatcher
-from gypsumpost_core.token_batch import TokenBatch
+from gypsumpost_core.routing.endpoint import Endpoint
+from gypsumpost_core.routing.model_ref import ModelRef
 
 FINISH_STOP = "stop"
 FINISH_LENGTH = "length"
--- a/packages/core/gypsumpost_core/generation_record.py
+++ b/packages/core/gypsumpost_core/generations/generation_record.py
@@ -2,10 +2,10 @@
 
 import attrs
 
-from gypsumpost_core.attempt_origin import AttemptOrigin
-from gypsumpost_core.generation_kind import GenerationKind
-from gypsumpost_core.model_ref import ModelRef
-from gypsumpost_core.piece import Piece
+from gypsumpost_core.generations.attempt_origin import AttemptOrigin
+from gypsumpost_core.generations.generation_kind import GenerationKind
+from gypsumpost_core.generations.piece import Piece
+from gypsumpost_core.routing.model_ref import ModelRef
 
 
 @attrs.define(kw_only=True, eq=False)
--- a/packages/core/gypsumpost_core/record_size.py
+++ b/packages/core/gypsumpost_core/generations/record_size.py
@@ -3,8 +3,8 @@
 import sys
 from collections.abc import Iterable
 
-from gypsumpost_core.generation_record import GenerationRecord
-from gypsumpost_core.piece import Piece
+from gypsumpost_core.generations.generation_record import GenerationRecord
+from gypsumpost_core.generations.piece import Piece
 
 RECORD_BYTES = 2048
 """Bytes of a record besides body, prompt and answer."""
--- a/packages/core/gypsumpost_core/resumption_baselines.py
+++ b/packages/core/gypsumpost_core/generations/resumption_baselines.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from gypsumpost_core.resumption_policy import (
+from gypsumpost_core.generations.resumption_policy import (
     RESUMPTION,
     ResumptionAction,
     ResumptionDecision,
--- /dev/null
+++ b/packages/core/gypsumpost_core/generations/resumption_policies.py
@@ -0,0 +1,6 @@
+"""All resumption policies; importing this module fills their registry."""
+
+from gypsumpost_core.generations import resumption_baselines, weighed_resumption  # noqa: F401
+from gypsumpost_core.generations.resumption_policy import RESUMPTION
+
+__all__ = ["RESUMPTION"]
--- a/packages/core/gypsumpost_core/retry_budget.py
+++ b/packages/core/gypsumpost_core/generations/retry_budget.py
@@ -4,8 +4,8 @@
 
 import attrs
 
-from gypsumpost_core.retry_decision import RetryDecision
-from gypsumpost_core.token_budget import TokenBudget
+from gypsumpost_core.generations.retry_decision import RetryDecision
+from gypsumpost_core.generations.token_budget import TokenBudget
 
 LOSS_LIMIT = 64
 """Lost engines that are remembered for each domain."""
--- a/packages/core/gypsumpost_core/weighed_resumption.py
+++ b/packages/core/gypsumpost_core/generations/weighed_resumption.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from gypsumpost_core.resumption_policy import (
+from gypsumpost_core.generations.resumption_policy import (
     RESUMPTION,
     ResumptionAction,
     ResumptionDecision,
--- /dev/null
+++ b/packages/core/gypsumpost_core/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Admission under load, and shares of allowances."""
--- a/packages/core/gypsumpost_core/admission.py
+++ b/packages/core/gypsumpost_core/limits/admission.py
@@ -2,13 +2,13 @@
 
 import attrs
 
-from gypsumpost_core.admission_decision import AdmissionDecision, AdmissionVerdict
-from gypsumpost_core.admission_request import AdmissionRequest
-from gypsumpost_core.concurrency_limit import ConcurrencyLimit
-from gypsumpost_core.endpoint_kind import EndpointKind
 from gypsumpost_core.failure import Failure
-from gypsumpost_core.fair_queue import FairQueue
 from gypsumpost_core.invariant import Invariant, require
+from gypsumpost_core.limits.admission_decision import AdmissionDecision, AdmissionVerdict
+from gypsumpost_core.limits.admission_request import AdmissionRequest
+from gypsumpost_core.limits.concurrency_limit import ConcurrencyLimit
+from gypsumpost_core.limits.fair_queue import FairQueue
+from gypsumpost_core.routing.endpoint_kind import EndpointKind
 from gypsumpost_core.run_state import RunState
 from gypsumpost_core.smoothed_value import SmoothedValue
 
--- a/packages/core/gypsumpost_core/admission_request.py
+++ b/packages/core/gypsumpost_core/limits/admission_request.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from gypsumpost_core.endpoint_kind import EndpointKind
+from gypsumpost_core.routing.endpoint_kind import EndpointKind
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/core/gypsumpost_core/allowance_admission.py
+++ b/packages/core/gypsumpost_core/limits/allowance_admission.py
@@ -5,15 +5,15 @@
 
 from result import Err, Ok, Result
 
-from gypsumpost_core.allowance import Allowance
-from gypsumpost_core.demand_report import DemandReport
 from gypsumpost_core.failure import Failure
-from gypsumpost_core.lists import Lists
+from gypsumpost_core.limits.demand_report import DemandReport
+from gypsumpost_core.limits.share_amounts import ShareAmounts, get_limit
+from gypsumpost_core.limits.share_grant import ShareGrant
+from gypsumpost_core.limits.share_mode import ShareMode
+from gypsumpost_core.limits.workspace_use import WorkspaceUse
+from gypsumpost_core.lists.allowance import Allowance
+from gypsumpost_core.lists.lists import Lists
 from gypsumpost_core.run_state import RunState
-from gypsumpost_core.share_amounts import ShareAmounts, get_limit
-from gypsumpost_core.share_grant import ShareGrant
-from gypsumpost_core.share_mode import ShareMode
-from gypsumpost_core.workspace_use import WorkspaceUse
 
 PENDING_SECONDS = 0.25
 """When to repeat a request that came before this daemon had a share."""
--- a/packages/core/gypsumpost_core/coordinator_views.py
+++ b/packages/core/gypsumpost_core/limits/coordinator_views.py
@@ -4,8 +4,8 @@
 from collections.abc import Iterable
 
 from gypsumpost_core.host import Host
+from gypsumpost_core.limits.share_coordinator import TAKEOVER_SECONDS
 from gypsumpost_core.rendezvous import rank_hosts
-from gypsumpost_core.share_coordinator import TAKEOVER_SECONDS
 
 
 class CoordinatorViews:
--- a/packages/core/gypsumpost_core/fair_queue.py
+++ b/packages/core/gypsumpost_core/limits/fair_queue.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from gypsumpost_core.admission_request import AdmissionRequest
+from gypsumpost_core.limits.admission_request import AdmissionRequest
 
 
 @attrs.define(kw_only=True)
--- a/packages/core/gypsumpost_core/share_amounts.py
+++ b/packages/core/gypsumpost_core/limits/share_amounts.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from gypsumpost_core.allowance import Allowance
+from gypsumpost_core.lists.allowance import Allowance
 
 REQUEST_UNIT = 0.001
 """Shares are whole multiples of this many requests per second and of whole tokens and generations,
--- a/packages/core/gypsumpost_core/share_board.py
+++ b/packages/core/gypsumpost_core/limits/share_board.py
@@ -2,13 +2,13 @@
 
 from collections.abc import Callable, Iterable
 
-from gypsumpost_core.coordinator_views import CoordinatorViews
-from gypsumpost_core.demand_report import DemandReport
 from gypsumpost_core.host import Host
-from gypsumpost_core.lists import Lists
-from gypsumpost_core.share_amounts import ShareAmounts, get_limit
-from gypsumpost_core.share_coordinator import ShareCoordinator
-from gypsumpost_core.share_grant import ShareGrant
+from gypsumpost_core.limits.coordinator_views import CoordinatorViews
+from gypsumpost_core.limits.demand_report import DemandReport
+from gypsumpost_core.limits.share_amounts import ShareAmounts, get_limit
+from gypsumpost_core.limits.share_coordinator import ShareCoordinator
+from gypsumpost_core.limits.share_grant import ShareGrant
+from gypsumpost_core.lists.lists import Lists
 
 
 class ShareBoard:
--- a/packages/core/gypsumpost_core/share_coordinator.py
+++ b/packages/core/gypsumpost_core/limits/share_coordinator.py
@@ -2,9 +2,9 @@
 
 import attrs
 
-from gypsumpost_core.demand_report import DemandReport
-from gypsumpost_core.share_amounts import ShareAmounts, add_amounts
-from gypsumpost_core.share_division import divide_amounts
+from gypsumpost_core.limits.demand_report import DemandReport
+from gypsumpost_core.limits.share_amounts import ShareAmounts, add_amounts
+from gypsumpost_core.limits.share_division import divide_amounts
 
 SCARCE_SECONDS = 1.0
 """Life of a share while the allowance is scarce, so that unused shares are found quickly."""
--- a/packages/core/gypsumpost_core/share_division.py
+++ b/packages/core/gypsumpost_core/limits/share_division.py
@@ -3,7 +3,7 @@
 import math
 from collections.abc import Mapping
 
-from gypsumpost_core.share_amounts import ShareAmounts
+from gypsumpost_core.limits.share_amounts import ShareAmounts
 
 HEADROOM = 1.2
 """A share exceeds the demand by this factor where that leaves the others theirs, so that demand
--- a/packages/core/gypsumpost_core/share_grant.py
+++ b/packages/core/gypsumpost_core/limits/share_grant.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from gypsumpost_core.share_amounts import ShareAmounts
+from gypsumpost_core.limits.share_amounts import ShareAmounts
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/core/gypsumpost_core/share_mode.py
+++ b/packages/core/gypsumpost_core/limits/share_mode.py
@@ -2,8 +2,8 @@
 
 from typing import Protocol
 
+from gypsumpost_core.limits.share_amounts import ShareAmounts
 from gypsumpost_core.registry import Registry
-from gypsumpost_core.share_amounts import ShareAmounts
 
 
 class ShareMode(Protocol):
--- a/packages/core/gypsumpost_core/workspace_use.py
+++ b/packages/core/gypsumpost_core/limits/workspace_use.py
@@ -2,11 +2,11 @@
 
 import math
 
-from gypsumpost_core.demand_report import DemandReport
-from gypsumpost_core.rate_meter import RateMeter
-from gypsumpost_core.share_amounts import ShareAmounts
-from gypsumpost_core.share_division import compute_wanted
-from gypsumpost_core.token_bucket import TokenBucket
+from gypsumpost_core.limits.demand_report import DemandReport
+from gypsumpost_core.limits.rate_meter import RateMeter
+from gypsumpost_core.limits.share_amounts import ShareAmounts
+from gypsumpost_core.limits.share_division import compute_wanted
+from gypsumpost_core.limits.token_bucket import TokenBucket
 
 BURST_SECONDS = 0.2
 """Unused share that may be used later, and, divided by the number of hosts, the part of the whole
--- /dev/null
+++ b/packages/core/gypsumpost_core/lists/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' two lists: plans and allowances."""
--- a/packages/core/gypsumpost_core/change_log.py
+++ b/packages/core/gypsumpost_core/lists/change_log.py
@@ -2,7 +2,7 @@
 
 import collections
 
-from gypsumpost_core.list_change import ListChange
+from gypsumpost_core.lists.list_change import ListChange
 
 
 class ChangeLog:
--- a/packages/core/gypsumpost_core/history_record.py
+++ b/packages/core/gypsumpost_core/lists/history_record.py
@@ -2,8 +2,8 @@
 
 import attrs
 
-from gypsumpost_core.entry_edit import EntryEdit
-from gypsumpost_core.list_change import ListChange
+from gypsumpost_core.lists.entry_edit import EntryEdit
+from gypsumpost_core.lists.list_change import ListChange
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/core/gypsumpost_core/list_change.py
+++ b/packages/core/gypsumpost_core/lists/list_change.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from gypsumpost_core.list_entry import EntryKey, ListEntry
+from gypsumpost_core.lists.list_entry import EntryKey, ListEntry
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/core/gypsumpost_core/list_check.py
+++ b/packages/core/gypsumpost_core/lists/list_check.py
@@ -1,8 +1,8 @@
 """Checks that involve both lists."""
 
-from gypsumpost_core.list_error import ListError
-from gypsumpost_core.list_lines import ListLines
-from gypsumpost_core.lists import Lists
+from gypsumpost_core.lists.list_error import ListError
+from gypsumpost_core.lists.list_lines import ListLines
+from gypsumpost_core.lists.lists import Lists
 
 
 def check_lists(lists: Lists, lines: ListLines) -> list[ListError]:
--- a/packages/core/gypsumpost_core/list_difference.py
+++ b/packages/core/gypsumpost_core/lists/list_difference.py
@@ -5,12 +5,12 @@
 
 from result import Err, Ok, Result
 
-from gypsumpost_core.entry_edit import EntryEdit
-from gypsumpost_core.history_record import HistoryRecord
-from gypsumpost_core.list_entry import EntryKey, ListEntry
-from gypsumpost_core.list_file import format_entry
-from gypsumpost_core.list_kind import ListKind
-from gypsumpost_core.lists import Lists
+from gypsumpost_core.lists.entry_edit import EntryEdit
+from gypsumpost_core.lists.history_record import HistoryRecord
+from gypsumpost_core.lists.list_entry import EntryKey, ListEntry
+from gypsumpost_core.lists.list_file import format_entry
+from gypsumpost_core.lists.list_kind import ListKind
+from gypsumpost_core.lists.lists import Lists
 
 
 def compute_difference(before: Lists, after: Lists) -> tuple[EntryEdit, ...]:
--- a/packages/core/gypsumpost_core/list_entry.py
+++ b/packages/core/gypsumpost_core/lists/list_entry.py
@@ -2,9 +2,9 @@
 
 import attrs
 
-from gypsumpost_core.allowance import Allowance
-from gypsumpost_core.list_kind import ListKind
-from gypsumpost_core.workspace_plan import WorkspacePlan
+from gypsumpost_core.lists.allowance import Allowance
+from gypsumpost_core.lists.list_kind import ListKind
+from gypsumpost_core.lists.workspace_plan import WorkspacePlan
 
 ListEntry = WorkspacePlan | Allowance
 
--- a/packages/core/gypsumpost_core/list_field.py
+++ b/packages/core/gypsumpost_core/lists/list_field.py
@@ -6,8 +6,8 @@
 
 import attrs
 
-from gypsumpost_core.list_kind import ListKind
-from gypsumpost_core.setting_parsers import NAME_PATTERN
+from gypsumpost_core.lists.list_kind import ListKind
+from gypsumpost_core.settings.setting_parsers import NAME_PATTERN
 
 DIGEST_PATTERN = re.compile(r"[0-9a-f]{64}")
 MAX_RATE = 1e9
--- a/packages/core/gypsumpost_core/list_file.py
+++ b/packages/core/gypsumpost_core/lists/list_file.py
@@ -9,13 +9,13 @@
 import attrs
 from result import Err, Ok, Result
 
-from gypsumpost_core.allowance import Allowance
-from gypsumpost_core.list_entry import ListEntry
-from gypsumpost_core.list_error import ListError
-from gypsumpost_core.list_field import FIELDS, NAME_TEXT, is_name
-from gypsumpost_core.list_kind import ListKind
-from gypsumpost_core.list_lines import ListLines
-from gypsumpost_core.workspace_plan import WorkspacePlan
+from gypsumpost_core.lists.allowance import Allowance
+from gypsumpost_core.lists.list_entry import ListEntry
+from gypsumpost_core.lists.list_error import ListError
+from gypsumpost_core.lists.list_field import FIELDS, NAME_TEXT, is_name
+from gypsumpost_core.lists.list_kind import ListKind
+from gypsumpost_core.lists.list_lines import ListLines
+from gypsumpost_core.lists.workspace_plan import WorkspacePlan
 
 SYNTAX_LINE = re.compile(r"at line (\d+)")
 
--- a/packages/core/gypsumpost_core/list_holder.py
+++ b/packages/core/gypsumpost_core/lists/list_holder.py
@@ -5,9 +5,9 @@
 from result import Err, Ok, Result
 
 from gypsumpost_core.invariant import Invariant, require
-from gypsumpost_core.list_change import ListChange
-from gypsumpost_core.lists import Lists
-from gypsumpost_core.missing_changes import MissingChanges
+from gypsumpost_core.lists.list_change import ListChange
+from gypsumpost_core.lists.lists import Lists
+from gypsumpost_core.lists.missing_changes import MissingChanges
 
 AdoptionPolicy = Callable[[Lists, Lists], bool]
 """Decides from the lists in force and a candidate whether to adopt the candidate."""
--- a/packages/core/gypsumpost_core/list_replica.py
+++ b/packages/core/gypsumpost_core/lists/list_replica.py
@@ -2,11 +2,11 @@
 
 from result import Err
 
-from gypsumpost_core.change_log import ChangeLog
-from gypsumpost_core.list_change import ListChange
-from gypsumpost_core.list_holder import ListHolder
-from gypsumpost_core.list_update import ListUpdate
-from gypsumpost_core.lists import Lists
+from gypsumpost_core.lists.change_log import ChangeLog
+from gypsumpost_core.lists.list_change import ListChange
+from gypsumpost_core.lists.list_holder import ListHolder
+from gypsumpost_core.lists.list_update import ListUpdate
+from gypsumpost_core.lists.lists import Lists
 
 LOG_CAPACITY = 1000
 """Changes kept in memory: about an hour at 19,000 changes a day, some hundred kilobytes."""
--- a/packages/core/gypsumpost_core/list_update.py
+++ b/packages/core/gypsumpost_core/lists/list_update.py
@@ -2,8 +2,8 @@
 
 import attrs
 
-from gypsumpost_core.list_change import ListChange
-from gypsumpost_core.lists import Lists
+from gypsumpost_core.lists.list_change import ListChange
+from gypsumpost_core.lists.lists import Lists
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/core/gypsumpost_core/lists.py
+++ b/packages/core/gypsumpost_core/lists/lists.py
@@ -8,14 +8,14 @@
 import attrs
 from result import Err, Ok, Result
 
-from gypsumpost_core.allowance import Allowance
 from gypsumpost_core.failure import Failure
-from gypsumpost_core.list_change import ListChange
-from gypsumpost_core.list_entry import ListEntry
-from gypsumpost_core.list_kind import ListKind
-from gypsumpost_core.missing_changes import MissingChanges
+from gypsumpost_core.lists.allowance import Allowance
+from gypsumpost_core.lists.list_change import ListChange
+from gypsumpost_core.lists.list_entry import ListEntry
+from gypsumpost_core.lists.list_kind import ListKind
+from gypsumpost_core.lists.missing_changes import MissingChanges
+from gypsumpost_core.lists.workspace_plan import WorkspacePlan, digest_key
 from gypsumpost_core.run_state import RunState
-from gypsumpost_core.workspace_plan import WorkspacePlan, digest_key
 
 
 @attrs.frozen(kw_only=True)
--- /dev/null
+++ b/packages/core/gypsumpost_core/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Membership of hosts: gossip within and across failure domains."""
--- a/packages/core/gypsumpost_core/datagram.py
+++ b/packages/core/gypsumpost_core/membership/datagram.py
@@ -2,9 +2,9 @@
 
 import attrs
 
-from gypsumpost_core.datagram_kind import DatagramKind
-from gypsumpost_core.domain_beat import DomainBeat
-from gypsumpost_core.member_update import MemberUpdate
+from gypsumpost_core.membership.datagram_kind import DatagramKind
+from gypsumpost_core.membership.domain_beat import DomainBeat
+from gypsumpost_core.membership.member_update import MemberUpdate
 
 MAX_DATAGRAM_BYTES = 1200
 """Fits the smallest usual path MTU, so that no datagram is fragmented."""
--- a/packages/core/gypsumpost_core/domain_contact.py
+++ b/packages/core/gypsumpost_core/membership/domain_contact.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from gypsumpost_core.table_comparison import TableComparison
+from gypsumpost_core.membership.table_comparison import TableComparison
 
 
 @attrs.define(kw_only=True)
--- a/packages/core/gypsumpost_core/domain_links.py
+++ b/packages/core/gypsumpost_core/membership/domain_links.py
@@ -2,17 +2,17 @@
 
 import random
 
-from gypsumpost_core.datagram import Datagram
-from gypsumpost_core.datagram_kind import DatagramKind
-from gypsumpost_core.domain_beat import DomainBeat
-from gypsumpost_core.domain_contact import DomainContact
 from gypsumpost_core.host import Host
-from gypsumpost_core.local_health import LocalHealth
-from gypsumpost_core.membership_outbox import MembershipOutbox
-from gypsumpost_core.membership_settings import MembershipSettings
+from gypsumpost_core.membership.datagram import Datagram
+from gypsumpost_core.membership.datagram_kind import DatagramKind
+from gypsumpost_core.membership.domain_beat import DomainBeat
+from gypsumpost_core.membership.domain_contact import DomainContact
+from gypsumpost_core.membership.local_health import LocalHealth
+from gypsumpost_core.membership.membership_outbox import MembershipOutbox
+from gypsumpost_core.membership.membership_settings import MembershipSettings
+from gypsumpost_core.membership.seeds import Seeds
+from gypsumpost_core.membership.table_comparison import TableComparison
 from gypsumpost_core.rendezvous import rank_hosts
-from gypsumpost_core.seeds import Seeds
-from gypsumpost_core.table_comparison import TableComparison
 
 ANY_HOST_SHARE = 0.25
 """Share of exchanges with any host of a domain, as its links may not be those this host knows."""
--- a/packages/core/gypsumpost_core/member.py
+++ b/packages/core/gypsumpost_core/membership/member.py
@@ -6,8 +6,8 @@
 import xxhash
 
 from gypsumpost_core.host import Host
-from gypsumpost_core.member_state import MemberState
-from gypsumpost_core.member_update import MemberUpdate
+from gypsumpost_core.membership.member_state import MemberState
+from gypsumpost_core.membership.member_update import MemberUpdate
 
 
 @attrs.define(kw_only=True)
--- a/packages/core/gypsumpost_core/member_table.py
+++ b/packages/core/gypsumpost_core/membership/member_table.py
@@ -4,15 +4,15 @@
 import operator
 from collections.abc import Callable
 
-from gypsumpost_core.forget_host import ForgetHost
 from gypsumpost_core.host import Host
-from gypsumpost_core.member import Member
-from gypsumpost_core.member_state import MemberState
-from gypsumpost_core.member_update import MemberUpdate
-from gypsumpost_core.membership_decision import MembershipDecision
-from gypsumpost_core.membership_settings import MembershipSettings
-from gypsumpost_core.report_host import ReportHost
-from gypsumpost_core.update_queue import UpdateQueue
+from gypsumpost_core.membership.forget_host import ForgetHost
+from gypsumpost_core.membership.member import Member
+from gypsumpost_core.membership.member_state import MemberState
+from gypsumpost_core.membership.member_update import MemberUpdate
+from gypsumpost_core.membership.membership_decision import MembershipDecision
+from gypsumpost_core.membership.membership_settings import MembershipSettings
+from gypsumpost_core.membership.report_host import ReportHost
+from gypsumpost_core.membership.update_queue import UpdateQueue
 
 
 class MemberTable:
--- a/packages/core/gypsumpost_core/member_update.py
+++ b/packages/core/gypsumpost_core/membership/member_update.py
@@ -3,7 +3,7 @@
 import attrs
 
 from gypsumpost_core.host import Host
-from gypsumpost_core.member_state import MemberState
+from gypsumpost_core.membership.member_state import MemberState
 
 UPDATE_OVERHEAD_BYTES = 64
 """Upper bound of an encoded update without its texts: numbers, pointers and padding."""
--- a/packages/core/gypsumpost_core/membership.py
+++ b/packages/core/gypsumpost_core/membership/membership.py
@@ -2,23 +2,23 @@
 
 import random
 
-from gypsumpost_core.datagram import Datagram
-from gypsumpost_core.datagram_kind import DatagramKind
-from gypsumpost_core.domain_beat import DomainBeat
-from gypsumpost_core.domain_links import DomainLinks
 from gypsumpost_core.host import Host
-from gypsumpost_core.local_health import LocalHealth
-from gypsumpost_core.member import describe_accusation
-from gypsumpost_core.member_state import MemberState
-from gypsumpost_core.membership_decision import MembershipDecision
-from gypsumpost_core.membership_outbox import MembershipOutbox
-from gypsumpost_core.membership_settings import MembershipSettings
-from gypsumpost_core.prober import Prober
-from gypsumpost_core.rejoin import Rejoin
-from gypsumpost_core.report_host import ReportHost
-from gypsumpost_core.report_list_revision import ReportListRevision
-from gypsumpost_core.seeds import Seeds
-from gypsumpost_core.table_pages import TablePages
+from gypsumpost_core.membership.datagram import Datagram
+from gypsumpost_core.membership.datagram_kind import DatagramKind
+from gypsumpost_core.membership.domain_beat import DomainBeat
+from gypsumpost_core.membership.domain_links import DomainLinks
+from gypsumpost_core.membership.local_health import LocalHealth
+from gypsumpost_core.membership.member import describe_accusation
+from gypsumpost_core.membership.member_state import MemberState
+from gypsumpost_core.membership.membership_decision import MembershipDecision
+from gypsumpost_core.membership.membership_outbox import MembershipOutbox
+from gypsumpost_core.membership.membership_settings import MembershipSettings
+from gypsumpost_core.membership.prober import Prober
+from gypsumpost_core.membership.rejoin import Rejoin
+from gypsumpost_core.membership.report_host import ReportHost
+from gypsumpost_core.membership.report_list_revision import ReportListRevision
+from gypsumpost_core.membership.seeds import Seeds
+from gypsumpost_core.membership.table_pages import TablePages
 
 LATE_TICKS = 5
 """Ticks that must be missing before this process counts as late."""
--- a/packages/core/gypsumpost_core/membership_outbox.py
+++ b/packages/core/gypsumpost_core/membership/membership_outbox.py
@@ -3,15 +3,15 @@
 import math
 from collections.abc import Iterable
 
-from gypsumpost_core.datagram import MAX_DATAGRAM_BYTES, Datagram
-from gypsumpost_core.datagram_kind import DatagramKind
-from gypsumpost_core.domain_beat import DomainBeat
 from gypsumpost_core.host import Host
-from gypsumpost_core.member_table import MemberTable
-from gypsumpost_core.member_update import MemberUpdate
-from gypsumpost_core.membership_decision import MembershipDecision
-from gypsumpost_core.membership_settings import MembershipSettings
-from gypsumpost_core.send_datagram import SendDatagram
+from gypsumpost_core.membership.datagram import MAX_DATAGRAM_BYTES, Datagram
+from gypsumpost_core.membership.datagram_kind import DatagramKind
+from gypsumpost_core.membership.domain_beat import DomainBeat
+from gypsumpost_core.membership.member_table import MemberTable
+from gypsumpost_core.membership.member_update import MemberUpdate
+from gypsumpost_core.membership.membership_decision import MembershipDecision
+from gypsumpost_core.membership.membership_settings import MembershipSettings
+from gypsumpost_core.membership.send_datagram import SendDatagram
 
 HEADER_BYTES = 120
 """Upper bound of the authentication code and of all fields of a datagram without texts."""
@@ -71,8 +71,8 @@
         :param kind: kind of the datagram.
         :param receiver: the receiving host.
         :param sequence: number of the probe.
-        :param target_id: see :class:`~gypsumpost_core.datagram.Datagram`.
-        :param cursor: see :class:`~gypsumpost_core.datagram.Datagram`.
+        :param target_id: see :class:`~gypsumpost_core.membership.datagram.Datagram`.
+        :param cursor: see :class:`~gypsumpost_core.membership.datagram.Datagram`.
         :param first: updates that must be in this datagram.
         :param page: table entries that must be in this datagram.
         """
--- a/packages/core/gypsumpost_core/membership_simulation.py
+++ b/packages/core/gypsumpost_core/membership/membership_simulation.py
@@ -7,15 +7,15 @@
 
 import attrs
 
-from gypsumpost_core.datagram import Datagram
-from gypsumpost_core.forget_host import ForgetHost
 from gypsumpost_core.host import Host
-from gypsumpost_core.membership import Membership
-from gypsumpost_core.membership_decision import MembershipDecision
-from gypsumpost_core.membership_settings import MembershipSettings
-from gypsumpost_core.report_host import ReportHost
-from gypsumpost_core.send_datagram import SendDatagram
-from gypsumpost_core.simulated_member import SimulatedMember
+from gypsumpost_core.membership.datagram import Datagram
+from gypsumpost_core.membership.forget_host import ForgetHost
+from gypsumpost_core.membership.membership import Membership
+from gypsumpost_core.membership.membership_decision import MembershipDecision
+from gypsumpost_core.membership.membership_settings import MembershipSettings
+from gypsumpost_core.membership.report_host import ReportHost
+from gypsumpost_core.membership.send_datagram import SendDatagram
+from gypsumpost_core.membership.simulated_member import SimulatedMember
 
 SOCKET_BUFFER_DATAGRAMS = 1000
 
--- a/packages/core/gypsumpost_core/prober.py
+++ b/packages/core/gypsumpost_core/membership/prober.py
@@ -2,15 +2,15 @@
 
 import random
 
-from gypsumpost_core.datagram import Datagram
-from gypsumpost_core.datagram_kind import DatagramKind
-from gypsumpost_core.local_health import LocalHealth
-from gypsumpost_core.member import Member, describe_accusation
-from gypsumpost_core.member_state import MemberState
-from gypsumpost_core.membership_outbox import MembershipOutbox
-from gypsumpost_core.membership_settings import MembershipSettings
-from gypsumpost_core.probe import Probe
-from gypsumpost_core.probe_relay import ProbeRelay
+from gypsumpost_core.membership.datagram import Datagram
+from gypsumpost_core.membership.datagram_kind import DatagramKind
+from gypsumpost_core.membership.local_health import LocalHealth
+from gypsumpost_core.membership.member import Member, describe_accusation
+from gypsumpost_core.membership.member_state import MemberState
+from gypsumpost_core.membership.membership_outbox import MembershipOutbox
+from gypsumpost_core.membership.membership_settings import MembershipSettings
+from gypsumpost_core.membership.probe import Probe
+from gypsumpost_core.membership.probe_relay import ProbeRelay
 
 RELAY_SECONDS = 1.0
 
--- a/packages/core/gypsumpost_core/rejoin.py
+++ b/packages/core/gypsumpost_core/membership/rejoin.py
@@ -2,16 +2,16 @@
 
 import random
 
-from gypsumpost_core.datagram import Datagram
-from gypsumpost_core.datagram_kind import DatagramKind
 from gypsumpost_core.host import Host
-from gypsumpost_core.member import describe_accusation
-from gypsumpost_core.member_state import MemberState
-from gypsumpost_core.membership_outbox import MembershipOutbox
-from gypsumpost_core.membership_settings import MembershipSettings
-from gypsumpost_core.seeds import Seeds
-from gypsumpost_core.table_comparison import TableComparison
-from gypsumpost_core.table_pages import TablePages
+from gypsumpost_core.membership.datagram import Datagram
+from gypsumpost_core.membership.datagram_kind import DatagramKind
+from gypsumpost_core.membership.member import describe_accusation
+from gypsumpost_core.membership.member_state import MemberState
+from gypsumpost_core.membership.membership_outbox import MembershipOutbox
+from gypsumpost_core.membership.membership_settings import MembershipSettings
+from gypsumpost_core.membership.seeds import Seeds
+from gypsumpost_core.membership.table_comparison import TableComparison
+from gypsumpost_core.membership.table_pages import TablePages
 
 ALONE_CONTACTS = 3
 """Hosts contacted at a time while no peer is known."""
--- a/packages/core/gypsumpost_core/report_host.py
+++ b/packages/core/gypsumpost_core/membership/report_host.py
@@ -3,7 +3,7 @@
 import attrs
 
 from gypsumpost_core.host import Host
-from gypsumpost_core.member_state import MemberState
+from gypsumpost_core.membership.member_state import MemberState
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/core/gypsumpost_core/send_datagram.py
+++ b/packages/core/gypsumpost_core/membership/send_datagram.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from gypsumpost_core.datagram import Datagram
+from gypsumpost_core.membership.datagram import Datagram
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/core/gypsumpost_core/simulated_member.py
+++ b/packages/core/gypsumpost_core/membership/simulated_member.py
@@ -2,11 +2,11 @@
 
 import attrs
 
-from gypsumpost_core.datagram import Datagram
 from gypsumpost_core.host import Host
 from gypsumpost_core.hybrid_clock import HybridClock
-from gypsumpost_core.membership import Membership
-from gypsumpost_core.report_host import ReportHost
+from gypsumpost_core.membership.datagram import Datagram
+from gypsumpost_core.membership.membership import Membership
+from gypsumpost_core.membership.report_host import ReportHost
 
 
 @attrs.define(kw_only=True)
--- a/packages/core/gypsumpost_core/table_pages.py
+++ b/packages/core/gypsumpost_core/membership/table_pages.py
@@ -3,8 +3,8 @@
 import bisect
 import itertools
 
-from gypsumpost_core.member_update import MemberUpdate
-from gypsumpost_core.membership_outbox import MembershipOutbox
+from gypsumpost_core.membership.member_update import MemberUpdate
+from gypsumpost_core.membership.membership_outbox import MembershipOutbox
 
 MAX_PAGE_ENTRIES = 16
 """More than fit into a datagram."""
--- a/packages/core/gypsumpost_core/update_queue.py
+++ b/packages/core/gypsumpost_core/membership/update_queue.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from gypsumpost_core.member_update import MemberUpdate
+from gypsumpost_core.membership.member_update import MemberUpdate
 
 MAX_QUEUED = 512
 
--- a/packages/core/gypsumpost_core/engine_order.py
+++ b/packages/core/gypsumpost_core/placement/engine_order.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from gypsumpost_core.model_ref import ModelRef
+from gypsumpost_core.routing.model_ref import ModelRef
 
 
 class OrderAction(enum.Enum):
--- a/packages/core/gypsumpost_core/engine_report.py
+++ b/packages/core/gypsumpost_core/placement/engine_report.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from gypsumpost_core.model_ref import ModelRef
+from gypsumpost_core.routing.model_ref import ModelRef
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/core/gypsumpost_core/lease_step.py
+++ b/packages/core/gypsumpost_core/placement/lease_step.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from gypsumpost_core.lease_record import LeaseRecord
+from gypsumpost_core.placement.lease_record import LeaseRecord
 
 
 class LeaseAction(enum.Enum):
--- a/packages/core/gypsumpost_core/lease_view.py
+++ b/packages/core/gypsumpost_core/placement/lease_view.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from gypsumpost_core.lease_record import LeaseRecord
+from gypsumpost_core.placement.lease_record import LeaseRecord
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/core/gypsumpost_core/order_lease.py
+++ b/packages/core/gypsumpost_core/placement/order_lease.py
@@ -3,10 +3,10 @@
 import attrs
 
 from gypsumpost_core.invariant import Invariant, require
-from gypsumpost_core.lease_record import LeaseRecord
-from gypsumpost_core.lease_settings import LeaseSettings
-from gypsumpost_core.lease_step import LeaseAction, LeaseStep
-from gypsumpost_core.lease_view import LeaseView
+from gypsumpost_core.placement.lease_record import LeaseRecord
+from gypsumpost_core.placement.lease_settings import LeaseSettings
+from gypsumpost_core.placement.lease_step import LeaseAction, LeaseStep
+from gypsumpost_core.placement.lease_view import LeaseView
 
 
 @attrs.define(kw_only=True)
--- a/packages/core/gypsumpost_core/order_planner.py
+++ b/packages/core/gypsumpost_core/placement/order_planner.py
@@ -2,14 +2,14 @@
 
 import attrs
 
-from gypsumpost_core.engine_order import EngineOrder, OrderAction
-from gypsumpost_core.engine_report import EngineReport
 from gypsumpost_core.invariant import Invariant, require
-from gypsumpost_core.load_budget import LoadBudget
-from gypsumpost_core.model_ref import ModelRef
-from gypsumpost_core.placement_policy import DesiredState
-from gypsumpost_core.placement_settings import PlacementSettings
-from gypsumpost_core.placement_situation import PlacementSituation
+from gypsumpost_core.placement.engine_order import EngineOrder, OrderAction
+from gypsumpost_core.placement.engine_report import EngineReport
+from gypsumpost_core.placement.load_budget import LoadBudget
+from gypsumpost_core.placement.placement_policy import DesiredState
+from gypsumpost_core.placement.placement_settings import PlacementSettings
+from gypsumpost_core.placement.placement_situation import PlacementSituation
+from gypsumpost_core.routing.model_ref import ModelRef
 
 
 @attrs.define(kw_only=True)
--- a/packages/core/gypsumpost_core/placement.py
+++ b/packages/core/gypsumpost_core/placement/placement.py
@@ -2,12 +2,12 @@
 
 import attrs
 
-from gypsumpost_core.engine_report import EngineReport
-from gypsumpost_core.model_ref import ModelRef
-from gypsumpost_core.placement_change import PlacementChange
-from gypsumpost_core.placement_policy import PLACEMENT, DesiredState
-from gypsumpost_core.placement_settings import PlacementSettings
-from gypsumpost_core.placement_situation import PlacementSituation
+from gypsumpost_core.placement.engine_report import EngineReport
+from gypsumpost_core.placement.placement_change import PlacementChange
+from gypsumpost_core.placement.placement_policy import PLACEMENT, DesiredState
+from gypsumpost_core.placement.placement_settings import PlacementSettings
+from gypsumpost_core.placement.placement_situation import PlacementSituation
+from gypsumpost_core.routing.model_ref import ModelRef
 
 
 @PLACEMENT.register("demand")
--- a/packages/core/gypsumpost_core/placement_policy.py
+++ b/packages/core/gypsumpost_core/placement/placement_policy.py
@@ -3,9 +3,9 @@
 from collections.abc import Mapping
 from typing import Protocol
 
-from gypsumpost_core.model_ref import ModelRef
-from gypsumpost_core.placement_situation import PlacementSituation
+from gypsumpost_core.placement.placement_situation import PlacementSituation
 from gypsumpost_core.registry import Registry
+from gypsumpost_core.routing.model_ref import ModelRef
 
 DesiredState = Mapping[str, frozenset[ModelRef]]
 """What each engine should have loaded; engines that get no orders are absent."""
--- a/packages/core/gypsumpost_core/placement_situation.py
+++ b/packages/core/gypsumpost_core/placement/placement_situation.py
@@ -4,8 +4,8 @@
 
 import attrs
 
-from gypsumpost_core.engine_report import EngineReport
-from gypsumpost_core.model_ref import ModelRef
+from gypsumpost_core.placement.engine_report import EngineReport
+from gypsumpost_core.routing.model_ref import ModelRef
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/core/gypsumpost_core/static_placement.py
+++ b/packages/core/gypsumpost_core/placement/static_placement.py
@@ -2,9 +2,9 @@
 
 import attrs
 
-from gypsumpost_core.placement_policy import PLACEMENT, DesiredState
-from gypsumpost_core.placement_settings import PlacementSettings
-from gypsumpost_core.placement_situation import PlacementSituation
+from gypsumpost_core.placement.placement_policy import PLACEMENT, DesiredState
+from gypsumpost_core.placement.placement_settings import PlacementSettings
+from gypsumpost_core.placement.placement_situation import PlacementSituation
 
 
 @PLACEMENT.register("static")
--- a/packages/core/gypsumpost_core/placement_policies.py
+++ /dev/null
@@ -1,6 +0,0 @@
-"""All placement policies; importing this module registers them."""
-
-from gypsumpost_core import placement, static_placement  # noqa: F401
-from gypsumpost_core.placement_policy import PLACEMENT
-
-__all__ = ["PLACEMENT"]
--- /dev/null
+++ b/packages/core/gypsumpost_core/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of engines by expected time, health and cached prefixes."""
--- a/packages/core/gypsumpost_core/endpoint.py
+++ b/packages/core/gypsumpost_core/routing/endpoint.py
@@ -2,9 +2,9 @@
 
 import attrs
 
-from gypsumpost_core.endpoint_kind import EndpointKind
-from gypsumpost_core.endpoint_status import EndpointStatus
-from gypsumpost_core.model_ref import ModelRef
+from gypsumpost_core.routing.endpoint_kind import EndpointKind
+from gypsumpost_core.routing.endpoint_status import EndpointStatus
+from gypsumpost_core.routing.model_ref import ModelRef
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/core/gypsumpost_core/engine_estimate.py
+++ b/packages/core/gypsumpost_core/routing/engine_estimate.py
@@ -4,9 +4,9 @@
 
 import attrs
 
-from gypsumpost_core.engine_load import EngineLoad
-from gypsumpost_core.routing_settings import RoutingSettings
-from gypsumpost_core.sample_clock import SampleClock
+from gypsumpost_core.routing.engine_load import EngineLoad
+from gypsumpost_core.routing.routing_settings import RoutingSettings
+from gypsumpost_core.routing.sample_clock import SampleClock
 from gypsumpost_core.smoothed_value import SmoothedValue
 from gypsumpost_core.weighted_line import WeightedLine
 
--- a/packages/core/gypsumpost_core/engine_fleet.py
+++ b/packages/core/gypsumpost_core/routing/engine_fleet.py
@@ -5,14 +5,14 @@
 
 import attrs
 
-from gypsumpost_core.endpoint import Endpoint
-from gypsumpost_core.endpoint_kind import EndpointKind
-from gypsumpost_core.endpoint_status import EndpointStatus
-from gypsumpost_core.engine_view import EngineView
-from gypsumpost_core.leaving_register import LeavingRegister
-from gypsumpost_core.prefix_holders import PrefixHolders
-from gypsumpost_core.route_request import RouteRequest
-from gypsumpost_core.routing_settings import RoutingSettings
+from gypsumpost_core.routing.endpoint import Endpoint
+from gypsumpost_core.routing.endpoint_kind import EndpointKind
+from gypsumpost_core.routing.endpoint_status import EndpointStatus
+from gypsumpost_core.routing.engine_view import EngineView
+from gypsumpost_core.routing.leaving_register import LeavingRegister
+from gypsumpost_core.routing.prefix_holders import PrefixHolders
+from gypsumpost_core.routing.route_request import RouteRequest
+from gypsumpost_core.routing.routing_settings import RoutingSettings
 
 SCAN_LIMIT = 24
 """Engines of the own domain up to which all of them are looked at for each choice.
--- a/packages/core/gypsumpost_core/engine_health.py
+++ b/packages/core/gypsumpost_core/routing/engine_health.py
@@ -2,8 +2,8 @@
 
 import attrs
 
-from gypsumpost_core.attempt_outcome import AttemptOutcome
-from gypsumpost_core.routing_settings import RoutingSettings
+from gypsumpost_core.generations.attempt_outcome import AttemptOutcome
+from gypsumpost_core.routing.routing_settings import RoutingSettings
 from gypsumpost_core.smoothed_value import SmoothedValue
 
 
--- a/packages/core/gypsumpost_core/engine_review.py
+++ b/packages/core/gypsumpost_core/routing/engine_review.py
@@ -3,8 +3,8 @@
 import statistics
 from collections.abc import Sequence
 
-from gypsumpost_core.engine_view import EngineView
-from gypsumpost_core.routing_settings import RoutingSettings
+from gypsumpost_core.routing.engine_view import EngineView
+from gypsumpost_core.routing.routing_settings import RoutingSettings
 
 
 def review_engines(engines: Sequence[EngineView], settings: RoutingSettings, now: float) -> None:
--- a/packages/core/gypsumpost_core/engine_view.py
+++ b/packages/core/gypsumpost_core/routing/engine_view.py
@@ -2,13 +2,13 @@
 
 import attrs
 
-from gypsumpost_core.endpoint import Endpoint
-from gypsumpost_core.engine_estimate import EngineEstimate
-from gypsumpost_core.engine_health import EngineHealth
-from gypsumpost_core.prefix_memory import PrefixMemory
-from gypsumpost_core.route_request import RouteRequest
-from gypsumpost_core.routing_settings import RoutingSettings
-from gypsumpost_core.silence_bound import SilenceBound
+from gypsumpost_core.generations.silence_bound import SilenceBound
+from gypsumpost_core.routing.endpoint import Endpoint
+from gypsumpost_core.routing.engine_estimate import EngineEstimate
+from gypsumpost_core.routing.engine_health import EngineHealth
+from gypsumpost_core.routing.prefix_memory import PrefixMemory
+from gypsumpost_core.routing.route_request import RouteRequest
+from gypsumpost_core.routing.routing_settings import RoutingSettings
 
 
 @attrs.define(kw_only=True, eq=False)
--- a/packages/core/gypsumpost_core/expected_time_policy.py
+++ b/packages/core/gypsumpost_core/routing/expected_time_policy.py
@@ -3,9 +3,9 @@
 from collections.abc import Sequence
 from typing import ClassVar
 
-from gypsumpost_core.engine_view import EngineView
-from gypsumpost_core.route_request import RouteRequest
-from gypsumpost_core.routing_policy import ROUTING, RoutingContext
+from gypsumpost_core.routing.engine_view import EngineView
+from gypsumpost_core.routing.route_request import RouteRequest
+from gypsumpost_core.routing.routing_policy import ROUTING, RoutingContext
 
 
 @ROUTING.register("expected-time")
--- a/packages/core/gypsumpost_core/no_engine.py
+++ b/packages/core/gypsumpost_core/routing/no_engine.py
@@ -1,7 +1,7 @@
 """The refusal of a request that no engine can take."""
 
 from gypsumpost_core.failure import Failure
-from gypsumpost_core.route_request import RouteRequest
+from gypsumpost_core.routing.route_request import RouteRequest
 from gypsumpost_core.run_state import RunState
 
 
--- a/packages/core/gypsumpost_core/prefix_memory.py
+++ b/packages/core/gypsumpost_core/routing/prefix_memory.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from gypsumpost_core.cache_event import CacheEvent, CacheEventKind
+from gypsumpost_core.routing.cache_event import CacheEvent, CacheEventKind
 
 CHOICE_CONFIDENCE = 0.8
 """Confidence in a prefix that this daemon sent there and that no event has confirmed."""
--- a/packages/core/gypsumpost_core/probe_pool.py
+++ b/packages/core/gypsumpost_core/routing/probe_pool.py
@@ -5,8 +5,8 @@
 
 import attrs
 
-from gypsumpost_core.endpoint import Endpoint
-from gypsumpost_core.routing_settings import RoutingSettings
+from gypsumpost_core.routing.endpoint import Endpoint
+from gypsumpost_core.routing.routing_settings import RoutingSettings
 
 
 @attrs.define(kw_only=True)
--- a/packages/core/gypsumpost_core/router.py
+++ b/packages/core/gypsumpost_core/routing/router.py
@@ -5,21 +5,21 @@
 
 from result import Err, Ok, Result
 
-from gypsumpost_core.attempt_outcome import AttemptOutcome
-from gypsumpost_core.cache_event import CacheEvent
-from gypsumpost_core.endpoint import Endpoint
-from gypsumpost_core.engine_fleet import EngineFleet
-from gypsumpost_core.engine_load import EngineLoad
-from gypsumpost_core.engine_review import review_engines
-from gypsumpost_core.engine_view import EngineView
 from gypsumpost_core.failure import Failure
+from gypsumpost_core.generations.attempt_outcome import AttemptOutcome
 from gypsumpost_core.invariant import Invariant, require
-from gypsumpost_core.no_engine import refuse_without_engine
-from gypsumpost_core.probe_pool import ProbePool
-from gypsumpost_core.route_request import RouteRequest
-from gypsumpost_core.routing_policies import ROUTING
-from gypsumpost_core.routing_policy import RoutingContext
-from gypsumpost_core.routing_settings import RoutingSettings
+from gypsumpost_core.routing.cache_event import CacheEvent
+from gypsumpost_core.routing.endpoint import Endpoint
+from gypsumpost_core.routing.engine_fleet import EngineFleet
+from gypsumpost_core.routing.engine_load import EngineLoad
+from gypsumpost_core.routing.engine_review import review_engines
+from gypsumpost_core.routing.engine_view import EngineView
+from gypsumpost_core.routing.no_engine import refuse_without_engine
+from gypsumpost_core.routing.probe_pool import ProbePool
+from gypsumpost_core.routing.route_request import RouteRequest
+from gypsumpost_core.routing.routing_policies import ROUTING
+from gypsumpost_core.routing.routing_policy import RoutingContext
+from gypsumpost_core.routing.routing_settings import RoutingSettings
 from gypsumpost_core.smoothed_value import SmoothedValue
 
 REVIEW_INTERVAL = 1.0
--- a/packages/core/gypsumpost_core/routing_baselines.py
+++ b/packages/core/gypsumpost_core/routing/routing_baselines.py
@@ -5,9 +5,9 @@
 
 import attrs
 
-from gypsumpost_core.engine_view import EngineView
-from gypsumpost_core.route_request import RouteRequest
-from gypsumpost_core.routing_policy import ROUTING, RoutingContext
+from gypsumpost_core.routing.engine_view import EngineView
+from gypsumpost_core.routing.route_request import RouteRequest
+from gypsumpost_core.routing.routing_policy import ROUTING, RoutingContext
 
 
 def get_reported_load(engine: EngineView) -> int:
--- /dev/null
+++ b/packages/core/gypsumpost_core/routing/routing_policies.py
@@ -0,0 +1,6 @@
+"""All routing policies; importing this module fills their registry."""
+
+from gypsumpost_core.routing import expected_time_policy, routing_baselines  # noqa: F401
+from gypsumpost_core.routing.routing_policy import ROUTING
+
+__all__ = ["ROUTING"]
--- a/packages/core/gypsumpost_core/routing_policy.py
+++ b/packages/core/gypsumpost_core/routing/routing_policy.py
@@ -6,10 +6,10 @@
 
 import attrs
 
-from gypsumpost_core.engine_view import EngineView
 from gypsumpost_core.registry import Registry
-from gypsumpost_core.route_request import RouteRequest
-from gypsumpost_core.routing_settings import RoutingSettings
+from gypsumpost_core.routing.engine_view import EngineView
+from gypsumpost_core.routing.route_request import RouteRequest
+from gypsumpost_core.routing.routing_settings import RoutingSettings
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/core/gypsumpost_core/routing_settings.py
+++ b/packages/core/gypsumpost_core/routing/routing_settings.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from gypsumpost_core.silence_bound import SilenceSettings
+from gypsumpost_core.generations.silence_bound import SilenceSettings
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/core/gypsumpost_core/routing_policies.py
+++ /dev/null
@@ -1,6 +0,0 @@
-"""All routing policies; importing this module fills their registry."""
-
-from gypsumpost_core import expected_time_policy, routing_baselines  # noqa: F401
-from gypsumpost_core.routing_policy import ROUTING
-
-__all__ = ["ROUTING"]
--- /dev/null
+++ b/packages/core/gypsumpost_core/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Description, parsing and checks of settings."""
--- a/packages/core/gypsumpost_core/settings_reader.py
+++ b/packages/core/gypsumpost_core/settings/settings_reader.py
@@ -6,7 +6,7 @@
 import attrs
 from result import Err, Ok, Result
 
-from gypsumpost_core.setting import Setting
+from gypsumpost_core.settings.setting import Setting
 
 ENVIRONMENT_PREFIX = "GYPSUMPOST_"
 
--- /dev/null
+++ b/packages/core/gypsumpost_core/suspicion/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that crash the engines that run them."""
--- a/packages/core/gypsumpost_core/crash_suspicion.py
+++ b/packages/core/gypsumpost_core/suspicion/crash_suspicion.py
@@ -5,16 +5,16 @@
 
 import attrs
 
-from gypsumpost_core.attempt_outcome import AttemptOutcome
-from gypsumpost_core.engine_death import EngineDeath
 from gypsumpost_core.failure import Failure
-from gypsumpost_core.isolation import Isolation
+from gypsumpost_core.generations.attempt_outcome import AttemptOutcome
+from gypsumpost_core.routing.run_table import RunTable
 from gypsumpost_core.run_state import RunState
-from gypsumpost_core.run_table import RunTable
-from gypsumpost_core.suspicion_decision import SuspicionDecision, SuspicionVerdict
-from gypsumpost_core.suspicion_register import SuspicionRegister
-from gypsumpost_core.suspicion_report import SuspicionReport
-from gypsumpost_core.suspicion_settings import SuspicionSettings
+from gypsumpost_core.suspicion.engine_death import EngineDeath
+from gypsumpost_core.suspicion.isolation import Isolation
+from gypsumpost_core.suspicion.suspicion_decision import SuspicionDecision, SuspicionVerdict
+from gypsumpost_core.suspicion.suspicion_register import SuspicionRegister
+from gypsumpost_core.suspicion.suspicion_report import SuspicionReport
+from gypsumpost_core.suspicion.suspicion_settings import SuspicionSettings
 
 
 @attrs.define(kw_only=True)
--- a/packages/core/gypsumpost_core/isolation.py
+++ b/packages/core/gypsumpost_core/suspicion/isolation.py
@@ -5,8 +5,8 @@
 import attrs
 import xxhash
 
-from gypsumpost_core.run_table import RunTable
-from gypsumpost_core.suspicion_settings import SuspicionSettings
+from gypsumpost_core.routing.run_table import RunTable
+from gypsumpost_core.suspicion.suspicion_settings import SuspicionSettings
 
 
 @attrs.define(kw_only=True)
--- a/packages/core/gypsumpost_core/suspicion_record.py
+++ b/packages/core/gypsumpost_core/suspicion/suspicion_record.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from gypsumpost_core.engine_death import EngineDeath
+from gypsumpost_core.suspicion.engine_death import EngineDeath
 
 DISCOUNTED_LIMIT = 4
 """Discounted deaths that are remembered for each request; two make it wait."""
--- a/packages/core/gypsumpost_core/suspicion_register.py
+++ b/packages/core/gypsumpost_core/suspicion/suspicion_register.py
@@ -4,10 +4,10 @@
 
 import attrs
 
-from gypsumpost_core.engine_death import EngineDeath
-from gypsumpost_core.suspicion_record import SuspicionRecord
-from gypsumpost_core.suspicion_report import SuspicionReport
-from gypsumpost_core.suspicion_settings import SuspicionSettings
+from gypsumpost_core.suspicion.engine_death import EngineDeath
+from gypsumpost_core.suspicion.suspicion_record import SuspicionRecord
+from gypsumpost_core.suspicion.suspicion_report import SuspicionReport
+from gypsumpost_core.suspicion.suspicion_settings import SuspicionSettings
 
 
 @attrs.define(kw_only=True)
--- a/packages/core/gypsumpost_core/suspicion_report.py
+++ b/packages/core/gypsumpost_core/suspicion/suspicion_report.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from gypsumpost_core.engine_death import EngineDeath
+from gypsumpost_core.suspicion.engine_death import EngineDeath
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/core/gypsumpost_core/tests/generation_model.py
+++ b/packages/core/gypsumpost_core/tests/generation_model.py
@@ -4,15 +4,15 @@
 
 import attrs
 
-from gypsumpost_core.batch_outcome import BatchOutcome
-from gypsumpost_core.endpoint import Endpoint
-from gypsumpost_core.endpoint_kind import EndpointKind
-from gypsumpost_core.generation import Generation
-from gypsumpost_core.generation_kind import GenerationKind
-from gypsumpost_core.generation_record import GenerationRecord
-from gypsumpost_core.model_ref import ModelRef
-from gypsumpost_core.piece import Piece
-from gypsumpost_core.token_batch import TokenBatch
+from gypsumpost_core.generations.batch_outcome import BatchOutcome
+from gypsumpost_core.generations.generation import Generation
+from gypsumpost_core.generations.generation_kind import GenerationKind
+from gypsumpost_core.generations.generation_record import GenerationRecord
+from gypsumpost_core.generations.piece import Piece
+from gypsumpost_core.generations.token_batch import TokenBatch
+from gypsumpost_core.routing.endpoint import Endpoint
+from gypsumpost_core.routing.endpoint_kind import EndpointKind
+from gypsumpost_core.routing.model_ref import ModelRef
 
 MODEL = ModelRef(model="m")
 ENGINE = Endpoint(
--- a/packages/core/gypsumpost_core/tests/membership_helpers.py
+++ b/packages/core/gypsumpost_core/tests/membership_helpers.py
@@ -1,11 +1,11 @@
 """Helpers of the membership tests."""
 
-from gypsumpost_core.datagram import Datagram
-from gypsumpost_core.datagram_kind import DatagramKind
 from gypsumpost_core.host import Host
-from gypsumpost_core.member_state import MemberState
-from gypsumpost_core.member_update import MemberUpdate
-from gypsumpost_core.membership_simulation import MembershipSimulation, create_hosts
+from gypsumpost_core.membership.datagram import Datagram
+from gypsumpost_core.membership.datagram_kind import DatagramKind
+from gypsumpost_core.membership.member_state import MemberState
+from gypsumpost_core.membership.member_update import MemberUpdate
+from gypsumpost_core.membership.membership_simulation import MembershipSimulation, create_hosts
 
 JOIN_SECONDS = 6.0
 
--- a/packages/core/gypsumpost_core/tests/share_simulation.py
+++ b/packages/core/gypsumpost_core/tests/share_simulation.py
@@ -3,17 +3,17 @@
 import attrs
 from hypothesis import strategies as st
 
-from gypsumpost_core.allowance import Allowance
-from gypsumpost_core.allowance_admission import AllowanceAdmission
-from gypsumpost_core.coordinator_views import CoordinatorViews
-from gypsumpost_core.demand_report import DemandReport
 from gypsumpost_core.host import Host
-from gypsumpost_core.lists import Lists
-from gypsumpost_core.share_amounts import get_limit
-from gypsumpost_core.share_board import ShareBoard
-from gypsumpost_core.share_grant import ShareGrant
-from gypsumpost_core.share_mode import SHARE_MODES
-from gypsumpost_core.workspace_plan import WorkspacePlan
+from gypsumpost_core.limits.allowance_admission import AllowanceAdmission
+from gypsumpost_core.limits.coordinator_views import CoordinatorViews
+from gypsumpost_core.limits.demand_report import DemandReport
+from gypsumpost_core.limits.share_amounts import get_limit
+from gypsumpost_core.limits.share_board import ShareBoard
+from gypsumpost_core.limits.share_grant import ShareGrant
+from gypsumpost_core.limits.share_mode import SHARE_MODES
+from gypsumpost_core.lists.allowance import Allowance
+from gypsumpost_core.lists.lists import Lists
+from gypsumpost_core.lists.workspace_plan import WorkspacePlan
 
 ALLOWANCE = Allowance(
     name="large",
--- a/packages/core/gypsumpost_core/tests/test_admission.py
+++ b/packages/core/gypsumpost_core/tests/test_admission.py
@@ -4,12 +4,12 @@
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
 
-from gypsumpost_core.admission import Admission
-from gypsumpost_core.admission_decision import AdmissionDecision, AdmissionVerdict
-from gypsumpost_core.admission_request import AdmissionRequest
 from gypsumpost_core.broken_invariant import BrokenInvariant
-from gypsumpost_core.concurrency_limit import ConcurrencyLimit
-from gypsumpost_core.endpoint_kind import EndpointKind
+from gypsumpost_core.limits.admission import Admission
+from gypsumpost_core.limits.admission_decision import AdmissionDecision, AdmissionVerdict
+from gypsumpost_core.limits.admission_request import AdmissionRequest
+from gypsumpost_core.limits.concurrency_limit import ConcurrencyLimit
+from gypsumpost_core.routing.endpoint_kind import EndpointKind
 from gypsumpost_core.run_state import RunState
 
 
--- a/packages/core/gypsumpost_core/tests/test_attempt_origin.py
+++ b/packages/core/gypsumpost_core/tests/test_attempt_origin.py
@@ -2,14 +2,14 @@
 
 import attrs
 
-from gypsumpost_core.endpoint import Endpoint
-from gypsumpost_core.endpoint_kind import EndpointKind
-from gypsumpost_core.event_id import EventId, parse_event_id
-from gypsumpost_core.generation import Generation
-from gypsumpost_core.generation_kind import GenerationKind
-from gypsumpost_core.generation_record import GenerationRecord
-from gypsumpost_core.model_ref import ModelRef
-from gypsumpost_core.token_batch import TokenBatch
+from gypsumpost_core.generations.event_id import EventId, parse_event_id
+from gypsumpost_core.generations.generation import Generation
+from gypsumpost_core.generations.generation_kind import GenerationKind
+from gypsumpost_core.generations.generation_record import GenerationRecord
+from gypsumpost_core.generations.token_batch import TokenBatch
+from gypsumpost_core.routing.endpoint import Endpoint
+from gypsumpost_core.routing.endpoint_kind import EndpointKind
+from gypsumpost_core.routing.model_ref import ModelRef
 
 MODEL = ModelRef(model="summary")
 ENGINE = Endpoint(
--- a/packages/core/gypsumpost_core/tests/test_claim.py
+++ b/packages/core/gypsumpost_core/tests/test_claim.py
@@ -3,11 +3,11 @@
 import pytest
 
 from gypsumpost_core.broken_invariant import BrokenInvariant
-from gypsumpost_core.claim import Claim
-from gypsumpost_core.claim_outcome import ClaimOutcome
-from gypsumpost_core.claim_record import ClaimRecord
-from gypsumpost_core.claim_reply import ClaimReply
-from gypsumpost_core.claim_step import ClaimStep
+from gypsumpost_core.calls.claim import Claim
+from gypsumpost_core.calls.claim_outcome import ClaimOutcome
+from gypsumpost_core.calls.claim_record import ClaimRecord
+from gypsumpost_core.calls.claim_reply import ClaimReply
+from gypsumpost_core.calls.claim_step import ClaimStep
 from gypsumpost_core.run_state import RunState
 
 DONE = ClaimOutcome(run_state=RunState.RUN, status=200)
--- a/packages/core/gypsumpost_core/tests/test_copy_placement.py
+++ b/packages/core/gypsumpost_core/tests/test_copy_placement.py
@@ -1,6 +1,6 @@
 """Tests of the choice of hosts that hold copies."""
 
-from gypsumpost_core.copy_placement import COPY_PLACEMENTS, HOLDER_GROUPS
+from gypsumpost_core.generations.copy_placement import COPY_PLACEMENTS, HOLDER_GROUPS
 from gypsumpost_core.host import Host
 
 
--- a/packages/core/gypsumpost_core/tests/test_crash_suspicion.py
+++ b/packages/core/gypsumpost_core/tests/test_crash_suspicion.py
@@ -6,11 +6,11 @@
 from hypothesis import seed as fix_seed
 from hypothesis import strategies as st
 
-from gypsumpost_core.attempt_outcome import AttemptOutcome
-from gypsumpost_core.crash_suspicion import CrashSuspicion
+from gypsumpost_core.generations.attempt_outcome import AttemptOutcome
 from gypsumpost_core.run_state import RunState
-from gypsumpost_core.suspicion_decision import SuspicionVerdict
-from gypsumpost_core.suspicion_settings import SuspicionSettings
+from gypsumpost_core.suspicion.crash_suspicion import CrashSuspicion
+from gypsumpost_core.suspicion.suspicion_decision import SuspicionVerdict
+from gypsumpost_core.suspicion.suspicion_settings import SuspicionSettings
 
 ENGINES = [f"e{i}" for i in range(6)]
 
--- a/packages/core/gypsumpost_core/tests/test_event_id.py
+++ b/packages/core/gypsumpost_core/tests/test_event_id.py
@@ -4,7 +4,7 @@
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
 
-from gypsumpost_core.event_id import NO_HOST, EventId, parse_event_id
+from gypsumpost_core.generations.event_id import NO_HOST, EventId, parse_event_id
 
 HOSTS = st.from_regex(r"[A-Za-z0-9-]{1,63}", fullmatch=True)
 EVENT_IDS = st.builds(
--- a/packages/core/gypsumpost_core/tests/test_generation.py
+++ b/packages/core/gypsumpost_core/tests/test_generation.py
@@ -5,8 +5,9 @@
 from hypothesis import strategies as st
 
 from gypsumpost_core.broken_invariant import BrokenInvariant
-from gypsumpost_core.generation import Generation
-from gypsumpost_core.stop_matcher import StopMatcher
+from gypsumpost_core.generations.generation import Generation
+from gypsumpost_core.generations.stop_matcher import StopMatcher
+from gypsumpost_core.generations.token_batch import TokenBatch
 from gypsumpost_core.tests.generation_model import (
     ENGINE,
     MODEL,
@@ -14,7 +15,6 @@
     GenerationModel,
     create_answer,
 )
-from gypsumpost_core.token_batch import TokenBatch
 
 ALPHABET = "abé𝄞"
 TEXTS = st.text(ALPHABET, min_size=1, max_size=24)
--- a/packages/core/gypsumpost_core/tests/test_issued_call_table.py
+++ b/packages/core/gypsumpost_core/tests/test_issued_call_table.py
@@ -3,10 +3,10 @@
 import pytest
 
 from gypsumpost_core.broken_invariant import BrokenInvariant
-from gypsumpost_core.claim_outcome import ClaimOutcome
-from gypsumpost_core.issued_call_step import IssuedCallStep
-from gypsumpost_core.issued_call_table import IssuedCallTable
-from gypsumpost_core.issued_key_signer import IssuedKeySigner
+from gypsumpost_core.calls.claim_outcome import ClaimOutcome
+from gypsumpost_core.calls.issued_call_step import IssuedCallStep
+from gypsumpost_core.calls.issued_call_table import IssuedCallTable
+from gypsumpost_core.calls.issued_key_signer import IssuedKeySigner
 from gypsumpost_core.run_state import RunState
 
 DONE = ClaimOutcome(run_state=RunState.RUN, status=200, body=b"1234")
--- a/packages/core/gypsumpost_core/tests/test_large_domain.py
+++ b/packages/core/gypsumpost_core/tests/test_large_domain.py
@@ -2,8 +2,8 @@
 
 import attrs
 
-from gypsumpost_core.route_request import RouteRequest
-from gypsumpost_core.router import Router
+from gypsumpost_core.routing.route_request import RouteRequest
+from gypsumpost_core.routing.router import Router
 from gypsumpost_core.tests.test_router import create_endpoint
 
 
--- a/packages/core/gypsumpost_core/tests/test_lists.py
+++ b/packages/core/gypsumpost_core/tests/test_lists.py
@@ -6,17 +6,17 @@
 from hypothesis import strategies as st
 from result import Err, Ok
 
-from gypsumpost_core.allowance import Allowance
 from gypsumpost_core.broken_invariant import BrokenInvariant
-from gypsumpost_core.history_record import HistoryRecord
-from gypsumpost_core.list_check import check_lists
-from gypsumpost_core.list_difference import compute_difference, format_edits, undo_edits
-from gypsumpost_core.list_file import format_list, parse_list
-from gypsumpost_core.list_holder import ListHolder
-from gypsumpost_core.list_kind import ListKind
-from gypsumpost_core.list_lines import ListLines
-from gypsumpost_core.lists import Lists
-from gypsumpost_core.workspace_plan import WorkspacePlan, digest_key
+from gypsumpost_core.lists.allowance import Allowance
+from gypsumpost_core.lists.history_record import HistoryRecord
+from gypsumpost_core.lists.list_check import check_lists
+from gypsumpost_core.lists.list_difference import compute_difference, format_edits, undo_edits
+from gypsumpost_core.lists.list_file import format_list, parse_list
+from gypsumpost_core.lists.list_holder import ListHolder
+from gypsumpost_core.lists.list_kind import ListKind
+from gypsumpost_core.lists.list_lines import ListLines
+from gypsumpost_core.lists.lists import Lists
+from gypsumpost_core.lists.workspace_plan import WorkspacePlan, digest_key
 
 LARGE = Allowance(
     name="large",
--- a/packages/core/gypsumpost_core/tests/test_membership.py
+++ b/packages/core/gypsumpost_core/tests/test_membership.py
@@ -3,10 +3,10 @@
 import attrs
 import pytest
 
-from gypsumpost_core.datagram_kind import DatagramKind
-from gypsumpost_core.member_state import MemberState
-from gypsumpost_core.member_update import MemberUpdate
-from gypsumpost_core.report_list_revision import ReportListRevision
+from gypsumpost_core.membership.datagram_kind import DatagramKind
+from gypsumpost_core.membership.member_state import MemberState
+from gypsumpost_core.membership.member_update import MemberUpdate
+from gypsumpost_core.membership.report_list_revision import ReportListRevision
 from gypsumpost_core.tests.membership_helpers import (
     JOIN_SECONDS,
     check_all_live,
--- a/packages/core/gypsumpost_core/tests/test_membership_sequences.py
+++ b/packages/core/gypsumpost_core/tests/test_membership_sequences.py
@@ -4,11 +4,11 @@
 from hypothesis import strategies as st
 
 from gypsumpost_core.host import Host
-from gypsumpost_core.member_state import MemberState
-from gypsumpost_core.member_update import MemberUpdate
-from gypsumpost_core.membership_simulation import MembershipSimulation, create_hosts
-from gypsumpost_core.report_list_revision import ReportListRevision
-from gypsumpost_core.send_datagram import SendDatagram
+from gypsumpost_core.membership.member_state import MemberState
+from gypsumpost_core.membership.member_update import MemberUpdate
+from gypsumpost_core.membership.membership_simulation import MembershipSimulation, create_hosts
+from gypsumpost_core.membership.report_list_revision import ReportListRevision
+from gypsumpost_core.membership.send_datagram import SendDatagram
 from gypsumpost_core.tests.membership_helpers import check_all_live, gossip
 
 HOSTS = create_hosts(2, 3)
--- a/packages/core/gypsumpost_core/tests/test_resumption.py
+++ b/packages/core/gypsumpost_core/tests/test_resumption.py
@@ -5,9 +5,9 @@
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
 
-from gypsumpost_core.resumption_policies import RESUMPTION
-from gypsumpost_core.resumption_policy import ResumptionAction, StreamState
-from gypsumpost_core.silence_bound import SilenceBound
+from gypsumpost_core.generations.resumption_policies import RESUMPTION
+from gypsumpost_core.generations.resumption_policy import ResumptionAction, StreamState
+from gypsumpost_core.generations.silence_bound import SilenceBound
 
 SILENT = StreamState(
     now=1.0,
--- a/packages/core/gypsumpost_core/tests/test_retry_budget.py
+++ b/packages/core/gypsumpost_core/tests/test_retry_budget.py
@@ -5,7 +5,7 @@
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
 
-from gypsumpost_core.retry_budget import RetryBudget
+from gypsumpost_core.generations.retry_budget import RetryBudget
 
 FAR = 1e9
 
--- a/packages/core/gypsumpost_core/tests/test_router.py
+++ b/packages/core/gypsumpost_core/tests/test_router.py
@@ -7,18 +7,18 @@
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
 
-from gypsumpost_core.attempt_outcome import AttemptOutcome
 from gypsumpost_core.broken_invariant import BrokenInvariant
-from gypsumpost_core.cache_event import CacheEvent, CacheEventKind
-from gypsumpost_core.endpoint import Endpoint
-from gypsumpost_core.endpoint_kind import EndpointKind
-from gypsumpost_core.endpoint_status import EndpointStatus
-from gypsumpost_core.engine_load import EngineLoad
-from gypsumpost_core.engine_view import EngineView
-from gypsumpost_core.model_ref import ModelRef
-from gypsumpost_core.route_request import RouteRequest
-from gypsumpost_core.router import Router
-from gypsumpost_core.routing_policy import ROUTING, RoutingContext
+from gypsumpost_core.generations.attempt_outcome import AttemptOutcome
+from gypsumpost_core.routing.cache_event import CacheEvent, CacheEventKind
+from gypsumpost_core.routing.endpoint import Endpoint
+from gypsumpost_core.routing.endpoint_kind import EndpointKind
+from gypsumpost_core.routing.endpoint_status import EndpointStatus
+from gypsumpost_core.routing.engine_load import EngineLoad
+from gypsumpost_core.routing.engine_view import EngineView
+from gypsumpost_core.routing.model_ref import ModelRef
+from gypsumpost_core.routing.route_request import RouteRequest
+from gypsumpost_core.routing.router import Router
+from gypsumpost_core.routing.routing_policy import ROUTING, RoutingContext
 
 MODEL = ModelRef(model="m")
 REQUEST = RouteRequest(workspace="w", model="m", prompt_tokens=100, max_tokens=200)
--- a/packages/core/gypsumpost_core/tests/test_shares.py
+++ b/packages/core/gypsumpost_core/tests/test_shares.py
@@ -4,13 +4,14 @@
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
 
-from gypsumpost_core.allowance_admission import AllowanceAdmission
-from gypsumpost_core.coordinator_views import CoordinatorViews
-from gypsumpost_core.demand_report import DemandReport
+from gypsumpost_core.limits.allowance_admission import AllowanceAdmission
+from gypsumpost_core.limits.coordinator_views import CoordinatorViews
+from gypsumpost_core.limits.demand_report import DemandReport
+from gypsumpost_core.limits.share_amounts import ShareAmounts, get_limit
+from gypsumpost_core.limits.share_division import divide_amounts
+from gypsumpost_core.limits.share_grant import ShareGrant
+from gypsumpost_core.limits.token_bucket import TokenBucket
 from gypsumpost_core.run_state import RunState
-from gypsumpost_core.share_amounts import ShareAmounts, get_limit
-from gypsumpost_core.share_division import divide_amounts
-from gypsumpost_core.share_grant import ShareGrant
 from gypsumpost_core.tests.share_simulation import (
     ALLOWANCE,
     HOSTS,
@@ -18,7 +19,6 @@
     Simulation,
     create_admission,
 )
-from gypsumpost_core.token_bucket import TokenBucket
 
 EVENTS = st.dictionaries(
     st.integers(20, 140),
--- a/packages/core/gypsumpost_core/tests/test_token_bucket.py
+++ b/packages/core/gypsumpost_core/tests/test_token_bucket.py
@@ -1,6 +1,6 @@
 """Tests of the token bucket."""
 
-from gypsumpost_core.token_bucket import TokenBucket
+from gypsumpost_core.limits.token_bucket import TokenBucket
 
 
 def test_new_bucket_starts_with_its_lowest_capacity() -> None:
--- a/packages/core/gypsumpost_core/tests/test_update_queue.py
+++ b/packages/core/gypsumpost_core/tests/test_update_queue.py
@@ -1,9 +1,9 @@
 """Tests of the queue of piggybacked updates."""
 
-from gypsumpost_core.member_state import MemberState
-from gypsumpost_core.member_update import MemberUpdate
-from gypsumpost_core.membership_simulation import create_hosts
-from gypsumpost_core.update_queue import MAX_QUEUED, UpdateQueue
+from gypsumpost_core.membership.member_state import MemberState
+from gypsumpost_core.membership.member_update import MemberUpdate
+from gypsumpost_core.membership.membership_simulation import create_hosts
+from gypsumpost_core.membership.update_queue import MAX_QUEUED, UpdateQueue
 
 UPDATES = [
     MemberUpdate(host=host, incarnation=1, state=MemberState.ALIVE)
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/admin/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' HTTP interface."""
--- a/packages/daemon/gypsumpost_daemon/admin_application.py
+++ b/packages/daemon/gypsumpost_daemon/admin/admin_application.py
@@ -8,10 +8,10 @@
 
 from result import Err, Ok, Result
 
-from gypsumpost_daemon.admin_request import AdminRequest
-from gypsumpost_daemon.admin_response import create_error_response
-from gypsumpost_daemon.asgi_lifespan import complete_lifespan
-from gypsumpost_daemon.caller_response import CallerResponse
+from gypsumpost_daemon.admin.admin_request import AdminRequest
+from gypsumpost_daemon.admin.admin_response import create_error_response
+from gypsumpost_daemon.callers.caller_response import CallerResponse
+from gypsumpost_daemon.http.asgi_lifespan import complete_lifespan
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
 
--- a/packages/daemon/gypsumpost_daemon/admin_edits.py
+++ b/packages/daemon/gypsumpost_daemon/admin/admin_edits.py
@@ -2,10 +2,10 @@
 
 import trio
 
-from gypsumpost_daemon.admin_request import AdminRequest
-from gypsumpost_daemon.admin_response import create_json_response
-from gypsumpost_daemon.caller_response import CallerResponse
-from gypsumpost_daemon.edit_outcome import (
+from gypsumpost_daemon.admin.admin_request import AdminRequest
+from gypsumpost_daemon.admin.admin_response import create_json_response
+from gypsumpost_daemon.callers.caller_response import CallerResponse
+from gypsumpost_daemon.lists.edit_outcome import (
     EditAccepted,
     EditConflict,
     EditNotAccepted,
--- a/packages/daemon/gypsumpost_daemon/admin_endpoints.py
+++ b/packages/daemon/gypsumpost_daemon/admin/admin_endpoints.py
@@ -6,17 +6,17 @@
 import orjson
 import trio
 
-from gypsumpost_core.endpoint import Endpoint
-from gypsumpost_core.endpoint_status import EndpointStatus
-from gypsumpost_daemon.admin_application import AdminApplication
-from gypsumpost_daemon.admin_edits import describe_outcome, get_author, get_edit_deadline
-from gypsumpost_daemon.admin_request import AdminRequest
-from gypsumpost_daemon.admin_response import create_error_response, create_json_response
-from gypsumpost_daemon.caller_response import CallerResponse
-from gypsumpost_daemon.endpoint_desires import EndpointDesires
-from gypsumpost_daemon.endpoint_editor import EndpointEditor
-from gypsumpost_daemon.endpoint_record import STARTED, STOPPED
-from gypsumpost_daemon.endpoint_table import EndpointTable
+from gypsumpost_core.routing.endpoint import Endpoint
+from gypsumpost_core.routing.endpoint_status import EndpointStatus
+from gypsumpost_daemon.admin.admin_application import AdminApplication
+from gypsumpost_daemon.admin.admin_edits import describe_outcome, get_author, get_edit_deadline
+from gypsumpost_daemon.admin.admin_request import AdminRequest
+from gypsumpost_daemon.admin.admin_response import create_error_response, create_json_response
+from gypsumpost_daemon.callers.caller_response import CallerResponse
+from gypsumpost_daemon.endpoints.endpoint_desires import EndpointDesires
+from gypsumpost_daemon.endpoints.endpoint_editor import EndpointEditor
+from gypsumpost_daemon.endpoints.endpoint_record import STARTED, STOPPED
+from gypsumpost_daemon.engines.endpoint_table import EndpointTable
 
 MAX_QUESTIONS = 20
 """Leaving endpoints that are asked at the same time whether they are empty."""
--- a/packages/daemon/gypsumpost_daemon/admin_hosts.py
+++ b/packages/daemon/gypsumpost_daemon/admin/admin_hosts.py
@@ -1,13 +1,13 @@
 """Hosts in the administration interface."""
 
-from gypsumpost_core.member_state import MemberState
-from gypsumpost_daemon.admin_application import AdminApplication
-from gypsumpost_daemon.admin_request import AdminRequest
-from gypsumpost_daemon.admin_response import create_json_response
-from gypsumpost_daemon.caller_response import CallerResponse
-from gypsumpost_daemon.host_directory import HostDirectory
-from gypsumpost_daemon.host_revisions import ask_revisions
-from gypsumpost_daemon.list_task import ListTask
+from gypsumpost_core.membership.member_state import MemberState
+from gypsumpost_daemon.admin.admin_application import AdminApplication
+from gypsumpost_daemon.admin.admin_request import AdminRequest
+from gypsumpost_daemon.admin.admin_response import create_json_response
+from gypsumpost_daemon.callers.caller_response import CallerResponse
+from gypsumpost_daemon.lists.host_revisions import ask_revisions
+from gypsumpost_daemon.lists.list_task import ListTask
+from gypsumpost_daemon.peers.host_directory import HostDirectory
 
 
 class AdminHosts:
--- a/packages/daemon/gypsumpost_daemon/admin_lists.py
+++ b/packages/daemon/gypsumpost_daemon/admin/admin_lists.py
@@ -3,20 +3,20 @@
 import trio
 from result import Err
 
-from gypsumpost_core.list_difference import format_edits, merge_edits
-from gypsumpost_core.list_file import format_list
-from gypsumpost_core.list_kind import ListKind
-from gypsumpost_daemon.admin_application import AdminApplication
-from gypsumpost_daemon.admin_edits import describe_outcome, get_author, get_edit_deadline
-from gypsumpost_daemon.admin_request import AdminRequest
-from gypsumpost_daemon.admin_response import create_error_response, create_json_response
-from gypsumpost_daemon.caller_response import CallerResponse
-from gypsumpost_daemon.host_directory import HostDirectory
-from gypsumpost_daemon.host_revisions import ask_revisions
-from gypsumpost_daemon.list_editor import ListEditor
-from gypsumpost_daemon.list_task import ListTask
-from gypsumpost_daemon.store import Store
-from gypsumpost_daemon.stored_lists import read_history, read_lists
+from gypsumpost_core.lists.list_difference import format_edits, merge_edits
+from gypsumpost_core.lists.list_file import format_list
+from gypsumpost_core.lists.list_kind import ListKind
+from gypsumpost_daemon.admin.admin_application import AdminApplication
+from gypsumpost_daemon.admin.admin_edits import describe_outcome, get_author, get_edit_deadline
+from gypsumpost_daemon.admin.admin_request import AdminRequest
+from gypsumpost_daemon.admin.admin_response import create_error_response, create_json_response
+from gypsumpost_daemon.callers.caller_response import CallerResponse
+from gypsumpost_daemon.lists.host_revisions import ask_revisions
+from gypsumpost_daemon.lists.list_editor import ListEditor
+from gypsumpost_daemon.lists.list_task import ListTask
+from gypsumpost_daemon.lists.stored_lists import read_history, read_lists
+from gypsumpost_daemon.peers.host_directory import HostDirectory
+from gypsumpost_daemon.store.store import Store
 
 READ_SECONDS = 3.0
 HISTORY_RECORDS = 50
--- a/packages/daemon/gypsumpost_daemon/admin_response.py
+++ b/packages/daemon/gypsumpost_daemon/admin/admin_response.py
@@ -5,7 +5,7 @@
 import attrs
 import orjson
 
-from gypsumpost_daemon.caller_response import CallerResponse
+from gypsumpost_daemon.callers.caller_response import CallerResponse
 
 
 def create_json_response(status: int, content: Any) -> CallerResponse:
--- a/packages/daemon/gypsumpost_daemon/admin_server.py
+++ b/packages/daemon/gypsumpost_daemon/admin/admin_server.py
@@ -4,7 +4,7 @@
 import trio
 from hypercorn.config import Config
 
-from gypsumpost_daemon.admin_application import AdminApplication
+from gypsumpost_daemon.admin.admin_application import AdminApplication
 
 
 async def serve_admin(
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/callers/__init__.py
@@ -0,0 +1,1 @@
+"""The callers' HTTP interface."""
--- a/packages/daemon/gypsumpost_daemon/access_control.py
+++ b/packages/daemon/gypsumpost_daemon/callers/access_control.py
@@ -4,9 +4,9 @@
 
 from result import Result
 
-from gypsumpost_core.allowance import Allowance
 from gypsumpost_core.failure import Failure
-from gypsumpost_core.generation_record import GenerationRecord
+from gypsumpost_core.generations.generation_record import GenerationRecord
+from gypsumpost_core.lists.allowance import Allowance
 
 
 class AccessControl(Protocol):
--- a/packages/daemon/gypsumpost_daemon/call_headers.py
+++ b/packages/daemon/gypsumpost_daemon/callers/call_headers.py
@@ -2,7 +2,7 @@
 
 import math
 
-from gypsumpost_daemon.http_call import HttpCall
+from gypsumpost_daemon.http.http_call import HttpCall
 
 LARGEST_PRIORITY = 100
 
--- a/packages/daemon/gypsumpost_daemon/caller_application.py
+++ b/packages/daemon/gypsumpost_daemon/callers/caller_application.py
@@ -9,33 +9,36 @@
 import trio
 from result import Err, Result
 
-from gypsumpost_core.completion_check import check_completion
-from gypsumpost_core.completion_request import CompletionRequest
-from gypsumpost_core.event_id import parse_event_id
 from gypsumpost_core.failure import Failure
-from gypsumpost_core.generation_kind import GenerationKind
-from gypsumpost_core.generation_record import GenerationRecord
-from gypsumpost_daemon.access_control import AccessControl
-from gypsumpost_daemon.admission_gate import AdmissionGate
-from gypsumpost_daemon.asgi_application import Receive, Scope, Send
-from gypsumpost_daemon.asgi_lifespan import complete_lifespan
-from gypsumpost_daemon.call_headers import read_deadline
-from gypsumpost_daemon.caller_events import CallerEvents
-from gypsumpost_daemon.caller_refusals import CANCELLED, refuse_request
-from gypsumpost_daemon.caller_request import CallerRequest
-from gypsumpost_daemon.caller_response import CallerResponse
-from gypsumpost_daemon.error_body import encode_failure
-from gypsumpost_daemon.generation_finder import GenerationFinder
-from gypsumpost_daemon.generation_responder import GenerationResponder
-from gypsumpost_daemon.generation_supervisor import GenerationSupervisor, create_generation_id
-from gypsumpost_daemon.generation_task import GenerationTask
-from gypsumpost_daemon.http_call import HttpCall
-from gypsumpost_daemon.key_client import KeyClient
-from gypsumpost_daemon.keyed_refusal import describe_keyed_refusal
-from gypsumpost_daemon.metrics import Metrics
-from gypsumpost_daemon.metrics_text import create_metrics_response
-from gypsumpost_daemon.record_factory import RecordFactory
+from gypsumpost_core.generations.completion_check import check_completion
+from gypsumpost_core.generations.completion_request import CompletionRequest
+from gypsumpost_core.generations.event_id import parse_event_id
+from gypsumpost_core.generations.generation_kind import GenerationKind
+from gypsumpost_core.generations.generation_record import GenerationRecord
+from gypsumpost_daemon.callers.access_control import AccessControl
+from gypsumpost_daemon.callers.call_headers import read_deadline
+from gypsumpost_daemon.callers.caller_events import CallerEvents
+from gypsumpost_daemon.callers.caller_refusals import CANCELLED, refuse_request
+from gypsumpost_daemon.callers.caller_request import CallerRequest
+from gypsumpost_daemon.callers.caller_response import CallerResponse
+from gypsumpost_daemon.callers.error_body import encode_failure
+from gypsumpost_daemon.calls.keyed_refusal import describe_keyed_refusal
+from gypsumpost_daemon.generations.generation_finder import GenerationFinder
+from gypsumpost_daemon.generations.generation_responder import GenerationResponder
+from gypsumpost_daemon.generations.generation_supervisor import (
+    GenerationSupervisor,
+    create_generation_id,
+)
+from gypsumpost_daemon.generations.generation_task import GenerationTask
+from gypsumpost_daemon.generations.key_client import KeyClient
+from gypsumpost_daemon.generations.record_factory import RecordFactory
+from gypsumpost_daemon.http.asgi_application import Receive, Scope, Send
+from gypsumpost_daemon.http.asgi_lifespan import complete_lifespan
+from gypsumpost_daemon.http.http_call import HttpCall
+from gypsumpost_daemon.limits.admission_gate import AdmissionGate
 from gypsumpost_daemon.settings import Settings
+from gypsumpost_daemon.telemetry.metrics import Metrics
+from gypsumpost_daemon.telemetry.metrics_text import create_metrics_response
 
 KINDS = {
     "/v1/completions": GenerationKind.COMPLETION,
--- a/packages/daemon/gypsumpost_daemon/caller_events.py
+++ b/packages/daemon/gypsumpost_daemon/callers/caller_events.py
@@ -1,9 +1,9 @@
 """What callers received: log events and counts."""
 
 from gypsumpost_core.failure import Failure
-from gypsumpost_core.generation_record import GenerationRecord
-from gypsumpost_daemon.log import Log
-from gypsumpost_daemon.metrics import Metrics
+from gypsumpost_core.generations.generation_record import GenerationRecord
+from gypsumpost_daemon.telemetry.log import Log
+from gypsumpost_daemon.telemetry.metrics import Metrics
 
 LOG = Log(prefix="caller")
 
--- a/packages/daemon/gypsumpost_daemon/error_body.py
+++ b/packages/daemon/gypsumpost_daemon/callers/error_body.py
@@ -7,7 +7,7 @@
 
 from gypsumpost_core.failure import Failure
 from gypsumpost_core.run_state import RunState
-from gypsumpost_daemon.caller_response import CallerResponse
+from gypsumpost_daemon.callers.caller_response import CallerResponse
 
 SERVER_ERROR_STATUS = 500
 MIN_RETRY_SECONDS = 1
--- a/packages/daemon/gypsumpost_daemon/list_access.py
+++ b/packages/daemon/gypsumpost_daemon/callers/list_access.py
@@ -4,12 +4,12 @@
 import trio
 from result import Err, Result
 
-from gypsumpost_core.allowance import Allowance
 from gypsumpost_core.failure import Failure
-from gypsumpost_core.generation_record import GenerationRecord
+from gypsumpost_core.generations.generation_record import GenerationRecord
+from gypsumpost_core.lists.allowance import Allowance
 from gypsumpost_core.run_state import RunState
-from gypsumpost_daemon.list_task import ListTask
-from gypsumpost_daemon.share_task import ShareTask
+from gypsumpost_daemon.limits.share_task import ShareTask
+from gypsumpost_daemon.lists.list_task import ListTask
 
 NO_LISTS = Failure(
     status=503,
--- a/packages/daemon/gypsumpost_daemon/settings_access.py
+++ b/packages/daemon/gypsumpost_daemon/callers/settings_access.py
@@ -3,11 +3,11 @@
 import attrs
 from result import Err, Ok, Result
 
-from gypsumpost_core.allowance import Allowance
 from gypsumpost_core.failure import Failure
-from gypsumpost_core.generation_record import GenerationRecord
+from gypsumpost_core.generations.generation_record import GenerationRecord
+from gypsumpost_core.lists.allowance import Allowance
 from gypsumpost_core.run_state import RunState
-from gypsumpost_daemon.workspace_keys import WorkspaceKeys
+from gypsumpost_daemon.callers.workspace_keys import WorkspaceKeys
 
 UNKNOWN_KEY = Failure(
     status=401,
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/calls/__init__.py
@@ -0,0 +1,1 @@
+"""Calls of plain services, claims and issued keys."""
--- a/packages/daemon/gypsumpost_daemon/call_answers.py
+++ b/packages/daemon/gypsumpost_daemon/calls/call_answers.py
@@ -1,11 +1,11 @@
 """Answers of calls to services."""
 
-from gypsumpost_core.claim_outcome import ClaimOutcome
+from gypsumpost_core.calls.claim_outcome import ClaimOutcome
 from gypsumpost_core.failure import Failure
 from gypsumpost_core.run_state import RunState
-from gypsumpost_daemon.caller_response import CallerResponse
-from gypsumpost_daemon.error_body import encode_failure, encode_not_run
-from gypsumpost_daemon.service_request import ServiceRequest
+from gypsumpost_daemon.callers.caller_response import CallerResponse
+from gypsumpost_daemon.callers.error_body import encode_failure, encode_not_run
+from gypsumpost_daemon.calls.service_request import ServiceRequest
 
 MAX_OUTCOME_BYTES = 128 * 1024
 """Longest body that is kept with an outcome; the store takes values of at most 1 MB."""
--- a/packages/daemon/gypsumpost_daemon/claim_batcher.py
+++ b/packages/daemon/gypsumpost_daemon/calls/claim_batcher.py
@@ -6,25 +6,25 @@
 from result import Err, Ok, Result
 
 from gypsumpost_core.rendezvous import rank_hosts
-from gypsumpost_daemon.claim_messages import (
+from gypsumpost_daemon.calls.claim_messages import (
     OrderOutcome,
     decode_orders,
     decode_outcomes,
     encode_orders,
     encode_outcomes,
 )
-from gypsumpost_daemon.claim_mode import CLAIM_MODES
-from gypsumpost_daemon.claim_order import ClaimOrder
-from gypsumpost_daemon.claim_order_reply import ClaimOrderReply
-from gypsumpost_daemon.claim_queue import ClaimQueue
-from gypsumpost_daemon.claim_writer import ClaimWriter
-from gypsumpost_daemon.host_directory import HostDirectory
-from gypsumpost_daemon.message_kind import MessageKind
-from gypsumpost_daemon.peer_network import PeerNetwork
-from gypsumpost_daemon.peer_request import PeerRequest
-from gypsumpost_daemon.queued_order import QueuedOrder
-from gypsumpost_daemon.store import Store
-from gypsumpost_daemon.store_failure import StoreFailure
+from gypsumpost_daemon.calls.claim_mode import CLAIM_MODES
+from gypsumpost_daemon.calls.claim_order import ClaimOrder
+from gypsumpost_daemon.calls.claim_order_reply import ClaimOrderReply
+from gypsumpost_daemon.calls.claim_queue import ClaimQueue
+from gypsumpost_daemon.calls.claim_writer import ClaimWriter
+from gypsumpost_daemon.calls.queued_order import QueuedOrder
+from gypsumpost_daemon.peers.host_directory import HostDirectory
+from gypsumpost_daemon.peers.message_kind import MessageKind
+from gypsumpost_daemon.peers.peer_network import PeerNetwork
+from gypsumpost_daemon.peers.peer_request import PeerRequest
+from gypsumpost_daemon.store.store import Store
+from gypsumpost_daemon.store.store_failure import StoreFailure
 
 BATCH_INTERVAL_SECONDS = 0.025
 """Shortest time between batches that are not full: at most 40 writes/s for each domain, so that
--- a/packages/daemon/gypsumpost_daemon/claim_codec.py
+++ b/packages/daemon/gypsumpost_daemon/calls/claim_codec.py
@@ -5,8 +5,8 @@
 
 import orjson
 
-from gypsumpost_core.claim_outcome import ClaimOutcome
-from gypsumpost_core.claim_record import ClaimRecord
+from gypsumpost_core.calls.claim_outcome import ClaimOutcome
+from gypsumpost_core.calls.claim_record import ClaimRecord
 from gypsumpost_core.run_state import RunState
 
 
--- a/packages/daemon/gypsumpost_daemon/claim_leases.py
+++ b/packages/daemon/gypsumpost_daemon/calls/claim_leases.py
@@ -6,8 +6,8 @@
 import trio
 from result import Err, Ok, Result
 
-from gypsumpost_daemon.store import Store
-from gypsumpost_daemon.store_failure import StoreFailure
+from gypsumpost_daemon.store.store import Store
+from gypsumpost_daemon.store.store_failure import StoreFailure
 
 SLOT_SECONDS = 3600.0
 """All claims that one writer stores in this time share a lease, so that the calls for leases do
--- a/packages/daemon/gypsumpost_daemon/claim_messages.py
+++ b/packages/daemon/gypsumpost_daemon/calls/claim_messages.py
@@ -7,10 +7,10 @@
 import capnp
 from result import Err, Ok, Result
 
-from gypsumpost_daemon.claim_order import ClaimOrder
-from gypsumpost_daemon.claim_order_kind import ClaimOrderKind
-from gypsumpost_daemon.claim_order_reply import ClaimOrderReply
-from gypsumpost_daemon.store_failure import StoreFailure
+from gypsumpost_daemon.calls.claim_order import ClaimOrder
+from gypsumpost_daemon.calls.claim_order_kind import ClaimOrderKind
+from gypsumpost_daemon.calls.claim_order_reply import ClaimOrderReply
+from gypsumpost_daemon.store.store_failure import StoreFailure
 
 SCHEMA = capnp.load(str(Path(__file__).with_suffix(".capnp")))
 
--- a/packages/daemon/gypsumpost_daemon/claim_mode.py
+++ b/packages/daemon/gypsumpost_daemon/calls/claim_mode.py
@@ -5,9 +5,9 @@
 from result import Result
 
 from gypsumpost_core.registry import Registry
-from gypsumpost_daemon.claim_order import ClaimOrder
-from gypsumpost_daemon.claim_order_reply import ClaimOrderReply
-from gypsumpost_daemon.store_failure import StoreFailure
+from gypsumpost_daemon.calls.claim_order import ClaimOrder
+from gypsumpost_daemon.calls.claim_order_reply import ClaimOrderReply
+from gypsumpost_daemon.store.store_failure import StoreFailure
 
 
 class ClaimMode(Protocol):
--- a/packages/daemon/gypsumpost_daemon/claim_order.py
+++ b/packages/daemon/gypsumpost_daemon/calls/claim_order.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from gypsumpost_daemon.claim_order_kind import ClaimOrderKind
+from gypsumpost_daemon.calls.claim_order_kind import ClaimOrderKind
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/daemon/gypsumpost_daemon/claim_queue.py
+++ b/packages/daemon/gypsumpost_daemon/calls/claim_queue.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from gypsumpost_daemon.queued_order import QueuedOrder
+from gypsumpost_daemon.calls.queued_order import QueuedOrder
 
 MAX_BATCH_ORDERS = 100
 """Below etcd's limit of 128 operations in a transaction."""
--- a/packages/daemon/gypsumpost_daemon/claim_settler.py
+++ b/packages/daemon/gypsumpost_daemon/calls/claim_settler.py
@@ -6,9 +6,9 @@
 import trio
 from result import Err
 
-from gypsumpost_daemon.claim_mode import ClaimMode
-from gypsumpost_daemon.claim_order import ClaimOrder
-from gypsumpost_daemon.log import Log
+from gypsumpost_daemon.calls.claim_mode import ClaimMode
+from gypsumpost_daemon.calls.claim_order import ClaimOrder
+from gypsumpost_daemon.telemetry.log import Log
 
 MAX_ORDERS = 10_000
 """Orders beyond this are dropped; repeats of their calls are then answered ``unknown``."""
--- a/packages/daemon/gypsumpost_daemon/claim_transaction.py
+++ b/packages/daemon/gypsumpost_daemon/calls/claim_transaction.py
@@ -2,10 +2,10 @@
 
 from collections.abc import Sequence
 
-from gypsumpost_daemon.claim_order import ClaimOrder
-from gypsumpost_daemon.claim_order_kind import ClaimOrderKind
-from gypsumpost_daemon.claim_order_reply import ClaimOrderReply
-from gypsumpost_daemon.store_transaction import (
+from gypsumpost_daemon.calls.claim_order import ClaimOrder
+from gypsumpost_daemon.calls.claim_order_kind import ClaimOrderKind
+from gypsumpost_daemon.calls.claim_order_reply import ClaimOrderReply
+from gypsumpost_daemon.store.store_transaction import (
     StoreCompare,
     StoreDelete,
     StoreGet,
@@ -13,7 +13,7 @@
     StorePut,
     StoreTransaction,
 )
-from gypsumpost_daemon.store_transaction_result import StoreTransactionResult
+from gypsumpost_daemon.store.store_transaction_result import StoreTransactionResult
 
 
 def build_transaction(orders: Sequence[ClaimOrder], lease: int = 0) -> StoreTransaction:
--- a/packages/daemon/gypsumpost_daemon/claim_writer.py
+++ b/packages/daemon/gypsumpost_daemon/calls/claim_writer.py
@@ -5,12 +5,12 @@
 import attrs
 from result import Err, Ok, Result
 
-from gypsumpost_daemon.claim_leases import ClaimLeases
-from gypsumpost_daemon.claim_order import ClaimOrder
-from gypsumpost_daemon.claim_order_reply import ClaimOrderReply
-from gypsumpost_daemon.claim_transaction import build_transaction, read_replies
-from gypsumpost_daemon.store import Store
-from gypsumpost_daemon.store_failure import StoreFailure
+from gypsumpost_daemon.calls.claim_leases import ClaimLeases
+from gypsumpost_daemon.calls.claim_order import ClaimOrder
+from gypsumpost_daemon.calls.claim_order_reply import ClaimOrderReply
+from gypsumpost_daemon.calls.claim_transaction import build_transaction, read_replies
+from gypsumpost_daemon.store.store import Store
+from gypsumpost_daemon.store.store_failure import StoreFailure
 
 
 @attrs.define(kw_only=True)
--- a/packages/daemon/gypsumpost_daemon/claimed_calls.py
+++ b/packages/daemon/gypsumpost_daemon/calls/claimed_calls.py
@@ -8,14 +8,15 @@
 import trio
 from result import Err
 
-from gypsumpost_core.call_retry_budget import CallRetryBudget
-from gypsumpost_core.claim import Claim
-from gypsumpost_core.claim_outcome import ClaimOutcome
-from gypsumpost_core.claim_record import ClaimRecord
-from gypsumpost_core.claim_reply import ClaimReply
-from gypsumpost_core.claim_step import ClaimStep
+from gypsumpost_core.calls.call_retry_budget import CallRetryBudget
+from gypsumpost_core.calls.claim import Claim
+from gypsumpost_core.calls.claim_outcome import ClaimOutcome
+from gypsumpost_core.calls.claim_record import ClaimRecord
+from gypsumpost_core.calls.claim_reply import ClaimReply
+from gypsumpost_core.calls.claim_step import ClaimStep
 from gypsumpost_core.run_state import RunState
-from gypsumpost_daemon.call_answers import (
+from gypsumpost_daemon.callers.caller_response import CallerResponse
+from gypsumpost_daemon.calls.call_answers import (
     answer_lost_call,
     answer_unsent_call,
     fail,
@@ -24,15 +25,14 @@
     refuse_mismatch,
     replay_outcome,
 )
-from gypsumpost_daemon.caller_response import CallerResponse
-from gypsumpost_daemon.claim_codec import decode_record, encode_record
-from gypsumpost_daemon.claim_mode import ClaimMode
-from gypsumpost_daemon.claim_order import ClaimOrder
-from gypsumpost_daemon.claim_order_kind import ClaimOrderKind
-from gypsumpost_daemon.claim_settler import ClaimSettler
-from gypsumpost_daemon.host_directory import HostDirectory
-from gypsumpost_daemon.service_request import ServiceRequest
-from gypsumpost_daemon.service_sender import ServiceSender
+from gypsumpost_daemon.calls.claim_codec import decode_record, encode_record
+from gypsumpost_daemon.calls.claim_mode import ClaimMode
+from gypsumpost_daemon.calls.claim_order import ClaimOrder
+from gypsumpost_daemon.calls.claim_order_kind import ClaimOrderKind
+from gypsumpost_daemon.calls.claim_settler import ClaimSettler
+from gypsumpost_daemon.calls.service_request import ServiceRequest
+from gypsumpost_daemon.calls.service_sender import ServiceSender
+from gypsumpost_daemon.peers.host_directory import HostDirectory
 
 CLAIM_SECONDS = 10.0
 """The first byte is sent within this time after the claim, or not at all."""
--- a/packages/daemon/gypsumpost_daemon/direct_claims.py
+++ b/packages/daemon/gypsumpost_daemon/calls/direct_claims.py
@@ -3,15 +3,15 @@
 import trio
 from result import Err, Ok, Result
 
-from gypsumpost_daemon.claim_batcher import STORE_SECONDS
-from gypsumpost_daemon.claim_mode import CLAIM_MODES
-from gypsumpost_daemon.claim_order import ClaimOrder
-from gypsumpost_daemon.claim_order_reply import ClaimOrderReply
-from gypsumpost_daemon.claim_writer import ClaimWriter
-from gypsumpost_daemon.host_directory import HostDirectory
-from gypsumpost_daemon.peer_network import PeerNetwork
-from gypsumpost_daemon.store import Store
-from gypsumpost_daemon.store_failure import StoreFailure
+from gypsumpost_daemon.calls.claim_batcher import STORE_SECONDS
+from gypsumpost_daemon.calls.claim_mode import CLAIM_MODES
+from gypsumpost_daemon.calls.claim_order import ClaimOrder
+from gypsumpost_daemon.calls.claim_order_reply import ClaimOrderReply
+from gypsumpost_daemon.calls.claim_writer import ClaimWriter
+from gypsumpost_daemon.peers.host_directory import HostDirectory
+from gypsumpost_daemon.peers.peer_network import PeerNetwork
+from gypsumpost_daemon.store.store import Store
+from gypsumpost_daemon.store.store_failure import StoreFailure
 
 
 @CLAIM_MODES.register("write-per-call")
--- a/packages/daemon/gypsumpost_daemon/issued_call_messages.py
+++ b/packages/daemon/gypsumpost_daemon/calls/issued_call_messages.py
@@ -6,8 +6,8 @@
 
 import capnp
 
-from gypsumpost_daemon.caller_request import CallerRequest
-from gypsumpost_daemon.caller_response import CallerResponse
+from gypsumpost_daemon.callers.caller_request import CallerRequest
+from gypsumpost_daemon.callers.caller_response import CallerResponse
 
 SCHEMA = capnp.load(str(Path(__file__).with_suffix(".capnp")))
 
--- a/packages/daemon/gypsumpost_daemon/issued_calls.py
+++ b/packages/daemon/gypsumpost_daemon/calls/issued_calls.py
@@ -6,12 +6,14 @@
 import trio
 from result import Err
 
-from gypsumpost_core.issued_call_step import IssuedCallStep
-from gypsumpost_core.issued_call_table import IssuedCallTable
-from gypsumpost_core.issued_key import IssuedKey
-from gypsumpost_core.issued_key_signer import IssuedKeySigner
+from gypsumpost_core.calls.issued_call_step import IssuedCallStep
+from gypsumpost_core.calls.issued_call_table import IssuedCallTable
+from gypsumpost_core.calls.issued_key import IssuedKey
+from gypsumpost_core.calls.issued_key_signer import IssuedKeySigner
 from gypsumpost_core.run_state import RunState
-from gypsumpost_daemon.call_answers import (
+from gypsumpost_daemon.callers.caller_response import CallerResponse
+from gypsumpost_daemon.callers.error_body import encode_not_run
+from gypsumpost_daemon.calls.call_answers import (
     answer_lost_call,
     answer_unsent_call,
     fail,
@@ -20,13 +22,11 @@
     refuse_mismatch,
     replay_outcome,
 )
-from gypsumpost_daemon.caller_response import CallerResponse
-from gypsumpost_daemon.error_body import encode_not_run
-from gypsumpost_daemon.issued_call_messages import decode_response, encode_request
-from gypsumpost_daemon.message_kind import MessageKind
-from gypsumpost_daemon.peer_network import PeerNetwork
-from gypsumpost_daemon.service_request import ServiceRequest
-from gypsumpost_daemon.service_sender import ServiceSender
+from gypsumpost_daemon.calls.issued_call_messages import decode_response, encode_request
+from gypsumpost_daemon.calls.service_request import ServiceRequest
+from gypsumpost_daemon.calls.service_sender import ServiceSender
+from gypsumpost_daemon.peers.message_kind import MessageKind
+from gypsumpost_daemon.peers.peer_network import PeerNetwork
 
 KEY_SECONDS = 600
 """How long a key may be used after its issue."""
--- a/packages/daemon/gypsumpost_daemon/keyed_refusal.py
+++ b/packages/daemon/gypsumpost_daemon/calls/keyed_refusal.py
@@ -4,7 +4,7 @@
 
 from gypsumpost_core.failure import Failure
 from gypsumpost_core.run_state import RunState
-from gypsumpost_daemon.http_call import HttpCall
+from gypsumpost_daemon.http.http_call import HttpCall
 
 SERVICES_PATH = "/v1/services/"
 KEY_HEADER = "idempotency-key"
--- a/packages/daemon/gypsumpost_daemon/queued_order.py
+++ b/packages/daemon/gypsumpost_daemon/calls/queued_order.py
@@ -3,8 +3,8 @@
 import attrs
 import trio
 
-from gypsumpost_daemon.claim_messages import OrderOutcome
-from gypsumpost_daemon.claim_order import ClaimOrder
+from gypsumpost_daemon.calls.claim_messages import OrderOutcome
+from gypsumpost_daemon.calls.claim_order import ClaimOrder
 
 
 @attrs.define(kw_only=True, eq=False)
--- a/packages/daemon/gypsumpost_daemon/service_calls.py
+++ b/packages/daemon/gypsumpost_daemon/calls/service_calls.py
@@ -6,26 +6,26 @@
 import trio
 from result import Err
 
-from gypsumpost_core.endpoint import Endpoint
-from gypsumpost_core.issued_call_table import IssuedCallTable
-from gypsumpost_core.issued_key import parse_issued_key
-from gypsumpost_core.issued_key_signer import IssuedKeySigner
+from gypsumpost_core.calls.issued_call_table import IssuedCallTable
+from gypsumpost_core.calls.issued_key import parse_issued_key
+from gypsumpost_core.calls.issued_key_signer import IssuedKeySigner
+from gypsumpost_core.routing.endpoint import Endpoint
 from gypsumpost_core.run_state import RunState
-from gypsumpost_daemon.call_answers import answer_lost_call, answer_unsent_call, echo_headers
-from gypsumpost_daemon.caller_request import CallerRequest
-from gypsumpost_daemon.caller_response import CallerResponse
-from gypsumpost_daemon.claim_mode import ClaimMode
-from gypsumpost_daemon.claim_settler import ClaimSettler
-from gypsumpost_daemon.claimed_calls import ClaimedCalls
-from gypsumpost_daemon.error_body import encode_not_run
-from gypsumpost_daemon.host_directory import HostDirectory
-from gypsumpost_daemon.issued_call_messages import decode_request, encode_response
-from gypsumpost_daemon.issued_calls import IssuedCalls
-from gypsumpost_daemon.message_kind import MessageKind
-from gypsumpost_daemon.peer_network import PeerNetwork
-from gypsumpost_daemon.peer_request import PeerRequest
-from gypsumpost_daemon.service_request import ServiceRequest, read_service_request
-from gypsumpost_daemon.service_sender import ServiceSender
+from gypsumpost_daemon.callers.caller_request import CallerRequest
+from gypsumpost_daemon.callers.caller_response import CallerResponse
+from gypsumpost_daemon.callers.error_body import encode_not_run
+from gypsumpost_daemon.calls.call_answers import answer_lost_call, answer_unsent_call, echo_headers
+from gypsumpost_daemon.calls.claim_mode import ClaimMode
+from gypsumpost_daemon.calls.claim_settler import ClaimSettler
+from gypsumpost_daemon.calls.claimed_calls import ClaimedCalls
+from gypsumpost_daemon.calls.issued_call_messages import decode_request, encode_response
+from gypsumpost_daemon.calls.issued_calls import IssuedCalls
+from gypsumpost_daemon.calls.service_request import ServiceRequest, read_service_request
+from gypsumpost_daemon.calls.service_sender import ServiceSender
+from gypsumpost_daemon.peers.host_directory import HostDirectory
+from gypsumpost_daemon.peers.message_kind import MessageKind
+from gypsumpost_daemon.peers.peer_network import PeerNetwork
+from gypsumpost_daemon.peers.peer_request import PeerRequest
 
 KEYS_TARGET = "/keys"
 MAX_KEY_CHARACTERS = 512
--- a/packages/daemon/gypsumpost_daemon/service_request.py
+++ b/packages/daemon/gypsumpost_daemon/calls/service_request.py
@@ -4,8 +4,8 @@
 
 import attrs
 
-from gypsumpost_core.endpoint import Endpoint
-from gypsumpost_daemon.caller_request import CallerRequest
+from gypsumpost_core.routing.endpoint import Endpoint
+from gypsumpost_daemon.callers.caller_request import CallerRequest
 
 SERVICES_PREFIX = "/v1/services/"
 KEY_HEADER = "idempotency-key"
--- a/packages/daemon/gypsumpost_daemon/service_sender.py
+++ b/packages/daemon/gypsumpost_daemon/calls/service_sender.py
@@ -9,15 +9,15 @@
 import trio
 from result import Err, Ok, Result
 
-from gypsumpost_core.call_retry_budget import CallRetryBudget
-from gypsumpost_core.endpoint import Endpoint
-from gypsumpost_core.endpoint_kind import EndpointKind
-from gypsumpost_core.endpoint_status import EndpointStatus
+from gypsumpost_core.calls.call_retry_budget import CallRetryBudget
 from gypsumpost_core.invariant import Invariant, require
-from gypsumpost_daemon.caller_response import CallerResponse
-from gypsumpost_daemon.send_failure import SendFailure
-from gypsumpost_daemon.sent_trace import SentTrace
-from gypsumpost_daemon.service_request import NOT_FORWARDED, ServiceRequest
+from gypsumpost_core.routing.endpoint import Endpoint
+from gypsumpost_core.routing.endpoint_kind import EndpointKind
+from gypsumpost_core.routing.endpoint_status import EndpointStatus
+from gypsumpost_daemon.callers.caller_response import CallerResponse
+from gypsumpost_daemon.calls.send_failure import SendFailure
+from gypsumpost_daemon.calls.service_request import NOT_FORWARDED, ServiceRequest
+from gypsumpost_daemon.engines.sent_trace import SentTrace
 
 ATTEMPT_SECONDS = 5.0
 """Bound on one attempt of an idempotent request, so that a paused endpoint is left in time."""
--- a/packages/daemon/gypsumpost_daemon/command_line.py
+++ b/packages/daemon/gypsumpost_daemon/command_line.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from gypsumpost_core.settings_reader import name_variable
+from gypsumpost_core.settings.settings_reader import name_variable
 
 
 def build_command(
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/copies/__init__.py
@@ -0,0 +1,1 @@
+"""Copies of generations on other hosts, and takeovers."""
--- a/packages/daemon/gypsumpost_daemon/copied_generation.py
+++ b/packages/daemon/gypsumpost_daemon/copies/copied_generation.py
@@ -2,7 +2,7 @@
 
 from typing import Protocol
 
-from gypsumpost_core.generation import Generation
+from gypsumpost_core.generations.generation import Generation
 
 
 class CopiedGeneration(Protocol):
--- a/packages/daemon/gypsumpost_daemon/copy_append.py
+++ b/packages/daemon/gypsumpost_daemon/copies/copy_append.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from gypsumpost_core.piece import Piece
+from gypsumpost_core.generations.piece import Piece
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/daemon/gypsumpost_daemon/copy_client.py
+++ b/packages/daemon/gypsumpost_daemon/copies/copy_client.py
@@ -5,12 +5,12 @@
 import attrs
 import trio
 
-from gypsumpost_core.copy_placement import COPY_PLACEMENTS
+from gypsumpost_core.generations.copy_placement import COPY_PLACEMENTS
 from gypsumpost_core.host import Host
-from gypsumpost_daemon.copied_generation import CopiedGeneration
-from gypsumpost_daemon.copy_outbox import CopyOutbox
-from gypsumpost_daemon.host_directory import HostDirectory
-from gypsumpost_daemon.peer_channel import PeerChannel
+from gypsumpost_daemon.copies.copied_generation import CopiedGeneration
+from gypsumpost_daemon.copies.copy_outbox import CopyOutbox
+from gypsumpost_daemon.peers.host_directory import HostDirectory
+from gypsumpost_daemon.peers.peer_channel import PeerChannel
 
 AVOID_SECONDS = 5.0
 """A lost holder gets no new copies for this long, even while membership holds it for live."""
--- a/packages/daemon/gypsumpost_daemon/copy_codec.py
+++ b/packages/daemon/gypsumpost_daemon/copies/copy_codec.py
@@ -6,12 +6,12 @@
 
 import capnp
 
-from gypsumpost_core.attempt_origin import AttemptOrigin
-from gypsumpost_core.generation_kind import GenerationKind
-from gypsumpost_core.generation_record import GenerationRecord
-from gypsumpost_core.model_ref import ModelRef
-from gypsumpost_core.piece import Piece
-from gypsumpost_daemon.copy_append import CopyAppend
+from gypsumpost_core.generations.attempt_origin import AttemptOrigin
+from gypsumpost_core.generations.generation_kind import GenerationKind
+from gypsumpost_core.generations.generation_record import GenerationRecord
+from gypsumpost_core.generations.piece import Piece
+from gypsumpost_core.routing.model_ref import ModelRef
+from gypsumpost_daemon.copies.copy_append import CopyAppend
 
 SCHEMA = capnp.load(str(Path(__file__).with_name("copies.capnp")))
 
--- a/packages/daemon/gypsumpost_daemon/copy_columns.py
+++ b/packages/daemon/gypsumpost_daemon/copies/copy_columns.py
@@ -8,8 +8,8 @@
 from itertools import accumulate
 from typing import Any
 
-from gypsumpost_core.piece import Piece
-from gypsumpost_daemon.copy_append import CopyAppend
+from gypsumpost_core.generations.piece import Piece
+from gypsumpost_daemon.copies.copy_append import CopyAppend
 
 SEPARATOR = ","
 """Stands between generation ids, which are hexadecimal."""
--- a/packages/daemon/gypsumpost_daemon/copy_outbox.py
+++ b/packages/daemon/gypsumpost_daemon/copies/copy_outbox.py
@@ -6,15 +6,15 @@
 import trio
 from result import Err
 
-from gypsumpost_daemon.copied_generation import CopiedGeneration
-from gypsumpost_daemon.copy_append import CopyAppend
-from gypsumpost_daemon.copy_codec import SCHEMA, fill_append, fill_record
-from gypsumpost_daemon.copy_columns import fill_columns
-from gypsumpost_daemon.copy_refusals import CopyRefusals
-from gypsumpost_daemon.log import Log
-from gypsumpost_daemon.message_kind import MessageKind
-from gypsumpost_daemon.outbox_entry import OutboxEntry
-from gypsumpost_daemon.peer_channel import PeerChannel
+from gypsumpost_daemon.copies.copied_generation import CopiedGeneration
+from gypsumpost_daemon.copies.copy_append import CopyAppend
+from gypsumpost_daemon.copies.copy_codec import SCHEMA, fill_append, fill_record
+from gypsumpost_daemon.copies.copy_columns import fill_columns
+from gypsumpost_daemon.copies.copy_refusals import CopyRefusals
+from gypsumpost_daemon.copies.outbox_entry import OutboxEntry
+from gypsumpost_daemon.peers.message_kind import MessageKind
+from gypsumpost_daemon.peers.peer_channel import PeerChannel
+from gypsumpost_daemon.telemetry.log import Log
 
 LOG = Log(prefix="copy")
 
--- a/packages/daemon/gypsumpost_daemon/copy_store.py
+++ b/packages/daemon/gypsumpost_daemon/copies/copy_store.py
@@ -5,16 +5,16 @@
 import attrs
 import trio
 
-from gypsumpost_core.generation_record import GenerationRecord
-from gypsumpost_core.piece import Piece
-from gypsumpost_core.record_size import measure_pieces, measure_record
-from gypsumpost_daemon.copy_append import CopyAppend
-from gypsumpost_daemon.copy_codec import SCHEMA, read_append, read_record
-from gypsumpost_daemon.copy_columns import read_columns
-from gypsumpost_daemon.copy_refusals import CopyRefusals
-from gypsumpost_daemon.held_copy import HeldCopy
-from gypsumpost_daemon.log import Log
-from gypsumpost_daemon.peer_request import PeerRequest
+from gypsumpost_core.generations.generation_record import GenerationRecord
+from gypsumpost_core.generations.piece import Piece
+from gypsumpost_core.generations.record_size import measure_pieces, measure_record
+from gypsumpost_daemon.copies.copy_append import CopyAppend
+from gypsumpost_daemon.copies.copy_codec import SCHEMA, read_append, read_record
+from gypsumpost_daemon.copies.copy_columns import read_columns
+from gypsumpost_daemon.copies.copy_refusals import CopyRefusals
+from gypsumpost_daemon.copies.held_copy import HeldCopy
+from gypsumpost_daemon.peers.peer_request import PeerRequest
+from gypsumpost_daemon.telemetry.log import Log
 
 LOG = Log(prefix="copy")
 EXPIRY_INTERVAL = 1.0
--- a/packages/daemon/gypsumpost_daemon/held_copy.py
+++ b/packages/daemon/gypsumpost_daemon/copies/held_copy.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from gypsumpost_core.generation_record import GenerationRecord
+from gypsumpost_core.generations.generation_record import GenerationRecord
 
 
 @attrs.define(kw_only=True, eq=False)
--- a/packages/daemon/gypsumpost_daemon/outbox_entry.py
+++ b/packages/daemon/gypsumpost_daemon/copies/outbox_entry.py
@@ -2,8 +2,8 @@
 
 import attrs
 
-from gypsumpost_core.generation import Generation
-from gypsumpost_daemon.copied_generation import CopiedGeneration
+from gypsumpost_core.generations.generation import Generation
+from gypsumpost_daemon.copies.copied_generation import CopiedGeneration
 
 
 @attrs.define(kw_only=True, eq=False)
--- a/packages/daemon/gypsumpost_daemon/take_over_client.py
+++ b/packages/daemon/gypsumpost_daemon/copies/take_over_client.py
@@ -4,12 +4,12 @@
 import trio
 from result import Ok
 
-from gypsumpost_core.event_id import EventId
-from gypsumpost_core.generation_record import GenerationRecord
-from gypsumpost_daemon.copy_codec import SCHEMA, read_record
-from gypsumpost_daemon.host_directory import HostDirectory
-from gypsumpost_daemon.message_kind import MessageKind
-from gypsumpost_daemon.peer_channel import PeerChannel
+from gypsumpost_core.generations.event_id import EventId
+from gypsumpost_core.generations.generation_record import GenerationRecord
+from gypsumpost_daemon.copies.copy_codec import SCHEMA, read_record
+from gypsumpost_daemon.peers.host_directory import HostDirectory
+from gypsumpost_daemon.peers.message_kind import MessageKind
+from gypsumpost_daemon.peers.peer_channel import PeerChannel
 
 TAKE_OVER_SECONDS = 0.5
 """Longest wait for one host; a live host answers within milliseconds."""
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/credentials/__init__.py
@@ -0,0 +1,1 @@
+"""Keys and certificates, loaded again when their files change."""
--- a/packages/daemon/gypsumpost_daemon/file_reloader.py
+++ b/packages/daemon/gypsumpost_daemon/credentials/file_reloader.py
@@ -5,8 +5,8 @@
 import attrs
 import trio
 
-from gypsumpost_daemon.file_watch import CHECK_INTERVAL, FileWatch
-from gypsumpost_daemon.log import Log
+from gypsumpost_daemon.credentials.file_watch import CHECK_INTERVAL, FileWatch
+from gypsumpost_daemon.telemetry.log import Log
 
 LOG = Log(prefix="keys")
 
--- a/packages/daemon/gypsumpost_daemon/file_setting.py
+++ b/packages/daemon/gypsumpost_daemon/credentials/file_setting.py
@@ -2,14 +2,14 @@
 
 from typing import Any
 
-from gypsumpost_core.setting import define_setting
+from gypsumpost_core.settings.setting import define_setting
 
 
 def define_file(*, accepted: str, help: str) -> Any:
     """Define a field with the path of a readable file, empty for none.
 
-    :param accepted: see :class:`~gypsumpost_core.setting.Setting`.
-    :param help: see :class:`~gypsumpost_core.setting.Setting`.
+    :param accepted: see :class:`~gypsumpost_core.settings.setting.Setting`.
+    :param help: see :class:`~gypsumpost_core.settings.setting.Setting`.
     """
     return define_setting(default="", parse=parse_optional_file, accepted=accepted, help=help)
 
--- a/packages/daemon/gypsumpost_daemon/keys.py
+++ b/packages/daemon/gypsumpost_daemon/credentials/keys.py
@@ -6,11 +6,11 @@
 import trio
 
 from gypsumpost_core.key_ring import KeyRing
-from gypsumpost_daemon.caller_tls import CallerTls
-from gypsumpost_daemon.file_reloader import FileReloader
-from gypsumpost_daemon.peer_tls import PeerTls
+from gypsumpost_daemon.credentials.caller_tls import CallerTls
+from gypsumpost_daemon.credentials.file_reloader import FileReloader
+from gypsumpost_daemon.credentials.shared_key_file import SharedKeyFile
+from gypsumpost_daemon.peers.peer_tls import PeerTls
 from gypsumpost_daemon.settings import Settings
-from gypsumpost_daemon.shared_key_file import SharedKeyFile
 
 
 class Keys:
--- a/packages/daemon/gypsumpost_daemon/daemon.py
+++ b/packages/daemon/gypsumpost_daemon/daemon.py
@@ -5,44 +5,44 @@
 
 import trio
 
-from gypsumpost_core.crash_suspicion import CrashSuspicion
+from gypsumpost_core.generations.resumption_policies import RESUMPTION
+from gypsumpost_core.generations.retry_budget import RetryBudget
 from gypsumpost_core.host import Host
 from gypsumpost_core.key_ring import KeyRing
-from gypsumpost_core.membership_settings import MembershipSettings
-from gypsumpost_core.resumption_policies import RESUMPTION
-from gypsumpost_core.retry_budget import RetryBudget
-from gypsumpost_core.router import Router
-from gypsumpost_daemon.access_control import AccessControl
-from gypsumpost_daemon.admission_gate import AdmissionGate
-from gypsumpost_daemon.caller_application import CallerApplication
-from gypsumpost_daemon.copy_client import CopyClient
-from gypsumpost_daemon.copy_store import CopyStore
-from gypsumpost_daemon.crash_guard import CrashGuard
-from gypsumpost_daemon.crash_reporter import CrashReporter
+from gypsumpost_core.membership.membership_settings import MembershipSettings
+from gypsumpost_core.routing.router import Router
+from gypsumpost_core.suspicion.crash_suspicion import CrashSuspicion
+from gypsumpost_daemon.callers.access_control import AccessControl
+from gypsumpost_daemon.callers.caller_application import CallerApplication
+from gypsumpost_daemon.callers.settings_access import SettingsAccess
+from gypsumpost_daemon.copies.copy_client import CopyClient
+from gypsumpost_daemon.copies.copy_store import CopyStore
+from gypsumpost_daemon.copies.take_over_client import TakeOverClient
+from gypsumpost_daemon.credentials.keys import Keys
 from gypsumpost_daemon.daemon_gauges import add_gauges
-from gypsumpost_daemon.endpoint_table import EndpointTable
-from gypsumpost_daemon.engine_client import EngineClient
-from gypsumpost_daemon.engine_prober import EngineProber
+from gypsumpost_daemon.engines.endpoint_table import EndpointTable
+from gypsumpost_daemon.engines.engine_client import EngineClient
+from gypsumpost_daemon.engines.engine_prober import EngineProber
 from gypsumpost_daemon.garbage_collector import configure_collector
-from gypsumpost_daemon.generation_context import GenerationContext
-from gypsumpost_daemon.generation_metrics import GenerationMetrics
-from gypsumpost_daemon.generation_supervisor import GenerationSupervisor
-from gypsumpost_daemon.gossip import Gossip
-from gypsumpost_daemon.host_directory import HostDirectory
-from gypsumpost_daemon.http_server import HTTP_SERVERS
-from gypsumpost_daemon.key_client import KeyClient
-from gypsumpost_daemon.key_directory import KeyDirectory
-from gypsumpost_daemon.keys import Keys
-from gypsumpost_daemon.log import Log
-from gypsumpost_daemon.message_kind import MessageKind
-from gypsumpost_daemon.metrics import Metrics
-from gypsumpost_daemon.peer_network import PeerNetwork
+from gypsumpost_daemon.generations.generation_context import GenerationContext
+from gypsumpost_daemon.generations.generation_metrics import GenerationMetrics
+from gypsumpost_daemon.generations.generation_supervisor import GenerationSupervisor
+from gypsumpost_daemon.generations.key_client import KeyClient
+from gypsumpost_daemon.generations.key_directory import KeyDirectory
+from gypsumpost_daemon.generations.stream_canceller import StreamCanceller
+from gypsumpost_daemon.http.http_server import HTTP_SERVERS
+from gypsumpost_daemon.http.running_server import RunningServer
+from gypsumpost_daemon.limits.admission_gate import AdmissionGate
+from gypsumpost_daemon.peers.gossip import Gossip
+from gypsumpost_daemon.peers.host_directory import HostDirectory
+from gypsumpost_daemon.peers.message_kind import MessageKind
+from gypsumpost_daemon.peers.peer_network import PeerNetwork
 from gypsumpost_daemon.platform_parts import PlatformParts
-from gypsumpost_daemon.running_server import RunningServer
 from gypsumpost_daemon.settings import Settings
-from gypsumpost_daemon.settings_access import SettingsAccess
-from gypsumpost_daemon.stream_canceller import StreamCanceller
-from gypsumpost_daemon.take_over_client import TakeOverClient
+from gypsumpost_daemon.suspicion.crash_guard import CrashGuard
+from gypsumpost_daemon.suspicion.crash_reporter import CrashReporter
+from gypsumpost_daemon.telemetry.log import Log
+from gypsumpost_daemon.telemetry.metrics import Metrics
 
 LOG = Log(prefix="daemon")
 
--- a/packages/daemon/gypsumpost_daemon/daemon_gauges.py
+++ b/packages/daemon/gypsumpost_daemon/daemon_gauges.py
@@ -2,10 +2,10 @@
 
 from collections.abc import Callable
 
-from gypsumpost_daemon.copy_store import CopyStore
-from gypsumpost_daemon.generation_supervisor import GenerationSupervisor
-from gypsumpost_daemon.host_directory import HostDirectory
-from gypsumpost_daemon.metrics import Metrics
+from gypsumpost_daemon.copies.copy_store import CopyStore
+from gypsumpost_daemon.generations.generation_supervisor import GenerationSupervisor
+from gypsumpost_daemon.peers.host_directory import HostDirectory
+from gypsumpost_daemon.telemetry.metrics import Metrics
 
 
 def add_gauges(
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' wishes for endpoints."""
--- a/packages/daemon/gypsumpost_daemon/endpoint_desires.py
+++ b/packages/daemon/gypsumpost_daemon/endpoints/endpoint_desires.py
@@ -6,17 +6,17 @@
 import trio
 from result import Err
 
-from gypsumpost_core.spread_tree import list_children
-from gypsumpost_daemon.endpoint_watcher import EndpointWatcher
-from gypsumpost_daemon.host_directory import HostDirectory
-from gypsumpost_daemon.list_peers import ListPeers
-from gypsumpost_daemon.log import Log
-from gypsumpost_daemon.message_kind import MessageKind
-from gypsumpost_daemon.peer_channel import PeerChannel
-from gypsumpost_daemon.peer_request import PeerRequest
-from gypsumpost_daemon.stopped_endpoints import StoppedEndpoints
-from gypsumpost_daemon.stopped_endpoints_codec import decode_stopped, encode_stopped
-from gypsumpost_daemon.store import Store
+from gypsumpost_core.lists.spread_tree import list_children
+from gypsumpost_daemon.endpoints.endpoint_watcher import EndpointWatcher
+from gypsumpost_daemon.endpoints.stopped_endpoints import StoppedEndpoints
+from gypsumpost_daemon.endpoints.stopped_endpoints_codec import decode_stopped, encode_stopped
+from gypsumpost_daemon.lists.list_peers import ListPeers
+from gypsumpost_daemon.peers.host_directory import HostDirectory
+from gypsumpost_daemon.peers.message_kind import MessageKind
+from gypsumpost_daemon.peers.peer_channel import PeerChannel
+from gypsumpost_daemon.peers.peer_request import PeerRequest
+from gypsumpost_daemon.store.store import Store
+from gypsumpost_daemon.telemetry.log import Log
 
 WATCHERS_PER_DOMAIN = 2
 PEER_SECONDS = 0.5
--- a/packages/daemon/gypsumpost_daemon/endpoint_editor.py
+++ b/packages/daemon/gypsumpost_daemon/endpoints/endpoint_editor.py
@@ -6,24 +6,29 @@
 import trio
 from result import Err, Ok, Result
 
-from gypsumpost_daemon.edit_outcome import (
+from gypsumpost_daemon.endpoints.endpoint_record import (
+    EndpointRecord,
+    get_endpoint_key,
+    read_endpoint_record,
+)
+from gypsumpost_daemon.lists.edit_outcome import (
     EditAccepted,
     EditConflict,
     EditNotAccepted,
     EditOutcome,
     EditUnknown,
 )
-from gypsumpost_daemon.endpoint_record import (
-    EndpointRecord,
-    get_endpoint_key,
-    read_endpoint_record,
+from gypsumpost_daemon.lists.list_records import encode_record
+from gypsumpost_daemon.lists.stored_lists import get_keys
+from gypsumpost_daemon.store.store import Store
+from gypsumpost_daemon.store.store_failure import StoreFailure
+from gypsumpost_daemon.store.store_key_value import StoreKeyValue
+from gypsumpost_daemon.store.store_transaction import (
+    StoreCompare,
+    StoreGet,
+    StorePut,
+    StoreTransaction,
 )
-from gypsumpost_daemon.list_records import encode_record
-from gypsumpost_daemon.store import Store
-from gypsumpost_daemon.store_failure import StoreFailure
-from gypsumpost_daemon.store_key_value import StoreKeyValue
-from gypsumpost_daemon.store_transaction import StoreCompare, StoreGet, StorePut, StoreTransaction
-from gypsumpost_daemon.stored_lists import get_keys
 
 RETRY_SECONDS = 0.2
 NONCE_BYTES = 16
--- a/packages/daemon/gypsumpost_daemon/endpoint_record.py
+++ b/packages/daemon/gypsumpost_daemon/endpoints/endpoint_record.py
@@ -4,8 +4,8 @@
 import cattrs
 from result import Err, Ok, Result
 
-from gypsumpost_daemon.list_records import decode_record
-from gypsumpost_daemon.store_key_value import StoreKeyValue
+from gypsumpost_daemon.lists.list_records import decode_record
+from gypsumpost_daemon.store.store_key_value import StoreKeyValue
 
 PREFIX = b"/gypsumpost/endpoints/"
 PREFIX_END = b"/gypsumpost/endpoints0"
--- a/packages/daemon/gypsumpost_daemon/endpoint_watcher.py
+++ b/packages/daemon/gypsumpost_daemon/endpoints/endpoint_watcher.py
@@ -7,7 +7,7 @@
 import trio
 from result import Err, Ok, Result
 
-from gypsumpost_daemon.endpoint_record import (
+from gypsumpost_daemon.endpoints.endpoint_record import (
     PREFIX,
     PREFIX_END,
     STOPPED,
@@ -15,18 +15,18 @@
     read_endpoint_name,
     read_endpoint_record,
 )
-from gypsumpost_daemon.log import Log
-from gypsumpost_daemon.stopped_endpoints import StoppedEndpoints
-from gypsumpost_daemon.store import Store
-from gypsumpost_daemon.store_event import StoreEvent
-from gypsumpost_daemon.store_failure import StoreFailure
-from gypsumpost_daemon.store_transaction import StoreGet, StoreTransaction
-from gypsumpost_daemon.store_watcher import (
+from gypsumpost_daemon.endpoints.stopped_endpoints import StoppedEndpoints
+from gypsumpost_daemon.lists.stored_lists import get_keys
+from gypsumpost_daemon.store.store import Store
+from gypsumpost_daemon.store.store_event import StoreEvent
+from gypsumpost_daemon.store.store_failure import StoreFailure
+from gypsumpost_daemon.store.store_transaction import StoreGet, StoreTransaction
+from gypsumpost_daemon.store.store_watcher import (
     CALL_SECONDS,
     FIRST_RETRY_SECONDS,
     LAST_RETRY_SECONDS,
 )
-from gypsumpost_daemon.stored_lists import get_keys
+from gypsumpost_daemon.telemetry.log import Log
 
 READ_AGAIN_SECONDS = 3.0
 """A watch that is cut without notice costs this much time, not the change."""
--- a/packages/daemon/gypsumpost_daemon/stopped_endpoints_codec.py
+++ b/packages/daemon/gypsumpost_daemon/endpoints/stopped_endpoints_codec.py
@@ -5,7 +5,7 @@
 import capnp
 from result import Err, Ok, Result
 
-from gypsumpost_daemon.stopped_endpoints import StoppedEndpoints
+from gypsumpost_daemon.endpoints.stopped_endpoints import StoppedEndpoints
 
 SCHEMA = capnp.load(str(Path(__file__).with_name("endpoint_leaving.capnp")))
 
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/engines/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to endpoints, and what they tell of themselves."""
--- a/packages/daemon/gypsumpost_daemon/cache_event_poller.py
+++ b/packages/daemon/gypsumpost_daemon/engines/cache_event_poller.py
@@ -6,10 +6,10 @@
 import trio
 from result import Err
 
-from gypsumpost_core.cache_event import CacheEvent, CacheEventKind
-from gypsumpost_core.endpoint import Endpoint
-from gypsumpost_core.router import Router
-from gypsumpost_daemon.engine_client import EngineClient
+from gypsumpost_core.routing.cache_event import CacheEvent, CacheEventKind
+from gypsumpost_core.routing.endpoint import Endpoint
+from gypsumpost_core.routing.router import Router
+from gypsumpost_daemon.engines.engine_client import EngineClient
 
 POLL_INTERVAL = 1.0
 """Shortest time in seconds between two calls to one engine."""
--- a/packages/daemon/gypsumpost_daemon/endpoint_table.py
+++ b/packages/daemon/gypsumpost_daemon/engines/endpoint_table.py
@@ -2,9 +2,9 @@
 
 import attrs
 
-from gypsumpost_core.endpoint import Endpoint
-from gypsumpost_core.endpoint_kind import EndpointKind
-from gypsumpost_core.endpoint_status import EndpointStatus
+from gypsumpost_core.routing.endpoint import Endpoint
+from gypsumpost_core.routing.endpoint_kind import EndpointKind
+from gypsumpost_core.routing.endpoint_status import EndpointStatus
 
 
 @attrs.define(kw_only=True)
--- a/packages/daemon/gypsumpost_daemon/endpoint_work.py
+++ b/packages/daemon/gypsumpost_daemon/engines/endpoint_work.py
@@ -6,8 +6,8 @@
 import trio
 from result import Err
 
-from gypsumpost_core.endpoint import Endpoint
-from gypsumpost_daemon.engine_client import EngineClient
+from gypsumpost_core.routing.endpoint import Endpoint
+from gypsumpost_daemon.engines.engine_client import EngineClient
 
 ASK_SECONDS = 1.0
 
--- a/packages/daemon/gypsumpost_daemon/engine_client.py
+++ b/packages/daemon/gypsumpost_daemon/engines/engine_client.py
@@ -7,13 +7,13 @@
 import trio
 from result import Err, Ok, Result
 
-from gypsumpost_daemon import h11_engine_transport, httpcore_engine_transport  # noqa: F401
-from gypsumpost_daemon.engine_answer import EngineAnswer
-from gypsumpost_daemon.engine_failure import NOT_RUN_STATUSES, EngineFailure
-from gypsumpost_daemon.engine_request import EngineRequest
-from gypsumpost_daemon.engine_response import EngineResponse
-from gypsumpost_daemon.engine_stream import EngineStream
-from gypsumpost_daemon.engine_transport import ENGINE_TRANSPORTS
+from gypsumpost_daemon.engines import h11_engine_transport, httpcore_engine_transport  # noqa: F401
+from gypsumpost_daemon.engines.engine_answer import EngineAnswer
+from gypsumpost_daemon.engines.engine_failure import NOT_RUN_STATUSES, EngineFailure
+from gypsumpost_daemon.engines.engine_request import EngineRequest
+from gypsumpost_daemon.engines.engine_response import EngineResponse
+from gypsumpost_daemon.engines.engine_stream import EngineStream
+from gypsumpost_daemon.engines.engine_transport import ENGINE_TRANSPORTS
 
 MAX_ANSWER_BYTES = 16 << 20
 MAX_REFUSAL_BYTES = 65536
--- a/packages/daemon/gypsumpost_daemon/engine_event_decoder.py
+++ b/packages/daemon/gypsumpost_daemon/engines/engine_event_decoder.py
@@ -5,7 +5,7 @@
 
 import orjson
 
-from gypsumpost_daemon.engine_event import EngineEvent
+from gypsumpost_daemon.engines.engine_event import EngineEvent
 
 DONE = b"[DONE]"
 
--- a/packages/daemon/gypsumpost_daemon/engine_prober.py
+++ b/packages/daemon/gypsumpost_daemon/engines/engine_prober.py
@@ -7,12 +7,12 @@
 import trio
 from result import Ok
 
-from gypsumpost_core.endpoint import Endpoint
-from gypsumpost_core.engine_load import EngineLoad
-from gypsumpost_core.model_ref import ModelRef
-from gypsumpost_core.router import Router
-from gypsumpost_daemon.cache_event_poller import CacheEventPoller
-from gypsumpost_daemon.engine_client import EngineClient
+from gypsumpost_core.routing.endpoint import Endpoint
+from gypsumpost_core.routing.engine_load import EngineLoad
+from gypsumpost_core.routing.model_ref import ModelRef
+from gypsumpost_core.routing.router import Router
+from gypsumpost_daemon.engines.cache_event_poller import CacheEventPoller
+from gypsumpost_daemon.engines.engine_client import EngineClient
 
 PROBE_INTERVAL = 0.25
 PROBE_SECONDS = 1.0
--- a/packages/daemon/gypsumpost_daemon/engine_stream.py
+++ b/packages/daemon/gypsumpost_daemon/engines/engine_stream.py
@@ -4,11 +4,11 @@
 
 from result import Err, Ok, Result
 
-from gypsumpost_daemon.engine_event import EngineEvent
-from gypsumpost_daemon.engine_event_decoder import decode_event
-from gypsumpost_daemon.engine_failure import EngineFailure
-from gypsumpost_daemon.engine_response import EngineResponse
-from gypsumpost_daemon.event_stream_decoder import EventStreamDecoder
+from gypsumpost_daemon.engines.engine_event import EngineEvent
+from gypsumpost_daemon.engines.engine_event_decoder import decode_event
+from gypsumpost_daemon.engines.engine_failure import EngineFailure
+from gypsumpost_daemon.engines.engine_response import EngineResponse
+from gypsumpost_daemon.engines.event_stream_decoder import EventStreamDecoder
 
 
 class EngineStream:
--- a/packages/daemon/gypsumpost_daemon/engine_transport.py
+++ b/packages/daemon/gypsumpost_daemon/engines/engine_transport.py
@@ -5,9 +5,9 @@
 from result import Result
 
 from gypsumpost_core.registry import Registry
-from gypsumpost_daemon.engine_failure import EngineFailure
-from gypsumpost_daemon.engine_request import EngineRequest
-from gypsumpost_daemon.engine_response import EngineResponse
+from gypsumpost_daemon.engines.engine_failure import EngineFailure
+from gypsumpost_daemon.engines.engine_request import EngineRequest
+from gypsumpost_daemon.engines.engine_response import EngineResponse
 
 
 class EngineTransport(Protocol):
--- a/packages/daemon/gypsumpost_daemon/h11_engine_connection.py
+++ b/packages/daemon/gypsumpost_daemon/engines/h11_engine_connection.py
@@ -10,11 +10,11 @@
 from result import Err, Ok, Result
 
 from gypsumpost_daemon.addresses import split_address
-from gypsumpost_daemon.chunk_decoder import ChunkDecoder
-from gypsumpost_daemon.endpoint_request import EndpointRequest
-from gypsumpost_daemon.engine_failure import EngineFailure
-from gypsumpost_daemon.http_response import STATUS_WITHOUT_BODY
-from gypsumpost_daemon.socket_transport import SocketTransport
+from gypsumpost_daemon.engines.endpoint_request import EndpointRequest
+from gypsumpost_daemon.engines.engine_failure import EngineFailure
+from gypsumpost_daemon.http.chunk_decoder import ChunkDecoder
+from gypsumpost_daemon.http.http_response import STATUS_WITHOUT_BODY
+from gypsumpost_daemon.http.socket_transport import SocketTransport
 
 MAX_HEAD_BYTES = 65536
 
--- a/packages/daemon/gypsumpost_daemon/h11_engine_transport.py
+++ b/packages/daemon/gypsumpost_daemon/engines/h11_engine_transport.py
@@ -6,12 +6,12 @@
 import trio
 from result import Err, Ok, Result
 
-from gypsumpost_daemon.engine_failure import EngineFailure
-from gypsumpost_daemon.engine_request import EngineRequest
-from gypsumpost_daemon.engine_response import EngineResponse
-from gypsumpost_daemon.engine_transport import ENGINE_TRANSPORTS
-from gypsumpost_daemon.h11_engine_connection import H11EngineConnection, connect
-from gypsumpost_daemon.idle_connections import IdleConnections
+from gypsumpost_daemon.engines.engine_failure import EngineFailure
+from gypsumpost_daemon.engines.engine_request import EngineRequest
+from gypsumpost_daemon.engines.engine_response import EngineResponse
+from gypsumpost_daemon.engines.engine_transport import ENGINE_TRANSPORTS
+from gypsumpost_daemon.engines.h11_engine_connection import H11EngineConnection, connect
+from gypsumpost_daemon.engines.idle_connections import IdleConnections
 
 LATE = EngineFailure(reason="no response before the deadline", may_have_run=True)
 
--- a/packages/daemon/gypsumpost_daemon/httpcore_engine_transport.py
+++ b/packages/daemon/gypsumpost_daemon/engines/httpcore_engine_transport.py
@@ -6,10 +6,10 @@
 import trio
 from result import Err, Ok, Result
 
-from gypsumpost_daemon.engine_failure import EngineFailure
-from gypsumpost_daemon.engine_request import EngineRequest
-from gypsumpost_daemon.engine_response import EngineResponse
-from gypsumpost_daemon.engine_transport import ENGINE_TRANSPORTS
+from gypsumpost_daemon.engines.engine_failure import EngineFailure
+from gypsumpost_daemon.engines.engine_request import EngineRequest
+from gypsumpost_daemon.engines.engine_response import EngineResponse
+from gypsumpost_daemon.engines.engine_transport import ENGINE_TRANSPORTS
 
 NOT_SENT = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.LocalProtocolError)
 LOST = (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException, OSError)
--- a/packages/daemon/gypsumpost_daemon/idle_connections.py
+++ b/packages/daemon/gypsumpost_daemon/engines/idle_connections.py
@@ -1,6 +1,6 @@
 """Connections to endpoints that wait for the next short call."""
 
-from gypsumpost_daemon.h11_engine_connection import H11EngineConnection
+from gypsumpost_daemon.engines.h11_engine_connection import H11EngineConnection
 
 IDLE_SECONDS = 15.0
 MAX_IDLE_PER_ADDRESS = 2
--- a/packages/daemon/gypsumpost_daemon/gateway/call_forwarder.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/call_forwarder.py
@@ -8,6 +8,7 @@
 from gypsumpost_core.gateway.endpoint_state import EndpointState
 from gypsumpost_core.gateway.request_kind import RequestKind
 from gypsumpost_core.run_state import RunState
+from gypsumpost_daemon.engines.h11_engine_connection import connect
 from gypsumpost_daemon.gateway.attempt_failure import AttemptFailure
 from gypsumpost_daemon.gateway.caller_call import CallerCall
 from gypsumpost_daemon.gateway.caller_exchange import CallerExchange
@@ -15,8 +16,7 @@
 from gypsumpost_daemon.gateway.forward_context import ForwardContext
 from gypsumpost_daemon.gateway.forwarder import FORWARDERS
 from gypsumpost_daemon.gateway.message_headers import find_header, select_response_headers
-from gypsumpost_daemon.h11_engine_connection import connect
-from gypsumpost_daemon.log import Log
+from gypsumpost_daemon.telemetry.log import Log
 
 CONNECT_SECONDS = 0.08
 """Several round trips; after it another endpoint is tried, as nothing was sent."""
--- a/packages/daemon/gypsumpost_daemon/gateway/caller_exchange.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/caller_exchange.py
@@ -3,8 +3,8 @@
 import orjson
 
 from gypsumpost_core.run_state import RunState
-from gypsumpost_daemon.asgi_application import Receive, Scope, Send
-from gypsumpost_daemon.http_exchange import ABORT, DISCONNECT
+from gypsumpost_daemon.http.asgi_application import Receive, Scope, Send
+from gypsumpost_daemon.http.http_exchange import ABORT, DISCONNECT
 
 Headers = list[tuple[bytes, bytes]]
 
--- a/packages/daemon/gypsumpost_daemon/gateway/crash_guard.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/crash_guard.py
@@ -9,7 +9,7 @@
 from gypsumpost_core.gateway.endpoint_fleet import EndpointFleet
 from gypsumpost_core.gateway.endpoint_record import EndpointRecord
 from gypsumpost_daemon.gateway.caller_call import CallerCall
-from gypsumpost_daemon.log import Log
+from gypsumpost_daemon.telemetry.log import Log
 
 SETTLE_SECONDS = 0.3
 """The losses of one cause are all known after this time."""
--- a/packages/daemon/gypsumpost_daemon/gateway/directory.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/directory.py
@@ -13,7 +13,7 @@
 from gypsumpost_core.gateway.stored_item import StoredItem
 from gypsumpost_daemon.gateway.adapter import GatewayAdapter
 from gypsumpost_daemon.gateway.item_set import ItemSet
-from gypsumpost_daemon.log import Log
+from gypsumpost_daemon.telemetry.log import Log
 
 RETURN_SECONDS = 2.2
 """Endpoints whose entries lapsed during an outage of the store write them again in this time."""
--- a/packages/daemon/gypsumpost_daemon/gateway/directory_exchange.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/directory_exchange.py
@@ -11,10 +11,10 @@
     encode_state,
 )
 from gypsumpost_daemon.gateway.directory import Directory
-from gypsumpost_daemon.log import Log
-from gypsumpost_daemon.message_kind import MessageKind
-from gypsumpost_daemon.peer_network import PeerNetwork
-from gypsumpost_daemon.peer_request import PeerRequest
+from gypsumpost_daemon.peers.message_kind import MessageKind
+from gypsumpost_daemon.peers.peer_network import PeerNetwork
+from gypsumpost_daemon.peers.peer_request import PeerRequest
+from gypsumpost_daemon.telemetry.log import Log
 
 CHECK_SECONDS = 0.05
 """Changes within this time are fetched together."""
--- a/packages/daemon/gypsumpost_daemon/gateway/endpoint_identity.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/endpoint_identity.py
@@ -6,11 +6,11 @@
 
 from gypsumpost_core.gateway.endpoint_record import EndpointRecord
 from gypsumpost_core.gateway.service import Service
+from gypsumpost_daemon.engines.h11_engine_connection import connect
 from gypsumpost_daemon.gateway.adapter import GatewayAdapter
 from gypsumpost_daemon.gateway.endpoint_answer import EndpointAnswer
 from gypsumpost_daemon.gateway.forwarded_request import ForwardedRequest
 from gypsumpost_daemon.gateway.message_headers import find_header
-from gypsumpost_daemon.h11_engine_connection import connect
 
 ASK_SECONDS = 0.4
 
--- a/packages/daemon/gypsumpost_daemon/gateway/endpoint_monitor.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/endpoint_monitor.py
@@ -10,7 +10,7 @@
 from gypsumpost_daemon.gateway.directory import Directory
 from gypsumpost_daemon.gateway.endpoint_identity import EndpointIdentity
 from gypsumpost_daemon.gateway.endpoint_probe import ProbeResult, probe_endpoint
-from gypsumpost_daemon.log import Log
+from gypsumpost_daemon.telemetry.log import Log
 
 RETURN_PROBE_SECONDS = 0.3
 """Interval of probes of a lost endpoint."""
--- a/packages/daemon/gypsumpost_daemon/gateway/endpoint_probe.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/endpoint_probe.py
@@ -5,7 +5,7 @@
 import trio
 from result import Err
 
-from gypsumpost_daemon.h11_engine_connection import connect
+from gypsumpost_daemon.engines.h11_engine_connection import connect
 
 TRY_SECONDS = 0.045
 """Several round trips between domains; an answer within this time is certain while it lives."""
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_application.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_application.py
@@ -9,14 +9,14 @@
 from gypsumpost_core.gateway.route import Route
 from gypsumpost_core.gateway.route_table import RouteTable
 from gypsumpost_core.run_state import RunState
-from gypsumpost_daemon.asgi_application import Receive, Scope, Send
 from gypsumpost_daemon.gateway import call_forwarder, stream_forwarder  # noqa: F401
 from gypsumpost_daemon.gateway.caller_call import CallerCall
 from gypsumpost_daemon.gateway.caller_exchange import CallerExchange
 from gypsumpost_daemon.gateway.forward_context import ForwardContext
 from gypsumpost_daemon.gateway.forwarder import FORWARDERS, Forwarder
 from gypsumpost_daemon.gateway.message_headers import find_header, select_request_headers
-from gypsumpost_daemon.log import Log
+from gypsumpost_daemon.http.asgi_application import Receive, Scope, Send
+from gypsumpost_daemon.telemetry.log import Log
 
 START_RETRY_SECONDS = 0.3
 """When a caller may come again while this host does not know the configuration yet."""
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
@@ -9,8 +9,7 @@
 from gypsumpost_core.gateway.use_table import UseTable
 from gypsumpost_core.host import Host
 from gypsumpost_core.key_ring import KeyRing
-from gypsumpost_core.membership_settings import MembershipSettings
-from gypsumpost_daemon.asgi_application import ASGIApplication
+from gypsumpost_core.membership.membership_settings import MembershipSettings
 from gypsumpost_daemon.gateway.adapter import GatewayAdapter
 from gypsumpost_daemon.gateway.crash_guard import CrashGuard
 from gypsumpost_daemon.gateway.directory import Directory
@@ -26,14 +25,15 @@
 from gypsumpost_daemon.gateway.peer_exchange import PeerExchange
 from gypsumpost_daemon.gateway.ready_application import ReadyApplication
 from gypsumpost_daemon.gateway.store_follower import StoreFollower
-from gypsumpost_daemon.gossip import Gossip
-from gypsumpost_daemon.h11_server import serve_limited
-from gypsumpost_daemon.host_directory import HostDirectory
-from gypsumpost_daemon.http_limits import HttpLimits
-from gypsumpost_daemon.log import Log
-from gypsumpost_daemon.metrics import Metrics
-from gypsumpost_daemon.peer_network import PeerNetwork
-from gypsumpost_daemon.running_server import RunningServer
+from gypsumpost_daemon.http.asgi_application import ASGIApplication
+from gypsumpost_daemon.http.h11_server import serve_limited
+from gypsumpost_daemon.http.http_limits import HttpLimits
+from gypsumpost_daemon.http.running_server import RunningServer
+from gypsumpost_daemon.peers.gossip import Gossip
+from gypsumpost_daemon.peers.host_directory import HostDirectory
+from gypsumpost_daemon.peers.peer_network import PeerNetwork
+from gypsumpost_daemon.telemetry.log import Log
+from gypsumpost_daemon.telemetry.metrics import Metrics
 
 IDLE_MARGIN_SECONDS = 0.5
 """Idle connections are closed a little after the limit, so that no request crosses the close."""
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_metrics.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_metrics.py
@@ -1,6 +1,6 @@
 """Metrics of the gateway."""
 
-from gypsumpost_daemon.metrics import Metrics
+from gypsumpost_daemon.telemetry.metrics import Metrics
 
 
 class GatewayMetrics:
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_process.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_process.py
@@ -10,8 +10,8 @@
 from gypsumpost_daemon.gateway.adapter import GatewayAdapter
 from gypsumpost_daemon.gateway.gateway_daemon import GatewayDaemon
 from gypsumpost_daemon.gateway.gateway_settings import GatewaySettings
-from gypsumpost_daemon.log import start_bounded_logging
-from gypsumpost_daemon.metrics import Metrics
+from gypsumpost_daemon.telemetry.log import start_bounded_logging
+from gypsumpost_daemon.telemetry.metrics import Metrics
 
 SETTINGS_STATUS = 2
 LOG_LINES_PER_SECOND = 300
--- a/packages/daemon/gypsumpost_daemon/gateway/metrics_application.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/metrics_application.py
@@ -1,9 +1,9 @@
 """Serves the metrics."""
 
-from gypsumpost_daemon.asgi_application import Receive, Scope, Send
 from gypsumpost_daemon.gateway.caller_exchange import CallerExchange
-from gypsumpost_daemon.metrics import Metrics
-from gypsumpost_daemon.metrics_text import CONTENT_TYPE, encode_metrics
+from gypsumpost_daemon.http.asgi_application import Receive, Scope, Send
+from gypsumpost_daemon.telemetry.metrics import Metrics
+from gypsumpost_daemon.telemetry.metrics_text import CONTENT_TYPE, encode_metrics
 
 PATH = b"/metrics"
 
--- a/packages/daemon/gypsumpost_daemon/gateway/peer_exchange.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/peer_exchange.py
@@ -23,10 +23,10 @@
 from gypsumpost_daemon.gateway.directory_exchange import DirectoryExchange
 from gypsumpost_daemon.gateway.endpoint_reports import EndpointReports
 from gypsumpost_daemon.gateway.store_follower import StoreFollower
-from gypsumpost_daemon.gossip import Gossip
-from gypsumpost_daemon.gossip_codec import MAC_BYTES, sign_datagram
-from gypsumpost_daemon.host_directory import HostDirectory
-from gypsumpost_daemon.log import Log
+from gypsumpost_daemon.peers.gossip import Gossip
+from gypsumpost_daemon.peers.gossip_codec import MAC_BYTES, sign_datagram
+from gypsumpost_daemon.peers.host_directory import HostDirectory
+from gypsumpost_daemon.telemetry.log import Log
 
 CHANGE_SECONDS = 0.02
 """Changes within this time go out in one datagram."""
--- a/packages/daemon/gypsumpost_daemon/gateway/ready_application.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/ready_application.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Callable
 
-from gypsumpost_daemon.asgi_application import Receive, Scope, Send
 from gypsumpost_daemon.gateway.caller_exchange import CallerExchange
+from gypsumpost_daemon.http.asgi_application import Receive, Scope, Send
 
 
 class ReadyApplication:
--- a/packages/daemon/gypsumpost_daemon/gateway/store_follower.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/store_follower.py
@@ -9,7 +9,7 @@
 
 from gypsumpost_daemon.gateway.directory import Directory
 from gypsumpost_daemon.gateway.item_store import ItemStore, ItemStoreFailure
-from gypsumpost_daemon.log import Log
+from gypsumpost_daemon.telemetry.log import Log
 
 READ_SECONDS = 2.0
 FIRST_RETRY_SECONDS = 0.1
--- a/packages/daemon/gypsumpost_daemon/gateway/stream_attempt.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/stream_attempt.py
@@ -8,6 +8,7 @@
 from gypsumpost_core.gateway.endpoint_record import EndpointRecord
 from gypsumpost_core.gateway.endpoint_state import EndpointState
 from gypsumpost_core.gateway.silence_limit import HANG_SECONDS, compute_check_delay
+from gypsumpost_daemon.engines.h11_engine_connection import H11EngineConnection, connect
 from gypsumpost_daemon.gateway.attempt_failure import AttemptFailure
 from gypsumpost_daemon.gateway.caller_call import CallerCall
 from gypsumpost_daemon.gateway.caller_exchange import CallerExchange
@@ -15,8 +16,7 @@
 from gypsumpost_daemon.gateway.forward_context import ForwardContext
 from gypsumpost_daemon.gateway.message_headers import find_header, select_response_headers
 from gypsumpost_daemon.gateway.stream_progress import StreamProgress
-from gypsumpost_daemon.h11_engine_connection import H11EngineConnection, connect
-from gypsumpost_daemon.log import Log
+from gypsumpost_daemon.telemetry.log import Log
 
 CONNECT_SECONDS = 0.08
 """Several round trips; after it another engine is tried, as nothing was sent."""
--- a/packages/daemon/gypsumpost_daemon/gateway/stream_forwarder.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/stream_forwarder.py
@@ -17,7 +17,7 @@
 from gypsumpost_daemon.gateway.forwarder import FORWARDERS
 from gypsumpost_daemon.gateway.stream_attempt import StreamAttempt
 from gypsumpost_daemon.gateway.stream_progress import StreamProgress
-from gypsumpost_daemon.log import Log
+from gypsumpost_daemon.telemetry.log import Log
 
 WAIT_SHARE = 0.75
 """Share of the objective for which a new stream waits for an engine."""
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/generations/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks that run generations and write them to callers."""
--- a/packages/daemon/gypsumpost_daemon/attempt_body.py
+++ b/packages/daemon/gypsumpost_daemon/generations/attempt_body.py
@@ -4,9 +4,9 @@
 
 import orjson
 
-from gypsumpost_core.attempt_plan import AttemptPlan
-from gypsumpost_core.generation_kind import GenerationKind
-from gypsumpost_core.generation_record import GenerationRecord
+from gypsumpost_core.generations.attempt_plan import AttemptPlan
+from gypsumpost_core.generations.generation_kind import GenerationKind
+from gypsumpost_core.generations.generation_record import GenerationRecord
 
 CALLER_ONLY_FIELDS = ("stream_options", "max_completion_tokens")
 PROMPT_FIELDS = ("messages", "prompt")
