--- a/packages/daemon/gypsumpost_daemon/attempt_reader.py
+++ b/packages/daemon/gypsumpost_daemon/generations/attempt_reader.py
@@ -7,18 +7,22 @@
 import trio
 from result import Err, Ok
 
-from gypsumpost_core.attempt_outcome import AttemptOutcome
-from gypsumpost_core.batch_outcome import BatchOutcome
-from gypsumpost_core.resumption_policy import ResumptionAction, ResumptionDecision, StreamState
-from gypsumpost_core.route_request import RouteRequest
-from gypsumpost_core.token_batch import TokenBatch
-from gypsumpost_daemon.attempt_route import AttemptRoute
-from gypsumpost_daemon.engine_event import EngineEvent
-from gypsumpost_daemon.engine_failure import EngineFailure
-from gypsumpost_daemon.engine_stream import EngineStream
-from gypsumpost_daemon.generation_context import GenerationContext
-from gypsumpost_daemon.generation_status import GenerationStatus
-from gypsumpost_daemon.stall_timer import StallTimer
+from gypsumpost_core.generations.attempt_outcome import AttemptOutcome
+from gypsumpost_core.generations.batch_outcome import BatchOutcome
+from gypsumpost_core.generations.resumption_policy import (
+    ResumptionAction,
+    ResumptionDecision,
+    StreamState,
+)
+from gypsumpost_core.generations.token_batch import TokenBatch
+from gypsumpost_core.routing.route_request import RouteRequest
+from gypsumpost_daemon.engines.engine_event import EngineEvent
+from gypsumpost_daemon.engines.engine_failure import EngineFailure
+from gypsumpost_daemon.engines.engine_stream import EngineStream
+from gypsumpost_daemon.generations.attempt_route import AttemptRoute
+from gypsumpost_daemon.generations.generation_context import GenerationContext
+from gypsumpost_daemon.generations.generation_status import GenerationStatus
+from gypsumpost_daemon.generations.stall_timer import StallTimer
 
 CONNECT_SECONDS = 0.3
 """Longest wait for the head of an engine's response to a resume call. An engine answers within
--- a/packages/daemon/gypsumpost_daemon/attempt_route.py
+++ b/packages/daemon/gypsumpost_daemon/generations/attempt_route.py
@@ -2,10 +2,10 @@
 
 import attrs
 
-from gypsumpost_core.endpoint import Endpoint
-from gypsumpost_core.generation_record import GenerationRecord
-from gypsumpost_core.model_ref import ModelRef
-from gypsumpost_core.route_request import RouteRequest
+from gypsumpost_core.generations.generation_record import GenerationRecord
+from gypsumpost_core.routing.endpoint import Endpoint
+from gypsumpost_core.routing.model_ref import ModelRef
+from gypsumpost_core.routing.route_request import RouteRequest
 
 
 @attrs.define(kw_only=True)
--- a/packages/daemon/gypsumpost_daemon/attempt_runner.py
+++ b/packages/daemon/gypsumpost_daemon/generations/attempt_runner.py
@@ -4,17 +4,17 @@
 import trio
 from result import Err, Ok
 
-from gypsumpost_core.attempt_outcome import AttemptOutcome
-from gypsumpost_core.endpoint import Endpoint
-from gypsumpost_core.route_request import RouteRequest
-from gypsumpost_daemon.attempt_body import build_attempt
-from gypsumpost_daemon.attempt_reader import AttemptReader
-from gypsumpost_daemon.attempt_route import AttemptRoute, find_exact
-from gypsumpost_daemon.engine_failure import EngineFailure
-from gypsumpost_daemon.engine_stream import EngineStream
-from gypsumpost_daemon.generation_context import GenerationContext
-from gypsumpost_daemon.generation_status import GenerationStatus
-from gypsumpost_daemon.log import Log
+from gypsumpost_core.generations.attempt_outcome import AttemptOutcome
+from gypsumpost_core.routing.endpoint import Endpoint
+from gypsumpost_core.routing.route_request import RouteRequest
+from gypsumpost_daemon.engines.engine_failure import EngineFailure
+from gypsumpost_daemon.engines.engine_stream import EngineStream
+from gypsumpost_daemon.generations.attempt_body import build_attempt
+from gypsumpost_daemon.generations.attempt_reader import AttemptReader
+from gypsumpost_daemon.generations.attempt_route import AttemptRoute, find_exact
+from gypsumpost_daemon.generations.generation_context import GenerationContext
+from gypsumpost_daemon.generations.generation_status import GenerationStatus
+from gypsumpost_daemon.telemetry.log import Log
 
 LOG = Log(prefix="generation")
 
--- a/packages/daemon/gypsumpost_daemon/attempt_sequence.py
+++ b/packages/daemon/gypsumpost_daemon/generations/attempt_sequence.py
@@ -8,18 +8,18 @@
 import trio
 from result import Err
 
-from gypsumpost_core.attempt_outcome import AttemptOutcome
-from gypsumpost_core.endpoint import Endpoint
 from gypsumpost_core.failure import Failure
-from gypsumpost_core.resumption_policy import ResumptionAction
-from gypsumpost_core.route_request import RouteRequest
-from gypsumpost_core.suspicion_decision import SuspicionDecision
-from gypsumpost_daemon.attempt_reader import AttemptReader
-from gypsumpost_daemon.attempt_route import AttemptRoute
-from gypsumpost_daemon.attempt_runner import AttemptRunner
-from gypsumpost_daemon.generation_context import GenerationContext
-from gypsumpost_daemon.generation_status import GenerationStatus
-from gypsumpost_daemon.log import Log
+from gypsumpost_core.generations.attempt_outcome import AttemptOutcome
+from gypsumpost_core.generations.resumption_policy import ResumptionAction
+from gypsumpost_core.routing.endpoint import Endpoint
+from gypsumpost_core.routing.route_request import RouteRequest
+from gypsumpost_core.suspicion.suspicion_decision import SuspicionDecision
+from gypsumpost_daemon.generations.attempt_reader import AttemptReader
+from gypsumpost_daemon.generations.attempt_route import AttemptRoute
+from gypsumpost_daemon.generations.attempt_runner import AttemptRunner
+from gypsumpost_daemon.generations.generation_context import GenerationContext
+from gypsumpost_daemon.generations.generation_status import GenerationStatus
+from gypsumpost_daemon.telemetry.log import Log
 
 LOG = Log(prefix="generation")
 
--- a/packages/daemon/gypsumpost_daemon/coalescing.py
+++ b/packages/daemon/gypsumpost_daemon/generations/coalescing.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Sequence
 
 from gypsumpost_core.registry import Registry
-from gypsumpost_daemon.engine_event import EngineEvent
+from gypsumpost_daemon.engines.engine_event import EngineEvent
 
 Events = list[EngineEvent]
 SplitEvents = Callable[[Events], Sequence[Events]]
--- a/packages/daemon/gypsumpost_daemon/event_encoder.py
+++ b/packages/daemon/gypsumpost_daemon/generations/event_encoder.py
@@ -6,7 +6,7 @@
 import attrs
 import orjson
 
-from gypsumpost_core.event_id import describe_home
+from gypsumpost_core.generations.event_id import describe_home
 
 DONE = b"data: [DONE]\n\n"
 
--- a/packages/daemon/gypsumpost_daemon/generation_context.py
+++ b/packages/daemon/gypsumpost_daemon/generations/generation_context.py
@@ -2,16 +2,16 @@
 
 import attrs
 
-from gypsumpost_core.resumption_policy import ResumptionPolicy
-from gypsumpost_core.retry_budget import RetryBudget
-from gypsumpost_core.router import Router
-from gypsumpost_daemon.admission_gate import AdmissionGate
-from gypsumpost_daemon.copy_client import CopyClient
-from gypsumpost_daemon.crash_guard import CrashGuard
-from gypsumpost_daemon.engine_client import EngineClient
-from gypsumpost_daemon.generation_metrics import GenerationMetrics
+from gypsumpost_core.generations.resumption_policy import ResumptionPolicy
+from gypsumpost_core.generations.retry_budget import RetryBudget
+from gypsumpost_core.routing.router import Router
+from gypsumpost_daemon.copies.copy_client import CopyClient
+from gypsumpost_daemon.engines.engine_client import EngineClient
+from gypsumpost_daemon.generations.generation_metrics import GenerationMetrics
+from gypsumpost_daemon.generations.stream_canceller import StreamCanceller
+from gypsumpost_daemon.limits.admission_gate import AdmissionGate
 from gypsumpost_daemon.settings import Settings
-from gypsumpost_daemon.stream_canceller import StreamCanceller
+from gypsumpost_daemon.suspicion.crash_guard import CrashGuard
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/daemon/gypsumpost_daemon/generation_finder.py
+++ b/packages/daemon/gypsumpost_daemon/generations/generation_finder.py
@@ -3,14 +3,14 @@
 import attrs
 from result import Err, Ok, Result
 
-from gypsumpost_core.event_id import EventId, parse_event_id
 from gypsumpost_core.failure import Failure
-from gypsumpost_core.generation_record import GenerationRecord
-from gypsumpost_daemon.caller_refusals import refuse_request, report_lost_generation
-from gypsumpost_daemon.generation_supervisor import GenerationSupervisor
-from gypsumpost_daemon.generation_task import GenerationTask
-from gypsumpost_daemon.http_call import HttpCall
-from gypsumpost_daemon.key_client import KeyClient
+from gypsumpost_core.generations.event_id import EventId, parse_event_id
+from gypsumpost_core.generations.generation_record import GenerationRecord
+from gypsumpost_daemon.callers.caller_refusals import refuse_request, report_lost_generation
+from gypsumpost_daemon.generations.generation_supervisor import GenerationSupervisor
+from gypsumpost_daemon.generations.generation_task import GenerationTask
+from gypsumpost_daemon.generations.key_client import KeyClient
+from gypsumpost_daemon.http.http_call import HttpCall
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/daemon/gypsumpost_daemon/generation_metrics.py
+++ b/packages/daemon/gypsumpost_daemon/generations/generation_metrics.py
@@ -1,7 +1,7 @@
 """Metrics of the generations."""
 
-from gypsumpost_core.attempt_outcome import AttemptOutcome
-from gypsumpost_daemon.metrics import Metrics
+from gypsumpost_core.generations.attempt_outcome import AttemptOutcome
+from gypsumpost_daemon.telemetry.metrics import Metrics
 
 
 class GenerationMetrics:
--- a/packages/daemon/gypsumpost_daemon/generation_responder.py
+++ b/packages/daemon/gypsumpost_daemon/generations/generation_responder.py
@@ -7,16 +7,16 @@
 import trio
 
 from gypsumpost_core.failure import Failure
-from gypsumpost_core.generation_kind import GenerationKind
-from gypsumpost_core.piece import Piece
+from gypsumpost_core.generations.generation_kind import GenerationKind
+from gypsumpost_core.generations.piece import Piece
 from gypsumpost_core.run_state import RunState
-from gypsumpost_daemon.caller_events import CallerEvents
-from gypsumpost_daemon.caller_response import CallerResponse
-from gypsumpost_daemon.error_body import encode_failure
-from gypsumpost_daemon.event_encoder import DONE, EventEncoder, EventSource
-from gypsumpost_daemon.generation_supervisor import GenerationSupervisor
-from gypsumpost_daemon.generation_task import GenerationTask
-from gypsumpost_daemon.http_call import HttpCall
+from gypsumpost_daemon.callers.caller_events import CallerEvents
+from gypsumpost_daemon.callers.caller_response import CallerResponse
+from gypsumpost_daemon.callers.error_body import encode_failure
+from gypsumpost_daemon.generations.event_encoder import DONE, EventEncoder, EventSource
+from gypsumpost_daemon.generations.generation_supervisor import GenerationSupervisor
+from gypsumpost_daemon.generations.generation_task import GenerationTask
+from gypsumpost_daemon.http.http_call import HttpCall
 
 MOVED = Failure(
     status=409,
--- a/packages/daemon/gypsumpost_daemon/generation_status.py
+++ b/packages/daemon/gypsumpost_daemon/generations/generation_status.py
@@ -5,10 +5,10 @@
 import attrs
 
 from gypsumpost_core.failure import Failure
-from gypsumpost_core.generation import Generation
-from gypsumpost_core.generation_record import GenerationRecord
+from gypsumpost_core.generations.generation import Generation
+from gypsumpost_core.generations.generation_record import GenerationRecord
 from gypsumpost_core.run_state import RunState
-from gypsumpost_daemon.log import Log
+from gypsumpost_daemon.telemetry.log import Log
 
 LOG = Log(prefix="generation")
 
--- a/packages/daemon/gypsumpost_daemon/generation_supervisor.py
+++ b/packages/daemon/gypsumpost_daemon/generations/generation_supervisor.py
@@ -7,24 +7,24 @@
 import attrs
 import trio
 
-from gypsumpost_core.event_id import NO_HOST, EventId
 from gypsumpost_core.failure import Failure
-from gypsumpost_core.generation_record import GenerationRecord
+from gypsumpost_core.generations.event_id import NO_HOST, EventId
+from gypsumpost_core.generations.generation_record import GenerationRecord
+from gypsumpost_core.generations.record_size import measure_record
+from gypsumpost_core.generations.replay_budget import ReplayBudget
 from gypsumpost_core.invariant import Invariant, require
-from gypsumpost_core.model_ref import ModelRef
-from gypsumpost_core.record_size import measure_record
-from gypsumpost_core.replay_budget import ReplayBudget
+from gypsumpost_core.routing.model_ref import ModelRef
 from gypsumpost_core.run_state import RunState
-from gypsumpost_daemon.access_control import AccessControl
-from gypsumpost_daemon.copy_codec import SCHEMA, fill_record
-from gypsumpost_daemon.copy_store import CopyStore
-from gypsumpost_daemon.generation_context import GenerationContext
-from gypsumpost_daemon.generation_task import GenerationTask
-from gypsumpost_daemon.keyed_lock import KeyedLock
-from gypsumpost_daemon.log import Log
-from gypsumpost_daemon.peer_request import PeerRequest
-from gypsumpost_daemon.route_builder import build_route
-from gypsumpost_daemon.take_over_client import TakeOverClient
+from gypsumpost_daemon.callers.access_control import AccessControl
+from gypsumpost_daemon.calls.keyed_lock import KeyedLock
+from gypsumpost_daemon.copies.copy_codec import SCHEMA, fill_record
+from gypsumpost_daemon.copies.copy_store import CopyStore
+from gypsumpost_daemon.copies.take_over_client import TakeOverClient
+from gypsumpost_daemon.generations.generation_context import GenerationContext
+from gypsumpost_daemon.generations.generation_task import GenerationTask
+from gypsumpost_daemon.generations.route_builder import build_route
+from gypsumpost_daemon.peers.peer_request import PeerRequest
+from gypsumpost_daemon.telemetry.log import Log
 
 LOG = Log(prefix="generation")
 
--- a/packages/daemon/gypsumpost_daemon/generation_task.py
+++ b/packages/daemon/gypsumpost_daemon/generations/generation_task.py
@@ -5,17 +5,17 @@
 import trio
 
 from gypsumpost_core.failure import Failure
-from gypsumpost_core.generation import Generation
-from gypsumpost_core.generation_record import GenerationRecord
-from gypsumpost_core.piece import Piece
-from gypsumpost_core.route_request import RouteRequest
-from gypsumpost_daemon.attempt_reader import AttemptReader
-from gypsumpost_daemon.attempt_route import AttemptRoute
-from gypsumpost_daemon.attempt_sequence import AttemptSequence
-from gypsumpost_daemon.generation_context import GenerationContext
-from gypsumpost_daemon.generation_status import GenerationStatus
-from gypsumpost_daemon.log import Log
-from gypsumpost_daemon.stall_timer import StallTimer
+from gypsumpost_core.generations.generation import Generation
+from gypsumpost_core.generations.generation_record import GenerationRecord
+from gypsumpost_core.generations.piece import Piece
+from gypsumpost_core.routing.route_request import RouteRequest
+from gypsumpost_daemon.generations.attempt_reader import AttemptReader
+from gypsumpost_daemon.generations.attempt_route import AttemptRoute
+from gypsumpost_daemon.generations.attempt_sequence import AttemptSequence
+from gypsumpost_daemon.generations.generation_context import GenerationContext
+from gypsumpost_daemon.generations.generation_status import GenerationStatus
+from gypsumpost_daemon.generations.stall_timer import StallTimer
+from gypsumpost_daemon.telemetry.log import Log
 
 LOG = Log(prefix="generation")
 
--- a/packages/daemon/gypsumpost_daemon/key_client.py
+++ b/packages/daemon/gypsumpost_daemon/generations/key_client.py
@@ -6,19 +6,19 @@
 import trio
 from result import Err, Ok, Result
 
-from gypsumpost_core.event_id import NO_HOST, EventId
 from gypsumpost_core.failure import Failure
-from gypsumpost_core.generation_record import GenerationRecord
+from gypsumpost_core.generations.event_id import NO_HOST, EventId
+from gypsumpost_core.generations.generation_record import GenerationRecord
 from gypsumpost_core.host import Host
 from gypsumpost_core.rendezvous import rank_hosts
 from gypsumpost_core.run_state import RunState
-from gypsumpost_daemon.copy_codec import SCHEMA
-from gypsumpost_daemon.host_directory import HostDirectory
-from gypsumpost_daemon.key_codec import encode_entry, read_entry
-from gypsumpost_daemon.key_directory import KeyDirectory
-from gypsumpost_daemon.key_entry import KeyEntry
-from gypsumpost_daemon.message_kind import MessageKind
-from gypsumpost_daemon.peer_channel import PeerChannel
+from gypsumpost_daemon.copies.copy_codec import SCHEMA
+from gypsumpost_daemon.generations.key_codec import encode_entry, read_entry
+from gypsumpost_daemon.generations.key_directory import KeyDirectory
+from gypsumpost_daemon.generations.key_entry import KeyEntry
+from gypsumpost_daemon.peers.host_directory import HostDirectory
+from gypsumpost_daemon.peers.message_kind import MessageKind
+from gypsumpost_daemon.peers.peer_channel import PeerChannel
 
 REGISTER_SECONDS = 0.3
 """Longest wait for a holder of the key; without an answer the request runs all the same."""
--- a/packages/daemon/gypsumpost_daemon/key_codec.py
+++ b/packages/daemon/gypsumpost_daemon/generations/key_codec.py
@@ -2,8 +2,8 @@
 
 from typing import Any
 
-from gypsumpost_daemon.copy_codec import SCHEMA
-from gypsumpost_daemon.key_entry import KeyEntry
+from gypsumpost_daemon.copies.copy_codec import SCHEMA
+from gypsumpost_daemon.generations.key_entry import KeyEntry
 
 FIELDS = {
     "workspace": "workspace",
--- a/packages/daemon/gypsumpost_daemon/key_directory.py
+++ b/packages/daemon/gypsumpost_daemon/generations/key_directory.py
@@ -5,10 +5,10 @@
 import attrs
 import trio
 
-from gypsumpost_daemon.copy_codec import SCHEMA
-from gypsumpost_daemon.key_codec import encode_entry, read_entry
-from gypsumpost_daemon.key_entry import KeyEntry
-from gypsumpost_daemon.peer_request import PeerRequest
+from gypsumpost_daemon.copies.copy_codec import SCHEMA
+from gypsumpost_daemon.generations.key_codec import encode_entry, read_entry
+from gypsumpost_daemon.generations.key_entry import KeyEntry
+from gypsumpost_daemon.peers.peer_request import PeerRequest
 
 EXPIRY_INTERVAL = 1.0
 MAX_ENTRIES = 200_000
--- a/packages/daemon/gypsumpost_daemon/record_factory.py
+++ b/packages/daemon/gypsumpost_daemon/generations/record_factory.py
@@ -5,14 +5,14 @@
 import attrs
 from result import Err, Ok, Result
 
-from gypsumpost_core.completion_request import CompletionRequest
 from gypsumpost_core.failure import Failure
-from gypsumpost_core.generation_record import GenerationRecord
-from gypsumpost_daemon.access_control import AccessControl
-from gypsumpost_daemon.call_headers import read_deadline, read_priority
-from gypsumpost_daemon.caller_refusals import refuse_request
-from gypsumpost_daemon.generation_supervisor import create_generation_id
-from gypsumpost_daemon.http_call import HttpCall
+from gypsumpost_core.generations.completion_request import CompletionRequest
+from gypsumpost_core.generations.generation_record import GenerationRecord
+from gypsumpost_daemon.callers.access_control import AccessControl
+from gypsumpost_daemon.callers.call_headers import read_deadline, read_priority
+from gypsumpost_daemon.callers.caller_refusals import refuse_request
+from gypsumpost_daemon.generations.generation_supervisor import create_generation_id
+from gypsumpost_daemon.http.http_call import HttpCall
 from gypsumpost_daemon.settings import Settings
 
 MAX_KEY_CHARACTERS = 200
--- a/packages/daemon/gypsumpost_daemon/route_builder.py
+++ b/packages/daemon/gypsumpost_daemon/generations/route_builder.py
@@ -4,8 +4,8 @@
 
 import xxhash
 
-from gypsumpost_core.generation_record import GenerationRecord
-from gypsumpost_core.route_request import RouteRequest
+from gypsumpost_core.generations.generation_record import GenerationRecord
+from gypsumpost_core.routing.route_request import RouteRequest
 
 PREFIX_BLOCK_BYTES = 256
 MAX_PREFIX_DIGESTS = 32
--- a/packages/daemon/gypsumpost_daemon/stall_timer.py
+++ b/packages/daemon/gypsumpost_daemon/generations/stall_timer.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from gypsumpost_daemon.generation_metrics import GenerationMetrics
+from gypsumpost_daemon.generations.generation_metrics import GenerationMetrics
 
 
 @attrs.define(kw_only=True)
--- a/packages/daemon/gypsumpost_daemon/stream_canceller.py
+++ b/packages/daemon/gypsumpost_daemon/generations/stream_canceller.py
@@ -4,8 +4,8 @@
 import trio
 from result import Ok
 
-from gypsumpost_daemon.engine_client import EngineClient
-from gypsumpost_daemon.log import Log
+from gypsumpost_daemon.engines.engine_client import EngineClient
+from gypsumpost_daemon.telemetry.log import Log
 
 LOG = Log(prefix="engine")
 
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP servers and the ASGI interface."""
--- a/packages/daemon/gypsumpost_daemon/asgi_lifespan.py
+++ b/packages/daemon/gypsumpost_daemon/http/asgi_lifespan.py
@@ -1,6 +1,6 @@
 """The ASGI lifespan protocol for applications that need no start or stop of their own."""
 
-from gypsumpost_daemon.asgi_application import Receive, Send
+from gypsumpost_daemon.http.asgi_application import Receive, Send
 
 
 async def complete_lifespan(receive: Receive, send: Send) -> None:
--- a/packages/daemon/gypsumpost_daemon/body_limit.py
+++ b/packages/daemon/gypsumpost_daemon/http/body_limit.py
@@ -1,7 +1,7 @@
 """Adapts the application to servers that limit no bodies and send lifespan events."""
 
-from gypsumpost_daemon.asgi_application import ASGIApplication, Message, Receive, Scope, Send
-from gypsumpost_daemon.http_refusal import refuse_long_body
+from gypsumpost_daemon.http.asgi_application import ASGIApplication, Message, Receive, Scope, Send
+from gypsumpost_daemon.http.http_refusal import refuse_long_body
 
 
 def limit_body(application: ASGIApplication, max_body: int) -> ASGIApplication:
--- a/packages/daemon/gypsumpost_daemon/h11_server.py
+++ b/packages/daemon/gypsumpost_daemon/http/h11_server.py
@@ -8,14 +8,14 @@
 import trio
 
 from gypsumpost_daemon.addresses import split_address
-from gypsumpost_daemon.asgi_application import ASGIApplication
-from gypsumpost_daemon.http_connection import HttpConnection
-from gypsumpost_daemon.http_limits import HttpLimits
-from gypsumpost_daemon.log import Log
-from gypsumpost_daemon.running_server import RunningServer
-from gypsumpost_daemon.socket_transport import SocketTransport
-from gypsumpost_daemon.stream_transport import StreamTransport
-from gypsumpost_daemon.transport import Transport
+from gypsumpost_daemon.http.asgi_application import ASGIApplication
+from gypsumpost_daemon.http.http_connection import HttpConnection
+from gypsumpost_daemon.http.http_limits import HttpLimits
+from gypsumpost_daemon.http.running_server import RunningServer
+from gypsumpost_daemon.http.socket_transport import SocketTransport
+from gypsumpost_daemon.http.stream_transport import StreamTransport
+from gypsumpost_daemon.http.transport import Transport
+from gypsumpost_daemon.telemetry.log import Log
 
 LOG = Log(prefix="http")
 BACKLOG = 1024
--- a/packages/daemon/gypsumpost_daemon/http_body.py
+++ b/packages/daemon/gypsumpost_daemon/http/http_body.py
@@ -3,9 +3,9 @@
 import h11
 import trio
 
-from gypsumpost_daemon.http_limits import HttpLimits
-from gypsumpost_daemon.http_refusal import refuse_long_body, refuse_malformed
-from gypsumpost_daemon.transport import Transport
+from gypsumpost_daemon.http.http_limits import HttpLimits
+from gypsumpost_daemon.http.http_refusal import refuse_long_body, refuse_malformed
+from gypsumpost_daemon.http.transport import Transport
 
 
 class HttpBody:
--- a/packages/daemon/gypsumpost_daemon/http_call.py
+++ b/packages/daemon/gypsumpost_daemon/http/http_call.py
@@ -4,8 +4,8 @@
 
 import attrs
 
-from gypsumpost_daemon.asgi_application import Receive, Scope, Send
-from gypsumpost_daemon.caller_response import CallerResponse
+from gypsumpost_daemon.callers.caller_response import CallerResponse
+from gypsumpost_daemon.http.asgi_application import Receive, Scope, Send
 
 
 @attrs.define(kw_only=True)
--- a/packages/daemon/gypsumpost_daemon/http_connection.py
+++ b/packages/daemon/gypsumpost_daemon/http/http_connection.py
@@ -7,12 +7,12 @@
 
 from gypsumpost_core.broken_invariant import BrokenInvariant
 from gypsumpost_core.run_state import RunState
-from gypsumpost_daemon.asgi_application import ASGIApplication, Scope
-from gypsumpost_daemon.http_exchange import HttpExchange
-from gypsumpost_daemon.http_limits import HttpLimits
-from gypsumpost_daemon.http_refusal import HttpRefusal, refuse_long_body, refuse_malformed
-from gypsumpost_daemon.log import Log
-from gypsumpost_daemon.transport import Transport
+from gypsumpost_daemon.http.asgi_application import ASGIApplication, Scope
+from gypsumpost_daemon.http.http_exchange import HttpExchange
+from gypsumpost_daemon.http.http_limits import HttpLimits
+from gypsumpost_daemon.http.http_refusal import HttpRefusal, refuse_long_body, refuse_malformed
+from gypsumpost_daemon.http.transport import Transport
+from gypsumpost_daemon.telemetry.log import Log
 
 LOG = Log(prefix="http")
 SUPPORTED_VERSIONS = frozenset({b"1.0", b"1.1"})
--- a/packages/daemon/gypsumpost_daemon/http_exchange.py
+++ b/packages/daemon/gypsumpost_daemon/http/http_exchange.py
@@ -5,12 +5,12 @@
 import h11
 import trio
 
-from gypsumpost_daemon.asgi_application import Message
-from gypsumpost_daemon.http_body import HttpBody
-from gypsumpost_daemon.http_limits import HttpLimits
-from gypsumpost_daemon.http_refusal import HttpRefusal
-from gypsumpost_daemon.http_response import HttpResponse, frame_chunk
-from gypsumpost_daemon.transport import Transport
+from gypsumpost_daemon.http.asgi_application import Message
+from gypsumpost_daemon.http.http_body import HttpBody
+from gypsumpost_daemon.http.http_limits import HttpLimits
+from gypsumpost_daemon.http.http_refusal import HttpRefusal
+from gypsumpost_daemon.http.http_response import HttpResponse, frame_chunk
+from gypsumpost_daemon.http.transport import Transport
 
 DISCONNECT = "http.disconnect"
 ABORT = "http.response.abort"
--- a/packages/daemon/gypsumpost_daemon/http_response.py
+++ b/packages/daemon/gypsumpost_daemon/http/http_response.py
@@ -5,8 +5,8 @@
 
 import h11
 
-from gypsumpost_daemon.asgi_application import Message
-from gypsumpost_daemon.transport import Transport
+from gypsumpost_daemon.http.asgi_application import Message
+from gypsumpost_daemon.http.transport import Transport
 
 Headers = list[tuple[bytes, bytes]]
 STATUS_WITHOUT_BODY = frozenset({204, 304})
--- a/packages/daemon/gypsumpost_daemon/http_server.py
+++ b/packages/daemon/gypsumpost_daemon/http/http_server.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from gypsumpost_core.registry import Registry
-from gypsumpost_daemon import h11_server, hypercorn_server
+from gypsumpost_daemon.http import h11_server, hypercorn_server
 
 HTTP_SERVERS: Registry[Coroutine[Any, Any, None]] = Registry(behaviour="http-server")
 """Each entry is a function ``async def serve(*, application, address, max_body, tls, task_status)``
--- a/packages/daemon/gypsumpost_daemon/hypercorn_server.py
+++ b/packages/daemon/gypsumpost_daemon/http/hypercorn_server.py
@@ -7,9 +7,9 @@
 from hypercorn.config import Config
 from hypercorn.trio import serve as serve_hypercorn
 
-from gypsumpost_daemon.asgi_application import ASGIApplication
-from gypsumpost_daemon.body_limit import limit_body
-from gypsumpost_daemon.running_server import STOP_SECONDS, RunningServer
+from gypsumpost_daemon.http.asgi_application import ASGIApplication
+from gypsumpost_daemon.http.body_limit import limit_body
+from gypsumpost_daemon.http.running_server import STOP_SECONDS, RunningServer
 
 BACKLOG = 1024
 
--- a/packages/daemon/gypsumpost_daemon/stream_transport.py
+++ b/packages/daemon/gypsumpost_daemon/http/stream_transport.py
@@ -2,7 +2,7 @@
 
 import trio
 
-from gypsumpost_daemon.socket_transport import FINISH_SECONDS, RECEIVE_BYTES, STALL_SECONDS
+from gypsumpost_daemon.http.socket_transport import FINISH_SECONDS, RECEIVE_BYTES, STALL_SECONDS
 
 PIECE_BYTES = 65536
 
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Admission of generations, and shares of allowances between daemons."""
--- a/packages/daemon/gypsumpost_daemon/admission_gate.py
+++ b/packages/daemon/gypsumpost_daemon/limits/admission_gate.py
@@ -7,13 +7,13 @@
 import trio
 from result import Err, Ok, Result
 
-from gypsumpost_core.admission import Admission
-from gypsumpost_core.admission_decision import AdmissionDecision, AdmissionVerdict
-from gypsumpost_core.admission_request import AdmissionRequest
 from gypsumpost_core.failure import Failure
-from gypsumpost_core.generation_record import GenerationRecord
-from gypsumpost_core.router import Router
-from gypsumpost_daemon.host_directory import HostDirectory
+from gypsumpost_core.generations.generation_record import GenerationRecord
+from gypsumpost_core.limits.admission import Admission
+from gypsumpost_core.limits.admission_decision import AdmissionDecision, AdmissionVerdict
+from gypsumpost_core.limits.admission_request import AdmissionRequest
+from gypsumpost_core.routing.router import Router
+from gypsumpost_daemon.peers.host_directory import HostDirectory
 
 TICK_SECONDS = 0.1
 """Time between searches for waiting requests that can no longer meet their deadline."""
--- a/packages/daemon/gypsumpost_daemon/demand_message.py
+++ b/packages/daemon/gypsumpost_daemon/limits/demand_message.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from gypsumpost_core.demand_report import DemandReport
+from gypsumpost_core.limits.demand_report import DemandReport
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/daemon/gypsumpost_daemon/share_codec.py
+++ b/packages/daemon/gypsumpost_daemon/limits/share_codec.py
@@ -8,10 +8,10 @@
 import capnp
 from result import Err, Ok, Result
 
-from gypsumpost_core.demand_report import DemandReport
-from gypsumpost_core.share_amounts import REQUEST_UNIT, ShareAmounts
-from gypsumpost_core.share_grant import ShareGrant
-from gypsumpost_daemon.demand_message import DemandMessage
+from gypsumpost_core.limits.demand_report import DemandReport
+from gypsumpost_core.limits.share_amounts import REQUEST_UNIT, ShareAmounts
+from gypsumpost_core.limits.share_grant import ShareGrant
+from gypsumpost_daemon.limits.demand_message import DemandMessage
 
 SCHEMA = capnp.load(str(Path(__file__).with_name("shares.capnp")))
 MILLISECONDS = 1000
--- a/packages/daemon/gypsumpost_daemon/share_task.py
+++ b/packages/daemon/gypsumpost_daemon/limits/share_task.py
@@ -6,24 +6,24 @@
 import trio
 from result import Err
 
-from gypsumpost_core.allowance_admission import AllowanceAdmission
-from gypsumpost_core.coordinator_views import CoordinatorViews
-from gypsumpost_core.lists import Lists
-from gypsumpost_core.share_board import ShareBoard
-from gypsumpost_core.share_grant import ShareGrant
-from gypsumpost_core.share_mode import SHARE_MODES
-from gypsumpost_daemon.demand_message import DemandMessage
-from gypsumpost_daemon.host_directory import HostDirectory
-from gypsumpost_daemon.log import Log
-from gypsumpost_daemon.message_kind import MessageKind
-from gypsumpost_daemon.peer_channel import PeerChannel
-from gypsumpost_daemon.peer_request import PeerRequest
-from gypsumpost_daemon.share_codec import (
+from gypsumpost_core.limits.allowance_admission import AllowanceAdmission
+from gypsumpost_core.limits.coordinator_views import CoordinatorViews
+from gypsumpost_core.limits.share_board import ShareBoard
+from gypsumpost_core.limits.share_grant import ShareGrant
+from gypsumpost_core.limits.share_mode import SHARE_MODES
+from gypsumpost_core.lists.lists import Lists
+from gypsumpost_daemon.limits.demand_message import DemandMessage
+from gypsumpost_daemon.limits.share_codec import (
     decode_grants,
     decode_reports,
     encode_grants,
     encode_reports,
 )
+from gypsumpost_daemon.peers.host_directory import HostDirectory
+from gypsumpost_daemon.peers.message_kind import MessageKind
+from gypsumpost_daemon.peers.peer_channel import PeerChannel
+from gypsumpost_daemon.peers.peer_request import PeerRequest
+from gypsumpost_daemon.telemetry.log import Log
 
 TICK_SECONDS = 0.1
 REPLY_SECONDS = 0.4
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/lists/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' lists: reading, editing and exchange."""
--- a/packages/daemon/gypsumpost_daemon/edit_outcome.py
+++ b/packages/daemon/gypsumpost_daemon/lists/edit_outcome.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from gypsumpost_core.list_error import ListError
+from gypsumpost_core.lists.list_error import ListError
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/daemon/gypsumpost_daemon/host_revisions.py
+++ b/packages/daemon/gypsumpost_daemon/lists/host_revisions.py
@@ -2,8 +2,8 @@
 
 import trio
 
-from gypsumpost_daemon.host_directory import HostDirectory
-from gypsumpost_daemon.list_task import ListTask
+from gypsumpost_daemon.lists.list_task import ListTask
+from gypsumpost_daemon.peers.host_directory import HostDirectory
 
 
 async def ask_revisions(directory: HostDirectory, task: ListTask) -> dict[str, int | None]:
--- a/packages/daemon/gypsumpost_daemon/list_codec.py
+++ b/packages/daemon/gypsumpost_daemon/lists/list_codec.py
@@ -6,13 +6,13 @@
 import capnp
 from result import Err, Ok, Result
 
-from gypsumpost_core.allowance import Allowance
-from gypsumpost_core.list_change import ListChange
-from gypsumpost_core.list_entry import EntryKey, ListEntry
-from gypsumpost_core.list_kind import ListKind
-from gypsumpost_core.list_update import ListUpdate
-from gypsumpost_core.lists import Lists
-from gypsumpost_core.workspace_plan import WorkspacePlan
+from gypsumpost_core.lists.allowance import Allowance
+from gypsumpost_core.lists.list_change import ListChange
+from gypsumpost_core.lists.list_entry import EntryKey, ListEntry
+from gypsumpost_core.lists.list_kind import ListKind
+from gypsumpost_core.lists.list_update import ListUpdate
+from gypsumpost_core.lists.lists import Lists
+from gypsumpost_core.lists.workspace_plan import WorkspacePlan
 
 SCHEMA = capnp.load(str(Path(__file__).with_name("lists.capnp")))
 
--- a/packages/daemon/gypsumpost_daemon/list_editor.py
+++ b/packages/daemon/gypsumpost_daemon/lists/list_editor.py
@@ -7,16 +7,16 @@
 import trio
 from result import Err
 
-from gypsumpost_core.entry_edit import EntryEdit
-from gypsumpost_core.history_record import HistoryRecord
-from gypsumpost_core.list_check import check_lists
-from gypsumpost_core.list_difference import compute_difference, format_edits, undo_edits
-from gypsumpost_core.list_error import ListError
-from gypsumpost_core.list_file import parse_list
-from gypsumpost_core.list_kind import ListKind
-from gypsumpost_core.list_lines import ListLines
-from gypsumpost_core.lists import Lists
-from gypsumpost_daemon.edit_outcome import (
+from gypsumpost_core.lists.entry_edit import EntryEdit
+from gypsumpost_core.lists.history_record import HistoryRecord
+from gypsumpost_core.lists.list_check import check_lists
+from gypsumpost_core.lists.list_difference import compute_difference, format_edits, undo_edits
+from gypsumpost_core.lists.list_error import ListError
+from gypsumpost_core.lists.list_file import parse_list
+from gypsumpost_core.lists.list_kind import ListKind
+from gypsumpost_core.lists.list_lines import ListLines
+from gypsumpost_core.lists.lists import Lists
+from gypsumpost_daemon.lists.edit_outcome import (
     EditAccepted,
     EditConflict,
     EditNotAccepted,
@@ -24,8 +24,8 @@
     EditRefused,
     EditUnknown,
 )
-from gypsumpost_daemon.list_head import ListHead
-from gypsumpost_daemon.list_records import (
+from gypsumpost_daemon.lists.list_head import ListHead
+from gypsumpost_daemon.lists.list_records import (
     HEAD_KEY,
     HISTORY_PREFIX,
     decode_record,
@@ -33,8 +33,9 @@
     get_entry_key,
     get_history_key,
 )
-from gypsumpost_daemon.store import Store
-from gypsumpost_daemon.store_transaction import (
+from gypsumpost_daemon.lists.stored_lists import StoredLists, get_keys, read_history, read_lists
+from gypsumpost_daemon.store.store import Store
+from gypsumpost_daemon.store.store_transaction import (
     StoreCompare,
     StoreDelete,
     StoreGet,
@@ -42,7 +43,6 @@
     StorePut,
     StoreTransaction,
 )
-from gypsumpost_daemon.stored_lists import StoredLists, get_keys, read_history, read_lists
 
 MAX_EDITED_ENTRIES = 100
 """etcd accepts 128 operations in a transaction; head, history and its trimming need three."""
--- a/packages/daemon/gypsumpost_daemon/list_peers.py
+++ b/packages/daemon/gypsumpost_daemon/lists/list_peers.py
@@ -7,7 +7,7 @@
 
 from gypsumpost_core.host import Host
 from gypsumpost_core.rendezvous import rank_hosts
-from gypsumpost_daemon.host_directory import HostDirectory
+from gypsumpost_daemon.peers.host_directory import HostDirectory
 
 
 class ListPeers:
--- a/packages/daemon/gypsumpost_daemon/list_records.py
+++ b/packages/daemon/gypsumpost_daemon/lists/list_records.py
@@ -4,9 +4,9 @@
 
 from cattrs.preconf.orjson import make_converter
 
-from gypsumpost_core.list_entry import EntryKey
-from gypsumpost_core.list_kind import ListKind
-from gypsumpost_daemon.store_transaction import StoreGet
+from gypsumpost_core.lists.list_entry import EntryKey
+from gypsumpost_core.lists.list_kind import ListKind
+from gypsumpost_daemon.store.store_transaction import StoreGet
 
 PREFIX = "/gypsumpost/lists/"
 HEAD_KEY = f"{PREFIX}head".encode()
--- a/packages/daemon/gypsumpost_daemon/list_task.py
+++ b/packages/daemon/gypsumpost_daemon/lists/list_task.py
@@ -6,20 +6,20 @@
 import trio
 from result import Err
 
-from gypsumpost_core.list_replica import ListReplica
-from gypsumpost_core.list_status import ListStatus
-from gypsumpost_core.list_update import ListUpdate
-from gypsumpost_core.lists import Lists
-from gypsumpost_core.spread_tree import list_children
-from gypsumpost_daemon.host_directory import HostDirectory
-from gypsumpost_daemon.list_codec import decode_update, encode_update
-from gypsumpost_daemon.list_peers import ListPeers
-from gypsumpost_daemon.log import Log
-from gypsumpost_daemon.message_kind import MessageKind
-from gypsumpost_daemon.peer_channel import PeerChannel
-from gypsumpost_daemon.peer_request import PeerRequest
-from gypsumpost_daemon.store import Store
-from gypsumpost_daemon.store_watcher import StoreWatcher
+from gypsumpost_core.lists.list_replica import ListReplica
+from gypsumpost_core.lists.list_status import ListStatus
+from gypsumpost_core.lists.list_update import ListUpdate
+from gypsumpost_core.lists.lists import Lists
+from gypsumpost_core.lists.spread_tree import list_children
+from gypsumpost_daemon.lists.list_codec import decode_update, encode_update
+from gypsumpost_daemon.lists.list_peers import ListPeers
+from gypsumpost_daemon.peers.host_directory import HostDirectory
+from gypsumpost_daemon.peers.message_kind import MessageKind
+from gypsumpost_daemon.peers.peer_channel import PeerChannel
+from gypsumpost_daemon.peers.peer_request import PeerRequest
+from gypsumpost_daemon.store.store import Store
+from gypsumpost_daemon.store.store_watcher import StoreWatcher
+from gypsumpost_daemon.telemetry.log import Log
 
 WATCHERS_PER_DOMAIN = 2
 PEER_SECONDS = 1.0
--- a/packages/daemon/gypsumpost_daemon/stored_lists.py
+++ b/packages/daemon/gypsumpost_daemon/lists/stored_lists.py
@@ -3,23 +3,23 @@
 import attrs
 from result import Err, Ok, Result
 
-from gypsumpost_core.allowance import Allowance
-from gypsumpost_core.history_record import HistoryRecord
-from gypsumpost_core.list_kind import ListKind
-from gypsumpost_core.lists import Lists
-from gypsumpost_core.workspace_plan import WorkspacePlan
-from gypsumpost_daemon.list_head import ListHead
-from gypsumpost_daemon.list_records import (
+from gypsumpost_core.lists.allowance import Allowance
+from gypsumpost_core.lists.history_record import HistoryRecord
+from gypsumpost_core.lists.list_kind import ListKind
+from gypsumpost_core.lists.lists import Lists
+from gypsumpost_core.lists.workspace_plan import WorkspacePlan
+from gypsumpost_daemon.lists.list_head import ListHead
+from gypsumpost_daemon.lists.list_records import (
     HEAD_KEY,
     decode_record,
     get_history_key,
     get_list_range,
 )
-from gypsumpost_daemon.store import Store
-from gypsumpost_daemon.store_failure import StoreFailure
-from gypsumpost_daemon.store_key_value import StoreKeyValue
-from gypsumpost_daemon.store_transaction import StoreGet, StoreTransaction
-from gypsumpost_daemon.store_transaction_result import StoreTransactionResult
+from gypsumpost_daemon.store.store import Store
+from gypsumpost_daemon.store.store_failure import StoreFailure
+from gypsumpost_daemon.store.store_key_value import StoreKeyValue
+from gypsumpost_daemon.store.store_transaction import StoreGet, StoreTransaction
+from gypsumpost_daemon.store.store_transaction_result import StoreTransactionResult
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/daemon/gypsumpost_daemon/main.py
+++ b/packages/daemon/gypsumpost_daemon/main.py
@@ -7,9 +7,9 @@
 from result import Err
 
 from gypsumpost_core.broken_invariant import BrokenInvariant
-from gypsumpost_core.settings_reader import name_variable, read_settings
+from gypsumpost_core.settings.settings_reader import name_variable, read_settings
 from gypsumpost_daemon.gateway.gateway_process import run_gateway
-from gypsumpost_daemon.log import Log, start_logging
+from gypsumpost_daemon.telemetry.log import Log, start_logging
 
 USAGE_STATUS = 2
 BROKEN_INVARIANT_STATUS = 70
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between hosts, and which hosts there are."""
--- a/packages/daemon/gypsumpost_daemon/compact_addresses.py
+++ b/packages/daemon/gypsumpost_daemon/peers/compact_addresses.py
@@ -5,7 +5,7 @@
 import attrs
 
 from gypsumpost_core.host import Host
-from gypsumpost_core.setting_parsers import parse_address, parse_optional_address
+from gypsumpost_core.settings.setting_parsers import parse_address, parse_optional_address
 from gypsumpost_daemon.addresses import split_address
 
 
--- a/packages/daemon/gypsumpost_daemon/frame.py
+++ b/packages/daemon/gypsumpost_daemon/peers/frame.py
@@ -14,7 +14,7 @@
 class Frame:
     """One message on a peer connection.
 
-    :param kind: a value of :class:`~gypsumpost_daemon.message_kind.MessageKind`.
+    :param kind: a value of :class:`~gypsumpost_daemon.peers.message_kind.MessageKind`.
     :param correlation: number that a reply repeats; 0 if no reply is expected.
     :param clock: the sender's hybrid clock.
     :param payload: the encoded message.
--- a/packages/daemon/gypsumpost_daemon/frame_decoder.py
+++ b/packages/daemon/gypsumpost_daemon/peers/frame_decoder.py
@@ -1,6 +1,6 @@
 """Decoder of frames from a byte stream."""
 
-from gypsumpost_daemon.frame import HEADER, MAX_PAYLOAD_BYTES, Frame
+from gypsumpost_daemon.peers.frame import HEADER, MAX_PAYLOAD_BYTES, Frame
 
 
 class FrameDecoder:
--- a/packages/daemon/gypsumpost_daemon/gossip.py
+++ b/packages/daemon/gypsumpost_daemon/peers/gossip.py
@@ -7,20 +7,20 @@
 import trio
 from result import Err
 
-from gypsumpost_core.forget_host import ForgetHost
 from gypsumpost_core.host import Host
 from gypsumpost_core.key_ring import KeyRing
-from gypsumpost_core.membership import Membership
-from gypsumpost_core.membership_decision import MembershipDecision
-from gypsumpost_core.membership_settings import MembershipSettings
-from gypsumpost_core.report_host import ReportHost
-from gypsumpost_core.report_list_revision import ReportListRevision
-from gypsumpost_core.send_datagram import SendDatagram
+from gypsumpost_core.membership.forget_host import ForgetHost
+from gypsumpost_core.membership.membership import Membership
+from gypsumpost_core.membership.membership_decision import MembershipDecision
+from gypsumpost_core.membership.membership_settings import MembershipSettings
+from gypsumpost_core.membership.report_host import ReportHost
+from gypsumpost_core.membership.report_list_revision import ReportListRevision
+from gypsumpost_core.membership.send_datagram import SendDatagram
 from gypsumpost_daemon.addresses import split_address
-from gypsumpost_daemon.gossip_codec import GossipCodec
-from gypsumpost_daemon.host_directory import HostDirectory
-from gypsumpost_daemon.host_list_snapshot import HostListSnapshot
-from gypsumpost_daemon.log import CLOCK, Log
+from gypsumpost_daemon.peers.gossip_codec import GossipCodec
+from gypsumpost_daemon.peers.host_directory import HostDirectory
+from gypsumpost_daemon.peers.host_list_snapshot import HostListSnapshot
+from gypsumpost_daemon.telemetry.log import CLOCK, Log
 
 RECEIVE_BYTES = 2048
 LOG_INTERVAL_SECONDS = 10.0
--- a/packages/daemon/gypsumpost_daemon/gossip_codec.py
+++ b/packages/daemon/gypsumpost_daemon/peers/gossip_codec.py
@@ -9,15 +9,15 @@
 import capnp
 from result import Err, Ok, Result
 
-from gypsumpost_core.datagram import Datagram
-from gypsumpost_core.datagram_kind import DatagramKind
-from gypsumpost_core.domain_beat import DomainBeat
 from gypsumpost_core.host import Host
 from gypsumpost_core.key_ring import KeyRing, create_key_ring
-from gypsumpost_core.member_state import MemberState
-from gypsumpost_core.member_update import MemberUpdate
-from gypsumpost_core.setting_parsers import parse_name
-from gypsumpost_daemon.compact_addresses import CompactAddresses, compact_addresses
+from gypsumpost_core.membership.datagram import Datagram
+from gypsumpost_core.membership.datagram_kind import DatagramKind
+from gypsumpost_core.membership.domain_beat import DomainBeat
+from gypsumpost_core.membership.member_state import MemberState
+from gypsumpost_core.membership.member_update import MemberUpdate
+from gypsumpost_core.settings.setting_parsers import parse_name
+from gypsumpost_daemon.peers.compact_addresses import CompactAddresses, compact_addresses
 
 MAC_BYTES = 16
 
--- a/packages/daemon/gypsumpost_daemon/host_directory.py
+++ b/packages/daemon/gypsumpost_daemon/peers/host_directory.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from gypsumpost_core.host import Host
-from gypsumpost_core.member_state import MemberState
+from gypsumpost_core.membership.member_state import MemberState
 
 
 class HostDirectory:
--- a/packages/daemon/gypsumpost_daemon/host_list.py
+++ b/packages/daemon/gypsumpost_daemon/peers/host_list.py
@@ -8,9 +8,9 @@
 import trio
 from result import Err, Ok, Result
 
-from gypsumpost_daemon.host_list_parser import parse_host_list
-from gypsumpost_daemon.host_list_snapshot import HostListSnapshot
-from gypsumpost_daemon.log import Log
+from gypsumpost_daemon.peers.host_list_parser import parse_host_list
+from gypsumpost_daemon.peers.host_list_snapshot import HostListSnapshot
+from gypsumpost_daemon.telemetry.log import Log
 
 POLL_SECONDS = 1.0
 MAX_BACKOFF_SECONDS = 8.0
--- a/packages/daemon/gypsumpost_daemon/host_list_file.py
+++ b/packages/daemon/gypsumpost_daemon/peers/host_list_file.py
@@ -4,8 +4,8 @@
 
 from result import Err
 
-from gypsumpost_daemon.host_list_parser import parse_host_list
-from gypsumpost_daemon.host_list_snapshot import HostListSnapshot
+from gypsumpost_daemon.peers.host_list_parser import parse_host_list
+from gypsumpost_daemon.peers.host_list_snapshot import HostListSnapshot
 
 
 def parse_host_list_file(path: str) -> HostListSnapshot:
--- a/packages/daemon/gypsumpost_daemon/host_list_parser.py
+++ b/packages/daemon/gypsumpost_daemon/peers/host_list_parser.py
@@ -6,14 +6,18 @@
 import orjson
 from result import Err, Ok, Result
 
-from gypsumpost_core.endpoint import Endpoint
-from gypsumpost_core.endpoint_kind import EndpointKind
-from gypsumpost_core.endpoint_status import EndpointStatus
 from gypsumpost_core.host import Host
-from gypsumpost_core.model_ref import ModelRef
-from gypsumpost_core.setting_parsers import parse_address, parse_name, parse_optional_address
-from gypsumpost_daemon.host_list_snapshot import HostListSnapshot
-from gypsumpost_daemon.listed_host import ListedHost
+from gypsumpost_core.routing.endpoint import Endpoint
+from gypsumpost_core.routing.endpoint_kind import EndpointKind
+from gypsumpost_core.routing.endpoint_status import EndpointStatus
+from gypsumpost_core.routing.model_ref import ModelRef
+from gypsumpost_core.settings.setting_parsers import (
+    parse_address,
+    parse_name,
+    parse_optional_address,
+)
+from gypsumpost_daemon.peers.host_list_snapshot import HostListSnapshot
+from gypsumpost_daemon.peers.listed_host import ListedHost
 
 T = TypeVar("T")
 
--- a/packages/daemon/gypsumpost_daemon/host_list_snapshot.py
+++ b/packages/daemon/gypsumpost_daemon/peers/host_list_snapshot.py
@@ -2,8 +2,8 @@
 
 import attrs
 
-from gypsumpost_core.endpoint import Endpoint
-from gypsumpost_daemon.listed_host import ListedHost
+from gypsumpost_core.routing.endpoint import Endpoint
+from gypsumpost_daemon.peers.listed_host import ListedHost
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/daemon/gypsumpost_daemon/peer_channel.py
+++ b/packages/daemon/gypsumpost_daemon/peers/peer_channel.py
@@ -4,13 +4,13 @@
 
 from result import Result
 
-from gypsumpost_daemon.message_kind import MessageKind
-from gypsumpost_daemon.peer_failure import PeerFailure
-from gypsumpost_daemon.peer_network import PeerHandler
+from gypsumpost_daemon.peers.message_kind import MessageKind
+from gypsumpost_daemon.peers.peer_failure import PeerFailure
+from gypsumpost_daemon.peers.peer_network import PeerHandler
 
 
 class PeerChannel(Protocol):
-    """What :class:`~gypsumpost_daemon.peer_network.PeerNetwork` offers to the other parts."""
+    """What :class:`~gypsumpost_daemon.peers.peer_network.PeerNetwork` offers to the other parts."""
 
     def add_handler(self, kind: MessageKind, handler: PeerHandler) -> None:
         """Answer requests of one kind."""
--- a/packages/daemon/gypsumpost_daemon/peer_link.py
+++ b/packages/daemon/gypsumpost_daemon/peers/peer_link.py
@@ -7,10 +7,10 @@
 import trio
 from result import Err, Ok, Result
 
-from gypsumpost_daemon.frame import Frame
-from gypsumpost_daemon.frame_decoder import FrameDecoder
-from gypsumpost_daemon.log import CLOCK
-from gypsumpost_daemon.peer_failure import PeerFailure
+from gypsumpost_daemon.peers.frame import Frame
+from gypsumpost_daemon.peers.frame_decoder import FrameDecoder
+from gypsumpost_daemon.peers.peer_failure import PeerFailure
+from gypsumpost_daemon.telemetry.log import CLOCK
 
 RECEIVE_BYTES = 65536
 QUEUE_FRAMES = 4096
--- a/packages/daemon/gypsumpost_daemon/peer_network.py
+++ b/packages/daemon/gypsumpost_daemon/peers/peer_network.py
@@ -8,16 +8,16 @@
 
 from gypsumpost_core.key_ring import KeyRing
 from gypsumpost_daemon.addresses import split_address
-from gypsumpost_daemon.frame import Frame
-from gypsumpost_daemon.frame_decoder import FrameDecoder
-from gypsumpost_daemon.host_directory import HostDirectory
-from gypsumpost_daemon.log import CLOCK, Log
-from gypsumpost_daemon.message_kind import MessageKind
-from gypsumpost_daemon.peer_failure import PeerFailure
-from gypsumpost_daemon.peer_handshake import PeerHandshake
-from gypsumpost_daemon.peer_link import RECEIVE_BYTES, PeerLink
-from gypsumpost_daemon.peer_request import PeerRequest
-from gypsumpost_daemon.peer_tls import PeerTls
+from gypsumpost_daemon.peers.frame import Frame
+from gypsumpost_daemon.peers.frame_decoder import FrameDecoder
+from gypsumpost_daemon.peers.host_directory import HostDirectory
+from gypsumpost_daemon.peers.message_kind import MessageKind
+from gypsumpost_daemon.peers.peer_failure import PeerFailure
+from gypsumpost_daemon.peers.peer_handshake import PeerHandshake
+from gypsumpost_daemon.peers.peer_link import RECEIVE_BYTES, PeerLink
+from gypsumpost_daemon.peers.peer_request import PeerRequest
+from gypsumpost_daemon.peers.peer_tls import PeerTls
+from gypsumpost_daemon.telemetry.log import CLOCK, Log
 
 PeerHandler = Callable[[PeerRequest], Awaitable[bytes]]
 
--- a/packages/daemon/gypsumpost_daemon/peer_tls.py
+++ b/packages/daemon/gypsumpost_daemon/peers/peer_tls.py
@@ -5,7 +5,7 @@
 import attrs
 import trio
 
-from gypsumpost_daemon.caller_tls import refuse_password
+from gypsumpost_daemon.credentials.caller_tls import refuse_password
 
 
 @attrs.define(kw_only=True)
--- a/packages/daemon/gypsumpost_daemon/seeds_parser.py
+++ b/packages/daemon/gypsumpost_daemon/peers/seeds_parser.py
@@ -1,7 +1,7 @@
 """Parser of the setting that names seed hosts."""
 
 from gypsumpost_core.host import Host
-from gypsumpost_core.setting_parsers import parse_address, parse_name
+from gypsumpost_core.settings.setting_parsers import parse_address, parse_name
 
 
 def parse_seeds(text: str) -> tuple[Host, ...]:
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Orders to the engines of a failure domain."""
--- a/packages/daemon/gypsumpost_daemon/model_demand.py
+++ b/packages/daemon/gypsumpost_daemon/placement/model_demand.py
@@ -5,9 +5,9 @@
 
 import attrs
 
-from gypsumpost_core.lists import Lists
-from gypsumpost_core.model_ref import ModelRef
-from gypsumpost_daemon.endpoint_table import EndpointTable
+from gypsumpost_core.lists.lists import Lists
+from gypsumpost_core.routing.model_ref import ModelRef
+from gypsumpost_daemon.engines.endpoint_table import EndpointTable
 
 LEAST_DEMAND = 1.0
 """Demand of everything that a plan may use. Each daemon sees its own generations only, so a model
--- a/packages/daemon/gypsumpost_daemon/order_lease_store.py
+++ b/packages/daemon/gypsumpost_daemon/placement/order_lease_store.py
@@ -7,19 +7,19 @@
 import trio
 from result import Err
 
-from gypsumpost_core.lease_record import LeaseRecord
-from gypsumpost_core.lease_step import LeaseAction, LeaseStep
-from gypsumpost_core.lease_view import LeaseView
-from gypsumpost_core.order_lease import OrderLease
-from gypsumpost_daemon.list_records import decode_record, encode_record
-from gypsumpost_daemon.store import Store
-from gypsumpost_daemon.store_transaction import (
+from gypsumpost_core.placement.lease_record import LeaseRecord
+from gypsumpost_core.placement.lease_step import LeaseAction, LeaseStep
+from gypsumpost_core.placement.lease_view import LeaseView
+from gypsumpost_core.placement.order_lease import OrderLease
+from gypsumpost_daemon.lists.list_records import decode_record, encode_record
+from gypsumpost_daemon.store.store import Store
+from gypsumpost_daemon.store.store_transaction import (
     StoreCompare,
     StoreGet,
     StorePut,
     StoreTransaction,
 )
-from gypsumpost_daemon.store_transaction_result import StoreTransactionResult
+from gypsumpost_daemon.store.store_transaction_result import StoreTransactionResult
 
 PREFIX = "/gypsumpost/orders/"
 CALL_SECONDS = 2.0
--- a/packages/daemon/gypsumpost_daemon/placement_task.py
+++ b/packages/daemon/gypsumpost_daemon/placement/placement_task.py
@@ -6,25 +6,25 @@
 import trio
 from result import Err, Ok
 
-from gypsumpost_core.endpoint import Endpoint
-from gypsumpost_core.endpoint_kind import EndpointKind
-from gypsumpost_core.endpoint_status import EndpointStatus
-from gypsumpost_core.engine_order import EngineOrder
-from gypsumpost_core.engine_report import EngineReport
-from gypsumpost_core.lease_step import LeaseAction
-from gypsumpost_core.model_ref import ModelRef
-from gypsumpost_core.order_lease import OrderLease
-from gypsumpost_core.order_planner import OrderPlanner
-from gypsumpost_core.placement_policies import PLACEMENT
-from gypsumpost_core.placement_policy import DesiredState, PlacementPolicy
-from gypsumpost_core.placement_settings import PlacementSettings
-from gypsumpost_core.placement_situation import PlacementSituation
+from gypsumpost_core.placement.engine_order import EngineOrder
+from gypsumpost_core.placement.engine_report import EngineReport
+from gypsumpost_core.placement.lease_step import LeaseAction
+from gypsumpost_core.placement.order_lease import OrderLease
+from gypsumpost_core.placement.order_planner import OrderPlanner
+from gypsumpost_core.placement.placement_policies import PLACEMENT
+from gypsumpost_core.placement.placement_policy import DesiredState, PlacementPolicy
+from gypsumpost_core.placement.placement_settings import PlacementSettings
+from gypsumpost_core.placement.placement_situation import PlacementSituation
 from gypsumpost_core.rendezvous import rank_hosts
-from gypsumpost_daemon.engine_client import EngineClient
-from gypsumpost_daemon.engine_prober import parse_load
-from gypsumpost_daemon.host_directory import HostDirectory
-from gypsumpost_daemon.log import Log
-from gypsumpost_daemon.order_lease_store import OrderLeaseStore
+from gypsumpost_core.routing.endpoint import Endpoint
+from gypsumpost_core.routing.endpoint_kind import EndpointKind
+from gypsumpost_core.routing.endpoint_status import EndpointStatus
+from gypsumpost_core.routing.model_ref import ModelRef
+from gypsumpost_daemon.engines.engine_client import EngineClient
+from gypsumpost_daemon.engines.engine_prober import parse_load
+from gypsumpost_daemon.peers.host_directory import HostDirectory
+from gypsumpost_daemon.placement.order_lease_store import OrderLeaseStore
+from gypsumpost_daemon.telemetry.log import Log
 
 LOG = Log(prefix="orders")
 
--- a/packages/daemon/gypsumpost_daemon/platform_parts.py
+++ b/packages/daemon/gypsumpost_daemon/platform_parts.py
@@ -6,37 +6,37 @@
 
 import trio
 
-from gypsumpost_core.lease_settings import LeaseSettings
-from gypsumpost_core.model_ref import ModelRef
-from gypsumpost_core.order_lease import OrderLease
-from gypsumpost_core.placement_settings import PlacementSettings
-from gypsumpost_core.router import Router
-from gypsumpost_daemon import claim_batcher, direct_claims
-from gypsumpost_daemon.admin_application import AdminApplication
-from gypsumpost_daemon.admin_endpoints import AdminEndpoints
-from gypsumpost_daemon.admin_hosts import AdminHosts
-from gypsumpost_daemon.admin_lists import AdminLists
-from gypsumpost_daemon.admin_server import serve_admin
-from gypsumpost_daemon.claim_mode import CLAIM_MODES
-from gypsumpost_daemon.endpoint_desires import EndpointDesires
-from gypsumpost_daemon.endpoint_editor import EndpointEditor
-from gypsumpost_daemon.endpoint_table import EndpointTable
-from gypsumpost_daemon.endpoint_work import EndpointWork
-from gypsumpost_daemon.engine_client import EngineClient
-from gypsumpost_daemon.gossip import Gossip
-from gypsumpost_daemon.host_directory import HostDirectory
-from gypsumpost_daemon.host_list import HostList
-from gypsumpost_daemon.host_list_snapshot import HostListSnapshot
-from gypsumpost_daemon.list_access import ListAccess
-from gypsumpost_daemon.list_task import ListTask
-from gypsumpost_daemon.model_demand import ModelDemand
-from gypsumpost_daemon.order_lease_store import OrderLeaseStore
-from gypsumpost_daemon.peer_network import PeerNetwork
-from gypsumpost_daemon.placement_task import PlacementTask
-from gypsumpost_daemon.service_calls import ServiceCalls
+from gypsumpost_core.placement.lease_settings import LeaseSettings
+from gypsumpost_core.placement.order_lease import OrderLease
+from gypsumpost_core.placement.placement_settings import PlacementSettings
+from gypsumpost_core.routing.model_ref import ModelRef
+from gypsumpost_core.routing.router import Router
+from gypsumpost_daemon.admin.admin_application import AdminApplication
+from gypsumpost_daemon.admin.admin_endpoints import AdminEndpoints
+from gypsumpost_daemon.admin.admin_hosts import AdminHosts
+from gypsumpost_daemon.admin.admin_lists import AdminLists
+from gypsumpost_daemon.admin.admin_server import serve_admin
+from gypsumpost_daemon.callers.list_access import ListAccess
+from gypsumpost_daemon.calls import claim_batcher, direct_claims
+from gypsumpost_daemon.calls.claim_mode import CLAIM_MODES
+from gypsumpost_daemon.calls.service_calls import ServiceCalls
+from gypsumpost_daemon.endpoints.endpoint_desires import EndpointDesires
+from gypsumpost_daemon.endpoints.endpoint_editor import EndpointEditor
+from gypsumpost_daemon.engines.endpoint_table import EndpointTable
+from gypsumpost_daemon.engines.endpoint_work import EndpointWork
+from gypsumpost_daemon.engines.engine_client import EngineClient
+from gypsumpost_daemon.limits.share_task import ShareTask
+from gypsumpost_daemon.lists.list_task import ListTask
+from gypsumpost_daemon.peers.gossip import Gossip
+from gypsumpost_daemon.peers.host_directory import HostDirectory
+from gypsumpost_daemon.peers.host_list import HostList
+from gypsumpost_daemon.peers.host_list_snapshot import HostListSnapshot
+from gypsumpost_daemon.peers.peer_network import PeerNetwork
+from gypsumpost_daemon.placement.model_demand import ModelDemand
+from gypsumpost_daemon.placement.order_lease_store import OrderLeaseStore
+from gypsumpost_daemon.placement.placement_task import PlacementTask
 from gypsumpost_daemon.settings import Settings
-from gypsumpost_daemon.share_task import ShareTask
-from gypsumpost_daemon.store_client import StoreClient
+from gypsumpost_daemon.store.store_client import StoreClient
 
 REGISTERED_CLAIM_MODES = (claim_batcher, direct_claims)
 """Importing these modules fills the registry of claim modes."""
--- a/packages/daemon/gypsumpost_daemon/settings.py
+++ b/packages/daemon/gypsumpost_daemon/settings.py
@@ -2,13 +2,14 @@
 
 import attrs
 
-from gypsumpost_core.copy_placement import COPY_PLACEMENTS
+from gypsumpost_core.generations.copy_placement import COPY_PLACEMENTS
+from gypsumpost_core.generations.resumption_policies import RESUMPTION
 from gypsumpost_core.host import Host
-from gypsumpost_core.placement_policies import PLACEMENT
-from gypsumpost_core.resumption_policies import RESUMPTION
-from gypsumpost_core.routing_policies import ROUTING
-from gypsumpost_core.setting import define_setting
-from gypsumpost_core.setting_parsers import (
+from gypsumpost_core.limits.share_mode import SHARE_MODES
+from gypsumpost_core.placement.placement_policies import PLACEMENT
+from gypsumpost_core.routing.routing_policies import ROUTING
+from gypsumpost_core.settings.setting import define_setting
+from gypsumpost_core.settings.setting_parsers import (
     parse_address,
     parse_choice,
     parse_integer,
@@ -16,13 +17,12 @@
     parse_number,
     parse_optional_address,
 )
-from gypsumpost_core.share_mode import SHARE_MODES
-from gypsumpost_daemon.file_setting import define_file
-from gypsumpost_daemon.host_list_file import parse_host_list_file
-from gypsumpost_daemon.host_list_snapshot import HostListSnapshot
-from gypsumpost_daemon.http_server import HTTP_SERVERS
-from gypsumpost_daemon.seeds_parser import parse_seeds
-from gypsumpost_daemon.workspace_keys import WorkspaceKeys, parse_workspace_keys
+from gypsumpost_daemon.callers.workspace_keys import WorkspaceKeys, parse_workspace_keys
+from gypsumpost_daemon.credentials.file_setting import define_file
+from gypsumpost_daemon.http.http_server import HTTP_SERVERS
+from gypsumpost_daemon.peers.host_list_file import parse_host_list_file
+from gypsumpost_daemon.peers.host_list_snapshot import HostListSnapshot
+from gypsumpost_daemon.peers.seeds_parser import parse_seeds
 
 ADDRESS = "ip:port"
 NAME = "letters, digits and hyphens, at most 63"
--- a/packages/daemon/gypsumpost_daemon/settings_check.py
+++ b/packages/daemon/gypsumpost_daemon/settings_check.py
@@ -5,11 +5,11 @@
 
 import attrs
 
-from gypsumpost_core.settings_reader import name_flag
-from gypsumpost_daemon.caller_tls import CallerTls
-from gypsumpost_daemon.peer_tls import PeerTls
+from gypsumpost_core.settings.settings_reader import name_flag
+from gypsumpost_daemon.credentials.caller_tls import CallerTls
+from gypsumpost_daemon.credentials.shared_key_file import read_key
+from gypsumpost_daemon.peers.peer_tls import PeerTls
 from gypsumpost_daemon.settings import Settings
-from gypsumpost_daemon.shared_key_file import read_key
 
 CALLER_TLS = ("tls_cert_file", "tls_key_file")
 PEER_TLS = ("peer_tls_cert_file", "peer_tls_key_file", "peer_tls_ca_file")
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/store/__init__.py
@@ -0,0 +1,1 @@
+"""The client of the platform's key-value store."""
--- a/packages/daemon/gypsumpost_daemon/store.py
+++ b/packages/daemon/gypsumpost_daemon/store/store.py
@@ -5,10 +5,10 @@
 
 from result import Result
 
-from gypsumpost_daemon.store_event import StoreEvent
-from gypsumpost_daemon.store_failure import StoreFailure
-from gypsumpost_daemon.store_transaction import StoreTransaction
-from gypsumpost_daemon.store_transaction_result import StoreTransactionResult
+from gypsumpost_daemon.store.store_event import StoreEvent
+from gypsumpost_daemon.store.store_failure import StoreFailure
+from gypsumpost_daemon.store.store_transaction import StoreTransaction
+from gypsumpost_daemon.store.store_transaction_result import StoreTransactionResult
 
 
 class Store(Protocol):
--- a/packages/daemon/gypsumpost_daemon/store_client.py
+++ b/packages/daemon/gypsumpost_daemon/store/store_client.py
@@ -8,17 +8,17 @@
 import trio
 from result import Err, Ok, Result
 
-from gypsumpost_daemon.sent_trace import SentTrace
-from gypsumpost_daemon.store_codec import (
+from gypsumpost_daemon.engines.sent_trace import SentTrace
+from gypsumpost_daemon.store.store_codec import (
     decode_event,
     decode_transaction_result,
     encode_range,
     encode_transaction,
 )
-from gypsumpost_daemon.store_event import StoreEvent
-from gypsumpost_daemon.store_failure import StoreFailure
-from gypsumpost_daemon.store_transaction import StoreTransaction
-from gypsumpost_daemon.store_transaction_result import StoreTransactionResult
+from gypsumpost_daemon.store.store_event import StoreEvent
+from gypsumpost_daemon.store.store_failure import StoreFailure
+from gypsumpost_daemon.store.store_transaction import StoreTransaction
+from gypsumpost_daemon.store.store_transaction_result import StoreTransactionResult
 
 T = TypeVar("T")
 
--- a/packages/daemon/gypsumpost_daemon/store_codec.py
+++ b/packages/daemon/gypsumpost_daemon/store/store_codec.py
@@ -3,16 +3,16 @@
 import base64
 from typing import Any
 
-from gypsumpost_daemon.store_event import StoreEvent
-from gypsumpost_daemon.store_key_value import StoreKeyValue
-from gypsumpost_daemon.store_transaction import (
+from gypsumpost_daemon.store.store_event import StoreEvent
+from gypsumpost_daemon.store.store_key_value import StoreKeyValue
+from gypsumpost_daemon.store.store_transaction import (
     StoreCompare,
     StoreGet,
     StoreOperation,
     StorePut,
     StoreTransaction,
 )
-from gypsumpost_daemon.store_transaction_result import StoreTransactionResult
+from gypsumpost_daemon.store.store_transaction_result import StoreTransactionResult
 
 
 def encode_bytes(data: bytes) -> str:
--- a/packages/daemon/gypsumpost_daemon/store_transaction_result.py
+++ b/packages/daemon/gypsumpost_daemon/store/store_transaction_result.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from gypsumpost_daemon.store_key_value import StoreKeyValue
+from gypsumpost_daemon.store.store_key_value import StoreKeyValue
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/daemon/gypsumpost_daemon/store_watcher.py
+++ b/packages/daemon/gypsumpost_daemon/store/store_watcher.py
@@ -7,15 +7,20 @@
 import trio
 from result import Err
 
-from gypsumpost_core.history_record import HistoryRecord
-from gypsumpost_core.list_replica import ListReplica
-from gypsumpost_daemon.list_head import ListHead
-from gypsumpost_daemon.list_records import HEAD_KEY, HISTORY_END, HISTORY_PREFIX, decode_record
-from gypsumpost_daemon.log import Log
-from gypsumpost_daemon.store import Store
-from gypsumpost_daemon.store_event import StoreEvent
-from gypsumpost_daemon.store_transaction import StoreGet, StoreTransaction
-from gypsumpost_daemon.stored_lists import StoredLists, get_keys, read_history, read_lists
+from gypsumpost_core.lists.history_record import HistoryRecord
+from gypsumpost_core.lists.list_replica import ListReplica
+from gypsumpost_daemon.lists.list_head import ListHead
+from gypsumpost_daemon.lists.list_records import (
+    HEAD_KEY,
+    HISTORY_END,
+    HISTORY_PREFIX,
+    decode_record,
+)
+from gypsumpost_daemon.lists.stored_lists import StoredLists, get_keys, read_history, read_lists
+from gypsumpost_daemon.store.store import Store
+from gypsumpost_daemon.store.store_event import StoreEvent
+from gypsumpost_daemon.store.store_transaction import StoreGet, StoreTransaction
+from gypsumpost_daemon.telemetry.log import Log
 
 CALL_SECONDS = 2.0
 PROBE_SECONDS = 3.0
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/suspicion/__init__.py
@@ -0,0 +1,1 @@
+"""Reports of requests that crash engines."""
--- a/packages/daemon/gypsumpost_daemon/crash_guard.py
+++ b/packages/daemon/gypsumpost_daemon/suspicion/crash_guard.py
@@ -8,13 +8,13 @@
 import trio
 from result import Ok
 
-from gypsumpost_core.attempt_outcome import AttemptOutcome
-from gypsumpost_core.crash_suspicion import CrashSuspicion
-from gypsumpost_core.route_request import RouteRequest
-from gypsumpost_core.router import Router
-from gypsumpost_core.suspicion_decision import SuspicionDecision, SuspicionVerdict
-from gypsumpost_daemon.engine_client import EngineClient
-from gypsumpost_daemon.log import Log
+from gypsumpost_core.generations.attempt_outcome import AttemptOutcome
+from gypsumpost_core.routing.route_request import RouteRequest
+from gypsumpost_core.routing.router import Router
+from gypsumpost_core.suspicion.crash_suspicion import CrashSuspicion
+from gypsumpost_core.suspicion.suspicion_decision import SuspicionDecision, SuspicionVerdict
+from gypsumpost_daemon.engines.engine_client import EngineClient
+from gypsumpost_daemon.telemetry.log import Log
 
 LOG = Log(prefix="engine")
 
--- a/packages/daemon/gypsumpost_daemon/crash_reporter.py
+++ b/packages/daemon/gypsumpost_daemon/suspicion/crash_reporter.py
@@ -5,16 +5,16 @@
 import trio
 from result import Err, Ok
 
-from gypsumpost_core.crash_suspicion import CrashSuspicion
 from gypsumpost_core.host import Host
 from gypsumpost_core.rendezvous import rank_hosts
-from gypsumpost_core.suspicion_report import SuspicionReport
-from gypsumpost_daemon.host_directory import HostDirectory
-from gypsumpost_daemon.log import Log
-from gypsumpost_daemon.message_kind import MessageKind
-from gypsumpost_daemon.peer_channel import PeerChannel
-from gypsumpost_daemon.peer_request import PeerRequest
-from gypsumpost_daemon.quarantine_codec import decode_suspicions, encode_suspicions
+from gypsumpost_core.suspicion.crash_suspicion import CrashSuspicion
+from gypsumpost_core.suspicion.suspicion_report import SuspicionReport
+from gypsumpost_daemon.peers.host_directory import HostDirectory
+from gypsumpost_daemon.peers.message_kind import MessageKind
+from gypsumpost_daemon.peers.peer_channel import PeerChannel
+from gypsumpost_daemon.peers.peer_request import PeerRequest
+from gypsumpost_daemon.suspicion.quarantine_codec import decode_suspicions, encode_suspicions
+from gypsumpost_daemon.telemetry.log import Log
 
 LOG = Log(prefix="quarantine")
 
--- a/packages/daemon/gypsumpost_daemon/quarantine_codec.py
+++ b/packages/daemon/gypsumpost_daemon/suspicion/quarantine_codec.py
@@ -8,8 +8,8 @@
 import capnp
 from result import Err, Ok, Result
 
-from gypsumpost_core.engine_death import EngineDeath
-from gypsumpost_core.suspicion_report import SuspicionReport
+from gypsumpost_core.suspicion.engine_death import EngineDeath
+from gypsumpost_core.suspicion.suspicion_report import SuspicionReport
 
 SCHEMA = capnp.load(str(Path(__file__).with_name("quarantine.capnp")))
 
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and time lines."""
--- a/packages/daemon/gypsumpost_daemon/log.py
+++ b/packages/daemon/gypsumpost_daemon/telemetry/log.py
@@ -7,8 +7,8 @@
 import eliot
 
 from gypsumpost_core.hybrid_clock import HybridClock
-from gypsumpost_daemon.log_budget import LogBudget
-from gypsumpost_daemon.log_pipe import LogPipe
+from gypsumpost_daemon.telemetry.log_budget import LogBudget
+from gypsumpost_daemon.telemetry.log_pipe import LogPipe
 
 CLOCK = HybridClock()
 """The clock of this process; peer messages carry it, so that logs of all daemons can be merged."""
--- a/packages/daemon/gypsumpost_daemon/metrics.py
+++ b/packages/daemon/gypsumpost_daemon/telemetry/metrics.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Callable
 
-from gypsumpost_daemon.counter import Counter
-from gypsumpost_daemon.duration_summary import DurationSummary
-from gypsumpost_daemon.gauge import Gauge
+from gypsumpost_daemon.telemetry.counter import Counter
+from gypsumpost_daemon.telemetry.duration_summary import DurationSummary
+from gypsumpost_daemon.telemetry.gauge import Gauge
 
 Metric = Counter | Gauge | DurationSummary
 
--- a/packages/daemon/gypsumpost_daemon/metrics_text.py
+++ b/packages/daemon/gypsumpost_daemon/telemetry/metrics_text.py
@@ -2,10 +2,10 @@
 
 from collections.abc import Iterable, Mapping
 
-from gypsumpost_daemon.caller_response import CallerResponse
-from gypsumpost_daemon.counter import Counter
-from gypsumpost_daemon.gauge import Gauge
-from gypsumpost_daemon.metrics import Metric, Metrics
+from gypsumpost_daemon.callers.caller_response import CallerResponse
+from gypsumpost_daemon.telemetry.counter import Counter
+from gypsumpost_daemon.telemetry.gauge import Gauge
+from gypsumpost_daemon.telemetry.metrics import Metric, Metrics
 
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 QUANTILES = (0.5, 0.95, 0.99)
--- a/packages/daemon/gypsumpost_daemon/tests/copy_fixtures.py
+++ b/packages/daemon/gypsumpost_daemon/tests/copy_fixtures.py
@@ -5,16 +5,16 @@
 import attrs
 from result import Err, Ok
 
-from gypsumpost_core.generation import Generation
-from gypsumpost_core.generation_kind import GenerationKind
-from gypsumpost_core.generation_record import GenerationRecord
+from gypsumpost_core.generations.generation import Generation
+from gypsumpost_core.generations.generation_kind import GenerationKind
+from gypsumpost_core.generations.generation_record import GenerationRecord
+from gypsumpost_core.generations.piece import Piece
+from gypsumpost_core.generations.token_batch import TokenBatch
 from gypsumpost_core.host import Host
-from gypsumpost_core.piece import Piece
-from gypsumpost_core.token_batch import TokenBatch
-from gypsumpost_daemon.copy_codec import SCHEMA, fill_pieces, fill_record
-from gypsumpost_daemon.host_directory import HostDirectory
-from gypsumpost_daemon.peer_failure import PeerFailure
-from gypsumpost_daemon.peer_request import PeerRequest
+from gypsumpost_daemon.copies.copy_codec import SCHEMA, fill_pieces, fill_record
+from gypsumpost_daemon.peers.host_directory import HostDirectory
+from gypsumpost_daemon.peers.peer_failure import PeerFailure
+from gypsumpost_daemon.peers.peer_request import PeerRequest
 
 GENERATION_ID = "generation1"
 
--- a/packages/daemon/gypsumpost_daemon/tests/fake_engine.py
+++ b/packages/daemon/gypsumpost_daemon/tests/fake_engine.py
@@ -14,12 +14,12 @@
 from gypsumpost_bench.prefix_cache import PrefixCache
 from gypsumpost_cli.token_chain import TokenChain
 from gypsumpost_cli.vocabulary import ANSWER_MARKER, tokenize_text
-from gypsumpost_core.endpoint import Endpoint
-from gypsumpost_core.endpoint_kind import EndpointKind
-from gypsumpost_core.model_ref import ModelRef
-from gypsumpost_daemon.engine_event import EngineEvent
-from gypsumpost_daemon.engine_failure import EngineFailure
-from gypsumpost_daemon.engine_stream import EngineStream
+from gypsumpost_core.routing.endpoint import Endpoint
+from gypsumpost_core.routing.endpoint_kind import EndpointKind
+from gypsumpost_core.routing.model_ref import ModelRef
+from gypsumpost_daemon.engines.engine_event import EngineEvent
+from gypsumpost_daemon.engines.engine_failure import EngineFailure
+from gypsumpost_daemon.engines.engine_stream import EngineStream
 
 MODEL = ModelRef(model="summary", version="1", adapter="")
 REFUSED = EngineFailure(reason="refused", may_have_run=False, refused=True)
--- a/packages/daemon/gypsumpost_daemon/tests/http_fixtures.py
+++ b/packages/daemon/gypsumpost_daemon/tests/http_fixtures.py
@@ -8,9 +8,9 @@
 import trio
 
 from gypsumpost_daemon.addresses import split_address
-from gypsumpost_daemon.asgi_application import ASGIApplication, Receive, Scope, Send
-from gypsumpost_daemon.http_server import HTTP_SERVERS
-from gypsumpost_daemon.running_server import RunningServer
+from gypsumpost_daemon.http.asgi_application import ASGIApplication, Receive, Scope, Send
+from gypsumpost_daemon.http.http_server import HTTP_SERVERS
+from gypsumpost_daemon.http.running_server import RunningServer
 
 MAX_BODY = 100_000
 
--- a/packages/daemon/gypsumpost_daemon/tests/serving_host.py
+++ b/packages/daemon/gypsumpost_daemon/tests/serving_host.py
@@ -11,29 +11,29 @@
 from result import Err, Ok, Result
 
 from gypsumpost_bench.simulated_network import SimulatedNetwork, SimulatedPort
-from gypsumpost_core.crash_suspicion import CrashSuspicion
-from gypsumpost_core.generation_kind import GenerationKind
-from gypsumpost_core.generation_record import GenerationRecord
-from gypsumpost_core.piece import Piece
-from gypsumpost_core.resumption_policies import RESUMPTION
-from gypsumpost_core.retry_budget import RetryBudget
-from gypsumpost_core.router import Router
-from gypsumpost_daemon.admission_gate import AdmissionGate
-from gypsumpost_daemon.copy_client import CopyClient
-from gypsumpost_daemon.crash_guard import CrashGuard
-from gypsumpost_daemon.crash_reporter import CrashReporter
-from gypsumpost_daemon.engine_client import EngineClient
-from gypsumpost_daemon.engine_failure import EngineFailure
-from gypsumpost_daemon.engine_prober import EngineProber
-from gypsumpost_daemon.engine_stream import EngineStream
-from gypsumpost_daemon.generation_context import GenerationContext
-from gypsumpost_daemon.generation_metrics import GenerationMetrics
-from gypsumpost_daemon.generation_task import GenerationTask
-from gypsumpost_daemon.host_directory import HostDirectory
-from gypsumpost_daemon.metrics import Metrics
-from gypsumpost_daemon.route_builder import build_route
+from gypsumpost_core.generations.generation_kind import GenerationKind
+from gypsumpost_core.generations.generation_record import GenerationRecord
+from gypsumpost_core.generations.piece import Piece
+from gypsumpost_core.generations.resumption_policies import RESUMPTION
+from gypsumpost_core.generations.retry_budget import RetryBudget
+from gypsumpost_core.routing.router import Router
+from gypsumpost_core.suspicion.crash_suspicion import CrashSuspicion
+from gypsumpost_daemon.copies.copy_client import CopyClient
+from gypsumpost_daemon.engines.engine_client import EngineClient
+from gypsumpost_daemon.engines.engine_failure import EngineFailure
+from gypsumpost_daemon.engines.engine_prober import EngineProber
+from gypsumpost_daemon.engines.engine_stream import EngineStream
+from gypsumpost_daemon.generations.generation_context import GenerationContext
+from gypsumpost_daemon.generations.generation_metrics import GenerationMetrics
+from gypsumpost_daemon.generations.generation_task import GenerationTask
+from gypsumpost_daemon.generations.route_builder import build_route
+from gypsumpost_daemon.generations.stream_canceller import StreamCanceller
+from gypsumpost_daemon.limits.admission_gate import AdmissionGate
+from gypsumpost_daemon.peers.host_directory import HostDirectory
 from gypsumpost_daemon.settings import Settings
-from gypsumpost_daemon.stream_canceller import StreamCanceller
+from gypsumpost_daemon.suspicion.crash_guard import CrashGuard
+from gypsumpost_daemon.suspicion.crash_reporter import CrashReporter
+from gypsumpost_daemon.telemetry.metrics import Metrics
 from gypsumpost_daemon.tests.fake_engine import MODEL, REFUSED, RESET, FakeEngine
 
 
--- a/packages/daemon/gypsumpost_daemon/tests/test_admission_gate.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_admission_gate.py
@@ -7,10 +7,10 @@
 import trio.testing
 from result import Err, Ok
 
-from gypsumpost_core.cache_event import CacheEventKind
+from gypsumpost_core.routing.cache_event import CacheEventKind
 from gypsumpost_core.run_state import RunState
-from gypsumpost_daemon.cache_event_poller import parse_events, split_runs
-from gypsumpost_daemon.error_body import encode_failure
+from gypsumpost_daemon.callers.error_body import encode_failure
+from gypsumpost_daemon.engines.cache_event_poller import parse_events, split_runs
 from gypsumpost_daemon.tests.fake_engine import MODEL
 from gypsumpost_daemon.tests.running_hosts import run_hosts
 from gypsumpost_daemon.tests.serving_host import ServingHost, read_answer
--- a/packages/daemon/gypsumpost_daemon/tests/test_caller_refusals.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_caller_refusals.py
@@ -10,19 +10,19 @@
 import trio.testing
 
 from gypsumpost_bench.engine_application import CRASH_TEXT
-from gypsumpost_daemon.caller_application import CallerApplication
-from gypsumpost_daemon.copy_store import CopyStore
-from gypsumpost_daemon.generation_supervisor import GenerationSupervisor
-from gypsumpost_daemon.key_client import KeyClient
-from gypsumpost_daemon.key_directory import KeyDirectory
-from gypsumpost_daemon.metrics import Metrics
+from gypsumpost_daemon.callers.caller_application import CallerApplication
+from gypsumpost_daemon.callers.settings_access import SettingsAccess
+from gypsumpost_daemon.callers.workspace_keys import parse_workspace_keys
+from gypsumpost_daemon.copies.copy_store import CopyStore
+from gypsumpost_daemon.copies.take_over_client import TakeOverClient
+from gypsumpost_daemon.generations.generation_supervisor import GenerationSupervisor
+from gypsumpost_daemon.generations.key_client import KeyClient
+from gypsumpost_daemon.generations.key_directory import KeyDirectory
 from gypsumpost_daemon.settings import Settings
-from gypsumpost_daemon.settings_access import SettingsAccess
-from gypsumpost_daemon.take_over_client import TakeOverClient
+from gypsumpost_daemon.telemetry.metrics import Metrics
 from gypsumpost_daemon.tests.fake_engine import MODEL
 from gypsumpost_daemon.tests.running_hosts import run_hosts
 from gypsumpost_daemon.tests.serving_host import ServingHost
-from gypsumpost_daemon.workspace_keys import parse_workspace_keys
 
 
 @pytest.fixture
--- a/packages/daemon/gypsumpost_daemon/tests/test_chunk_decoder.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_chunk_decoder.py
@@ -5,7 +5,7 @@
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
 
-from gypsumpost_daemon.chunk_decoder import ChunkDecoder
+from gypsumpost_daemon.http.chunk_decoder import ChunkDecoder
 
 RESPONSE_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
--- a/packages/daemon/gypsumpost_daemon/tests/test_claim_queue.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_claim_queue.py
@@ -1,10 +1,10 @@
 """Tests of the batches of claim orders."""
 
-from gypsumpost_core.call_retry_budget import CallRetryBudget
-from gypsumpost_daemon.claim_order import ClaimOrder
-from gypsumpost_daemon.claim_order_kind import ClaimOrderKind
-from gypsumpost_daemon.claim_queue import MAX_BATCH_BYTES, MAX_BATCH_ORDERS, ClaimQueue
-from gypsumpost_daemon.queued_order import QueuedOrder
+from gypsumpost_core.calls.call_retry_budget import CallRetryBudget
+from gypsumpost_daemon.calls.claim_order import ClaimOrder
+from gypsumpost_daemon.calls.claim_order_kind import ClaimOrderKind
+from gypsumpost_daemon.calls.claim_queue import MAX_BATCH_BYTES, MAX_BATCH_ORDERS, ClaimQueue
+from gypsumpost_daemon.calls.queued_order import QueuedOrder
 
 
 def add_order(queue: ClaimQueue, key: bytes, size: int = 1) -> QueuedOrder:
--- a/packages/daemon/gypsumpost_daemon/tests/test_coalescing.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_coalescing.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from gypsumpost_daemon.coalescing import COALESCING
-from gypsumpost_daemon.engine_event import EngineEvent
+from gypsumpost_daemon.engines.engine_event import EngineEvent
+from gypsumpost_daemon.generations.coalescing import COALESCING
 
 
 @pytest.mark.parametrize(("name", "writes"), [("none", 3), ("adaptive", 1)])
--- a/packages/daemon/gypsumpost_daemon/tests/test_copy_codec.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_copy_codec.py
@@ -4,11 +4,17 @@
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
 
-from gypsumpost_core.generation_kind import GenerationKind
-from gypsumpost_core.generation_record import GenerationRecord
-from gypsumpost_core.model_ref import ModelRef
-from gypsumpost_core.piece import Piece
-from gypsumpost_daemon.copy_codec import SCHEMA, fill_pieces, fill_record, read_pieces, read_record
+from gypsumpost_core.generations.generation_kind import GenerationKind
+from gypsumpost_core.generations.generation_record import GenerationRecord
+from gypsumpost_core.generations.piece import Piece
+from gypsumpost_core.routing.model_ref import ModelRef
+from gypsumpost_daemon.copies.copy_codec import (
+    SCHEMA,
+    fill_pieces,
+    fill_record,
+    read_pieces,
+    read_record,
+)
 
 UNSIGNED = st.integers(0, 2**32 - 1)
 TIMES = st.floats(0, 4e9)
--- a/packages/daemon/gypsumpost_daemon/tests/test_copy_outbox.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_copy_outbox.py
@@ -6,22 +6,22 @@
 import trio
 import trio.testing
 
-from gypsumpost_core.generation import Generation
-from gypsumpost_core.record_size import measure_record
-from gypsumpost_core.router import Router
-from gypsumpost_daemon.admission_gate import AdmissionGate
-from gypsumpost_daemon.copy_client import CopyClient
-from gypsumpost_daemon.copy_outbox import CopyOutbox
-from gypsumpost_daemon.copy_store import CopyStore
-from gypsumpost_daemon.generation_metrics import GenerationMetrics
-from gypsumpost_daemon.generation_supervisor import GenerationSupervisor
-from gypsumpost_daemon.generation_task import GenerationTask
-from gypsumpost_daemon.message_kind import MessageKind
-from gypsumpost_daemon.metrics import Metrics
-from gypsumpost_daemon.route_builder import build_route
+from gypsumpost_core.generations.generation import Generation
+from gypsumpost_core.generations.record_size import measure_record
+from gypsumpost_core.routing.router import Router
+from gypsumpost_daemon.callers.settings_access import SettingsAccess
+from gypsumpost_daemon.copies.copy_client import CopyClient
+from gypsumpost_daemon.copies.copy_outbox import CopyOutbox
+from gypsumpost_daemon.copies.copy_store import CopyStore
+from gypsumpost_daemon.copies.take_over_client import TakeOverClient
+from gypsumpost_daemon.generations.generation_metrics import GenerationMetrics
+from gypsumpost_daemon.generations.generation_supervisor import GenerationSupervisor
+from gypsumpost_daemon.generations.generation_task import GenerationTask
+from gypsumpost_daemon.generations.route_builder import build_route
+from gypsumpost_daemon.limits.admission_gate import AdmissionGate
+from gypsumpost_daemon.peers.message_kind import MessageKind
 from gypsumpost_daemon.settings import Settings
-from gypsumpost_daemon.settings_access import SettingsAccess
-from gypsumpost_daemon.take_over_client import TakeOverClient
+from gypsumpost_daemon.telemetry.metrics import Metrics
 from gypsumpost_daemon.tests.copy_fixtures import (
     GENERATION_ID,
     FakeNetwork,
--- a/packages/daemon/gypsumpost_daemon/tests/test_copy_restart.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_copy_restart.py
@@ -4,16 +4,16 @@
 import trio
 from result import Ok
 
-from gypsumpost_core.generation import Generation
-from gypsumpost_core.generation_kind import GenerationKind
-from gypsumpost_core.generation_record import GenerationRecord
-from gypsumpost_core.piece import Piece
-from gypsumpost_daemon.copy_append import CopyAppend
-from gypsumpost_daemon.copy_codec import SCHEMA
-from gypsumpost_daemon.copy_columns import fill_columns, read_columns
-from gypsumpost_daemon.copy_outbox import CopyOutbox
-from gypsumpost_daemon.copy_store import CopyStore
-from gypsumpost_daemon.peer_request import PeerRequest
+from gypsumpost_core.generations.generation import Generation
+from gypsumpost_core.generations.generation_kind import GenerationKind
+from gypsumpost_core.generations.generation_record import GenerationRecord
+from gypsumpost_core.generations.piece import Piece
+from gypsumpost_daemon.copies.copy_append import CopyAppend
+from gypsumpost_daemon.copies.copy_codec import SCHEMA
+from gypsumpost_daemon.copies.copy_columns import fill_columns, read_columns
+from gypsumpost_daemon.copies.copy_outbox import CopyOutbox
+from gypsumpost_daemon.copies.copy_store import CopyStore
+from gypsumpost_daemon.peers.peer_request import PeerRequest
 
 
 def create_record(tokens: int) -> GenerationRecord:
--- a/packages/daemon/gypsumpost_daemon/tests/test_copy_store.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_copy_store.py
@@ -2,8 +2,8 @@
 
 import trio
 
-from gypsumpost_core.record_size import measure_record
-from gypsumpost_daemon.copy_store import CopyStore
+from gypsumpost_core.generations.record_size import measure_record
+from gypsumpost_daemon.copies.copy_store import CopyStore
 from gypsumpost_daemon.tests.copy_fixtures import (
     GENERATION_ID,
     create_record,
--- a/packages/daemon/gypsumpost_daemon/tests/test_endpoint_desires.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_endpoint_desires.py
@@ -11,15 +11,15 @@
 from gypsumpost_bench.scripted_store import ScriptedStore
 from gypsumpost_bench.simulated_fleet import create_directory, create_hosts
 from gypsumpost_bench.simulated_network import SimulatedNetwork, SimulatedPort
-from gypsumpost_core.endpoint import Endpoint
-from gypsumpost_core.endpoint_kind import EndpointKind
-from gypsumpost_core.endpoint_status import EndpointStatus
-from gypsumpost_daemon.edit_outcome import EditAccepted, EditConflict, EditNotAccepted
-from gypsumpost_daemon.endpoint_desires import EndpointDesires
-from gypsumpost_daemon.endpoint_editor import EndpointEditor
-from gypsumpost_daemon.endpoint_record import read_endpoint_record
-from gypsumpost_daemon.endpoint_table import EndpointTable
-from gypsumpost_daemon.endpoint_work import parse_work
+from gypsumpost_core.routing.endpoint import Endpoint
+from gypsumpost_core.routing.endpoint_kind import EndpointKind
+from gypsumpost_core.routing.endpoint_status import EndpointStatus
+from gypsumpost_daemon.endpoints.endpoint_desires import EndpointDesires
+from gypsumpost_daemon.endpoints.endpoint_editor import EndpointEditor
+from gypsumpost_daemon.endpoints.endpoint_record import read_endpoint_record
+from gypsumpost_daemon.engines.endpoint_table import EndpointTable
+from gypsumpost_daemon.engines.endpoint_work import parse_work
+from gypsumpost_daemon.lists.edit_outcome import EditAccepted, EditConflict, EditNotAccepted
 
 CUT_OFF = "d2"
 """Failure domain whose daemons have no store."""
--- a/packages/daemon/gypsumpost_daemon/tests/test_engine_client.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_engine_client.py
@@ -10,10 +10,10 @@
 import trio
 from result import Err, Ok
 
-from gypsumpost_daemon.engine_client import EngineClient
-from gypsumpost_daemon.engine_event import EngineEvent
-from gypsumpost_daemon.engine_failure import EngineFailure
-from gypsumpost_daemon.engine_request import EngineRequest
+from gypsumpost_daemon.engines.engine_client import EngineClient
+from gypsumpost_daemon.engines.engine_event import EngineEvent
+from gypsumpost_daemon.engines.engine_failure import EngineFailure
+from gypsumpost_daemon.engines.engine_request import EngineRequest
 
 TRANSPORTS = pytest.mark.parametrize("transport", ["h11", "httpcore"])
 STREAM_HEAD = (
--- a/packages/daemon/gypsumpost_daemon/tests/test_event_encoder.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_event_encoder.py
@@ -4,9 +4,14 @@
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
 
-from gypsumpost_daemon.engine_event_decoder import decode_event
-from gypsumpost_daemon.event_encoder import DONE, EventEncoder, EventSource, encode_error
-from gypsumpost_daemon.event_stream_decoder import EventStreamDecoder
+from gypsumpost_daemon.engines.engine_event_decoder import decode_event
+from gypsumpost_daemon.engines.event_stream_decoder import EventStreamDecoder
+from gypsumpost_daemon.generations.event_encoder import (
+    DONE,
+    EventEncoder,
+    EventSource,
+    encode_error,
+)
 
 NAMES = st.text(alphabet=st.characters(codec="utf-8"), max_size=12)
 
--- a/packages/daemon/gypsumpost_daemon/tests/test_event_stream_decoder.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_event_stream_decoder.py
@@ -5,9 +5,9 @@
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
 
-from gypsumpost_daemon import event_stream_decoder
-from gypsumpost_daemon.engine_event_decoder import decode_event
-from gypsumpost_daemon.event_stream_decoder import EventStreamDecoder
+from gypsumpost_daemon.engines import event_stream_decoder
+from gypsumpost_daemon.engines.engine_event_decoder import decode_event
+from gypsumpost_daemon.engines.event_stream_decoder import EventStreamDecoder
 
 TEXTS = st.lists(st.text(max_size=8), max_size=6)
 LINE_ENDS = st.sampled_from([b"\n", b"\r\n", b"\r"])
--- a/packages/daemon/gypsumpost_daemon/tests/test_generation_attempts.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_generation_attempts.py
@@ -9,10 +9,10 @@
 from gypsumpost_bench.engine_application import CRASH_TEXT
 from gypsumpost_cli.token_chain import TokenChain, find_chain_error
 from gypsumpost_cli.vocabulary import ANSWER_MARKER, FIRST_WORD, decode_tokens, tokenize_text
-from gypsumpost_core.retry_budget import RetrySettings
+from gypsumpost_core.generations.retry_budget import RetrySettings
 from gypsumpost_core.run_state import RunState
-from gypsumpost_daemon.attempt_sequence import CONTINUATION_WAIT
-from gypsumpost_daemon.generation_task import GenerationTask
+from gypsumpost_daemon.generations.attempt_sequence import CONTINUATION_WAIT
+from gypsumpost_daemon.generations.generation_task import GenerationTask
 from gypsumpost_daemon.tests.running_hosts import run_hosts
 from gypsumpost_daemon.tests.serving_host import read_answer
 
--- a/packages/daemon/gypsumpost_daemon/tests/test_generation_responder.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_generation_responder.py
@@ -6,15 +6,15 @@
 import eliot
 import trio
 
-from gypsumpost_core.generation_kind import GenerationKind
-from gypsumpost_core.generation_record import GenerationRecord
-from gypsumpost_core.piece import Piece
-from gypsumpost_daemon.caller_events import CallerEvents
-from gypsumpost_daemon.generation_responder import GenerationResponder
-from gypsumpost_daemon.generation_supervisor import GenerationSupervisor
-from gypsumpost_daemon.metrics import Metrics
-from gypsumpost_daemon.metrics_text import encode_metrics
+from gypsumpost_core.generations.generation_kind import GenerationKind
+from gypsumpost_core.generations.generation_record import GenerationRecord
+from gypsumpost_core.generations.piece import Piece
+from gypsumpost_daemon.callers.caller_events import CallerEvents
+from gypsumpost_daemon.generations.generation_responder import GenerationResponder
+from gypsumpost_daemon.generations.generation_supervisor import GenerationSupervisor
 from gypsumpost_daemon.settings import Settings
+from gypsumpost_daemon.telemetry.metrics import Metrics
+from gypsumpost_daemon.telemetry.metrics_text import encode_metrics
 
 UNUSED = cast(Any, None)
 
--- a/packages/daemon/gypsumpost_daemon/tests/test_gossip.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_gossip.py
@@ -10,17 +10,17 @@
 from hypothesis import strategies as st
 from result import Err, Ok
 
-from gypsumpost_core.datagram import MAX_DATAGRAM_BYTES, Datagram
-from gypsumpost_core.datagram_kind import DatagramKind
-from gypsumpost_core.domain_beat import DomainBeat
 from gypsumpost_core.host import Host
-from gypsumpost_core.member_state import MemberState
-from gypsumpost_core.member_update import MemberUpdate
-from gypsumpost_core.membership_settings import MembershipSettings
-from gypsumpost_core.membership_simulation import MembershipSimulation, create_hosts
-from gypsumpost_daemon.gossip import Gossip
-from gypsumpost_daemon.gossip_codec import GossipCodec, sign_datagram
-from gypsumpost_daemon.host_directory import HostDirectory
+from gypsumpost_core.membership.datagram import MAX_DATAGRAM_BYTES, Datagram
+from gypsumpost_core.membership.datagram_kind import DatagramKind
+from gypsumpost_core.membership.domain_beat import DomainBeat
+from gypsumpost_core.membership.member_state import MemberState
+from gypsumpost_core.membership.member_update import MemberUpdate
+from gypsumpost_core.membership.membership_settings import MembershipSettings
+from gypsumpost_core.membership.membership_simulation import MembershipSimulation, create_hosts
+from gypsumpost_daemon.peers.gossip import Gossip
+from gypsumpost_daemon.peers.gossip_codec import GossipCodec, sign_datagram
+from gypsumpost_daemon.peers.host_directory import HostDirectory
 from gypsumpost_daemon.settings import Settings
 
 
--- a/packages/daemon/gypsumpost_daemon/tests/test_host_directory.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_host_directory.py
@@ -1,8 +1,8 @@
 """Tests of the directory of hosts."""
 
 from gypsumpost_core.host import Host
-from gypsumpost_core.member_state import MemberState
-from gypsumpost_daemon.host_directory import HostDirectory
+from gypsumpost_core.membership.member_state import MemberState
+from gypsumpost_daemon.peers.host_directory import HostDirectory
 
 
 def create_host(host_id: str) -> Host:
--- a/packages/daemon/gypsumpost_daemon/tests/test_host_list.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_host_list.py
@@ -7,10 +7,10 @@
 import trio.testing
 from result import Err, Ok
 
-from gypsumpost_core.endpoint_status import EndpointStatus
-from gypsumpost_daemon.host_list import HostList
-from gypsumpost_daemon.host_list_parser import parse_host_list
-from gypsumpost_daemon.host_list_snapshot import HostListSnapshot
+from gypsumpost_core.routing.endpoint_status import EndpointStatus
+from gypsumpost_daemon.peers.host_list import HostList
+from gypsumpost_daemon.peers.host_list_parser import parse_host_list
+from gypsumpost_daemon.peers.host_list_snapshot import HostListSnapshot
 
 HOST = {
     "id": "h1",
--- a/packages/daemon/gypsumpost_daemon/tests/test_http_server_endings.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_http_server_endings.py
@@ -9,9 +9,9 @@
 import trio
 import trio.testing
 
-from gypsumpost_daemon import h11_server, socket_transport
-from gypsumpost_daemon.http_exchange import HttpExchange
-from gypsumpost_daemon.http_limits import HttpLimits
+from gypsumpost_daemon.http import h11_server, socket_transport
+from gypsumpost_daemon.http.http_exchange import HttpExchange
+from gypsumpost_daemon.http.http_limits import HttpLimits
 from gypsumpost_daemon.tests.http_fixtures import Streamer, connect, echo, read_to_end, run_server
 
 
--- a/packages/daemon/gypsumpost_daemon/tests/test_http_server_tls.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_http_server_tls.py
@@ -6,7 +6,7 @@
 import pytest
 import trio
 
-from gypsumpost_daemon.http_server import HTTP_SERVERS
+from gypsumpost_daemon.http.http_server import HTTP_SERVERS
 from gypsumpost_daemon.tests.certificates import write_certificate
 from gypsumpost_daemon.tests.http_fixtures import MAX_BODY, close_request, connect, echo
 
--- a/packages/daemon/gypsumpost_daemon/tests/test_keyed_refusal.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_keyed_refusal.py
@@ -4,9 +4,9 @@
 from typing import Any
 
 from gypsumpost_core.run_state import RunState
-from gypsumpost_daemon.caller_application import CallerApplication
-from gypsumpost_daemon.list_access import NO_LISTS, ListAccess
-from gypsumpost_daemon.metrics import Metrics
+from gypsumpost_daemon.callers.caller_application import CallerApplication
+from gypsumpost_daemon.callers.list_access import NO_LISTS, ListAccess
+from gypsumpost_daemon.telemetry.metrics import Metrics
 
 
 async def call_without_lists(path: str, headers: dict[str, str]) -> RunState:
--- a/packages/daemon/gypsumpost_daemon/tests/test_keys.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_keys.py
@@ -5,10 +5,10 @@
 import trio
 from result import Ok
 
-from gypsumpost_daemon.key_client import KEY_REUSED, KeyClient
-from gypsumpost_daemon.key_directory import KeyDirectory
-from gypsumpost_daemon.key_entry import KeyEntry
-from gypsumpost_daemon.message_kind import MessageKind
+from gypsumpost_daemon.generations.key_client import KEY_REUSED, KeyClient
+from gypsumpost_daemon.generations.key_directory import KeyDirectory
+from gypsumpost_daemon.generations.key_entry import KeyEntry
+from gypsumpost_daemon.peers.message_kind import MessageKind
 from gypsumpost_daemon.tests.copy_fixtures import FakeNetwork, create_directory, create_record
 
 HOSTS = ("left", "middle", "right")
@@ -70,7 +70,7 @@
 
 def test_full_directory_takes_no_new_keys(monkeypatch):
     """Guards against keys that fill the memory; the request runs without one."""
-    monkeypatch.setattr("gypsumpost_daemon.key_directory.MAX_ENTRIES", 1)
+    monkeypatch.setattr("gypsumpost_daemon.generations.key_directory.MAX_ENTRIES", 1)
     directory = KeyDirectory()
     directory.register(create_entry(), update=False)
     other = create_entry("generation2", key="k2")
--- a/packages/daemon/gypsumpost_daemon/tests/test_keys_reload.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_keys_reload.py
@@ -8,19 +8,19 @@
 import trio.testing
 from result import Err, Ok
 
-from gypsumpost_core.datagram import Datagram
-from gypsumpost_core.datagram_kind import DatagramKind
 from gypsumpost_core.key_ring import KeyRing
-from gypsumpost_daemon import file_reloader
+from gypsumpost_core.membership.datagram import Datagram
+from gypsumpost_core.membership.datagram_kind import DatagramKind
+from gypsumpost_daemon.credentials import file_reloader
+from gypsumpost_daemon.credentials.keys import Keys
+from gypsumpost_daemon.credentials.shared_key_file import OVERLAP_SECONDS, SharedKeyFile
 from gypsumpost_daemon.daemon import Daemon
-from gypsumpost_daemon.gossip_codec import GossipCodec
-from gypsumpost_daemon.keys import Keys
-from gypsumpost_daemon.message_kind import MessageKind
-from gypsumpost_daemon.peer_handshake import PeerHandshake
-from gypsumpost_daemon.peer_network import PeerNetwork
-from gypsumpost_daemon.peer_tls import PeerTls
+from gypsumpost_daemon.peers.gossip_codec import GossipCodec
+from gypsumpost_daemon.peers.message_kind import MessageKind
+from gypsumpost_daemon.peers.peer_handshake import PeerHandshake
+from gypsumpost_daemon.peers.peer_network import PeerNetwork
+from gypsumpost_daemon.peers.peer_tls import PeerTls
 from gypsumpost_daemon.settings import Settings
-from gypsumpost_daemon.shared_key_file import OVERLAP_SECONDS, SharedKeyFile
 from gypsumpost_daemon.tests.certificates import write_certificate
 from gypsumpost_daemon.tests.http_fixtures import close_request, connect
 from gypsumpost_daemon.tests.test_gossip import create_sender
--- a/packages/daemon/gypsumpost_daemon/tests/test_list_access.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_list_access.py
@@ -5,8 +5,8 @@
 
 from result import Ok
 
-from gypsumpost_core.lists import Lists
-from gypsumpost_daemon.list_access import NO_LISTS, ListAccess
+from gypsumpost_core.lists.lists import Lists
+from gypsumpost_daemon.callers.list_access import NO_LISTS, ListAccess
 
 
 def find_workspace(revision: int) -> Any:
--- a/packages/daemon/gypsumpost_daemon/tests/test_list_access_cold.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_list_access_cold.py
@@ -8,7 +8,7 @@
 
 from gypsumpost_core.failure import Failure
 from gypsumpost_core.run_state import RunState
-from gypsumpost_daemon.list_access import TOO_MANY_REQUESTS, ListAccess
+from gypsumpost_daemon.callers.list_access import TOO_MANY_REQUESTS, ListAccess
 
 REFUSED = Failure(
     status=TOO_MANY_REQUESTS, code="requests_per_second", message="", run_state=RunState.NOT_RUN
--- a/packages/daemon/gypsumpost_daemon/tests/test_list_editor.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_list_editor.py
@@ -6,9 +6,9 @@
 from hypothesis import strategies as st
 
 from gypsumpost_bench.scripted_store import ScriptedStore
-from gypsumpost_core.list_file import format_list, parse_list
-from gypsumpost_core.list_kind import ListKind
-from gypsumpost_daemon.edit_outcome import (
+from gypsumpost_core.lists.list_file import format_list, parse_list
+from gypsumpost_core.lists.list_kind import ListKind
+from gypsumpost_daemon.lists.edit_outcome import (
     EditAccepted,
     EditConflict,
     EditNotAccepted,
@@ -16,8 +16,8 @@
     EditRefused,
     EditUnknown,
 )
-from gypsumpost_daemon.list_editor import ListEditor
-from gypsumpost_daemon.stored_lists import read_history, read_lists
+from gypsumpost_daemon.lists.list_editor import ListEditor
+from gypsumpost_daemon.lists.stored_lists import read_history, read_lists
 
 ALLOWANCE = """
 [{name}]
--- a/packages/daemon/gypsumpost_daemon/tests/test_list_task.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_list_task.py
@@ -9,15 +9,15 @@
 from gypsumpost_bench.scripted_store import ScriptedStore
 from gypsumpost_bench.simulated_fleet import create_directory, create_hosts
 from gypsumpost_bench.simulated_network import SimulatedNetwork, SimulatedPort
-from gypsumpost_core.list_kind import ListKind
-from gypsumpost_core.list_update import ListUpdate
-from gypsumpost_core.lists import Lists
-from gypsumpost_daemon.edit_outcome import EditAccepted
-from gypsumpost_daemon.list_codec import decode_update, encode_update
-from gypsumpost_daemon.list_editor import ListEditor
-from gypsumpost_daemon.list_task import ListTask
-from gypsumpost_daemon.store import Store
-from gypsumpost_daemon.stored_lists import read_lists
+from gypsumpost_core.lists.list_kind import ListKind
+from gypsumpost_core.lists.list_update import ListUpdate
+from gypsumpost_core.lists.lists import Lists
+from gypsumpost_daemon.lists.edit_outcome import EditAccepted
+from gypsumpost_daemon.lists.list_codec import decode_update, encode_update
+from gypsumpost_daemon.lists.list_editor import ListEditor
+from gypsumpost_daemon.lists.list_task import ListTask
+from gypsumpost_daemon.lists.stored_lists import read_lists
+from gypsumpost_daemon.store.store import Store
 
 
 class Fleet:
--- a/packages/daemon/gypsumpost_daemon/tests/test_log_bounds.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_log_bounds.py
@@ -3,8 +3,8 @@
 import fcntl
 import os
 
-from gypsumpost_daemon.log_budget import LogBudget
-from gypsumpost_daemon.log_pipe import BUFFERED_LINES, LogPipe
+from gypsumpost_daemon.telemetry.log_budget import LogBudget
+from gypsumpost_daemon.telemetry.log_pipe import BUFFERED_LINES, LogPipe
 
 
 def test_a_flood_is_bounded_and_counted():
--- a/packages/daemon/gypsumpost_daemon/tests/test_metrics.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_metrics.py
@@ -2,14 +2,14 @@
 
 from syrupy.assertion import SnapshotAssertion
 
-from gypsumpost_core.attempt_outcome import AttemptOutcome
 from gypsumpost_core.failure import Failure
+from gypsumpost_core.generations.attempt_outcome import AttemptOutcome
 from gypsumpost_core.run_state import RunState
-from gypsumpost_daemon.caller_events import CallerEvents
-from gypsumpost_daemon.generation_metrics import GenerationMetrics
-from gypsumpost_daemon.metrics import Metrics
-from gypsumpost_daemon.metrics_text import encode_metrics
-from gypsumpost_daemon.stall_timer import StallTimer
+from gypsumpost_daemon.callers.caller_events import CallerEvents
+from gypsumpost_daemon.generations.generation_metrics import GenerationMetrics
+from gypsumpost_daemon.generations.stall_timer import StallTimer
+from gypsumpost_daemon.telemetry.metrics import Metrics
+from gypsumpost_daemon.telemetry.metrics_text import encode_metrics
 
 
 def test_text_of_all_kinds(snapshot: SnapshotAssertion) -> None:
--- a/packages/daemon/gypsumpost_daemon/tests/test_metrics_route.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_metrics_route.py
@@ -2,11 +2,11 @@
 
 from typing import Any, cast
 
-from gypsumpost_daemon.caller_application import CallerApplication
-from gypsumpost_daemon.metrics import Metrics
+from gypsumpost_daemon.callers.caller_application import CallerApplication
+from gypsumpost_daemon.callers.settings_access import SettingsAccess
+from gypsumpost_daemon.callers.workspace_keys import parse_workspace_keys
 from gypsumpost_daemon.settings import Settings
-from gypsumpost_daemon.settings_access import SettingsAccess
-from gypsumpost_daemon.workspace_keys import parse_workspace_keys
+from gypsumpost_daemon.telemetry.metrics import Metrics
 
 PARTS = cast(Any, None)
 """Parts that these requests never reach."""
--- a/packages/daemon/gypsumpost_daemon/tests/test_peer_handshake.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_peer_handshake.py
@@ -4,7 +4,7 @@
 import trio.testing
 from result import Ok
 
-from gypsumpost_daemon.peer_handshake import PeerHandshake
+from gypsumpost_daemon.peers.peer_handshake import PeerHandshake
 
 
 async def test_frames_that_follow_the_handshake_at_once_are_not_lost() -> None:
--- a/packages/daemon/gypsumpost_daemon/tests/test_peer_network.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_peer_network.py
@@ -6,10 +6,10 @@
 from result import Err, Ok
 
 from gypsumpost_core.host import Host
-from gypsumpost_daemon.host_directory import HostDirectory
-from gypsumpost_daemon.message_kind import MessageKind
-from gypsumpost_daemon.peer_network import PeerNetwork
-from gypsumpost_daemon.peer_request import PeerRequest
+from gypsumpost_daemon.peers.host_directory import HostDirectory
+from gypsumpost_daemon.peers.message_kind import MessageKind
+from gypsumpost_daemon.peers.peer_network import PeerNetwork
+from gypsumpost_daemon.peers.peer_request import PeerRequest
 
 
 def create_host(host_id: str) -> Host:
--- a/packages/daemon/gypsumpost_daemon/tests/test_settings_check.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_settings_check.py
@@ -8,7 +8,7 @@
 import trio.testing
 from result import Err, Ok
 
-from gypsumpost_core.settings_reader import read_settings
+from gypsumpost_core.settings.settings_reader import read_settings
 from gypsumpost_daemon.daemon import Daemon
 from gypsumpost_daemon.main import run_daemon
 from gypsumpost_daemon.settings import Settings
--- a/packages/daemon/gypsumpost_daemon/tests/test_share_task.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_share_task.py
@@ -8,21 +8,21 @@
 
 from gypsumpost_bench.simulated_fleet import create_directory, create_hosts
 from gypsumpost_bench.simulated_network import SimulatedNetwork, SimulatedPort
-from gypsumpost_core.allowance import Allowance
-from gypsumpost_core.demand_report import DemandReport
-from gypsumpost_core.lists import Lists
-from gypsumpost_core.share_amounts import ShareAmounts
-from gypsumpost_core.share_coordinator import TAKEOVER_SECONDS
-from gypsumpost_core.share_grant import ShareGrant
-from gypsumpost_core.workspace_plan import WorkspacePlan
-from gypsumpost_daemon.demand_message import DemandMessage
-from gypsumpost_daemon.share_codec import (
+from gypsumpost_core.limits.demand_report import DemandReport
+from gypsumpost_core.limits.share_amounts import ShareAmounts
+from gypsumpost_core.limits.share_coordinator import TAKEOVER_SECONDS
+from gypsumpost_core.limits.share_grant import ShareGrant
+from gypsumpost_core.lists.allowance import Allowance
+from gypsumpost_core.lists.lists import Lists
+from gypsumpost_core.lists.workspace_plan import WorkspacePlan
+from gypsumpost_daemon.limits.demand_message import DemandMessage
+from gypsumpost_daemon.limits.share_codec import (
     decode_grants,
     decode_reports,
     encode_grants,
     encode_reports,
 )
-from gypsumpost_daemon.share_task import ShareTask
+from gypsumpost_daemon.limits.share_task import ShareTask
 
 LISTS = Lists(
     revision=1,
--- a/packages/daemon/gypsumpost_daemon/tests/test_take_over.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_take_over.py
@@ -6,18 +6,18 @@
 import attrs
 from result import Ok
 
-from gypsumpost_core.event_id import EventId
-from gypsumpost_core.generation_kind import GenerationKind
-from gypsumpost_core.generation_record import GenerationRecord
+from gypsumpost_core.generations.event_id import EventId
+from gypsumpost_core.generations.generation_kind import GenerationKind
+from gypsumpost_core.generations.generation_record import GenerationRecord
 from gypsumpost_core.host import Host
-from gypsumpost_daemon.copy_codec import SCHEMA
-from gypsumpost_daemon.copy_store import CopyStore
-from gypsumpost_daemon.generation_supervisor import GenerationSupervisor
-from gypsumpost_daemon.host_directory import HostDirectory
-from gypsumpost_daemon.message_kind import MessageKind
-from gypsumpost_daemon.peer_request import PeerRequest
+from gypsumpost_daemon.copies.copy_codec import SCHEMA
+from gypsumpost_daemon.copies.copy_store import CopyStore
+from gypsumpost_daemon.copies.take_over_client import TakeOverClient
+from gypsumpost_daemon.generations.generation_supervisor import GenerationSupervisor
+from gypsumpost_daemon.peers.host_directory import HostDirectory
+from gypsumpost_daemon.peers.message_kind import MessageKind
+from gypsumpost_daemon.peers.peer_request import PeerRequest
 from gypsumpost_daemon.settings import Settings
-from gypsumpost_daemon.take_over_client import TakeOverClient
 
 
 def create_record(epoch: int = 1) -> GenerationRecord:
--- a/packages/daemon/gypsumpost_daemon/tests/test_take_over_client.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_take_over_client.py
@@ -2,10 +2,10 @@
 
 import pytest
 
-from gypsumpost_core.event_id import EventId
-from gypsumpost_daemon.copy_codec import SCHEMA, fill_record
-from gypsumpost_daemon.message_kind import MessageKind
-from gypsumpost_daemon.take_over_client import TakeOverClient
+from gypsumpost_core.generations.event_id import EventId
+from gypsumpost_daemon.copies.copy_codec import SCHEMA, fill_record
+from gypsumpost_daemon.copies.take_over_client import TakeOverClient
+from gypsumpost_daemon.peers.message_kind import MessageKind
 from gypsumpost_daemon.tests.copy_fixtures import (
     GENERATION_ID,
     FakeNetwork,
