Take an answer that comes before the whole body was read

Cause: a request was written whole before its answer was read, so that a call waited until its deadline for an endpoint that had answered early and did not read on. The rest of the body is left out now, and the connection is not used again.

--- a/packages/daemon/gypsumpost_daemon/engines/h11_engine_connection.py
+++ b/packages/daemon/gypsumpost_daemon/engines/h11_engine_connection.py
@@ -35,6 +35,7 @@
         self._chunks: ChunkDecoder | None = None
         self._early_content = b""
         self._keeps_alive = False
+        self._sent_whole = True
 
     async def send(self, request: EndpointRequest) -> Result[h11.Response, EngineFailure]:
         """Send a request and wait for the response's headers.
@@ -50,7 +51,7 @@
             return Err(EngineFailure(reason=str(error), may_have_run=True))
 
     async def write(self, request: EndpointRequest) -> Result[None, EngineFailure]:
-        """Send a request.
+        """Send a request; the rest of a long body is left out once the endpoint answers.
 
         :param request: the request.
         """
@@ -59,7 +60,7 @@
         except (h11.LocalProtocolError, UnicodeEncodeError) as error:
             return Err(EngineFailure(reason=str(error), may_have_run=False))
         try:
-            await self._transport.send(data)
+            self._sent_whole = await self._transport.send_until_answered(data)
         except OSError as error:
             return Err(EngineFailure(reason=str(error), may_have_run=True))
         return Ok(None)
@@ -97,6 +98,9 @@
 
     def prepare_next_request(self) -> bool:
         """Return true if the connection can carry another request."""
+        if not self._sent_whole:
+            # The endpoint would take the next request for the rest of the body.
+            return False
         if self._chunks is not None:
             # h11 has not seen the body, so it cannot know that the message has ended.
             complete = self._chunks.ended and not self._early_content
--- a/packages/daemon/gypsumpost_daemon/http/socket_transport.py
+++ b/packages/daemon/gypsumpost_daemon/http/socket_transport.py
@@ -3,6 +3,7 @@
 import contextlib
 import socket
 import struct
+from collections.abc import Awaitable, Callable
 
 import trio
 from trio.lowlevel import wait_readable
@@ -67,6 +68,27 @@
         if sent != len(data):
             await self._send_rest(memoryview(data)[sent:])
 
+    async def send_until_answered(self, data: bytes) -> bool:
+        """Send data, but stop when the other side sends something before it has taken all.
+
+        :param data: the bytes to send.
+        :returns: false if it stopped; nothing else may be sent then.
+        :raises TimeoutError: if the other side takes nothing for ``stall_seconds``.
+        """
+        try:
+            sent = self._send_now(data)
+        except BlockingIOError:
+            sent = 0
+        rest = memoryview(data)[sent:]
+        while rest and not self.is_readable():
+            with trio.move_on_at(trio.current_time() + self._stall_seconds) as scope:
+                await self._wait_ready()
+            if scope.cancelled_caught:
+                raise TimeoutError("the other side does not read")
+            with contextlib.suppress(BlockingIOError):
+                rest = rest[self._send_now(rest) :]
+        return not rest
+
     def is_readable(self) -> bool:
         """Return true if data, the end or an error can be read without waiting."""
         try:
@@ -128,6 +150,19 @@
         except trio.ClosedResourceError as error:
             raise ConnectionAbortedError("the connection was closed") from error
 
+    async def _wait_ready(self) -> None:
+        """Wait until the socket can be written or read."""
+        async with trio.open_nursery() as nursery:
+
+            async def wait(wait_for: Callable[[socket.socket], Awaitable[None]]) -> None:
+                # The next call shows that the socket is closed.
+                with contextlib.suppress(trio.ClosedResourceError):
+                    await wait_for(self._socket)
+                nursery.cancel_scope.cancel()
+
+            nursery.start_soon(wait, trio.lowlevel.wait_writable)
+            nursery.start_soon(wait, wait_readable)
+
     async def _discard_input(self) -> None:
         discarded = 0
         while discarded < FINISH_BYTES and (data := await self.receive()):
