Log why a peer connection is closed, and name an unknown outcome as one

Any ValueError ended a peer connection without a line; only the frame decoder's is expected. A call that ends with 502 or 504 was logged as refused.

--- a/packages/daemon/gypsumpost_daemon/gateway/call_forwarder.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/call_forwarder.py
@@ -110,7 +110,7 @@
     ) -> None:
         late = trio.current_time() >= call.deadline
         LOG.write(
-            "refused",
+            "gave up" if may_have_run else "refused",
             request_id=call.request_id,
             route=call.route.name,
             reason=reason,
--- a/packages/daemon/gypsumpost_daemon/peers/peer_link.py
+++ b/packages/daemon/gypsumpost_daemon/peers/peer_link.py
@@ -10,11 +10,13 @@
 from gypsumpost_daemon.peers.frame import Frame
 from gypsumpost_daemon.peers.frame_decoder import FrameDecoder
 from gypsumpost_daemon.peers.peer_failure import PeerFailure
-from gypsumpost_daemon.telemetry.log import CLOCK
+from gypsumpost_daemon.telemetry.log import CLOCK, Log
 
 RECEIVE_BYTES = 65536
 QUEUE_FRAMES = 4096
 
+LOG = Log(prefix="peer")
+
 
 @attrs.define(kw_only=True)
 class PendingReply:
@@ -53,7 +55,7 @@
                     nursery.start_soon(self._write_frames)
                     await self._read_replies()
                     nursery.cancel_scope.cancel()
-        except* (trio.BrokenResourceError, trio.ClosedResourceError, ValueError):
+        except* (trio.BrokenResourceError, trio.ClosedResourceError):
             pass  # A broken connection is reported to the waiting requests below.
         finally:
             self.closed = True
@@ -100,7 +102,12 @@
     async def _read_replies(self) -> None:
         decoder = FrameDecoder()
         while data := await self._stream.receive_some(RECEIVE_BYTES):
-            for frame in decoder.feed(data):
+            try:
+                frames = decoder.feed(data)
+            except ValueError as error:
+                LOG.write("closed a connection", peer=self._host_id, reason=str(error))
+                return
+            for frame in frames:
                 CLOCK.observe(frame.clock)
                 pending = self._pending.get(frame.correlation)
                 if pending is not None:
--- a/packages/daemon/gypsumpost_daemon/peers/peer_network.py
+++ b/packages/daemon/gypsumpost_daemon/peers/peer_network.py
@@ -130,7 +130,7 @@
                 LOG.write("refused a connection", reason=accepted.err_value)
                 return
             await self._serve_requests(stream, accepted.ok_value)
-        except* (trio.BrokenResourceError, trio.ClosedResourceError, ValueError):
+        except* (trio.BrokenResourceError, trio.ClosedResourceError):
             pass  # The peer went away; its requests are its own to repeat.
         finally:
             await trio.aclose_forcefully(stream)
@@ -140,7 +140,12 @@
         send_lock = trio.StrictFIFOLock()
         async with trio.open_nursery() as nursery:
             while data := await stream.receive_some(RECEIVE_BYTES):
-                for frame in decoder.feed(data):
+                try:
+                    frames = decoder.feed(data)
+                except ValueError as error:
+                    LOG.write("closed a connection", peer=host_id, reason=str(error))
+                    break
+                for frame in frames:
                     CLOCK.observe(frame.clock)
                     nursery.start_soon(self._serve_request, stream, send_lock, host_id, frame)
             nursery.cancel_scope.cancel()
