--- a/packages/core/gypsumpost_core/gateway/engine_choice.py
+++ b/packages/core/gypsumpost_core/gateway/engine_choice.py
@@ -1,6 +1,7 @@
 """Chooses the engine of a stream and the engine that holds its copy."""
 
-from collections.abc import Collection, Mapping
+import random
+from collections.abc import Callable, Collection, Mapping, Sequence
 
 import attrs
 
@@ -24,7 +25,14 @@
 FULL_SECONDS = 20.0
 """Weight of memory that is promised twice: a preempted prompt is read again."""
 
+EQUAL_SECONDS = 0.02
+"""Engines this close are equal; hosts that know the same must not all choose the same one."""
+
+EQUAL_MEMORY = 0.02
+"""The same for the share of memory that is held where a copy goes."""
+
 NO_USE = EngineUse()
+RANDOM = random.Random()
 
 
 @attrs.frozen(kw_only=True)
@@ -35,12 +43,14 @@
     :param use: work of all hosts by engine.
     :param failure_domain: domain of this host.
     :param now: process time in seconds.
+    :param random_source: decides between equal engines.
     """
 
     fleet: EndpointFleet
     use: Mapping[str, EngineUse]
     failure_domain: str
     now: float
+    random_source: random.Random = RANDOM
 
     def choose_engine(
         self,
@@ -74,7 +84,7 @@
                 seconds += CROSS_DOMAIN_SECONDS
             return seconds + self._weigh_room(state, limits, total_tokens)
 
-        return min(usable, key=weigh)
+        return self._draw_best(usable, weigh, EQUAL_SECONDS)
 
     def choose_copy(
         self, service: str, limits: EngineLimits, *, engine: EndpointState, total_tokens: int
@@ -96,7 +106,18 @@
             held = use.memory_tokens + use.copy_tokens
             return held / limits.memory_tokens + self._weigh_room(state, limits, total_tokens)
 
-        return min(usable, key=weigh)
+        return self._draw_best(usable, weigh, EQUAL_MEMORY)
+
+    def _draw_best(
+        self,
+        states: Sequence[EndpointState],
+        weigh: Callable[[EndpointState], float],
+        margin: float,
+    ) -> EndpointState:
+        weights = [weigh(state) for state in states]
+        limit = min(weights) + margin
+        best = [s for s, weight in zip(states, weights, strict=True) if weight <= limit]
+        return self.random_source.choice(best)
 
     def _list_sound(self, service: str) -> list[EndpointState]:
         states = [state for state in self.fleet.list_service(service) if not state.lost]
--- a/packages/core/gypsumpost_core/gateway/tests/test_engine_choice.py
+++ b/packages/core/gypsumpost_core/gateway/tests/test_engine_choice.py
@@ -30,6 +30,21 @@
     assert choose(create_choice(fleet, use)) == "e2"
 
 
+def test_hosts_that_know_the_same_spread_their_streams():
+    """Guards against many hosts that choose one idle engine before they hear of each other."""
+    fleet = create_fleet(*(create_record(f"e{n}") for n in range(10)))
+    chosen = {choose(create_choice(fleet)) for _ in range(100)}
+    assert len(chosen) > 5
+    copies = {
+        create_choice(fleet)
+        .choose_copy("model", LIMITS, engine=get_state(other, "b1"), total_tokens=1)
+        .record.endpoint_id
+        for other in [create_fleet(create_record("b1", "b"))]
+        for _ in range(100)
+    }
+    assert len(copies) > 5
+
+
 def test_the_domain_of_a_loss_is_avoided():
     """Guards against new work for engines that are about to be found lost."""
     fleet = create_fleet(*(create_record(f"a{n}") for n in (1, 2)), create_record("b1", "b"))
--- a/packages/daemon/gypsumpost_daemon/gateway/peer_exchange.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/peer_exchange.py
@@ -2,6 +2,7 @@
 
 import hmac
 import itertools
+import random
 import time
 from collections.abc import Collection, Iterable
 
@@ -31,8 +32,11 @@
 CHANGE_SECONDS = 0.02
 """Changes within this time go out in one datagram."""
 
-SECONDS_PER_PEER = 0.0025
-"""Shortest interval of beacons for each receiver, so that a host gets 400 of them a second."""
+SECONDS_PER_PEER = 0.01
+"""Shortest interval of beacons for each host of the domain, so that one gets 100 a second."""
+
+RELAY_SECONDS_PER_PEER = 0.0025
+"""Shortest interval of beacons between domains for each host of the deployment."""
 
 LINK_SHARE = 0.05
 """Part of the link that beacons may take; callers and engines need the rest."""
@@ -40,6 +44,9 @@
 IDLE_SECONDS = 0.5
 """Interval of beacons when nothing changes."""
 
+INTRODUCTIONS = 2
+"""Hosts of its own domain to which a seed passes the beacon of a new host."""
+
 REORDERED_BEACONS = 64
 RECEIVE_BYTES = 65536
 BITS_PER_MEGABIT = 1e6
@@ -151,7 +158,7 @@
         unknown = [ip for ip in self._seed_ips if ip not in known]
         sent += await self._send_all(udp, unknown, data)
         if now >= self._relay_at:
-            self._relay_at = now + SECONDS_PER_PEER * len(peers)
+            self._relay_at = now + RELAY_SECONDS_PER_PEER * len(peers)
             sent += await self._send_to_domains(udp, peers, now)
         seconds = sent * 8 / (LINK_SHARE * self._duties.link_mbps * BITS_PER_MEGABIT)
         return now + max(seconds, SECONDS_PER_PEER * len(near))
@@ -235,12 +242,24 @@
             self._meet(beacon)
             if self._is_news(beacon):
                 self._take(beacon, now)
-                if beacon.covers_domain and source[0] == beacon.ip:
-                    await self._pass_on(udp, data)
+                if source[0] == beacon.ip:
+                    await self._pass_on(udp, beacon, data)
 
-    async def _pass_on(self, udp: trio.socket.SocketType, data: bytes) -> None:
-        near = [h for h in self._hosts.list_peers() if h.failure_domain == self._domain]
-        await self._send_all(udp, [find_ip(host) for host in near], data)
+    async def _pass_on(self, udp: trio.socket.SocketType, beacon: Beacon, data: bytes) -> None:
+        """Pass a beacon that came from its sender on to hosts that it did not reach."""
+        domain = beacon.host.failure_domain
+        if beacon.covers_domain:
+            near = [h for h in self._hosts.list_peers() if h.failure_domain == self._domain]
+            await self._send_all(udp, [find_ip(host) for host in near], data)
+        elif domain != self._domain:
+            # A new host of a domain without seeds meets the hosts of its domain this way.
+            others = [
+                host
+                for host in self._contacts.values()
+                if host.failure_domain == domain and host.host_id != beacon.host.host_id
+            ]
+            chosen = random.sample(others, min(INTRODUCTIONS, len(others)))
+            await self._send_all(udp, [find_ip(host) for host in chosen], data)
 
     def _meet(self, beacon: Beacon) -> None:
         host_id = beacon.host.host_id
