Take over changed settings at SIGHUP

The signal only logged whether the settings had changed. Retry budget, seeds, link and stop time are taken over; a wrong file is logged and the old settings are kept.

--- a/packages/daemon/gypsumpost_daemon/gateway/forward_context.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/forward_context.py
@@ -50,13 +50,24 @@
     def get_retries(self, service: str) -> RetryWindow:
         """Return the retry budget of a service."""
         if service not in self._retries:
-            self._retries[service] = RetryWindow(
-                ratio=self.settings.retry_ratio * BUDGET_SHARE,
-                allowance=self.settings.retry_allowance * BUDGET_SHARE,
-                window=self.settings.retry_window_seconds,
-            )
+            window = self._retries[service] = RetryWindow(ratio=0.0, allowance=0.0, window=0.0)
+            self._set_budget(window)
         return self._retries[service]
 
+    def _set_budget(self, window: RetryWindow) -> None:
+        window.ratio = self.settings.retry_ratio * BUDGET_SHARE
+        window.allowance = self.settings.retry_allowance * BUDGET_SHARE
+        window.window = self.settings.retry_window_seconds
+
+    def take_settings(self, settings: GatewaySettings) -> None:
+        """Take over settings that may change while the gateway runs.
+
+        :param settings: the settings.
+        """
+        self.settings = settings
+        for window in self._retries.values():
+            self._set_budget(window)
+
     def try_retry(self, service: str) -> bool:
         """Spend one repeated send to a service if the budget allows it."""
         return self.get_retries(service).try_spend(trio.current_time(), self.count_hosts())
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
@@ -2,7 +2,9 @@
 
 import signal
 
+import attrs
 import trio
+from result import Err
 
 from gypsumpost_core.gateway.copy_directory import CopyDirectory
 from gypsumpost_core.gateway.host_duties import HostDuties
@@ -20,7 +22,7 @@
 from gypsumpost_daemon.gateway.forward_context import ForwardContext
 from gypsumpost_daemon.gateway.gateway_application import GatewayApplication
 from gypsumpost_daemon.gateway.gateway_metrics import GatewayMetrics
-from gypsumpost_daemon.gateway.gateway_settings import GatewaySettings
+from gypsumpost_daemon.gateway.gateway_settings import RELOADED, GatewaySettings
 from gypsumpost_daemon.gateway.metrics_application import MetricsApplication
 from gypsumpost_daemon.gateway.peer_exchange import PeerExchange
 from gypsumpost_daemon.gateway.ready_application import ReadyApplication
@@ -66,7 +68,7 @@
     def __init__(
         self, *, settings: GatewaySettings, adapter: GatewayAdapter, metrics: Metrics
     ) -> None:
-        self._settings = settings
+        self.settings = settings
         self._metrics = metrics
         self._adapter = adapter
         self.directory = Directory(adapter=adapter)
@@ -119,19 +121,18 @@
             crashes=crashes,
             copies=self.copies,
         )
-        self.application = GatewayApplication(
-            context=ForwardContext(
-                settings=settings,
-                names=adapter.headers,
-                directory=self.directory,
-                monitor=self.monitor,
-                use=self.use,
-                crashes=crashes,
-                copies=self.copies,
-                metrics=GatewayMetrics(metrics=metrics),
-                count_hosts=self._count_hosts,
-            )
+        self.context = ForwardContext(
+            settings=settings,
+            names=adapter.headers,
+            directory=self.directory,
+            monitor=self.monitor,
+            use=self.use,
+            crashes=crashes,
+            copies=self.copies,
+            metrics=GatewayMetrics(metrics=metrics),
+            count_hosts=self._count_hosts,
         )
+        self.application = GatewayApplication(context=self.context)
         self._limits = HttpLimits(max_body=READY_BODY_BYTES)
         self._stopping = False
         self.serving = False
@@ -149,15 +150,15 @@
             nursery.start_soon(self._follow_limits)
             ready = ReadyApplication(is_ready=self._is_ready)
             await self._serve(
-                nursery, ready, self._settings.ready_address, HttpLimits(max_body=READY_BODY_BYTES)
+                nursery, ready, self.settings.ready_address, HttpLimits(max_body=READY_BODY_BYTES)
             )
             server = await self._serve(
-                nursery, self.application, self._settings.caller_address, self._limits
+                nursery, self.application, self.settings.caller_address, self._limits
             )
-            if self._settings.metrics_address:
+            if self.settings.metrics_address:
                 scrapes = MetricsApplication(metrics=self._metrics)
                 limits = HttpLimits(max_body=READY_BODY_BYTES)
-                await self._serve(nursery, scrapes, self._settings.metrics_address, limits)
+                await self._serve(nursery, scrapes, self.settings.metrics_address, limits)
             self.serving = True
             LOG.write("started", address=server.address)
             await self._wait_for_stop(server)
@@ -205,7 +206,7 @@
         return len(self._hosts.list_live())
 
     def _count_domain_hosts(self) -> int:
-        domain = self._settings.failure_domain
+        domain = self.settings.failure_domain
         return sum(host.failure_domain == domain for host in self._hosts.list_live())
 
     async def _serve(
@@ -239,9 +240,9 @@
             async for number in signals:
                 if number != signal.SIGHUP:
                     break
-                LOG.write("read the settings again", changed=self._find_changes())
+                self._reload()
         now = trio.current_time()
-        deadline = now + self._settings.stop_seconds - STOP_MARGIN_SECONDS
+        deadline = now + self.settings.stop_seconds - STOP_MARGIN_SECONDS
         LOG.write("stopping", open_requests=self.application.open_requests)
         self._stopping = True
         self.application.streams_until = now + STREAM_SECONDS
@@ -254,5 +255,20 @@
                 await trio.sleep(0.05)
         server.stop(deadline)
 
-    def _find_changes(self) -> bool:
-        return self._adapter.read_settings().unwrap_or(self._settings) != self._settings
+    def _reload(self) -> None:
+        """Take over what may change in the settings while the gateway runs."""
+        read = self._adapter.read_settings()
+        if isinstance(read, Err):
+            LOG.write("kept the settings, as the new ones are wrong", reasons=read.err_value)
+            return
+        changed = self.settings.find_changes(read.ok_value)
+        taken = {name: getattr(read.ok_value, name) for name in changed if name in RELOADED}
+        self.settings = attrs.evolve(self.settings, **taken)
+        self.context.take_settings(self.settings)
+        self._exchange.take_seeds(self.settings.seed_ips)
+        self.duties.link_mbps = self.settings.link_mbps
+        LOG.write(
+            "read the settings again",
+            changed=list(taken),
+            needs_restart=[name for name in changed if name not in taken],
+        )
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_settings.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_settings.py
@@ -2,6 +2,16 @@
 
 import attrs
 
+RELOADED = (
+    "seed_ips",
+    "link_mbps",
+    "stop_seconds",
+    "retry_ratio",
+    "retry_window_seconds",
+    "retry_allowance",
+)
+"""Settings that a running gateway takes over; the others need a restart."""
+
 
 @attrs.frozen(kw_only=True)
 class GatewaySettings:
@@ -41,3 +51,11 @@
     retry_ratio: float = 0.1
     retry_window_seconds: float = 10.0
     retry_allowance: float = 10.0
+
+    def find_changes(self, other: "GatewaySettings") -> tuple[str, ...]:
+        """Return the names of the settings that differ.
+
+        :param other: other settings.
+        """
+        names = [field.name for field in attrs.fields(GatewaySettings)]
+        return tuple(name for name in names if getattr(self, name) != getattr(other, name))
--- a/packages/daemon/gypsumpost_daemon/gateway/peer_exchange.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/peer_exchange.py
@@ -118,6 +118,13 @@
         use.listen(self.note_change)
         crashes.listen(self.note_change)
 
+    def take_seeds(self, seed_ips: Collection[str]) -> None:
+        """Replace the hosts that may know others.
+
+        :param seed_ips: their addresses.
+        """
+        self._seed_ips = seed_ips
+
     def note_change(self) -> None:
         """Send a beacon soon."""
         self._changed.set()
