Share the retry budget by need instead of equal parts

Hosts report their counts in beacons; a host spends at most an equal part of what is left before the others hear of it.

--- a/packages/core/gypsumpost_core/gateway/use_table.py
+++ b/packages/core/gypsumpost_core/gateway/use_table.py
@@ -1,24 +1,29 @@
 """The work on all engines."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 import attrs
 
 from gypsumpost_core.gateway.engine_use import EngineUse
+from gypsumpost_core.gateway.report_table import ReportTable
 from gypsumpost_core.gateway.stream_use import StreamUse
 
 REPORT_SECONDS = 2.0
 """Four times the interval of the peers' reports; older ones no longer count."""
 
+Uses = Mapping[str, EngineUse]
+
 
 @attrs.define(kw_only=True)
 class UseTable:
     """Adds up the streams of this host, of the peers of its domain and of the other domains."""
 
     _streams: dict[int, StreamUse] = attrs.field(factory=dict, init=False)
-    _peers: dict[str, tuple[float, Mapping[str, EngineUse]]] = attrs.field(factory=dict, init=False)
-    _domains: dict[str, tuple[float, Mapping[str, EngineUse]]] = attrs.field(
-        factory=dict, init=False
+    _peers: ReportTable[Uses] = attrs.field(
+        factory=lambda: ReportTable(seconds=REPORT_SECONDS), init=False
+    )
+    _domains: ReportTable[Uses] = attrs.field(
+        factory=lambda: ReportTable(seconds=REPORT_SECONDS), init=False
     )
     _listeners: list[Callable[[], None]] = attrs.field(factory=list, init=False)
 
@@ -41,23 +46,23 @@
         for listener in self._listeners:
             listener()
 
-    def take_report(self, host_id: str, use: Mapping[str, EngineUse], now: float) -> None:
+    def take_report(self, host_id: str, uses: Uses, now: float) -> None:
         """Replace what a peer of the own domain has reported.
 
         :param host_id: the peer.
-        :param use: its work by engine.
+        :param uses: its work by engine.
         :param now: process time in seconds.
         """
-        self._peers[host_id] = (now + REPORT_SECONDS, use)
+        self._peers.put(host_id, uses, now)
 
-    def take_domain_report(self, domain: str, use: Mapping[str, EngineUse], now: float) -> None:
+    def take_domain_report(self, domain: str, uses: Uses, now: float) -> None:
         """Replace what another domain has reported.
 
         :param domain: name of the domain.
-        :param use: the work of its hosts by engine.
+        :param uses: the work of its hosts by engine.
         :param now: process time in seconds.
         """
-        self._domains[domain] = (now + REPORT_SECONDS, use)
+        self._domains.put(domain, uses, now)
 
     def sum_own(self) -> dict[str, EngineUse]:
         """Return the work of this host by engine."""
@@ -77,34 +82,23 @@
 
         :param now: process time in seconds.
         """
-        found = self.sum_own()
-        add_reports(found, self._peers, now)
-        return found
+        return add_reports(self.sum_own(), self._peers.list_valid(now))
 
     def sum_all(self, now: float) -> dict[str, EngineUse]:
         """Return the work of all hosts by engine.
 
         :param now: process time in seconds.
         """
-        found = self.sum_domain(now)
-        add_reports(found, self._domains, now)
-        return found
+        return add_reports(self.sum_domain(now), self._domains.list_valid(now))
 
 
-def add_reports(
-    found: dict[str, EngineUse],
-    reports: dict[str, tuple[float, Mapping[str, EngineUse]]],
-    now: float,
-) -> None:
-    """Add the work that others report, and forget reports that are too old.
+def add_reports(found: dict[str, EngineUse], reports: Iterable[Uses]) -> dict[str, EngineUse]:
+    """Add the work that others report and return the sum.
 
     :param found: work by engine; changed.
-    :param reports: for each source the time at which its report expires, and the report.
-    :param now: process time in seconds.
+    :param reports: the work of others by engine.
     """
-    for source, (expires_at, report) in list(reports.items()):
-        if expires_at < now:
-            del reports[source]
-            continue
+    for report in reports:
         for engine, use in report.items():
             found.setdefault(engine, EngineUse()).add(use)
+    return found
--- a/packages/daemon/gypsumpost_daemon/gateway/beacon.capnp
+++ b/packages/daemon/gypsumpost_daemon/gateway/beacon.capnp
@@ -35,6 +35,12 @@
   storeLost @4 :Bool;
 }
 
+struct RetryCount {
+  service @0 :Text;
+  requests @1 :UInt32;
+  repeats @2 :UInt32;
+}
+
 struct Beacon {
   host @0 :HostReport;
   ip @1 :Text;
@@ -47,6 +53,7 @@
   returns @8 :List(EndpointStart);
   crashes @9 :List(CrashReport);
   copies @10 :List(CopyReport);
+  retries @11 :List(RetryCount);
 }
 
 struct Item {
--- a/packages/daemon/gypsumpost_daemon/gateway/beacon.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/beacon.py
@@ -9,6 +9,7 @@
 from gypsumpost_core.gateway.endpoint_start import EndpointStart
 from gypsumpost_core.gateway.engine_use import EngineUse
 from gypsumpost_core.gateway.host_report import HostReport
+from gypsumpost_core.gateway.retry_count import RetryCount
 
 
 @attrs.frozen(kw_only=True)
@@ -22,6 +23,7 @@
     :param version: version of the configuration in force.
     :param endpoint_revision: newest change of an endpoint that the sender knows.
     :param uses: work by engine, of the sender or of its domain.
+    :param retries: requests and repeats by service, of the sender or of its domain.
     :param losses: endpoints that the sender found lost.
     :param returns: lost endpoints that the sender found alive again.
     :param crashes: requests that were running when an engine crashed.
@@ -35,6 +37,7 @@
     version: int
     endpoint_revision: int
     uses: Mapping[str, EngineUse]
+    retries: Mapping[str, RetryCount]
     losses: tuple[EndpointStart, ...] = ()
     returns: tuple[EndpointStart, ...] = ()
     crashes: tuple[CrashReport, ...] = ()
--- a/packages/daemon/gypsumpost_daemon/gateway/beacon_codec.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/beacon_codec.py
@@ -12,6 +12,7 @@
 from gypsumpost_core.gateway.endpoint_start import EndpointStart
 from gypsumpost_core.gateway.engine_use import EngineUse
 from gypsumpost_core.gateway.host_report import HostReport
+from gypsumpost_core.gateway.retry_count import RetryCount
 from gypsumpost_core.gateway.stored_item import StoredItem
 from gypsumpost_daemon.gateway.beacon import Beacon
 from gypsumpost_daemon.gateway.item_set import ItemSet
@@ -47,6 +48,10 @@
             }
             for engine, use in beacon.uses.items()
         ],
+        retries=[
+            {"service": service, "requests": count.requests, "repeats": count.repeats}
+            for service, count in beacon.retries.items()
+        ],
         losses=encode_starts(beacon.losses),
         returns=encode_starts(beacon.returns),
         crashes=[
@@ -99,6 +104,10 @@
                     )
                     for use in message.uses
                 },
+                retries={
+                    count.service: RetryCount(requests=count.requests, repeats=count.repeats)
+                    for count in message.retries
+                },
                 losses=decode_starts(message.losses),
                 returns=decode_starts(message.returns),
                 crashes=tuple(
--- a/packages/daemon/gypsumpost_daemon/gateway/forward_context.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/forward_context.py
@@ -6,7 +6,7 @@
 import trio
 
 from gypsumpost_core.gateway.copy_directory import CopyDirectory
-from gypsumpost_core.gateway.retry_window import RetryWindow
+from gypsumpost_core.gateway.retry_budget import RetryBudget
 from gypsumpost_core.gateway.use_table import UseTable
 from gypsumpost_daemon.gateway.caller_call import CallerCall
 from gypsumpost_daemon.gateway.crash_guard import CrashGuard
@@ -21,6 +21,18 @@
 """Part of the deployment's retry budget that the hosts use, as their windows are not aligned."""
 
 
+def create_budget(settings: GatewaySettings) -> RetryBudget:
+    """Return the budget of repeated sends.
+
+    :param settings: settings of the host.
+    """
+    return RetryBudget(
+        ratio=settings.retry_ratio * BUDGET_SHARE,
+        allowance=settings.retry_allowance * BUDGET_SHARE,
+        window=settings.retry_window_seconds,
+    )
+
+
 @attrs.define(kw_only=True)
 class ForwardContext:
     """Directory, budgets and counters of a host.
@@ -32,6 +44,7 @@
     :param use: work on the engines.
     :param crashes: requests that crash endpoints.
     :param copies: where the copies of streams are.
+    :param retries: budget of repeated sends.
     :param metrics: counters and histograms.
     :param count_hosts: returns the number of hosts that share budgets.
     """
@@ -43,21 +56,9 @@
     use: UseTable
     crashes: CrashGuard
     copies: CopyDirectory
+    retries: RetryBudget
     metrics: GatewayMetrics
     count_hosts: Callable[[], int]
-    _retries: dict[str, RetryWindow] = attrs.field(factory=dict, init=False)
-
-    def get_retries(self, service: str) -> RetryWindow:
-        """Return the retry budget of a service."""
-        if service not in self._retries:
-            window = self._retries[service] = RetryWindow(ratio=0.0, allowance=0.0, window=0.0)
-            self._set_budget(window)
-        return self._retries[service]
-
-    def _set_budget(self, window: RetryWindow) -> None:
-        window.ratio = self.settings.retry_ratio * BUDGET_SHARE
-        window.allowance = self.settings.retry_allowance * BUDGET_SHARE
-        window.window = self.settings.retry_window_seconds
 
     def take_settings(self, settings: GatewaySettings) -> None:
         """Take over settings that may change while the gateway runs.
@@ -65,12 +66,15 @@
         :param settings: the settings.
         """
         self.settings = settings
-        for window in self._retries.values():
-            self._set_budget(window)
+        self.retries.set_bounds(
+            ratio=settings.retry_ratio * BUDGET_SHARE,
+            allowance=settings.retry_allowance * BUDGET_SHARE,
+            window=settings.retry_window_seconds,
+        )
 
     def try_retry(self, service: str) -> bool:
         """Spend one repeated send to a service if the budget allows it."""
-        return self.get_retries(service).try_spend(trio.current_time(), self.count_hosts())
+        return self.retries.try_spend(service, trio.current_time(), self.count_hosts())
 
     def create_request(
         self, call: CallerCall, endpoint_id: str, extra: tuple[tuple[bytes, bytes], ...] = ()
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
@@ -19,7 +19,7 @@
 from gypsumpost_daemon.gateway.endpoint_identity import EndpointIdentity
 from gypsumpost_daemon.gateway.endpoint_monitor import EndpointMonitor
 from gypsumpost_daemon.gateway.endpoint_reports import EndpointReports
-from gypsumpost_daemon.gateway.forward_context import ForwardContext
+from gypsumpost_daemon.gateway.forward_context import ForwardContext, create_budget
 from gypsumpost_daemon.gateway.gateway_application import GatewayApplication
 from gypsumpost_daemon.gateway.gateway_metrics import GatewayMetrics
 from gypsumpost_daemon.gateway.gateway_settings import RELOADED, GatewaySettings
@@ -102,6 +102,7 @@
         self.use = UseTable()
         crashes = CrashGuard(fleet=self.directory.fleet)
         self.copies = CopyDirectory()
+        retries = create_budget(settings)
         self._exchange = PeerExchange(
             address=settings.beacon_address,
             seed_ips=settings.seed_ips,
@@ -120,6 +121,7 @@
             use=self.use,
             crashes=crashes,
             copies=self.copies,
+            retries=retries,
         )
         self.context = ForwardContext(
             settings=settings,
@@ -129,6 +131,7 @@
             use=self.use,
             crashes=crashes,
             copies=self.copies,
+            retries=retries,
             metrics=GatewayMetrics(metrics=metrics),
             count_hosts=self._count_hosts,
         )
--- a/packages/daemon/gypsumpost_daemon/gateway/peer_exchange.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/peer_exchange.py
@@ -13,6 +13,7 @@
 from gypsumpost_core.gateway.copy_directory import CopyDirectory
 from gypsumpost_core.gateway.host_duties import HostDuties
 from gypsumpost_core.gateway.host_report import HostReport
+from gypsumpost_core.gateway.retry_budget import RetryBudget
 from gypsumpost_core.gateway.use_table import UseTable
 from gypsumpost_core.host import Host
 from gypsumpost_core.key_ring import KeyRing
@@ -74,6 +75,7 @@
     :param use: work on the engines.
     :param crashes: requests that crash engines.
     :param copies: where the copies of streams are.
+    :param retries: budget of repeated sends.
     """
 
     def __init__(
@@ -92,6 +94,7 @@
         use: UseTable,
         crashes: CrashGuard,
         copies: CopyDirectory,
+        retries: RetryBudget,
     ) -> None:
         self._ip, self._port = split_address(address)
         self._seed_ips = seed_ips
@@ -108,6 +111,7 @@
         self._use = use
         self._crashes = crashes
         self._copies = copies
+        self._retries = retries
         # A host that starts again goes on with higher numbers.
         self._sequence = itertools.count(int(time.time() * 1000))
         self._seen: dict[tuple[str, bool], int] = {}
@@ -181,6 +185,7 @@
             self._create_beacon(now),
             covers_domain=True,
             uses=self._use.sum_domain(now),
+            retries=self._retries.sum_domain(now),
             copies=(),
         )
         data = self._sign(beacon, now)
@@ -206,6 +211,7 @@
             version=self._directory.version,
             endpoint_revision=self._directory.endpoint_revision,
             uses=self._use.sum_own(),
+            retries=self._retries.sum_own(now),
             losses=self._reports.list_losses(now),
             returns=self._reports.list_returns(now),
             crashes=self._crashes.list_reports(now),
@@ -297,8 +303,10 @@
         self._duties.take_report(report, now)
         if beacon.covers_domain:
             self._use.take_domain_report(report.failure_domain, beacon.uses, now)
+            self._retries.take_domain_report(report.failure_domain, beacon.retries, now)
         elif report.failure_domain == self._domain:
             self._use.take_report(report.host_id, beacon.uses, now)
+            self._retries.take_report(report.host_id, beacon.retries, now)
             self._copies.take_reports(beacon.copies, now)
         self._reports.take_beacon(beacon, now)
         for crash in beacon.crashes:
--- a/packages/daemon/gypsumpost_daemon/gateway/tests/test_beacon_codec.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/tests/test_beacon_codec.py
@@ -9,6 +9,7 @@
 from gypsumpost_core.gateway.endpoint_start import EndpointStart
 from gypsumpost_core.gateway.engine_use import EngineUse
 from gypsumpost_core.gateway.host_report import HostReport
+from gypsumpost_core.gateway.retry_count import RetryCount
 from gypsumpost_core.gateway.stored_item import StoredItem
 from gypsumpost_daemon.gateway.beacon import Beacon
 from gypsumpost_daemon.gateway.beacon_codec import (
@@ -34,6 +35,7 @@
         version=4,
         endpoint_revision=5,
         uses={"e": EngineUse(running=1, reading_tokens=2, memory_tokens=3, copy_tokens=4)},
+        retries={"s": RetryCount(requests=7, repeats=8)},
         losses=(EndpointStart(endpoint_id="e", started_at=6),),
         returns=(EndpointStart(endpoint_id="e", started_at=9),),
         crashes=(CrashReport(fingerprint=b"\0\xff", endpoint_id="e", started_at=7),),
