Name each wrong field of the platform's settings file, and what is accepted

The file was decoded in one go and the first exception named the problem. The gateway's settings are described like the daemon's own, and one function parses both.

--- a/packages/core/gypsumpost_core/settings/setting.py
+++ b/packages/core/gypsumpost_core/settings/setting.py
@@ -27,7 +27,7 @@
 
 def define_setting(
     *,
-    default: Any,
+    default: Any = attrs.NOTHING,
     help: str,
     accepted: str,
     parse: Callable[[str], Any] = str,
@@ -36,7 +36,8 @@
 ) -> Any:
     """Define a field of a settings class.
 
-    :param default: the value as text, as a person would write it on the command line.
+    :param default: the value as text, as a person would write it on the command line; without one
+        the setting is required.
     :param help: see :class:`Setting`.
     :param accepted: see :class:`Setting`.
     :param parse: see :class:`Setting`.
@@ -44,4 +45,5 @@
     :param secret: see :class:`Setting`.
     """
     setting = Setting(unit=unit, help=help, accepted=accepted, parse=parse, secret=secret)
-    return attrs.field(default=parse(default), metadata={"setting": setting, "default": default})
+    value = default if default is attrs.NOTHING else parse(default)
+    return attrs.field(default=value, metadata={"setting": setting, "default": default})
--- a/packages/core/gypsumpost_core/settings/setting_parsers.py
+++ b/packages/core/gypsumpost_core/settings/setting_parsers.py
@@ -5,6 +5,7 @@
 import re
 from collections.abc import Callable
 
+MAX_LABEL = 200
 NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9-]{0,62}")
 
 
@@ -18,6 +19,24 @@
     return text
 
 
+def parse_label(text: str) -> str:
+    """Parse a name that another system has given, which may hold any character.
+
+    :param text: the value as text.
+    """
+    if not text or len(text) > MAX_LABEL:
+        raise ValueError(text)
+    return text
+
+
+def parse_ips(text: str) -> tuple[str, ...]:
+    """Parse IP addresses with commas between them, or the empty text.
+
+    :param text: the value as text.
+    """
+    return tuple(str(ipaddress.ip_address(part)) for part in text.split(",") if part)
+
+
 def parse_address(text: str) -> str:
     """Parse ``ip:port``, with an IPv6 address in brackets.
 
--- a/packages/core/gypsumpost_core/settings/settings_reader.py
+++ b/packages/core/gypsumpost_core/settings/settings_reader.py
@@ -39,13 +39,30 @@
     :param environment: the process's environment variables.
     :returns: the settings, or a message for each wrong setting.
     """
+    names = [field.name for field in attrs.fields(settings_class)]  # type: ignore[arg-type]
+    return parse_settings(
+        settings_class, {name: _find_text(name, flags, environment) for name in names}
+    )
+
+
+def parse_settings(
+    settings_class: type[S], texts: Mapping[str, tuple[str | None, str]]
+) -> Result[S, list[str]]:
+    """Build settings from texts.
+
+    :param settings_class: attrs class whose fields come from ``define_setting``.
+    :param texts: for each field its text, ``None`` for the default, and where it comes from.
+    :returns: the settings, or a message for each wrong or missing setting.
+    """
     values: dict[str, Any] = {}
     errors: list[str] = []
     for field in attrs.fields(settings_class):  # type: ignore[arg-type]
-        text, source = _find_text(field.name, flags, environment)
+        text, source = texts.get(field.name, (None, field.name))
+        setting: Setting = field.metadata["setting"]
         if text is None:
+            if field.default is attrs.NOTHING:
+                errors.append(f"{source}: is missing; accepted: {setting.accepted}")
             continue
-        setting: Setting = field.metadata["setting"]
         try:
             values[field.name] = setting.parse(text)
         except (ValueError, KeyError):
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_settings.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_settings.py
@@ -2,6 +2,15 @@
 
 import attrs
 
+from gypsumpost_core.settings.setting import define_setting
+from gypsumpost_core.settings.setting_parsers import (
+    parse_address,
+    parse_ips,
+    parse_label,
+    parse_number,
+    parse_optional_address,
+)
+
 RELOADED = (
     "seed_ips",
     "link_mbps",
@@ -13,44 +22,97 @@
 """Settings that a running gateway takes over; the others need a restart."""
 
 
+LABEL = "1 to 200 characters"
+ADDRESS = "ip:port"
+SECONDS = "a number from 0.1 to 86400"
+
+
 @attrs.frozen(kw_only=True)
 class GatewaySettings:
-    """What a gateway needs to know when it starts.
-
-    :param host_id: unique name of the host.
-    :param failure_domain: failure domain of the host.
-    :param caller_address: ``ip:port`` for callers.
-    :param ready_address: ``ip:port`` for the balancer's question whether the host is ready.
-    :param metrics_address: ``ip:port`` for metrics, empty for none.
-    :param peer_address: ``ip:port`` of the TCP listener for other hosts.
-    :param gossip_address: ``ip:port`` of the UDP socket for membership.
-    :param beacon_address: ``ip:port`` of the UDP socket for beacons; all hosts use one port.
-    :param peer_key: shared key with which hosts prove that they belong to the deployment.
-    :param seed_ips: addresses of hosts that may know others.
-    :param store_address: ``ip:port`` of the platform's store.
-    :param link_mbps: bandwidth of the host's link in Mbit/s.
-    :param stop_seconds: time from the signal to stop until the process is killed.
-    :param retry_ratio: repeated sends allowed for each request.
-    :param retry_window_seconds: window of the retry budget.
-    :param retry_allowance: repeated sends allowed in a window besides, all hosts together.
-    """
-
-    host_id: str
-    failure_domain: str
-    caller_address: str
-    ready_address: str
-    metrics_address: str = ""
-    peer_address: str
-    gossip_address: str
-    beacon_address: str
-    peer_key: bytes = attrs.field(default=b"gypsumpost", repr=False)
-    seed_ips: tuple[str, ...] = ()
-    store_address: str
-    link_mbps: int = 1000
-    stop_seconds: float = 30.0
-    retry_ratio: float = 0.1
-    retry_window_seconds: float = 10.0
-    retry_allowance: float = 10.0
+    """What a gateway needs to know when it starts."""
+
+    host_id: str = define_setting(
+        parse=parse_label, accepted=LABEL, help="Unique name of this host."
+    )
+    failure_domain: str = define_setting(
+        parse=parse_label, accepted=LABEL, help="Failure domain that this host stands in."
+    )
+    caller_address: str = define_setting(
+        parse=parse_address, accepted=ADDRESS, help="Address of the callers' HTTP listener."
+    )
+    ready_address: str = define_setting(
+        parse=parse_address,
+        accepted=ADDRESS,
+        help="Address where the balancer asks whether the host is ready.",
+    )
+    metrics_address: str = define_setting(
+        default="",
+        parse=parse_optional_address,
+        accepted="ip:port, or empty",
+        help="Address of the metrics; empty for none.",
+    )
+    peer_address: str = define_setting(
+        parse=parse_address, accepted=ADDRESS, help="Address of the TCP listener for other hosts."
+    )
+    gossip_address: str = define_setting(
+        parse=parse_address, accepted=ADDRESS, help="Address of the UDP socket for membership."
+    )
+    beacon_address: str = define_setting(
+        parse=parse_address,
+        accepted=ADDRESS,
+        help="Address of the UDP socket for beacons; all hosts use one port.",
+    )
+    peer_key: bytes = define_setting(
+        default="gypsumpost",
+        parse=str.encode,
+        accepted="any text",
+        secret=True,
+        help="Shared key with which hosts prove that they belong to the deployment.",
+    )
+    seed_ips: tuple[str, ...] = define_setting(
+        default="",
+        parse=parse_ips,
+        accepted="IP addresses with commas between them",
+        help="Hosts that may know others.",
+    )
+    store_address: str = define_setting(
+        parse=parse_address, accepted=ADDRESS, help="Address of the platform's store."
+    )
+    link_mbps: float = define_setting(
+        default="1000",
+        parse=parse_number(0.1),
+        accepted="a number from 0.1",
+        unit="Mbit/s",
+        help="Bandwidth of the host's link.",
+    )
+    stop_seconds: float = define_setting(
+        default="30",
+        parse=parse_number(0.1, 86400),
+        accepted=SECONDS,
+        unit="seconds",
+        help="Time from the signal to stop until the process is killed.",
+    )
+    retry_ratio: float = define_setting(
+        default="0.1",
+        parse=parse_number(0, 100),
+        accepted="a number from 0 to 100",
+        unit="repeats a request",
+        help="Repeated sends allowed for each request.",
+    )
+    retry_window_seconds: float = define_setting(
+        default="10",
+        parse=parse_number(0.1, 86400),
+        accepted=SECONDS,
+        unit="seconds",
+        help="Window of the retry budget.",
+    )
+    retry_allowance: float = define_setting(
+        default="10",
+        parse=parse_number(0),
+        accepted="a number from 0",
+        unit="repeats",
+        help="Repeated sends allowed in a window besides, all hosts together.",
+    )
 
     def find_changes(self, other: "GatewaySettings") -> tuple[str, ...]:
         """Return the names of the settings that differ.
