--- a/packages/daemon/gypsumpost_daemon/gateway/stream_forwarder.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/stream_forwarder.py
@@ -22,6 +22,10 @@
 WAIT_SHARE = 0.75
 """Share of the objective for which a new stream waits for an engine."""
 
+BUDGET_WAIT_SECONDS = 1.5
+"""How long a stream that has begun waits for the retry budget; callers leave after two seconds."""
+
+BUDGET_CHECK_SECONDS = 0.05
 RETRY_AFTER_SECONDS = 1.0
 PAUSE_SECONDS = 0.02
 """Shortest time between two attempts that engines refused for want of room."""
@@ -81,7 +85,7 @@
                 return "all attempts are used"
             if progress.sends and self._context.crashes.is_refused(call):
                 return "endpoints crashed each time it ran"
-            if progress.sends and not self._context.try_retry(call.service):
+            if progress.sends and not await self._take_retry(call, progress):
                 return "the retry budget is spent"
             copy = progress.copy
             state = self._find_copy_engine(copy)
@@ -99,8 +103,10 @@
             )
             progress.sends += failure.sent
             progress.may_have_run = progress.may_have_run or failure.may_have_run
-            if failure.may_have_run:
-                # The engine may have begun to send its memory to the copy's holder.
+            if failure.may_have_run and copy is None and not progress.events:
+                # An engine sends nothing to the copy's holder before the prompt is read.
+                progress.copy = None
+            elif failure.may_have_run:
                 progress.copy = self._find_record(progress.use.copy_engine)
                 progress.copy_request_id = call.request_id
             elif copy is not None:
@@ -121,6 +127,18 @@
             if failure.sent and not failure.may_have_run and copy is None:
                 await trio.sleep(PAUSE_SECONDS)
 
+    async def _take_retry(self, call: CallerCall, progress: StreamProgress) -> bool:
+        """Spend a repeated send, or wait a little until the budget allows one."""
+        now = trio.current_time()
+        give_up = call.received_at + WAIT_SHARE * call.route.objective
+        if progress.events:
+            give_up = now + BUDGET_WAIT_SECONDS
+        while not self._context.try_retry(call.service):
+            if trio.current_time() >= give_up:
+                return False
+            await trio.sleep(BUDGET_CHECK_SECONDS)
+        return True
+
     def _log_end(self, call: CallerCall, progress: StreamProgress) -> None:
         self._context.metrics.count_attempt(call.service, "answered")
         first = (progress.first_event_at or trio.current_time()) - call.received_at
