--- a/packages/core/gypsumpost_core/gateway/retry_budget.py
+++ b/packages/core/gypsumpost_core/gateway/retry_budget.py
@@ -83,6 +83,14 @@
             known += counts.get(service, RetryCount())
         return self.ratio * known.requests + self.allowance - known.repeats
 
+    def compute_least(self, now: float) -> float:
+        """Return what is left of the budget of the service that has least.
+
+        :param now: process time in seconds.
+        """
+        left = (self.compute_left(service, now) for service in self._own)
+        return min(left, default=self.allowance)
+
     def sum_own(self, now: float) -> dict[str, RetryCount]:
         """Return the counts of this host by service.
 
--- a/packages/core/gypsumpost_core/gateway/tests/test_budgets.py
+++ b/packages/core/gypsumpost_core/gateway/tests/test_budgets.py
@@ -65,6 +65,9 @@
     assert budget.compute_left("s", 1.0) == 1
     assert budget.sum_domain(1.0) == {}
     assert budget.compute_left("other", 1.0) == 30
+    budget.note_request("s", 1.0)
+    budget.note_request("other", 1.0)
+    assert budget.compute_least(1.0) == 1.5
 
 
 def report(endpoint_id, started_at=1, fingerprint=b"f"):
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
@@ -181,6 +181,16 @@
             "Time since the store's last answer while it does not answer, else 0.",
             lambda: trio.current_time() - follower.answered_at if follower.lost else 0.0,
         )
+        add(
+            "gypsumpost_store_watching",
+            "1 if this host watches the store and the store answers, else 0.",
+            lambda: float(follower.watching),
+        )
+        add(
+            "gypsumpost_gateway_retry_budget_left",
+            "Repeated sends left to the service that has least.",
+            lambda: self.context.retries.compute_least(trio.current_time()),
+        )
         add(
             "gypsumpost_configuration_version",
             "Version of the configuration in force.",
