--- a/packages/core/gypsumpost_core/gateway/retry_budget.py
+++ b/packages/core/gypsumpost_core/gateway/retry_budget.py
@@ -4,9 +4,9 @@
 
 import attrs
 
-from gypsumpost_core.gateway.report_table import ReportTable
 from gypsumpost_core.gateway.retry_count import RetryCount
 from gypsumpost_core.gateway.retry_window import RetryWindow
+from gypsumpost_core.gateway.shared_reports import SharedReports
 
 UNREPORTED_SECONDS = 1.0
 """Repeats that the other hosts may not have heard of yet: an idle host reports every 0.75 s."""
@@ -25,19 +25,19 @@
     :param ratio: repeats allowed for each request.
     :param allowance: repeats allowed in a window without regard to requests.
     :param window: length of the window in seconds.
+    :param reports: the counts of the others by service.
     """
 
     ratio: float
     allowance: float
     window: float
+    reports: SharedReports[Counts] = attrs.field(init=False)
     _own: dict[str, RetryWindow] = attrs.field(factory=dict, init=False)
-    _peers: ReportTable[Counts] = attrs.field(init=False)
-    _domains: ReportTable[Counts] = attrs.field(init=False)
 
-    def __attrs_post_init__(self) -> None:
+    @reports.default
+    def _create_reports(self) -> SharedReports[Counts]:
         # What a lost host has sent counts until the window has passed.
-        self._peers = ReportTable(seconds=self.window)
-        self._domains = ReportTable(seconds=self.window)
+        return SharedReports(seconds=self.window)
 
     def set_bounds(self, *, ratio: float, allowance: float, window: float) -> None:
         """Change the budget; what was counted stays.
@@ -47,7 +47,7 @@
         :param window: length of the window in seconds.
         """
         self.ratio, self.allowance, self.window = ratio, allowance, window
-        self._peers.seconds = self._domains.seconds = window
+        self.reports.seconds = window
 
     def note_request(self, service: str, now: float) -> None:
         """Count a request of a caller.
@@ -79,7 +79,7 @@
         :param now: process time in seconds.
         """
         known = self.sum_domain(now).get(service, RetryCount())
-        for counts in self._domains.list_valid(now):
+        for counts in self.reports.list_domains(now):
             known += counts.get(service, RetryCount())
         return self.ratio * known.requests + self.allowance - known.repeats
 
@@ -104,28 +104,10 @@
         :param now: process time in seconds.
         """
         found = self.sum_own(now)
-        for counts in self._peers.list_valid(now):
+        for counts in self.reports.list_hosts(now):
             for service, count in counts.items():
                 found[service] = found.get(service, RetryCount()) + count
         return found
 
-    def take_report(self, host_id: str, counts: Counts, now: float) -> None:
-        """Replace what a peer of the own domain has reported.
-
-        :param host_id: the peer.
-        :param counts: its counts by service.
-        :param now: process time in seconds.
-        """
-        self._peers.put(host_id, counts, now)
-
-    def take_domain_report(self, domain: str, counts: Counts, now: float) -> None:
-        """Replace what another domain has reported.
-
-        :param domain: name of the domain.
-        :param counts: the counts of its hosts by service.
-        :param now: process time in seconds.
-        """
-        self._domains.put(domain, counts, now)
-
     def _get_window(self, service: str) -> RetryWindow:
         return self._own.setdefault(service, RetryWindow())
--- a/packages/core/gypsumpost_core/gateway/tests/test_budgets.py
+++ b/packages/core/gypsumpost_core/gateway/tests/test_budgets.py
@@ -16,7 +16,7 @@
     for name, host in enumerate(hosts):
         for other in hosts:
             if other is not host:
-                other.take_report(str(name), host.sum_own(now), now)
+                other.reports.put_host(str(name), host.sum_own(now), now)
 
 
 def test_hosts_together_keep_to_the_budget():
@@ -53,7 +53,7 @@
 def test_the_counts_of_a_lost_host_stay_for_the_window():
     """Guards against a budget that is spent again when a host has gone."""
     budget = create_budget()
-    budget.take_report("gone", {"s": RetryCount(requests=0, repeats=30)}, 1.0)
+    budget.reports.put_host("gone", {"s": RetryCount(requests=0, repeats=30)}, 1.0)
     assert not budget.try_spend("s", 10.0, 1)
     assert budget.try_spend("s", 11.5, 1)
 
@@ -61,7 +61,7 @@
 def test_other_domains_count():
     """Guards against a budget for each domain."""
     budget = create_budget()
-    budget.take_domain_report("b", {"s": RetryCount(requests=10, repeats=34)}, 1.0)
+    budget.reports.put_domain("b", {"s": RetryCount(requests=10, repeats=34)}, 1.0)
     assert budget.compute_left("s", 1.0) == 1
     assert budget.sum_domain(1.0) == {}
     assert budget.compute_left("other", 1.0) == 30
--- a/packages/core/gypsumpost_core/gateway/tests/test_engine_choice.py
+++ b/packages/core/gypsumpost_core/gateway/tests/test_engine_choice.py
@@ -88,7 +88,7 @@
     table = UseTable()
     use = StreamUse(engine="e1", copy_engine="e2", prompt_tokens=10, total_tokens=30)
     table.put(use)
-    table.take_report("peer", {"e1": EngineUse(running=2, memory_tokens=50)}, now=0.0)
+    table.reports.put_host("peer", {"e1": EngineUse(running=2, memory_tokens=50)}, now=0.0)
     assert table.sum_all(1.0)["e1"].running == 3
     assert table.sum_all(9.0)["e1"].running == 1
     assert table.sum_own()["e2"].copy_tokens == 30
--- a/packages/core/gypsumpost_core/gateway/use_table.py
+++ b/packages/core/gypsumpost_core/gateway/use_table.py
@@ -5,7 +5,7 @@
 import attrs
 
 from gypsumpost_core.gateway.engine_use import EngineUse
-from gypsumpost_core.gateway.report_table import ReportTable
+from gypsumpost_core.gateway.shared_reports import SharedReports
 from gypsumpost_core.gateway.stream_use import StreamUse
 
 REPORT_SECONDS = 2.0
@@ -16,15 +16,15 @@
 
 @attrs.define(kw_only=True)
 class UseTable:
-    """Adds up the streams of this host, of the peers of its domain and of the other domains."""
+    """Adds up the streams of this host, of the peers of its domain and of the other domains.
 
-    _streams: dict[int, StreamUse] = attrs.field(factory=dict, init=False)
-    _peers: ReportTable[Uses] = attrs.field(
-        factory=lambda: ReportTable(seconds=REPORT_SECONDS), init=False
-    )
-    _domains: ReportTable[Uses] = attrs.field(
-        factory=lambda: ReportTable(seconds=REPORT_SECONDS), init=False
+    :param reports: the work of the others.
+    """
+
+    reports: SharedReports[Uses] = attrs.field(
+        factory=lambda: SharedReports(seconds=REPORT_SECONDS), init=False
     )
+    _streams: dict[int, StreamUse] = attrs.field(factory=dict, init=False)
     _listeners: list[Callable[[], None]] = attrs.field(factory=list, init=False)
 
     def listen(self, listener: Callable[[], None]) -> None:
@@ -46,24 +46,6 @@
         for listener in self._listeners:
             listener()
 
-    def take_report(self, host_id: str, uses: Uses, now: float) -> None:
-        """Replace what a peer of the own domain has reported.
-
-        :param host_id: the peer.
-        :param uses: its work by engine.
-        :param now: process time in seconds.
-        """
-        self._peers.put(host_id, uses, now)
-
-    def take_domain_report(self, domain: str, uses: Uses, now: float) -> None:
-        """Replace what another domain has reported.
-
-        :param domain: name of the domain.
-        :param uses: the work of its hosts by engine.
-        :param now: process time in seconds.
-        """
-        self._domains.put(domain, uses, now)
-
     def sum_own(self) -> dict[str, EngineUse]:
         """Return the work of this host by engine."""
         found: dict[str, EngineUse] = {}
@@ -82,14 +64,14 @@
 
         :param now: process time in seconds.
         """
-        return add_reports(self.sum_own(), self._peers.list_valid(now))
+        return add_reports(self.sum_own(), self.reports.list_hosts(now))
 
     def sum_all(self, now: float) -> dict[str, EngineUse]:
         """Return the work of all hosts by engine.
 
         :param now: process time in seconds.
         """
-        return add_reports(self.sum_domain(now), self._domains.list_valid(now))
+        return add_reports(self.sum_domain(now), self.reports.list_domains(now))
 
 
 def add_reports(found: dict[str, EngineUse], reports: Iterable[Uses]) -> dict[str, EngineUse]:
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/gateway/beacon_socket.py
@@ -0,0 +1,86 @@
+"""The UDP socket of the beacons."""
+
+import hmac
+from collections.abc import AsyncIterator, Iterable
+
+import attrs
+import trio
+from result import Err
+
+from gypsumpost_core.key_ring import KeyRing
+from gypsumpost_daemon.gateway.beacon import Beacon
+from gypsumpost_daemon.gateway.beacon_codec import decode_beacon, encode_beacon
+from gypsumpost_daemon.peers.gossip_codec import MAC_BYTES, sign_datagram
+from gypsumpost_daemon.telemetry.log import Log
+
+RECEIVE_BYTES = 65536
+
+LOG = Log(prefix="peers")
+
+
+@attrs.frozen(kw_only=True)
+class ReceivedBeacon:
+    """A beacon with what is needed to pass it on.
+
+    :param beacon: the beacon.
+    :param data: the datagram as it came.
+    :param source: address of the host that sent or passed on the datagram.
+    """
+
+    beacon: Beacon
+    data: bytes
+    source: str
+
+
+class BeaconSocket:
+    """Signs, sends, receives and checks beacons.
+
+    :param udp: the bound socket.
+    :param port: port of all hosts.
+    :param key: shared key of the deployment.
+    """
+
+    def __init__(self, *, udp: trio.socket.SocketType, port: int, key: KeyRing) -> None:
+        self._udp = udp
+        self._port = port
+        self._key = key
+
+    def encode(self, beacon: Beacon) -> bytes:
+        """Return the datagram of a beacon."""
+        body = encode_beacon(beacon)
+        return sign_datagram(self._key.choose_signing(trio.current_time()), body) + body
+
+    async def send(self, data: bytes, ips: Iterable[str]) -> int:
+        """Send a datagram to hosts and return the number of bytes that were sent.
+
+        :param data: the datagram.
+        :param ips: addresses of the hosts.
+        """
+        sent = 0
+        for ip in ips:
+            try:
+                sent += await self._udp.sendto(data, (ip, self._port))
+            except OSError as error:
+                LOG.write("a beacon was not sent", ip=ip, reason=str(error))
+        return sent
+
+    async def receive_all(self) -> AsyncIterator[ReceivedBeacon]:
+        """Yield the beacons that arrive."""
+        while True:
+            try:
+                data, source = await self._udp.recvfrom(RECEIVE_BYTES)
+            except OSError as error:
+                LOG.write("cannot receive", reason=str(error))
+                continue
+            mac, body = data[:MAC_BYTES], data[MAC_BYTES:]
+            if not any(
+                hmac.compare_digest(mac, sign_datagram(key, body))
+                for key in self._key.list_accepted(trio.current_time())
+            ):
+                LOG.write("ignored a datagram with a wrong code")
+                continue
+            decoded = decode_beacon(body)
+            if isinstance(decoded, Err):
+                LOG.write("ignored a datagram", reason=decoded.err_value)
+                continue
+            yield ReceivedBeacon(beacon=decoded.ok_value, data=data, source=source[0])
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
@@ -21,6 +21,7 @@
 from gypsumpost_daemon.gateway.endpoint_reports import EndpointReports
 from gypsumpost_daemon.gateway.forward_context import ForwardContext, create_budget
 from gypsumpost_daemon.gateway.gateway_application import GatewayApplication
+from gypsumpost_daemon.gateway.gateway_gauges import add_gauges
 from gypsumpost_daemon.gateway.gateway_metrics import GatewayMetrics
 from gypsumpost_daemon.gateway.gateway_settings import RELOADED, GatewaySettings
 from gypsumpost_daemon.gateway.metrics_application import MetricsApplication
@@ -142,7 +143,12 @@
         self._limits = HttpLimits(max_body=READY_BODY_BYTES)
         self._stopping = False
         self.serving = False
-        self._add_gauges()
+        add_gauges(
+            metrics,
+            follower=self._follower,
+            context=self.context,
+            count_open=lambda: self.application.open_requests,
+        )
 
     async def run(self) -> None:
         """Serve until a signal asks for a planned stop and all requests have ended."""
@@ -172,42 +178,6 @@
             nursery.cancel_scope.cancel()
         LOG.write("stopped", open_requests=self.application.open_requests)
 
-    def _add_gauges(self) -> None:
-        add = self._metrics.add_gauge
-        follower, directory = self._follower, self.directory
-        add("gypsumpost_store_calls", "Calls to the store.", lambda: follower.calls)
-        add(
-            "gypsumpost_store_silent_seconds",
-            "Time since the store's last answer while it does not answer, else 0.",
-            lambda: trio.current_time() - follower.answered_at if follower.lost else 0.0,
-        )
-        add(
-            "gypsumpost_store_watching",
-            "1 if this host watches the store and the store answers, else 0.",
-            lambda: float(follower.watching),
-        )
-        add(
-            "gypsumpost_gateway_retry_budget_left",
-            "Repeated sends left to the service that has least.",
-            lambda: self.context.retries.compute_least(trio.current_time()),
-        )
-        add(
-            "gypsumpost_configuration_version",
-            "Version of the configuration in force.",
-            lambda: directory.version,
-        )
-        add("gypsumpost_hosts_live", "Live hosts, this one included.", self._count_hosts)
-        add(
-            "gypsumpost_endpoints_lost",
-            "Endpoints that are taken for lost.",
-            lambda: sum(state.lost for state in directory.fleet),
-        )
-        add(
-            "gypsumpost_gateway_open_requests",
-            "Requests that are being served.",
-            lambda: self.application.open_requests,
-        )
-
     def _is_ready(self) -> bool:
         return self.directory.ready and not self._stopping and not self._is_cut_off()
 
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_gauges.py
@@ -0,0 +1,54 @@
+"""The gauges of a gateway."""
+
+from collections.abc import Callable
+
+import trio
+
+from gypsumpost_daemon.gateway.forward_context import ForwardContext
+from gypsumpost_daemon.gateway.store_follower import StoreFollower
+from gypsumpost_daemon.telemetry.metrics import Metrics
+
+
+def add_gauges(
+    metrics: Metrics,
+    *,
+    follower: StoreFollower,
+    context: ForwardContext,
+    count_open: Callable[[], int],
+) -> None:
+    """Add values that are read when the metrics are asked for.
+
+    :param metrics: the metrics of the process.
+    :param follower: follows the store.
+    :param context: directory and budgets.
+    :param count_open: returns the number of requests that are being served.
+    """
+    add, directory = metrics.add_gauge, context.directory
+    add("gypsumpost_store_calls", "Calls to the store.", lambda: follower.calls)
+    add(
+        "gypsumpost_store_silent_seconds",
+        "Time since the store's last answer while it does not answer, else 0.",
+        lambda: trio.current_time() - follower.answered_at if follower.lost else 0.0,
+    )
+    add(
+        "gypsumpost_store_watching",
+        "1 if this host watches the store and the store answers, else 0.",
+        lambda: float(follower.watching),
+    )
+    add(
+        "gypsumpost_gateway_retry_budget_left",
+        "Repeated sends left to the service that has least.",
+        lambda: context.retries.compute_least(trio.current_time()),
+    )
+    add(
+        "gypsumpost_configuration_version",
+        "Version of the configuration in force.",
+        lambda: directory.version,
+    )
+    add("gypsumpost_hosts_live", "Live hosts, this one included.", context.count_hosts)
+    add(
+        "gypsumpost_endpoints_lost",
+        "Endpoints that are taken for lost.",
+        lambda: sum(state.lost for state in directory.fleet),
+    )
+    add("gypsumpost_gateway_open_requests", "Requests that are being served.", count_open)
--- a/packages/daemon/gypsumpost_daemon/gateway/peer_exchange.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/peer_exchange.py
@@ -1,14 +1,12 @@
 """Exchanges work, losses and versions with the other hosts."""
 
-import hmac
 import itertools
 import random
 import time
-from collections.abc import Collection, Iterable
+from collections.abc import Collection
 
 import attrs
 import trio
-from result import Err
 
 from gypsumpost_core.gateway.copy_directory import CopyDirectory
 from gypsumpost_core.gateway.host_duties import HostDuties
@@ -19,16 +17,14 @@
 from gypsumpost_core.key_ring import KeyRing
 from gypsumpost_daemon.addresses import split_address
 from gypsumpost_daemon.gateway.beacon import Beacon
-from gypsumpost_daemon.gateway.beacon_codec import decode_beacon, encode_beacon
+from gypsumpost_daemon.gateway.beacon_socket import BeaconSocket, ReceivedBeacon
 from gypsumpost_daemon.gateway.crash_guard import CrashGuard
 from gypsumpost_daemon.gateway.directory import Directory
 from gypsumpost_daemon.gateway.directory_exchange import DirectoryExchange
 from gypsumpost_daemon.gateway.endpoint_reports import EndpointReports
 from gypsumpost_daemon.gateway.store_follower import StoreFollower
 from gypsumpost_daemon.peers.gossip import Gossip
-from gypsumpost_daemon.peers.gossip_codec import MAC_BYTES, sign_datagram
 from gypsumpost_daemon.peers.host_directory import HostDirectory
-from gypsumpost_daemon.telemetry.log import Log
 
 CHANGE_SECONDS = 0.02
 """Changes within this time go out in one datagram."""
@@ -49,14 +45,11 @@
 """Hosts of its own domain to which a seed passes the beacon of a new host."""
 
 REORDERED_BEACONS = 64
-RECEIVE_BYTES = 65536
 BITS_PER_MEGABIT = 1e6
 
-LOG = Log(prefix="peers")
-
 
 class PeerExchange:
-    """Owns the socket of the beacons.
+    """Sends and takes beacons.
 
     Each host tells the hosts of its own domain what it does. Two relays of a domain tell one relay
     each of every other domain the sum, which passes it on within its domain: traffic between
@@ -138,12 +131,13 @@
         """Send and receive beacons until cancelled."""
         with trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM) as udp:
             await udp.bind((self._ip, self._port))
+            beacons = BeaconSocket(udp=udp, port=self._port, key=self._key)
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._receive, udp)
+                nursery.start_soon(self._receive, beacons)
                 nursery.start_soon(self._exchange.run)
                 task_status.started()
                 while True:
-                    quiet_until = await self._send(udp)
+                    quiet_until = await self._send(beacons)
                     await trio.sleep(CHANGE_SECONDS)
                     with trio.move_on_after(IDLE_SECONDS):
                         await self._changed.wait()
@@ -158,26 +152,22 @@
         self._lost.set()
         self.note_change()
 
-    async def _send(self, udp: trio.socket.SocketType) -> float:
+    async def _send(self, beacons: BeaconSocket) -> float:
         """Send beacons and return the process time before which there should be no others."""
         now = trio.current_time()
         peers = self._hosts.list_peers()
-        near = [host for host in peers if host.failure_domain == self._domain]
-        data = self._sign(self._create_beacon(now), now)
-        sent = await self._send_all(udp, [find_ip(host) for host in near], data)
+        near = self._select_near(peers)
         # Membership needs the names of hosts, which only their beacons tell.
         known = {find_ip(host) for host in self._hosts.list_known()}
         unknown = [ip for ip in self._seed_ips if ip not in known]
-        sent += await self._send_all(udp, unknown, data)
+        sent = await beacons.send(beacons.encode(self._create_beacon(now)), [*near, *unknown])
         if now >= self._relay_at:
             self._relay_at = now + RELAY_SECONDS_PER_PEER * len(peers)
-            sent += await self._send_to_domains(udp, peers, now)
+            sent += await self._send_to_domains(beacons, peers, now)
         seconds = sent * 8 / (LINK_SHARE * self._duties.link_mbps * BITS_PER_MEGABIT)
         return now + max(seconds, SECONDS_PER_PEER * len(near))
 
-    async def _send_to_domains(
-        self, udp: trio.socket.SocketType, peers: list[Host], now: float
-    ) -> int:
+    async def _send_to_domains(self, beacons: BeaconSocket, peers: list[Host], now: float) -> int:
         number = self._duties.get_relay_number(now)
         domains = {host.failure_domain for host in peers} - {self._domain}
         if number is None or not domains:
@@ -189,14 +179,16 @@
             retries=self._retries.sum_domain(now),
             copies=(),
         )
-        data = self._sign(beacon, now)
         relays = []
         for domain in sorted(domains):
             hosts = [host for host in peers if host.failure_domain == domain]
             relay = self._duties.choose_relay(hosts, number, now)
             if relay is not None:
                 relays.append(find_ip(relay))
-        return await self._send_all(udp, relays, data)
+        return await beacons.send(beacons.encode(beacon), relays)
+
+    def _select_near(self, peers: list[Host]) -> list[str]:
+        return [find_ip(host) for host in peers if host.failure_domain == self._domain]
 
     def _create_beacon(self, now: float) -> Beacon:
         return Beacon(
@@ -219,61 +211,29 @@
             copies=self._copies.list_own(),
         )
 
-    def _sign(self, beacon: Beacon, now: float) -> bytes:
-        body = encode_beacon(beacon)
-        return sign_datagram(self._key.choose_signing(now), body) + body
-
-    async def _send_all(self, udp: trio.socket.SocketType, ips: Iterable[str], data: bytes) -> int:
-        """Send a datagram to hosts and return the number of bytes."""
-        sent = 0
-        for ip in ips:
-            try:
-                sent += await udp.sendto(data, (ip, self._port))
-            except OSError as error:
-                LOG.write("a beacon was not sent", ip=ip, reason=str(error))
-        return sent
-
-    async def _receive(self, udp: trio.socket.SocketType) -> None:
-        while True:
-            try:
-                data, source = await udp.recvfrom(RECEIVE_BYTES)
-            except OSError as error:
-                LOG.write("cannot receive", reason=str(error))
-                continue
-            now = trio.current_time()
-            mac, body = data[:MAC_BYTES], data[MAC_BYTES:]
-            if not any(
-                hmac.compare_digest(mac, sign_datagram(key, body))
-                for key in self._key.list_accepted(now)
-            ):
-                LOG.write("ignored a datagram with a wrong code")
-                continue
-            decoded = decode_beacon(body)
-            if isinstance(decoded, Err):
-                LOG.write("ignored a datagram", reason=decoded.err_value)
-                continue
-            beacon = decoded.ok_value
-            self._meet(beacon)
-            if self._is_news(beacon):
-                self._take(beacon, now)
-                if source[0] == beacon.ip:
-                    await self._pass_on(udp, beacon, data)
-
-    async def _pass_on(self, udp: trio.socket.SocketType, beacon: Beacon, data: bytes) -> None:
+    async def _receive(self, beacons: BeaconSocket) -> None:
+        async for received in beacons.receive_all():
+            self._meet(received.beacon)
+            if self._is_news(received.beacon):
+                self._take(received.beacon, trio.current_time())
+                if received.source == received.beacon.ip:
+                    await self._pass_on(beacons, received)
+
+    async def _pass_on(self, beacons: BeaconSocket, received: ReceivedBeacon) -> None:
         """Pass a beacon that came from its sender on to hosts that it did not reach."""
-        domain = beacon.host.failure_domain
-        if beacon.covers_domain:
-            near = [h for h in self._hosts.list_peers() if h.failure_domain == self._domain]
-            await self._send_all(udp, [find_ip(host) for host in near], data)
-        elif domain != self._domain:
+        sender = received.beacon.host
+        if received.beacon.covers_domain:
+            await beacons.send(received.data, self._select_near(self._hosts.list_peers()))
+        elif sender.failure_domain != self._domain:
             # A new host of a domain without seeds meets the hosts of its domain this way.
             others = [
-                host
+                find_ip(host)
                 for host in self._contacts.values()
-                if host.failure_domain == domain and host.host_id != beacon.host.host_id
+                if host.failure_domain == sender.failure_domain and host.host_id != sender.host_id
             ]
-            chosen = random.sample(others, min(INTRODUCTIONS, len(others)))
-            await self._send_all(udp, [find_ip(host) for host in chosen], data)
+            await beacons.send(
+                received.data, random.sample(others, min(INTRODUCTIONS, len(others)))
+            )
 
     def _meet(self, beacon: Beacon) -> None:
         host_id = beacon.host.host_id
@@ -303,11 +263,11 @@
         report = beacon.host
         self._duties.take_report(report, now)
         if beacon.covers_domain:
-            self._use.take_domain_report(report.failure_domain, beacon.uses, now)
-            self._retries.take_domain_report(report.failure_domain, beacon.retries, now)
+            self._use.reports.put_domain(report.failure_domain, beacon.uses, now)
+            self._retries.reports.put_domain(report.failure_domain, beacon.retries, now)
         elif report.failure_domain == self._domain:
-            self._use.take_report(report.host_id, beacon.uses, now)
-            self._retries.take_report(report.host_id, beacon.retries, now)
+            self._use.reports.put_host(report.host_id, beacon.uses, now)
+            self._retries.reports.put_host(report.host_id, beacon.retries, now)
             self._copies.take_reports(beacon.copies, now)
         self._reports.take_beacon(beacon, now)
         for crash in beacon.crashes:
