Avoid engines that break off streams although they are alive

An attempt that ended so was taken for the engine's loss: the stream went to the engine that was to hold its next copy, which had none, and used up its five attempts in 20 ms. The copy's holder is asked once more, engines that fail while they are alive are avoided, and the choice of the copy is a function of its own.

--- a/packages/core/gypsumpost_core/gateway/endpoint_state.py
+++ b/packages/core/gypsumpost_core/gateway/endpoint_state.py
@@ -43,6 +43,13 @@
         :param failed: true if it failed.
         """
         self.seconds = smooth(self.seconds, seconds)
+        self.observe_outcome(failed)
+
+    def observe_outcome(self, failed: bool) -> None:
+        """Note whether a request failed although the endpoint is alive.
+
+        :param failed: true if it failed.
+        """
         self.failure_ratio += SMOOTHING * (float(failed) - self.failure_ratio)
 
     def observe_gap(self, seconds: float) -> None:
--- a/packages/core/gypsumpost_core/gateway/engine_choice.py
+++ b/packages/core/gypsumpost_core/gateway/engine_choice.py
@@ -25,6 +25,9 @@
 FULL_SECONDS = 20.0
 """Weight of memory that is promised twice: a preempted prompt is read again."""
 
+FAILURE_SECONDS = 4.0
+"""Weight of an engine that fails all its streams although it is alive."""
+
 EQUAL_SECONDS = 0.02
 """Engines this close are equal; hosts that know the same must not all choose the same one."""
 
@@ -80,6 +83,7 @@
             rate = state.reading_rate or READING_RATE
             seconds = (use.reading_tokens + prompt_tokens) / rate
             seconds += RUNNING_SECONDS * use.running
+            seconds += FAILURE_SECONDS * state.failure_ratio
             if state.record.failure_domain != self.failure_domain:
                 seconds += CROSS_DOMAIN_SECONDS
             return seconds + self._weigh_room(state, limits, total_tokens)
@@ -87,7 +91,13 @@
         return self._draw_best(usable, weigh, EQUAL_SECONDS)
 
     def choose_copy(
-        self, service: str, limits: EngineLimits, *, engine: EndpointState, total_tokens: int
+        self,
+        service: str,
+        limits: EngineLimits,
+        *,
+        engine: EndpointState,
+        total_tokens: int,
+        tried: Collection[str] = (),
     ) -> EndpointState | None:
         """Return the engine that is to hold the copy of a stream, in another domain.
 
@@ -95,16 +105,21 @@
         :param limits: limits of its engines.
         :param engine: the engine that runs the stream.
         :param total_tokens: tokens that the stream holds at most.
+        :param tried: ids of engines that are not to be used.
         """
         domain = engine.record.failure_domain
-        usable = [s for s in self._list_sound(service) if s.record.failure_domain != domain]
+        usable = [
+            state
+            for state in self._list_sound(service)
+            if state.record.failure_domain != domain and state.record.endpoint_id not in tried
+        ]
         if not limits.keeps_copies or not usable:
             return None
 
         def weigh(state: EndpointState) -> float:
             use = self._get_use(state)
-            held = use.memory_tokens + use.copy_tokens
-            return held / limits.memory_tokens + self._weigh_room(state, limits, total_tokens)
+            held = (use.memory_tokens + use.copy_tokens) / limits.memory_tokens
+            return held + state.failure_ratio + self._weigh_room(state, limits, total_tokens)
 
         return self._draw_best(usable, weigh, EQUAL_MEMORY)
 
--- a/packages/core/gypsumpost_core/gateway/tests/test_engine_choice.py
+++ b/packages/core/gypsumpost_core/gateway/tests/test_engine_choice.py
@@ -61,6 +61,21 @@
     assert choose(create_choice(fleet), tried=["a2"]) is None
 
 
+def test_engines_that_fail_their_streams_are_avoided():
+    """Guards against streams and copies at an engine that is alive and breaks them off."""
+    fleet = create_fleet(*(create_record(f"b{n}", "b") for n in (1, 2)), create_record("a1"))
+    for _ in range(3):
+        get_state(fleet, "b1").observe_outcome(failed=True)
+        get_state(fleet, "a1").observe_outcome(failed=True)
+    choice = create_choice(fleet)
+    assert choose(choice) == "b2"
+    engine = get_state(fleet, "a1")
+    copy = choice.choose_copy("model", LIMITS, engine=engine, total_tokens=1)
+    assert copy.record.endpoint_id == "b2"
+    other = choice.choose_copy("model", LIMITS, engine=engine, total_tokens=1, tried=["b2"])
+    assert other.record.endpoint_id == "b1"
+
+
 def test_full_memory_is_avoided():
     """Guards against streams that are preempted and read again."""
     fleet = create_fleet(create_record("a1"), create_record("b1", "b"))
--- a/packages/daemon/gypsumpost_daemon/gateway/stream_forwarder.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/stream_forwarder.py
@@ -7,6 +7,7 @@
 from gypsumpost_core.gateway.endpoint_state import EndpointState
 from gypsumpost_core.gateway.engine_choice import EngineChoice
 from gypsumpost_core.gateway.engine_limits import EngineLimits
+from gypsumpost_core.gateway.next_copy import FailedAttempt, NextCopy, choose_next_copy
 from gypsumpost_core.gateway.request_kind import RequestKind
 from gypsumpost_core.gateway.stream_use import StreamUse
 from gypsumpost_core.run_state import RunState
@@ -81,12 +82,9 @@
         """Return an empty text once the stream is complete, else why it cannot go on."""
         tried: set[str] = set()
         while True:
-            if progress.sends >= call.route.max_attempts:
-                return "all attempts are used"
-            if progress.sends and self._context.crashes.is_refused(call):
-                return "endpoints crashed each time it ran"
-            if progress.sends and not await self._take_retry(call, progress):
-                return "the retry budget is spent"
+            obstacle = await self._find_obstacle(call, progress)
+            if obstacle:
+                return obstacle
             copy = progress.copy
             state = self._find_copy_engine(copy)
             if state is None:
@@ -94,39 +92,83 @@
                 state = await self._choose_engine(call, progress, tried)
             if state is None:
                 return "no engine takes work"
-            done = await self._run_attempt(call, exchange, progress, state, copy)
+            events = progress.events
+            done = await self._run_attempt(call, exchange, progress, state, copy, tried)
             if isinstance(done, Ok):
+                state.observe_outcome(failed=False)
                 return ""
             failure = done.err_value
-            self._context.metrics.count_attempt(
-                call.service, "lost" if failure.may_have_run else "not-run"
-            )
-            progress.sends += failure.sent
-            progress.may_have_run = progress.may_have_run or failure.may_have_run
-            if failure.may_have_run and copy is None and not progress.events:
-                # An engine sends nothing to the copy's holder before the prompt is read.
-                progress.copy = None
-            elif failure.may_have_run:
-                progress.copy = self._find_record(progress.use.copy_engine)
-                progress.copy_request_id = call.request_id
-            elif copy is not None:
-                progress.copy = None
-            else:
+            self._note_failure(call, progress, state, failure, copy is not None)
+            if not state.lost and (failure.may_have_run or copy is None):
                 tried.add(state.record.endpoint_id)
-            LOG.write(
-                "an attempt ended",
-                request_id=call.request_id,
-                endpoint=state.record.endpoint_id,
-                reason=failure.reason,
-                may_have_run=failure.may_have_run,
-                from_copy=copy is not None,
-                events=progress.events,
-            )
+            self._find_next_copy(call, progress, state, copy, failure, progress.events > events)
             if failure.may_have_run and not call.route.resumable:
                 return failure.reason
             if failure.sent and not failure.may_have_run and copy is None:
                 await trio.sleep(PAUSE_SECONDS)
 
+    async def _find_obstacle(self, call: CallerCall, progress: StreamProgress) -> str:
+        """Return why there may be no further attempt, else an empty text."""
+        if progress.sends >= call.route.max_attempts:
+            return "all attempts are used"
+        if progress.sends and self._context.crashes.is_refused(call):
+            return "endpoints crashed each time it ran"
+        if progress.sends and not await self._take_retry(call, progress):
+            return "the retry budget is spent"
+        return ""
+
+    def _note_failure(
+        self,
+        call: CallerCall,
+        progress: StreamProgress,
+        state: EndpointState,
+        failure: AttemptFailure,
+        from_copy: bool,
+    ) -> None:
+        self._context.metrics.count_attempt(
+            call.service, "lost" if failure.may_have_run else "not-run"
+        )
+        progress.sends += failure.sent
+        progress.may_have_run = progress.may_have_run or failure.may_have_run
+        if failure.may_have_run and not state.lost:
+            state.observe_outcome(failed=True)
+        LOG.write(
+            "an attempt ended",
+            request_id=call.request_id,
+            endpoint=state.record.endpoint_id,
+            reason=failure.reason,
+            may_have_run=failure.may_have_run,
+            engine_lost=state.lost,
+            from_copy=from_copy,
+            events=progress.events,
+        )
+
+    def _find_next_copy(
+        self,
+        call: CallerCall,
+        progress: StreamProgress,
+        state: EndpointState,
+        copy: EndpointRecord | None,
+        failure: AttemptFailure,
+        went_on: bool,
+    ) -> None:
+        chosen = choose_next_copy(
+            FailedAttempt(
+                may_have_run=failure.may_have_run,
+                engine_lost=state.lost,
+                from_copy=copy is not None,
+                repeated=progress.copy_repeated,
+                went_on=went_on,
+                started=bool(progress.events),
+            )
+        )
+        progress.copy_repeated = chosen is NextCopy.SAME and copy is not None
+        if chosen is NextCopy.NONE:
+            progress.copy = None
+        elif chosen is NextCopy.NEWEST:
+            progress.copy = self._find_record(progress.use.copy_engine)
+            progress.copy_request_id = call.request_id
+
     async def _take_retry(self, call: CallerCall, progress: StreamProgress) -> bool:
         """Spend a repeated send, or wait a little until the budget allows one."""
         now = trio.current_time()
@@ -192,13 +234,18 @@
         progress: StreamProgress,
         state: EndpointState,
         copy: EndpointRecord | None,
+        tried: set[str],
     ) -> Result[None, AttemptFailure]:
         limits = self._find_limits(call)
         self._context.use.drop(progress.use)
         target = None
         if limits is not None:
             target = self._create_choice().choose_copy(
-                call.service, limits, engine=state, total_tokens=progress.use.total_tokens
+                call.service,
+                limits,
+                engine=state,
+                total_tokens=progress.use.total_tokens,
+                tried=tried,
             )
         attempt = StreamAttempt(
             context=self._context,
--- a/packages/daemon/gypsumpost_daemon/gateway/stream_progress.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/stream_progress.py
@@ -14,6 +14,7 @@
     :param use: what the stream takes of its engines.
     :param copy: the engine that holds the copy, ``None`` for none.
     :param copy_request_id: id under which the holder knows the copy.
+    :param copy_repeated: true if the copy's holder was asked twice.
     :param sends: requests sent to engines so far.
     :param may_have_run: true if an engine may have begun to run the request.
     :param resuming: true from a loss until the next event.
@@ -27,6 +28,7 @@
     use: StreamUse
     copy: EndpointRecord | None = None
     copy_request_id: str = ""
+    copy_repeated: bool = False
     sends: int = 0
     may_have_run: bool = False
     resuming: bool = False
