Believe the store lost only where it answers nobody of a domain

Cause, found by reading: a host that reaches the store took it for lost when the store turned away the other watchers of its domain, and endpoints that were gone stayed 2.2 s longer; so did a host whose watchers had lost the store's history.

--- a/packages/core/gypsumpost_core/gateway/host_duties.py
+++ b/packages/core/gypsumpost_core/gateway/host_duties.py
@@ -87,10 +87,12 @@
         return report.link_mbps if report is not None and now < until else 0
 
     def _list_domain(self, now: float) -> list[HostReport]:
+        for host_id in [name for name, (until, _) in self._reports.items() if until <= now]:
+            del self._reports[host_id]
         return [
             report
-            for until, report in self._reports.values()
-            if now < until and report.failure_domain == self.own.failure_domain
+            for _, report in self._reports.values()
+            if report.failure_domain == self.own.failure_domain
         ]
 
     def _list_before(self, now: float) -> list[HostReport]:
--- a/packages/daemon/gypsumpost_daemon/gateway/store_follower.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/store_follower.py
@@ -45,6 +45,7 @@
         self.answered_at = trio.current_time()
         self.calls = 0
         self._lost = False
+        self._following = False
         self._refresh_at = -math.inf
         self._failed_at = -math.inf
         self._failed_prefix = next(iter(directory.tables))
@@ -57,11 +58,11 @@
     @property
     def watching(self) -> bool:
         """True if this host watches the store and the store answers."""
-        return self._is_watcher() and self._directory.ready and not self._lost
+        return self._following and self._is_watcher()
 
     def note_peers_outage(self) -> None:
         """Note that the store answers none of the hosts that watch it for this one."""
-        if not self._lost:
+        if not self._lost and not self.watching:
             self._note_failure(
                 self._failed_prefix, ItemStoreFailure(reason="it answers no peer of the domain")
             )
@@ -113,6 +114,7 @@
 
     async def _wait_for_duty(self) -> None:
         while not self._is_watcher():
+            self._following = False
             if self._lost:
                 # The hosts that watch the store now tell this one of its changes.
                 self._note_return()
@@ -138,17 +140,21 @@
         return None
 
     def _note_failure(self, prefix: str, failure: ItemStoreFailure) -> ItemStoreFailure:
-        if not failure.history_lost:
-            self._directory.note_outage(trio.current_time())
-        if not self._lost or failure.history_lost:
+        if failure.history_lost:
+            LOG.write("the store has forgotten its history", prefix=prefix, reason=failure.reason)
+            return failure
+        self._directory.note_outage(trio.current_time())
+        if not self._lost:
             LOG.write("the store did not answer", prefix=prefix, reason=failure.reason)
         self._lost = True
+        self._following = False
         self._failed_at = trio.current_time()
         self._failed_prefix = prefix
         return failure
 
     def _note_answer(self) -> None:
         self._note_return()
+        self._following = True
         self.answered_at = trio.current_time()
 
     def _note_return(self) -> None:
