--- a/packages/daemon/gypsumpost_daemon/gateway/directory_exchange.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/directory_exchange.py
@@ -61,6 +61,8 @@
             self._due = due
             self._ahead = beacon
             self._changed.set()
+        elif near and self._ahead is not None and self._is_faster(beacon, self._ahead):
+            self._ahead = beacon
 
     async def run(self) -> None:
         """Fetch what peers know more, until cancelled."""
@@ -81,6 +83,12 @@
             or beacon.endpoint_revision > directory.endpoint_revision
         )
 
+    def _is_faster(self, beacon: Beacon, other: Beacon) -> bool:
+        """Return true if a peer sends a large configuration sooner than another one."""
+        if other.host.failure_domain != self._own_domain:
+            return True
+        return beacon.host.link_mbps > other.host.link_mbps
+
     async def _fetch(self, host_id: str) -> None:
         deadline = trio.current_time() + REPLY_SECONDS
         payload = encode_directory_request(self._directory.list_revisions())
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/gateway/tests/test_directory_exchange.py
@@ -0,0 +1,70 @@
+"""From whom a host fetches changes."""
+
+from typing import Any
+
+import attrs
+import trio
+from result import Err
+
+from gypsumpost_core.gateway.host_report import HostReport
+from gypsumpost_daemon.gateway.beacon import Beacon
+from gypsumpost_daemon.gateway.directory_exchange import DirectoryExchange
+from gypsumpost_daemon.peers.peer_failure import PeerFailure
+
+
+@attrs.define(kw_only=True)
+class BehindDirectory:
+    """A directory that knows nothing."""
+
+    version: int = 0
+    endpoint_revision: int = 0
+
+    def list_revisions(self):
+        return {}
+
+
+@attrs.define(kw_only=True)
+class AskedNetwork:
+    """Notes who is asked, and gives no reply."""
+
+    asked: list[str] = attrs.field(factory=list)
+
+    def add_handler(self, kind, handler):
+        pass
+
+    async def request(self, host_id, kind, payload, deadline):
+        self.asked.append(host_id)
+        return Err(PeerFailure(host_id=host_id, reason="test", sent=True))
+
+    def drop_link(self, host_id):
+        pass
+
+
+def create_beacon(name, domain="a", link_mbps=10):
+    return Beacon(
+        host=HostReport(host_id=name, failure_domain=domain, link_mbps=link_mbps),
+        ip="127.0.0.1",
+        sequence=1,
+        version=7,
+        endpoint_revision=0,
+        uses={},
+        retries={},
+    )
+
+
+async def test_the_peer_with_the_fastest_link_is_asked(nursery, autojump_clock):
+    """Guards against a large configuration that all hosts fetch over one slow link."""
+    network = AskedNetwork()
+    parts: dict[str, Any] = {"directory": BehindDirectory(), "network": network}
+    exchange = DirectoryExchange(own_domain="a", **parts)
+    nursery.start_soon(exchange.run)
+    beacons = [
+        create_beacon("other-domain", "b", 1000),
+        create_beacon("slow"),
+        create_beacon("fast", link_mbps=200),
+        create_beacon("slow-too", link_mbps=25),
+    ]
+    for beacon in beacons:
+        exchange.take_beacon(beacon, watching=False)
+    await trio.sleep(1.0)
+    assert network.asked == ["fast"]
