Pass changes of a domain's work on at once

Beacons within and between domains have loops of their own, and a relay sends when a peer reports other work.

--- a/packages/core/gypsumpost_core/gateway/shared_reports.py
+++ b/packages/core/gypsumpost_core/gateway/shared_reports.py
@@ -36,6 +36,13 @@
         """
         self._domains[domain] = (now + self.seconds, report)
 
+    def get_host(self, host_id: str) -> Report | None:
+        """Return the last report of a host of the own domain, expired or not.
+
+        :param host_id: the host.
+        """
+        return self._hosts[host_id][1] if host_id in self._hosts else None
+
     def list_hosts(self, now: float) -> list[Report]:
         """Return the reports of the hosts of the own domain.
 
--- a/packages/daemon/gypsumpost_daemon/gateway/peer_exchange.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/peer_exchange.py
@@ -108,9 +108,10 @@
         # A host that starts again goes on with higher numbers.
         self._sequence = itertools.count(int(time.time() * 1000))
         self._seen: dict[tuple[str, bool], int] = {}
-        self._relay_at = 0.0
         self._changed = trio.Event()
+        self._domain_changed = trio.Event()
         self._lost = trio.Event()
+        self._domain_lost = trio.Event()
         reports.listen(self._note_loss)
         use.listen(self.note_change)
         crashes.listen(self.note_change)
@@ -124,8 +125,9 @@
         self._seed_ips = seed_ips
 
     def note_change(self) -> None:
-        """Send a beacon soon."""
+        """Send beacons soon."""
         self._changed.set()
+        self._domain_changed.set()
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Send and receive beacons until cancelled."""
@@ -135,21 +137,38 @@
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._receive, beacons)
                 nursery.start_soon(self._exchange.run)
+                nursery.start_soon(self._tell_domains, beacons)
                 task_status.started()
-                while True:
-                    quiet_until = await self._send(beacons)
-                    await trio.sleep(CHANGE_SECONDS)
-                    with trio.move_on_after(IDLE_SECONDS):
-                        await self._changed.wait()
-                    self._changed = trio.Event()
-                    # A loss is worth a datagram at once, other changes wait for their turn.
-                    with trio.move_on_at(quiet_until):
-                        await self._lost.wait()
-                        self._relay_at = 0.0
-                    self._lost = trio.Event()
+                await self._tell_domain(beacons)
+
+    async def _tell_domain(self, beacons: BeaconSocket) -> None:
+        """Tell the hosts of the own domain what this host does."""
+        while True:
+            quiet_until = await self._send(beacons)
+            await trio.sleep(CHANGE_SECONDS)
+            with trio.move_on_after(IDLE_SECONDS):
+                await self._changed.wait()
+            self._changed = trio.Event()
+            # A loss is worth a datagram at once, other changes wait for their turn.
+            with trio.move_on_at(quiet_until):
+                await self._lost.wait()
+            self._lost = trio.Event()
+
+    async def _tell_domains(self, beacons: BeaconSocket) -> None:
+        """Tell the other domains what the hosts of the own domain do, if this host is a relay."""
+        while True:
+            quiet_until = await self._send_to_domains(beacons)
+            await trio.sleep(CHANGE_SECONDS)
+            with trio.move_on_after(IDLE_SECONDS):
+                await self._domain_changed.wait()
+            self._domain_changed = trio.Event()
+            with trio.move_on_at(quiet_until):
+                await self._domain_lost.wait()
+            self._domain_lost = trio.Event()
 
     def _note_loss(self) -> None:
         self._lost.set()
+        self._domain_lost.set()
         self.note_change()
 
     async def _send(self, beacons: BeaconSocket) -> float:
@@ -161,17 +180,17 @@
         known = {find_ip(host) for host in self._hosts.list_known()}
         unknown = [ip for ip in self._seed_ips if ip not in known]
         sent = await beacons.send(beacons.encode(self._create_beacon(now)), [*near, *unknown])
-        if now >= self._relay_at:
-            self._relay_at = now + RELAY_SECONDS_PER_PEER * len(peers)
-            sent += await self._send_to_domains(beacons, peers, now)
-        seconds = sent * 8 / (LINK_SHARE * self._duties.link_mbps * BITS_PER_MEGABIT)
-        return now + max(seconds, SECONDS_PER_PEER * len(near))
+        return now + max(self._compute_pause(sent), SECONDS_PER_PEER * len(near))
 
-    async def _send_to_domains(self, beacons: BeaconSocket, peers: list[Host], now: float) -> int:
+    async def _send_to_domains(self, beacons: BeaconSocket) -> float:
+        """Send beacons and return the process time before which there should be no others."""
+        now = trio.current_time()
+        peers = self._hosts.list_peers()
+        quiet_until = now + RELAY_SECONDS_PER_PEER * len(peers)
         number = self._duties.get_relay_number(now)
         domains = {host.failure_domain for host in peers} - {self._domain}
         if number is None or not domains:
-            return 0
+            return quiet_until
         beacon = attrs.evolve(
             self._create_beacon(now),
             covers_domain=True,
@@ -185,7 +204,12 @@
             relay = self._duties.choose_relay(hosts, number, now)
             if relay is not None:
                 relays.append(find_ip(relay))
-        return await beacons.send(beacons.encode(beacon), relays)
+        sent = await beacons.send(beacons.encode(beacon), relays)
+        return max(quiet_until, now + self._compute_pause(sent))
+
+    def _compute_pause(self, sent: int) -> float:
+        """Return the seconds in which beacons of so many bytes take their part of the link."""
+        return sent * 8 / (LINK_SHARE * self._duties.link_mbps * BITS_PER_MEGABIT)
 
     def _select_near(self, peers: list[Host]) -> list[str]:
         return [find_ip(host) for host in peers if host.failure_domain == self._domain]
@@ -266,6 +290,8 @@
             self._use.reports.put_domain(report.failure_domain, beacon.uses, now)
             self._retries.reports.put_domain(report.failure_domain, beacon.retries, now)
         elif report.failure_domain == self._domain:
+            if beacon.uses != self._use.reports.get_host(report.host_id):
+                self._domain_changed.set()
             self._use.reports.put_host(report.host_id, beacon.uses, now)
             self._retries.reports.put_host(report.host_id, beacon.retries, now)
             self._copies.take_reports(beacon.copies, now)
