--- a/packages/daemon/gypsumpost_daemon/gateway/forward_context.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/forward_context.py
@@ -26,11 +26,19 @@
 
     :param settings: settings of the host.
     """
-    return RetryBudget(
-        ratio=settings.retry_ratio * BUDGET_SHARE,
-        allowance=settings.retry_allowance * BUDGET_SHARE,
-        window=settings.retry_window_seconds,
-    )
+    return RetryBudget(**compute_bounds(settings))
+
+
+def compute_bounds(settings: GatewaySettings) -> dict[str, float]:
+    """Return ratio, allowance and window of the budget of repeated sends.
+
+    :param settings: settings of the host.
+    """
+    return {
+        "ratio": settings.retry_ratio * BUDGET_SHARE,
+        "allowance": settings.retry_allowance * BUDGET_SHARE,
+        "window": settings.retry_window_seconds,
+    }
 
 
 @attrs.define(kw_only=True)
@@ -66,11 +74,7 @@
         :param settings: the settings.
         """
         self.settings = settings
-        self.retries.set_bounds(
-            ratio=settings.retry_ratio * BUDGET_SHARE,
-            allowance=settings.retry_allowance * BUDGET_SHARE,
-            window=settings.retry_window_seconds,
-        )
+        self.retries.set_bounds(**compute_bounds(settings))
 
     def try_retry(self, service: str) -> bool:
         """Spend one repeated send to a service if the budget allows it."""
