Ask silent engines for their work, and bound what endpoints send

A stream whose engine paused for 2.5 s was cut too, while an engine that sent single bytes or comments was never given up. Endless bytes in an answer or in an event grew in memory.

Change: an engine that is silent for 1.5 times the expected time is asked for its report; the stream stays while the engine lists the request or has unstarted ones, and leaves at once when the request is not there, or when it was preempted and has a copy. Only events with content end a silence. A comment beside an event no longer hides the id of the event from a resumption (found by the new test: events were repeated). Answers are bounded to 16 MiB, events and reports to 1 MiB. Streams check the echoed request id, as calls do.

--- a/packages/core/gypsumpost_core/gateway/engine_choice.py
+++ b/packages/core/gypsumpost_core/gateway/engine_choice.py
@@ -82,8 +82,7 @@
 
         def estimate_cost(state: EndpointState) -> float:
             usage = self._get_usage(state)
-            rate = state.prefill_rate or DEFAULT_PREFILL_RATE
-            seconds = (usage.prefill_tokens + prompt_tokens) / rate
+            seconds = self.estimate_prefill(state, prompt_tokens)
             seconds += STREAM_DELAY_SECONDS * usage.running
             seconds += FAILURE_COST_SECONDS * state.failure_ratio
             if state.record.failure_domain != self.failure_domain:
@@ -132,6 +131,15 @@
 
         return self._choose_cheapest(usable, estimate_cost, TIE_MEMORY_RATIO)
 
+    def estimate_prefill(self, state: EndpointState, prompt_tokens: int) -> float:
+        """Return the expected time in seconds until an engine has prefilled a prompt.
+
+        :param state: the engine.
+        :param prompt_tokens: tokens of the prompt that the engine has to prefill.
+        """
+        waiting = self._get_usage(state).prefill_tokens
+        return (waiting + prompt_tokens) / (state.prefill_rate or DEFAULT_PREFILL_RATE)
+
     def _choose_cheapest(
         self,
         states: Sequence[EndpointState],
--- /dev/null
+++ b/packages/core/gypsumpost_core/gateway/tests/test_engine_silence.py
@@ -0,0 +1,70 @@
+"""Tests of the decision whether a stream stays with a silent engine."""
+
+from gypsumpost_core.gateway.engine_silence import EngineSilence, compute_check_delay
+from gypsumpost_core.gateway.engine_work import EngineWork
+
+
+def create_silence(seconds, **changes):
+    fields = {
+        "seconds": seconds,
+        "prefilling": True,
+        "prefill_seconds": 1.0,
+        "objective": 4.5,
+        "has_copy": True,
+    }
+    return EngineSilence(**(fields | changes))
+
+
+def create_work(*running, unstarted=0):
+    return EngineWork(running=frozenset(running), unstarted=unstarted)
+
+
+def test_a_prompt_that_is_worked_on_is_not_sent_to_another_engine():
+    """Guards against prompts that are read twice after the loss of a domain.
+
+    In a day of velostation-qc-large, prompts of 19,738 and 11,579 tokens were sent to one engine at
+    the same moment; both were cut at the objective and read again elsewhere.
+    """
+    silence = create_silence(4.6)
+    assert not silence.is_abandoned(create_work("r-1", "r-2"), "r-1")
+    assert not silence.is_abandoned(create_work("r-2", unstarted=1), "r-1")
+
+
+def test_an_engine_that_dropped_the_request_is_left_before_the_objective():
+    """Guards against a stream that waits for an engine that hangs, until it is late."""
+    silence = create_silence(2.1)
+    assert silence.report_after == 2.0
+    assert silence.is_abandoned(create_work("r-2"), "r-1")
+
+
+def test_the_question_comes_before_the_objective():
+    """Guards against a long prompt for which the engine is asked only when the answer is late."""
+    assert create_silence(1.0, prefill_seconds=9.0).report_after == 4.5
+
+
+def test_a_preempted_stream_goes_on_from_its_copy():
+    """Guards against a stream that waits until its prompt is read a second time."""
+    waiting = create_work(unstarted=1)
+    silence = create_silence(0.5, prefilling=False)
+    assert silence.report_after <= 0.5
+    assert silence.is_abandoned(waiting, "r-1")
+    assert not create_silence(0.5, prefilling=False, has_copy=False).is_abandoned(waiting, "r-1")
+
+
+def test_a_slow_stream_that_is_worked_on_is_not_cut():
+    """Guards against cutting a sound stream because its engine is slow."""
+    assert not create_silence(20.0, prefilling=False).is_abandoned(create_work("r-1"), "r-1")
+
+
+def test_an_engine_without_a_report_is_left_after_a_limit():
+    """Guards against a stream that waits without end for an engine that answers nothing."""
+    assert not create_silence(4.4).is_abandoned(None, "r-1")
+    assert create_silence(4.6).is_abandoned(None, "r-1")
+    assert not create_silence(2.4, prefilling=False).is_abandoned(None, "r-1")
+    assert create_silence(2.6, prefilling=False).is_abandoned(None, "r-1")
+
+
+def test_an_engine_is_checked_after_a_few_usual_pauses():
+    """Guards against probes between the events of an engine that is merely slow."""
+    assert compute_check_delay(0.2, prefilling=False) == 0.5
+    assert compute_check_delay(0.0, prefilling=False) == 0.12
--- a/packages/daemon/gypsumpost_daemon/engines/h11_engine_connection.py
+++ b/packages/daemon/gypsumpost_daemon/engines/h11_engine_connection.py
@@ -82,6 +82,19 @@
             content = decode_chunks(chunks, data)
         return content
 
+    async def receive_whole_body(self, max_bytes: int) -> bytes:
+        """Wait for the end of the body and return it.
+
+        :param max_bytes: greatest accepted length.
+        :raises OSError: if the connection is lost, or the body is malformed or too long.
+        """
+        body = bytearray()
+        while part := await self.receive_body():
+            body += part
+            if len(body) > max_bytes:
+                raise ConnectionAbortedError(f"the body is longer than {max_bytes} bytes")
+        return bytes(body)
+
     async def _receive_plain_body(self) -> bytes:
         pieces: list[bytes] = []
         while not self._body_ended:
--- a/packages/daemon/gypsumpost_daemon/gateway/adapter.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/adapter.py
@@ -7,6 +7,7 @@
 from gypsumpost_core.gateway.configuration import Configuration
 from gypsumpost_core.gateway.endpoint_record import EndpointRecord
 from gypsumpost_core.gateway.engine_state_report import EngineStateReport
+from gypsumpost_core.gateway.engine_work import EngineWork
 from gypsumpost_daemon.gateway.gateway_settings import GatewaySettings
 from gypsumpost_daemon.gateway.header_names import HeaderNames
 from gypsumpost_daemon.gateway.item_store import ItemStore
@@ -45,3 +46,7 @@
     def decode_report(self, body: bytes) -> Result[EngineStateReport, str]:
         """Return an engine's report of its state, or why it cannot be read."""
         ...
+
+    def decode_work(self, body: bytes) -> Result[EngineWork, str]:
+        """Return the work in an engine's report of its state, or why the report has none."""
+        ...
--- a/packages/daemon/gypsumpost_daemon/gateway/call_forwarder.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/call_forwarder.py
@@ -30,6 +30,9 @@
 ENDPOINT_WAIT_FRACTION = 0.125
 """Fraction of the route's objective for which a call waits for an available endpoint."""
 
+MAX_ANSWER_BYTES = 1 << 24
+"""Answers are passed on whole, and a faulty endpoint may send bytes without end."""
+
 SERVER_ERROR_STATUS = 500
 MISDIRECTED = 421
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -187,16 +190,12 @@
                     return Err(
                         AttemptFailure(reason=failure.reason, may_have_run=failure.may_have_run)
                     )
-                parts = []
-                while part := await connection.receive_body():
-                    parts.append(part)
+                body = await connection.receive_whole_body(MAX_ANSWER_BYTES)
                 head = sent.ok_value
                 return self._classify_answer(
                     call,
                     state,
-                    EndpointAnswer(
-                        status=head.status_code, headers=list(head.headers), body=b"".join(parts)
-                    ),
+                    EndpointAnswer(status=head.status_code, headers=list(head.headers), body=body),
                 )
         except OSError as error:
             self._suspect(call, record, str(error))
--- a/packages/daemon/gypsumpost_daemon/gateway/endpoint_identifier.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/endpoint_identifier.py
@@ -1,19 +1,14 @@
 """Identifies the endpoint, and the start of it, that answers at an address."""
 
 import attrs
-import trio
 from result import Err, Ok, Result
 
 from gypsumpost_core.gateway.endpoint_record import EndpointRecord
 from gypsumpost_core.gateway.service import Service
-from gypsumpost_daemon.engines.h11_engine_connection import connect
 from gypsumpost_daemon.gateway.adapter import GatewayAdapter
-from gypsumpost_daemon.gateway.endpoint_answer import EndpointAnswer
-from gypsumpost_daemon.gateway.forwarded_request import ForwardedRequest
+from gypsumpost_daemon.gateway.endpoint_query import query_endpoint
 from gypsumpost_daemon.gateway.message_headers import find_header
 
-REPLY_SECONDS = 0.4
-
 
 @attrs.frozen(kw_only=True)
 class EndpointIdentifier:
@@ -36,7 +31,7 @@
         :param service: its service.
         """
         names = self.adapter.headers
-        health = await self._get(record.address, service.health_path)
+        health = await query_endpoint(record.address, service.health_path)
         if isinstance(health, Err):
             return health
         reported_id = find_header(health.ok_value.headers, names.endpoint_id)
@@ -47,7 +42,7 @@
             return Ok(record)
         if service.engine is None:
             return Ok(None)
-        state_answer = await self._get(record.address, self.adapter.report_path)
+        state_answer = await query_endpoint(record.address, self.adapter.report_path)
         if isinstance(state_answer, Err):
             return state_answer
         report = self.adapter.decode_report(state_answer.ok_value.body)
@@ -63,32 +58,3 @@
                 leaving=report.ok_value.leaving,
             )
         )
-
-    async def _get(self, address: str, path: str) -> Result[EndpointAnswer, str]:
-        deadline = trio.current_time() + REPLY_SECONDS
-        opened = await connect(address, deadline, fast_chunks=False)
-        if isinstance(opened, Err):
-            return Err(opened.err_value.reason)
-        connection = opened.ok_value
-        request = ForwardedRequest(
-            method="GET", path=path, headers=((b"host", address.encode()),), body=b""
-        )
-        try:
-            with trio.move_on_at(deadline):
-                sent = await connection.send(request)
-                if isinstance(sent, Err):
-                    return Err(sent.err_value.reason)
-                body = bytearray()
-                while part := await connection.receive_body():
-                    body += part
-                head = sent.ok_value
-                return Ok(
-                    EndpointAnswer(
-                        status=head.status_code, headers=list(head.headers), body=bytes(body)
-                    )
-                )
-        except OSError as error:
-            return Err(str(error))
-        finally:
-            connection.close()
-        return Err("no answer in time")
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/gateway/endpoint_query.py
@@ -0,0 +1,43 @@
+"""Queries an endpoint on a connection of its own."""
+
+import trio
+from result import Err, Ok, Result
+
+from gypsumpost_daemon.engines.h11_engine_connection import connect
+from gypsumpost_daemon.gateway.endpoint_answer import EndpointAnswer
+from gypsumpost_daemon.gateway.forwarded_request import ForwardedRequest
+
+REPLY_SECONDS = 0.4
+MAX_REPLY_BYTES = 1 << 20
+"""A faulty endpoint may send bytes without end."""
+
+
+async def query_endpoint(address: str, path: str) -> Result[EndpointAnswer, str]:
+    """Send a ``GET`` request and return the answer, or why there is none.
+
+    :param address: ``ip:port`` of the endpoint.
+    :param path: path of the request.
+    """
+    deadline = trio.current_time() + REPLY_SECONDS
+    opened = await connect(address, deadline, fast_chunks=False)
+    if isinstance(opened, Err):
+        return Err(opened.err_value.reason)
+    connection = opened.ok_value
+    request = ForwardedRequest(
+        method="GET", path=path, headers=((b"host", address.encode()),), body=b""
+    )
+    try:
+        with trio.move_on_at(deadline):
+            sent = await connection.send(request)
+            if isinstance(sent, Err):
+                return Err(sent.err_value.reason)
+            body = await connection.receive_whole_body(MAX_REPLY_BYTES)
+            head = sent.ok_value
+            return Ok(
+                EndpointAnswer(status=head.status_code, headers=list(head.headers), body=body)
+            )
+    except OSError as error:
+        return Err(str(error))
+    finally:
+        connection.close()
+    return Err("no answer in time")
--- a/packages/daemon/gypsumpost_daemon/gateway/event_splitter.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/event_splitter.py
@@ -18,6 +18,11 @@
     data: bytes
     event_id: bytes
 
+    @property
+    def has_content(self) -> bool:
+        """False for a comment, which engines and proxies send to keep a connection open."""
+        return not all(line.startswith(b":") for line in self.data.splitlines() if line)
+
 
 class EventSplitter:
     """Splits a byte stream into events and buffers an event until it is complete.
@@ -46,6 +51,6 @@
         return events
 
     @property
-    def incomplete(self) -> bool:
-        """True if a partial event is buffered."""
-        return bool(self._buffer)
+    def buffered(self) -> int:
+        """Bytes of the event that is not complete yet."""
+        return len(self._buffer)
--- a/packages/daemon/gypsumpost_daemon/gateway/forward_context.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/forward_context.py
@@ -12,6 +12,7 @@
 from gypsumpost_daemon.gateway.crash_guard import CrashGuard
 from gypsumpost_daemon.gateway.directory import Directory
 from gypsumpost_daemon.gateway.endpoint_monitor import EndpointMonitor
+from gypsumpost_daemon.gateway.engine_work_reader import EngineWorkReader
 from gypsumpost_daemon.gateway.forwarded_request import ForwardedRequest
 from gypsumpost_daemon.gateway.gateway_metrics import GatewayMetrics
 from gypsumpost_daemon.gateway.gateway_settings import GatewaySettings
@@ -49,6 +50,7 @@
     :param header_names: header names.
     :param directory: configuration and endpoints.
     :param monitor: detects lost endpoints.
+    :param work_reader: asks engines which requests they work on.
     :param usage: usage of the engines.
     :param crash_guard: detects requests that crash endpoints.
     :param copies: locations of the copies of streams.
@@ -61,6 +63,7 @@
     header_names: HeaderNames
     directory: Directory
     monitor: EndpointMonitor
+    work_reader: EngineWorkReader
     usage: UsageTable
     crash_guard: CrashGuard
     copies: CopyDirectory
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
@@ -19,6 +19,7 @@
 from gypsumpost_daemon.gateway.endpoint_identifier import EndpointIdentifier
 from gypsumpost_daemon.gateway.endpoint_monitor import EndpointMonitor
 from gypsumpost_daemon.gateway.endpoint_reports import EndpointReports
+from gypsumpost_daemon.gateway.engine_work_reader import EngineWorkReader
 from gypsumpost_daemon.gateway.forward_context import ForwardContext, create_retry_budget
 from gypsumpost_daemon.gateway.gateway_application import GatewayApplication
 from gypsumpost_daemon.gateway.gateway_gauges import add_gauges
@@ -134,6 +135,7 @@
             header_names=adapter.headers,
             directory=self.directory,
             monitor=self.monitor,
+            work_reader=EngineWorkReader(adapter=adapter),
             usage=self.usage,
             crash_guard=crash_guard,
             copies=self.copies,
--- a/packages/daemon/gypsumpost_daemon/gateway/stream_attempt.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/stream_attempt.py
@@ -7,11 +7,11 @@
 from gypsumpost_core.gateway.copy_report import CopyReport
 from gypsumpost_core.gateway.endpoint_record import EndpointRecord
 from gypsumpost_core.gateway.endpoint_state import EndpointState
-from gypsumpost_core.gateway.silence_limit import HANG_SECONDS, compute_check_delay
 from gypsumpost_daemon.engines.h11_engine_connection import H11EngineConnection, connect
 from gypsumpost_daemon.gateway.attempt_failure import AttemptFailure
 from gypsumpost_daemon.gateway.caller_call import CallerCall
 from gypsumpost_daemon.gateway.caller_exchange import CallerExchange
+from gypsumpost_daemon.gateway.engine_watch import EngineWatch
 from gypsumpost_daemon.gateway.event_splitter import EventSplitter, StreamEvent
 from gypsumpost_daemon.gateway.forward_context import ForwardContext
 from gypsumpost_daemon.gateway.message_headers import find_header, select_response_headers
@@ -21,6 +21,9 @@
 CONNECT_SECONDS = 0.08
 """Several round trips; then another engine is tried, which is safe since nothing was sent."""
 
+MAX_EVENT_BYTES = 1 << 20
+"""A faulty engine may send bytes without end that never complete an event."""
+
 SUCCESS = 200
 MISDIRECTED = 421
 LOWEST_PRIORITY = 9
@@ -38,6 +41,7 @@
     :param state: the engine.
     :param copy: the engine with the copy to resume from, ``None`` to prefill the prompt.
     :param target: the engine that receives a copy of this attempt, ``None`` for none.
+    :param prefill_seconds: expected time to the first event.
     """
 
     def __init__(
@@ -50,6 +54,7 @@
         state: EndpointState,
         copy: EndpointRecord | None,
         target: EndpointRecord | None,
+        prefill_seconds: float,
     ) -> None:
         self._context = context
         self._call = call
@@ -60,7 +65,13 @@
         self._copy = copy
         self._target = target
         self._splitter = EventSplitter(id_field=context.header_names.event_id_field)
-        self._started_at = self._last_event_at = trio.current_time()
+        self._watch = EngineWatch(
+            context=context,
+            call=call,
+            state=state,
+            prefill_seconds=prefill_seconds,
+            has_copy=target is not None,
+        )
 
     async def run(self) -> Result[None, AttemptFailure]:
         """Run until the stream is complete or this engine cannot continue it."""
@@ -95,7 +106,7 @@
         request = self._context.create_request(
             self._call, self._record.endpoint_id, self._create_headers()
         )
-        self._started_at = self._last_event_at = trio.current_time()
+        self._watch.restart()
         written = await connection.write(request)
         if isinstance(written, Err):
             failure = written.err_value
@@ -153,9 +164,9 @@
         names = self._context.header_names
         head: h11.Response | None = None
         while head is None:
-            with trio.move_on_after(compute_check_delay(self._state, prefilling=True)):
+            with trio.move_on_at(self._watch.compute_check_time(prefilling=True)):
                 head = await connection.receive_head(self._call.method)
-            if head is None and not await self._is_alive(prefilling=True):
+            if head is None and not await self._watch.is_alive(prefilling=True):
                 return Err(AttemptFailure(reason="the engine is silent", may_have_run=True))
         if head.status_code == MISDIRECTED:
             self._context.monitor.mark_replaced(self._record)
@@ -163,6 +174,9 @@
         if find_header(head.headers, names.not_run) is not None:
             reason = f"refused with {head.status_code}"
             return Err(AttemptFailure(reason=reason, may_have_run=False))
+        answered = find_header(head.headers, names.request_id)
+        if answered is not None and answered.decode("latin-1") != self._call.request_id:
+            return Err(AttemptFailure(reason="answer to another request", may_have_run=True))
         if head.status_code != SUCCESS or find_header(head.headers, names.seal) is None:
             return Err(AttemptFailure(reason=f"status {head.status_code}", may_have_run=True))
         return Ok(head)
@@ -173,19 +187,22 @@
         while True:
             prefilling = self._progress.usage.prefilling
             data = None
-            with trio.move_on_after(compute_check_delay(self._state, prefilling=prefilling)):
+            with trio.move_on_at(self._watch.compute_check_time(prefilling=prefilling)):
                 data = await connection.receive_body()
             if data is None:
-                if not await self._is_alive(prefilling=prefilling):
+                if not await self._watch.is_alive(prefilling=prefilling):
                     return Err(AttemptFailure(reason="the engine is silent", may_have_run=True))
                 continue
             if not data:
                 break
             events = self._splitter.feed(data)
-            if events:
+            if self._splitter.buffered > MAX_EVENT_BYTES:
+                return Err(AttemptFailure(reason="an event is too long", may_have_run=True))
+            if any(event.has_content for event in events):
                 self._observe(prefilling, trio.current_time())
+            if events:
                 await self._send_events(events, head)
-        if self._splitter.incomplete:
+        if self._splitter.buffered:
             return Err(AttemptFailure(reason="the stream ended in an event", may_have_run=True))
         await self._start_response(head)
         await self._exchange.send(b"", more=False)
@@ -194,21 +211,25 @@
     def _observe(self, prefilling: bool, now: float) -> None:
         self._context.directory.fleet.mark_alive(self._record.endpoint_id, now)
         if prefilling:
-            self._state.observe_prefill(self._call.prompt_tokens, now - self._started_at)
+            self._state.observe_prefill(self._call.prompt_tokens, now - self._watch.started_at)
             self._progress.usage.prefilling = False
             self._context.usage.notify_listeners()
         else:
-            self._state.observe_gap(now - self._last_event_at)
-        self._last_event_at = now
+            self._state.observe_gap(now - self._watch.last_event_at)
+        self._watch.record_event(now)
 
     async def _send_events(self, events: list[StreamEvent], head: h11.Response) -> None:
         await self._start_response(head)
-        progress, now = self._progress, self._last_event_at
+        progress, now = self._progress, trio.current_time()
         if progress.last_event_at is None:
             self._context.metrics.record_first_event(now - self._call.received_at)
         elif progress.resuming:
             self._context.metrics.record_pause(now - progress.last_event_at)
-        progress.record_events(len(events), events[-1].event_id, now)
+        # Comments and events without an id leave the id from which the stream is resumed.
+        ids = [event.event_id for event in events if event.event_id]
+        content = sum(event.has_content for event in events)
+        if content:
+            progress.record_events(content, ids[-1] if ids else b"", now)
         progress.resuming = False
         await self._exchange.send(b"".join(event.data for event in events), more=True)
 
@@ -216,13 +237,3 @@
         # A resumed stream keeps the response head of its first engine.
         if not self._exchange.started:
             await self._exchange.start(SUCCESS, select_response_headers(head.headers))
-
-    async def _is_alive(self, *, prefilling: bool) -> bool:
-        """Return whether to keep waiting for an engine that has been silent for a while."""
-        now = trio.current_time()
-        limit = self._call.route.objective if prefilling else HANG_SECONDS
-        if now - self._last_event_at > limit:
-            return False
-        if now - self._state.alive_at < compute_check_delay(self._state, prefilling=False):
-            return True
-        return await self._context.monitor.check(self._record, "a stream is silent")
--- a/packages/daemon/gypsumpost_daemon/gateway/stream_forwarder.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/stream_forwarder.py
@@ -239,9 +239,10 @@
     ) -> Result[None, AttemptFailure]:
         limits = self._find_limits(call)
         self._context.usage.drop(progress.usage)
+        choice = self._create_choice()
         target = None
         if limits is not None:
-            target = self._create_choice().choose_copy_holder(
+            target = choice.choose_copy_holder(
                 call.service,
                 limits,
                 engine=state,
@@ -256,6 +257,7 @@
             state=state,
             copy=copy,
             target=target.record if target else None,
+            prefill_seconds=choice.estimate_prefill(state, 0 if copy else call.prompt_tokens),
         )
         return await attempt.run()
 
--- a/packages/daemon/gypsumpost_daemon/gateway/tests/test_event_splitter.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/tests/test_event_splitter.py
@@ -17,11 +17,18 @@
     events = [event for part in parts for event in splitter.feed(part)]
     assert b"".join(event.data for event in events) == STREAM
     assert [event.event_id for event in events] == [b"1", b"2", b"", b"30"]
-    assert not splitter.incomplete
+    assert splitter.buffered == 0
 
 
 def test_the_beginning_of_an_event_is_buffered():
     """Guards against a partial event in front of the events of another engine."""
     splitter = EventSplitter(id_field=b"id")
     assert splitter.feed(b"id: 1\ndata: a") == []
-    assert splitter.incomplete
+    assert splitter.buffered == len(b"id: 1\ndata: a")
+
+
+def test_a_comment_is_no_content():
+    """Guards against a stalled engine that looks alive because it sends comments."""
+    splitter = EventSplitter(id_field=b"id")
+    events = splitter.feed(b": ping\n\n:\n\nid: 1\n: note\ndata: a\n\n")
+    assert [event.has_content for event in events] == [False, False, True]
