Share prefill rates, spread streams, and ask a lost store in turns

Change: hosts measure prefill rates and report them in beacons; the choice weighs all engines by cost with a spread of 0.2 s; a prompt counts less the longer it is read; parts of the retry budget for streams go by the running streams; beyond the first three hosts of a domain, hosts ask a lost store in turns.

--- a/packages/core/gypsumpost_core/gateway/endpoint_state.py
+++ b/packages/core/gypsumpost_core/gateway/endpoint_state.py
@@ -20,7 +20,6 @@
     :param answer_seconds: smoothed answer time in seconds, 0 before the first answer.
     :param failure_ratio: smoothed share of failed requests.
     :param event_gap: smoothed interval between events of a stream in seconds, 0 before the first.
-    :param prefill_rate: smoothed prefill rate in prompt tokens per second, 0 before the first.
     """
 
     record: EndpointRecord
@@ -30,7 +29,6 @@
     answer_seconds: float = 0.0
     failure_ratio: float = 0.0
     event_gap: float = 0.0
-    prefill_rate: float = 0.0
 
     @property
     def lost(self) -> bool:
@@ -57,15 +55,6 @@
         """Record the interval in seconds between two events of a stream."""
         self.event_gap = smooth(self.event_gap, seconds)
 
-    def observe_prefill(self, tokens: int, seconds: float) -> None:
-        """Record how long the engine took to prefill a prompt.
-
-        :param tokens: prompt tokens prefilled before the first event, other prompts included.
-        :param seconds: time to the first event.
-        """
-        if seconds > 0 and tokens:
-            self.prefill_rate = smooth(self.prefill_rate, tokens / seconds)
-
 
 def smooth(mean: float, value: float) -> float:
     """Return an exponentially smoothed mean; the first value is returned unchanged.
--- a/packages/core/gypsumpost_core/gateway/engine_choice.py
+++ b/packages/core/gypsumpost_core/gateway/engine_choice.py
@@ -1,5 +1,6 @@
 """Chooses the engine that runs a stream and the engine that holds its copy."""
 
+import math
 import random
 from collections.abc import Callable, Collection, Mapping, Sequence
 
@@ -9,9 +10,7 @@
 from gypsumpost_core.gateway.endpoint_state import EndpointState
 from gypsumpost_core.gateway.engine_limits import EngineLimits
 from gypsumpost_core.gateway.engine_usage import EngineUsage
-
-DEFAULT_PREFILL_RATE = 4000.0
-"""Prefill rate in prompt tokens per second, assumed before it was measured."""
+from gypsumpost_core.gateway.prefill_rates import PrefillRates
 
 STREAM_DELAY_SECONDS = 0.03
 """Delay of the first event caused by each stream that runs on the same engine."""
@@ -29,15 +28,15 @@
 FAILURE_COST_SECONDS = 4.0
 """Cost of an engine that is alive but fails all its streams."""
 
-TIE_SECONDS = 0.02
-"""Costs within this margin of the lowest are a tie; ties are broken at random, so that hosts with
-the same information do not all choose the same engine."""
+SPREAD_SECONDS = 0.2
+"""An engine that costs this much more than the cheapest one is chosen 2.7 times less often. Usage
+that other hosts report is up to a second old, so hosts that all chose the cheapest engine would
+send their prompts to the same one."""
 
-TIE_MEMORY_RATIO = 0.02
-"""The same margin for the choice of a copy's holder, as a share of the engine's memory."""
+SPREAD_MEMORY_RATIO = 0.02
+"""The same for the choice of a copy's holder, as a share of the engine's memory."""
 
 NO_USAGE = EngineUsage()
-RANDOM = random.Random()
 
 
 @attrs.frozen(kw_only=True)
@@ -46,16 +45,18 @@
 
     :param fleet: the endpoints.
     :param usage: usage of each engine by the streams of all hosts.
+    :param rates: prefill rates of the engines.
     :param failure_domain: failure domain of this host.
     :param now: monotonic time in seconds.
-    :param rng: random number generator that breaks ties between engines.
+    :param rng: random number generator that spreads streams over engines.
     """
 
     fleet: EndpointFleet
     usage: Mapping[str, EngineUsage]
+    rates: PrefillRates
     failure_domain: str
     now: float
-    rng: random.Random = RANDOM
+    rng: random.Random
 
     def choose_engine(
         self,
@@ -89,7 +90,7 @@
                 seconds += CROSS_DOMAIN_SECONDS
             return seconds + self._estimate_overload_cost(state, limits, total_tokens)
 
-        return self._choose_cheapest(usable, estimate_cost, TIE_SECONDS)
+        return self._choose_cheap(usable, estimate_cost, SPREAD_SECONDS)
 
     def choose_copy_holder(
         self,
@@ -129,7 +130,7 @@
                 + self._estimate_overload_cost(state, limits, total_tokens)
             )
 
-        return self._choose_cheapest(usable, estimate_cost, TIE_MEMORY_RATIO)
+        return self._choose_cheap(usable, estimate_cost, SPREAD_MEMORY_RATIO)
 
     def estimate_prefill(self, state: EndpointState, prompt_tokens: int) -> float:
         """Return the expected time in seconds until an engine has prefilled a prompt.
@@ -137,19 +138,27 @@
         :param state: the engine.
         :param prompt_tokens: tokens of the prompt that the engine has to prefill.
         """
-        waiting = self._get_usage(state).prefill_tokens
-        return (waiting + prompt_tokens) / (state.prefill_rate or DEFAULT_PREFILL_RATE)
+        return self.count_prefill(state, prompt_tokens) / self.rates.get(state.record.endpoint_id)
+
+    def count_prefill(self, state: EndpointState, prompt_tokens: int) -> int:
+        """Return the tokens that an engine has to prefill until a prompt is done.
+
+        :param state: the engine.
+        :param prompt_tokens: tokens of the prompt that the engine has to prefill.
+        """
+        return self._get_usage(state).prefill_tokens + prompt_tokens
 
-    def _choose_cheapest(
+    def _choose_cheap(
         self,
         states: Sequence[EndpointState],
         estimate_cost: Callable[[EndpointState], float],
-        margin: float,
+        spread: float,
     ) -> EndpointState:
+        """Choose at random, with a probability that falls exponentially with the cost."""
         costs = [estimate_cost(state) for state in states]
-        limit = min(costs) + margin
-        best = [s for s, cost in zip(states, costs, strict=True) if cost <= limit]
-        return self.rng.choice(best)
+        lowest = min(costs)
+        weights = [math.exp((lowest - cost) / spread) for cost in costs]
+        return self.rng.choices(states, weights)[0]
 
     def _list_healthy(self, service: str) -> list[EndpointState]:
         states = [state for state in self.fleet.list_service(service) if not state.lost]
--- a/packages/core/gypsumpost_core/gateway/host_roles.py
+++ b/packages/core/gypsumpost_core/gateway/host_roles.py
@@ -1,5 +1,7 @@
 """Assigns the hosts of a domain their roles: watchers of the store and relays between domains."""
 
+import math
+import random
 from collections.abc import Iterable
 
 import attrs
@@ -20,6 +22,13 @@
 REPORT_EXPIRY_SECONDS = 1.6
 """Time until a host's report expires: slightly more than two beacon intervals of an idle host."""
 
+TURN_SECONDS = 1.0
+"""How long a host that is no watcher by rank asks a store that does not answer the watchers."""
+
+TURNS_PER_SECOND = 2.0
+"""Rate of these turns in a domain: without them, every host of a large fleet calls a store that is
+away several times a second."""
+
 RANKING = "duties"
 """Key of the rendezvous ranking, the same on all hosts."""
 
@@ -33,10 +42,13 @@
 
     :param own: this host.
     :param link_mbps: bandwidth of this host's link in Mbit/s.
+    :param rng: random number generator that spreads the turns of hosts over time.
     """
 
     own: Host
     link_mbps: int
+    rng: random.Random = attrs.field(factory=random.Random)
+    _turn_at: float = attrs.field(default=-math.inf, init=False)
     _reports: dict[str, tuple[float, HostReport]] = attrs.field(factory=dict, init=False)
 
     def put_report(self, report: HostReport, now: float) -> None:
@@ -47,13 +59,21 @@
         """
         self._reports[report.host_id] = (now + REPORT_EXPIRY_SECONDS, report)
 
-    def is_watcher(self, now: float) -> bool:
+    def is_watcher(self, now: float, *, answered: bool) -> bool:
         """Return true if this host has to watch the store.
 
+        While the store answers none of the first hosts in the ranking, the others try in turns,
+        since it may turn away single hosts.
+
         :param now: monotonic time in seconds.
+        :param answered: true if the store has answered this host's last call.
         """
         higher_ranked = self._list_higher_ranked(now)
-        return sum(report.watching for report in higher_ranked) < WATCHERS
+        if sum(report.watching for report in higher_ranked) >= WATCHERS:
+            return False
+        if answered or sum(report.store_lost for report in higher_ranked) < WATCHERS:
+            return True
+        return self._has_turn(now, len(self._list_domain(now)) + 1)
 
     def is_store_lost(self, now: float) -> bool:
         """Return true if the store answers none of the hosts of the domain that query it.
@@ -86,6 +106,11 @@
         )
         return ranked[index % len(ranked)] if ranked else None
 
+    def _has_turn(self, now: float, hosts: int) -> bool:
+        if now >= self._turn_at + TURN_SECONDS:
+            self._turn_at = now + self.rng.uniform(0.0, hosts / TURNS_PER_SECOND)
+        return now >= self._turn_at
+
     def _get_link_mbps(self, host_id: str, now: float) -> int:
         expires_at, report = self._reports.get(host_id, (0.0, None))
         return report.link_mbps if report is not None and now < expires_at else 0
--- a/packages/core/gypsumpost_core/gateway/retry_budget.py
+++ b/packages/core/gypsumpost_core/gateway/retry_budget.py
@@ -20,8 +20,9 @@
 
     Hosts report their counts to each other, and the remaining budget is available to any host that
     needs it. Because recent retries may not have been reported yet, the unreported retries of a
-    host are limited to an equal part of the budget, so that all hosts can retry at the same moment
-    without exceeding it.
+    host are limited to its part of the budget, so that all hosts can retry at the same moment
+    without exceeding it. The part is that of the work which the host may have to retry: after the
+    loss of a domain, a host with five streams needs five retries at once, and most hosts need none.
 
     :param ratio: retries allowed for each request.
     :param allowance: retries allowed in a window regardless of the number of requests.
@@ -58,18 +59,18 @@
         """
         self._get_window(service).record_request(now)
 
-    def try_acquire(self, service: str, now: float, hosts: int) -> bool:
+    def try_acquire(self, service: str, now: float, part: float) -> bool:
         """Count a retry if the budget allows it.
 
         :param service: the service.
         :param now: monotonic time in seconds.
-        :param hosts: number of hosts that share the budget.
+        :param part: this host's part of the work of all hosts, 0 to 1.
         :returns: true if the retry is allowed.
         """
         window = self._get_window(service)
         remaining = self.compute_remaining(service, now)
         unreported = window.count_retries(now - UNREPORTED_SECONDS)
-        if remaining < 1 or unreported + 1 > max(1.0, (remaining + unreported) / max(1, hosts)):
+        if remaining < 1 or unreported + 1 > max(1.0, (remaining + unreported) * part):
             return False
         window.record_retry(now)
         return True
--- a/packages/core/gypsumpost_core/gateway/usage_table.py
+++ b/packages/core/gypsumpost_core/gateway/usage_table.py
@@ -46,30 +46,41 @@
         for listener in self._listeners:
             listener()
 
-    def sum_own(self) -> dict[str, EngineUsage]:
-        """Return the usage by this host for each engine."""
+    def sum_own(self, now: float) -> dict[str, EngineUsage]:
+        """Return the usage by this host for each engine.
+
+        :param now: monotonic time in seconds.
+        """
         found: dict[str, EngineUsage] = {}
         for stream in self._streams.values():
             usage = found.setdefault(stream.engine, EngineUsage())
             usage.running += 1
-            usage.prefill_tokens += stream.prompt_tokens if stream.prefilling else 0
+            usage.prefill_tokens += stream.estimate_prefill_tokens(now)
             usage.memory_tokens += stream.total_tokens
             if stream.copy_engine:
                 copy = found.setdefault(stream.copy_engine, EngineUsage())
                 copy.copy_tokens += stream.total_tokens
         return found
 
+    def compute_own_part(self, now: float) -> float:
+        """Return the part of this host's streams in those of all hosts, 0 to 1.
+
+        :param now: monotonic time in seconds.
+        """
+        everything = sum(usage.running for usage in self.sum_all(now).values())
+        return len(self._streams) / max(1, everything)
+
     def sum_domain(self, now: float) -> dict[str, EngineUsage]:
         """Return the usage by all hosts of this host's domain for each engine.
 
-        :param now: process time in seconds.
+        :param now: monotonic time in seconds.
         """
-        return add_reports(self.sum_own(), self.reports.list_hosts(now))
+        return add_reports(self.sum_own(now), self.reports.list_hosts(now))
 
     def sum_all(self, now: float) -> dict[str, EngineUsage]:
         """Return the usage by all hosts of the deployment for each engine.
 
-        :param now: process time in seconds.
+        :param now: monotonic time in seconds.
         """
         return add_reports(self.sum_domain(now), self.reports.list_domains(now))
 
--- a/packages/daemon/gypsumpost_daemon/gateway/beacon.capnp
+++ b/packages/daemon/gypsumpost_daemon/gateway/beacon.capnp
@@ -40,6 +40,11 @@
   repeats @2 :UInt32;
 }
 
+struct Rates {
+  engines @0 :Text;             # ids, separated by spaces
+  numbers @1 :Data;             # prefill rate of each in 10 tokens/s, 16 bits, little-endian
+}
+
 struct Beacon {
   host @0 :HostReport;
   ip @1 :Text;
@@ -53,6 +58,7 @@
   crashes @9 :List(CrashReport);
   copies @10 :List(CopyReport);
   retries @11 :List(RetryCount);
+  rates @12 :Rates;
 }
 
 struct Item {
--- a/packages/daemon/gypsumpost_daemon/gateway/beacon.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/beacon.py
@@ -23,6 +23,7 @@
     :param version: version of the configuration that the sender has applied.
     :param endpoint_revision: revision of the newest endpoint change that the sender knows.
     :param uses: usage by engine, of the sender or of its domain.
+    :param rates: prefill rates in tokens per second by engine, as measured lately.
     :param retries: requests and retries by service, of the sender or of its domain.
     :param losses: endpoints that the sender has detected as lost.
     :param returns: lost endpoints that the sender has detected as alive again.
@@ -42,3 +43,4 @@
     returns: tuple[EndpointStart, ...] = ()
     crashes: tuple[CrashReport, ...] = ()
     copies: tuple[CopyReport, ...] = ()
+    rates: Mapping[str, int] = attrs.field(factory=dict)
--- a/packages/daemon/gypsumpost_daemon/gateway/beacon_codec.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/beacon_codec.py
@@ -19,6 +19,9 @@
 from gypsumpost_daemon.gateway.item_set import ItemSet
 
 USAGE_NUMBERS = struct.Struct("<4I")
+RATE_NUMBER = struct.Struct("<H")
+RATE_UNIT = 10
+MAX_RATE_NUMBER = 0xFFFF
 
 SCHEMA: Any = capnp.load(str(Path(__file__).with_name("beacon.capnp")))
 
@@ -42,6 +45,7 @@
         version=beacon.version,
         endpointRevision=beacon.endpoint_revision,
         uses=encode_uses(beacon.uses),
+        rates=encode_rates(beacon.rates),
         retries=[
             {"service": service, "requests": count.requests, "repeats": count.retries}
             for service, count in beacon.retries.items()
@@ -90,6 +94,7 @@
                 version=message.version,
                 endpoint_revision=message.endpointRevision,
                 uses=decode_uses(message.uses),
+                rates=decode_rates(message.rates),
                 retries={
                     count.service: RetryCount(requests=count.requests, retries=count.repeats)
                     for count in message.retries
@@ -141,8 +146,7 @@
     """
     names = message.engines.split()
     data = bytes(message.numbers)
-    if len(data) != len(names) * USAGE_NUMBERS.size:
-        raise ValueError(f"{len(data)} bytes of numbers for {len(names)} engines")
+    check_numbers(data, len(names) * USAGE_NUMBERS.size)
     return {
         name: EngineUsage(
             running=running, prefill_tokens=prefill, memory_tokens=memory, copy_tokens=copies
@@ -153,6 +157,42 @@
     }
 
 
+def encode_rates(rates: Mapping[str, int]) -> dict[str, Any]:
+    """Return prefill rates as fields of the schema's ``Rates``.
+
+    :param rates: rates in tokens per second by engine.
+    """
+    numbers = (min(MAX_RATE_NUMBER, round(rate / RATE_UNIT)) for rate in rates.values())
+    return {
+        "engines": " ".join(rates),
+        "numbers": b"".join(RATE_NUMBER.pack(number) for number in numbers),
+    }
+
+
+def decode_rates(message: Any) -> dict[str, int]:
+    """Return the prefill rates in a message, in tokens per second by engine.
+
+    :param message: the schema's ``Rates``.
+    :raises ValueError: if the length of the numbers does not match the number of names.
+    """
+    names = message.engines.split()
+    data = bytes(message.numbers)
+    check_numbers(data, len(names) * RATE_NUMBER.size)
+    numbers = RATE_NUMBER.iter_unpack(data)
+    return {name: number * RATE_UNIT for name, (number,) in zip(names, numbers, strict=True)}
+
+
+def check_numbers(data: bytes, expected: int) -> None:
+    """Check the length of packed numbers.
+
+    :param data: the packed numbers.
+    :param expected: their length in bytes.
+    :raises ValueError: if the length is another one.
+    """
+    if len(data) != expected:
+        raise ValueError(f"{len(data)} bytes of numbers in place of {expected}")
+
+
 def encode_starts(starts: Iterable[EndpointStart]) -> list[dict[str, Any]]:
     """Return starts of endpoints as fields of a message.
 
--- a/packages/daemon/gypsumpost_daemon/gateway/call_forwarder.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/call_forwarder.py
@@ -67,7 +67,7 @@
         while trio.current_time() < call.deadline and connects < MAX_CONNECTS:
             if sends >= call.route.max_attempts:
                 break
-            if sends and not self._context.try_acquire_retry(call.service):
+            if sends and not self._context.try_acquire_call_retry(call.service):
                 reason = "the retry budget is spent"
                 break
             state = await self._choose_endpoint(call, tried)
--- a/packages/daemon/gypsumpost_daemon/gateway/forward_context.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/forward_context.py
@@ -1,11 +1,13 @@
 """State shared by all forwarders of a host."""
 
+import random
 from collections.abc import Callable
 
 import attrs
 import trio
 
 from gypsumpost_core.gateway.copy_directory import CopyDirectory
+from gypsumpost_core.gateway.prefill_rates import PrefillRates
 from gypsumpost_core.gateway.retry_budget import RetryBudget
 from gypsumpost_core.gateway.usage_table import UsageTable
 from gypsumpost_daemon.gateway.caller_call import CallerCall
@@ -52,11 +54,13 @@
     :param monitor: detects lost endpoints.
     :param work_reader: asks engines which requests they work on.
     :param usage: usage of the engines.
+    :param rates: prefill rates of the engines.
     :param crash_guard: detects requests that crash endpoints.
     :param copies: locations of the copies of streams.
     :param retry_budget: the retry budget.
     :param metrics: counters and histograms.
     :param count_hosts: returns the number of hosts that share budgets.
+    :param rng: random number generator that spreads streams over engines.
     """
 
     settings: GatewaySettings
@@ -65,11 +69,13 @@
     monitor: EndpointMonitor
     work_reader: EngineWorkReader
     usage: UsageTable
+    rates: PrefillRates
     crash_guard: CrashGuard
     copies: CopyDirectory
     retry_budget: RetryBudget
     metrics: GatewayMetrics
     count_hosts: Callable[[], int]
+    rng: random.Random = attrs.field(factory=random.Random)
 
     def apply_settings(self, settings: GatewaySettings) -> None:
         """Apply settings that may change while the gateway runs.
@@ -79,9 +85,28 @@
         self.settings = settings
         self.retry_budget.set_bounds(**compute_retry_bounds(settings))
 
-    def try_acquire_retry(self, service: str) -> bool:
-        """Take a retry to a service from the budget; return false if none is left."""
-        return self.retry_budget.try_acquire(service, trio.current_time(), self.count_hosts())
+    def try_acquire_call_retry(self, service: str) -> bool:
+        """Take a retry of a call from the budget; return false if none is left.
+
+        :param service: the service. Calls end too soon to count them, so hosts have equal parts.
+        """
+        part = 1 / max(1, self.count_hosts())
+        return self.retry_budget.try_acquire(service, trio.current_time(), part)
+
+    def try_acquire_stream_retry(self, service: str) -> bool:
+        """Take a retry of a stream from the budget; return false if none is left.
+
+        :param service: the service.
+        """
+        now = trio.current_time()
+        return self.retry_budget.try_acquire(service, now, self.usage.compute_own_part(now))
+
+    def compute_budget_left(self, service: str) -> float:
+        """Return the retries that are left in the budget of a service, for the log.
+
+        :param service: the service.
+        """
+        return round(self.retry_budget.compute_remaining(service, trio.current_time()), 1)
 
     def create_request(
         self, call: CallerCall, endpoint_id: str, extra: tuple[tuple[bytes, bytes], ...] = ()
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
@@ -8,6 +8,7 @@
 
 from gypsumpost_core.gateway.copy_directory import CopyDirectory
 from gypsumpost_core.gateway.host_roles import HostRoles
+from gypsumpost_core.gateway.prefill_rates import PrefillRates
 from gypsumpost_core.gateway.usage_table import UsageTable
 from gypsumpost_core.host import Host
 from gypsumpost_core.key_ring import KeyRing
@@ -91,7 +92,7 @@
         self._follower = StoreFollower(
             store=adapter.create_store(settings),
             directory=self.directory,
-            is_watcher=lambda: self.roles.is_watcher(trio.current_time()),
+            roles=self.roles,
         )
         self.monitor = EndpointMonitor(
             directory=self.directory,
@@ -107,6 +108,7 @@
             settings=MembershipSettings(tick=GOSSIP_TICK_SECONDS),
         )
         self.usage = UsageTable()
+        rates = PrefillRates()
         crash_guard = CrashGuard(fleet=self.directory.fleet)
         self.copies = CopyDirectory()
         retry_budget = create_retry_budget(settings)
@@ -126,6 +128,7 @@
             ),
             reports=EndpointReports(directory=self.directory, monitor=self.monitor),
             usage=self.usage,
+            rates=rates,
             crash_guard=crash_guard,
             copies=self.copies,
             retry_budget=retry_budget,
@@ -137,6 +140,7 @@
             monitor=self.monitor,
             work_reader=EngineWorkReader(adapter=adapter),
             usage=self.usage,
+            rates=rates,
             crash_guard=crash_guard,
             copies=self.copies,
             retry_budget=retry_budget,
--- a/packages/daemon/gypsumpost_daemon/gateway/peer_exchange.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/peer_exchange.py
@@ -11,6 +11,7 @@
 from gypsumpost_core.gateway.copy_directory import CopyDirectory
 from gypsumpost_core.gateway.host_report import HostReport
 from gypsumpost_core.gateway.host_roles import HostRoles
+from gypsumpost_core.gateway.prefill_rates import PrefillRates
 from gypsumpost_core.gateway.retry_budget import RetryBudget
 from gypsumpost_core.gateway.usage_table import UsageTable
 from gypsumpost_core.host import Host
@@ -67,6 +68,7 @@
     :param exchange: fetches directory changes from peers.
     :param reports: reports of lost endpoints.
     :param usage: usage of the engines.
+    :param rates: prefill rates of the engines.
     :param crash_guard: detects requests that crash endpoints.
     :param copies: locations of the copies of streams.
     :param retry_budget: the retry budget.
@@ -86,6 +88,7 @@
         exchange: DirectoryExchange,
         reports: EndpointReports,
         usage: UsageTable,
+        rates: PrefillRates,
         crash_guard: CrashGuard,
         copies: CopyDirectory,
         retry_budget: RetryBudget,
@@ -103,6 +106,7 @@
         self._exchange = exchange
         self._reports = reports
         self._usage = usage
+        self._rates = rates
         self._crash_guard = crash_guard
         self._copies = copies
         self._retry_budget = retry_budget
@@ -196,6 +200,7 @@
             self._create_beacon(now),
             covers_domain=True,
             uses=self._usage.sum_domain(now),
+            rates=self._rates.list_domain(now),
             retries=self._retry_budget.sum_domain(now),
             copies=(),
         )
@@ -228,7 +233,8 @@
             sequence=next(self._sequence),
             version=self._directory.version,
             endpoint_revision=self._directory.endpoint_revision,
-            uses=self._usage.sum_own(),
+            uses=self._usage.sum_own(now),
+            rates=self._rates.list_measured(now),
             retries=self._retry_budget.sum_own(now),
             losses=self._reports.list_losses(now),
             returns=self._reports.list_returns(now),
@@ -287,10 +293,12 @@
     def _handle_beacon(self, beacon: Beacon, now: float) -> None:
         report = beacon.host
         self._roles.put_report(report, now)
+        in_own_domain = report.failure_domain == self._domain
+        self._rates.add_reports(beacon.rates, now, own_domain=in_own_domain)
         if beacon.covers_domain:
             self._usage.reports.put_domain(report.failure_domain, beacon.uses, now)
             self._retry_budget.reports.put_domain(report.failure_domain, beacon.retries, now)
-        elif report.failure_domain == self._domain:
+        elif in_own_domain:
             if beacon.uses != self._usage.reports.get_host(report.host_id):
                 self._domain_changed.set()
             self._usage.reports.put_host(report.host_id, beacon.uses, now)
--- a/packages/daemon/gypsumpost_daemon/gateway/store_follower.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/store_follower.py
@@ -2,19 +2,20 @@
 
 import math
 import random
-from collections.abc import Callable
 
 import trio
 from result import Err
 
+from gypsumpost_core.gateway.host_roles import HostRoles
 from gypsumpost_daemon.gateway.directory import Directory
 from gypsumpost_daemon.gateway.item_store import ItemStore, ItemStoreFailure
 from gypsumpost_daemon.telemetry.log import Log
 
 READ_SECONDS = 2.0
 FIRST_RETRY_SECONDS = 0.1
-MAX_RETRY_SECONDS = 0.8
-"""A configuration must be applied within two seconds of the store's recovery."""
+RECOVERY_SECONDS = 0.8
+"""Interval between reads that check whether the store answers again; a configuration must be
+applied within two seconds of its recovery."""
 
 WATCH_PAUSE_SECONDS = 0.15
 """Changes within this time arrive in one call, because calls are billed."""
@@ -23,8 +24,7 @@
 """Interval at which a host checks whether it is a watcher of the store."""
 
 REFRESH_SECONDS = 1.0
-"""Minimum interval between two refreshes, and between reads that check whether the store answers
-again."""
+"""Minimum interval between two refreshes."""
 
 LOG = Log(prefix="store")
 
@@ -34,21 +34,18 @@
 
     :param store: the store.
     :param directory: the directory to update.
-    :param is_watcher: returns whether this host is to watch the store.
+    :param roles: which hosts are to watch the store.
     """
 
-    def __init__(
-        self, *, store: ItemStore, directory: Directory, is_watcher: Callable[[], bool]
-    ) -> None:
+    def __init__(self, *, store: ItemStore, directory: Directory, roles: HostRoles) -> None:
         self._store = store
         self._directory = directory
-        self._is_watcher = is_watcher
+        self._roles = roles
         self.answered_at = trio.current_time()
         self.calls = 0
         self._lost = False
         self._following = False
         self._refresh_at = -math.inf
-        self._failed_at = -math.inf
         self._failed_prefix = next(iter(directory.tables))
 
     @property
@@ -88,39 +85,43 @@
     async def _check_recovery(self) -> None:
         """Read from the store after a failure, since watch calls may block through the outage."""
         while True:
-            await trio.sleep(REFRESH_SECONDS)
-            if (
-                self._lost
-                and self._is_watcher()
-                and trio.current_time() > self._failed_at + REFRESH_SECONDS
-            ):
+            await trio.sleep(RECOVERY_SECONDS)
+            if self._lost and self._is_watcher():
                 await self._read(self._failed_prefix)
 
     async def _follow(self, prefix: str) -> None:
-        retry = FIRST_RETRY_SECONDS
-        history_lost = False
+        history_lost = failed_before = False
         table = self._directory.tables[prefix]
         while True:
             await self._wait_until_watcher()
             known = table.loaded and not history_lost
             failure = await (self._watch(prefix) if known else self._read(prefix))
             if failure is None:
-                history_lost = False
-                retry = FIRST_RETRY_SECONDS
+                history_lost = failed_before = False
                 await trio.sleep(WATCH_PAUSE_SECONDS)
                 continue
             history_lost = history_lost or failure.history_lost
-            await trio.sleep(retry * (0.5 + random.random()))
-            retry = min(MAX_RETRY_SECONDS, retry * 2)
+            await trio.sleep(FIRST_RETRY_SECONDS * (0.5 + random.random()))
+            if failed_before:
+                await self._wait_recovery()
+            failed_before = True
+
+    async def _wait_recovery(self) -> None:
+        """Wait until the store answers again; one task asks it for all prefixes."""
+        while self._lost and self._is_watcher():
+            await trio.sleep(WATCHER_CHECK_SECONDS)
 
     async def _wait_until_watcher(self) -> None:
         while not self._is_watcher():
             self._following = False
-            if self._lost:
+            if self._lost and not self._roles.is_store_lost(trio.current_time()):
                 # The hosts that now watch the store send its changes to this one.
                 self._record_recovery()
             await trio.sleep(WATCHER_CHECK_SECONDS)
 
+    def _is_watcher(self) -> bool:
+        return self._roles.is_watcher(trio.current_time(), answered=self._following)
+
     async def _read(self, prefix: str) -> ItemStoreFailure | None:
         self.calls += 1
         read = await self._store.read(prefix, trio.current_time() + READ_SECONDS)
@@ -149,7 +150,6 @@
             LOG.write("the store did not answer", prefix=prefix, reason=failure.reason)
         self._lost = True
         self._following = False
-        self._failed_at = trio.current_time()
         self._failed_prefix = prefix
         return failure
 
--- a/packages/daemon/gypsumpost_daemon/gateway/stream_attempt.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/stream_attempt.py
@@ -41,7 +41,7 @@
     :param state: the engine.
     :param copy: the engine with the copy to resume from, ``None`` to prefill the prompt.
     :param target: the engine that receives a copy of this attempt, ``None`` for none.
-    :param prefill_seconds: expected time to the first event.
+    :param prefill_tokens: prompt tokens that the engine has to prefill before the first event.
     """
 
     def __init__(
@@ -54,7 +54,7 @@
         state: EndpointState,
         copy: EndpointRecord | None,
         target: EndpointRecord | None,
-        prefill_seconds: float,
+        prefill_tokens: int,
     ) -> None:
         self._context = context
         self._call = call
@@ -65,11 +65,13 @@
         self._copy = copy
         self._target = target
         self._splitter = EventSplitter(id_field=context.header_names.event_id_field)
+        self._prefill_tokens = prefill_tokens
+        self._prefill_seconds = prefill_tokens / context.rates.get(self._record.endpoint_id)
         self._watch = EngineWatch(
             context=context,
             call=call,
             state=state,
-            prefill_seconds=prefill_seconds,
+            prefill_seconds=self._prefill_seconds,
             has_copy=target is not None,
         )
 
@@ -121,6 +123,8 @@
         usage.engine = self._record.endpoint_id
         usage.copy_engine = self._target.endpoint_id if self._target else ""
         usage.prefilling = self._copy is None
+        usage.sent_at = trio.current_time()
+        usage.prefill_seconds = self._prefill_seconds
         self._context.usage.put(usage)
 
     def _record_send(self) -> None:
@@ -134,6 +138,8 @@
             copy=self._progress.usage.copy_engine,
             from_copy=self._copy is not None,
             last_event=self._progress.last_event_id.decode("latin-1"),
+            prefill_tokens=self._prefill_tokens,
+            expected_seconds=round(self._prefill_seconds, 3),
             version=self._context.directory.version,
             store_lost=self._context.directory.store_lost,
         )
@@ -211,7 +217,10 @@
     def _observe(self, prefilling: bool, now: float) -> None:
         self._context.directory.fleet.mark_alive(self._record.endpoint_id, now)
         if prefilling:
-            self._state.observe_prefill(self._call.prompt_tokens, now - self._watch.started_at)
+            seconds = now - self._watch.started_at
+            self._context.rates.measure(
+                self._record.endpoint_id, self._prefill_tokens, seconds, now
+            )
             self._progress.usage.prefilling = False
             self._context.usage.notify_listeners()
         else:
--- a/packages/daemon/gypsumpost_daemon/gateway/stream_forwarder.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/stream_forwarder.py
@@ -175,7 +175,7 @@
         wait_deadline = call.received_at + ENGINE_WAIT_FRACTION * call.route.objective
         if progress.events:
             wait_deadline = now + BUDGET_WAIT_SECONDS
-        while not self._context.try_acquire_retry(call.service):
+        while not self._context.try_acquire_stream_retry(call.service):
             if trio.current_time() >= wait_deadline:
                 return False
             await trio.sleep(BUDGET_CHECK_SECONDS)
@@ -257,7 +257,7 @@
             state=state,
             copy=copy,
             target=target.record if target else None,
-            prefill_seconds=choice.estimate_prefill(state, 0 if copy else call.prompt_tokens),
+            prefill_tokens=choice.count_prefill(state, 0 if copy else call.prompt_tokens),
         )
         return await attempt.run()
 
@@ -271,8 +271,10 @@
         return EngineChoice(
             fleet=self._context.directory.fleet,
             usage=self._context.usage.sum_all(now),
+            rates=self._context.rates,
             failure_domain=self._context.settings.failure_domain,
             now=now,
+            rng=self._context.rng,
         )
 
     async def _refuse(
@@ -284,6 +286,7 @@
             reason=reason,
             may_have_run=progress.may_have_run,
             events=progress.events,
+            budget_left=self._context.compute_budget_left(call.service),
         )
         past_deadline = trio.current_time() >= call.deadline
         if progress.may_have_run:
--- a/packages/daemon/gypsumpost_daemon/gateway/tests/test_beacon_codec.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/tests/test_beacon_codec.py
@@ -35,6 +35,7 @@
         version=4,
         endpoint_revision=5,
         uses={"e": EngineUsage(running=1, prefill_tokens=2, memory_tokens=3, copy_tokens=4)},
+        rates={"e": 4010},
         retries={"s": RetryCount(requests=7, retries=8)},
         losses=(EndpointStart(endpoint_id="e", started_at=6),),
         returns=(EndpointStart(endpoint_id="e", started_at=9),),
