Answer requests that arrive at the end of a stop; doubt answers without a length

An answer without a length ends with its connection, and the end of a crashed endpoint looks the same: a truncated stream and a truncated call were passed on as complete.

Change: the stop waits for the server's connections, within its deadline. After an answer without a length the endpoint is probed; if it is gone, the stream goes on elsewhere and the call gets 502.

--- a/packages/core/gypsumpost_core/gateway/tests/test_budgets.py
+++ b/packages/core/gypsumpost_core/gateway/tests/test_budgets.py
@@ -54,8 +54,8 @@
 def test_a_host_whose_streams_were_lost_retries_them_at_once():
     """Guards against streams that are late or given up while most of the budget is unused.
 
-    In a day of velostation-qc-large, hosts with two lost streams resumed the second one 1 s later or
-    gave it up, as each of 24 hosts had an equal part.
+    In a day of velostation-qc-large, hosts with two lost streams resumed the second one 1 s later
+    or gave it up, as each of 24 hosts had an equal part.
     """
     budget = RetryBudget(ratio=0.64, allowance=9.6, window=10.0)
     for _ in range(16):
--- a/packages/daemon/gypsumpost_daemon/engines/h11_engine_connection.py
+++ b/packages/daemon/gypsumpost_daemon/engines/h11_engine_connection.py
@@ -17,11 +17,15 @@
 from gypsumpost_daemon.http.socket_transport import SocketTransport
 
 MAX_HEAD_BYTES = 65536
+FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
 
 
 class H11EngineConnection:
     """A socket with its HTTP state; carries one request at a time.
 
+    ``unframed`` is true if the body of the response ends with the connection, so that its end looks
+    the same when the endpoint crashes.
+
     :param sock: the connected socket.
     :param fast_chunks: false to decode chunked bodies with h11, which is slower but ignores bytes
         after the end of a response.
@@ -36,6 +40,7 @@
         self._leading_content = b""
         self._keeps_alive = False
         self._request_complete = True
+        self.unframed = False
 
     async def send(self, request: EndpointRequest) -> Result[h11.Response, EngineFailure]:
         """Send a request and wait for the response's headers.
@@ -164,6 +169,7 @@
 
     def _begin_body(self, head: h11.Response, method: str) -> None:
         has_body = method != "HEAD" and head.status_code not in STATUS_WITHOUT_BODY
+        self.unframed = has_body and not any(name in FRAMING_HEADERS for name, _ in head.headers)
         if (
             not self._fast_chunks
             or not has_body
--- a/packages/daemon/gypsumpost_daemon/gateway/call_forwarder.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/call_forwarder.py
@@ -191,6 +191,11 @@
                         AttemptFailure(reason=failure.reason, may_have_run=failure.may_have_run)
                     )
                 body = await connection.receive_whole_body(MAX_ANSWER_BYTES)
+                if connection.unframed and not await self._context.monitor.check(
+                    record, "no length"
+                ):
+                    reason = "the endpoint ended with its answer"
+                    return Err(AttemptFailure(reason=reason, may_have_run=True))
                 head = sent.ok_value
                 return self._classify_answer(
                     call,
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
@@ -250,6 +250,8 @@
             while self.application.open_requests:
                 await trio.sleep(0.05)
         server.stop(deadline)
+        # Requests that have been accepted but not read yet are answered too.
+        await server.ended.wait()
 
     def _reload(self) -> None:
         """Read the settings again and apply those that may change while the gateway runs."""
--- a/packages/daemon/gypsumpost_daemon/gateway/stream_attempt.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/stream_attempt.py
@@ -210,6 +210,8 @@
                 await self._send_events(events, head)
         if self._splitter.buffered:
             return Err(AttemptFailure(reason="the stream ended in an event", may_have_run=True))
+        if connection.unframed and not await self._context.monitor.check(self._record, "no length"):
+            return Err(AttemptFailure(reason="the engine ended with its stream", may_have_run=True))
         await self._start_response(head)
         await self._exchange.send(b"", more=False)
         return Ok(None)
--- a/packages/daemon/gypsumpost_daemon/http/h11_server.py
+++ b/packages/daemon/gypsumpost_daemon/http/h11_server.py
@@ -105,6 +105,7 @@
                 nursery.cancel_scope.deadline = running.stop_deadline
                 for connection in list(self._connections):
                     connection.stop()
+            running.ended.set()
 
     async def _drain(self, running: RunningServer) -> None:
         await running.drain_requested.wait()
--- a/packages/daemon/gypsumpost_daemon/http/running_server.py
+++ b/packages/daemon/gypsumpost_daemon/http/running_server.py
@@ -11,12 +11,14 @@
     """What a server reports through ``task_status`` once it listens.
 
     :param address: the address it listens on, with the port that the system chose for port 0.
+    :param ended: set when all connections are closed after a stop.
     """
 
     address: str
     stop_requested: trio.Event = attrs.field(factory=trio.Event)
     drain_requested: trio.Event = attrs.field(factory=trio.Event)
     stop_deadline: float = float("inf")
+    ended: trio.Event = attrs.field(factory=trio.Event)
 
     def drain(self) -> None:
         """Keep accepting connections, but close each one after its current or first request."""
