--- a/packages/daemon/gypsumpost_daemon/gateway/adapter.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/adapter.py
@@ -8,6 +8,7 @@
 from gypsumpost_core.gateway.endpoint_record import EndpointRecord
 from gypsumpost_core.gateway.engine_state_report import EngineStateReport
 from gypsumpost_core.gateway.engine_work import EngineWork
+from gypsumpost_daemon.gateway.endpoint_answer import EndpointAnswer
 from gypsumpost_daemon.gateway.gateway_settings import GatewaySettings
 from gypsumpost_daemon.gateway.header_names import HeaderNames
 from gypsumpost_daemon.gateway.item_store import ItemStore
@@ -18,7 +19,8 @@
 
     ``headers`` are its header names. Keys that begin with ``configuration_prefix`` or
     ``endpoint_prefix`` are watched in the store; ``configuration_key`` holds the newest
-    configuration. ``report_path`` is the path at which engines report their state.
+    configuration. ``report_path`` is the path at which engines report their state, ``move_path``
+    the path at which they take orders to copy a stream.
     """
 
     headers: HeaderNames
@@ -26,6 +28,7 @@
     configuration_key: str
     endpoint_prefix: str
     report_path: str
+    move_path: str
 
     def read_settings(self) -> Result[GatewaySettings, list[str]]:
         """Return the settings of this process, or a list of what is wrong with them."""
@@ -50,3 +53,11 @@
     def decode_work(self, body: bytes) -> Result[EngineWork, str]:
         """Return the work in an engine's report of its state, or why the report has none."""
         ...
+
+    def encode_move(self, request_id: str, target: str) -> bytes:
+        """Return the body of an order to copy a stream to the engine at an address."""
+        ...
+
+    def decode_move(self, answer: EndpointAnswer) -> Result[str, str]:
+        """Return the handle of the copy that was ordered, or why there is none."""
+        ...
--- a/packages/daemon/gypsumpost_daemon/gateway/endpoint_query.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/endpoint_query.py
@@ -12,11 +12,14 @@
 """A faulty endpoint may send bytes without end."""
 
 
-async def query_endpoint(address: str, path: str) -> Result[EndpointAnswer, str]:
-    """Send a ``GET`` request and return the answer, or why there is none.
+async def query_endpoint(
+    address: str, path: str, *, body: bytes | None = None
+) -> Result[EndpointAnswer, str]:
+    """Send a request and return the answer, or why there is none.
 
     :param address: ``ip:port`` of the endpoint.
     :param path: path of the request.
+    :param body: body of a ``POST`` request, ``None`` for a ``GET`` request.
     """
     deadline = trio.current_time() + REPLY_SECONDS
     opened = await connect(address, deadline, fast_chunks=False)
@@ -24,17 +27,20 @@
         return Err(opened.err_value.reason)
     connection = opened.ok_value
     request = ForwardedRequest(
-        method="GET", path=path, headers=((b"host", address.encode()),), body=b""
+        method="GET" if body is None else "POST",
+        path=path,
+        headers=((b"host", address.encode()),),
+        body=body or b"",
     )
     try:
         with trio.move_on_at(deadline):
             sent = await connection.send(request)
             if isinstance(sent, Err):
                 return Err(sent.err_value.reason)
-            body = await connection.receive_whole_body(MAX_REPLY_BYTES)
+            reply = await connection.receive_whole_body(MAX_REPLY_BYTES)
             head = sent.ok_value
             return Ok(
-                EndpointAnswer(status=head.status_code, headers=list(head.headers), body=body)
+                EndpointAnswer(status=head.status_code, headers=list(head.headers), body=reply)
             )
     except OSError as error:
         return Err(str(error))
--- a/packages/daemon/gypsumpost_daemon/gateway/forward_context.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/forward_context.py
@@ -7,9 +7,11 @@
 import trio
 
 from gypsumpost_core.gateway.copy_directory import CopyDirectory
+from gypsumpost_core.gateway.engine_choice import EngineChoice
 from gypsumpost_core.gateway.prefill_rates import PrefillRates
 from gypsumpost_core.gateway.retry_budget import RetryBudget
 from gypsumpost_core.gateway.usage_table import UsageTable
+from gypsumpost_daemon.gateway.adapter import GatewayAdapter
 from gypsumpost_daemon.gateway.caller_call import CallerCall
 from gypsumpost_daemon.gateway.crash_guard import CrashGuard
 from gypsumpost_daemon.gateway.directory import Directory
@@ -49,7 +51,7 @@
     """Directory, budgets and counters of a host.
 
     :param settings: settings of the host.
-    :param header_names: header names.
+    :param adapter: names and formats of the platform.
     :param directory: configuration and endpoints.
     :param monitor: detects lost endpoints.
     :param work_reader: asks engines which requests they work on.
@@ -64,7 +66,7 @@
     """
 
     settings: GatewaySettings
-    header_names: HeaderNames
+    adapter: GatewayAdapter
     directory: Directory
     monitor: EndpointMonitor
     work_reader: EngineWorkReader
@@ -77,6 +79,11 @@
     count_hosts: Callable[[], int]
     rng: random.Random = attrs.field(factory=random.Random)
 
+    @property
+    def header_names(self) -> HeaderNames:
+        """The platform's header names."""
+        return self.adapter.headers
+
     def apply_settings(self, settings: GatewaySettings) -> None:
         """Apply settings that may change while the gateway runs.
 
@@ -108,6 +115,18 @@
         """
         return round(self.retry_budget.compute_remaining(service, trio.current_time()), 1)
 
+    def create_choice(self) -> EngineChoice:
+        """Return the choice between the engines as this host knows them now."""
+        now = trio.current_time()
+        return EngineChoice(
+            fleet=self.directory.fleet,
+            usage=self.usage.sum_all(now),
+            rates=self.rates,
+            failure_domain=self.settings.failure_domain,
+            now=now,
+            rng=self.rng,
+        )
+
     def create_request(
         self, call: CallerCall, endpoint_id: str, extra: tuple[tuple[bytes, bytes], ...] = ()
     ) -> ForwardedRequest:
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
@@ -135,7 +135,7 @@
         )
         self.context = ForwardContext(
             settings=settings,
-            header_names=adapter.headers,
+            adapter=adapter,
             directory=self.directory,
             monitor=self.monitor,
             work_reader=EngineWorkReader(adapter=adapter),
--- a/packages/daemon/gypsumpost_daemon/gateway/stream_attempt.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/stream_attempt.py
@@ -5,12 +5,14 @@
 from result import Err, Ok, Result
 
 from gypsumpost_core.gateway.copy_report import CopyReport
+from gypsumpost_core.gateway.copy_source import CopySource
 from gypsumpost_core.gateway.endpoint_record import EndpointRecord
 from gypsumpost_core.gateway.endpoint_state import EndpointState
 from gypsumpost_daemon.engines.h11_engine_connection import H11EngineConnection, connect
 from gypsumpost_daemon.gateway.attempt_failure import AttemptFailure
 from gypsumpost_daemon.gateway.caller_call import CallerCall
 from gypsumpost_daemon.gateway.caller_exchange import CallerExchange
+from gypsumpost_daemon.gateway.copy_renewal import CopyRenewal
 from gypsumpost_daemon.gateway.engine_watch import EngineWatch
 from gypsumpost_daemon.gateway.event_splitter import EventSplitter, StreamEvent
 from gypsumpost_daemon.gateway.forward_context import ForwardContext
@@ -39,8 +41,9 @@
     :param exchange: the caller's side.
     :param progress: progress of the stream; the attempt continues from there.
     :param state: the engine.
-    :param copy: the engine with the copy to resume from, ``None`` to prefill the prompt.
+    :param copy: the copy to resume from, ``None`` to prefill the prompt.
     :param target: the engine that receives a copy of this attempt, ``None`` for none.
+    :param renewal: renews the copy of this attempt, ``None`` if it has none.
     :param prefill_tokens: prompt tokens that the engine has to prefill before the first event.
     """
 
@@ -52,8 +55,9 @@
         exchange: CallerExchange,
         progress: StreamProgress,
         state: EndpointState,
-        copy: EndpointRecord | None,
+        copy: CopySource | None,
         target: EndpointRecord | None,
+        renewal: CopyRenewal | None,
         prefill_tokens: int,
     ) -> None:
         self._context = context
@@ -64,6 +68,7 @@
         self._record = state.record
         self._copy = copy
         self._target = target
+        self._renewal = renewal
         self._splitter = EventSplitter(id_field=context.header_names.event_id_field)
         self._prefill_tokens = prefill_tokens
         self._prefill_seconds = prefill_tokens / context.rates.get(self._record.endpoint_id)
@@ -91,17 +96,33 @@
         self._context.monitor.watch(self._record.endpoint_id, scope)
         try:
             with scope:
-                return await self._send_and_forward(connection)
+                return await self._run_with_renewal(connection)
             self._context.crash_guard.record_crash(self._call, self._record)
             return Err(AttemptFailure(reason="the engine is lost", may_have_run=True))
-        except OSError as error:
-            if not await self._context.monitor.check(self._record, str(error)):
-                self._context.crash_guard.record_crash(self._call, self._record)
-            return Err(AttemptFailure(reason=str(error), may_have_run=True))
         finally:
             self._context.monitor.unwatch(self._record.endpoint_id, scope)
             connection.close()
 
+    async def _run_with_renewal(
+        self, connection: H11EngineConnection
+    ) -> Result[None, AttemptFailure]:
+        outcome: Result[None, AttemptFailure] | None = None
+        async with trio.open_nursery() as nursery:
+            if self._renewal is not None:
+                nursery.start_soon(self._renewal.run)
+            try:
+                outcome = await self._send_and_forward(connection)
+            except OSError as error:
+                outcome = await self._report_broken_connection(error)
+            nursery.cancel_scope.cancel()
+        assert outcome is not None
+        return outcome
+
+    async def _report_broken_connection(self, error: OSError) -> Result[None, AttemptFailure]:
+        if not await self._context.monitor.check(self._record, str(error)):
+            self._context.crash_guard.record_crash(self._call, self._record)
+        return Err(AttemptFailure(reason=str(error), may_have_run=True))
+
     async def _send_and_forward(
         self, connection: H11EngineConnection
     ) -> Result[None, AttemptFailure]:
@@ -143,7 +164,11 @@
             version=self._context.directory.version,
             store_lost=self._context.directory.store_lost,
         )
+        self._progress.newest_copy = None
         if self._target is not None:
+            self._progress.newest_copy = CopySource(
+                holder=self._target, address=self._target.address, handle=self._call.request_id
+            )
             self._context.copies.put(
                 CopyReport(
                     fingerprint=self._call.fingerprint,
@@ -160,7 +185,7 @@
         if self._target is not None:
             extra.append((names.copy_target, self._target.address.encode()))
         if self._copy is not None:
-            source = f"{self._copy.address}/{progress.copy_request_id}"
+            source = f"{self._copy.address}/{self._copy.handle}"
             extra.append((names.resume_from, source.encode()))
         return tuple(extra)
 
--- a/packages/daemon/gypsumpost_daemon/gateway/stream_forwarder.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/stream_forwarder.py
@@ -3,9 +3,9 @@
 import trio
 from result import Ok, Result
 
-from gypsumpost_core.gateway.endpoint_record import EndpointRecord
+from gypsumpost_core.gateway.copy_report import CopyReport
+from gypsumpost_core.gateway.copy_source import CopySource
 from gypsumpost_core.gateway.endpoint_state import EndpointState
-from gypsumpost_core.gateway.engine_choice import EngineChoice
 from gypsumpost_core.gateway.engine_limits import EngineLimits
 from gypsumpost_core.gateway.next_copy import FailedAttempt, NextCopy, choose_next_copy
 from gypsumpost_core.gateway.request_kind import RequestKind
@@ -14,6 +14,7 @@
 from gypsumpost_daemon.gateway.attempt_failure import AttemptFailure
 from gypsumpost_daemon.gateway.caller_call import CallerCall
 from gypsumpost_daemon.gateway.caller_exchange import CallerExchange
+from gypsumpost_daemon.gateway.copy_renewal import CopyRenewal
 from gypsumpost_daemon.gateway.forward_context import ForwardContext
 from gypsumpost_daemon.gateway.forwarder import FORWARDERS
 from gypsumpost_daemon.gateway.stream_attempt import StreamAttempt
@@ -61,8 +62,7 @@
         digest = call.fingerprint
         known = self._context.copies.find(digest, trio.current_time())
         if known is not None and call.route.resumable:
-            progress.copy = self._find_record(known.copy_engine)
-            progress.copy_request_id = known.request_id
+            progress.copy = self._find_reported_copy(known)
         try:
             with trio.move_on_at(call.deadline):
                 reason = await self._run_attempts(call, exchange, progress)
@@ -148,7 +148,7 @@
         call: CallerCall,
         progress: StreamProgress,
         state: EndpointState,
-        copy: EndpointRecord | None,
+        copy: CopySource | None,
         failure: AttemptFailure,
         made_progress: bool,
     ) -> None:
@@ -166,8 +166,7 @@
         if chosen is NextCopy.NONE:
             progress.copy = None
         elif chosen is NextCopy.NEWEST:
-            progress.copy = self._find_record(progress.usage.copy_engine)
-            progress.copy_request_id = call.request_id
+            progress.copy = progress.newest_copy
 
     async def _acquire_retry(self, call: CallerCall, progress: StreamProgress) -> bool:
         """Take a retry from the budget, waiting a while for it; return false if none is left."""
@@ -194,15 +193,18 @@
             prompt_tokens=call.prompt_tokens,
         )
 
-    def _find_record(self, endpoint_id: str) -> EndpointRecord | None:
-        state = self._context.directory.fleet.find(endpoint_id)
-        return state.record if state else None
+    def _find_reported_copy(self, report: CopyReport) -> CopySource | None:
+        state = self._context.directory.fleet.find(report.copy_engine)
+        if state is None:
+            return None
+        holder = state.record
+        return CopySource(holder=holder, address=holder.address, handle=report.request_id)
 
-    def _find_copy_engine(self, copy: EndpointRecord | None) -> EndpointState | None:
+    def _find_copy_engine(self, copy: CopySource | None) -> EndpointState | None:
         if copy is None:
             return None
-        state = self._context.directory.fleet.find(copy.endpoint_id)
-        if state is None or state.lost or state.record.started_at != copy.started_at:
+        state = self._context.directory.fleet.find(copy.holder.endpoint_id)
+        if state is None or state.lost or state.record.started_at != copy.holder.started_at:
             return None
         return state
 
@@ -215,7 +217,7 @@
         )
         limits = self._find_limits(call)
         while limits is not None:
-            state = self._create_choice().choose_engine(
+            state = self._context.create_choice().choose_engine(
                 call.service,
                 limits,
                 prompt_tokens=call.prompt_tokens,
@@ -234,13 +236,13 @@
         exchange: CallerExchange,
         progress: StreamProgress,
         state: EndpointState,
-        copy: EndpointRecord | None,
+        copy: CopySource | None,
         tried: set[str],
     ) -> Result[None, AttemptFailure]:
         limits = self._find_limits(call)
         self._context.usage.drop(progress.usage)
-        choice = self._create_choice()
-        target = None
+        choice = self._context.create_choice()
+        target = renewal = None
         if limits is not None:
             target = choice.choose_copy_holder(
                 call.service,
@@ -249,6 +251,10 @@
                 total_tokens=progress.usage.total_tokens,
                 tried=tried,
             )
+        if target is not None and limits is not None and limits.copy_seconds:
+            renewal = CopyRenewal(
+                context=self._context, call=call, progress=progress, state=state, limits=limits
+            )
         attempt = StreamAttempt(
             context=self._context,
             call=call,
@@ -257,6 +263,7 @@
             state=state,
             copy=copy,
             target=target.record if target else None,
+            renewal=renewal,
             prefill_tokens=choice.count_prefill(state, 0 if copy else call.prompt_tokens),
         )
         return await attempt.run()
@@ -266,17 +273,6 @@
         service = routes.find_service(call.service) if routes else None
         return service.engine if service else None
 
-    def _create_choice(self) -> EngineChoice:
-        now = trio.current_time()
-        return EngineChoice(
-            fleet=self._context.directory.fleet,
-            usage=self._context.usage.sum_all(now),
-            rates=self._context.rates,
-            failure_domain=self._context.settings.failure_domain,
-            now=now,
-            rng=self._context.rng,
-        )
-
     async def _refuse(
         self, call: CallerCall, exchange: CallerExchange, progress: StreamProgress, reason: str
     ) -> None:
--- a/packages/daemon/gypsumpost_daemon/gateway/stream_progress.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/stream_progress.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from gypsumpost_core.gateway.endpoint_record import EndpointRecord
+from gypsumpost_core.gateway.copy_source import CopySource
 from gypsumpost_core.gateway.stream_usage import StreamUsage
 
 
@@ -12,8 +12,8 @@
 
     :param last_event_id: id of the last event that the caller has received, empty for none.
     :param usage: usage of the stream's engines.
-    :param copy: the engine that holds the copy, ``None`` for none.
-    :param copy_request_id: request id under which the holder stores the copy.
+    :param copy: the copy from which the next attempt resumes, ``None`` for none.
+    :param newest_copy: the copy of the running attempt, ``None`` for none.
     :param copy_retried: true if the stream was sent to the holder of the copy a second time.
     :param failed_sends: number of failed attempts whose request was sent to an engine.
     :param may_have_run: true if an engine may have begun to run the request.
@@ -26,8 +26,8 @@
 
     last_event_id: bytes
     usage: StreamUsage
-    copy: EndpointRecord | None = None
-    copy_request_id: str = ""
+    copy: CopySource | None = None
+    newest_copy: CopySource | None = None
     copy_retried: bool = False
     failed_sends: int = 0
     may_have_run: bool = False
