--- a/packages/core/gypsumpost_core/gateway/copy_schedule.py
+++ b/packages/core/gypsumpost_core/gateway/copy_schedule.py
@@ -1,7 +1,7 @@
 """Decides when the copy of a running stream has to be made again.
 
-The load pattern: the domains of a fleet fail one after the other. A stream whose copy was in a domain
-that failed has none when its own domain fails next, and its prompt is prefilled again.
+The load pattern: the domains of a fleet fail one after the other. A stream whose copy was in a
+domain that failed has none when its own domain fails next, and its prompt is prefilled again.
 """
 
 import attrs
