--- a/packages/daemon/gypsumpost_daemon/gateway/call_forwarder.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/call_forwarder.py
@@ -227,9 +227,11 @@
         answered = find_header(answer.headers, names.request_id)
         if answered is not None and answered.decode("latin-1") != call.request_id:
             return Err(AttemptFailure(reason="answer to another request", may_have_run=True))
-        sealed = find_header(answer.headers, names.seal) is not None
-        if not sealed or answer.status in NOT_RUN_STATUSES:
+        if find_header(answer.headers, names.seal) is None:
             return Err(AttemptFailure(reason=f"unsealed {answer.status}", may_have_run=True))
+        if answer.status in NOT_RUN_STATUSES:
+            reason = f"{answer.status} that does not say whether it ran"
+            return Err(AttemptFailure(reason=reason, may_have_run=True))
         return Ok(answer)
 
 
--- a/packages/daemon/gypsumpost_daemon/gateway/endpoint_monitor.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/endpoint_monitor.py
@@ -48,7 +48,8 @@
         self._identifier = identifier
         self._refresh = refresh
         self._probing: set[str] = set()
-        self._scopes: dict[str, set[trio.CancelScope]] = {}
+        # Ordered, so that a run does not depend on memory addresses.
+        self._scopes: dict[str, dict[trio.CancelScope, None]] = {}
         self._count_hosts = count_hosts
         self._loss_listeners: list[Listener] = []
         self._return_listeners: list[Listener] = []
@@ -83,13 +84,13 @@
 
     def watch(self, endpoint_id: str, scope: trio.CancelScope) -> None:
         """Cancel a scope when the endpoint is lost, until :meth:`unwatch`."""
-        self._scopes.setdefault(endpoint_id, set()).add(scope)
+        self._scopes.setdefault(endpoint_id, {})[scope] = None
 
     def unwatch(self, endpoint_id: str, scope: trio.CancelScope) -> None:
         """Undo :meth:`watch` for a scope."""
         scopes = self._scopes.get(endpoint_id)
         if scopes is not None:
-            scopes.discard(scope)
+            scopes.pop(scope, None)
             if not scopes:
                 del self._scopes[endpoint_id]
 
