--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
@@ -6,6 +6,7 @@
 import trio
 from result import Err
 
+from gypsumpost_core.gateway.caller_limits import CallerLimits
 from gypsumpost_core.gateway.copy_directory import CopyDirectory
 from gypsumpost_core.gateway.host_roles import HostRoles
 from gypsumpost_core.gateway.prefill_rates import PrefillRates
@@ -148,7 +149,7 @@
             count_hosts=self._count_hosts,
         )
         self.application = GatewayApplication(context=self.context)
-        self._limits = HttpLimits(max_body=READY_BODY_BYTES)
+        self._limits = HttpLimits(max_body=CallerLimits().max_body)
         self._stopping = False
         self.serving = False
         add_gauges(
