--- a/packages/core/gypsumpost_core/gateway/copy_schedule.py
+++ b/packages/core/gypsumpost_core/gateway/copy_schedule.py
@@ -37,8 +37,7 @@
 
         :param copy: the newest copy.
         """
-        state = self.fleet.find(copy.holder.endpoint_id)
-        return state is None or state.lost or state.record.started_at != copy.holder.started_at
+        return self.fleet.find_running(copy.holder) is None
 
     def is_due(self, copy: CopySource, now: float) -> bool:
         """Return true if the copy has to be made again.
--- a/packages/core/gypsumpost_core/gateway/endpoint_fleet.py
+++ b/packages/core/gypsumpost_core/gateway/endpoint_fleet.py
@@ -70,6 +70,16 @@
         """Return an endpoint by its id, ``None`` if it does not exist."""
         return self._states.get(endpoint_id)
 
+    def find_running(self, record: EndpointRecord) -> EndpointState | None:
+        """Return the state of a process, ``None`` if it has failed, restarted or left.
+
+        :param record: the process, as it was when it was used.
+        """
+        state = self._states.get(record.endpoint_id)
+        if state is None or state.lost or state.record.started_at != record.started_at:
+            return None
+        return state
+
     def __iter__(self) -> Iterator[EndpointState]:
         return iter(list(self._states.values()))
 
--- a/packages/daemon/gypsumpost_daemon/gateway/stream_forwarder.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/stream_forwarder.py
@@ -201,12 +201,7 @@
         return CopySource(holder=holder, address=holder.address, handle=report.request_id)
 
     def _find_copy_engine(self, copy: CopySource | None) -> EndpointState | None:
-        if copy is None:
-            return None
-        state = self._context.directory.fleet.find(copy.holder.endpoint_id)
-        if state is None or state.lost or state.record.started_at != copy.holder.started_at:
-            return None
-        return state
+        return self._context.directory.fleet.find_running(copy.holder) if copy else None
 
     async def _choose_engine(
         self, call: CallerCall, progress: StreamProgress, tried: set[str]
