Let resumed streams wait for their turn, and check slow engines after 0.3 s

A stream at a slow engine that went dark was checked after 0.5 s and paused for 1.05 s.

Change: only an attempt that has sent events can be taken for preempted; checks come after 0.3 s at the latest.

--- a/packages/core/gypsumpost_core/gateway/engine_silence.py
+++ b/packages/core/gypsumpost_core/gateway/engine_silence.py
@@ -17,6 +17,9 @@
 CHECK_GAP_FACTOR = 2.5
 """Multiple of the usual event interval after which an engine is checked."""
 
+MAX_CHECK_SECONDS = 0.3
+"""Maximum check delay: a stream is late after a pause of 0.7 s, also at a slow engine."""
+
 PREFILL_CHECK_SECONDS = 0.25
 """Interval of checks while the prompt is prefilled."""
 
@@ -45,7 +48,7 @@
     """
     if prefilling:
         return PREFILL_CHECK_SECONDS
-    return max(MIN_CHECK_SECONDS, CHECK_GAP_FACTOR * event_gap)
+    return min(MAX_CHECK_SECONDS, max(MIN_CHECK_SECONDS, CHECK_GAP_FACTOR * event_gap))
 
 
 @attrs.frozen(kw_only=True)
@@ -53,7 +56,8 @@
     """Time for which an engine has sent no event of a stream.
 
     :param seconds: time since the last event, or since the request was sent.
-    :param prefilling: true if no event has been received yet.
+    :param prefilling: true if the engine still has to prefill the prompt.
+    :param started: true if the engine has sent an event; false also while a resumed stream waits.
     :param prefill_seconds: expected time to the first event.
     :param objective: target latency of the first event in seconds.
     :param has_copy: true if another engine holds a copy from which the stream can be resumed.
@@ -61,6 +65,7 @@
 
     seconds: float
     prefilling: bool
+    started: bool
     prefill_seconds: float
     objective: float
     has_copy: bool
@@ -84,6 +89,6 @@
             return self.seconds > limit
         if request_id in work.running:
             return False
-        # A request that is not running waits for its first prefill, or was preempted. A preempted
-        # one goes on sooner from its copy.
-        return not work.unstarted or (not self.prefilling and self.has_copy)
+        # A request that is not running waits for its turn, or was preempted. A preempted one goes
+        # on sooner from its copy.
+        return not work.unstarted or (self.started and self.has_copy)
--- a/packages/daemon/gypsumpost_daemon/gateway/engine_watch.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/engine_watch.py
@@ -48,6 +48,7 @@
     def restart(self) -> None:
         """Measure from now, because the request is sent now."""
         self.started_at = self.last_event_at = self._checked_at = trio.current_time()
+        self._started = False
 
     def record_event(self, now: float) -> None:
         """Record that the engine has sent an event.
@@ -55,6 +56,7 @@
         :param now: monotonic time in seconds.
         """
         self.last_event_at = now
+        self._started = True
 
     def compute_check_time(self, *, prefilling: bool) -> float:
         """Return the monotonic time in seconds at which the engine has to be checked.
@@ -79,6 +81,7 @@
         silence = EngineSilence(
             seconds=now - self.last_event_at,
             prefilling=prefilling,
+            started=self._started,
             prefill_seconds=self._prefill_seconds,
             objective=self._call.route.objective,
             has_copy=self._has_copy,
