--- a/packages/daemon/gypsumpost_daemon/gateway/beacon_codec.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/beacon_codec.py
@@ -1,8 +1,7 @@
-"""Cap'n Proto codec of the messages between gateways."""
+"""Cap'n Proto codec of beacons."""
 
 import struct
 from collections.abc import Iterable, Mapping
-from pathlib import Path
 from typing import Any
 
 import capnp
@@ -14,17 +13,14 @@
 from gypsumpost_core.gateway.engine_usage import EngineUsage
 from gypsumpost_core.gateway.host_report import HostReport
 from gypsumpost_core.gateway.retry_count import RetryCount
-from gypsumpost_core.gateway.stored_item import StoredItem
 from gypsumpost_daemon.gateway.beacon import Beacon
-from gypsumpost_daemon.gateway.item_set import ItemSet
+from gypsumpost_daemon.gateway.peer_schema import SCHEMA
 
 USAGE_NUMBERS = struct.Struct("<4I")
 RATE_NUMBER = struct.Struct("<H")
 RATE_UNIT = 10
 MAX_RATE_NUMBER = 0xFFFF
 
-SCHEMA: Any = capnp.load(str(Path(__file__).with_name("beacon.capnp")))
-
 
 def encode_beacon(beacon: Beacon) -> bytes:
     """Return a beacon as packed bytes.
@@ -210,82 +206,3 @@
         EndpointStart(endpoint_id=message.endpoint, started_at=message.startedAt)
         for message in messages
     )
-
-
-def encode_directory_request(known: Mapping[str, int]) -> bytes:
-    """Return the request for a peer's directory as packed bytes.
-
-    :param known: the revision up to which the sender has all items, by prefix.
-    """
-    packed: bytes = SCHEMA.DirectoryRequest.new_message(
-        known=[{"prefix": prefix, "revision": revision} for prefix, revision in known.items()]
-    ).to_bytes_packed()
-    return packed
-
-
-def decode_directory_request(data: bytes) -> Result[dict[str, int], str]:
-    """Return the revision up to which a peer has all items, by prefix, or a decoding error.
-
-    :param data: the packed bytes.
-    """
-    try:
-        message = SCHEMA.DirectoryRequest.from_bytes_packed(data)
-        return Ok({entry.prefix: entry.revision for entry in message.known})
-    except (capnp.KjException, ValueError, UnicodeDecodeError) as error:
-        return Err(str(error).partition("\n")[0])
-
-
-def encode_state(sets: Iterable[ItemSet]) -> bytes:
-    """Return the items of a directory as packed bytes.
-
-    :param sets: the items by prefix.
-    """
-    packed: bytes = SCHEMA.DirectoryState.new_message(
-        sets=[
-            {
-                "prefix": entry.prefix,
-                "revision": entry.revision,
-                "partial": entry.partial,
-                "items": [
-                    {
-                        "key": item.key,
-                        "revision": item.revision,
-                        "present": item.value is not None,
-                        "value": item.value or b"",
-                    }
-                    for item in entry.items
-                ],
-            }
-            for entry in sets
-        ]
-    ).to_bytes_packed()
-    return packed
-
-
-def decode_state(data: bytes) -> Result[list[ItemSet], str]:
-    """Return the items of a peer's directory, or why they cannot be decoded.
-
-    :param data: the packed bytes.
-    """
-    try:
-        message = SCHEMA.DirectoryState.from_bytes_packed(data, traversal_limit_in_words=2**24)
-        return Ok(
-            [
-                ItemSet(
-                    prefix=entry.prefix,
-                    revision=entry.revision,
-                    partial=entry.partial,
-                    items=tuple(
-                        StoredItem(
-                            key=item.key,
-                            revision=item.revision,
-                            value=bytes(item.value) if item.present else None,
-                        )
-                        for item in entry.items
-                    ),
-                )
-                for entry in message.sets
-            ]
-        )
-    except (capnp.KjException, ValueError, UnicodeDecodeError) as error:
-        return Err(str(error).partition("\n")[0])
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/gateway/directory_codec.py
@@ -0,0 +1,89 @@
+"""Cap'n Proto codec of the directory that hosts exchange."""
+
+from collections.abc import Iterable, Mapping
+
+import capnp
+from result import Err, Ok, Result
+
+from gypsumpost_core.gateway.stored_item import StoredItem
+from gypsumpost_daemon.gateway.item_set import ItemSet
+from gypsumpost_daemon.gateway.peer_schema import SCHEMA
+
+
+def encode_directory_request(known: Mapping[str, int]) -> bytes:
+    """Return the request for a peer's directory as packed bytes.
+
+    :param known: the revision up to which the sender has all items, by prefix.
+    """
+    packed: bytes = SCHEMA.DirectoryRequest.new_message(
+        known=[{"prefix": prefix, "revision": revision} for prefix, revision in known.items()]
+    ).to_bytes_packed()
+    return packed
+
+
+def decode_directory_request(data: bytes) -> Result[dict[str, int], str]:
+    """Return the revision up to which a peer has all items, by prefix, or a decoding error.
+
+    :param data: the packed bytes.
+    """
+    try:
+        message = SCHEMA.DirectoryRequest.from_bytes_packed(data)
+        return Ok({entry.prefix: entry.revision for entry in message.known})
+    except (capnp.KjException, ValueError, UnicodeDecodeError) as error:
+        return Err(str(error).partition("\n")[0])
+
+
+def encode_state(sets: Iterable[ItemSet]) -> bytes:
+    """Return the items of a directory as packed bytes.
+
+    :param sets: the items by prefix.
+    """
+    packed: bytes = SCHEMA.DirectoryState.new_message(
+        sets=[
+            {
+                "prefix": entry.prefix,
+                "revision": entry.revision,
+                "partial": entry.partial,
+                "items": [
+                    {
+                        "key": item.key,
+                        "revision": item.revision,
+                        "present": item.value is not None,
+                        "value": item.value or b"",
+                    }
+                    for item in entry.items
+                ],
+            }
+            for entry in sets
+        ]
+    ).to_bytes_packed()
+    return packed
+
+
+def decode_state(data: bytes) -> Result[list[ItemSet], str]:
+    """Return the items of a peer's directory, or why they cannot be decoded.
+
+    :param data: the packed bytes.
+    """
+    try:
+        message = SCHEMA.DirectoryState.from_bytes_packed(data, traversal_limit_in_words=2**24)
+        return Ok(
+            [
+                ItemSet(
+                    prefix=entry.prefix,
+                    revision=entry.revision,
+                    partial=entry.partial,
+                    items=tuple(
+                        StoredItem(
+                            key=item.key,
+                            revision=item.revision,
+                            value=bytes(item.value) if item.present else None,
+                        )
+                        for item in entry.items
+                    ),
+                )
+                for entry in message.sets
+            ]
+        )
+    except (capnp.KjException, ValueError, UnicodeDecodeError) as error:
+        return Err(str(error).partition("\n")[0])
--- a/packages/daemon/gypsumpost_daemon/gateway/directory_exchange.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/directory_exchange.py
@@ -6,13 +6,13 @@
 from result import Err
 
 from gypsumpost_daemon.gateway.beacon import Beacon
-from gypsumpost_daemon.gateway.beacon_codec import (
+from gypsumpost_daemon.gateway.directory import Directory
+from gypsumpost_daemon.gateway.directory_codec import (
     decode_directory_request,
     decode_state,
     encode_directory_request,
     encode_state,
 )
-from gypsumpost_daemon.gateway.directory import Directory
 from gypsumpost_daemon.peers.message_kind import MessageKind
 from gypsumpost_daemon.peers.peer_network import PeerNetwork
 from gypsumpost_daemon.peers.peer_request import PeerRequest
--- a/packages/daemon/gypsumpost_daemon/gateway/tests/test_beacon_codec.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/tests/test_beacon_codec.py
@@ -12,11 +12,10 @@
 from gypsumpost_core.gateway.retry_count import RetryCount
 from gypsumpost_core.gateway.stored_item import StoredItem
 from gypsumpost_daemon.gateway.beacon import Beacon
-from gypsumpost_daemon.gateway.beacon_codec import (
-    decode_beacon,
+from gypsumpost_daemon.gateway.beacon_codec import decode_beacon, encode_beacon
+from gypsumpost_daemon.gateway.directory_codec import (
     decode_directory_request,
     decode_state,
-    encode_beacon,
     encode_directory_request,
     encode_state,
 )
