--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/gateway/beacon_state.py
@@ -0,0 +1,119 @@
+"""The state that hosts tell each other in beacons."""
+
+import itertools
+import time
+
+import attrs
+
+from gypsumpost_core.gateway.copy_directory import CopyDirectory
+from gypsumpost_core.gateway.host_report import HostReport
+from gypsumpost_core.gateway.host_roles import HostRoles
+from gypsumpost_core.gateway.prefill_rates import PrefillRates
+from gypsumpost_core.gateway.retry_budget import RetryBudget
+from gypsumpost_core.gateway.usage_table import UsageTable
+from gypsumpost_core.host import Host
+from gypsumpost_daemon.gateway.beacon import Beacon
+from gypsumpost_daemon.gateway.crash_guard import CrashGuard
+from gypsumpost_daemon.gateway.directory import Directory
+from gypsumpost_daemon.gateway.endpoint_reports import EndpointReports
+from gypsumpost_daemon.gateway.store_follower import StoreFollower
+
+
+@attrs.define(kw_only=True)
+class BeaconState:
+    """Creates the beacons of this host from its state, and applies those of other hosts to it.
+
+    :param own: this host.
+    :param ip: its IP address.
+    :param directory: configuration and endpoints.
+    :param follower: follows the store.
+    :param roles: which hosts watch the store and relay beacons between domains.
+    :param reports: reports of lost endpoints.
+    :param usage: usage of the engines.
+    :param rates: prefill rates of the engines.
+    :param crash_guard: detects requests that crash endpoints.
+    :param copies: locations of the copies of streams.
+    :param retry_budget: the retry budget.
+    """
+
+    own: Host
+    ip: str
+    directory: Directory
+    follower: StoreFollower
+    roles: HostRoles
+    reports: EndpointReports
+    usage: UsageTable
+    rates: PrefillRates
+    crash_guard: CrashGuard
+    copies: CopyDirectory
+    retry_budget: RetryBudget
+    # Starts at the clock, so that a restarted host continues with higher numbers.
+    _sequence: itertools.count = attrs.field(
+        factory=lambda: itertools.count(int(time.time() * 1000)), init=False
+    )
+
+    def create_beacon(self, now: float) -> Beacon:
+        """Return the state of this host.
+
+        :param now: monotonic time in seconds.
+        """
+        return Beacon(
+            host=HostReport(
+                host_id=self.own.host_id,
+                failure_domain=self.own.failure_domain,
+                link_mbps=self.roles.link_mbps,
+                watching=self.follower.watching,
+                store_lost=self.follower.lost,
+            ),
+            ip=self.ip,
+            sequence=next(self._sequence),
+            version=self.directory.version,
+            endpoint_revision=self.directory.endpoint_revision,
+            uses=self.usage.sum_own(now),
+            rates=self.rates.list_measured(now),
+            retries=self.retry_budget.sum_own(now),
+            losses=self.reports.list_losses(now),
+            returns=self.reports.list_returns(now),
+            crashes=self.crash_guard.list_reports(now),
+            copies=self.copies.list_own(),
+        )
+
+    def create_domain_beacon(self, now: float) -> Beacon:
+        """Return the state of this host with the totals of its domain.
+
+        :param now: monotonic time in seconds.
+        """
+        return attrs.evolve(
+            self.create_beacon(now),
+            covers_domain=True,
+            uses=self.usage.sum_domain(now),
+            rates=self.rates.list_domain(now),
+            retries=self.retry_budget.sum_domain(now),
+            copies=(),
+        )
+
+    def apply(self, beacon: Beacon, now: float) -> bool:
+        """Apply the state of another host, and return true if the totals of this domain change.
+
+        :param beacon: the beacon of the other host.
+        :param now: monotonic time in seconds.
+        """
+        report = beacon.host
+        changed = False
+        in_own_domain = report.failure_domain == self.own.failure_domain
+        self.roles.put_report(report, now)
+        self.rates.add_reports(beacon.rates, now, own_domain=in_own_domain)
+        if beacon.covers_domain:
+            self.usage.reports.put_domain(report.failure_domain, beacon.uses, now)
+            self.retry_budget.reports.put_domain(report.failure_domain, beacon.retries, now)
+        elif in_own_domain:
+            changed = beacon.uses != self.usage.reports.get_host(report.host_id)
+            self.usage.reports.put_host(report.host_id, beacon.uses, now)
+            self.retry_budget.reports.put_host(report.host_id, beacon.retries, now)
+            self.copies.put_peer_reports(beacon.copies, now)
+        self.reports.handle_beacon(beacon, now)
+        for crash in beacon.crashes:
+            self.crash_guard.add_report(crash, now)
+        if self.roles.is_store_lost(now):
+            self.follower.record_peers_outage()
+        return changed
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
@@ -14,7 +14,9 @@
 from gypsumpost_core.host import Host
 from gypsumpost_core.key_ring import KeyRing
 from gypsumpost_core.membership.membership_settings import MembershipSettings
+from gypsumpost_daemon.addresses import split_address
 from gypsumpost_daemon.gateway.adapter import GatewayAdapter
+from gypsumpost_daemon.gateway.beacon_state import BeaconState
 from gypsumpost_daemon.gateway.crash_guard import CrashGuard
 from gypsumpost_daemon.gateway.directory import Directory
 from gypsumpost_daemon.gateway.directory_exchange import DirectoryExchange
@@ -119,20 +121,24 @@
             hosts=self._hosts,
             gossip=self._gossip,
             key=key,
-            directory=self.directory,
-            follower=self._follower,
-            roles=self.roles,
+            state=BeaconState(
+                own=own,
+                ip=split_address(settings.beacon_address)[0],
+                directory=self.directory,
+                follower=self._follower,
+                roles=self.roles,
+                reports=EndpointReports(directory=self.directory, monitor=self.monitor),
+                usage=self.usage,
+                rates=rates,
+                crash_guard=crash_guard,
+                copies=self.copies,
+                retry_budget=retry_budget,
+            ),
             exchange=DirectoryExchange(
                 own_domain=settings.failure_domain,
                 directory=self.directory,
                 network=self._network,
             ),
-            reports=EndpointReports(directory=self.directory, monitor=self.monitor),
-            usage=self.usage,
-            rates=rates,
-            crash_guard=crash_guard,
-            copies=self.copies,
-            retry_budget=retry_budget,
         )
         self.context = ForwardContext(
             settings=settings,
--- a/packages/daemon/gypsumpost_daemon/gateway/peer_exchange.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/peer_exchange.py
@@ -1,29 +1,17 @@
 """Exchanges engine usage, lost endpoints and configuration versions with the other hosts."""
 
-import itertools
 import random
-import time
 from collections.abc import Collection
 
-import attrs
 import trio
 
-from gypsumpost_core.gateway.copy_directory import CopyDirectory
-from gypsumpost_core.gateway.host_report import HostReport
-from gypsumpost_core.gateway.host_roles import HostRoles
-from gypsumpost_core.gateway.prefill_rates import PrefillRates
-from gypsumpost_core.gateway.retry_budget import RetryBudget
-from gypsumpost_core.gateway.usage_table import UsageTable
 from gypsumpost_core.host import Host
 from gypsumpost_core.key_ring import KeyRing
 from gypsumpost_daemon.addresses import split_address
 from gypsumpost_daemon.gateway.beacon import Beacon
 from gypsumpost_daemon.gateway.beacon_socket import BeaconSocket, ReceivedBeacon
-from gypsumpost_daemon.gateway.crash_guard import CrashGuard
-from gypsumpost_daemon.gateway.directory import Directory
+from gypsumpost_daemon.gateway.beacon_state import BeaconState
 from gypsumpost_daemon.gateway.directory_exchange import DirectoryExchange
-from gypsumpost_daemon.gateway.endpoint_reports import EndpointReports
-from gypsumpost_daemon.gateway.store_follower import StoreFollower
 from gypsumpost_daemon.peers.gossip import Gossip
 from gypsumpost_daemon.peers.host_directory import HostDirectory
 
@@ -62,16 +50,8 @@
     :param hosts: the known hosts.
     :param gossip: membership, which is given the hosts from which beacons arrive.
     :param key: shared key of the deployment.
-    :param directory: configuration and endpoints.
-    :param follower: follows the store.
-    :param roles: which hosts watch the store and relay beacons between domains.
+    :param state: the state that beacons carry.
     :param exchange: fetches directory changes from peers.
-    :param reports: reports of lost endpoints.
-    :param usage: usage of the engines.
-    :param rates: prefill rates of the engines.
-    :param crash_guard: detects requests that crash endpoints.
-    :param copies: locations of the copies of streams.
-    :param retry_budget: the retry budget.
     """
 
     def __init__(
@@ -82,16 +62,8 @@
         hosts: HostDirectory,
         gossip: Gossip,
         key: KeyRing,
-        directory: Directory,
-        follower: StoreFollower,
-        roles: HostRoles,
+        state: BeaconState,
         exchange: DirectoryExchange,
-        reports: EndpointReports,
-        usage: UsageTable,
-        rates: PrefillRates,
-        crash_guard: CrashGuard,
-        copies: CopyDirectory,
-        retry_budget: RetryBudget,
     ) -> None:
         self._ip, self._port = split_address(address)
         self._seed_ips = seed_ips
@@ -100,27 +72,18 @@
         self._gossip = gossip
         self._contacts: dict[str, Host] = {}
         self._key = key
-        self._directory = directory
-        self._follower = follower
-        self._roles = roles
+        self._state = state
+        self._roles = state.roles
         self._exchange = exchange
-        self._reports = reports
-        self._usage = usage
-        self._rates = rates
-        self._crash_guard = crash_guard
-        self._copies = copies
-        self._retry_budget = retry_budget
-        # Starts at the clock, so that a restarted host continues with higher numbers.
-        self._sequence = itertools.count(int(time.time() * 1000))
         self._seen: dict[tuple[str, bool], int] = {}
         self._changed = trio.Event()
         self._domain_changed = trio.Event()
         self._loss_detected = trio.Event()
         self._domain_loss_detected = trio.Event()
-        reports.add_listener(self._handle_loss)
-        usage.add_listener(self.schedule_beacons)
-        crash_guard.add_listener(self.schedule_beacons)
-        directory.add_listener(self.schedule_beacons)
+        state.reports.add_listener(self._handle_loss)
+        state.usage.add_listener(self.schedule_beacons)
+        state.crash_guard.add_listener(self.schedule_beacons)
+        state.directory.add_listener(self.schedule_beacons)
 
     def set_seeds(self, seed_ips: Collection[str]) -> None:
         """Replace the seed hosts.
@@ -184,7 +147,9 @@
         # Membership needs the ids of hosts, which are known only from their beacons.
         known = {find_ip(host) for host in self._hosts.list_known()}
         unknown = [ip for ip in self._seed_ips if ip not in known]
-        sent = await beacons.send(beacons.encode(self._create_beacon(now)), [*domain_ips, *unknown])
+        sent = await beacons.send(
+            beacons.encode(self._state.create_beacon(now)), [*domain_ips, *unknown]
+        )
         return now + max(self._compute_pause(sent), SECONDS_PER_PEER * len(domain_ips))
 
     async def _send_to_other_domains(self, beacons: BeaconSocket) -> float:
@@ -196,14 +161,7 @@
         domains = {host.failure_domain for host in peers} - {self._domain}
         if relay_index is None or not domains:
             return next_send_at
-        beacon = attrs.evolve(
-            self._create_beacon(now),
-            covers_domain=True,
-            uses=self._usage.sum_domain(now),
-            rates=self._rates.list_domain(now),
-            retries=self._retry_budget.sum_domain(now),
-            copies=(),
-        )
+        beacon = self._state.create_domain_beacon(now)
         relays = []
         for domain in sorted(domains):
             hosts = [host for host in peers if host.failure_domain == domain]
@@ -220,28 +178,6 @@
     def _list_domain_ips(self, peers: list[Host]) -> list[str]:
         return [find_ip(host) for host in peers if host.failure_domain == self._domain]
 
-    def _create_beacon(self, now: float) -> Beacon:
-        return Beacon(
-            host=HostReport(
-                host_id=self._hosts.own.host_id,
-                failure_domain=self._domain,
-                link_mbps=self._roles.link_mbps,
-                watching=self._follower.watching,
-                store_lost=self._follower.lost,
-            ),
-            ip=self._ip,
-            sequence=next(self._sequence),
-            version=self._directory.version,
-            endpoint_revision=self._directory.endpoint_revision,
-            uses=self._usage.sum_own(now),
-            rates=self._rates.list_measured(now),
-            retries=self._retry_budget.sum_own(now),
-            losses=self._reports.list_losses(now),
-            returns=self._reports.list_returns(now),
-            crashes=self._crash_guard.list_reports(now),
-            copies=self._copies.list_own(),
-        )
-
     async def _receive(self, beacons: BeaconSocket) -> None:
         async for received in beacons.receive_all():
             self._add_contact(received.beacon)
@@ -291,25 +227,9 @@
         return True
 
     def _handle_beacon(self, beacon: Beacon, now: float) -> None:
-        report = beacon.host
-        self._roles.put_report(report, now)
-        in_own_domain = report.failure_domain == self._domain
-        self._rates.add_reports(beacon.rates, now, own_domain=in_own_domain)
-        if beacon.covers_domain:
-            self._usage.reports.put_domain(report.failure_domain, beacon.uses, now)
-            self._retry_budget.reports.put_domain(report.failure_domain, beacon.retries, now)
-        elif in_own_domain:
-            if beacon.uses != self._usage.reports.get_host(report.host_id):
-                self._domain_changed.set()
-            self._usage.reports.put_host(report.host_id, beacon.uses, now)
-            self._retry_budget.reports.put_host(report.host_id, beacon.retries, now)
-            self._copies.put_peer_reports(beacon.copies, now)
-        self._reports.handle_beacon(beacon, now)
-        for crash in beacon.crashes:
-            self._crash_guard.add_report(crash, now)
-        if self._roles.is_store_lost(now):
-            self._follower.record_peers_outage()
-        self._exchange.handle_beacon(beacon, watching=self._follower.watching)
+        if self._state.apply(beacon, now):
+            self._domain_changed.set()
+        self._exchange.handle_beacon(beacon, watching=self._state.follower.watching)
 
 
 def find_ip(host: Host) -> str:
