--- a/packages/daemon/gypsumpost_daemon/gateway/directory.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/directory.py
@@ -8,6 +8,7 @@
 
 from gypsumpost_core.gateway.endpoint_fleet import EndpointFleet
 from gypsumpost_core.gateway.endpoint_record import EndpointRecord
+from gypsumpost_core.gateway.first_use import FirstUse
 from gypsumpost_core.gateway.item_table import ItemTable
 from gypsumpost_core.gateway.route_table import RouteTable
 from gypsumpost_core.gateway.stored_item import StoredItem
@@ -18,6 +19,9 @@
 REWRITE_GRACE_SECONDS = 2.2
 """Endpoints whose entries expired during a store outage write them again within this time."""
 
+STORE = "store"
+"""Source of the items that this host has read from the store itself."""
+
 LOG = Log(prefix="directory")
 
 
@@ -39,6 +43,7 @@
         self._remove_at: dict[str, float] = {}
         self._unconfirmed: set[str] = set()
         self.store_lost = False
+        self._first_use = FirstUse()
         self._changed = trio.Event()
         self._listeners: list[Callable[[], None]] = []
 
@@ -107,8 +112,8 @@
 
     @property
     def ready(self) -> bool:
-        """True once the configuration and the endpoints are known."""
-        return self.routes is not None and all(table.loaded for table in self.tables.values())
+        """True once the configuration and the endpoints are known and may be used."""
+        return self.routes is not None and self._first_use.is_usable(trio.current_time())
 
     async def wait_change(self, deadline: float) -> None:
         """Wait until something has changed.
@@ -132,6 +137,7 @@
         :param source: where they come from, for the log.
         """
         self._apply_changes(prefix, self.tables[prefix].apply(items, revision), source)
+        self._record_load(source)
 
     def replace(self, prefix: str, items: Iterable[StoredItem], revision: int, source: str) -> None:
         """Replace all items under a prefix.
@@ -142,6 +148,7 @@
         :param source: where they come from, for the log.
         """
         self._apply_changes(prefix, self.tables[prefix].replace(items, revision), source)
+        self._record_load(source)
 
     def add_successor(self, record: EndpointRecord, successor: EndpointRecord) -> None:
         """Add an engine that has replaced another one at its address.
@@ -194,6 +201,10 @@
                 self._remove_endpoint(key)
             await self.wait_change(min(self._remove_at.values(), default=math.inf))
 
+    def _record_load(self, source: str) -> None:
+        if self.routes is not None and all(table.loaded for table in self.tables.values()):
+            self._first_use.record_load(trio.current_time(), from_store=source == STORE)
+
     def _apply_changes(self, prefix: str, changed: list[StoredItem], source: str) -> None:
         for item in changed:
             if prefix == self._adapter.endpoint_prefix:
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_application.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_application.py
@@ -68,7 +68,7 @@
 
     async def _serve(self, exchange: CallerExchange, body: bytes, received_at: float) -> None:
         routes = self._context.directory.routes
-        if routes is None:
+        if routes is None or not self._context.directory.ready:
             text = "This host does not know the configuration yet."
             await exchange.refuse(503, text, RunState.NOT_RUN, START_RETRY_SECONDS)
             return
--- a/packages/daemon/gypsumpost_daemon/gateway/store_follower.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/store_follower.py
@@ -7,7 +7,7 @@
 from result import Err
 
 from gypsumpost_core.gateway.host_roles import HostRoles
-from gypsumpost_daemon.gateway.directory import Directory
+from gypsumpost_daemon.gateway.directory import STORE, Directory
 from gypsumpost_daemon.gateway.item_store import ItemStore, ItemStoreFailure
 from gypsumpost_daemon.telemetry.log import Log
 
@@ -128,7 +128,7 @@
         if isinstance(read, Err):
             return self._record_failure(prefix, read.err_value)
         self._record_answer()
-        self._directory.replace(prefix, read.ok_value.items, read.ok_value.revision, "store")
+        self._directory.replace(prefix, read.ok_value.items, read.ok_value.revision, STORE)
         return None
 
     async def _watch(self, prefix: str) -> ItemStoreFailure | None:
@@ -138,7 +138,7 @@
         if isinstance(watched, Err):
             return self._record_failure(prefix, watched.err_value)
         self._record_answer()
-        self._directory.apply(prefix, watched.ok_value.items, watched.ok_value.revision, "store")
+        self._directory.apply(prefix, watched.ok_value.items, watched.ok_value.revision, STORE)
         return None
 
     def _record_failure(self, prefix: str, failure: ItemStoreFailure) -> ItemStoreFailure:
