Leave engines whose events do not arrive, and space failed moves of copies

Streams without a copy asked their engine for one five times a second as long as no engine had room.

Change: a stream leaves when the engine has made events since the last question and none arrived, or has made none for 5 s.

--- a/packages/core/gypsumpost_core/gateway/engine_silence.py
+++ b/packages/core/gypsumpost_core/gateway/engine_silence.py
@@ -36,6 +36,9 @@
 REPORT_INTERVAL_SECONDS = 0.5
 """Interval between two questions about the same request."""
 
+STALLED_SECONDS = 5.0
+"""Silence after which an engine that lists the request, but makes no event of it, has stalled."""
+
 UNANSWERED_SECONDS = 2.5
 """Silence within a stream after which an engine that does not report its work has hung."""
 
@@ -61,6 +64,8 @@
     :param prefill_seconds: expected time to the first event.
     :param objective: target latency of the first event in seconds.
     :param has_copy: true if another engine holds a copy from which the stream can be resumed.
+    :param made_before: events that the engine had made when it was asked before in this silence,
+        ``None`` if it was not asked or did not list the request.
     """
 
     seconds: float
@@ -69,6 +74,7 @@
     prefill_seconds: float
     objective: float
     has_copy: bool
+    made_before: int | None = None
 
     @property
     def report_after(self) -> float:
@@ -87,8 +93,15 @@
         if work is None:
             limit = self.objective if self.prefilling else UNANSWERED_SECONDS
             return self.seconds > limit
-        if request_id in work.running:
-            return False
+        made = work.running.get(request_id)
+        if made is not None:
+            return self._is_stalled(made)
         # A request that is not running waits for its turn, or was preempted. A preempted one goes
         # on sooner from its copy.
         return not work.unstarted or (self.started and self.has_copy)
+
+    def _is_stalled(self, made: int) -> bool:
+        """Return true if the engine makes events that do not arrive, or makes none for long."""
+        if self.made_before is None:
+            return False
+        return made > self.made_before or self.seconds > STALLED_SECONDS
--- a/packages/core/gypsumpost_core/gateway/engine_work.py
+++ b/packages/core/gypsumpost_core/gateway/engine_work.py
@@ -1,5 +1,7 @@
 """Requests that an engine reports as its work."""
 
+from collections.abc import Mapping
+
 import attrs
 
 
@@ -7,9 +9,9 @@
 class EngineWork:
     """Requests that an engine had a few hundred milliseconds ago.
 
-    :param running: ids of the requests whose prompt is prefilled.
+    :param running: number of events made, by id of the request, of those whose prompt is prefilled.
     :param unstarted: number of requests that wait, or whose prompt is being prefilled.
     """
 
-    running: frozenset[str]
+    running: Mapping[str, int]
     unstarted: int
--- a/packages/core/gypsumpost_core/gateway/tests/test_copy_schedule.py
+++ b/packages/core/gypsumpost_core/gateway/tests/test_copy_schedule.py
@@ -1,6 +1,6 @@
 """Tests of the decision when a copy has to be made again."""
 
-from gypsumpost_core.gateway.copy_schedule import RENEWAL_RATIO, CopySchedule
+from gypsumpost_core.gateway.copy_schedule import RENEWAL_RATIO, RETRY_SECONDS, CopySchedule
 from gypsumpost_core.gateway.copy_source import CopySource
 from gypsumpost_core.gateway.tests.endpoint_fixtures import create_fleet, create_record
 
@@ -23,6 +23,15 @@
     assert schedule.is_due(copy, 102.0)
 
 
+def test_a_failed_move_is_not_repeated_at_once():
+    """Guards against streams that all ask engines without room several times a second."""
+    schedule = create_schedule(create_fleet())
+    copy = CopySource(holder=create_record("e1"), address="e1:1", handle="h")
+    schedule.record_failure(10.0)
+    assert not schedule.is_due(copy, 10.0 + RETRY_SECONDS - 0.1)
+    assert schedule.is_due(copy, 10.0 + RETRY_SECONDS)
+
+
 def test_a_moved_copy_is_renewed_before_its_engine_drops_it():
     """Guards against resuming from a copy that its engine has already dropped."""
     copy = CopySource(holder=create_record("e1"), address="e2:1", handle="h")
--- a/packages/daemon/gypsumpost_daemon/gateway/copy_renewal.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/copy_renewal.py
@@ -75,6 +75,7 @@
             target = chosen.record
         handle = await self._move(target)
         if handle is None:
+            self._schedule.record_failure(trio.current_time())
             return
         source = self._state.record.address
         self._progress.newest_copy = CopySource(holder=target, address=source, handle=handle)
--- a/packages/daemon/gypsumpost_daemon/gateway/engine_watch.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/engine_watch.py
@@ -49,6 +49,7 @@
         """Measure from now, because the request is sent now."""
         self.started_at = self.last_event_at = self._checked_at = trio.current_time()
         self._started = False
+        self._made: int | None = None
 
     def record_event(self, now: float) -> None:
         """Record that the engine has sent an event.
@@ -57,6 +58,7 @@
         """
         self.last_event_at = now
         self._started = True
+        self._made = None
 
     def compute_check_time(self, *, prefilling: bool) -> float:
         """Return the monotonic time in seconds at which the engine has to be checked.
@@ -85,6 +87,7 @@
             prefill_seconds=self._prefill_seconds,
             objective=self._call.route.objective,
             has_copy=self._has_copy,
+            made_before=self._made,
         )
         if silence.seconds >= silence.report_after and now >= self._report_at:
             self._report_at = now + REPORT_INTERVAL_SECONDS
@@ -97,6 +100,8 @@
     async def _is_abandoned(self, silence: EngineSilence) -> bool:
         work = await self._context.work_reader.read(self._record)
         abandoned = silence.is_abandoned(work, self._call.request_id)
+        if work is not None and self._made is None:
+            self._made = work.running.get(self._call.request_id)
         LOG.write(
             "asked a silent engine for its work",
             request_id=self._call.request_id,
@@ -104,7 +109,7 @@
             silent_seconds=round(silence.seconds, 3),
             prefilling=silence.prefilling,
             expected_seconds=round(self._prefill_seconds, 3),
-            listed=work is not None and self._call.request_id in work.running,
+            events_made=work.running.get(self._call.request_id) if work else None,
             running=len(work.running) if work else None,
             unstarted=work.unstarted if work else None,
             abandoned=abandoned,
