--- a/packages/core/gypsumpost_core/gateway/engine_choice.py
+++ b/packages/core/gypsumpost_core/gateway/engine_choice.py
@@ -15,8 +15,9 @@
 STREAM_DELAY_SECONDS = 0.03
 """Delay of the first event caused by each stream that runs on the same engine."""
 
-CROSS_DOMAIN_SECONDS = 0.05
-"""Cost added for an engine in another domain, because traffic between domains is expensive."""
+CROSS_DOMAIN_SECONDS = 0.4
+"""Cost added for an engine in another domain: traffic between domains is expensive, and reports
+from other domains are older."""
 
 MEMORY_LIMIT_RATIO = 0.9
 """Share of the memory that may be reserved; above it, engines preempt streams."""
