--- a/packages/daemon/gypsumpost_daemon/gateway/directory.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/directory.py
@@ -12,6 +12,7 @@
 from gypsumpost_core.gateway.item_table import ItemTable
 from gypsumpost_core.gateway.route_table import RouteTable
 from gypsumpost_core.gateway.stored_item import StoredItem
+from gypsumpost_core.gateway.version_lag import VersionLag
 from gypsumpost_daemon.gateway.adapter import GatewayAdapter
 from gypsumpost_daemon.gateway.item_set import ItemSet
 from gypsumpost_daemon.telemetry.log import Log
@@ -44,6 +45,7 @@
         self._unconfirmed: set[str] = set()
         self.store_lost = False
         self._first_use = FirstUse()
+        self._lag = VersionLag()
         self._changed = trio.Event()
         self._listeners: list[Callable[[], None]] = []
 
@@ -61,6 +63,17 @@
         """Revision of the newest known endpoint change."""
         return self.tables[self._adapter.endpoint_prefix].newest
 
+    def record_named_version(self, version: int) -> None:
+        """Record the version of the configuration that a peer has in force.
+
+        :param version: the peer's version.
+        """
+        self._lag.record_named(version, self.version, trio.current_time())
+
+    def compute_lag(self) -> float:
+        """Return for how many seconds a newer configuration has been known, 0 if none is."""
+        return self._lag.compute(trio.current_time())
+
     def has_lost_service(self) -> bool:
         """Return true if some routed service has only endpoints that are considered lost."""
         if self.routes is None:
@@ -228,12 +241,14 @@
             LOG.write("ignored an old configuration", version=configuration.version)
             return
         self.routes = RouteTable(configuration=configuration)
+        behind = self._lag.record_applied(configuration.version, trio.current_time())
         LOG.write(
             "applied a configuration",
             version=configuration.version,
             revision=revision,
             source=source,
             routes=len(configuration.routes),
+            behind_seconds=round(behind, 3),
         )
 
     def _apply_endpoint(self, item: StoredItem) -> None:
--- a/packages/daemon/gypsumpost_daemon/gateway/directory_exchange.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/directory_exchange.py
@@ -55,6 +55,7 @@
         """
         if not self._is_ahead(beacon):
             return
+        self._directory.record_named_version(beacon.version)
         same_domain = beacon.host.failure_domain == self._own_domain
         delay = COALESCE_SECONDS if same_domain and not watching else FETCH_DELAY_SECONDS
         due = trio.current_time() + delay
@@ -79,7 +80,7 @@
                 continue
             self._due = math.inf
             if self._ahead_beacon is not None and self._is_ahead(self._ahead_beacon):
-                await self._fetch(self._ahead_beacon.host.host_id)
+                await self._fetch(self._ahead_beacon)
 
     def _is_ahead(self, beacon: Beacon) -> bool:
         directory = self._directory
@@ -94,8 +95,10 @@
             return True
         return beacon.host.link_mbps > other.host.link_mbps
 
-    async def _fetch(self, host_id: str) -> None:
-        deadline = trio.current_time() + REPLY_SECONDS
+    async def _fetch(self, beacon: Beacon) -> None:
+        host_id = beacon.host.host_id
+        started_at = trio.current_time()
+        deadline = started_at + REPLY_SECONDS
         payload = encode_directory_request(self._directory.list_revisions())
         reply = await self._network.request(host_id, MessageKind.DIRECTORY_STATE, payload, deadline)
         if isinstance(reply, Err):
@@ -104,6 +107,7 @@
                 "failed to fetch the directory of a peer",
                 peer=host_id,
                 reason=reply.err_value.reason,
+                waited_seconds=round(trio.current_time() - started_at, 3),
             )
             return
         decoded = decode_state(reply.ok_value)
@@ -114,6 +118,16 @@
             return
         for entry in decoded.ok_value:
             self._directory.apply_set(entry, host_id)
+        if self._is_ahead(beacon):
+            LOG.write(
+                "a peer that is ahead has sent nothing newer",
+                peer=host_id,
+                peer_version=beacon.version,
+                version=self._directory.version,
+                peer_endpoint_revision=beacon.endpoint_revision,
+                endpoint_revision=self._directory.endpoint_revision,
+                known=self._directory.list_revisions(),
+            )
 
     async def _handle_request(self, request: PeerRequest) -> bytes:
         decoded = decode_directory_request(request.payload)
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_gauges.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_gauges.py
@@ -45,6 +45,16 @@
         "Version of the configuration in force.",
         lambda: directory.version,
     )
+    add(
+        "gypsumpost_configuration_behind_seconds",
+        "Time for which a peer has had a newer configuration in force, 0 if none is known.",
+        directory.compute_lag,
+    )
+    add(
+        "gypsumpost_store_watch_seconds",
+        "Time for which the oldest open watch has waited for an answer, 0 if none is open.",
+        lambda: max(follower.compute_watch_age(prefix) for prefix in directory.tables),
+    )
     add("gypsumpost_hosts_live", "Live hosts, this one included.", context.count_hosts)
     add(
         "gypsumpost_endpoints_lost",
--- a/packages/daemon/gypsumpost_daemon/gateway/store_follower.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/store_follower.py
@@ -46,6 +46,7 @@
         self._lost = False
         self._following = False
         self._refresh_at = -math.inf
+        self._watched_since: dict[str, float] = {}
         self._failed_prefix = next(iter(directory.tables))
 
     @property
@@ -58,12 +59,20 @@
         """True if this host watches the store and the store answers."""
         return self._following and self._is_watcher()
 
+    def compute_watch_age(self, prefix: str) -> float:
+        """Return for how many seconds the watch of a prefix has been open, 0 if there is none.
+
+        :param prefix: prefix of the keys.
+        """
+        now = trio.current_time()
+        return now - self._watched_since.get(prefix, now)
+
     def record_peers_outage(self) -> None:
         """Record that the store answers none of the watchers on which this host relies."""
         if not self._lost and not self.watching:
-            self._record_failure(
-                self._failed_prefix, ItemStoreFailure(reason="no peer of the domain gets an answer")
-            )
+            reason = "no peer of the domain gets an answer"
+            failure = ItemStoreFailure(reason=reason)
+            self._record_failure(self._failed_prefix, failure, trio.current_time())
 
     async def refresh(self, prefix: str) -> None:
         """Read a prefix again if this host is a watcher, at most once in ``REFRESH_SECONDS``.
@@ -124,9 +133,10 @@
 
     async def _read(self, prefix: str) -> ItemStoreFailure | None:
         self.calls += 1
-        read = await self._store.read(prefix, trio.current_time() + READ_SECONDS)
+        asked_at = trio.current_time()
+        read = await self._store.read(prefix, asked_at + READ_SECONDS)
         if isinstance(read, Err):
-            return self._record_failure(prefix, read.err_value)
+            return self._record_failure(prefix, read.err_value, asked_at)
         self._record_answer()
         self._directory.replace(prefix, read.ok_value.items, read.ok_value.revision, STORE)
         return None
@@ -134,20 +144,29 @@
     async def _watch(self, prefix: str) -> ItemStoreFailure | None:
         self.calls += 1
         revision = self._directory.tables[prefix].revision
+        self._watched_since[prefix] = trio.current_time()
         watched = await self._store.watch(prefix, revision)
+        watched_since = self._watched_since.pop(prefix)
         if isinstance(watched, Err):
-            return self._record_failure(prefix, watched.err_value)
+            return self._record_failure(prefix, watched.err_value, watched_since)
         self._record_answer()
         self._directory.apply(prefix, watched.ok_value.items, watched.ok_value.revision, STORE)
         return None
 
-    def _record_failure(self, prefix: str, failure: ItemStoreFailure) -> ItemStoreFailure:
+    def _record_failure(
+        self, prefix: str, failure: ItemStoreFailure, asked_at: float
+    ) -> ItemStoreFailure:
         if failure.history_lost:
             LOG.write("the store has lost its history", prefix=prefix, reason=failure.reason)
             return failure
         self._directory.record_outage(trio.current_time())
         if not self._lost:
-            LOG.write("the store did not answer", prefix=prefix, reason=failure.reason)
+            LOG.write(
+                "the store did not answer",
+                prefix=prefix,
+                reason=failure.reason,
+                waited_seconds=round(trio.current_time() - asked_at, 3),
+            )
         self._lost = True
         self._following = False
         self._failed_prefix = prefix
--- a/packages/daemon/gypsumpost_daemon/gateway/tests/test_directory_exchange.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/tests/test_directory_exchange.py
@@ -22,6 +22,9 @@
     def list_revisions(self):
         return {}
 
+    def record_named_version(self, version):
+        pass
+
 
 @attrs.define(kw_only=True)
 class RecordingNetwork:
