Ask another peer when one does not deliver the configuration it names

A peer that is slow, stopped or behind a silent link, and still heard, kept the host at its old version. Change: the choice is a part of core without input and output. A peer that did not deliver is asked after all others for 2 s, and the next one at once, without waiting for a beacon. Test: the one of the first choice now states the whole order; it failed with ['fast'] in place of four peers.

--- a/packages/daemon/gypsumpost_daemon/gateway/directory_exchange.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/directory_exchange.py
@@ -1,10 +1,10 @@
 """Fetches directory changes from peers."""
 
-import math
-
 import trio
 from result import Err
 
+from gypsumpost_core.gateway.directory_source import DirectorySource
+from gypsumpost_core.gateway.directory_sources import DirectorySources
 from gypsumpost_daemon.gateway.beacon import Beacon
 from gypsumpost_daemon.gateway.directory import Directory
 from gypsumpost_daemon.gateway.directory_codec import (
@@ -18,13 +18,6 @@
 from gypsumpost_daemon.peers.peer_request import PeerRequest
 from gypsumpost_daemon.telemetry.log import Log
 
-COALESCE_SECONDS = 0.1
-"""Changes within this time are fetched together."""
-
-FETCH_DELAY_SECONDS = 0.2
-"""How long to wait for the store, or a peer of the own domain, to deliver a change before it is
-fetched from another host that has it."""
-
 REPLY_SECONDS = 1.0
 
 LOG = Log(prefix="peers")
@@ -39,11 +32,9 @@
     """
 
     def __init__(self, *, own_domain: str, directory: Directory, network: PeerNetwork) -> None:
-        self._own_domain = own_domain
         self._directory = directory
         self._network = network
-        self._due = math.inf
-        self._ahead_beacon: Beacon | None = None
+        self._sources = DirectorySources(own_domain=own_domain)
         self._changed = trio.Event()
         network.add_handler(MessageKind.DIRECTORY_STATE, self._handle_request)
 
@@ -53,50 +44,38 @@
         :param beacon: the peer's beacon.
         :param watching: true if this host watches the store itself.
         """
-        if not self._is_ahead(beacon):
-            return
-        self._directory.record_named_version(beacon.version)
-        same_domain = beacon.host.failure_domain == self._own_domain
-        delay = COALESCE_SECONDS if same_domain and not watching else FETCH_DELAY_SECONDS
-        due = trio.current_time() + delay
-        if due < self._due:
-            self._due = due
-            self._ahead_beacon = beacon
+        source = DirectorySource(
+            host_id=beacon.host.host_id,
+            failure_domain=beacon.host.failure_domain,
+            link_mbps=beacon.host.link_mbps,
+            version=beacon.version,
+            endpoint_revision=beacon.endpoint_revision,
+        )
+        if self._is_ahead(source):
+            self._directory.record_named_version(source.version)
+            self._sources.put(source, trio.current_time(), watching=watching)
             self._changed.set()
-        elif (
-            same_domain
-            and self._ahead_beacon is not None
-            and self._is_faster(beacon, self._ahead_beacon)
-        ):
-            self._ahead_beacon = beacon
 
     async def run(self) -> None:
         """Fetch changes from peers that are ahead, until cancelled."""
         while True:
-            with trio.move_on_at(self._due):
+            with trio.move_on_at(self._sources.compute_due()):
                 await self._changed.wait()
-            if self._changed.is_set():
-                self._changed = trio.Event()
+            self._changed = trio.Event()
+            if trio.current_time() < self._sources.compute_due():
                 continue
-            self._due = math.inf
-            if self._ahead_beacon is not None and self._is_ahead(self._ahead_beacon):
-                await self._fetch(self._ahead_beacon)
-
-    def _is_ahead(self, beacon: Beacon) -> bool:
-        directory = self._directory
-        return (
-            beacon.version > directory.version
-            or beacon.endpoint_revision > directory.endpoint_revision
-        )
-
-    def _is_faster(self, beacon: Beacon, other: Beacon) -> bool:
-        """Return true if a peer can send a large configuration faster than another one."""
-        if other.host.failure_domain != self._own_domain:
-            return True
-        return beacon.host.link_mbps > other.host.link_mbps
-
-    async def _fetch(self, beacon: Beacon) -> None:
-        host_id = beacon.host.host_id
+            directory = self._directory
+            self._sources.drop_reached(directory.version, directory.endpoint_revision)
+            source = self._sources.choose(trio.current_time())
+            if source is not None and not await self._fetch(source):
+                self._sources.record_failure(source.host_id, trio.current_time())
+
+    def _is_ahead(self, source: DirectorySource) -> bool:
+        return source.is_ahead(self._directory.version, self._directory.endpoint_revision)
+
+    async def _fetch(self, source: DirectorySource) -> bool:
+        """Fetch changes from a peer; return true if it has sent all that it named."""
+        host_id = source.host_id
         started_at = trio.current_time()
         deadline = started_at + REPLY_SECONDS
         payload = encode_directory_request(self._directory.list_revisions())
@@ -109,25 +88,27 @@
                 reason=reply.err_value.reason,
                 waited_seconds=round(trio.current_time() - started_at, 3),
             )
-            return
+            return False
         decoded = decode_state(reply.ok_value)
         if isinstance(decoded, Err):
             LOG.write(
                 "cannot decode the directory of a peer", peer=host_id, reason=decoded.err_value
             )
-            return
+            return False
         for entry in decoded.ok_value:
             self._directory.apply_set(entry, host_id)
-        if self._is_ahead(beacon):
+        complete = not self._is_ahead(source)
+        if not complete:
             LOG.write(
                 "a peer that is ahead has sent nothing newer",
                 peer=host_id,
-                peer_version=beacon.version,
+                peer_version=source.version,
                 version=self._directory.version,
-                peer_endpoint_revision=beacon.endpoint_revision,
+                peer_endpoint_revision=source.endpoint_revision,
                 endpoint_revision=self._directory.endpoint_revision,
                 known=self._directory.list_revisions(),
             )
+        return complete
 
     async def _handle_request(self, request: PeerRequest) -> bytes:
         decoded = decode_directory_request(request.payload)
--- a/packages/daemon/gypsumpost_daemon/gateway/tests/test_directory_exchange.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/tests/test_directory_exchange.py
@@ -55,8 +55,11 @@
     )
 
 
-async def test_the_peer_with_the_fastest_link_is_asked(nursery, autojump_clock):
-    """Guards against a large configuration that all hosts fetch over one slow link."""
+async def test_each_peer_that_is_ahead_is_asked_until_one_replies(nursery, autojump_clock):
+    """Guards against a large configuration that all hosts fetch over one slow link.
+
+    It also guards against a host that waits for the next beacon when the first peer does not reply.
+    """
     network = RecordingNetwork()
     dependencies: dict[str, Any] = {"directory": EmptyDirectory(), "network": network}
     exchange = DirectoryExchange(own_domain="a", **dependencies)
@@ -70,4 +73,4 @@
     for beacon in beacons:
         exchange.handle_beacon(beacon, watching=False)
     await trio.sleep(1.0)
-    assert network.requested_peers == ["fast"]
+    assert network.requested_peers == ["fast", "slow-too", "slow", "other-domain"]
