Count a request to a peer without a reply as sent

A request that was sent and had no reply was reported as "no connection before the deadline", not sent. The claims of the product's interface hand that on, and an order that counts as not sent may be given again. Change: the timeout covers connecting only; the link reports its own. Test: failed before with sent=False, passes.

--- a/packages/daemon/gypsumpost_daemon/peers/peer_network.py
+++ b/packages/daemon/gypsumpost_daemon/peers/peer_network.py
@@ -70,14 +70,14 @@
         :param payload: encoded message.
         :param deadline: monotonic time in seconds at which to stop waiting.
         """
-        with trio.move_on_at(deadline):
-            opened = await self._open_link(host_id)
-            if isinstance(opened, Err):
-                return opened
-            return await opened.ok_value.request(kind, payload, deadline)
-        return Err(
+        opened: Result[PeerLink, PeerFailure] = Err(
             PeerFailure(host_id=host_id, reason="no connection before the deadline", sent=False)
         )
+        with trio.move_on_at(deadline):
+            opened = await self._open_link(host_id)
+        if isinstance(opened, Err):
+            return opened
+        return await opened.ok_value.request(kind, payload, deadline)
 
     def drop_link(self, host_id: str) -> None:
         """Close the link to a peer that did not reply, so that the next request opens a new one.
--- a/packages/daemon/gypsumpost_daemon/tests/test_peer_network.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_peer_network.py
@@ -62,3 +62,22 @@
     assert isinstance(outcome, Err)
     assert not outcome.err_value.sent
     nursery.cancel_scope.cancel()
+
+
+async def test_a_request_without_a_reply_counts_as_sent(nursery: trio.Nursery) -> None:
+    """Guards against an order that is given twice because its first request counts as not sent."""
+    left, right = create_host("left"), create_host("right")
+    client, server = create_network(left, right, b"k"), create_network(right, left, b"k")
+
+    async def never_reply(request: PeerRequest) -> bytes:
+        await trio.sleep_forever()
+        raise AssertionError("not reached")
+
+    server.add_handler(MessageKind.TAKE_OVER, never_reply)
+    await nursery.start(client.run)
+    await nursery.start(server.run)
+    deadline = trio.current_time() + 0.3
+    outcome = await client.request("right", MessageKind.TAKE_OVER, b"", deadline)
+    assert isinstance(outcome, Err)
+    assert outcome.err_value.sent and outcome.err_value.reason == "no reply before the deadline"
+    nursery.cancel_scope.cancel()
