--- a/packages/daemon/gypsumpost_daemon/peers/peer_network.py
+++ b/packages/daemon/gypsumpost_daemon/peers/peer_network.py
@@ -8,6 +8,7 @@
 
 from gypsumpost_core.key_ring import KeyRing
 from gypsumpost_daemon.addresses import split_address
+from gypsumpost_daemon.http.keep_alive import enable_keep_alive
 from gypsumpost_daemon.peers.frame import Frame
 from gypsumpost_daemon.peers.frame_decoder import FrameDecoder
 from gypsumpost_daemon.peers.host_directory import HostDirectory
@@ -105,6 +106,7 @@
             tcp = await trio.open_tcp_stream(ip, port)
         except OSError as error:
             return Err(PeerFailure(host_id=host_id, reason=str(error), sent=False))
+        enable_keep_alive(tcp)
         stream: trio.abc.Stream = self._tls.wrap_connected(tcp) if self._tls else tcp
         authenticated: Result[None, str] = Err("the handshake was cancelled")
         try:
@@ -123,6 +125,7 @@
         return Ok(link)
 
     async def _serve_connection(self, accepted_stream: trio.SocketStream) -> None:
+        enable_keep_alive(accepted_stream)
         stream: trio.abc.Stream = accepted_stream
         if self._tls is not None:
             stream = self._tls.wrap_accepted(accepted_stream)
--- a/packages/daemon/gypsumpost_daemon/tests/test_peer_network.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_peer_network.py
@@ -3,13 +3,18 @@
 import socket
 
 import trio
-from result import Err, Ok
+from result import Err, Ok, Result
 
 from gypsumpost_core.host import Host
 from gypsumpost_daemon.peers.host_directory import HostDirectory
 from gypsumpost_daemon.peers.message_kind import MessageKind
+from gypsumpost_daemon.peers.peer_failure import PeerFailure
 from gypsumpost_daemon.peers.peer_network import PeerNetwork
 from gypsumpost_daemon.peers.peer_request import PeerRequest
+from gypsumpost_daemon.tests.silent_socket import silence
+
+CONTACT_SECONDS = 3.0
+"""Time after which hosts whose connections went silent have to meet all bounds again."""
 
 
 def create_host(host_id: str) -> Host:
@@ -64,6 +69,38 @@
     nursery.cancel_scope.cancel()
 
 
+async def test_a_link_that_has_gone_silent_is_replaced(nursery: trio.Nursery, monkeypatch) -> None:
+    """Guards against a change that is late because it is fetched over a link that is silent.
+
+    Seen on velostation-qc: connections went silent without a reset, and the first request on the
+    link to a peer waited for its whole timeout.
+    """
+    opened = []
+    open_tcp_stream = trio.open_tcp_stream
+
+    async def record_stream(*args, **kwargs):
+        opened.append(await open_tcp_stream(*args, **kwargs))
+        return opened[-1]
+
+    monkeypatch.setattr("trio.open_tcp_stream", record_stream)
+    left, right = create_host("left"), create_host("right")
+    client, server = create_network(left, right, b"k"), create_network(right, left, b"k")
+    server.add_handler(MessageKind.TAKE_OVER, echo)
+    await nursery.start(client.run)
+    await nursery.start(server.run)
+
+    async def ask(seconds: float) -> Result[bytes, PeerFailure]:
+        deadline = trio.current_time() + seconds
+        return await client.request("right", MessageKind.TAKE_OVER, b"x", deadline)
+
+    assert await ask(5.0) == Ok(b"left:x")
+    silence(opened[0].socket)
+    await trio.sleep(CONTACT_SECONDS)
+    assert await ask(0.5) == Ok(b"left:x")
+    assert len(opened) == 2
+    nursery.cancel_scope.cancel()
+
+
 async def test_a_request_without_a_reply_counts_as_sent(nursery: trio.Nursery) -> None:
     """Guards against an order that is given twice because its first request counts as not sent."""
     left, right = create_host("left"), create_host("right")
