Do not let a revision that is too high hide changes

One wrong source hid changes from then on: the watch started behind them, and peers were asked for later ones only. Change: a watch goes on from what the store itself has said. A host that is told of a newer version, and gets nothing newer for the revision that it knows, asks the peer for all items and forgets its revision. A host that becomes a watcher reads the prefix once instead of trusting the revision of its peers. A batch of changes applies the last one of each key: after a silence of three seconds, ten or more versions were decoded one after the other.

--- a/packages/core/gypsumpost_core/gateway/item_table.py
+++ b/packages/core/gypsumpost_core/gateway/item_table.py
@@ -24,20 +24,20 @@
         return self._first_revision is not None
 
     def apply(self, items: Iterable[StoredItem], revision: int) -> list[StoredItem]:
-        """Apply changes and return those that were not known.
+        """Apply changes and return those that were not known, the last one of each key.
 
         :param items: the changes.
         :param revision: revision of the store up to which the changes are complete.
         """
-        changed = []
+        changed = {}
         for item in items:
             current = self._items.get(item.key)
             if current is None or item.revision > current.revision:
                 self._items[item.key] = item
                 self.newest = max(self.newest, item.revision)
-                changed.append(item)
+                changed[item.key] = item
         self.revision = max(self.revision, revision)
-        return changed
+        return list(changed.values())
 
     def replace(self, items: Iterable[StoredItem], revision: int) -> list[StoredItem]:
         """Apply a complete read of the prefix and return the changes, removals included.
@@ -58,6 +58,14 @@
             self._first_revision = revision
         return self.apply([*present, *removed], revision)
 
+    def forget_revision(self) -> None:
+        """Keep the items, but no longer take them for complete until the next complete read.
+
+        The revision comes from whoever sent the changes. If it was too high, changes are missing.
+        """
+        self._first_revision = None
+        self.revision = 0
+
     def has(self, key: str) -> bool:
         """Return true if an item exists."""
         item = self._items.get(key)
--- a/packages/daemon/gypsumpost_daemon/gateway/directory.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/directory.py
@@ -110,6 +110,14 @@
             prefix: table.revision if table.loaded else 0 for prefix, table in self.tables.items()
         }
 
+    def forget_revision(self, prefix: str) -> None:
+        """Keep the items under a prefix, but count them as complete only after the next full list.
+
+        :param prefix: the prefix.
+        """
+        if prefix in self.tables:
+            self.tables[prefix].forget_revision()
+
     def apply_set(self, entry: ItemSet, source: str) -> None:
         """Apply the items received from a peer.
 
@@ -233,7 +241,10 @@
         decoded = self._adapter.decode_configuration(value)
         if isinstance(decoded, Err):
             LOG.write(
-                "cannot decode the configuration", revision=revision, reason=decoded.err_value
+                "cannot decode the configuration",
+                revision=revision,
+                source=source,
+                reason=decoded.err_value,
             )
             return
         configuration = decoded.ok_value
--- a/packages/daemon/gypsumpost_daemon/gateway/directory_exchange.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/directory_exchange.py
@@ -1,5 +1,7 @@
 """Fetches directory changes from peers."""
 
+from collections.abc import Mapping
+
 import trio
 from result import Err
 
@@ -13,6 +15,7 @@
     encode_directory_request,
     encode_state,
 )
+from gypsumpost_daemon.gateway.item_set import ItemSet
 from gypsumpost_daemon.peers.message_kind import MessageKind
 from gypsumpost_daemon.peers.peer_network import PeerNetwork
 from gypsumpost_daemon.peers.peer_request import PeerRequest
@@ -34,6 +37,7 @@
     def __init__(self, *, own_domain: str, directory: Directory, network: PeerNetwork) -> None:
         self._directory = directory
         self._network = network
+        self._reached_endpoint_revision = 0
         self._sources = DirectorySources(own_domain=own_domain)
         self._changed = trio.Event()
         network.add_handler(MessageKind.DIRECTORY_STATE, self._handle_request)
@@ -64,21 +68,61 @@
             self._changed = trio.Event()
             if trio.current_time() < self._sources.compute_due():
                 continue
-            directory = self._directory
-            self._sources.drop_reached(directory.version, directory.endpoint_revision)
+            self._sources.drop_reached(self._directory.version, self._endpoint_revision)
             source = self._sources.choose(trio.current_time())
             if source is not None and not await self._fetch(source):
                 self._sources.record_failure(source.host_id, trio.current_time())
 
+    @property
+    def _endpoint_revision(self) -> int:
+        return max(self._directory.endpoint_revision, self._reached_endpoint_revision)
+
     def _is_ahead(self, source: DirectorySource) -> bool:
-        return source.is_ahead(self._directory.version, self._directory.endpoint_revision)
+        return source.is_ahead(self._directory.version, self._endpoint_revision)
 
     async def _fetch(self, source: DirectorySource) -> bool:
         """Fetch changes from a peer; return true if it has sent all that it named."""
+        known = self._directory.list_revisions()
+        sets = await self._request_sets(source, known)
+        if sets is None:
+            return False
+        self._apply(sets, source)
+        if not self._is_ahead(source):
+            return True
+        # The changes since the known revision do not hold what the peer named, so that revision
+        # may be too high. The peer sends all items to a host that knows none.
+        LOG.write(
+            "a peer that is ahead has sent nothing newer",
+            peer=source.host_id,
+            peer_version=source.version,
+            version=self._directory.version,
+            peer_endpoint_revision=source.endpoint_revision,
+            endpoint_revision=self._directory.endpoint_revision,
+            known=known,
+        )
+        sets = await self._request_sets(source, dict.fromkeys(known, 0))
+        if sets is None:
+            return False
+        for entry in sets:
+            self._directory.forget_revision(entry.prefix)
+        self._apply(sets, source)
+        # A peer that has found an endpoint missing in a complete read names the revision of that
+        # read, which is higher than that of the removal.
+        self._reached_endpoint_revision = source.endpoint_revision
+        return not self._is_ahead(source)
+
+    def _apply(self, sets: list[ItemSet], source: DirectorySource) -> None:
+        for entry in sets:
+            self._directory.apply_set(entry, source.host_id)
+
+    async def _request_sets(
+        self, source: DirectorySource, known: Mapping[str, int]
+    ) -> list[ItemSet] | None:
+        """Request what a peer knows after the given revisions, ``None`` if it does not reply."""
         host_id = source.host_id
         started_at = trio.current_time()
         deadline = started_at + REPLY_SECONDS
-        payload = encode_directory_request(self._directory.list_revisions())
+        payload = encode_directory_request(known)
         reply = await self._network.request(host_id, MessageKind.DIRECTORY_STATE, payload, deadline)
         if isinstance(reply, Err):
             self._network.drop_link(host_id)
@@ -88,27 +132,14 @@
                 reason=reply.err_value.reason,
                 waited_seconds=round(trio.current_time() - started_at, 3),
             )
-            return False
+            return None
         decoded = decode_state(reply.ok_value)
         if isinstance(decoded, Err):
             LOG.write(
                 "cannot decode the directory of a peer", peer=host_id, reason=decoded.err_value
             )
-            return False
-        for entry in decoded.ok_value:
-            self._directory.apply_set(entry, host_id)
-        complete = not self._is_ahead(source)
-        if not complete:
-            LOG.write(
-                "a peer that is ahead has sent nothing newer",
-                peer=host_id,
-                peer_version=source.version,
-                version=self._directory.version,
-                peer_endpoint_revision=source.endpoint_revision,
-                endpoint_revision=self._directory.endpoint_revision,
-                known=self._directory.list_revisions(),
-            )
-        return complete
+            return None
+        return decoded.ok_value
 
     async def _handle_request(self, request: PeerRequest) -> bytes:
         decoded = decode_directory_request(request.payload)
--- a/packages/daemon/gypsumpost_daemon/gateway/store_follower.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/store_follower.py
@@ -47,6 +47,9 @@
         self._following = False
         self._refresh_at = -math.inf
         self._watched_since: dict[str, float] = {}
+        # Revisions up to which the store itself has sent the changes. What peers say does not
+        # count here, so that a wrong revision of a peer cannot hide changes of the store.
+        self._positions: dict[str, int] = {}
         self._failed_prefix = next(iter(directory.tables))
 
     @property
@@ -99,17 +102,17 @@
                 await self._read(self._failed_prefix)
 
     async def _follow(self, prefix: str) -> None:
-        history_lost = failed_before = False
-        table = self._directory.tables[prefix]
+        failed_before = False
         while True:
             await self._wait_until_watcher()
-            known = table.loaded and not history_lost
+            known = prefix in self._positions
             failure = await (self._watch(prefix) if known else self._read(prefix))
             if failure is None:
-                history_lost = failed_before = False
+                failed_before = False
                 await trio.sleep(WATCH_PAUSE_SECONDS)
                 continue
-            history_lost = history_lost or failure.history_lost
+            if failure.history_lost:
+                self._positions.pop(prefix, None)
             await trio.sleep(FIRST_RETRY_SECONDS * (0.5 + random.random()))
             if failed_before:
                 await self._wait_recovery()
@@ -138,18 +141,19 @@
         if isinstance(read, Err):
             return self._record_failure(prefix, read.err_value, asked_at)
         self._record_answer()
+        self._positions[prefix] = read.ok_value.revision
         self._directory.replace(prefix, read.ok_value.items, read.ok_value.revision, STORE)
         return None
 
     async def _watch(self, prefix: str) -> ItemStoreFailure | None:
         self.calls += 1
-        revision = self._directory.tables[prefix].revision
         self._watched_since[prefix] = trio.current_time()
-        watched = await self._store.watch(prefix, revision)
+        watched = await self._store.watch(prefix, self._positions[prefix])
         watched_since = self._watched_since.pop(prefix)
         if isinstance(watched, Err):
             return self._record_failure(prefix, watched.err_value, watched_since)
         self._record_answer()
+        self._positions[prefix] = watched.ok_value.revision
         self._directory.apply(prefix, watched.ok_value.items, watched.ok_value.revision, STORE)
         return None
 
