Read a configuration again that arrived damaged

Change: the item is dropped, so that the same write is applied when it comes again, and the prefix is read once more. Test: failed before with TooSlowError; it also shows that a document that is no configuration is read once, and leaves the version in force.

--- a/packages/core/gypsumpost_core/gateway/item_table.py
+++ b/packages/core/gypsumpost_core/gateway/item_table.py
@@ -66,6 +66,14 @@
         self._first_revision = None
         self.revision = 0
 
+    def discard(self, key: str) -> None:
+        """Drop an item that cannot be used, so that the same write is applied when it comes again.
+
+        :param key: key of the item.
+        """
+        self._items.pop(key, None)
+        self.forget_revision()
+
     def has(self, key: str) -> bool:
         """Return true if an item exists."""
         item = self._items.get(key)
--- a/packages/daemon/gypsumpost_daemon/gateway/store_follower.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/store_follower.py
@@ -50,6 +50,7 @@
         # Revisions up to which the store itself has sent the changes. What peers say does not
         # count here, so that a wrong revision of a peer cannot hide changes of the store.
         self._positions: dict[str, int] = {}
+        self._reread_revision = 0
         self._failed_prefix = next(iter(directory.tables))
 
     @property
@@ -143,6 +144,7 @@
         self._record_answer()
         self._positions[prefix] = read.ok_value.revision
         self._directory.replace(prefix, read.ok_value.items, read.ok_value.revision, STORE)
+        self._check_readable(prefix)
         return None
 
     async def _watch(self, prefix: str) -> ItemStoreFailure | None:
@@ -155,8 +157,16 @@
         self._record_answer()
         self._positions[prefix] = watched.ok_value.revision
         self._directory.apply(prefix, watched.ok_value.items, watched.ok_value.revision, STORE)
+        self._check_readable(prefix)
         return None
 
+    def _check_readable(self, prefix: str) -> None:
+        """Read a prefix again, once, if the last configuration arrived damaged."""
+        unreadable = self._directory.unreadable_revision
+        if unreadable > self._reread_revision:
+            self._reread_revision = unreadable
+            self._positions.pop(prefix, None)
+
     def _record_failure(
         self, prefix: str, failure: ItemStoreFailure, asked_at: float
     ) -> ItemStoreFailure:
