--- a/packages/daemon/gypsumpost_daemon/gateway/directory.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/directory.py
@@ -119,18 +119,17 @@
         if prefix in self.tables:
             self.tables[prefix].forget_revision()
 
-    def apply_set(self, entry: ItemSet, source: str) -> None:
-        """Apply the items received from a peer.
+    def apply_set(self, entry: ItemSet, source: str) -> bool:
+        """Apply the items received from a peer; return true if any was not known.
 
         :param entry: the items of a prefix.
         :param source: the peer, for the log.
         """
         if entry.prefix not in self.tables:
-            return
+            return False
         if entry.partial:
-            self.apply(entry.prefix, entry.items, entry.revision, source)
-        else:
-            self.replace(entry.prefix, entry.items, entry.revision, source)
+            return self.apply(entry.prefix, entry.items, entry.revision, source)
+        return self.replace(entry.prefix, entry.items, entry.revision, source)
 
     @property
     def ready(self) -> bool:
@@ -150,27 +149,31 @@
         self._changed.set()
         self._changed = trio.Event()
 
-    def apply(self, prefix: str, items: Iterable[StoredItem], revision: int, source: str) -> None:
-        """Apply changes of items.
+    def apply(self, prefix: str, items: Iterable[StoredItem], revision: int, source: str) -> bool:
+        """Apply changes of items; return true if any was not known.
 
         :param prefix: the prefix under which they were read.
         :param items: the changes.
         :param revision: revision up to which they are complete.
         :param source: where they come from, for the log.
         """
-        self._apply_changes(prefix, self.tables[prefix].apply(items, revision), source)
+        changed = self.tables[prefix].apply(items, revision)
+        self._apply_changes(prefix, changed, source)
         self._record_load(source)
+        return bool(changed)
 
-    def replace(self, prefix: str, items: Iterable[StoredItem], revision: int, source: str) -> None:
-        """Replace all items under a prefix.
+    def replace(self, prefix: str, items: Iterable[StoredItem], revision: int, source: str) -> bool:
+        """Replace all items under a prefix; return true if any has changed.
 
         :param prefix: the prefix under which they were read.
         :param items: all items.
         :param revision: revision of the store when the read started.
         :param source: where they come from, for the log.
         """
-        self._apply_changes(prefix, self.tables[prefix].replace(items, revision), source)
+        changed = self.tables[prefix].replace(items, revision)
+        self._apply_changes(prefix, changed, source)
         self._record_load(source)
+        return bool(changed)
 
     def add_successor(self, record: EndpointRecord, successor: EndpointRecord) -> None:
         """Add an engine that has replaced another one at its address.
--- a/packages/daemon/gypsumpost_daemon/gateway/directory_exchange.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/directory_exchange.py
@@ -1,6 +1,6 @@
 """Fetches directory changes from peers."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 import trio
 from result import Err
@@ -32,10 +32,19 @@
     :param own_domain: failure domain of this host.
     :param directory: configuration and endpoints.
     :param network: requests to peers.
+    :param record_change: called with the prefix of a change that a peer has sent, and the peer.
     """
 
-    def __init__(self, *, own_domain: str, directory: Directory, network: PeerNetwork) -> None:
+    def __init__(
+        self,
+        *,
+        own_domain: str,
+        directory: Directory,
+        network: PeerNetwork,
+        record_change: Callable[[str, str], None],
+    ) -> None:
         self._directory = directory
+        self._record_change = record_change
         self._network = network
         self._reached_endpoint_revision = 0
         self._sources = DirectorySources(own_domain=own_domain)
@@ -113,7 +122,8 @@
 
     def _apply(self, sets: list[ItemSet], source: DirectorySource) -> None:
         for entry in sets:
-            self._directory.apply_set(entry, source.host_id)
+            if self._directory.apply_set(entry, source.host_id):
+                self._record_change(entry.prefix, source.host_id)
 
     async def _request_sets(
         self, source: DirectorySource, known: Mapping[str, int]
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
@@ -138,6 +138,7 @@
                 own_domain=settings.failure_domain,
                 directory=self.directory,
                 network=self._network,
+                record_change=self._follower.record_change_of_peer,
             ),
         )
         self.context = ForwardContext(
--- a/packages/daemon/gypsumpost_daemon/gateway/store_follower.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/store_follower.py
@@ -4,11 +4,11 @@
 import random
 
 import trio
-from result import Err
+from result import Err, Result
 
 from gypsumpost_core.gateway.host_roles import HostRoles
 from gypsumpost_daemon.gateway.directory import STORE, Directory
-from gypsumpost_daemon.gateway.item_store import ItemStore, ItemStoreFailure
+from gypsumpost_daemon.gateway.item_store import ItemBatch, ItemStore, ItemStoreFailure
 from gypsumpost_daemon.telemetry.log import Log
 
 READ_SECONDS = 2.0
@@ -23,6 +23,9 @@
 WATCHER_CHECK_SECONDS = 0.25
 """Interval at which a host checks whether it is a watcher of the store."""
 
+MISSED_CHANGE_SECONDS = 0.5
+"""A watch that has been open for this long should have brought what a peer has sent."""
+
 REFRESH_SECONDS = 1.0
 """Minimum interval between two refreshes."""
 
@@ -47,6 +50,7 @@
         self._following = False
         self._refresh_at = -math.inf
         self._watched_since: dict[str, float] = {}
+        self._watch_scopes: dict[str, trio.CancelScope] = {}
         # Revisions up to which the store itself has sent the changes. What peers say does not
         # count here, so that a wrong revision of a peer cannot hide changes of the store.
         self._positions: dict[str, int] = {}
@@ -71,6 +75,19 @@
         now = trio.current_time()
         return now - self._watched_since.get(prefix, now)
 
+    def record_change_of_peer(self, prefix: str, peer: str) -> None:
+        """Start the watch of a prefix again if a peer has sent a change that it did not bring.
+
+        :param prefix: prefix of the keys.
+        :param peer: the peer, for the log.
+        """
+        age = self.compute_watch_age(prefix)
+        if age >= MISSED_CHANGE_SECONDS:
+            LOG.write(
+                "a watch has missed a change", prefix=prefix, peer=peer, watch_seconds=round(age, 3)
+            )
+            self._watch_scopes[prefix].cancel()
+
     def record_peers_outage(self) -> None:
         """Record that the store answers none of the watchers on which this host relies."""
         if not self._lost and not self.watching:
@@ -150,8 +167,13 @@
     async def _watch(self, prefix: str) -> ItemStoreFailure | None:
         self.calls += 1
         self._watched_since[prefix] = trio.current_time()
-        watched = await self._store.watch(prefix, self._positions[prefix])
+        watched: Result[ItemBatch, ItemStoreFailure] | None = None
+        with trio.CancelScope() as scope:
+            self._watch_scopes[prefix] = scope
+            watched = await self._store.watch(prefix, self._positions[prefix])
         watched_since = self._watched_since.pop(prefix)
+        if watched is None:
+            return None  # The watch has missed a change and is started again.
         if isinstance(watched, Err):
             return self._record_failure(prefix, watched.err_value, watched_since)
         self._record_answer()
--- a/packages/daemon/gypsumpost_daemon/gateway/tests/test_directory_exchange.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/tests/test_directory_exchange.py
@@ -62,7 +62,9 @@
     """
     network = RecordingNetwork()
     dependencies: dict[str, Any] = {"directory": EmptyDirectory(), "network": network}
-    exchange = DirectoryExchange(own_domain="a", **dependencies)
+    exchange = DirectoryExchange(
+        own_domain="a", record_change=lambda prefix, peer: None, **dependencies
+    )
     nursery.start_soon(exchange.run)
     beacons = [
         create_beacon("other-domain", "b", 1000),
