Own the signals of a process from its first line to its exit

Cause: the receiver of signals was closed when the first stop signal had come, and opened only when the process served. Outside of it the system's default action ends the process. Change: signals are recorded from the first line on, before the imports that take most of the start; one part receives them until the exit, and a table in core says what each does in each phase. A reload during the start is carried out when the process serves, a stop during the start ends it with its last line, and during the drain both are logged and do nothing else. A second interrupt ends the process at once.

--- a/packages/bench/gypsumpost_bench/deployment_plan.py
+++ b/packages/bench/gypsumpost_bench/deployment_plan.py
@@ -26,4 +26,4 @@
     platform: bool = True
     daemon_flags: tuple[str, ...] = ()
     engine_addresses: tuple[str, ...] = ()
-    daemon_code: str = "import gypsumpost_daemon.main as m; m.main()"
+    daemon_code: str = "import gypsumpost_daemon.start as s; s.main()"
--- /dev/null
+++ b/packages/core/gypsumpost_core/lifecycle/__init__.py
@@ -0,0 +1,1 @@
+"""Phases of a process and what signals do in them."""
--- /dev/null
+++ b/packages/core/gypsumpost_core/lifecycle/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the lifecycle of a process."""
--- a/packages/daemon/gypsumpost_daemon/__main__.py
+++ b/packages/daemon/gypsumpost_daemon/__main__.py
@@ -1,5 +1,5 @@
 """Runs the daemon as ``python -m gypsumpost_daemon``."""
 
-from gypsumpost_daemon.main import main
+from gypsumpost_daemon.start import main
 
 main()
--- a/packages/daemon/gypsumpost_daemon/daemon.py
+++ b/packages/daemon/gypsumpost_daemon/daemon.py
@@ -1,7 +1,6 @@
 """Assembles and runs the components of the daemon."""
 
 import random
-import signal
 
 import trio
 
@@ -32,6 +31,7 @@
 from gypsumpost_daemon.generations.stream_canceller import StreamCanceller
 from gypsumpost_daemon.http.http_server import HTTP_SERVERS
 from gypsumpost_daemon.http.running_server import RunningServer
+from gypsumpost_daemon.lifecycle.process_signals import ProcessSignals
 from gypsumpost_daemon.limits.admission_gate import AdmissionGate
 from gypsumpost_daemon.peers.gossip import Gossip
 from gypsumpost_daemon.peers.host_directory import HostDirectory
@@ -63,6 +63,7 @@
 
     def __init__(self, *, settings: Settings) -> None:
         self._settings = settings
+        self._signals = ProcessSignals(reload=ignore_reload)
         own = Host(
             host_id=settings.host_id,
             failure_domain=settings.failure_domain,
@@ -111,6 +112,7 @@
         self._add_handlers()
         configure_garbage_collector()
         async with trio.open_nursery() as nursery:
+            await nursery.start(self._signals.run, nursery.cancel_scope)
             await nursery.start(self._network.run)
             await nursery.start(self._gossip.run)
             if self._platform is not None:
@@ -120,11 +122,13 @@
             await nursery.start(self._reporter.run)
             await nursery.start(self._supervisor.run)
             self._start_background(nursery)
+            self._signals.record_serving()
             server = await self._start_server(nursery)
             LOG.write("ready", address=server.address)
             await self._wait_for_stop(server)
             await self._gossip.leave()
             nursery.cancel_scope.cancel()
+        LOG.write("stopped", open_requests=self._application.open_requests)
 
     def _create_supervisor(self) -> GenerationSupervisor:
         resumption = RESUMPTION.create(
@@ -233,9 +237,7 @@
         return server
 
     async def _wait_for_stop(self, server: RunningServer) -> None:
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-            async for _ in signals:
-                break
+        await self._signals.stop_requested.wait()
         deadline = trio.current_time() + self._settings.stop_deadline
         LOG.write("stopping", open_requests=self._application.open_requests)
         self._application.draining = True
@@ -243,4 +245,8 @@
         with trio.move_on_at(deadline):
             while self._application.open_requests or self._supervisor.running:
                 await trio.sleep(0.05)
-        LOG.write("stopped", open_requests=self._application.open_requests)
+
+
+def ignore_reload() -> None:
+    """Say that there is nothing to read again."""
+    LOG.write("ignored a reload: keys and host lists are read when their files change")
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
@@ -1,7 +1,5 @@
 """Creates the components of the gateway and runs them."""
 
-import signal
-
 import attrs
 import trio
 from result import Err
@@ -37,6 +35,7 @@
 from gypsumpost_daemon.http.h11_server import serve_limited
 from gypsumpost_daemon.http.http_limits import HttpLimits
 from gypsumpost_daemon.http.running_server import RunningServer
+from gypsumpost_daemon.lifecycle.process_signals import ProcessSignals
 from gypsumpost_daemon.peers.gossip import Gossip
 from gypsumpost_daemon.peers.host_directory import HostDirectory
 from gypsumpost_daemon.peers.peer_network import PeerNetwork
@@ -157,7 +156,7 @@
         )
         self.application = GatewayApplication(context=self.context)
         self._limits = HttpLimits(max_body=CallerLimits().max_body)
-        self._stopping = False
+        self._signals = ProcessSignals(reload=self._reload)
         self.serving = False
         add_gauges(
             metrics,
@@ -169,6 +168,7 @@
     async def run(self) -> None:
         """Serve until a stop signal, then until all requests have ended or the deadline passes."""
         async with trio.open_nursery() as nursery:
+            await nursery.start(self._signals.run, nursery.cancel_scope)
             await nursery.start(self._network.run)
             await nursery.start(self._gossip.run)
             await nursery.start(self._exchange.run)
@@ -180,6 +180,7 @@
             await self._serve(
                 nursery, ready, self.settings.ready_address, HttpLimits(max_body=READY_BODY_BYTES)
             )
+            self._signals.record_serving()
             server = await self._serve(
                 nursery, self.application, self.settings.caller_address, self._limits
             )
@@ -197,7 +198,8 @@
         LOG.write("stopped", open_requests=self.application.open_requests)
 
     def _is_ready(self) -> bool:
-        return self.directory.ready and not self._stopping and not self._is_cut_off()
+        stopping = self._signals.stop_requested.is_set()
+        return self.directory.ready and not stopping and not self._is_cut_off()
 
     def _is_cut_off(self) -> bool:
         """Return true if this host reaches neither the store nor any endpoint of some service.
@@ -240,15 +242,10 @@
             await self.directory.wait_change(float("inf"))
 
     async def _wait_for_stop(self, server: RunningServer) -> None:
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
-            async for number in signals:
-                if number != signal.SIGHUP:
-                    break
-                self._reload()
+        await self._signals.stop_requested.wait()
         now = trio.current_time()
         deadline = now + self.settings.stop_seconds - STOP_MARGIN_SECONDS
         LOG.write("stopping", open_requests=self.application.open_requests)
-        self._stopping = True
         self.application.accept_streams_until = now + ACCEPT_STREAMS_SECONDS
         self.application.accept_calls_until = deadline - CALL_MARGIN_SECONDS
         server.drain()
