--- a/conftest.py
+++ b/conftest.py
@@ -28,10 +28,12 @@
 
 
 def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
-    """Print the listed tests with their outcome.
+    """Print the listed tests with their outcome, and why they failed.
 
     :param terminalreporter: the reporter of the run.
     """
     for outcome in ("xfailed", "xpassed"):
         for report in terminalreporter.stats.get(outcome, []):
             terminalreporter.write_line(f"KNOWN-RED.txt: {report.nodeid} {outcome}")
+            if outcome == "xfailed":
+                terminalreporter.write_line(report.longreprtext)
