Send series of signals in the soak, and check the last line of each daemon

A daemon gets reloads and further stop signals while it stops, and a reload as soon as it handles signals when it starts again. Its planned stop may cut off nothing, as before, and a daemon that was not killed has to end with the line that it has stopped.

--- a/packages/bench/gypsumpost_bench/fault_injector.py
+++ b/packages/bench/gypsumpost_bench/fault_injector.py
@@ -1,6 +1,7 @@
 """Injects the planned faults of a soak run."""
 
 import json
+import signal
 from typing import Any
 
 import attrs
@@ -21,6 +22,9 @@
 STOP_SECONDS = 60.0
 """A daemon that has not exited this long after a planned stop is killed."""
 
+SIGNAL_SERIES = (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP, signal.SIGTERM, signal.SIGHUP)
+SIGNAL_GAP_SECONDS = 0.2
+
 READY_PATHS = {"engine": "/load", "service": "/load", "daemon": "/ready"}
 
 
@@ -96,7 +100,7 @@
             await self._inject_store_fault(fault)
         elif fault.kind is FaultKind.ENGINE_LEAVE:
             await self._set_leaving(fault)
-        elif action in ("kill", "pause", "stop"):
+        elif action in ("kill", "pause", "stop", "signals"):
             await self._signal_process(fault)
         elif component == "engine":
             await self._inject_engine_fault(fault)
@@ -125,11 +129,16 @@
                 return
             if fault.kind.action == "stop":
                 await self._stop(running)
+            elif fault.kind.action == "signals":
+                await self._stop_with_reloads(running)
             else:
                 running.kill()
                 self._record_end(running, killed=True)
             await trio.sleep(fault.seconds)
-            await self._restart_until_serving(component, running)
+            async with trio.open_nursery() as nursery:
+                if fault.kind.action == "signals":
+                    nursery.start_soon(self._reload_starting, running, running.incarnation + 1)
+                await self._restart_until_serving(component, running)
         finally:
             self._handled.discard(running.name)
 
@@ -143,6 +152,21 @@
             running.kill()
         self._record_end(running, killed=False)
 
+    async def _stop_with_reloads(self, running: RunningProcess) -> None:
+        """Stop a process while reloads and further stop signals arrive."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._stop, running)
+            for number in SIGNAL_SERIES:
+                running.send_signal(number)
+                await trio.sleep(SIGNAL_GAP_SECONDS)
+
+    async def _reload_starting(self, running: RunningProcess, incarnation: int) -> None:
+        """Send a reload to a process that starts, as soon as it handles signals."""
+        with trio.move_on_after(STOP_SECONDS):
+            while running.incarnation < incarnation or not running.has_handler(signal.SIGHUP):
+                await trio.sleep(0.005)
+            running.send_signal(signal.SIGHUP)
+
     async def _inject_engine_fault(self, fault: PlannedFault) -> None:
         address = self.deployment.engines[fault.target].address
         action = fault.kind.action
@@ -186,9 +210,15 @@
                 status=running.process.returncode,
                 killed=killed,
                 output=output,
+                last_message=self._read_last_message(running),
             )
         )
 
+    def _read_last_message(self, running: RunningProcess) -> str:
+        path = self.deployment.directory / f"{running.name}.log"
+        lines = path.read_bytes().splitlines() if path.exists() else []
+        return str(orjson.loads(lines[-1])["message"]) if lines else ""
+
 
 async def send_fault(address: str, request: dict[str, Any]) -> None:
     """Inject a fault into a stand-in; a lost connection or no answer within 3 s is ignored.
--- a/packages/bench/gypsumpost_bench/fault_kind.py
+++ b/packages/bench/gypsumpost_bench/fault_kind.py
@@ -21,6 +21,7 @@
     DAEMON_KILL = "daemon kill"
     DAEMON_PAUSE = "daemon pause"
     DAEMON_STOP = "daemon stop"
+    DAEMON_SIGNALS = "daemon signals"
     STORE_DOWN = "store down"
     STORE_SLOW = "store slow"
     STORE_LOSE_ANSWERS = "store lose_answers"
--- a/packages/bench/gypsumpost_bench/process_event.py
+++ b/packages/bench/gypsumpost_bench/process_event.py
@@ -13,6 +13,7 @@
     :param status: exit status as in ``subprocess``, negative for a signal.
     :param killed: true if the run sent SIGKILL as a planned fault.
     :param output: its standard output and error.
+    :param last_message: message of the last line in its log, empty if it has none.
     """
 
     name: str
@@ -21,3 +22,4 @@
     status: int
     killed: bool
     output: str
+    last_message: str = ""
--- a/packages/bench/gypsumpost_bench/running_process.py
+++ b/packages/bench/gypsumpost_bench/running_process.py
@@ -3,6 +3,7 @@
 import os
 import signal
 import subprocess
+from pathlib import Path
 
 import attrs
 
@@ -37,6 +38,22 @@
         """Resume a paused process with SIGCONT."""
         os.kill(self.process.pid, signal.SIGCONT)
 
+    def send_signal(self, number: signal.Signals) -> None:
+        """Send a signal, unless the process has exited.
+
+        :param number: the signal.
+        """
+        self.process.send_signal(number)
+
+    def has_handler(self, number: signal.Signals) -> bool:
+        """Return true if the process handles a signal itself.
+
+        :param number: the signal.
+        """
+        status = Path(f"/proc/{self.process.pid}/status").read_text()
+        caught = next(line for line in status.splitlines() if line.startswith("SigCgt"))
+        return bool(int(caught.split()[1], 16) >> (number - 1) & 1)
+
     def stop(self) -> None:
         """Request a planned stop with SIGTERM; does not wait for it."""
         self.process.terminate()
--- a/packages/bench/gypsumpost_bench/soak_verdicts.py
+++ b/packages/bench/gypsumpost_bench/soak_verdicts.py
@@ -18,6 +18,9 @@
 PACED_BY_CALLER = (CallerKind.SLOW, CallerKind.DISAPPEAR)
 """Callers that cause gaps by their own pace, so that their gaps are not stalls of the system."""
 
+LAST_MESSAGE = "daemon: stopped"
+"""Message of the last log line of a daemon that was not killed."""
+
 FAILURE_OUTPUT = re.compile(r"Traceback|Error\b|broken invariant")
 
 
@@ -107,6 +110,8 @@
             yield f"{end.name} ended with status {end.status}: {end.output[-2000:]}"
         elif FAILURE_OUTPUT.search(end.output):
             yield f"{end.name} printed an error: {end.output[-2000:]}"
+        elif not end.killed and end.last_message != LAST_MESSAGE:
+            yield f"{end.name} ended after the line {end.last_message!r}"
 
 
 def check_planned_stops(history: History, addresses: dict[str, str]) -> Iterator[str]:
@@ -116,7 +121,7 @@
     :param addresses: caller address of each daemon.
     """
     for stop in history.faults:
-        if stop.kind is not FaultKind.DAEMON_STOP:
+        if stop.kind not in (FaultKind.DAEMON_STOP, FaultKind.DAEMON_SIGNALS):
             continue
         for event in history.answers:
             for connection in event.answer.connections:
--- a/packages/bench/gypsumpost_bench/tests/test_soak.py
+++ b/packages/bench/gypsumpost_bench/tests/test_soak.py
@@ -12,6 +12,7 @@
     PlannedFault(at=0.8, kind=FaultKind.ENGINE_KILL, target="engine-1", seconds=1.0),
     PlannedFault(at=1.5, kind=FaultKind.STORE_DOWN, target="d1", seconds=0.5),
     PlannedFault(at=2.2, kind=FaultKind.DAEMON_KILL, target="d2-host1", seconds=0.5),
+    PlannedFault(at=2.6, kind=FaultKind.DAEMON_SIGNALS, target="d3-host1", seconds=0.5),
     PlannedFault(at=3.2, kind=FaultKind.STORE_LOSE_ANSWERS, target="d1", seconds=0.6),
 ]
 
--- a/packages/bench/gypsumpost_bench/tests/test_soak_verdicts.py
+++ b/packages/bench/gypsumpost_bench/tests/test_soak_verdicts.py
@@ -113,3 +113,23 @@
     assert find_refused("lists_unknown", at=3.0) == []
     assert find_refused("lists_unknown", at=1.0) == ["bad requests are refused"]
     assert find_refused("overloaded", at=3.0) == ["bad requests are refused"]
+
+
+def test_a_stopped_daemon_has_to_say_that_it_has_stopped() -> None:
+    """Guards against a signal that ends a daemon in the middle of its planned stop."""
+
+    def find_ended(last_message: str, killed: bool) -> list[str]:
+        end = ProcessEvent(
+            name="d1-host1",
+            incarnation=1,
+            at=2.0,
+            status=0,
+            killed=killed,
+            output="",
+            last_message=last_message,
+        )
+        return find_failed(History(ends=[end]))
+
+    assert find_ended("daemon: stopped", killed=False) == []
+    assert find_ended("daemon: stopping", killed=True) == []
+    assert find_ended("daemon: stopping", killed=False) == ["daemons end as asked"]
