Count a revision of a peer as reached only if the peer holds all items

Found in the read of this change: a peer that had just forgotten its own revision replied without lists, and the host took the named revision for reached, so that changes of other peers up to it were not fetched. A reply without all lists counts as a failure now. The revision of an item that arrived damaged is kept by the table of its prefix, so that a watch of another prefix cannot take the second read for itself.

--- a/packages/core/gypsumpost_core/gateway/item_table.py
+++ b/packages/core/gypsumpost_core/gateway/item_table.py
@@ -9,7 +9,8 @@
     """Applies changes that arrive in any order and from several sources.
 
     The revision of a removed key is kept, so that an older write that arrives late has no effect.
-    The changes are complete up to ``revision``; ``newest`` is the revision of the newest item.
+    The changes are complete up to ``revision``; ``newest`` is the revision of the newest item, and
+    ``discarded`` that of the newest item that could not be used.
     """
 
     def __init__(self) -> None:
@@ -17,6 +18,7 @@
         self._first_revision: int | None = None
         self.revision = 0
         self.newest = 0
+        self.discarded = 0
 
     @property
     def loaded(self) -> bool:
@@ -71,7 +73,9 @@
 
         :param key: key of the item.
         """
-        self._items.pop(key, None)
+        item = self._items.pop(key, None)
+        if item is not None:
+            self.discarded = max(self.discarded, item.revision)
         self.forget_revision()
 
     def has(self, key: str) -> bool:
--- a/packages/core/gypsumpost_core/gateway/tests/test_item_table.py
+++ b/packages/core/gypsumpost_core/gateway/tests/test_item_table.py
@@ -62,3 +62,20 @@
     table.replace([create_item("a", 1)], 4)
     assert table.list_changes_after(3) is None
     assert table.list_changes_after(4) == []
+
+
+def test_a_discarded_item_is_applied_when_it_comes_again():
+    """Guards against an item that arrived damaged and hides the sound copy of the same write."""
+    table = ItemTable()
+    table.replace([create_item("a", 3, b"damaged")], 4)
+    table.discard("a")
+    assert not table.loaded and table.discarded == 3
+    assert [item.value for item in table.replace([create_item("a", 3, b"sound")], 4)] == [b"sound"]
+    assert table.loaded
+
+
+def test_only_the_last_change_of_a_key_is_returned():
+    """Guards against a host that decodes all versions that it missed before the newest."""
+    table = ItemTable()
+    changed = table.apply([create_item("a", 1), create_item("b", 2), create_item("a", 3)], 3)
+    assert sorted((item.key, item.revision) for item in changed) == [("a", 3), ("b", 2)]
--- a/packages/daemon/gypsumpost_daemon/gateway/directory.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/directory.py
@@ -44,7 +44,6 @@
         self._remove_at: dict[str, float] = {}
         self._unconfirmed: set[str] = set()
         self.store_lost = False
-        self.unreadable_revision = 0
         self._first_use = FirstUse()
         self._lag = VersionLag()
         self._changed = trio.Event()
@@ -250,7 +249,6 @@
                 source=source,
                 reason=decoded.err_value,
             )
-            self.unreadable_revision = revision
             self.tables[self._adapter.configuration_prefix].discard(self._adapter.configuration_key)
             return
         configuration = decoded.ok_value
--- a/packages/daemon/gypsumpost_daemon/gateway/directory_exchange.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/directory_exchange.py
@@ -110,8 +110,8 @@
             known=known,
         )
         sets = await self._request_sets(source, dict.fromkeys(known, 0))
-        if sets is None:
-            return False
+        if sets is None or len(sets) < len(known):
+            return False  # The peer does not hold all items itself.
         for entry in sets:
             self._directory.forget_revision(entry.prefix)
         self._apply(sets, source)
--- a/packages/daemon/gypsumpost_daemon/gateway/store_follower.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/store_follower.py
@@ -54,7 +54,7 @@
         # Revisions up to which the store itself has sent the changes. What peers say does not
         # count here, so that a wrong revision of a peer cannot hide changes of the store.
         self._positions: dict[str, int] = {}
-        self._reread_revision = 0
+        self._reread: dict[str, int] = {}
         self._failed_prefix = next(iter(directory.tables))
 
     @property
@@ -183,10 +183,10 @@
         return None
 
     def _check_readable(self, prefix: str) -> None:
-        """Read a prefix again, once, if the last configuration arrived damaged."""
-        unreadable = self._directory.unreadable_revision
-        if unreadable > self._reread_revision:
-            self._reread_revision = unreadable
+        """Read a prefix again, once for each write, if an item arrived damaged."""
+        discarded = self._directory.tables[prefix].discarded
+        if discarded > self._reread.get(prefix, 0):
+            self._reread[prefix] = discarded
             self._positions.pop(prefix, None)
 
     def _record_failure(
--- a/packages/daemon/gypsumpost_daemon/gateway/tests/test_directory_exchange.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/tests/test_directory_exchange.py
@@ -4,11 +4,13 @@
 
 import attrs
 import trio
-from result import Err
+from result import Err, Ok
 
 from gypsumpost_core.gateway.host_report import HostReport
 from gypsumpost_daemon.gateway.beacon import Beacon
+from gypsumpost_daemon.gateway.directory_codec import encode_state
 from gypsumpost_daemon.gateway.directory_exchange import DirectoryExchange
+from gypsumpost_daemon.gateway.item_set import ItemSet
 from gypsumpost_daemon.peers.peer_failure import PeerFailure
 
 
@@ -19,8 +21,19 @@
     version: int = 0
     endpoint_revision: int = 0
 
+    applied: list[str] = attrs.field(factory=list)
+
     def list_revisions(self):
-        return {}
+        return {"servers/": 9}
+
+    def apply_set(self, entry, source):
+        self.applied.append(source)
+        if not entry.partial:
+            self.endpoint_revision = entry.revision
+        return True
+
+    def forget_revision(self, prefix):
+        pass
 
     def record_named_version(self, version):
         pass
@@ -31,25 +44,28 @@
     """Records the peers to which requests are sent, and gives no reply."""
 
     requested_peers: list[str] = attrs.field(factory=list)
+    replies: dict[str, list[bytes]] = attrs.field(factory=dict)
 
     def add_handler(self, kind, handler):
         pass
 
     async def request(self, host_id, kind, payload, deadline):
         self.requested_peers.append(host_id)
+        if self.replies.get(host_id):
+            return Ok(self.replies[host_id].pop(0))
         return Err(PeerFailure(host_id=host_id, reason="test", sent=True))
 
     def drop_link(self, host_id):
         pass
 
 
-def create_beacon(name, domain="a", link_mbps=10):
+def create_beacon(name, domain="a", link_mbps=10, version=7, endpoint_revision=0):
     return Beacon(
         host=HostReport(host_id=name, failure_domain=domain, link_mbps=link_mbps),
         ip="127.0.0.1",
         sequence=1,
-        version=7,
-        endpoint_revision=0,
+        version=version,
+        endpoint_revision=endpoint_revision,
         uses={},
         retries={},
     )
@@ -76,3 +92,23 @@
         exchange.handle_beacon(beacon, watching=False)
     await trio.sleep(1.0)
     assert network.requested_peers == ["fast", "slow-too", "slow", "other-domain"]
+
+
+async def test_a_peer_that_holds_no_full_list_does_not_hide_the_changes_of_others(
+    nursery, autojump_clock
+):
+    """Guards against a change that counts as known since a peer without it named its revision."""
+    nothing = encode_state(())
+    full = encode_state([ItemSet(prefix="servers/", revision=12, items=(), partial=False)])
+    network = RecordingNetwork(replies={"empty": [nothing, nothing], "full": [full]})
+    dependencies: dict[str, Any] = {"directory": EmptyDirectory(), "network": network}
+    exchange = DirectoryExchange(
+        own_domain="a", record_change=lambda prefix, peer: None, **dependencies
+    )
+    nursery.start_soon(exchange.run)
+    for name, link_mbps in (("empty", 200), ("full", 10)):
+        beacon = create_beacon(name, link_mbps=link_mbps, version=0, endpoint_revision=12)
+        exchange.handle_beacon(beacon, watching=False)
+    await trio.sleep(1.0)
+    assert network.requested_peers == ["empty", "empty", "full"]
+    assert dependencies["directory"].applied == ["full"]
