Ignore signals while the interpreter ends

Cause: the interpreter restores the default action of handled signals when it ends. A reload or stop signal in the last moments of a planned stop ended the process with status -1 or -15, after its last line. Change: the handled signals are ignored once the daemon has ended.

--- a/packages/daemon/gypsumpost_daemon/lifecycle/early_signals.py
+++ b/packages/daemon/gypsumpost_daemon/lifecycle/early_signals.py
@@ -18,6 +18,15 @@
         signal.signal(number, _record)
 
 
+def ignore_signals() -> None:
+    """Ignore the handled signals.
+
+    The interpreter restores the default action of recorded ones when it ends, not of ignored ones.
+    """
+    for number in HANDLED:
+        signal.signal(number, signal.SIG_IGN)
+
+
 def take_recorded() -> list[signal.Signals]:
     """Return the recorded signals and forget them."""
     taken = list(RECORDED)
