Do not take a broken connection of a watch for an outage of the store

A connection that had gone silent counted as an outage, so that an endpoint that had left was in use for up to 4.2 s after the silence, 1.2 s longer than hosts whose connections were reset are excused. Change: a watch that was open for a second and breaks is opened again; the store counts as lost if that fails.

--- a/packages/daemon/gypsumpost_daemon/gateway/item_store.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/item_store.py
@@ -26,10 +26,12 @@
 
     :param reason: a short description.
     :param history_lost: true if the store no longer keeps the requested changes.
+    :param connection_lost: true if an open connection broke. That says nothing of the store itself.
     """
 
     reason: str
     history_lost: bool = False
+    connection_lost: bool = False
 
 
 class ItemStore(Protocol):
--- a/packages/daemon/gypsumpost_daemon/gateway/store_follower.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/store_follower.py
@@ -20,6 +20,10 @@
 WATCH_PAUSE_SECONDS = 0.15
 """Changes within this time arrive in one call, because calls are billed."""
 
+SOUND_CONNECTION_SECONDS = 1.0
+"""A connection that breaks after this time says nothing of the store: the next call tells whether
+the store answers. Endpoints whose entries are removed are kept for a while after an outage."""
+
 WATCHER_CHECK_SECONDS = 0.25
 """Interval at which a host checks whether it is a watcher of the store."""
 
@@ -175,7 +179,17 @@
         if watched is None:
             return None  # The watch has missed a change and is started again.
         if isinstance(watched, Err):
-            return self._record_failure(prefix, watched.err_value, watched_since)
+            failure = watched.err_value
+            age = trio.current_time() - watched_since
+            if failure.connection_lost and age >= SOUND_CONNECTION_SECONDS:
+                LOG.write(
+                    "the connection of a watch broke",
+                    prefix=prefix,
+                    reason=failure.reason,
+                    watch_seconds=round(age, 3),
+                )
+                return failure
+            return self._record_failure(prefix, failure, watched_since)
         self._record_answer()
         self._positions[prefix] = watched.ok_value.revision
         self._directory.apply(prefix, watched.ok_value.items, watched.ok_value.revision, STORE)
