Log the parts and the stage of each request that an endpoint had when it crashed

The log named the digest of a whole request only, so it could not be told whether crash-causing requests share a part of their prompt, whether a blamed request had begun to write, or whether a crash was excused by other losses of its domain.

--- a/packages/daemon/gypsumpost_daemon/gateway/call_forwarder.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/call_forwarder.py
@@ -3,6 +3,7 @@
 import trio
 from result import Err, Ok, Result
 
+from gypsumpost_core.gateway.crash_suspect import CrashSuspect
 from gypsumpost_core.gateway.endpoint_choice import choose_endpoint
 from gypsumpost_core.gateway.endpoint_record import EndpointRecord
 from gypsumpost_core.gateway.endpoint_state import EndpointState
@@ -180,13 +181,14 @@
                 AttemptFailure(reason=opened.err_value.reason, may_have_run=False, sent=False)
             )
         connection = opened.ok_value
+        sent_at = trio.current_time()
         try:
             with trio.move_on_at(min(attempt_deadline, call.deadline)):
                 request = self._context.create_request(call, record.endpoint_id)
                 sent = await connection.send(request)
                 if isinstance(sent, Err):
                     failure = sent.err_value
-                    self._suspect(call, record, failure.reason)
+                    self._suspect(call, record, failure.reason, sent_at)
                     return Err(
                         AttemptFailure(reason=failure.reason, may_have_run=failure.may_have_run)
                     )
@@ -203,15 +205,23 @@
                     EndpointAnswer(status=head.status_code, headers=list(head.headers), body=body),
                 )
         except OSError as error:
-            self._suspect(call, record, str(error))
+            self._suspect(call, record, str(error), sent_at)
             return Err(AttemptFailure(reason=str(error), may_have_run=True))
         finally:
             connection.close()
         return Err(AttemptFailure(reason="no answer in time", may_have_run=True))
 
-    def _suspect(self, call: CallerCall, record: EndpointRecord, reason: str) -> None:
+    def _suspect(
+        self, call: CallerCall, record: EndpointRecord, reason: str, sent_at: float
+    ) -> None:
+        suspect = CrashSuspect(
+            fingerprint=call.fingerprint,
+            parts=call.shared_parts,
+            sent_seconds=trio.current_time() - sent_at,
+        )
+
         def handle_loss() -> None:
-            self._context.crash_guard.record_crash(call, record)
+            self._context.crash_guard.record_crash(call, record, suspect)
 
         self._context.monitor.suspect(record, reason, handle_loss)
 
--- a/packages/daemon/gypsumpost_daemon/gateway/caller_call.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/caller_call.py
@@ -26,6 +26,7 @@
     :param deadline: monotonic time in seconds at which the caller must have the final answer.
     :param prompt_tokens: number of prompt tokens, 0 without a prompt.
     :param output_tokens: maximum number of output tokens.
+    :param shared_parts: digests of the parts of the prompt that other requests may share.
     :param last_event_id: id of the last event that the caller has received, empty for none.
     """
 
@@ -42,6 +43,7 @@
     deadline: float
     prompt_tokens: int = 0
     output_tokens: int = 0
+    shared_parts: tuple[bytes, ...] = ()
     last_event_id: bytes = b""
 
     @cached_property
--- a/packages/daemon/gypsumpost_daemon/gateway/engine_watch.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/engine_watch.py
@@ -48,16 +48,24 @@
     def restart(self) -> None:
         """Measure from now, because the request is sent now."""
         self.started_at = self.last_event_at = self._checked_at = trio.current_time()
-        self._started = False
+        self._first_event_at: float | None = None
         self._made: int | None = None
 
+    @property
+    def written_seconds(self) -> float | None:
+        """Time from the first event of the engine to its last, ``None`` before the first."""
+        if self._first_event_at is None:
+            return None
+        return self.last_event_at - self._first_event_at
+
     def record_event(self, now: float) -> None:
         """Record that the engine has sent an event.
 
         :param now: monotonic time in seconds.
         """
         self.last_event_at = now
-        self._started = True
+        if self._first_event_at is None:
+            self._first_event_at = now
         self._made = None
 
     def compute_check_time(self, *, prefilling: bool) -> float:
@@ -83,7 +91,7 @@
         silence = EngineSilence(
             seconds=now - self.last_event_at,
             prefilling=prefilling,
-            started=self._started,
+            started=self._first_event_at is not None,
             prefill_seconds=self._prefill_seconds,
             objective=self._call.route.objective,
             has_copy=self._has_copy,
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_application.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_application.py
@@ -15,6 +15,7 @@
 from gypsumpost_daemon.gateway.forward_context import ForwardContext
 from gypsumpost_daemon.gateway.forwarder import FORWARDERS, Forwarder
 from gypsumpost_daemon.gateway.message_headers import find_header, select_request_headers
+from gypsumpost_daemon.gateway.prompt_parts import read_shared_parts
 from gypsumpost_daemon.http.asgi_application import Receive, Scope, Send
 from gypsumpost_daemon.telemetry.log import Log
 
@@ -160,6 +161,7 @@
             deadline=received_at + seconds,
             prompt_tokens=counts[0],
             output_tokens=counts[1],
+            shared_parts=read_shared_parts(find_header(headers, names.prompt_parts) or b""),
             last_event_id=find_header(headers, names.last_event_id) or b"",
         )
 
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
@@ -111,7 +111,8 @@
         )
         self.usage = UsageTable()
         rates = PrefillRates()
-        crash_guard = CrashGuard(fleet=self.directory.fleet)
+        gateway_metrics = GatewayMetrics(metrics=metrics)
+        crash_guard = CrashGuard(fleet=self.directory.fleet, metrics=gateway_metrics)
         self.copies = CopyDirectory()
         retry_budget = create_retry_budget(settings)
         self._exchange = PeerExchange(
@@ -151,7 +152,7 @@
             crash_guard=crash_guard,
             copies=self.copies,
             retry_budget=retry_budget,
-            metrics=GatewayMetrics(metrics=metrics),
+            metrics=gateway_metrics,
             count_hosts=self._count_hosts,
         )
         self.application = GatewayApplication(context=self.context)
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_metrics.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_metrics.py
@@ -27,6 +27,12 @@
         self._repeated_prefills = metrics.add_counter(
             "gypsumpost_gateway_prompts_read_again_total", "Prompts that were read again."
         )
+        self._crash_suspects = metrics.add_counter(
+            "gypsumpost_gateway_crash_suspects_total",
+            "Requests that an endpoint had when it crashed, by stage of their run.",
+            "stage",
+            "excused",
+        )
         self._answers = metrics.add_durations(
             "gypsumpost_gateway_answer_seconds", "Time to the whole answer of a call."
         )
@@ -51,6 +57,14 @@
         if not from_copy:
             self._repeated_prefills.add()
 
+    def count_crash_suspect(self, stage: str, *, excused: bool) -> None:
+        """Count a request that an endpoint had when it crashed.
+
+        :param stage: ``reading`` or ``writing``.
+        :param excused: true if the crash does not count against the request.
+        """
+        self._crash_suspects.add(stage, "yes" if excused else "no")
+
     def record_answer(self, seconds: float) -> None:
         """Record the time to the complete answer of a call."""
         self._answers.record(seconds)
--- a/packages/daemon/gypsumpost_daemon/gateway/header_names.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/header_names.py
@@ -18,6 +18,8 @@
     :param not_run: set on an answer if the endpoint did not run the request.
     :param priority: priority of a request at the engine.
     :param token_counts: number of prompt tokens and maximum number of output tokens.
+    :param prompt_parts: parts of the prompt in order, as ``ID:TOKENS`` with commas between them;
+        requests share parts, except the last one.
     :param copy_target: address of the engine that receives a copy of the stream's KV cache.
     :param resume_from: address of the engine with a copy, and id of the stream that it belongs to.
     :param pass_through: headers that belong to the request itself and are passed on unchanged.
@@ -35,6 +37,7 @@
     not_run: bytes
     priority: bytes
     token_counts: bytes
+    prompt_parts: bytes
     copy_target: bytes
     resume_from: bytes
     pass_through: tuple[bytes, ...]
--- a/packages/daemon/gypsumpost_daemon/gateway/stream_attempt.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/stream_attempt.py
@@ -6,6 +6,7 @@
 
 from gypsumpost_core.gateway.copy_report import CopyReport
 from gypsumpost_core.gateway.copy_source import CopySource
+from gypsumpost_core.gateway.crash_suspect import CrashSuspect
 from gypsumpost_core.gateway.endpoint_record import EndpointRecord
 from gypsumpost_core.gateway.endpoint_state import EndpointState
 from gypsumpost_daemon.engines.h11_engine_connection import H11EngineConnection, connect
@@ -97,7 +98,7 @@
         try:
             with scope:
                 return await self._run_with_renewal(connection)
-            self._context.crash_guard.record_crash(self._call, self._record)
+            self._record_crash()
             return Err(AttemptFailure(reason="the engine is lost", may_have_run=True))
         finally:
             self._context.monitor.unwatch(self._record.endpoint_id, scope)
@@ -120,9 +121,18 @@
 
     async def _report_broken_connection(self, error: OSError) -> Result[None, AttemptFailure]:
         if not await self._context.monitor.check(self._record, str(error)):
-            self._context.crash_guard.record_crash(self._call, self._record)
+            self._record_crash()
         return Err(AttemptFailure(reason=str(error), may_have_run=True))
 
+    def _record_crash(self) -> None:
+        suspect = CrashSuspect(
+            fingerprint=self._call.fingerprint,
+            parts=self._call.shared_parts,
+            sent_seconds=trio.current_time() - self._watch.started_at,
+            written_seconds=self._watch.written_seconds,
+        )
+        self._context.crash_guard.record_crash(self._call, self._record, suspect)
+
     async def _send_and_forward(
         self, connection: H11EngineConnection
     ) -> Result[None, AttemptFailure]:
--- a/packages/daemon/gypsumpost_daemon/gateway/tests/test_message_headers.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/tests/test_message_headers.py
@@ -18,6 +18,7 @@
     not_run=b"not-run",
     priority=b"rank",
     token_counts=b"counts",
+    prompt_parts=b"parts",
     copy_target=b"copy",
     resume_from=b"from",
     pass_through=(b"model",),
