--- a/packages/daemon/gypsumpost_daemon/gateway/stream_attempt.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/stream_attempt.py
@@ -169,6 +169,7 @@
             copy=self._progress.usage.copy_engine,
             from_copy=self._copy is not None,
             last_event=self._progress.last_event_id.decode("latin-1"),
+            parts=[part.hex() for part in self._call.shared_parts],
             prefill_tokens=self._prefill_tokens,
             expected_seconds=round(self._prefill_seconds, 3),
             version=self._context.directory.version,
