Let one request try now and then whether endpoints still crash on a refused part

A part that was blamed wrongly stayed refused for 120 s on all hosts. The host that is responsible for the cause lets one request through after 15 s without a crash, and after twice the time over which endpoints have crashed, so that trials of a real cause become rare: in the test at 19 and 57 s, after five crashes until 4 s.

--- a/packages/core/gypsumpost_core/gateway/blame.py
+++ b/packages/core/gypsumpost_core/gateway/blame.py
@@ -4,6 +4,12 @@
 
 from gypsumpost_core.gateway.crash_key import CrashKey
 
+TRIAL_SECONDS = 15.0
+"""Minimum time without a crash before one request tries whether endpoints still crash."""
+
+TRIAL_FACTOR = 2
+"""Multiple of the time over which endpoints have crashed; so trials become rare."""
+
 
 @attrs.frozen(kw_only=True)
 class Blame:
@@ -33,3 +39,11 @@
     def score(self) -> float:
         """The weight of the evidence: an occasion that is explained otherwise counts half."""
         return self.crashes + self.explained / 2
+
+    def is_trial_due(self, now: float) -> bool:
+        """Return true if one request may try whether endpoints still crash on this.
+
+        :param now: monotonic time in seconds.
+        """
+        pause = max(TRIAL_SECONDS, TRIAL_FACTOR * (self.last_at - self.first_at))
+        return now >= self.last_at + pause
--- a/packages/core/gypsumpost_core/gateway/crash_register.py
+++ b/packages/core/gypsumpost_core/gateway/crash_register.py
@@ -105,14 +105,14 @@
         self._survival_reports[report.key] = now + RESEND_SECONDS
         return True
 
-    def find_cause(self, suspect: CrashSuspect) -> Blame | None:
-        """Return why a request must not run as of the last review, ``None`` if it may.
+    def list_causes(self, suspect: CrashSuspect) -> list[Blame]:
+        """Return the causes that a request contains, as of the last review.
 
         :param suspect: the request.
         """
         if not self.causes:
-            return None
-        return next((self.causes[key] for key in suspect.keys if key in self.causes), None)
+            return []
+        return [self.causes[key] for key in suspect.keys if key in self.causes]
 
     def review(self, now: float) -> tuple[list[Blame], list[Blame]]:
         """Decide again if the evidence has changed or aged.
--- a/packages/core/gypsumpost_core/gateway/tests/test_crash_register.py
+++ b/packages/core/gypsumpost_core/gateway/tests/test_crash_register.py
@@ -28,7 +28,7 @@
 
 def is_refused(register, suspect, now):
     register.review(now)
-    return register.find_cause(suspect) is not None
+    return bool(register.list_causes(suspect))
 
 
 def is_part_refused(register, part, now):
@@ -149,6 +149,21 @@
     assert not is_part_refused(started, DEADLY, 9.0 + 121)
 
 
+def test_a_cause_is_tried_again_less_and_less_often():
+    """Guards against trials that crash more engines than three after the fifth (BUDGET)."""
+    register = CrashRegister()
+    crash_with_part(register, 5, parts=(DEADLY,))
+    trials = []
+    for second in range(5, 120):
+        register.review(float(second))
+        for blame in register.list_causes(create_suspect(90, DEADLY)):
+            if blame.is_trial_due(second):
+                trials.append(second)
+                suspect = create_suspect(1000 + second, DEADLY)
+                register.add(create_report("e", second, suspect), float(second))
+    assert trials == [19, 57]
+
+
 def test_a_survival_that_a_peer_has_seen_counts():
     """Guards against refusing a part on a host where no request with it has run (LOST)."""
     seen, other = CrashRegister(), CrashRegister()
--- a/packages/daemon/gypsumpost_daemon/gateway/crash_guard.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/crash_guard.py
@@ -14,6 +14,7 @@
 from gypsumpost_core.gateway.run_progress import RunProgress
 from gypsumpost_core.gateway.survival_report import SurvivalReport
 from gypsumpost_daemon.gateway.caller_call import CallerCall
+from gypsumpost_daemon.gateway.crash_trial import CrashTrial
 from gypsumpost_daemon.gateway.gateway_metrics import GatewayMetrics
 from gypsumpost_daemon.telemetry.log import Log
 
@@ -25,10 +26,19 @@
 
     :param fleet: the endpoints and their losses.
     :param metrics: counters of the gateway.
+    :param is_responsible: returns true if this host, of all live ones, decides about a cause.
     """
 
-    def __init__(self, *, fleet: EndpointFleet, metrics: GatewayMetrics) -> None:
+    def __init__(
+        self,
+        *,
+        fleet: EndpointFleet,
+        metrics: GatewayMetrics,
+        is_responsible: Callable[[CrashKey], bool],
+    ) -> None:
         self._fleet = fleet
+        self._is_responsible = is_responsible
+        self._trials: dict[CrashKey, CrashTrial] = {}
         self._metrics = metrics
         self._register = CrashRegister()
         self._listeners: list[Callable[[], None]] = []
@@ -51,8 +61,12 @@
 
         :param call: the request.
         """
-        self._review(trio.current_time())
-        return self._register.find_cause(call.suspect)
+        now = trio.current_time()
+        self._review(now)
+        for blame in self._register.list_causes(call.suspect):
+            if not self._may_try(blame, call, now):
+                return blame
+        return None
 
     def record_loss(self, record: EndpointRecord) -> None:
         """Record that an endpoint was lost, whether or not it had requests of this host.
@@ -127,11 +141,25 @@
         if self._register.merge_survival(report, now):
             notify(self._forward_listeners)
 
+    def _may_try(self, blame: Blame, call: CallerCall, now: float) -> bool:
+        trial = self._trials.get(blame.key)
+        if trial is not None and now < trial.ends_at and blame.last_at <= trial.started_at:
+            return trial.request_id == call.request_id
+        # One host decides for all, or each would try.
+        if not blame.is_trial_due(now) or not self._is_responsible(blame.key):
+            return False
+        self._trials[blame.key] = CrashTrial(
+            request_id=call.request_id, started_at=now, ends_at=call.deadline
+        )
+        log_blame("a request tries whether endpoints still crash on it", blame, now)
+        return True
+
     def _review(self, now: float) -> None:
         refused, released = self._register.review(now)
         for blame in refused:
             log_blame("requests are refused because endpoints crash on them", blame, now)
         for blame in released:
+            self._trials.pop(blame.key, None)
             log_blame("requests are no longer refused", blame, now)
 
 
