Check whose answer it is before reading that a request has not run

Callers of a request that had run were told 503, not run, and the request went to a second endpoint, when a faulty endpoint wrote an earlier refusal once more: the not-run header and status 421 were read before the echoed id. Calls and streams share one check now, which begins with the id.

--- a/packages/daemon/gypsumpost_daemon/gateway/attempt_failure.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/attempt_failure.py
@@ -9,9 +9,11 @@
 
     :param reason: a short description.
     :param may_have_run: false only if it is certain that the endpoint has not run the request.
+    :param replaced: true if another endpoint answered at the address.
     :param sent: true if the endpoint may have received any part of the request.
     """
 
     reason: str
     may_have_run: bool
     sent: bool = True
+    replaced: bool = False
--- a/packages/daemon/gypsumpost_daemon/gateway/call_forwarder.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/call_forwarder.py
@@ -10,13 +10,14 @@
 from gypsumpost_core.gateway.run_progress import RunProgress
 from gypsumpost_core.run_state import RunState
 from gypsumpost_daemon.engines.h11_engine_connection import connect
+from gypsumpost_daemon.gateway.answer_check import check_answer
 from gypsumpost_daemon.gateway.attempt_failure import AttemptFailure
 from gypsumpost_daemon.gateway.caller_call import CallerCall
 from gypsumpost_daemon.gateway.caller_exchange import CallerExchange
 from gypsumpost_daemon.gateway.endpoint_answer import EndpointAnswer
 from gypsumpost_daemon.gateway.forward_context import ForwardContext
 from gypsumpost_daemon.gateway.forwarder import FORWARDERS
-from gypsumpost_daemon.gateway.message_headers import find_header, select_response_headers
+from gypsumpost_daemon.gateway.message_headers import select_response_headers
 from gypsumpost_daemon.telemetry.log import Log
 
 CONNECT_SECONDS = 0.08
@@ -35,7 +36,6 @@
 """Answers are passed on whole, and a faulty endpoint may send bytes without end."""
 
 SERVER_ERROR_STATUS = 500
-MISDIRECTED = 421
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses by which a caller concludes that its request has not run. They are not passed on from
 an endpoint whose answer does not say so in its not-run header."""
@@ -228,17 +228,13 @@
     def _classify_answer(
         self, call: CallerCall, state: EndpointState, answer: EndpointAnswer
     ) -> Result[EndpointAnswer, AttemptFailure]:
-        names = self._context.header_names
-        if answer.status == MISDIRECTED:
-            self._context.monitor.mark_replaced(state.record)
-            return Err(AttemptFailure(reason="another endpoint", may_have_run=False, sent=False))
-        if find_header(answer.headers, names.not_run) is not None:
-            return Err(AttemptFailure(reason=f"refused with {answer.status}", may_have_run=False))
-        answered = find_header(answer.headers, names.request_id)
-        if answered is not None and answered.decode("latin-1") != call.request_id:
-            return Err(AttemptFailure(reason="answer to another request", may_have_run=True))
-        if find_header(answer.headers, names.seal) is None:
-            return Err(AttemptFailure(reason=f"unsealed {answer.status}", may_have_run=True))
+        failure = check_answer(
+            answer.status, answer.headers, self._context.header_names, call.request_id
+        )
+        if failure is not None:
+            if failure.replaced:
+                self._context.monitor.mark_replaced(state.record)
+            return Err(failure)
         if answer.status in NOT_RUN_STATUSES:
             reason = f"{answer.status} that does not say whether it ran"
             return Err(AttemptFailure(reason=reason, may_have_run=True))
--- a/packages/daemon/gypsumpost_daemon/gateway/stream_attempt.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/stream_attempt.py
@@ -10,6 +10,7 @@
 from gypsumpost_core.gateway.endpoint_state import EndpointState
 from gypsumpost_core.gateway.run_progress import SURVIVAL_SECONDS, RunProgress
 from gypsumpost_daemon.engines.h11_engine_connection import H11EngineConnection, connect
+from gypsumpost_daemon.gateway.answer_check import check_answer
 from gypsumpost_daemon.gateway.attempt_failure import AttemptFailure
 from gypsumpost_daemon.gateway.caller_call import CallerCall
 from gypsumpost_daemon.gateway.caller_exchange import CallerExchange
@@ -17,7 +18,7 @@
 from gypsumpost_daemon.gateway.engine_watch import EngineWatch
 from gypsumpost_daemon.gateway.event_splitter import EventSplitter, StreamEvent
 from gypsumpost_daemon.gateway.forward_context import ForwardContext
-from gypsumpost_daemon.gateway.message_headers import find_header, select_response_headers
+from gypsumpost_daemon.gateway.message_headers import select_response_headers
 from gypsumpost_daemon.gateway.stream_progress import StreamProgress
 from gypsumpost_daemon.telemetry.log import Log
 
@@ -28,7 +29,6 @@
 """A faulty engine may send bytes without end that never complete an event."""
 
 SUCCESS = 200
-MISDIRECTED = 421
 LOWEST_PRIORITY = 9
 
 LOG = Log(prefix="stream")
@@ -202,23 +202,20 @@
     async def _receive_head(
         self, connection: H11EngineConnection
     ) -> Result[h11.Response, AttemptFailure]:
-        names = self._context.header_names
         head: h11.Response | None = None
         while head is None:
             with trio.move_on_at(self._watch.compute_check_time(prefilling=True)):
                 head = await connection.receive_head(self._call.method)
             if head is None and not await self._watch.is_alive(prefilling=True):
                 return Err(AttemptFailure(reason="the engine is silent", may_have_run=True))
-        if head.status_code == MISDIRECTED:
-            self._context.monitor.mark_replaced(self._record)
-            return Err(AttemptFailure(reason="another endpoint", may_have_run=False, sent=False))
-        if find_header(head.headers, names.not_run) is not None:
-            reason = f"refused with {head.status_code}"
-            return Err(AttemptFailure(reason=reason, may_have_run=False))
-        answered = find_header(head.headers, names.request_id)
-        if answered is not None and answered.decode("latin-1") != self._call.request_id:
-            return Err(AttemptFailure(reason="answer to another request", may_have_run=True))
-        if head.status_code != SUCCESS or find_header(head.headers, names.seal) is None:
+        headers = list(head.headers)
+        names = self._context.header_names
+        failure = check_answer(head.status_code, headers, names, self._call.request_id)
+        if failure is not None:
+            if failure.replaced:
+                self._context.monitor.mark_replaced(self._record)
+            return Err(failure)
+        if head.status_code != SUCCESS:
             return Err(AttemptFailure(reason=f"status {head.status_code}", may_have_run=True))
         return Ok(head)
 
