--- a/packages/daemon/gypsumpost_daemon/gateway/stream_progress.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/stream_progress.py
@@ -18,6 +18,7 @@
     :param failed_sends: number of failed attempts whose request was sent to an engine.
     :param may_have_run: true if an engine may have begun to run the request.
     :param resuming: true from the start of an attempt that resumes the stream to its first event.
+    :param content_type: content type of the answer that the caller receives.
     :param events: number of events that the caller has received.
     :param first_event_at: monotonic time of the first event, ``None`` before it.
     :param last_event_at: monotonic time of the last event, ``None`` before the first.
@@ -32,6 +33,7 @@
     failed_sends: int = 0
     may_have_run: bool = False
     resuming: bool = False
+    content_type: bytes = b""
     events: int = 0
     first_event_at: float | None = None
     last_event_at: float | None = None
