--- a/packages/core/gypsumpost_core/gateway/blame.py
+++ b/packages/core/gypsumpost_core/crashes/blame.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from gypsumpost_core.gateway.crash_key import CrashKey
+from gypsumpost_core.crashes.crash_key import CrashKey
 
 TRIAL_SECONDS = 15.0
 """Minimum time without a crash before one request tries whether endpoints still crash."""
--- a/packages/core/gypsumpost_core/gateway/crash.py
+++ b/packages/core/gypsumpost_core/crashes/crash.py
@@ -2,7 +2,8 @@
 
 import attrs
 
-from gypsumpost_core.gateway.crash_suspect import CrashSuspect
+from gypsumpost_core.crashes.crash_key import CrashKey
+from gypsumpost_core.crashes.crash_suspect import CrashSuspect
 from gypsumpost_core.gateway.endpoint_start import EndpointStart
 
 
@@ -21,3 +22,14 @@
     failure_domain: str
     at: float
     suspects: set[CrashSuspect] = attrs.field(factory=set)
+
+    def list_keys(self) -> set[CrashKey]:
+        """Return the possible causes that the suspects contain."""
+        return {key for suspect in self.suspects for key in suspect.keys}
+
+    def list_containing(self, key: CrashKey) -> list[CrashSuspect]:
+        """Return the suspects that contain a possible cause.
+
+        :param key: the possible cause.
+        """
+        return [suspect for suspect in self.suspects if key in suspect.depths]
--- a/packages/core/gypsumpost_core/gateway/crash_attribution.py
+++ b/packages/core/gypsumpost_core/crashes/crash_attribution.py
@@ -8,14 +8,15 @@
 """
 
 import math
+from collections import Counter
 from collections.abc import Iterable, Sequence
 
 import attrs
 
-from gypsumpost_core.gateway.blame import Blame
-from gypsumpost_core.gateway.crash import Crash
-from gypsumpost_core.gateway.crash_key import CauseKind, CrashKey
-from gypsumpost_core.gateway.survivals import Survivals
+from gypsumpost_core.crashes.blame import Blame
+from gypsumpost_core.crashes.crash import Crash
+from gypsumpost_core.crashes.crash_key import CauseKind, CrashKey
+from gypsumpost_core.crashes.survivals import Survivals
 
 REFUSED_CRASHES = 3
 """Crashes after which a request or a part is refused that is not known to have survived."""
@@ -67,9 +68,10 @@
         :param crashes: the known losses of endpoints.
         """
         groups = group_crashes(crashes)
+        frequent = list_frequent(groups)
         causes: dict[CrashKey, Blame] = {}
         while True:
-            counts = self._count(groups)
+            counts = self._count(groups, frequent)
             blames = [
                 blame
                 for key, count in counts.items()
@@ -81,26 +83,28 @@
             causes[cause.key] = cause
             self._explain(groups, cause.key)
 
-    def _count(self, groups: Sequence[Sequence[Crash]]) -> dict[CrashKey, KeyCount]:
+    def _count(
+        self, groups: Sequence[Sequence[Crash]], frequent: set[CrashKey]
+    ) -> dict[CrashKey, KeyCount]:
         counts: dict[CrashKey, KeyCount] = {}
         for group in groups:
-            suspects = {key for crash in group for s in crash.suspects for key in s.keys}
-            for key in suspects:
+            present = set().union(*(crash.list_keys() for crash in group))
+            for key in frequent & present:
                 self._count_group(counts.setdefault(key, KeyCount()), key, group)
         return counts
 
     def _count_group(self, count: KeyCount, key: CrashKey, group: Sequence[Crash]) -> None:
         survived_at = self.survivals.get(key).at
-        present = [
-            crash
-            for crash in group
-            if crash.at > survived_at and any(key in s.keys for s in crash.suspects)
-        ]
+        present = []
+        for crash in group:
+            containing = crash.list_containing(key) if crash.at > survived_at else []
+            if containing:
+                present.append(crash)
+            for suspect in containing:
+                count.requests.add(suspect.fingerprint)
+                count.depth = suspect.depths[key]
         if not present:
             return
-        for suspect in (s for crash in present for s in crash.suspects if key in s.keys):
-            count.requests.add(suspect.fingerprint)
-            count.depth = suspect.keys.index(key)
         open_here = [crash for crash in present if (id(crash), key) not in self._explained]
         others = [
             crash for crash in group if crash not in open_here and id(crash) not in self._caused
@@ -137,11 +141,11 @@
         what makes it crash endpoints.
         """
         for crash in (crash for group in groups for crash in group):
-            containing = [s for s in crash.suspects if cause in s.keys]
+            containing = crash.list_containing(cause)
             if not containing:
                 continue
             self._caused.add(id(crash))
-            keys = {key for suspect in crash.suspects for key in suspect.keys}
+            keys = crash.list_keys()
             if cause.kind is CauseKind.REQUEST:
                 keys -= {key for suspect in containing for key in suspect.keys}
             self._explained.update((id(crash), key) for key in keys if key != cause)
@@ -169,6 +173,16 @@
     return (blame.score, -blame.survivals, is_part, blame.depth)
 
 
+def list_frequent(groups: Sequence[Sequence[Crash]]) -> set[CrashKey]:
+    """Return the possible causes with enough crashes to be refused.
+
+    :param groups: the crashes by occasion.
+    """
+    crashes = (crash for group in groups for crash in group)
+    counts = Counter(key for crash in crashes for key in crash.list_keys())
+    return {key for key, count in counts.items() if count >= REFUSED_CRASHES}
+
+
 def group_crashes(crashes: Iterable[Crash]) -> list[list[Crash]]:
     """Return the crashes by occasion: those of one domain within ``COMMON_CAUSE_SECONDS``.
 
--- a/packages/core/gypsumpost_core/gateway/crash_evidence.py
+++ b/packages/core/gypsumpost_core/crashes/crash_evidence.py
@@ -1,14 +1,16 @@
 """The crashes and survivals that this host and its peers have seen."""
 
+from collections import Counter
+
 import attrs
 
-from gypsumpost_core.gateway.crash import Crash
-from gypsumpost_core.gateway.crash_key import CrashKey
-from gypsumpost_core.gateway.crash_report import CrashReport
-from gypsumpost_core.gateway.crash_suspect import CrashSuspect
+from gypsumpost_core.crashes.crash import Crash
+from gypsumpost_core.crashes.crash_key import CrashKey
+from gypsumpost_core.crashes.crash_report import CrashReport
+from gypsumpost_core.crashes.crash_suspect import CrashSuspect
+from gypsumpost_core.crashes.survival_report import SurvivalReport
+from gypsumpost_core.crashes.survivals import Survivals
 from gypsumpost_core.gateway.endpoint_start import EndpointStart
-from gypsumpost_core.gateway.survival_report import SurvivalReport
-from gypsumpost_core.gateway.survivals import Survivals
 
 KEPT_SECONDS = 1800.0
 """Time until a crash is forgotten."""
@@ -24,15 +26,18 @@
 
     survivals: Survivals = attrs.field(factory=Survivals, init=False)
     _crashes: dict[EndpointStart, Crash] = attrs.field(factory=dict, init=False)
-    _suspected: set[CrashKey] = attrs.field(factory=set, init=False)
+    _suspected: Counter[CrashKey] = attrs.field(factory=Counter, init=False)
 
     def list_crashes(self) -> list[Crash]:
         """Return the losses of endpoints that are kept."""
         return list(self._crashes.values())
 
-    def is_suspected(self, key: CrashKey) -> bool:
-        """Return true if an endpoint crashed under a possible cause."""
-        return key in self._suspected
+    def count_crashes(self, suspect: CrashSuspect) -> int:
+        """Return how often a request, or the part of it that did most often, was in a crash.
+
+        :param suspect: the request.
+        """
+        return max(self._suspected[key] for key in suspect.keys)
 
     def add_loss(self, process: EndpointStart, failure_domain: str, at: float) -> Crash:
         """Record the loss of an endpoint process, and return what is known of it.
@@ -61,8 +66,9 @@
         crash = self.add_loss(report.process, report.failure_domain, at)
         if report.suspect in crash.suspects or len(crash.suspects) >= MAX_SUSPECTS:
             return False
+        known = crash.list_keys()
         crash.suspects.add(report.suspect)
-        self._suspected.update(report.suspect.keys)
+        self._suspected.update(key for key in report.suspect.keys if key not in known)
         return True
 
     def add_survival(self, suspect: CrashSuspect, now: float) -> list[CrashKey]:
@@ -94,9 +100,5 @@
 
     def _drop(self, crash: Crash) -> None:
         del self._crashes[crash.process]
-        self._suspected = {
-            key
-            for kept in self._crashes.values()
-            for suspect in kept.suspects
-            for key in suspect.keys
-        }
+        self._suspected.subtract(crash.list_keys())
+        self._suspected = +self._suspected
--- a/packages/core/gypsumpost_core/gateway/crash_register.py
+++ b/packages/core/gypsumpost_core/crashes/crash_register.py
@@ -4,15 +4,15 @@
 
 import attrs
 
-from gypsumpost_core.gateway.blame import Blame
-from gypsumpost_core.gateway.crash import Crash
-from gypsumpost_core.gateway.crash_attribution import CrashAttribution
-from gypsumpost_core.gateway.crash_evidence import KEPT_SECONDS, CrashEvidence
-from gypsumpost_core.gateway.crash_key import CrashKey
-from gypsumpost_core.gateway.crash_report import CrashReport
-from gypsumpost_core.gateway.crash_suspect import CrashSuspect
+from gypsumpost_core.crashes.blame import Blame
+from gypsumpost_core.crashes.crash import Crash
+from gypsumpost_core.crashes.crash_attribution import REFUSED_CRASHES, CrashAttribution
+from gypsumpost_core.crashes.crash_evidence import KEPT_SECONDS, CrashEvidence
+from gypsumpost_core.crashes.crash_key import CrashKey
+from gypsumpost_core.crashes.crash_report import CrashReport
+from gypsumpost_core.crashes.crash_suspect import CrashSuspect
+from gypsumpost_core.crashes.survival_report import SurvivalReport
 from gypsumpost_core.gateway.endpoint_start import EndpointStart
-from gypsumpost_core.gateway.survival_report import SurvivalReport
 
 RESEND_SECONDS = 1.5
 """Time during which new evidence is sent to the peers repeatedly, as datagrams can be lost."""
@@ -56,8 +56,10 @@
         :param failure_domain: its failure domain.
         :param now: monotonic time in seconds.
         """
+        self._evidence.expire(now)
         self._evidence.add_loss(process, failure_domain, now)
-        self._changed = True
+        # A further loss can only excuse.
+        self._changed = self._changed or bool(self.causes)
 
     def add(self, report: CrashReport, now: float) -> bool:
         """Add a crash and schedule it to be sent to the peers.
@@ -74,7 +76,8 @@
         for key in report.suspect.keys:
             if self._evidence.survivals.get(key).count:
                 self._survival_reports[key] = now + RESEND_SECONDS
-        self._changed = True
+        if self._evidence.count_crashes(report.suspect) >= REFUSED_CRASHES:
+            self._changed = True
         return True
 
     def add_survival(self, suspect: CrashSuspect, now: float) -> bool:
@@ -87,7 +90,7 @@
         cleared = self._evidence.add_survival(suspect, now)
         for key in cleared:
             self._survival_reports[key] = now + RESEND_SECONDS
-        self._changed = self._changed or bool(cleared)
+        self._changed = self._changed or any(key in self.causes for key in cleared)
         return bool(cleared)
 
     def merge_survival(self, report: SurvivalReport, now: float) -> bool:
@@ -99,7 +102,7 @@
         """
         known_at = self._evidence.survivals.get(report.key).at
         self._evidence.merge_survival(report, now)
-        self._changed = True
+        self._changed = self._changed or report.key in self.causes
         if now - report.age_seconds < known_at + NEWER_SECONDS:
             return False
         self._survival_reports[report.key] = now + RESEND_SECONDS
@@ -176,7 +179,7 @@
     proofs: list[tuple[EndpointStart, CrashSuspect]] = []
     used: set[bytes] = set()
     for crash in sorted(crashes, key=lambda kept: kept.at, reverse=True):
-        containing = [suspect for suspect in crash.suspects if cause in suspect.keys]
+        containing = crash.list_containing(cause)
         if containing and len(proofs) < PROOFS_PER_CAUSE:
             chosen = min(containing, key=lambda s: (s.fingerprint in used, s.fingerprint))
             used.add(chosen.fingerprint)
--- a/packages/core/gypsumpost_core/gateway/crash_report.py
+++ b/packages/core/gypsumpost_core/crashes/crash_report.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from gypsumpost_core.gateway.crash_suspect import CrashSuspect
+from gypsumpost_core.crashes.crash_suspect import CrashSuspect
 from gypsumpost_core.gateway.endpoint_start import EndpointStart
 
 
--- a/packages/core/gypsumpost_core/gateway/crash_suspect.py
+++ b/packages/core/gypsumpost_core/crashes/crash_suspect.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from gypsumpost_core.gateway.crash_key import CauseKind, CrashKey
+from gypsumpost_core.crashes.crash_key import CauseKind, CrashKey
 
 
 @attrs.frozen(kw_only=True)
@@ -23,3 +23,8 @@
         """The possible causes that the request contains: itself, and its parts in order."""
         own = CrashKey(kind=CauseKind.REQUEST, digest=self.fingerprint)
         return (own, *(CrashKey(kind=CauseKind.PART, digest=part) for part in self.parts))
+
+    @cached_property
+    def depths(self) -> dict[CrashKey, int]:
+        """The position of each key: 0 for the request itself, then the parts in order."""
+        return {key: depth for depth, key in enumerate(self.keys)}
--- a/packages/core/gypsumpost_core/gateway/survival_report.py
+++ b/packages/core/gypsumpost_core/crashes/survival_report.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from gypsumpost_core.gateway.crash_key import CrashKey
+from gypsumpost_core.crashes.crash_key import CrashKey
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/core/gypsumpost_core/gateway/survivals.py
+++ b/packages/core/gypsumpost_core/crashes/survivals.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from gypsumpost_core.gateway.crash_key import CrashKey
+from gypsumpost_core.crashes.crash_key import CrashKey
 
 DECAY_SECONDS = 30.0
 """A part may begin to crash endpoints at any time; older survivals count less and less."""
--- a/packages/core/gypsumpost_core/gateway/tests/test_crash_register.py
+++ b/packages/core/gypsumpost_core/crashes/tests/test_crash_register.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from gypsumpost_core.gateway.crash_register import CrashRegister
-from gypsumpost_core.gateway.crash_report import CrashReport
-from gypsumpost_core.gateway.crash_suspect import CrashSuspect
+from gypsumpost_core.crashes.crash_register import CrashRegister
+from gypsumpost_core.crashes.crash_report import CrashReport
+from gypsumpost_core.crashes.crash_suspect import CrashSuspect
 from gypsumpost_core.gateway.endpoint_start import EndpointStart
 
 DEADLY = b"deadly"
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/crashes/__init__.py
@@ -0,0 +1,1 @@
+"""Encoding of the evidence about crash-causing requests in messages between hosts."""
--- a/packages/daemon/gypsumpost_daemon/gateway/crash_codec.py
+++ b/packages/daemon/gypsumpost_daemon/crashes/crash_codec.py
@@ -4,11 +4,11 @@
 from collections.abc import Iterable
 from typing import Any
 
-from gypsumpost_core.gateway.crash_key import CauseKind, CrashKey
-from gypsumpost_core.gateway.crash_report import CrashReport
-from gypsumpost_core.gateway.crash_suspect import CrashSuspect
+from gypsumpost_core.crashes.crash_key import CauseKind, CrashKey
+from gypsumpost_core.crashes.crash_report import CrashReport
+from gypsumpost_core.crashes.crash_suspect import CrashSuspect
+from gypsumpost_core.crashes.survival_report import SurvivalReport
 from gypsumpost_core.gateway.endpoint_start import EndpointStart
-from gypsumpost_core.gateway.survival_report import SurvivalReport
 
 MAX_AGE_MS = 0xFFFFFFFF
 MILLISECONDS = 1000
--- a/packages/daemon/gypsumpost_daemon/gateway/beacon.capnp
+++ b/packages/daemon/gypsumpost_daemon/gateway/beacon.capnp
@@ -1,5 +1,7 @@
 @0xd1f3a86c5e9b7247;
 
+using Evidence = import "../crashes/crash_evidence.capnp";
+
 # Datagrams between gateways, and the request and reply of DIRECTORY_STATE.
 
 # Usage by engine. Packed numbers are decoded in a tenth of the time of a list of structs.
@@ -14,22 +16,6 @@
   startedAt @1 :UInt64;      # Unix milliseconds
 }
 
-struct CrashReport {
-  fingerprint @0 :Data;
-  endpoint @1 :Text;
-  startedAt @2 :UInt64;
-  failureDomain @3 :Text;
-  parts @4 :List(Data);
-  ageMs @5 :UInt32;
-}
-
-struct SurvivalReport {
-  digest @0 :Data;
-  isPart @1 :Bool;              # false for a whole request
-  count @2 :Float32;
-  ageMs @3 :UInt32;
-}
-
 struct CopyReport {
   fingerprint @0 :Data;
   requestId @1 :Text;
@@ -65,11 +51,11 @@
   uses @6 :Uses;
   losses @7 :List(EndpointStart);
   returns @8 :List(EndpointStart);
-  crashes @9 :List(CrashReport);
+  crashes @9 :List(Evidence.CrashReport);
   copies @10 :List(CopyReport);
   retries @11 :List(RetryCount);
   rates @12 :Rates;
-  survivals @13 :List(SurvivalReport);
+  survivals @13 :List(Evidence.SurvivalReport);
 }
 
 struct Item {
--- a/packages/daemon/gypsumpost_daemon/gateway/beacon.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/beacon.py
@@ -4,13 +4,13 @@
 
 import attrs
 
+from gypsumpost_core.crashes.crash_report import CrashReport
+from gypsumpost_core.crashes.survival_report import SurvivalReport
 from gypsumpost_core.gateway.copy_report import CopyReport
-from gypsumpost_core.gateway.crash_report import CrashReport
 from gypsumpost_core.gateway.endpoint_start import EndpointStart
 from gypsumpost_core.gateway.engine_usage import EngineUsage
 from gypsumpost_core.gateway.host_report import HostReport
 from gypsumpost_core.gateway.retry_count import RetryCount
-from gypsumpost_core.gateway.survival_report import SurvivalReport
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/daemon/gypsumpost_daemon/gateway/beacon_codec.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/beacon_codec.py
@@ -12,13 +12,13 @@
 from gypsumpost_core.gateway.engine_usage import EngineUsage
 from gypsumpost_core.gateway.host_report import HostReport
 from gypsumpost_core.gateway.retry_count import RetryCount
-from gypsumpost_daemon.gateway.beacon import Beacon
-from gypsumpost_daemon.gateway.crash_codec import (
+from gypsumpost_daemon.crashes.crash_codec import (
     decode_crashes,
     decode_survivals,
     encode_crashes,
     encode_survivals,
 )
+from gypsumpost_daemon.gateway.beacon import Beacon
 from gypsumpost_daemon.gateway.peer_schema import SCHEMA
 
 USAGE_NUMBERS = struct.Struct("<4I")
--- a/packages/daemon/gypsumpost_daemon/gateway/call_forwarder.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/call_forwarder.py
@@ -3,11 +3,11 @@
 import trio
 from result import Err, Ok, Result
 
+from gypsumpost_core.crashes.run_progress import RunProgress
 from gypsumpost_core.gateway.endpoint_choice import choose_endpoint
 from gypsumpost_core.gateway.endpoint_record import EndpointRecord
 from gypsumpost_core.gateway.endpoint_state import EndpointState
 from gypsumpost_core.gateway.request_kind import RequestKind
-from gypsumpost_core.gateway.run_progress import RunProgress
 from gypsumpost_core.run_state import RunState
 from gypsumpost_daemon.engines.h11_engine_connection import connect
 from gypsumpost_daemon.gateway.answer_check import check_answer
--- a/packages/daemon/gypsumpost_daemon/gateway/caller_call.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/caller_call.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from gypsumpost_core.gateway.crash_suspect import CrashSuspect
+from gypsumpost_core.crashes.crash_suspect import CrashSuspect
 from gypsumpost_core.gateway.route import Route
 from gypsumpost_daemon.gateway.forwarded_request import Headers
 from gypsumpost_daemon.gateway.request_digest import digest_request
--- a/packages/daemon/gypsumpost_daemon/gateway/crash_guard.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/crash_guard.py
@@ -4,17 +4,16 @@
 
 import trio
 
-from gypsumpost_core.gateway.blame import Blame
-from gypsumpost_core.gateway.crash_key import CrashKey
-from gypsumpost_core.gateway.crash_register import CrashRegister
-from gypsumpost_core.gateway.crash_report import CrashReport
+from gypsumpost_core.crashes.blame import Blame
+from gypsumpost_core.crashes.crash_key import CrashKey
+from gypsumpost_core.crashes.crash_report import CrashReport
+from gypsumpost_core.crashes.run_progress import RunProgress
+from gypsumpost_core.crashes.survival_report import SurvivalReport
 from gypsumpost_core.gateway.endpoint_fleet import EndpointFleet
 from gypsumpost_core.gateway.endpoint_record import EndpointRecord
 from gypsumpost_core.gateway.endpoint_start import EndpointStart
-from gypsumpost_core.gateway.run_progress import RunProgress
-from gypsumpost_core.gateway.survival_report import SurvivalReport
+from gypsumpost_daemon.crashes.crash_causes import CrashCauses
 from gypsumpost_daemon.gateway.caller_call import CallerCall
-from gypsumpost_daemon.gateway.crash_trial import CrashTrial
 from gypsumpost_daemon.gateway.gateway_metrics import GatewayMetrics
 from gypsumpost_daemon.telemetry.log import Log
 
@@ -37,10 +36,9 @@
         is_responsible: Callable[[CrashKey], bool],
     ) -> None:
         self._fleet = fleet
-        self._is_responsible = is_responsible
-        self._trials: dict[CrashKey, CrashTrial] = {}
+        self._causes = CrashCauses(is_responsible=is_responsible)
+        self._register = self._causes.register
         self._metrics = metrics
-        self._register = CrashRegister()
         self._listeners: list[Callable[[], None]] = []
         self._forward_listeners: list[Callable[[], None]] = []
 
@@ -54,7 +52,7 @@
 
     def count_causes(self) -> int:
         """Return the number of requests and parts that are refused."""
-        return len(self._register.causes)
+        return len(self._causes)
 
     def find_cause(self, call: CallerCall) -> Blame | None:
         """Return why a request must not run, ``None`` if it may.
@@ -62,11 +60,7 @@
         :param call: the request.
         """
         now = trio.current_time()
-        self._review(now)
-        for blame in self._register.list_causes(call.suspect):
-            if not self._may_try(blame, call, now):
-                return blame
-        return None
+        return self._causes.find(call.suspect, call.request_id, now, call.deadline)
 
     def record_loss(self, record: EndpointRecord) -> None:
         """Record that an endpoint was lost, whether or not it had requests of this host.
@@ -121,7 +115,7 @@
 
         :param now: monotonic time in seconds.
         """
-        self._review(now)
+        self._causes.review(now)
         return self._register.list_reports(now)
 
     def list_survivals(self, now: float) -> tuple[SurvivalReport, ...]:
@@ -141,27 +135,6 @@
         if self._register.merge_survival(report, now):
             notify(self._forward_listeners)
 
-    def _may_try(self, blame: Blame, call: CallerCall, now: float) -> bool:
-        trial = self._trials.get(blame.key)
-        if trial is not None and now < trial.ends_at and blame.last_at <= trial.started_at:
-            return trial.request_id == call.request_id
-        # One host decides for all, or each would try.
-        if not blame.is_trial_due(now) or not self._is_responsible(blame.key):
-            return False
-        self._trials[blame.key] = CrashTrial(
-            request_id=call.request_id, started_at=now, ends_at=call.deadline
-        )
-        log_blame("a request tries whether endpoints still crash on it", blame, now)
-        return True
-
-    def _review(self, now: float) -> None:
-        refused, released = self._register.review(now)
-        for blame in refused:
-            log_blame("requests are refused because endpoints crash on them", blame, now)
-        for blame in released:
-            self._trials.pop(blame.key, None)
-            log_blame("requests are no longer refused", blame, now)
-
 
 def notify(listeners: list[Callable[[], None]]) -> None:
     """Call each of the listeners."""
@@ -175,30 +148,3 @@
     :param record: the endpoint.
     """
     return EndpointStart(endpoint_id=record.endpoint_id, started_at=record.started_at)
-
-
-def describe_key(key: CrashKey) -> str:
-    """Return the kind and the digest of a cause, for the log.
-
-    :param key: the cause.
-    """
-    return f"{key.kind.value} {key.digest.hex()}"
-
-
-def log_blame(message: str, blame: Blame, now: float) -> None:
-    """Write a cause with the evidence for and against it, and its age.
-
-    :param message: what has changed.
-    :param blame: the cause.
-    :param now: monotonic time in seconds.
-    """
-    LOG.write(
-        message,
-        cause=describe_key(blame.key),
-        crashes=blame.crashes,
-        explained=blame.explained,
-        requests=blame.requests,
-        survivals=round(blame.survivals, 1),
-        first_seconds_ago=round(now - blame.first_at, 3),
-        last_seconds_ago=round(now - blame.last_at, 3),
-    )
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_application.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_application.py
@@ -5,17 +5,17 @@
 
 import trio
 
-from gypsumpost_core.gateway.blame import Blame
-from gypsumpost_core.gateway.crash_attribution import FRESH_SECONDS
-from gypsumpost_core.gateway.crash_key import CauseKind
+from gypsumpost_core.crashes.blame import Blame
+from gypsumpost_core.crashes.crash_attribution import FRESH_SECONDS
+from gypsumpost_core.crashes.crash_key import CauseKind
 from gypsumpost_core.gateway.request_kind import RequestKind
 from gypsumpost_core.gateway.route import Route
 from gypsumpost_core.gateway.route_table import RouteTable
 from gypsumpost_core.run_state import RunState
+from gypsumpost_daemon.crashes.crash_evidence_log import describe_key
 from gypsumpost_daemon.gateway import call_forwarder, stream_forwarder  # noqa: F401
 from gypsumpost_daemon.gateway.caller_call import CallerCall
 from gypsumpost_daemon.gateway.caller_exchange import CallerExchange
-from gypsumpost_daemon.gateway.crash_guard import describe_key
 from gypsumpost_daemon.gateway.forward_context import ForwardContext
 from gypsumpost_daemon.gateway.forwarder import FORWARDERS, Forwarder
 from gypsumpost_daemon.gateway.message_headers import find_header, select_request_headers
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
@@ -4,9 +4,9 @@
 import trio
 from result import Err
 
+from gypsumpost_core.crashes.crash_key import CrashKey
 from gypsumpost_core.gateway.caller_limits import CallerLimits
 from gypsumpost_core.gateway.copy_directory import CopyDirectory
-from gypsumpost_core.gateway.crash_key import CrashKey
 from gypsumpost_core.gateway.host_roles import HostRoles
 from gypsumpost_core.gateway.prefill_rates import PrefillRates
 from gypsumpost_core.gateway.usage_table import UsageTable
--- a/packages/daemon/gypsumpost_daemon/gateway/stream_attempt.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/stream_attempt.py
@@ -6,11 +6,11 @@
 import trio
 from result import Err, Ok, Result
 
+from gypsumpost_core.crashes.run_progress import SURVIVAL_SECONDS, RunProgress
 from gypsumpost_core.gateway.copy_report import CopyReport
 from gypsumpost_core.gateway.copy_source import CopySource
 from gypsumpost_core.gateway.endpoint_record import EndpointRecord
 from gypsumpost_core.gateway.endpoint_state import EndpointState
-from gypsumpost_core.gateway.run_progress import SURVIVAL_SECONDS, RunProgress
 from gypsumpost_daemon.engines.h11_engine_connection import H11EngineConnection, connect
 from gypsumpost_daemon.gateway.answer_check import check_answer
 from gypsumpost_daemon.gateway.attempt_failure import AttemptFailure
--- a/packages/daemon/gypsumpost_daemon/gateway/tests/test_beacon_codec.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/tests/test_beacon_codec.py
@@ -4,16 +4,16 @@
 from hypothesis import strategies as st
 from result import Err
 
+from gypsumpost_core.crashes.crash_key import CauseKind, CrashKey
+from gypsumpost_core.crashes.crash_report import CrashReport
+from gypsumpost_core.crashes.crash_suspect import CrashSuspect
+from gypsumpost_core.crashes.survival_report import SurvivalReport
 from gypsumpost_core.gateway.copy_report import CopyReport
-from gypsumpost_core.gateway.crash_key import CauseKind, CrashKey
-from gypsumpost_core.gateway.crash_report import CrashReport
-from gypsumpost_core.gateway.crash_suspect import CrashSuspect
 from gypsumpost_core.gateway.endpoint_start import EndpointStart
 from gypsumpost_core.gateway.engine_usage import EngineUsage
 from gypsumpost_core.gateway.host_report import HostReport
 from gypsumpost_core.gateway.retry_count import RetryCount
 from gypsumpost_core.gateway.stored_item import StoredItem
-from gypsumpost_core.gateway.survival_report import SurvivalReport
 from gypsumpost_daemon.gateway.beacon import Beacon
 from gypsumpost_daemon.gateway.beacon_codec import decode_beacon, encode_beacon
 from gypsumpost_daemon.gateway.directory_codec import (
--- a/packages/daemon/gypsumpost_daemon/gateway/tests/test_crash_guard.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/tests/test_crash_guard.py
@@ -2,14 +2,14 @@
 
 import trio
 
-from gypsumpost_core.gateway.blame import TRIAL_SECONDS
-from gypsumpost_core.gateway.crash_report import CrashReport
+from gypsumpost_core.crashes.blame import TRIAL_SECONDS
+from gypsumpost_core.crashes.crash_report import CrashReport
+from gypsumpost_core.crashes.run_progress import SURVIVAL_SECONDS, RunProgress
 from gypsumpost_core.gateway.endpoint_fleet import EndpointFleet
 from gypsumpost_core.gateway.endpoint_record import EndpointRecord
 from gypsumpost_core.gateway.endpoint_start import EndpointStart
 from gypsumpost_core.gateway.request_kind import RequestKind
 from gypsumpost_core.gateway.route import Route
-from gypsumpost_core.gateway.run_progress import SURVIVAL_SECONDS, RunProgress
 from gypsumpost_daemon.gateway.caller_call import CallerCall
 from gypsumpost_daemon.gateway.crash_guard import CrashGuard
 from gypsumpost_daemon.gateway.gateway_metrics import GatewayMetrics
