Refuse the beginning of a prompt on which engines crash on the callers' interface as well

The same cause stood in the product's own interface: deaths were counted by workspace and body, and a request that was read for longer than the trigger window was cleared. The prefixes that routing knows are the parts; the daemons exchange the same evidence as the gateways, in the message that carries suspicions.

--- a/packages/core/gypsumpost_core/routing/route_request.py
+++ b/packages/core/gypsumpost_core/routing/route_request.py
@@ -1,7 +1,10 @@
 """Input of routing for one attempt."""
 
+from functools import cached_property
+
 import attrs
 
+from gypsumpost_core.crashes.crash_suspect import CrashSuspect
 from gypsumpost_core.routing.model_ref import ModelRef
 
 
@@ -32,3 +35,9 @@
     priority: int = 0
     excluded: frozenset[str] = frozenset()
     required_endpoint: str = ""
+
+    @cached_property
+    def suspect(self) -> CrashSuspect:
+        """The request as a possible cause of crashes; the longest prefix may be its own."""
+        parts = tuple(digest.to_bytes(8, "big") for digest in self.prefix_digests[:-1])
+        return CrashSuspect(fingerprint=self.fingerprint.encode(), parts=parts)
--- a/packages/core/gypsumpost_core/suspicion/crash_suspicion.py
+++ b/packages/core/gypsumpost_core/suspicion/crash_suspicion.py
@@ -63,7 +63,7 @@
         if not self._is_cause_known(fingerprint, deaths, now):
             return self._wait(now)
         if deaths >= self.settings.quarantine_deaths:
-            return _refuse(has_run)
+            return refuse_request(has_run)
         running = self._runs.list_engines(fingerprint)
         if deaths and running:
             return self._wait(now)
@@ -182,7 +182,11 @@
         self._register.discount(recent, unix_now)
 
 
-def _refuse(has_run: bool) -> SuspicionDecision:
+def refuse_request(has_run: bool) -> SuspicionDecision:
+    """Return the decision that a request must not run, as engines crash on it.
+
+    :param has_run: true if an engine has already run it for the same caller.
+    """
     failure = Failure(
         status=422,
         code="request_quarantined",
--- a/packages/daemon/gypsumpost_daemon/daemon.py
+++ b/packages/daemon/gypsumpost_daemon/daemon.py
@@ -17,6 +17,7 @@
 from gypsumpost_daemon.copies.copy_client import CopyClient
 from gypsumpost_daemon.copies.copy_store import CopyStore
 from gypsumpost_daemon.copies.take_over_client import TakeOverClient
+from gypsumpost_daemon.crashes.crash_causes import CrashCauses
 from gypsumpost_daemon.credentials.keys import Keys
 from gypsumpost_daemon.daemon_gauges import add_gauges
 from gypsumpost_daemon.engines.endpoint_table import EndpointTable
@@ -87,13 +88,18 @@
             self._access = self._platform.access
         self._canceller = StreamCanceller(engines=self._engines)
         self._suspicion = CrashSuspicion()
+        causes = CrashCauses(is_responsible=self._directory.is_responsible)
         self._reporter = CrashReporter(
-            suspicion=self._suspicion, directory=self._directory, peers=self._network
+            suspicion=self._suspicion,
+            causes=causes,
+            directory=self._directory,
+            peers=self._network,
         )
         self._crashes = CrashGuard(
             suspicion=self._suspicion,
             router=self._router,
             engines=self._engines,
+            causes=causes,
             handle_change=self._reporter.wake,
         )
         self._admission = AdmissionGate(router=self._router, directory=self._directory)
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
@@ -4,7 +4,6 @@
 import trio
 from result import Err
 
-from gypsumpost_core.crashes.crash_key import CrashKey
 from gypsumpost_core.gateway.caller_limits import CallerLimits
 from gypsumpost_core.gateway.copy_directory import CopyDirectory
 from gypsumpost_core.gateway.host_roles import HostRoles
@@ -13,7 +12,6 @@
 from gypsumpost_core.host import Host
 from gypsumpost_core.key_ring import KeyRing
 from gypsumpost_core.membership.membership_settings import MembershipSettings
-from gypsumpost_core.rendezvous import rank_hosts
 from gypsumpost_daemon.addresses import split_address
 from gypsumpost_daemon.gateway.adapter import GatewayAdapter
 from gypsumpost_daemon.gateway.beacon_state import BeaconState
@@ -117,7 +115,7 @@
         crash_guard = CrashGuard(
             fleet=self.directory.fleet,
             metrics=gateway_metrics,
-            is_responsible=self._is_responsible,
+            is_responsible=self._hosts.is_responsible,
         )
         self.monitor.add_loss_listener(crash_guard.record_loss)
         self.copies = CopyDirectory()
@@ -205,10 +203,6 @@
             nursery.cancel_scope.cancel()
         LOG.write("stopped", open_requests=self.application.open_requests)
 
-    def _is_responsible(self, key: CrashKey) -> bool:
-        hosts = rank_hosts(key.digest.hex(), self._hosts.list_live())
-        return not hosts or hosts[0].host_id == self._hosts.own.host_id
-
     def _is_ready(self) -> bool:
         stopping = self._signals.stop_requested.is_set()
         return self.directory.ready and not stopping and not self._is_cut_off()
--- a/packages/daemon/gypsumpost_daemon/generations/attempt_reader.py
+++ b/packages/daemon/gypsumpost_daemon/generations/attempt_reader.py
@@ -7,6 +7,7 @@
 import trio
 from result import Err, Ok
 
+from gypsumpost_core.crashes.run_progress import SURVIVAL_SECONDS, RunProgress
 from gypsumpost_core.generations.attempt_outcome import AttemptOutcome
 from gypsumpost_core.generations.batch_outcome import BatchOutcome
 from gypsumpost_core.generations.resumption_policy import (
@@ -55,6 +56,8 @@
     _last_token_at: float = attrs.field(factory=trio.current_time, init=False)
     _resume_count: int = attrs.field(default=0, init=False)
     _awaiting_first_token: bool = attrs.field(default=False, init=False)
+    _first_token_at: float | None = attrs.field(default=None, init=False)
+    _survived: bool = attrs.field(default=False, init=False)
 
     def begin(self, now: float) -> None:
         """Reset the timers for a new attempt that is about to be sent.
@@ -62,6 +65,16 @@
         :param now: monotonic time in seconds.
         """
         self._last_token_at, self._awaiting_first_token, self._resume_count = now, True, 0
+        self._first_token_at, self._survived = None, False
+
+    def describe_progress(self, sent_seconds: float) -> RunProgress:
+        """Return how far the current attempt has come.
+
+        :param sent_seconds: time since it was sent.
+        """
+        first = self._first_token_at
+        written = None if first is None else self._last_token_at - first
+        return RunProgress(sent_seconds=sent_seconds, written_seconds=written)
 
     async def reopen(self) -> Ok[EngineStream] | Err[EngineFailure]:
         """Open the stream of the current attempt at the first missing token.
@@ -164,12 +177,17 @@
         if self._awaiting_first_token:
             self.context.router.record_first_token(engine, route, gap, now)
             self._report_first_token(gap)
+            self._first_token_at = now
         else:
             self.context.router.record_tokens(engine, count, gap, now)
         self._awaiting_first_token = False
         self._last_token_at = now
         self._resume_count = 0
         self.has_output = True
+        first = self._first_token_at
+        if not self._survived and first is not None and now - first >= SURVIVAL_SECONDS:
+            self._survived = True
+            self.context.crash_guard.record_survival(route)
 
     def _report_first_token(self, wait: float) -> None:
         record = self.status.record
--- a/packages/daemon/gypsumpost_daemon/generations/attempt_runner.py
+++ b/packages/daemon/gypsumpost_daemon/generations/attempt_runner.py
@@ -59,6 +59,11 @@
                     crash_guard.record_end(fingerprint, engine.name, AttemptOutcome.REFUSED, now)
             if outcome is AttemptOutcome.DIED:
                 await crash_guard.confirm_death(engine.name, engine.address, boot_id)
+                if self.reached:
+                    progress = self.reader.describe_progress(trio.current_time() - now)
+                    crash_guard.record_crash(route, engine, boot_id, progress)
+            elif outcome is AttemptOutcome.FINISHED and self.reader.has_output:
+                crash_guard.record_survival(route)
         finally:
             self.context.metrics.record_attempt(outcome)
             ended_at = trio.current_time()
--- a/packages/daemon/gypsumpost_daemon/generations/attempt_sequence.py
+++ b/packages/daemon/gypsumpost_daemon/generations/attempt_sequence.py
@@ -95,7 +95,9 @@
         self._restart_if_unreleased()
         now = trio.current_time()
         route = self.routes.describe()
-        decision = self.context.crash_guard.decide(route, self.status.may_have_run, now)
+        decision = self.context.crash_guard.decide(
+            route, self.status.may_have_run, now, self._compute_deadline()
+        )
         if decision.failure is not None:
             LOG.write("quarantined", **self.status.describe())
             self.status.failure = decision.failure
--- a/packages/daemon/gypsumpost_daemon/peers/host_directory.py
+++ b/packages/daemon/gypsumpost_daemon/peers/host_directory.py
@@ -2,8 +2,10 @@
 
 from collections.abc import Callable
 
+from gypsumpost_core.crashes.crash_key import CrashKey
 from gypsumpost_core.host import Host
 from gypsumpost_core.membership.member_state import MemberState
+from gypsumpost_core.rendezvous import rank_hosts
 
 
 class HostDirectory:
@@ -97,6 +99,14 @@
         """
         return self._incarnations.get(host_id, 0)
 
+    def is_responsible(self, key: CrashKey) -> bool:
+        """Return true if this host, of all live ones, decides about a cause of crashes.
+
+        :param key: the cause.
+        """
+        hosts = rank_hosts(key.digest.hex(), self.list_live())
+        return not hosts or hosts[0].host_id == self.own.host_id
+
     def list_live(self) -> list[Host]:
         """Return all live hosts, this one included."""
         return [self._known[host_id] for host_id in sorted(self._live)]
--- a/packages/daemon/gypsumpost_daemon/suspicion/crash_guard.py
+++ b/packages/daemon/gypsumpost_daemon/suspicion/crash_guard.py
@@ -8,11 +8,16 @@
 import trio
 from result import Ok
 
+from gypsumpost_core.crashes.crash_report import CrashReport
+from gypsumpost_core.crashes.run_progress import RunProgress
+from gypsumpost_core.gateway.endpoint_start import EndpointStart
 from gypsumpost_core.generations.attempt_outcome import AttemptOutcome
+from gypsumpost_core.routing.endpoint import Endpoint
 from gypsumpost_core.routing.route_request import RouteRequest
 from gypsumpost_core.routing.router import Router
-from gypsumpost_core.suspicion.crash_suspicion import CrashSuspicion
+from gypsumpost_core.suspicion.crash_suspicion import CrashSuspicion, refuse_request
 from gypsumpost_core.suspicion.suspicion_decision import SuspicionDecision, SuspicionVerdict
+from gypsumpost_daemon.crashes.crash_causes import CrashCauses
 from gypsumpost_daemon.engines.engine_client import EngineClient
 from gypsumpost_daemon.telemetry.log import Log
 
@@ -54,24 +59,31 @@
     :param suspicion: makes the decisions from the recorded deaths.
     :param router: provides the live engines and their boot ids.
     :param engines: client for the calls that confirm a death.
+    :param causes: the parts of prompts, and requests, on which engines crash.
     :param handle_change: called when there may be new reports for other daemons.
     """
 
     suspicion: CrashSuspicion
     router: Router
     engines: EngineClient
+    causes: CrashCauses
     handle_change: Callable[[], None] = ignore_change
     _checks: dict[str, DeathCheck] = attrs.field(factory=dict, init=False)
     _dead: dict[str, str] = attrs.field(factory=dict, init=False)
     _recorded_deaths: dict[str, str] = attrs.field(factory=dict, init=False)
 
-    def decide(self, route: RouteRequest, has_run: bool, now: float) -> SuspicionDecision:
+    def decide(
+        self, route: RouteRequest, has_run: bool, now: float, deadline: float
+    ) -> SuspicionDecision:
         """Decide how an attempt may run.
 
         :param route: the attempt.
         :param has_run: true if an attempt of the request was sent before.
         :param now: monotonic time in seconds.
+        :param deadline: monotonic time in seconds at which the request ends at the latest.
         """
+        if self.causes.find(route.suspect, route.fingerprint, now, deadline) is not None:
+            return refuse_request(has_run)
         dead = self.list_dead()
         engines = [
             name for name in self.router.list_isolation_candidates(route, now) if name not in dead
@@ -112,6 +124,43 @@
         """
         self.suspicion.record_end(fingerprint, engine, outcome, now)
 
+    def record_crash(
+        self, route: RouteRequest, engine: Endpoint, boot_id: str, progress: RunProgress
+    ) -> None:
+        """Record that an attempt was lost; it counts if its engine has died.
+
+        :param route: the attempt.
+        :param engine: its engine.
+        :param boot_id: boot id of the process that served it.
+        :param progress: how far the attempt had come.
+        """
+        if self._recorded_deaths.get(engine.name) != boot_id or progress.survived:
+            return
+        LOG.write(
+            "died while it had a request",
+            endpoint=engine.name,
+            fingerprint=route.fingerprint,
+            stage=progress.stage,
+            sent_seconds=round(progress.sent_seconds, 3),
+            parts=len(route.suspect.parts),
+        )
+        report = CrashReport(
+            suspect=route.suspect,
+            # Boot ids are text, and no two processes have the same.
+            process=EndpointStart(endpoint_id=f"{engine.name}/{boot_id}", started_at=0),
+            failure_domain=engine.failure_domain,
+        )
+        if self.causes.register.add(report, trio.current_time()):
+            self.handle_change()
+
+    def record_survival(self, route: RouteRequest) -> None:
+        """Record that an engine has run an attempt for longer than a crash-causing one lasts.
+
+        :param route: the attempt.
+        """
+        if self.causes.register.add_survival(route.suspect, trio.current_time()):
+            self.handle_change()
+
     async def confirm_death(self, engine: str, address: str, boot_id: str) -> None:
         """Check whether an engine whose stream was lost has died, and record its death.
 
--- a/packages/daemon/gypsumpost_daemon/suspicion/crash_reporter.py
+++ b/packages/daemon/gypsumpost_daemon/suspicion/crash_reporter.py
@@ -3,17 +3,19 @@
 import time
 
 import trio
+import xxhash
 from result import Err, Ok
 
 from gypsumpost_core.host import Host
 from gypsumpost_core.rendezvous import rank_hosts
 from gypsumpost_core.suspicion.crash_suspicion import CrashSuspicion
-from gypsumpost_core.suspicion.suspicion_report import SuspicionReport
+from gypsumpost_daemon.crashes.crash_causes import CrashCauses
 from gypsumpost_daemon.peers.host_directory import HostDirectory
 from gypsumpost_daemon.peers.message_kind import MessageKind
 from gypsumpost_daemon.peers.peer_channel import PeerChannel
 from gypsumpost_daemon.peers.peer_request import PeerRequest
-from gypsumpost_daemon.suspicion.quarantine_codec import decode_suspicions, encode_suspicions
+from gypsumpost_daemon.suspicion.quarantine_codec import decode_quarantine, encode_quarantine
+from gypsumpost_daemon.suspicion.quarantine_message import QuarantineMessage
 from gypsumpost_daemon.telemetry.log import Log
 
 LOG = Log(prefix="quarantine")
@@ -35,14 +37,21 @@
     A host that receives a report from another domain forwards it once to its own domain.
 
     :param suspicion: provides the reports to send and applies received ones.
+    :param causes: provides the evidence of crashes to send and takes that of other daemons.
     :param directory: the known hosts.
     :param peers: channel for messages to other daemons.
     """
 
     def __init__(
-        self, *, suspicion: CrashSuspicion, directory: HostDirectory, peers: PeerChannel
+        self,
+        *,
+        suspicion: CrashSuspicion,
+        causes: CrashCauses,
+        directory: HostDirectory,
+        peers: PeerChannel,
     ) -> None:
         self._suspicion = suspicion
+        self._causes = causes
         self._directory = directory
         self._peers = peers
         self._wake = trio.Event()
@@ -72,26 +81,41 @@
             now = trio.current_time()
             self._update_clock()
             self._suspicion.expire(now)
-            while reports := self._suspicion.list_reports(now):
-                self._send(reports, self._list_own_peers())
-                self._send_to_other_domains(reports)
+            self._causes.review(now)
+            register = self._causes.register
+            message = QuarantineMessage(
+                suspicions=tuple(self._suspicion.list_reports(now)),
+                crashes=register.list_reports(now),
+                survivals=register.list_survivals(now),
+            )
+            while not message.is_empty:
+                payload = encode_quarantine(message)
+                self._send(payload, self._list_own_peers())
+                self._send_to_other_domains(payload)
+                # The number of reports in one message is bounded.
+                message = QuarantineMessage(suspicions=tuple(self._suspicion.list_reports(now)))
 
     async def handle(self, request: PeerRequest) -> bytes:
         """Apply reports of another daemon.
 
         :param request: a ``Quarantine`` message.
         """
-        decoded = decode_suspicions(request.payload)
+        decoded = decode_quarantine(request.payload)
         if isinstance(decoded, Err):
             LOG.write(
                 "ignored an unreadable message", peer=request.host_id, reason=decoded.err_value
             )
             return b""
-        for report in decoded.ok_value:
-            self._suspicion.apply_report(report, trio.current_time())
+        message, now = decoded.ok_value, trio.current_time()
+        for report in message.suspicions:
+            self._suspicion.apply_report(report, now)
+        for crash in message.crashes:
+            self._causes.register.add(crash, now)
+        for survival in message.survivals:
+            self._causes.register.merge_survival(survival, now)
         sender = self._directory.get(request.host_id)
         if sender is not None and sender.failure_domain != self._get_domain():
-            self._send(list(decoded.ok_value), self._list_own_peers())
+            self._send(request.payload, self._list_own_peers())
         return b""
 
     def _update_clock(self) -> None:
@@ -109,21 +133,19 @@
         peers = self._directory.list_peers()
         return [peer for peer in peers if peer.failure_domain == self._get_domain()]
 
-    def _send(self, reports: list[SuspicionReport], hosts: list[Host]) -> None:
-        payload = encode_suspicions(reports)
+    def _send(self, payload: bytes, hosts: list[Host]) -> None:
         for host in hosts:
             self._start_delivery(payload, [host] * SEND_ATTEMPTS)
 
-    def _send_to_other_domains(self, reports: list[SuspicionReport]) -> None:
-        payload = encode_suspicions(reports)
+    def _send_to_other_domains(self, payload: bytes) -> None:
         domains: dict[str, list[Host]] = {}
         for peer in self._directory.list_peers():
             if peer.failure_domain != self._get_domain():
                 domains.setdefault(peer.failure_domain, []).append(peer)
         for hosts in domains.values():
-            self._start_delivery(
-                payload, rank_hosts(reports[0].fingerprint, hosts)[:OTHER_DOMAIN_ATTEMPTS]
-            )
+            # Any host of the domain can forward the reports; the digest spreads them.
+            key = xxhash.xxh3_64_hexdigest(payload)
+            self._start_delivery(payload, rank_hosts(key, hosts)[:OTHER_DOMAIN_ATTEMPTS])
 
     def _start_delivery(self, payload: bytes, hosts: list[Host]) -> None:
         if self._nursery is not None:
--- a/packages/daemon/gypsumpost_daemon/suspicion/quarantine.capnp
+++ b/packages/daemon/gypsumpost_daemon/suspicion/quarantine.capnp
@@ -1,5 +1,7 @@
 @0xe4b1720c96d35fa9;
 
+using Evidence = import "../crashes/crash_evidence.capnp";
+
 # Message of kind QUARANTINE.
 
 struct Death {
@@ -18,4 +20,6 @@
 
 struct Quarantine {
   reports @0 :List(Report);
+  crashes @1 :List(Evidence.CrashReport);
+  survivals @2 :List(Evidence.SurvivalReport);
 }
--- a/packages/daemon/gypsumpost_daemon/suspicion/quarantine_codec.py
+++ b/packages/daemon/gypsumpost_daemon/suspicion/quarantine_codec.py
@@ -1,7 +1,6 @@
 """Encoding of suspicion reports in messages between daemons."""
 
 import math
-from collections.abc import Iterable
 from pathlib import Path
 from typing import Any
 
@@ -10,14 +9,21 @@
 
 from gypsumpost_core.suspicion.engine_death import EngineDeath
 from gypsumpost_core.suspicion.suspicion_report import SuspicionReport
+from gypsumpost_daemon.crashes.crash_codec import (
+    decode_crashes,
+    decode_survivals,
+    encode_crashes,
+    encode_survivals,
+)
+from gypsumpost_daemon.suspicion.quarantine_message import QuarantineMessage
 
 SCHEMA = capnp.load(str(Path(__file__).with_name("quarantine.capnp")))
 
 
-def encode_suspicions(reports: Iterable[SuspicionReport]) -> bytes:
+def encode_quarantine(message: QuarantineMessage) -> bytes:
     """Encode reports as a packed ``Quarantine`` message.
 
-    :param reports: the reports.
+    :param message: the reports.
     """
     encoded = [
         {
@@ -30,12 +36,17 @@
             "heldEngine": report.held_engine,
             "heldUntil": report.held_until,
         }
-        for report in reports
+        for report in message.suspicions
     ]
-    return SCHEMA.Quarantine.new_message(reports=encoded).to_bytes_packed()
+    packed: bytes = SCHEMA.Quarantine.new_message(
+        reports=encoded,
+        crashes=encode_crashes(message.crashes),
+        survivals=encode_survivals(message.survivals),
+    ).to_bytes_packed()
+    return packed
 
 
-def decode_suspicions(payload: bytes) -> Result[tuple[SuspicionReport, ...], str]:
+def decode_quarantine(payload: bytes) -> Result[QuarantineMessage, str]:
     """Decode a ``Quarantine`` message.
 
     :param payload: the packed bytes.
@@ -43,7 +54,13 @@
     """
     try:
         message = SCHEMA.Quarantine.from_bytes_packed(payload)
-        return Ok(tuple(_read_report(report) for report in message.reports))
+        return Ok(
+            QuarantineMessage(
+                suspicions=tuple(_read_report(report) for report in message.reports),
+                crashes=decode_crashes(message.crashes),
+                survivals=decode_survivals(message.survivals),
+            )
+        )
     except (capnp.KjException, ValueError) as error:
         return Err(str(error))
 
--- a/packages/daemon/gypsumpost_daemon/tests/serving_host.py
+++ b/packages/daemon/gypsumpost_daemon/tests/serving_host.py
@@ -19,6 +19,7 @@
 from gypsumpost_core.routing.router import Router
 from gypsumpost_core.suspicion.crash_suspicion import CrashSuspicion
 from gypsumpost_daemon.copies.copy_client import CopyClient
+from gypsumpost_daemon.crashes.crash_causes import CrashCauses
 from gypsumpost_daemon.engines.engine_client import EngineClient
 from gypsumpost_daemon.engines.engine_failure import EngineFailure
 from gypsumpost_daemon.engines.engine_prober import EngineProber
@@ -102,9 +103,16 @@
         self.router.update_endpoints([e.endpoint for e in self.engines.values()], now)
         suspicion = CrashSuspicion()
         port = SimulatedPort(network=self.network, host_id=own.host_id)
-        reporter = CrashReporter(suspicion=suspicion, directory=self.directory, peers=port)
+        causes = CrashCauses(is_responsible=self.directory.is_responsible)
+        reporter = CrashReporter(
+            suspicion=suspicion, causes=causes, directory=self.directory, peers=port
+        )
         self.guard = CrashGuard(
-            suspicion=suspicion, router=self.router, engines=client, handle_change=reporter.wake
+            suspicion=suspicion,
+            router=self.router,
+            engines=client,
+            causes=causes,
+            handle_change=reporter.wake,
         )
         self.gate = AdmissionGate(router=self.router, directory=self.directory)
         canceller = StreamCanceller(engines=client)
