Count a request once for each crash in the log and the metrics

A stream whose connection broke before its engine was found lost was logged twice: the check that finds the loss also cancels the attempt. The evidence itself was kept once.

--- a/packages/daemon/gypsumpost_daemon/gateway/stream_attempt.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/stream_attempt.py
@@ -73,7 +73,7 @@
         self._target = target
         self._renewal = renewal
         self._splitter = EventSplitter(id_field=context.header_names.event_id_field)
-        self._survived = False
+        self._survived = self._crash_recorded = False
         self._prefill_tokens = prefill_tokens
         self._prefill_seconds = prefill_tokens / context.rates.get(self._record.endpoint_id)
         self._watch = EngineWatch(
@@ -128,6 +128,10 @@
         return Err(AttemptFailure(reason=str(error), may_have_run=True))
 
     def _record_crash(self) -> None:
+        # The check that follows a broken connection also cancels this attempt.
+        if self._crash_recorded:
+            return
+        self._crash_recorded = True
         progress = RunProgress(
             sent_seconds=trio.current_time() - self._watch.started_at,
             written_seconds=self._watch.written_seconds,
