Send no request to an endpoint that says that it leaves, or that asks for a pause

Neither header was looked at: an endpoint's 503 with Retry-After was one failed attempt, and the next request went there at once; an endpoint that leaves was known by its entry in the store only. The head of each answer that is the endpoint's own is read now, of calls, streams, reports, moves and health checks; peers learn of leaving processes from beacons, also before they know the entry. Requests that can wait for the end of a pause do so and return over 0.3 s, others are refused at once with its end as Retry-After.

--- a/packages/core/gypsumpost_core/gateway/endpoint_fleet.py
+++ b/packages/core/gypsumpost_core/gateway/endpoint_fleet.py
@@ -1,15 +1,21 @@
 """The endpoints of all services and their failure state."""
 
+from collections import OrderedDict
 from collections.abc import Iterator
 
 import attrs
 
 from gypsumpost_core.gateway.endpoint_record import EndpointRecord
+from gypsumpost_core.gateway.endpoint_start import EndpointStart
 from gypsumpost_core.gateway.endpoint_state import NEVER, EndpointState
+from gypsumpost_core.gateway.unavailability import Unavailability, find_unavailability
 
 DOMAIN_SUSPICION_SECONDS = 1.3
 """Time for which new streams avoid a domain after a loss, as its engines often fail together."""
 
+MAX_LEAVING = 1024
+"""Processes kept that have said that they leave; their entries may come back from a peer."""
+
 
 @attrs.define(kw_only=True)
 class EndpointFleet:
@@ -22,6 +28,7 @@
     _states: dict[str, EndpointState] = attrs.field(factory=dict, init=False)
     _domain_losses: dict[tuple[str, str], float] = attrs.field(factory=dict, init=False)
     _replaced: dict[str, int] = attrs.field(factory=dict, init=False)
+    _leaving: OrderedDict[EndpointStart, None] = attrs.field(factory=OrderedDict, init=False)
 
     def put(self, record: EndpointRecord) -> None:
         """Add an endpoint or update its record.
@@ -39,10 +46,47 @@
             del self._states[other.endpoint_id]
         state = self._states.get(record.endpoint_id)
         if state is None or state.record.started_at != record.started_at:
-            self._states[record.endpoint_id] = EndpointState(record=record)
+            start = EndpointStart(endpoint_id=record.endpoint_id, started_at=record.started_at)
+            self._states[record.endpoint_id] = EndpointState(
+                record=record, said_leaving=start in self._leaving
+            )
         else:
             state.record = record
 
+    def mark_leaving(self, start: EndpointStart) -> bool:
+        """Record that a process has said that it leaves, even if its entry is not known yet.
+
+        :param start: the process.
+        :returns: true if this was not known before.
+        """
+        if start in self._leaving:
+            return False
+        self._leaving[start] = None
+        if len(self._leaving) > MAX_LEAVING:
+            self._leaving.popitem(last=False)
+        state = self._states.get(start.endpoint_id)
+        if state is not None and state.record.started_at == start.started_at:
+            state.said_leaving = True
+        return True
+
+    def list_leaving(self) -> tuple[EndpointStart, ...]:
+        """Return the known processes that have said that they leave."""
+        return tuple(
+            EndpointStart(endpoint_id=state.record.endpoint_id, started_at=state.record.started_at)
+            for state in self._states.values()
+            if state.said_leaving
+        )
+
+    def close(self, record: EndpointRecord, until: float) -> None:
+        """Send no request to a process until a time, as it has asked for.
+
+        :param record: the process, as it was when it was used.
+        :param until: monotonic time in seconds.
+        """
+        state = self._states.get(record.endpoint_id)
+        if state is not None and state.record.started_at == record.started_at:
+            state.closed_until = max(state.closed_until, until)
+
     def mark_replaced(self, record: EndpointRecord) -> None:
         """Remove an endpoint whose address is now used by another endpoint.
 
@@ -61,14 +105,46 @@
         return self._states.get(endpoint_id)
 
     def find_running(self, record: EndpointRecord) -> EndpointState | None:
-        """Return the state of a process, ``None`` if it has failed, restarted or left.
+        """Return the state of a process, ``None`` if it has failed, restarted or leaves.
 
         :param record: the process, as it was when it was used.
         """
         state = self._states.get(record.endpoint_id)
         if state is None or state.lost or state.record.started_at != record.started_at:
             return None
-        return state
+        return None if state.said_leaving else state
+
+    def find_open(self, record: EndpointRecord, now: float) -> EndpointState | None:
+        """Return the state of a process that takes requests now, ``None`` if it does not.
+
+        :param record: the process, as it was when it was used.
+        :param now: monotonic time in seconds.
+        """
+        state = self.find_running(record)
+        return None if state is None or now < state.closed_until else state
+
+    def list_open(self, service: str, now: float) -> list[EndpointState]:
+        """Return the endpoints of a service that want requests now, including lost ones.
+
+        :param service: name of the service.
+        :param now: monotonic time in seconds.
+        """
+        return [
+            state
+            for state in self.list_service(service)
+            if find_unavailability(state, now) in (None, Unavailability.LOST)
+        ]
+
+    def find_opening(self, service: str, now: float) -> float | None:
+        """Return when the first endpoint of a service takes requests again, if none does now.
+
+        :param service: name of the service.
+        :param now: monotonic time in seconds.
+        :returns: monotonic time in seconds, ``None`` if an endpoint is open or none will open.
+        """
+        closed = [state for state in self.list_service(service) if now < state.closed_until]
+        usable = any(not state.lost for state in self.list_open(service, now))
+        return None if usable or not closed else min(state.closed_until for state in closed)
 
     def __iter__(self) -> Iterator[EndpointState]:
         return iter(list(self._states.values()))
@@ -78,7 +154,9 @@
         return [
             state
             for state in self._states.values()
-            if state.record.service == service and not state.record.leaving
+            if state.record.service == service
+            and not state.record.leaving
+            and not state.said_leaving
         ]
 
     def mark_lost(
--- a/packages/core/gypsumpost_core/gateway/endpoint_state.py
+++ b/packages/core/gypsumpost_core/gateway/endpoint_state.py
@@ -16,6 +16,8 @@
     :param record: its entry in the directory.
     :param lost_at: monotonic time in seconds at which it was marked lost, ``NEVER`` if it is not.
     :param refused: true while it is marked lost and its address refuses connections.
+    :param said_leaving: true if it has said in an answer that it leaves.
+    :param closed_until: monotonic time in seconds until which it wants no request of this host.
     :param alive_at: monotonic time in seconds at which it last answered.
     :param pending: requests of this host that are in progress at the endpoint.
     :param answer_seconds: smoothed answer time in seconds, 0 before the first answer.
@@ -26,6 +28,8 @@
     record: EndpointRecord
     lost_at: float = NEVER
     refused: bool = False
+    said_leaving: bool = False
+    closed_until: float = NEVER
     alive_at: float = NEVER
     pending: int = 0
     answer_seconds: float = 0.0
--- a/packages/core/gypsumpost_core/gateway/engine_choice.py
+++ b/packages/core/gypsumpost_core/gateway/engine_choice.py
@@ -162,7 +162,7 @@
         return self.rng.choices(states, weights)[0]
 
     def _list_healthy(self, service: str) -> list[EndpointState]:
-        states = [state for state in self.fleet.list_service(service) if not state.lost]
+        states = [state for state in self.fleet.list_open(service, self.now) if not state.lost]
         unsuspected = [
             state
             for state in states
--- a/packages/daemon/gypsumpost_daemon/gateway/answer_check.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/answer_check.py
@@ -9,6 +9,21 @@
 MISDIRECTED = 421
 
 
+def is_own_answer(
+    status: int, headers: Sequence[tuple[bytes, bytes]], names: HeaderNames, request_id: str
+) -> bool:
+    """Return true if an answer is that of the expected endpoint to the request.
+
+    :param status: status code.
+    :param headers: headers of the answer in lower case.
+    :param names: names of the platform's headers.
+    :param request_id: id of the request that was sent.
+    """
+    answered = find_header(headers, names.request_id)
+    matches = answered is None or answered.decode("latin-1") == request_id
+    return matches and status != MISDIRECTED
+
+
 def check_answer(
     status: int, headers: Sequence[tuple[bytes, bytes]], names: HeaderNames, request_id: str
 ) -> AttemptFailure | None:
--- a/packages/daemon/gypsumpost_daemon/gateway/beacon.capnp
+++ b/packages/daemon/gypsumpost_daemon/gateway/beacon.capnp
@@ -56,6 +56,7 @@
   retries @11 :List(RetryCount);
   rates @12 :Rates;
   survivals @13 :List(Evidence.SurvivalReport);
+  leaving @14 :List(EndpointStart);
 }
 
 struct Item {
--- a/packages/daemon/gypsumpost_daemon/gateway/beacon.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/beacon.py
@@ -28,6 +28,7 @@
     :param retries: requests and retries by service, of the sender or of its domain.
     :param losses: endpoints that the sender has detected as lost.
     :param returns: lost endpoints that the sender has detected as alive again.
+    :param leaving: processes that have said that they leave.
     :param crashes: requests that engines had when they crashed.
     :param survivals: possible causes of crashes with which requests have run.
     :param copies: locations of the copies of the sender's streams.
@@ -43,6 +44,7 @@
     retries: Mapping[str, RetryCount]
     losses: tuple[EndpointStart, ...] = ()
     returns: tuple[EndpointStart, ...] = ()
+    leaving: tuple[EndpointStart, ...] = ()
     crashes: tuple[CrashReport, ...] = ()
     survivals: tuple[SurvivalReport, ...] = ()
     copies: tuple[CopyReport, ...] = ()
--- a/packages/daemon/gypsumpost_daemon/gateway/beacon_codec.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/beacon_codec.py
@@ -53,6 +53,7 @@
         ],
         losses=encode_starts(beacon.losses),
         returns=encode_starts(beacon.returns),
+        leaving=encode_starts(beacon.leaving),
         crashes=encode_crashes(beacon.crashes),
         survivals=encode_survivals(beacon.survivals),
         copies=[
@@ -96,6 +97,7 @@
                 },
                 losses=decode_starts(message.losses),
                 returns=decode_starts(message.returns),
+                leaving=decode_starts(message.leaving),
                 crashes=decode_crashes(message.crashes),
                 survivals=decode_survivals(message.survivals),
                 copies=tuple(
--- a/packages/daemon/gypsumpost_daemon/gateway/beacon_state.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/beacon_state.py
@@ -15,6 +15,7 @@
 from gypsumpost_daemon.gateway.beacon import Beacon
 from gypsumpost_daemon.gateway.crash_guard import CrashGuard
 from gypsumpost_daemon.gateway.directory import Directory
+from gypsumpost_daemon.gateway.endpoint_notices import EndpointNotices
 from gypsumpost_daemon.gateway.endpoint_reports import EndpointReports
 from gypsumpost_daemon.gateway.store_follower import StoreFollower
 
@@ -29,6 +30,7 @@
     :param follower: follows the store.
     :param roles: which hosts watch the store and relay beacons between domains.
     :param reports: reports of lost endpoints.
+    :param notices: applies what endpoints say about themselves.
     :param usage: usage of the engines.
     :param rates: prefill rates of the engines.
     :param crash_guard: detects requests that crash endpoints.
@@ -42,6 +44,7 @@
     follower: StoreFollower
     roles: HostRoles
     reports: EndpointReports
+    notices: EndpointNotices
     usage: UsageTable
     rates: PrefillRates
     crash_guard: CrashGuard
@@ -74,6 +77,7 @@
             retries=self.retry_budget.sum_own(now),
             losses=self.reports.list_losses(now),
             returns=self.reports.list_returns(now),
+            leaving=self.directory.fleet.list_leaving(),
             crashes=self.crash_guard.list_reports(now),
             survivals=self.crash_guard.list_survivals(now),
             copies=self.copies.list_own(),
@@ -113,6 +117,8 @@
             self.retry_budget.reports.put_host(report.host_id, beacon.retries, now)
             self.copies.put_peer_reports(beacon.copies, now)
         self.reports.handle_beacon(beacon, now)
+        for start in beacon.leaving:
+            changed = self.directory.fleet.mark_leaving(start) or changed
         for crash in beacon.crashes:
             self.crash_guard.add_report(crash, now)
         for survival in beacon.survivals:
--- a/packages/daemon/gypsumpost_daemon/gateway/call_forwarder.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/call_forwarder.py
@@ -32,6 +32,9 @@
 ENDPOINT_WAIT_FRACTION = 0.125
 """Fraction of the route's objective for which a call waits for an available endpoint."""
 
+REOPENING_SECONDS = 0.3
+"""Time over which the requests that wait for an endpoint return to it."""
+
 MAX_ANSWER_BYTES = 1 << 24
 """Answers are passed on whole, and a faulty endpoint may send bytes without end."""
 
@@ -130,23 +133,35 @@
         )
         if not may_have_run:
             text = f"The request has not run: {reason}."
-            await exchange.refuse(503, text, RunState.NOT_RUN, RETRY_AFTER_SECONDS)
+            retry_after = self._context.compute_retry_after(call.service, RETRY_AFTER_SECONDS)
+            await exchange.refuse(503, text, RunState.NOT_RUN, retry_after)
         else:
             text = f"The endpoint gave no whole answer: {reason}."
             await exchange.refuse(504 if past_deadline else 502, text, RunState.UNKNOWN)
 
     async def _choose_endpoint(self, call: CallerCall, tried: set[str]) -> EndpointState | None:
         context = self._context
+        fleet = context.directory.fleet
         wait_deadline = trio.current_time() + ENDPOINT_WAIT_FRACTION * call.route.objective
         while True:
+            now = trio.current_time()
             state = choose_endpoint(
-                context.directory.fleet.list_service(call.service),
+                fleet.list_open(call.service, now),
                 failure_domain=context.settings.failure_domain,
                 tried=tried,
             )
-            if state is not None or trio.current_time() >= wait_deadline:
+            if state is not None:
                 return state
-            await context.directory.wait_change(wait_deadline)
+            opens_at = fleet.find_opening(call.service, now)
+            if opens_at is not None and opens_at + call.route.objective < call.deadline:
+                # Requests that wait return one after the other, not all at the same moment.
+                opens_at += context.rng.uniform(0, REOPENING_SECONDS)
+                tried.clear()
+                await context.directory.wait_change(opens_at)
+            elif opens_at is not None or now >= wait_deadline:
+                return None
+            else:
+                await context.directory.wait_change(wait_deadline)
 
     def _compute_attempt_deadline(self, call: CallerCall, sends: int) -> float:
         """Return the monotonic time at which an attempt times out so that another can follow."""
@@ -196,13 +211,14 @@
                     return Err(
                         AttemptFailure(reason=failure.reason, may_have_run=failure.may_have_run)
                     )
+                head = sent.ok_value
+                self._context.observe_answer(call, record, head.status_code, list(head.headers))
                 body = await connection.receive_whole_body(MAX_ANSWER_BYTES)
                 if connection.unframed and not await self._context.monitor.check(
                     record, "no length"
                 ):
                     reason = "the endpoint ended with its answer"
                     return Err(AttemptFailure(reason=reason, may_have_run=True))
-                head = sent.ok_value
                 return self._classify_answer(
                     call,
                     state,
--- a/packages/daemon/gypsumpost_daemon/gateway/copy_renewal.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/copy_renewal.py
@@ -73,6 +73,8 @@
             if chosen is None:
                 return
             target = chosen.record
+        if trio.current_time() < self._state.closed_until:
+            return
         handle = await self._move(target)
         if handle is None:
             self._schedule.record_failure(trio.current_time())
@@ -89,6 +91,9 @@
         adapter = self._context.adapter
         body = adapter.encode_move(self._call.request_id, target.address)
         answer = await query_endpoint(self._state.record.address, adapter.move_path, body=body)
+        if not isinstance(answer, Err):
+            record, reply = self._state.record, answer.ok_value
+            self._context.notices.observe(record, reply.status, reply.headers)
         decoded = answer if isinstance(answer, Err) else adapter.decode_move(answer.ok_value)
         LOG.write(
             "moved a copy" if not isinstance(decoded, Err) else "failed to move a copy",
--- a/packages/daemon/gypsumpost_daemon/gateway/endpoint_identifier.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/endpoint_identifier.py
@@ -6,6 +6,7 @@
 from gypsumpost_core.gateway.endpoint_record import EndpointRecord
 from gypsumpost_core.gateway.service import Service
 from gypsumpost_daemon.gateway.adapter import GatewayAdapter
+from gypsumpost_daemon.gateway.endpoint_notices import EndpointNotices
 from gypsumpost_daemon.gateway.endpoint_query import query_endpoint
 from gypsumpost_daemon.gateway.message_headers import find_header
 
@@ -15,9 +16,11 @@
     """Queries an endpoint for its id and its state report.
 
     :param adapter: names and formats of the platform.
+    :param notices: applies what the endpoint says about itself.
     """
 
     adapter: GatewayAdapter
+    notices: EndpointNotices
 
     async def find_successor(
         self, record: EndpointRecord, service: Service
@@ -39,6 +42,7 @@
             # An endpoint at capacity refuses the health check like any other request.
             return Err(f"status {health.ok_value.status} without an id")
         if reported_id == record.endpoint_id.encode():
+            self.notices.observe(record, health.ok_value.status, health.ok_value.headers)
             return Ok(record)
         if service.engine is None:
             return Ok(None)
--- a/packages/daemon/gypsumpost_daemon/gateway/engine_work_reader.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/engine_work_reader.py
@@ -1,11 +1,15 @@
 """Asks engines which requests they work on."""
 
 import attrs
+import trio
 from result import Err
 
+from gypsumpost_core.gateway.endpoint_fleet import EndpointFleet
 from gypsumpost_core.gateway.endpoint_record import EndpointRecord
 from gypsumpost_core.gateway.engine_work import EngineWork
 from gypsumpost_daemon.gateway.adapter import GatewayAdapter
+from gypsumpost_daemon.gateway.endpoint_answer import EndpointAnswer
+from gypsumpost_daemon.gateway.endpoint_notices import EndpointNotices
 from gypsumpost_daemon.gateway.endpoint_query import query_endpoint
 from gypsumpost_daemon.telemetry.log import Log
 
@@ -17,16 +21,26 @@
     """Reads the work that an engine reports.
 
     :param adapter: names and formats of the platform.
+    :param fleet: the endpoints.
+    :param notices: applies what the engine says about itself.
     """
 
     adapter: GatewayAdapter
+    fleet: EndpointFleet
+    notices: EndpointNotices
 
     async def read(self, record: EndpointRecord) -> EngineWork | None:
         """Return the work of an engine, ``None`` if it does not report any.
 
         :param record: the engine.
         """
+        state = self.fleet.find(record.endpoint_id)
+        if state is not None and trio.current_time() < state.closed_until:
+            LOG.write("an engine that wants no requests is not asked", endpoint=record.endpoint_id)
+            return None
         answer = await query_endpoint(record.address, self.adapter.report_path)
+        if not isinstance(answer, Err):
+            self._observe(record, answer.ok_value)
         decoded = (
             answer if isinstance(answer, Err) else self.adapter.decode_work(answer.ok_value.body)
         )
@@ -38,3 +52,9 @@
             )
             return None
         return decoded.ok_value
+
+    def _observe(self, record: EndpointRecord, answer: EndpointAnswer) -> None:
+        # Another engine may have the address by now; a refusal has no report that tells.
+        report = self.adapter.decode_report(answer.body)
+        if isinstance(report, Err) or report.ok_value.started_at == record.started_at:
+            self.notices.observe(record, answer.status, answer.headers)
--- a/packages/daemon/gypsumpost_daemon/gateway/forward_context.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/forward_context.py
@@ -1,21 +1,24 @@
 """State shared by all forwarders of a host."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import attrs
 import trio
 
 from gypsumpost_core.gateway.copy_directory import CopyDirectory
+from gypsumpost_core.gateway.endpoint_record import EndpointRecord
 from gypsumpost_core.gateway.engine_choice import EngineChoice
 from gypsumpost_core.gateway.prefill_rates import PrefillRates
 from gypsumpost_core.gateway.retry_budget import RetryBudget
 from gypsumpost_core.gateway.usage_table import UsageTable
 from gypsumpost_daemon.gateway.adapter import GatewayAdapter
+from gypsumpost_daemon.gateway.answer_check import is_own_answer
 from gypsumpost_daemon.gateway.caller_call import CallerCall
 from gypsumpost_daemon.gateway.crash_guard import CrashGuard
 from gypsumpost_daemon.gateway.directory import Directory
 from gypsumpost_daemon.gateway.endpoint_monitor import EndpointMonitor
+from gypsumpost_daemon.gateway.endpoint_notices import EndpointNotices
 from gypsumpost_daemon.gateway.engine_work_reader import EngineWorkReader
 from gypsumpost_daemon.gateway.forwarded_request import ForwardedRequest
 from gypsumpost_daemon.gateway.gateway_metrics import GatewayMetrics
@@ -54,6 +57,7 @@
     :param adapter: names and formats of the platform.
     :param directory: configuration and endpoints.
     :param monitor: detects lost endpoints.
+    :param notices: applies what endpoints say about themselves.
     :param work_reader: asks engines which requests they work on.
     :param usage: usage of the engines.
     :param rates: prefill rates of the engines.
@@ -69,6 +73,7 @@
     adapter: GatewayAdapter
     directory: Directory
     monitor: EndpointMonitor
+    notices: EndpointNotices
     work_reader: EngineWorkReader
     usage: UsageTable
     rates: PrefillRates
@@ -115,6 +120,33 @@
         """
         return round(self.retry_budget.compute_remaining(service, trio.current_time()), 1)
 
+    def observe_answer(
+        self,
+        call: CallerCall,
+        record: EndpointRecord,
+        status: int,
+        headers: Sequence[tuple[bytes, bytes]],
+    ) -> None:
+        """Apply what an endpoint says about itself, as soon as the head of its answer is read.
+
+        :param call: the request.
+        :param record: the endpoint that it was sent to.
+        :param status: status code.
+        :param headers: headers in lower case.
+        """
+        if is_own_answer(status, headers, self.header_names, call.request_id):
+            self.notices.observe(record, status, headers)
+
+    def compute_retry_after(self, service: str, usual: float) -> float:
+        """Return after how many seconds a refused request may come back.
+
+        :param service: the service.
+        :param usual: the answer if the endpoints have not asked for a pause, in seconds.
+        """
+        now = trio.current_time()
+        opens_at = self.directory.fleet.find_opening(service, now)
+        return usual if opens_at is None else max(usual, opens_at - now)
+
     def create_choice(self) -> EngineChoice:
         """Return the choice between the engines as this host knows them now."""
         now = trio.current_time()
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
@@ -20,6 +20,7 @@
 from gypsumpost_daemon.gateway.directory_exchange import DirectoryExchange
 from gypsumpost_daemon.gateway.endpoint_identifier import EndpointIdentifier
 from gypsumpost_daemon.gateway.endpoint_monitor import EndpointMonitor
+from gypsumpost_daemon.gateway.endpoint_notices import EndpointNotices
 from gypsumpost_daemon.gateway.endpoint_reports import EndpointReports
 from gypsumpost_daemon.gateway.engine_work_reader import EngineWorkReader
 from gypsumpost_daemon.gateway.forward_context import ForwardContext, create_retry_budget
@@ -96,9 +97,10 @@
             directory=self.directory,
             roles=self.roles,
         )
+        notices = EndpointNotices(fleet=self.directory.fleet, names=adapter.headers)
         self.monitor = EndpointMonitor(
             directory=self.directory,
-            identifier=EndpointIdentifier(adapter=adapter),
+            identifier=EndpointIdentifier(adapter=adapter, notices=notices),
             refresh=lambda: self._follower.refresh(adapter.endpoint_prefix),
             count_hosts=self._count_domain_hosts,
         )
@@ -133,6 +135,7 @@
                 follower=self._follower,
                 roles=self.roles,
                 reports=EndpointReports(directory=self.directory, monitor=self.monitor),
+                notices=notices,
                 usage=self.usage,
                 rates=rates,
                 crash_guard=crash_guard,
@@ -151,7 +154,10 @@
             adapter=adapter,
             directory=self.directory,
             monitor=self.monitor,
-            work_reader=EngineWorkReader(adapter=adapter),
+            notices=notices,
+            work_reader=EngineWorkReader(
+                adapter=adapter, fleet=self.directory.fleet, notices=notices
+            ),
             usage=self.usage,
             rates=rates,
             crash_guard=crash_guard,
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_gauges.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_gauges.py
@@ -66,4 +66,14 @@
         "Requests and parts of prompts that are refused because endpoints crash on them.",
         context.crash_guard.count_causes,
     )
+    add(
+        "gypsumpost_endpoints_leaving",
+        "Endpoints that have said that they leave.",
+        lambda: len(directory.fleet.list_leaving()),
+    )
+    add(
+        "gypsumpost_endpoints_closed",
+        "Endpoints that want no requests of this host for a while.",
+        lambda: sum(trio.current_time() < state.closed_until for state in directory.fleet),
+    )
     add("gypsumpost_gateway_open_requests", "Requests that are being served.", count_open)
--- a/packages/daemon/gypsumpost_daemon/gateway/header_names.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/header_names.py
@@ -16,6 +16,9 @@
     :param expected_endpoint: id of the endpoint that the request is intended for.
     :param endpoint_id: id of the endpoint that answers.
     :param not_run: set on an answer if the endpoint did not run the request.
+    :param leaving: ``1`` on an answer if the endpoint leaves.
+    :param retry_after: seconds for which an endpoint wants no request of this host, with status
+        503.
     :param priority: priority of a request at the engine.
     :param token_counts: number of prompt tokens and maximum number of output tokens.
     :param prompt_parts: parts of the prompt in order, as ``ID:TOKENS`` with commas between them;
@@ -35,6 +38,8 @@
     expected_endpoint: bytes
     endpoint_id: bytes
     not_run: bytes
+    leaving: bytes
+    retry_after: bytes
     priority: bytes
     token_counts: bytes
     prompt_parts: bytes
--- a/packages/daemon/gypsumpost_daemon/gateway/peer_exchange.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/peer_exchange.py
@@ -82,6 +82,7 @@
         self._domain_loss_detected = trio.Event()
         state.reports.add_listener(self._handle_loss)
         state.usage.add_listener(self.schedule_beacons)
+        state.notices.add_listener(self._handle_loss)
         state.crash_guard.add_listener(self._handle_loss)
         state.crash_guard.add_forward_listener(self._handle_forwarded_evidence)
         state.directory.add_listener(self.schedule_beacons)
--- a/packages/daemon/gypsumpost_daemon/gateway/stream_attempt.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/stream_attempt.py
@@ -215,6 +215,7 @@
             if head is None and not await self._watch.is_alive(prefilling=True):
                 return Err(AttemptFailure(reason="the engine is silent", may_have_run=True))
         headers = list(head.headers)
+        self._context.observe_answer(self._call, self._record, head.status_code, headers)
         names = self._context.header_names
         failure = check_answer(head.status_code, headers, names, self._call.request_id)
         if failure is not None:
--- a/packages/daemon/gypsumpost_daemon/gateway/stream_forwarder.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/stream_forwarder.py
@@ -204,7 +204,9 @@
         return CopySource(holder=holder, address=holder.address, handle=report.request_id)
 
     def _find_copy_engine(self, copy: CopySource | None) -> EndpointState | None:
-        return self._context.directory.fleet.find_running(copy.holder) if copy else None
+        if copy is None:
+            return None
+        return self._context.directory.fleet.find_open(copy.holder, trio.current_time())
 
     async def _choose_engine(
         self, call: CallerCall, progress: StreamProgress, tried: set[str]
@@ -222,7 +224,9 @@
                 total_tokens=progress.usage.total_tokens,
                 tried=tried,
             )
-            if state is not None or trio.current_time() >= wait_deadline:
+            now = trio.current_time()
+            opens_at = self._context.directory.fleet.find_opening(call.service, now)
+            if state is not None or now >= wait_deadline or (opens_at or now) > wait_deadline:
                 return state
             tried.clear()
             await self._context.directory.wait_change(min(wait_deadline, trio.current_time() + 0.1))
@@ -288,4 +292,5 @@
             await exchange.refuse(504 if past_deadline else 502, text, RunState.UNKNOWN)
         else:
             text = f"The request has not run: {reason}."
-            await exchange.refuse(503, text, RunState.NOT_RUN, RETRY_AFTER_SECONDS)
+            retry_after = self._context.compute_retry_after(call.service, RETRY_AFTER_SECONDS)
+            await exchange.refuse(503, text, RunState.NOT_RUN, retry_after)
--- a/packages/daemon/gypsumpost_daemon/gateway/tests/test_beacon_codec.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/tests/test_beacon_codec.py
@@ -41,6 +41,7 @@
         retries={"s": RetryCount(requests=7, retries=8)},
         losses=(EndpointStart(endpoint_id="e", started_at=6),),
         returns=(EndpointStart(endpoint_id="e", started_at=9),),
+        leaving=(EndpointStart(endpoint_id="e", started_at=10),),
         crashes=(
             CrashReport(
                 suspect=CrashSuspect(fingerprint=b"\0\xff", parts=(b"p", b"\xff")),
