--- a/packages/daemon/gypsumpost_daemon/gateway/message_headers.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/message_headers.py
@@ -61,6 +61,15 @@
     return next((value for found, value in headers if found == name), None)
 
 
+def find_content_type(headers: Iterable[tuple[bytes, bytes]]) -> bytes:
+    """Return the content type without its parameters, empty if there is none.
+
+    :param headers: headers in lower case.
+    """
+    value = find_header(headers, b"content-type") or b""
+    return value.partition(b";")[0].strip().lower()
+
+
 def _list_connection_headers(headers: list[tuple[bytes, bytes]]) -> set[bytes]:
     return {
         entry.strip().lower()
--- a/packages/daemon/gypsumpost_daemon/gateway/stream_attempt.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/stream_attempt.py
@@ -1,7 +1,5 @@
 """One attempt to run a stream on one engine."""
 
-from collections.abc import Iterable
-
 import h11
 import trio
 from result import Err, Ok, Result
@@ -20,7 +18,7 @@
 from gypsumpost_daemon.gateway.engine_watch import EngineWatch
 from gypsumpost_daemon.gateway.event_splitter import EventSplitter, StreamEvent
 from gypsumpost_daemon.gateway.forward_context import ForwardContext
-from gypsumpost_daemon.gateway.message_headers import find_header, select_response_headers
+from gypsumpost_daemon.gateway.message_headers import find_content_type, select_response_headers
 from gypsumpost_daemon.gateway.stream_progress import StreamProgress
 from gypsumpost_daemon.telemetry.log import Log
 
@@ -245,7 +243,7 @@
             events = self._splitter.feed(data)
             if self._splitter.buffered > MAX_EVENT_BYTES:
                 return Err(AttemptFailure(reason="an event is too long", may_have_run=True))
-            if not self._continues(events):
+            if not self._progress.is_continued_by(event.event_id for event in events):
                 return Err(AttemptFailure(reason="an event came again", may_have_run=True))
             if any(event.has_content for event in events):
                 self._observe(prefilling, trio.current_time())
@@ -263,15 +261,6 @@
         await self._exchange.send(b"", more=False)
         return Ok(None)
 
-    def _continues(self, events: list[StreamEvent]) -> bool:
-        """Return false if an event has an id that the caller has already received."""
-        last = self._progress.last_event_id
-        for event_id in (event.event_id for event in events if event.event_id):
-            if last.isdigit() and event_id.isdigit() and int(event_id) <= int(last):
-                return False
-            last = event_id
-        return True
-
     def _observe(self, prefilling: bool, now: float) -> None:
         self._context.directory.fleet.mark_alive(self._record.endpoint_id, now)
         if prefilling:
@@ -314,12 +303,3 @@
             headers = select_response_headers(head.headers)
             self._progress.content_type = find_content_type(headers)
             await self._exchange.start(SUCCESS, headers)
-
-
-def find_content_type(headers: Iterable[tuple[bytes, bytes]]) -> bytes:
-    """Return the content type of an answer without its parameters, empty if it has none.
-
-    :param headers: headers in lower case.
-    """
-    value = find_header(headers, b"content-type") or b""
-    return value.partition(b";")[0].strip().lower()
--- a/packages/daemon/gypsumpost_daemon/gateway/stream_progress.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/stream_progress.py
@@ -1,5 +1,7 @@
 """Progress of a stream over its attempts."""
 
+from collections.abc import Iterable
+
 import attrs
 
 from gypsumpost_core.gateway.copy_source import CopySource
@@ -53,3 +55,17 @@
         self.last_event_at = now
         self.events += count
         self.last_event_id = last_event_id or self.last_event_id
+
+    def is_continued_by(self, event_ids: Iterable[bytes]) -> bool:
+        """Return false if an id of an event is one that the caller has already received.
+
+        Only ids that are numbers can be compared.
+
+        :param event_ids: ids of the next events in order, empty for events without one.
+        """
+        last = self.last_event_id
+        for event_id in filter(None, event_ids):
+            if last.isdigit() and event_id.isdigit() and int(event_id) <= int(last):
+                return False
+            last = event_id
+        return True
