Give endpoints of plain services the pause that they ask for, on the callers' interface as well

A 503 with Retry-After was passed on, and the next call went there at once: 20 of 20 in the test. The endpoint is closed until then; if all are, the call is refused at once with the earliest end as its Retry-After. One parser serves both interfaces.

--- a/packages/bench/gypsumpost_bench/service_application.py
+++ b/packages/bench/gypsumpost_bench/service_application.py
@@ -48,6 +48,7 @@
         execution_log: str = "",
     ) -> None:
         self.executions: Counter[str] = Counter()
+        self.refusals = 0
         self._name = name
         self._end_process = end_process
         self._execution_log = execution_log
@@ -99,6 +100,10 @@
         if fault is ServiceFaultKind.DROP:
             await drop_connection(send)
             return
+        if fault is ServiceFaultKind.REFUSE:
+            self.refusals += 1
+            await send_json(send, 503, {}, retry_after=self._fault.delay)
+            return
         call_id = read_headers(scope).get(CALL_ID_HEADER, "")
         self._count_execution(call_id)
         self._running += 1
--- a/packages/bench/gypsumpost_bench/service_fault_kind.py
+++ b/packages/bench/gypsumpost_bench/service_fault_kind.py
@@ -7,7 +7,8 @@
     """Faulty behaviour of the service.
 
     ``CLOSE`` runs the call and closes the connection before the answer; ``DROP`` closes it without
-    running the call. A caller cannot distinguish the two.
+    running the call. A caller cannot distinguish the two. ``REFUSE`` answers 503 and asks for a
+    pause of the fault's delay.
     """
 
     NONE = "none"
@@ -17,3 +18,4 @@
     CLOSE = "close"
     DROP = "drop"
     DRAIN = "drain"
+    REFUSE = "refuse"
--- a/packages/bench/gypsumpost_bench/stand_in_http.py
+++ b/packages/bench/gypsumpost_bench/stand_in_http.py
@@ -64,15 +64,20 @@
             return bytes(body)
 
 
-async def send_json(send: AsgiSend, status: int, body: object) -> None:
+async def send_json(
+    send: AsgiSend, status: int, body: object, retry_after: float | None = None
+) -> None:
     """Send a complete JSON response.
 
     :param send: ASGI send function.
     :param status: HTTP status code.
     :param body: a JSON-serializable value.
+    :param retry_after: seconds for the header ``Retry-After``, ``None`` for no such header.
     """
     data = orjson.dumps(body)
     headers = [*JSON_HEADERS, (b"content-length", str(len(data)).encode())]
+    if retry_after is not None:
+        headers.append((b"retry-after", str(retry_after).encode()))
     await send({"type": "http.response.start", "status": status, "headers": headers})
     await send({"type": "http.response.body", "body": data})
 
--- a/packages/bench/gypsumpost_bench/tests/test_service_calls.py
+++ b/packages/bench/gypsumpost_bench/tests/test_service_calls.py
@@ -124,6 +124,19 @@
     assert set(cluster.count_executions().values()) == {1}
 
 
+async def test_an_endpoint_that_asks_for_a_pause_gets_it(cluster: CallCluster) -> None:
+    """Guards against calls to an endpoint that has turned this host away."""
+    for service in cluster.services:
+        service.inject_fault({"kind": "refuse", "delay": 20, "seconds": 60})
+    for number in range(20):
+        response = await cluster.call(0, x_call_id=f"c{number}")
+        assert response.status == 503
+    assert sum(service.refusals for service in cluster.services) <= len(cluster.services)
+    assert read_error(response)["run_state"] == "not_run"
+    assert 15 < float(response.headers["retry-after"]) <= 20
+    assert not cluster.count_executions()
+
+
 async def test_refused_call_can_be_run_later(cluster: CallCluster) -> None:
     """Guards against a claim that remains after not_run and blocks the retry."""
     endpoints = list(cluster.endpoints)
--- a/packages/daemon/gypsumpost_daemon/calls/call_answers.py
+++ b/packages/daemon/gypsumpost_daemon/calls/call_answers.py
@@ -14,7 +14,7 @@
 
 
 def create_failure_response(
-    status: int, code: str, message: str, run_state: RunState
+    status: int, code: str, message: str, run_state: RunState, retry_at: float | None = None
 ) -> CallerResponse:
     """Return an error response.
 
@@ -22,8 +22,11 @@
     :param code: stable machine-readable code.
     :param message: human-readable description in one sentence.
     :param run_state: run state of the call.
+    :param retry_at: Unix time in seconds from which a retry may succeed, ``None`` if unknown.
     """
-    failure = Failure(status=status, code=code, message=message, run_state=run_state)
+    failure = Failure(
+        status=status, code=code, message=message, run_state=run_state, retry_at=retry_at
+    )
     return encode_failure(failure)
 
 
@@ -36,15 +39,17 @@
     return create_failure_response(502, "call_outcome_unknown", message, RunState.UNKNOWN)
 
 
-def answer_unsent_call(reason: str, run_state: RunState) -> CallerResponse:
+def answer_unsent_call(
+    reason: str, run_state: RunState, retry_at: float | None = None
+) -> CallerResponse:
     """Return the response to a call that was not sent to any endpoint.
 
     :param reason: why it was not sent.
     :param run_state: run state of the call, including earlier requests under the same key.
+    :param retry_at: Unix time in seconds from which a retry may succeed, ``None`` if unknown.
     """
-    return create_failure_response(
-        503, "service_unavailable", f"The call was not sent: {reason}.", run_state
-    )
+    message = f"The call was not sent: {reason}."
+    return create_failure_response(503, "service_unavailable", message, run_state, retry_at)
 
 
 def refuse_mismatch() -> CallerResponse:
--- a/packages/daemon/gypsumpost_daemon/calls/send_failure.py
+++ b/packages/daemon/gypsumpost_daemon/calls/send_failure.py
@@ -9,7 +9,10 @@
 
     :param reason: a short description, part of the response to the caller.
     :param sent: true if the service may have run the request.
+    :param opens_at: monotonic time in seconds at which an endpoint takes requests again, if all
+        have asked for a pause.
     """
 
     reason: str
     sent: bool
+    opens_at: float | None = None
--- a/packages/daemon/gypsumpost_daemon/calls/service_calls.py
+++ b/packages/daemon/gypsumpost_daemon/calls/service_calls.py
@@ -124,7 +124,11 @@
             return sent.ok_value
         if sent.err_value.sent:
             return answer_lost_call(sent.err_value.reason)
-        return answer_unsent_call(sent.err_value.reason, RunState.NOT_RUN)
+        opens_at = sent.err_value.opens_at
+        retry_at = None
+        if opens_at is not None:
+            retry_at = self._read_unix_time() + opens_at - trio.current_time()
+        return answer_unsent_call(sent.err_value.reason, RunState.NOT_RUN, retry_at)
 
     async def _serve_issued_call(self, request: PeerRequest) -> bytes:
         offset = self._read_unix_time() - trio.current_time()
--- a/packages/daemon/gypsumpost_daemon/calls/service_sender.py
+++ b/packages/daemon/gypsumpost_daemon/calls/service_sender.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from collections.abc import Callable
 
+import attrs
 import httpcore
 import trio
 from result import Err, Ok, Result
@@ -18,6 +19,8 @@
 from gypsumpost_daemon.calls.send_failure import SendFailure
 from gypsumpost_daemon.calls.service_request import NOT_FORWARDED, ServiceRequest
 from gypsumpost_daemon.engines.sent_trace import SentTrace
+from gypsumpost_daemon.http.retry_after import UNAVAILABLE, parse_retry_after
+from gypsumpost_daemon.telemetry.log import Log
 
 ATTEMPT_SECONDS = 5.0
 """Timeout of one attempt of an idempotent request, to leave time for another endpoint if one is
@@ -28,6 +31,7 @@
 """How long an endpoint is ranked last after a failure. Without this, one dead endpoint of two gets
 half of the first attempts, while the retry budget covers only a tenth of them."""
 
+LOG = Log(prefix="call")
 FORBIDDEN = "the deadline of the claim or key passed before the first byte"
 NETWORK_ERRORS = (
     httpcore.NetworkError,
@@ -68,6 +72,7 @@
         self._rng = rng or random.Random()
         self._in_flight: Counter[str] = Counter()
         self._avoided_until: dict[str, float] = {}
+        self._closed_until: dict[str, float] = {}
         # Connections are not reused: the service may close an idle one at any time, and the run
         # state of a request written to it would be unknown.
         self._pool = httpcore.AsyncConnectionPool(
@@ -87,7 +92,7 @@
             false.
         """
         self._budget.record_first_attempt()
-        failure = SendFailure(reason="no live endpoint of the service", sent=False)
+        failure = self._explain_no_endpoint(request.service)
         maybe_run = False
         for number, endpoint in enumerate(self._rank_endpoints(request.service)):
             if number and not self._may_retry(request, maybe_run, idempotent):
@@ -99,7 +104,7 @@
             maybe_run = maybe_run or failure.sent
             if failure.reason == FORBIDDEN:
                 break
-        return Err(SendFailure(reason=failure.reason, sent=maybe_run))
+        return Err(attrs.evolve(failure, sent=maybe_run))
 
     async def close(self) -> None:
         """Close all connections."""
@@ -110,15 +115,42 @@
         return in_time and (idempotent or not maybe_run) and self._budget.try_acquire()
 
     def _rank_endpoints(self, service: str) -> list[Endpoint]:
+        now = trio.current_time()
         usable = [
+            endpoint
+            for endpoint in self._list_live(service)
+            if now >= self._closed_until.get(endpoint.address, -math.inf)
+        ]
+        self._rng.shuffle(usable)
+        return sorted(usable, key=self._compute_rank)
+
+    def _list_live(self, service: str) -> list[Endpoint]:
+        return [
             endpoint
             for endpoint in self._list_endpoints()
             if endpoint.kind is EndpointKind.SERVICE
             and endpoint.service == service
             and endpoint.status is EndpointStatus.LIVE
         ]
-        self._rng.shuffle(usable)
-        return sorted(usable, key=self._compute_rank)
+
+    def _explain_no_endpoint(self, service: str) -> SendFailure:
+        """Return the failure of a request for which no endpoint is open."""
+        live = self._list_live(service)
+        if not live:
+            return SendFailure(reason="no live endpoint of the service", sent=False)
+        opens_at = min(self._closed_until.get(endpoint.address, -math.inf) for endpoint in live)
+        reason = "all endpoints of the service have asked for a pause"
+        return SendFailure(reason=reason, sent=False, opens_at=opens_at)
+
+    def _observe(self, endpoint: Endpoint, response: CallerResponse) -> None:
+        """Send no further request to an endpoint that has asked for a pause."""
+        value = response.headers.get("retry-after")
+        if response.status != UNAVAILABLE or value is None:
+            return
+        seconds = parse_retry_after(value.encode("latin-1"))
+        LOG.write("an endpoint asks for a pause", endpoint=endpoint.name, seconds=seconds)
+        if seconds is not None:
+            self._closed_until[endpoint.address] = trio.current_time() + seconds
 
     def _compute_rank(self, endpoint: Endpoint) -> tuple[bool, bool, int]:
         avoided = trio.current_time() < self._avoided_until.get(endpoint.name, -math.inf)
@@ -171,7 +203,9 @@
                     content=request.caller.body,
                     extensions={"trace": trace.observe, "timeout": {"connect": CONNECT_SECONDS}},
                 )
-                return Ok(_convert_response(response))
+                converted = _convert_response(response)
+                self._observe(endpoint, converted)
+                return Ok(converted)
         except _SendForbidden:
             return Err(SendFailure(reason=FORBIDDEN, sent=False))
         except NETWORK_ERRORS as error:
--- a/packages/daemon/gypsumpost_daemon/gateway/endpoint_notices.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/endpoint_notices.py
@@ -1,6 +1,5 @@
 """Reads what endpoints say about themselves in the headers of any answer."""
 
-import math
 from collections.abc import Callable, Iterable
 
 import trio
@@ -10,12 +9,9 @@
 from gypsumpost_core.gateway.endpoint_start import EndpointStart
 from gypsumpost_daemon.gateway.header_names import HeaderNames
 from gypsumpost_daemon.gateway.message_headers import find_header
+from gypsumpost_daemon.http.retry_after import UNAVAILABLE, parse_retry_after
 from gypsumpost_daemon.telemetry.log import Log
 
-UNAVAILABLE = 503
-MAX_PAUSE_SECONDS = 600.0
-"""A faulty endpoint may ask for a pause without end."""
-
 LOG = Log(prefix="endpoint")
 
 
@@ -62,7 +58,7 @@
                 listener()
 
     def _close(self, record: EndpointRecord, value: bytes) -> None:
-        seconds = parse_pause(value)
+        seconds = parse_retry_after(value)
         if seconds is None:
             LOG.write(
                 "ignored a pause that is no number of seconds",
@@ -76,19 +72,3 @@
             seconds=seconds,
         )
         self._fleet.close(record, trio.current_time() + seconds)
-
-
-def parse_pause(value: bytes) -> float | None:
-    """Return a pause in seconds, at most ``MAX_PAUSE_SECONDS``.
-
-    Fractions are accepted and zero is no pause; dates, negative numbers and all else are ``None``.
-
-    :param value: value of the header.
-    """
-    try:
-        seconds = float(value.decode("ascii"))
-    except (ValueError, UnicodeDecodeError):
-        return None
-    if not math.isfinite(seconds) or seconds < 0:
-        return None
-    return min(seconds, MAX_PAUSE_SECONDS)
--- a/packages/daemon/gypsumpost_daemon/gateway/tests/test_endpoint_notices.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_retry_after.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from gypsumpost_daemon.gateway.endpoint_notices import MAX_PAUSE_SECONDS, parse_pause
+from gypsumpost_daemon.http.retry_after import MAX_PAUSE_SECONDS, parse_retry_after
 
 
 @pytest.mark.parametrize(
@@ -22,4 +22,4 @@
 )
 def test_a_pause_is_a_bounded_number_of_seconds(value, seconds):
     """Guards against endpoints that are closed for good, or not, by a malformed header."""
-    assert parse_pause(value) == seconds
+    assert parse_retry_after(value) == seconds
