Keep the proofs of a cause when a large fleet loses many engines

128 crashes were kept, the newest: two losses of a domain of 75 engines would have displaced the evidence, and the part would have been sent again. Crashes under a cause are dropped last, those without suspects first. Evidence is weighed only when a request was in enough crashes since its last survival, so that the loss of a domain does not start a review of all crashes for each report.

--- a/packages/core/gypsumpost_core/crashes/crash_evidence.py
+++ b/packages/core/gypsumpost_core/crashes/crash_evidence.py
@@ -5,6 +5,7 @@
 import attrs
 
 from gypsumpost_core.crashes.crash import Crash
+from gypsumpost_core.crashes.crash_attribution import compute_threshold
 from gypsumpost_core.crashes.crash_key import CrashKey
 from gypsumpost_core.crashes.crash_report import CrashReport
 from gypsumpost_core.crashes.crash_suspect import CrashSuspect
@@ -15,29 +16,40 @@
 KEPT_SECONDS = 1800.0
 """Time until a crash is forgotten."""
 
-MAX_CRASHES = 128
+MAX_CRASHES = 256
+"""Crashes kept; the loss of a domain of a large fleet is a hundred of them."""
+
 MAX_SUSPECTS = 32
 """Suspects kept of one crash; an endpoint reads few prompts at a time."""
 
 
 @attrs.define(kw_only=True)
 class CrashEvidence:
-    """Keeps a bounded number of crashes with their suspects, and the survivals."""
+    """Keeps a bounded number of crashes with their suspects, and the survivals.
+
+    ``proven`` holds the causes that are refused; the crashes under them are dropped last.
+    """
 
     survivals: Survivals = attrs.field(factory=Survivals, init=False)
+    proven: frozenset[CrashKey] = attrs.field(default=frozenset(), init=False)
     _crashes: dict[EndpointStart, Crash] = attrs.field(factory=dict, init=False)
+    # Crashes under each key that no survival has followed.
     _suspected: Counter[CrashKey] = attrs.field(factory=Counter, init=False)
 
     def list_crashes(self) -> list[Crash]:
         """Return the losses of endpoints that are kept."""
         return list(self._crashes.values())
 
-    def count_crashes(self, suspect: CrashSuspect) -> int:
-        """Return how often a request, or the part of it that did most often, was in a crash.
+    def may_be_cause(self, suspect: CrashSuspect, now: float) -> bool:
+        """Return true if a request, or a part of it, was in enough crashes to be refused.
 
         :param suspect: the request.
+        :param now: monotonic time in seconds.
         """
-        return max(self._suspected[key] for key in suspect.keys)
+        return any(
+            self._suspected[key] >= compute_threshold(self.survivals.get(key).decay(now))
+            for key in suspect.keys
+        )
 
     def add_loss(self, process: EndpointStart, failure_domain: str, at: float) -> Crash:
         """Record the loss of an endpoint process, and return what is known of it.
@@ -51,7 +63,7 @@
             crash = Crash(process=process, failure_domain=failure_domain, at=at)
             self._crashes[process] = crash
             if len(self._crashes) > MAX_CRASHES:
-                self._drop(min(self._crashes.values(), key=lambda kept: kept.at))
+                self._drop(min(self._crashes.values(), key=self._rank))
         # Hosts that had no request there notice the loss later.
         crash.at = min(crash.at, at)
         return crash
@@ -79,7 +91,7 @@
         """
         for key in suspect.keys:
             self.survivals.add(key, now)
-        return [key for key in suspect.keys if key in self._suspected]
+        return [key for key in suspect.keys if self._suspected.pop(key, 0)]
 
     def merge_survival(self, report: SurvivalReport, now: float) -> None:
         """Apply the survivals that a peer has counted.
@@ -88,6 +100,7 @@
         :param now: monotonic time in seconds.
         """
         self.survivals.merge(report.key, report.count, now - report.age_seconds)
+        self._suspected.pop(report.key, None)
 
     def expire(self, now: float) -> None:
         """Forget crashes that are older than ``KEPT_SECONDS``.
@@ -98,6 +111,11 @@
             if crash.at < now - KEPT_SECONDS:
                 self._drop(crash)
 
+    def _rank(self, crash: Crash) -> tuple[bool, bool, float]:
+        """Return the order in which crashes are dropped."""
+        proves = bool(self.proven) and not self.proven.isdisjoint(crash.list_keys())
+        return (proves, bool(crash.suspects), crash.at)
+
     def _drop(self, crash: Crash) -> None:
         del self._crashes[crash.process]
         self._suspected.subtract(crash.list_keys())
--- a/packages/core/gypsumpost_core/crashes/crash_register.py
+++ b/packages/core/gypsumpost_core/crashes/crash_register.py
@@ -6,7 +6,7 @@
 
 from gypsumpost_core.crashes.blame import Blame
 from gypsumpost_core.crashes.crash import Crash
-from gypsumpost_core.crashes.crash_attribution import REFUSED_CRASHES, CrashAttribution
+from gypsumpost_core.crashes.crash_attribution import CrashAttribution
 from gypsumpost_core.crashes.crash_evidence import KEPT_SECONDS, CrashEvidence
 from gypsumpost_core.crashes.crash_key import CrashKey
 from gypsumpost_core.crashes.crash_report import CrashReport
@@ -76,7 +76,7 @@
         for key in report.suspect.keys:
             if self._evidence.survivals.get(key).count:
                 self._survival_reports[key] = now + RESEND_SECONDS
-        if self._evidence.count_crashes(report.suspect) >= REFUSED_CRASHES:
+        if self._evidence.may_be_cause(report.suspect, now):
             self._changed = True
         return True
 
@@ -130,6 +130,7 @@
         before = self.causes
         attribution = CrashAttribution(survivals=self._evidence.survivals, now=now)
         self.causes = attribution.find_causes(self._evidence.list_crashes())
+        self._evidence.proven = frozenset(self.causes)
         refused = [blame for key, blame in self.causes.items() if key not in before]
         released = [blame for key, blame in before.items() if key not in self.causes]
         return refused, released
--- a/packages/core/gypsumpost_core/crashes/tests/test_crash_register.py
+++ b/packages/core/gypsumpost_core/crashes/tests/test_crash_register.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from gypsumpost_core.crashes.crash_evidence import MAX_CRASHES
 from gypsumpost_core.crashes.crash_register import CrashRegister
 from gypsumpost_core.crashes.crash_report import CrashReport
 from gypsumpost_core.crashes.crash_suspect import CrashSuspect
@@ -164,6 +165,17 @@
     assert trials == [19, 57]
 
 
+def test_the_loss_of_domains_does_not_displace_the_proofs_of_a_cause():
+    """Guards against a part that is sent again as a large fleet loses many engines (BUDGET)."""
+    register = CrashRegister()
+    crash_with_part(register, 4)
+    assert is_part_refused(register, DEADLY, 4.0)
+    for number in range(2 * MAX_CRASHES):
+        report = create_report("e", 1000 + number, create_suspect(1000 + number), "b")
+        register.add(report, 5.0 + number / 100)
+    assert is_part_refused(register, DEADLY, 30.0)
+
+
 def test_a_survival_that_a_peer_has_seen_counts():
     """Guards against refusing a part on a host where no request with it has run (LOST)."""
     seen, other = CrashRegister(), CrashRegister()
