Probe the endpoint of a plain service after an answer without a length, as the gateway does

On the callers' interface an answer that ended with its connection was passed on as complete, and kept as the outcome of the call, although its endpoint had crashed in the middle of it. The test failed before; an endpoint that lives is believed.

--- a/packages/bench/gypsumpost_bench/tests/test_service_calls.py
+++ b/packages/bench/gypsumpost_bench/tests/test_service_calls.py
@@ -137,6 +137,38 @@
     assert not cluster.count_executions()
 
 
+@pytest.mark.parametrize("crashes", [True, False])
+async def test_an_answer_without_a_length_is_complete_only_if_its_endpoint_lives(
+    cluster: CallCluster, crashes: bool
+) -> None:
+    """Guards against a cut answer that looks complete, as it ends with its connection."""
+
+    async def answer(stream: trio.SocketStream) -> None:
+        if not await stream.receive_some(65536):
+            return  # A probe of whether the endpoint lives.
+        if crashes:
+            await listeners[0].aclose()
+        await stream.send_all(b"HTTP/1.1 200 OK\r\nX-Call-Id: c\r\n\r\nha")
+        await stream.aclose()
+
+    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+    cluster.endpoints[:] = [attrs.evolve(cluster.endpoints[0], address=address)]
+    async with trio.open_nursery() as nursery:
+
+        async def serve() -> None:
+            try:
+                await trio.serve_listeners(answer, listeners, handler_nursery=nursery)
+            except* trio.ClosedResourceError:
+                pass  # The endpoint has crashed.
+
+        nursery.start_soon(serve)
+        response = await cluster.call(0, x_call_id="c")
+        nursery.cancel_scope.cancel()
+    assert response.status == (502 if crashes else 200)
+    assert not crashes or read_error(response)["run_state"] == "unknown"
+
+
 async def test_refused_call_can_be_run_later(cluster: CallCluster) -> None:
     """Guards against a claim that remains after not_run and blocks the retry."""
     endpoints = list(cluster.endpoints)
--- a/packages/daemon/gypsumpost_daemon/calls/service_sender.py
+++ b/packages/daemon/gypsumpost_daemon/calls/service_sender.py
@@ -18,7 +18,10 @@
 from gypsumpost_daemon.callers.caller_response import CallerResponse
 from gypsumpost_daemon.calls.send_failure import SendFailure
 from gypsumpost_daemon.calls.service_request import NOT_FORWARDED, ServiceRequest
+from gypsumpost_daemon.engines.endpoint_probe import ProbeResult, probe_endpoint
+from gypsumpost_daemon.engines.h11_engine_connection import FRAMING_HEADERS
 from gypsumpost_daemon.engines.sent_trace import SentTrace
+from gypsumpost_daemon.http.http_response import STATUS_WITHOUT_BODY
 from gypsumpost_daemon.http.retry_after import UNAVAILABLE, parse_retry_after
 from gypsumpost_daemon.telemetry.log import Log
 
@@ -203,6 +206,10 @@
                     content=request.caller.body,
                     extensions={"trace": trace.observe, "timeout": {"connect": CONNECT_SECONDS}},
                 )
+                unframed = is_unframed(request.caller.method, response)
+                if unframed and not await _is_alive(endpoint):
+                    reason = "the endpoint ended with its answer"
+                    return Err(SendFailure(reason=reason, sent=True))
                 converted = _convert_response(response)
                 self._observe(endpoint, converted)
                 return Ok(converted)
@@ -224,6 +231,21 @@
     return guard
 
 
+def is_unframed(method: str, response: httpcore.Response) -> bool:
+    """Return true if an answer ended with its connection, so that its end may be a crash.
+
+    :param method: method of the request.
+    :param response: the answer.
+    """
+    if method == "HEAD" or response.status in STATUS_WITHOUT_BODY:
+        return False
+    return not any(name.lower() in FRAMING_HEADERS for name, _ in response.headers)
+
+
+async def _is_alive(endpoint: Endpoint) -> bool:
+    return await probe_endpoint(endpoint.address) is ProbeResult.ALIVE
+
+
 def _convert_response(response: httpcore.Response) -> CallerResponse:
     headers = {
         name.decode("latin-1").lower(): value.decode("latin-1")
--- a/packages/daemon/gypsumpost_daemon/gateway/endpoint_monitor.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/endpoint_monitor.py
@@ -7,9 +7,9 @@
 from result import Err
 
 from gypsumpost_core.gateway.endpoint_record import EndpointRecord
+from gypsumpost_daemon.engines.endpoint_probe import ProbeResult, probe_endpoint
 from gypsumpost_daemon.gateway.directory import Directory
 from gypsumpost_daemon.gateway.endpoint_identifier import EndpointIdentifier
-from gypsumpost_daemon.gateway.endpoint_probe import ProbeResult, probe_endpoint
 from gypsumpost_daemon.telemetry.log import Log
 
 RETURN_PROBE_SECONDS = 0.3
