Tell the peers each survival of a cause, also after an older one was merged

An old survival that a peer reported took a refused part off the list of suspects, so a later survival was not passed on, and the other hosts went on refusing. Found by reading; the test failed before.

--- a/packages/core/gypsumpost_core/crashes/crash_evidence.py
+++ b/packages/core/gypsumpost_core/crashes/crash_evidence.py
@@ -91,7 +91,10 @@
         """
         for key in suspect.keys:
             self.survivals.add(key, now)
-        return [key for key in suspect.keys if self._suspected.pop(key, 0)]
+        suspected = [key for key in suspect.keys if self._suspected[key] or key in self.proven]
+        for key in suspected:
+            del self._suspected[key]
+        return suspected
 
     def merge_survival(self, report: SurvivalReport, now: float) -> None:
         """Apply the survivals that a peer has counted.
@@ -99,8 +102,13 @@
         :param report: the report.
         :param now: monotonic time in seconds.
         """
-        self.survivals.merge(report.key, report.count, now - report.age_seconds)
-        self._suspected.pop(report.key, None)
+        survived_at = now - report.age_seconds
+        self.survivals.merge(report.key, report.count, survived_at)
+        crashes = self._crashes.values()
+        if not any(
+            crash.at > survived_at and crash.list_containing(report.key) for crash in crashes
+        ):
+            del self._suspected[report.key]
 
     def expire(self, now: float) -> None:
         """Forget crashes that are older than ``KEPT_SECONDS``.
--- a/packages/core/gypsumpost_core/crashes/tests/test_crash_register.py
+++ b/packages/core/gypsumpost_core/crashes/tests/test_crash_register.py
@@ -8,6 +8,7 @@
 from gypsumpost_core.crashes.crash_register import CrashRegister
 from gypsumpost_core.crashes.crash_report import CrashReport
 from gypsumpost_core.crashes.crash_suspect import CrashSuspect
+from gypsumpost_core.crashes.survival_report import SurvivalReport
 from gypsumpost_core.gateway.endpoint_start import EndpointStart
 
 DEADLY = b"deadly"
@@ -188,6 +189,18 @@
     assert not is_part_refused(other, FIRST, 4.0)
 
 
+def test_an_old_survival_does_not_hide_a_later_one_from_the_peers():
+    """Guards against a part that stays refused on the hosts that have not seen it survive (LOST)."""
+    register = CrashRegister()
+    crash_with_part(register, 5, parts=(FIRST,))
+    key = CrashSuspect(fingerprint=b"x", parts=(FIRST,)).keys[1]
+    register.merge_survival(SurvivalReport(key=key, count=1.0, age_seconds=60.0), 5.0)
+    assert is_part_refused(register, FIRST, 5.0)
+    assert register.add_survival(create_suspect(50, FIRST), 10.0)
+    assert [report.key for report in register.list_survivals(10.0)] == [key]
+    assert not is_part_refused(register, FIRST, 10.0)
+
+
 def test_a_cause_that_is_retried_after_a_while_is_refused_at_its_first_crash():
     """Guards against three more crashes each time that a refusal expires."""
     register = CrashRegister()
