--- a/packages/core/gypsumpost_core/crashes/crash_evidence.py
+++ b/packages/core/gypsumpost_core/crashes/crash_evidence.py
@@ -104,10 +104,8 @@
         """
         survived_at = now - report.age_seconds
         self.survivals.merge(report.key, report.count, survived_at)
-        crashes = self._crashes.values()
-        if not any(
-            crash.at > survived_at and crash.list_containing(report.key) for crash in crashes
-        ):
+        later = [crash for crash in self._crashes.values() if crash.at > survived_at]
+        if not any(crash.list_containing(report.key) for crash in later):
             del self._suspected[report.key]
 
     def expire(self, now: float) -> None:
--- a/packages/core/gypsumpost_core/crashes/tests/test_crash_register.py
+++ b/packages/core/gypsumpost_core/crashes/tests/test_crash_register.py
@@ -190,7 +190,7 @@
 
 
 def test_an_old_survival_does_not_hide_a_later_one_from_the_peers():
-    """Guards against a part that stays refused on the hosts that have not seen it survive (LOST)."""
+    """Guards against a part that stays refused on hosts that have not seen it survive (LOST)."""
     register = CrashRegister()
     crash_with_part(register, 5, parts=(FIRST,))
     key = CrashSuspect(fingerprint=b"x", parts=(FIRST,)).keys[1]
