Let no host that is cut off from most others try a cause of crashes again

Each host that reaches nobody had considered itself responsible, so that several would have sent a crash-causing request once more. Found by reading; the test failed before for hosts that are cut off.

--- a/packages/daemon/gypsumpost_daemon/peers/host_directory.py
+++ b/packages/daemon/gypsumpost_daemon/peers/host_directory.py
@@ -102,10 +102,12 @@
     def is_responsible(self, key: CrashKey) -> bool:
         """Return true if this host, of all live ones, decides about a cause of crashes.
 
+        A host that does not reach most of the others decides about nothing, or several would.
+
         :param key: the cause.
         """
         hosts = rank_hosts(key.digest.hex(), self.list_live())
-        return not hosts or hosts[0].host_id == self.own.host_id
+        return 2 * len(hosts) > len(self._known) and hosts[0].host_id == self.own.host_id
 
     def list_live(self) -> list[Host]:
         """Return all live hosts, this one included."""
