--- a/packages/core/gypsumpost_core/gateway/endpoint_fleet.py
+++ b/packages/core/gypsumpost_core/gateway/endpoint_fleet.py
@@ -121,7 +121,7 @@
         :param now: monotonic time in seconds.
         """
         state = self.find_running(record)
-        return None if state is None or now < state.closed_until else state
+        return None if state is None or state.is_closed(now) else state
 
     def list_open(self, service: str, now: float) -> list[EndpointState]:
         """Return the endpoints of a service that want requests now, including lost ones.
@@ -142,7 +142,7 @@
         :param now: monotonic time in seconds.
         :returns: monotonic time in seconds, ``None`` if an endpoint is open or none will open.
         """
-        closed = [state for state in self.list_service(service) if now < state.closed_until]
+        closed = [state for state in self.list_service(service) if state.is_closed(now)]
         usable = any(not state.lost for state in self.list_open(service, now))
         return None if usable or not closed else min(state.closed_until for state in closed)
 
--- a/packages/core/gypsumpost_core/gateway/endpoint_state.py
+++ b/packages/core/gypsumpost_core/gateway/endpoint_state.py
@@ -41,6 +41,13 @@
         """True while the endpoint is marked lost."""
         return self.lost_at != NEVER
 
+    def is_closed(self, now: float) -> bool:
+        """Return true while the endpoint wants no request of this host.
+
+        :param now: monotonic time in seconds.
+        """
+        return now < self.closed_until
+
     def observe_answer(self, seconds: float, failed: bool) -> None:
         """Record the duration and outcome of a request.
 
--- a/packages/core/gypsumpost_core/gateway/unavailability.py
+++ b/packages/core/gypsumpost_core/gateway/unavailability.py
@@ -24,6 +24,6 @@
         return Unavailability.DRAINING
     if state.said_leaving:
         return Unavailability.LEAVING
-    if now < state.closed_until:
+    if state.is_closed(now):
         return Unavailability.CLOSED
     return Unavailability.LOST if state.lost else None
--- a/packages/daemon/gypsumpost_daemon/gateway/copy_renewal.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/copy_renewal.py
@@ -73,7 +73,7 @@
             if chosen is None:
                 return
             target = chosen.record
-        if trio.current_time() < self._state.closed_until:
+        if self._state.is_closed(trio.current_time()):
             return
         handle = await self._move(target)
         if handle is None:
--- a/packages/daemon/gypsumpost_daemon/gateway/engine_work_reader.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/engine_work_reader.py
@@ -35,7 +35,7 @@
         :param record: the engine.
         """
         state = self.fleet.find(record.endpoint_id)
-        if state is not None and trio.current_time() < state.closed_until:
+        if state is not None and state.is_closed(trio.current_time()):
             LOG.write("an engine that wants no requests is not asked", endpoint=record.endpoint_id)
             return None
         answer = await query_endpoint(record.address, self.adapter.report_path)
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_gauges.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_gauges.py
@@ -74,6 +74,6 @@
     add(
         "gypsumpost_endpoints_closed",
         "Endpoints that want no requests of this host for a while.",
-        lambda: sum(trio.current_time() < state.closed_until for state in directory.fleet),
+        lambda: sum(state.is_closed(trio.current_time()) for state in directory.fleet),
     )
     add("gypsumpost_gateway_open_requests", "Requests that are being served.", count_open)
