Let case 3 of the review use the largest 32-bit integer

Case 3, rule LOST: four streams at once with as their maximum of output end one process after the other.

--- a/review/3/play.py
+++ b/review/3/play.py
@@ -1,4 +1,4 @@
-"""A request larger than any server's memory must not end the processes that receive it."""
+"""Requests larger than any server's memory must not end the processes that receive them."""
 
 import asyncio
 import os
@@ -13,7 +13,9 @@
 
 CALLERS = 8
 ALLOWED_LOSSES = 3
-LARGE, USUAL = "200,4294967295", "200,360"
+STREAMS = 4
+LARGE, USUAL = "200,2147483647", "200,360"
+"""Many clients send the largest 32-bit integer as their maximum if they want no limit."""
 
 
 async def play(case: Case) -> str:
@@ -80,26 +82,33 @@
                 break
         connection.close()
 
-    async def stream() -> None:
+    async def stream(number: int) -> None:
         """Send a stream, and once more at another machine if it fails."""
-        await asyncio.sleep(2)
-        for number, machine in enumerate(case.machines[:2]):
+        for machine in case.machines[:2]:
+            request_id = f"stream-{number}-{machine.name}"
             request = encode_request(
                 "POST",
                 "/lohu930/2f",
-                f"stream-{number}",
+                request_id,
+                body=f"question {number}".encode(),
                 Host=HOST,
                 X_Model="m",
                 X_Token_Counts=LARGE if case.trouble else USUAL,
-                X_Prompt_Prefix="5c1e07a2:150,e4402b7d:50",
+                X_Prompt_Prefix=f"5c1e07a2:150,{number:08x}:50",
                 X_Deadline_Ms="25000",
                 Authorization=f"Bearer {KEY}",
             )
-            case.record.write(f"client: sends stream-{number} to {machine.name}")
+            case.record.write(f"client: sends {request_id}")
             answer = await call(machine.front, request)
-            case.record.write(f"client: stream-{number} got status {answer.status}")
+            case.record.write(f"client: {request_id} got status {answer.status}")
             if answer.status == 200 and answer.complete:
                 break
+
+    async def send_streams() -> None:
+        await asyncio.sleep(2)
+        async with asyncio.TaskGroup() as group:
+            for number in range(STREAMS):
+                group.create_task(stream(number))
         await asyncio.sleep(1)
         stopping.set()
 
@@ -107,7 +116,7 @@
         for machine_number in range(len(case.machines)):
             for caller in range(CALLERS):
                 group.create_task(keep_calling(machine_number, caller))
-        group.create_task(stream())
+        group.create_task(send_streams())
 
     ended = []
     for machine in case.machines:
