Let the kind of a generation and its whole workspace count in its digest

A chat and a completion with one body, or two workspaces with one long beginning, were one request: a sound one could be refused for the crashes of the other, and a key of a completion gave a chat its answer.

--- a/packages/core/gypsumpost_core/routing/route_request.py
+++ b/packages/core/gypsumpost_core/routing/route_request.py
@@ -18,7 +18,7 @@
     :param prompt_tokens: number of prompt tokens, estimated before the first attempt.
     :param max_tokens: maximum number of output tokens of this attempt.
     :param prefix_digests: digests of prefixes of the prompt, shortest first.
-    :param fingerprint: digest of workspace and body; identifies the request across retries.
+    :param fingerprint: digest of workspace, kind and body; identifies the request across retries.
     :param priority: requests with a higher value go first.
     :param excluded: names of endpoints that this request must not use.
     :param required_endpoint: name of the only endpoint that this attempt may use, empty if routing
--- a/packages/core/gypsumpost_core/suspicion/crash_suspicion.py
+++ b/packages/core/gypsumpost_core/suspicion/crash_suspicion.py
@@ -52,7 +52,7 @@
     ) -> SuspicionDecision:
         """Decide how an attempt may run.
 
-        :param fingerprint: digest of workspace and body.
+        :param fingerprint: digest of workspace, kind and body.
         :param engines: live engines of this daemon's domain that can run the request.
         :param now: monotonic time in seconds.
         :param has_run: true if an engine has already run this request for the same caller; sets the
--- a/packages/core/gypsumpost_core/suspicion/suspicion_record.py
+++ b/packages/core/gypsumpost_core/suspicion/suspicion_record.py
@@ -14,7 +14,7 @@
 class SuspicionRecord:
     """Engine deaths while a request was in flight.
 
-    :param fingerprint: digest of workspace and body.
+    :param fingerprint: digest of workspace, kind and body.
     :param deaths: deaths that count against the request, by engine and boot id.
     :param cleared_at: Unix time in seconds at which the request was last cleared; earlier deaths do
         not count.
--- a/packages/core/gypsumpost_core/suspicion/suspicion_report.py
+++ b/packages/core/gypsumpost_core/suspicion/suspicion_report.py
@@ -11,7 +11,7 @@
 
     The number of deaths is bounded by the number that causes a quarantine.
 
-    :param fingerprint: digest of workspace and body.
+    :param fingerprint: digest of workspace, kind and body.
     :param deaths: engine deaths while the request was in flight, at most three.
     :param held_engine: engine that the sender holds for an isolated run of the request, empty if
         none; the other daemons of the domain send no requests to it.
--- a/packages/daemon/gypsumpost_daemon/generations/idempotency_key_client.py
+++ b/packages/daemon/gypsumpost_daemon/generations/idempotency_key_client.py
@@ -1,7 +1,5 @@
 """Client of the distributed directory of idempotency keys."""
 
-import hashlib
-
 import attrs
 import trio
 from result import Err, Ok, Result
@@ -13,6 +11,7 @@
 from gypsumpost_core.rendezvous import rank_hosts
 from gypsumpost_core.run_state import RunState
 from gypsumpost_daemon.copies.copy_codec import SCHEMA
+from gypsumpost_daemon.generations.generation_digest import compute_request_digest
 from gypsumpost_daemon.generations.idempotency_key_codec import encode_entry, read_entry
 from gypsumpost_daemon.generations.idempotency_key_directory import IdempotencyKeyDirectory
 from gypsumpost_daemon.generations.idempotency_key_entry import IdempotencyKeyEntry
@@ -26,7 +25,7 @@
 KEY_REUSED = Failure(
     status=422,
     code="idempotency_key_reused",
-    message="The Idempotency-Key was used with another body.",
+    message="The Idempotency-Key was used with another request.",
     run_state=RunState.NOT_RUN,
 )
 
@@ -78,7 +77,7 @@
         return IdempotencyKeyEntry(
             workspace=record.workspace,
             key=record.idempotency_key,
-            digest=hashlib.blake2b(record.body, digest_size=16).hexdigest(),
+            digest=compute_request_digest(record),
             generation_id=record.generation_id,
             home=self.directory.own.host_id,
             copy=copy,
--- a/packages/daemon/gypsumpost_daemon/generations/route_builder.py
+++ b/packages/daemon/gypsumpost_daemon/generations/route_builder.py
@@ -1,11 +1,10 @@
 """Builds the routing request of a generation."""
 
-import hashlib
-
 import xxhash
 
 from gypsumpost_core.generations.generation_record import GenerationRecord
 from gypsumpost_core.routing.route_request import RouteRequest
+from gypsumpost_daemon.generations.generation_digest import compute_request_digest
 
 PREFIX_BLOCK_BYTES = 256
 MAX_PREFIX_DIGESTS = 32
@@ -23,20 +22,11 @@
         prompt_tokens=len(record.prompt_token_ids) or 1 + len(record.body) // BYTES_PER_TOKEN,
         max_tokens=record.max_tokens,
         prefix_digests=_digest_prefixes(record.body),
-        fingerprint=compute_fingerprint(record.workspace, record.body),
+        fingerprint=compute_request_digest(record),
         priority=record.priority,
     )
 
 
-def compute_fingerprint(workspace: str, body: bytes) -> str:
-    """Return a digest that is the same for all retries of a request.
-
-    :param workspace: workspace that sent the request.
-    :param body: the request's body.
-    """
-    return hashlib.blake2b(body, digest_size=12, key=workspace.encode()[:64]).hexdigest()
-
-
 def _digest_prefixes(body: bytes) -> tuple[int, ...]:
     digests = []
     running = xxhash.xxh3_64()
