Continue a stream only for the caller that it belongs to

Cause: the digest of a request left out its headers, a host used each copy that a peer reported under the digest, also while the peer served the stream, and also for a request that did not say that any event of it had been received. The end of one stream dropped the report of another one with the same digest.

The digest covers all headers that endpoints receive but the attempt's id. A copy is used only for a request with the id of its last event, and only if its host says that it does not serve the stream, refuses connections or is silent for a second; if two streams fit, none is used. Each stream has a report of its own.

--- a/packages/core/gypsumpost_core/crashes/crash_suspect.py
+++ b/packages/core/gypsumpost_core/crashes/crash_suspect.py
@@ -11,7 +11,7 @@
 class CrashSuspect:
     """A request that may have crashed an endpoint.
 
-    :param fingerprint: digest of method, path, workspace and body.
+    :param fingerprint: digest of the request that stays the same when it is retried.
     :param parts: digests of the parts of its prompt that other requests may share, in order.
     """
 
--- a/packages/daemon/gypsumpost_daemon/gateway/beacon.capnp
+++ b/packages/daemon/gypsumpost_daemon/gateway/beacon.capnp
@@ -3,7 +3,7 @@
 using Evidence = import "../crashes/crash_evidence.capnp";
 using Limit = import "../limits/limit.capnp".Limit;
 
-# Datagrams between gateways, and the request and reply of DIRECTORY_STATE.
+# Datagrams between gateways, and requests and replies of STREAM_STATE and DIRECTORY_STATE.
 
 # Usage by engine. Packed numbers are decoded in a tenth of the time of a list of structs.
 struct Uses {
@@ -21,6 +21,7 @@
   fingerprint @0 :Data;
   requestId @1 :Text;
   copyEngine @2 :Text;
+  continues @3 :Text;           # id of the stream that this one continues, empty for none
 }
 
 struct HostReport {
@@ -80,6 +81,16 @@
   revision @1 :UInt64;
 }
 
+# Request and reply of STREAM_STATE.
+struct StreamQuery {
+  fingerprint @0 :Data;
+  requestId @1 :Text;
+}
+
+struct StreamState {
+  served @0 :Bool;
+}
+
 struct DirectoryRequest {
   known @0 :List(KnownRevision);
 }
--- a/packages/daemon/gypsumpost_daemon/gateway/beacon_codec.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/beacon_codec.py
@@ -63,6 +63,7 @@
                 "fingerprint": copy.fingerprint,
                 "requestId": copy.request_id,
                 "copyEngine": copy.copy_engine,
+                "continues": copy.continues,
             }
             for copy in beacon.copies
         ],
@@ -108,6 +109,7 @@
                         fingerprint=bytes(copy.fingerprint),
                         request_id=copy.requestId,
                         copy_engine=copy.copyEngine,
+                        continues=copy.continues,
                     )
                     for copy in message.copies
                 ),
--- a/packages/daemon/gypsumpost_daemon/gateway/beacon_state.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/beacon_state.py
@@ -116,7 +116,7 @@
             changed = beacon.uses != self.usage.reports.get_host(report.host_id)
             self.usage.reports.put_host(report.host_id, beacon.uses, now)
             self.retry_budget.reports.put_host(report.host_id, beacon.retries, now)
-            self.copies.put_peer_reports(beacon.copies, now)
+            self.copies.put_peer_reports(report.host_id, beacon.copies, now)
         self.reports.handle_beacon(beacon, now)
         for start in beacon.leaving:
             changed = self.directory.fleet.mark_leaving(start) or changed
--- a/packages/daemon/gypsumpost_daemon/gateway/caller_call.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/caller_call.py
@@ -7,7 +7,6 @@
 from gypsumpost_core.crashes.crash_suspect import CrashSuspect
 from gypsumpost_core.gateway.route import Route
 from gypsumpost_daemon.gateway.forwarded_request import Headers
-from gypsumpost_daemon.gateway.request_digest import digest_request
 
 
 @attrs.frozen(kw_only=True)
@@ -22,6 +21,7 @@
     :param route: its route.
     :param service: the service chosen for it by weight.
     :param workspace: name of the workspace, empty on a public route.
+    :param fingerprint: digest of the request that stays the same when the caller retries it.
     :param priority: priority of the request, 0 is the highest.
     :param received_at: monotonic time in seconds.
     :param deadline: monotonic time in seconds at which the caller must have the final answer.
@@ -39,6 +39,7 @@
     route: Route
     service: str
     workspace: str
+    fingerprint: bytes
     priority: int
     received_at: float
     deadline: float
@@ -51,8 +52,3 @@
     def suspect(self) -> CrashSuspect:
         """The request as a possible cause of crashes."""
         return CrashSuspect(fingerprint=self.fingerprint, parts=self.shared_parts)
-
-    @cached_property
-    def fingerprint(self) -> bytes:
-        """Digest of the request that stays the same when the caller retries it."""
-        return digest_request(self.method, self.path, self.workspace, self.body)
--- a/packages/daemon/gypsumpost_daemon/gateway/forward_context.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/forward_context.py
@@ -16,6 +16,7 @@
 from gypsumpost_daemon.gateway.adapter import GatewayAdapter
 from gypsumpost_daemon.gateway.answer_check import is_own_answer
 from gypsumpost_daemon.gateway.caller_call import CallerCall
+from gypsumpost_daemon.gateway.copy_takeover import CopyTakeover
 from gypsumpost_daemon.gateway.crash_guard import CrashGuard
 from gypsumpost_daemon.gateway.directory import Directory
 from gypsumpost_daemon.gateway.endpoint_monitor import EndpointMonitor
@@ -66,6 +67,7 @@
     :param rates: prefill rates of the engines.
     :param crash_guard: detects requests that crash endpoints.
     :param copies: locations of the copies of streams.
+    :param takeover: finds the copies of streams whose callers come back from other hosts.
     :param retry_budget: the retry budget.
     :param metrics: counters and histograms.
     :param count_hosts: returns the number of hosts that share budgets.
@@ -83,6 +85,7 @@
     rates: PrefillRates
     crash_guard: CrashGuard
     copies: CopyDirectory
+    takeover: CopyTakeover
     retry_budget: RetryBudget
     metrics: GatewayMetrics
     count_hosts: Callable[[], int]
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_application.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_application.py
@@ -19,6 +19,7 @@
 from gypsumpost_daemon.gateway.forwarder import FORWARDERS, Forwarder
 from gypsumpost_daemon.gateway.message_headers import find_header, select_request_headers
 from gypsumpost_daemon.gateway.prompt_parts import read_shared_parts
+from gypsumpost_daemon.gateway.request_digest import digest_request
 from gypsumpost_daemon.http.asgi_application import Receive, Scope, Send
 from gypsumpost_daemon.telemetry.log import Log
 
@@ -189,15 +190,19 @@
         service = random.choices(
             [share.service for share in route.shares], [share.weight for share in route.shares]
         )[0]
+        selected = select_request_headers(headers, names)
+        # Each attempt of a caller has an id of its own.
+        lasting = tuple(header for header in selected if header[0] != names.request_id)
         return CallerCall(
             request_id=(request_id or b"").decode("latin-1"),
             method=exchange.method,
             path=exchange.target,
-            headers=select_request_headers(headers, names),
+            headers=selected,
             body=body,
             route=route,
             service=service,
             workspace=workspace,
+            fingerprint=digest_request(exchange.method, exchange.target, workspace, lasting, body),
             priority=priority,
             received_at=received_at,
             deadline=received_at + seconds,
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
@@ -17,6 +17,7 @@
 from gypsumpost_daemon.addresses import split_address
 from gypsumpost_daemon.gateway.adapter import GatewayAdapter
 from gypsumpost_daemon.gateway.beacon_state import BeaconState
+from gypsumpost_daemon.gateway.copy_takeover import CopyTakeover
 from gypsumpost_daemon.gateway.crash_guard import CrashGuard
 from gypsumpost_daemon.gateway.directory import Directory
 from gypsumpost_daemon.gateway.directory_exchange import DirectoryExchange
@@ -174,6 +175,7 @@
             rates=rates,
             crash_guard=crash_guard,
             copies=self.copies,
+            takeover=CopyTakeover(copies=self.copies, peers=self._network),
             retry_budget=retry_budget,
             metrics=gateway_metrics,
             count_hosts=self._count_hosts,
--- a/packages/daemon/gypsumpost_daemon/gateway/stream_attempt.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/stream_attempt.py
@@ -193,6 +193,7 @@
                     fingerprint=self._call.fingerprint,
                     request_id=self._call.request_id,
                     copy_engine=self._target.endpoint_id,
+                    continues=self._progress.continues,
                 )
             )
 
--- a/packages/daemon/gypsumpost_daemon/gateway/stream_forwarder.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/stream_forwarder.py
@@ -3,7 +3,6 @@
 import trio
 from result import Err, Ok, Result
 
-from gypsumpost_core.gateway.copy_report import CopyReport
 from gypsumpost_core.gateway.copy_source import CopySource
 from gypsumpost_core.gateway.endpoint_state import EndpointState
 from gypsumpost_core.gateway.engine_limits import EngineLimits
@@ -60,19 +59,16 @@
             ),
         )
         end: NoEndpoint | None = None
-        digest = call.fingerprint
-        known = self._context.copies.find(digest, trio.current_time())
-        if known is not None and call.route.resumable:
-            progress.copy = self._find_reported_copy(known)
         try:
             with trio.move_on_at(call.deadline):
+                await self._take_over(call, progress)
                 end = await self._run_attempts(call, exchange, progress)
                 if end is None:
                     self._log_end(call, progress)
                     return
         finally:
             self._context.usage.drop(progress.usage)
-            self._context.copies.drop(digest)
+            self._context.copies.drop(call.request_id)
         if trio.current_time() >= call.deadline:
             end = NoEndpoint(reason="the deadline has passed")
         assert end is not None
@@ -202,12 +198,15 @@
             prompt_tokens=call.prompt_tokens,
         )
 
-    def _find_reported_copy(self, report: CopyReport) -> CopySource | None:
-        state = self._context.directory.fleet.find(report.copy_engine)
-        if state is None:
-            return None
+    async def _take_over(self, call: CallerCall, progress: StreamProgress) -> None:
+        """Let the stream go on from its copy if its caller comes back from another host."""
+        report = await self._context.takeover.find(call)
+        state = self._context.directory.fleet.find(report.copy_engine) if report else None
+        if report is None or state is None:
+            return
         holder = state.record
-        return CopySource(holder=holder, address=holder.address, handle=report.request_id)
+        progress.continues = report.request_id
+        progress.copy = CopySource(holder=holder, address=holder.address, handle=report.request_id)
 
     async def _run_attempt(
         self,
--- a/packages/daemon/gypsumpost_daemon/gateway/stream_progress.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/stream_progress.py
@@ -14,6 +14,7 @@
 
     :param last_event_id: id of the last event that the caller has received, empty for none.
     :param usage: usage of the stream's engines.
+    :param continues: id of the stream of another host that this one continues, empty for none.
     :param copy: the copy from which the next attempt resumes, ``None`` for none.
     :param newest_copy: the copy of the running attempt, ``None`` for none.
     :param copy_retried: true if the stream was sent to the holder of the copy a second time.
@@ -29,6 +30,7 @@
 
     last_event_id: bytes
     usage: StreamUsage
+    continues: str = ""
     copy: CopySource | None = None
     newest_copy: CopySource | None = None
     copy_retried: bool = False
--- a/packages/daemon/gypsumpost_daemon/gateway/tests/test_crash_guard.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/tests/test_crash_guard.py
@@ -48,6 +48,7 @@
         route=ROUTE,
         service="model",
         workspace="",
+        fingerprint=b"%d" % number,
         priority=0,
         received_at=now,
         deadline=now + 10,
--- a/packages/daemon/gypsumpost_daemon/peers/message_kind.py
+++ b/packages/daemon/gypsumpost_daemon/peers/message_kind.py
@@ -23,3 +23,4 @@
     QUARANTINE = 50
     ENDPOINT_LEAVING = 51
     DIRECTORY_STATE = 60
+    STREAM_STATE = 61
--- a/packages/daemon/gypsumpost_daemon/peers/peer_failure.py
+++ b/packages/daemon/gypsumpost_daemon/peers/peer_failure.py
@@ -10,8 +10,10 @@
     :param host_id: the peer.
     :param reason: a short description.
     :param sent: true if the request may have reached the peer.
+    :param refused: true if the peer's address refuses connections or cannot be reached.
     """
 
     host_id: str
     reason: str
     sent: bool
+    refused: bool = False
--- a/packages/daemon/gypsumpost_daemon/peers/peer_network.py
+++ b/packages/daemon/gypsumpost_daemon/peers/peer_network.py
@@ -105,7 +105,8 @@
         try:
             tcp = await trio.open_tcp_stream(ip, port)
         except OSError as error:
-            return Err(PeerFailure(host_id=host_id, reason=str(error), sent=False))
+            failure = PeerFailure(host_id=host_id, reason=str(error), sent=False, refused=True)
+            return Err(failure)
         enable_keep_alive(tcp)
         stream: trio.abc.Stream = self._tls.wrap_connected(tcp) if self._tls else tcp
         authenticated: Result[None, str] = Err("the handshake was cancelled")
