Say that a request has not run only if none was sent or each was rejected

Cause: that a request may have run was recorded from the result of an attempt, and a cancelled attempt has none. RunEvidence is told before the first byte instead, and answers, log and metrics read it. By the same record, a request that waits for an engine until a planned stop ends gets 503 where it got 504, and a call that was rejected does not wait for the rest of an endless refusal.

--- a/packages/daemon/gypsumpost_daemon/gateway/call_forwarder.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/call_forwarder.py
@@ -62,7 +62,6 @@
         """
         tried: set[str] = set()
         connects = sends = 0
-        may_have_run = False
         last: EndpointAnswer | None = None
         reason = ""
         no_endpoint = NoEndpoint()
@@ -88,12 +87,12 @@
                 sends += 1
                 self._context.crash_guard.record_survival(call)
                 last = outcome.ok_value
+                call.run.end_send(may_have_run=True)
                 if last.status < SERVER_ERROR_STATUS or not call.route.retryable:
                     break
-                may_have_run = True
                 continue
             sends += outcome.err_value.sent
-            may_have_run = may_have_run or outcome.err_value.may_have_run
+            call.run.end_send(may_have_run=outcome.err_value.may_have_run)
             reason = outcome.err_value.reason
             LOG.write(
                 "an attempt failed",
@@ -116,18 +115,12 @@
             self._context.metrics.record_answer(trio.current_time() - call.received_at)
             await exchange.respond(last.status, select_response_headers(last.headers), last.body)
             return
-        await self._refuse(
-            call, exchange, may_have_run, reason or no_endpoint.reason, no_endpoint.opens_at
-        )
+        await self._refuse(call, exchange, reason or no_endpoint.reason, no_endpoint.opens_at)
 
     async def _refuse(
-        self,
-        call: CallerCall,
-        exchange: CallerExchange,
-        may_have_run: bool,
-        reason: str,
-        opens_at: float | None,
+        self, call: CallerCall, exchange: CallerExchange, reason: str, opens_at: float | None
     ) -> None:
+        may_have_run = call.run.may_have_run
         past_deadline = trio.current_time() >= call.deadline
         LOG.write(
             "gave up" if may_have_run else "refused",
@@ -190,6 +183,7 @@
         try:
             with trio.move_on_at(min(attempt_deadline, call.deadline)):
                 request = self._context.create_request(call, record.endpoint_id)
+                call.run.begin_send()
                 sent = await connection.send(request)
                 if isinstance(sent, Err):
                     failure = sent.err_value
@@ -200,17 +194,16 @@
                 head = sent.ok_value
                 headers = list(head.headers)
                 self._context.observe_answer(call, record, head.status_code, headers, sent_at)
+                rejected = self._check_head(call, state, head.status_code, headers)
+                if rejected is not None:
+                    return Err(rejected)
                 body = await connection.receive_whole_body(MAX_ANSWER_BYTES)
                 if connection.unframed and not await self._context.monitor.check(
                     record, "no length"
                 ):
                     reason = "the endpoint ended with its answer"
                     return Err(AttemptFailure(reason=reason, may_have_run=True))
-                return self._classify_answer(
-                    call,
-                    state,
-                    EndpointAnswer(status=head.status_code, headers=headers, body=body),
-                )
+                return Ok(EndpointAnswer(status=head.status_code, headers=headers, body=body))
         except OSError as error:
             self._suspect(call, record, str(error), sent_at)
             return Err(AttemptFailure(reason=str(error), may_have_run=True))
@@ -228,20 +221,21 @@
 
         self._context.monitor.suspect(record, reason, handle_loss)
 
-    def _classify_answer(
-        self, call: CallerCall, state: EndpointState, answer: EndpointAnswer
-    ) -> Result[EndpointAnswer, AttemptFailure]:
-        failure = check_answer(
-            answer.status, answer.headers, self._context.header_names, call.request_id
-        )
-        if failure is not None:
-            if failure.replaced:
-                self._context.monitor.mark_replaced(state.record)
-            return Err(failure)
-        if answer.status in NOT_RUN_STATUSES:
-            reason = f"{answer.status} that does not say whether it ran"
-            return Err(AttemptFailure(reason=reason, may_have_run=True))
-        return Ok(answer)
+    def _check_head(
+        self,
+        call: CallerCall,
+        state: EndpointState,
+        status: int,
+        headers: list[tuple[bytes, bytes]],
+    ) -> AttemptFailure | None:
+        """Return why an answer is not passed on; its body, which may be endless, is not needed."""
+        failure = check_answer(status, headers, self._context.header_names, call.request_id)
+        if failure is None and status in NOT_RUN_STATUSES:
+            reason = f"{status} that does not say whether it ran"
+            failure = AttemptFailure(reason=reason, may_have_run=True)
+        if failure is not None and failure.replaced:
+            self._context.monitor.mark_replaced(state.record)
+        return failure
 
 
 def describe_outcome(outcome: Result[EndpointAnswer, AttemptFailure]) -> str:
--- a/packages/daemon/gypsumpost_daemon/gateway/caller_call.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/caller_call.py
@@ -7,6 +7,7 @@
 from gypsumpost_core.crashes.crash_suspect import CrashSuspect
 from gypsumpost_core.gateway.route import Route
 from gypsumpost_daemon.gateway.forwarded_request import Headers
+from gypsumpost_daemon.gateway.run_evidence import RunEvidence
 
 
 @attrs.frozen(kw_only=True)
@@ -29,6 +30,7 @@
     :param output_tokens: maximum number of output tokens.
     :param shared_parts: digests of the parts of the prompt that other requests may share.
     :param last_event_id: id of the last event that the caller has received, empty for none.
+    :param run: what is known about whether it has run.
     """
 
     request_id: str
@@ -47,6 +49,7 @@
     output_tokens: int = 0
     shared_parts: tuple[bytes, ...] = ()
     last_event_id: bytes = b""
+    run: RunEvidence = attrs.field(factory=RunEvidence, eq=False)
 
     @cached_property
     def suspect(self) -> CrashSuspect:
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_application.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_application.py
@@ -147,18 +147,38 @@
                 await self._forward_until_disconnect(call, exchange)
             finally:
                 del self._forwarding[exchange]
+                if call.run.in_flight:
+                    # An attempt that is cancelled does not count itself.
+                    self._context.metrics.count_attempt(call.service, "lost")
         if scope.cancelled_caught:
-            LOG.write("gave up", request_id=call.request_id, reason="this host ends")
+            await self._refuse_at_end(call, exchange)
+        self._context.metrics.count_request(call.route.name, exchange.final_status)
+
+    async def _refuse_at_end(self, call: CallerCall, exchange: CallerExchange) -> None:
+        may_have_run = call.run.may_have_run
+        LOG.write(
+            "gave up",
+            request_id=call.request_id,
+            reason="this host ends",
+            may_have_run=may_have_run,
+        )
+        if may_have_run:
             text = "This host stops; whether the request has run is not known."
             await exchange.refuse(504, text, RunState.UNKNOWN)
-        self._context.metrics.count_request(call.route.name, exchange.final_status)
+        else:
+            text = "The request has not run: this host stops."
+            await exchange.refuse(503, text, RunState.NOT_RUN, STOP_RETRY_SECONDS)
 
     async def _forward_until_disconnect(self, call: CallerCall, exchange: CallerExchange) -> None:
         async with trio.open_nursery() as nursery:
 
             async def watch_caller() -> None:
                 await exchange.wait_disconnect()
-                LOG.write("the caller has disconnected", request_id=call.request_id)
+                LOG.write(
+                    "the caller has disconnected",
+                    request_id=call.request_id,
+                    may_have_run=call.run.may_have_run,
+                )
                 nursery.cancel_scope.cancel()
 
             nursery.start_soon(watch_caller)
--- a/packages/daemon/gypsumpost_daemon/gateway/stream_attempt.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/stream_attempt.py
@@ -101,8 +101,10 @@
         try:
             with scope:
                 return await self._run_with_renewal(connection)
-            self._record_crash()
-            return Err(AttemptFailure(reason="the engine is lost", may_have_run=True))
+            sent = self._call.run.in_flight
+            if sent:
+                self._record_crash()
+            return Err(AttemptFailure(reason="the engine is lost", may_have_run=sent, sent=sent))
         finally:
             self._context.monitor.unwatch(self._record.endpoint_id, scope)
             connection.close()
@@ -146,6 +148,7 @@
         )
         self._watch.restart()
         self._sent_at = trio.current_time()
+        self._call.run.begin_send()
         written = await connection.write(request)
         if isinstance(written, Err):
             failure = written.err_value
@@ -225,6 +228,8 @@
         names = self._context.header_names
         failure = check_answer(head.status_code, headers, names, self._call.request_id)
         if failure is not None:
+            if not failure.may_have_run:
+                self._call.run.end_send(may_have_run=False)
             if failure.replaced:
                 self._context.monitor.mark_replaced(self._record)
             return Err(failure)
--- a/packages/daemon/gypsumpost_daemon/gateway/stream_forwarder.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/stream_forwarder.py
@@ -100,6 +100,7 @@
             events = progress.events
             outcome = await self._run_attempt(call, exchange, progress, state, copy, tried)
             if isinstance(outcome, Ok):
+                call.run.end_send(may_have_run=True)
                 state.observe_outcome(failed=False)
                 return None
             failure = outcome.err_value
@@ -134,7 +135,7 @@
             call.service, "lost" if failure.may_have_run else "not-run"
         )
         progress.failed_sends += failure.sent
-        progress.may_have_run = progress.may_have_run or failure.may_have_run
+        call.run.end_send(may_have_run=failure.may_have_run)
         if failure.may_have_run and not state.lost:
             state.observe_outcome(failed=True)
         LOG.write(
@@ -259,12 +260,12 @@
             "gave up",
             request_id=call.request_id,
             reason=reason,
-            may_have_run=progress.may_have_run,
+            may_have_run=call.run.may_have_run,
             events=progress.events,
             budget_left=self._context.compute_budget_left(call.service),
         )
         past_deadline = trio.current_time() >= call.deadline
-        if progress.may_have_run:
+        if call.run.may_have_run:
             text = f"The engines gave no whole answer: {reason}."
             await exchange.refuse(504 if past_deadline else 502, text, RunState.UNKNOWN)
         else:
--- a/packages/daemon/gypsumpost_daemon/gateway/stream_progress.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/stream_progress.py
@@ -19,7 +19,6 @@
     :param newest_copy: the copy of the running attempt, ``None`` for none.
     :param copy_retried: true if the stream was sent to the holder of the copy a second time.
     :param failed_sends: number of failed attempts whose request was sent to an engine.
-    :param may_have_run: true if an engine may have begun to run the request.
     :param resuming: true from the start of an attempt that resumes the stream to its first event.
     :param content_type: content type of the answer that the caller receives.
     :param events: number of events that the caller has received.
@@ -35,7 +34,6 @@
     newest_copy: CopySource | None = None
     copy_retried: bool = False
     failed_sends: int = 0
-    may_have_run: bool = False
     resuming: bool = False
     content_type: bytes = b""
     events: int = 0
