Bound numbers from outside, and let an error end one step of a task

Cause: the use of engines was summed from callers' numbers without a bound and packed into 32 bits, and an error in making one beacon ended the process.

A socket that cannot be made for want of descriptors is a failed connection.

--- a/packages/daemon/gypsumpost_daemon/engines/h11_engine_connection.py
+++ b/packages/daemon/gypsumpost_daemon/engines/h11_engine_connection.py
@@ -224,7 +224,11 @@
         ip, port = split_address(address)
     except ValueError as error:
         return Err(EngineFailure(reason=str(error), may_have_run=False))
-    sock = socket.socket(socket.AF_INET6 if ":" in ip else socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock = socket.socket(socket.AF_INET6 if ":" in ip else socket.AF_INET, socket.SOCK_STREAM)
+    except OSError as error:
+        # The process has no free descriptor.
+        return Err(EngineFailure(reason=str(error), may_have_run=False))
     sock.setblocking(False)
     if prepare is not None:
         prepare(sock)
--- a/packages/daemon/gypsumpost_daemon/gateway/beacon_codec.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/beacon_codec.py
@@ -23,6 +23,7 @@
 from gypsumpost_daemon.limits.limit_codec import decode_limits, encode_limits
 
 USAGE_NUMBERS = struct.Struct("<4I")
+MAX_NUMBER = 0xFFFFFFFF
 RATE_NUMBER = struct.Struct("<H")
 RATE_UNIT = 10
 MAX_RATE_NUMBER = 0xFFFF
@@ -37,7 +38,7 @@
         host={
             "hostId": beacon.host.host_id,
             "failureDomain": beacon.host.failure_domain,
-            "linkMbps": beacon.host.link_mbps,
+            "linkMbps": bound_number(beacon.host.link_mbps),
             "watching": beacon.host.watching,
             "storeLost": beacon.host.store_lost,
         },
@@ -49,7 +50,11 @@
         uses=encode_uses(beacon.uses),
         rates=encode_rates(beacon.rates),
         retries=[
-            {"service": service, "requests": count.requests, "repeats": count.retries}
+            {
+                "service": service,
+                "requests": bound_number(count.requests),
+                "repeats": bound_number(count.retries),
+            }
             for service, count in beacon.retries.items()
         ],
         losses=encode_starts(beacon.losses),
@@ -125,7 +130,10 @@
     :param uses: the usage.
     """
     numbers = (
-        (usage.running, usage.prefill_tokens, usage.memory_tokens, usage.copy_tokens)
+        map(
+            bound_number,
+            (usage.running, usage.prefill_tokens, usage.memory_tokens, usage.copy_tokens),
+        )
         for usage in uses.values()
     )
     return {
@@ -178,6 +186,14 @@
     return {name: number * RATE_UNIT for name, (number,) in zip(names, numbers, strict=True)}
 
 
+def bound_number(value: int) -> int:
+    """Return the nearest number that fits into 32 bits.
+
+    :param value: a count, or a sum over the hosts of a domain.
+    """
+    return min(MAX_NUMBER, max(0, value))
+
+
 def check_numbers(data: bytes, expected: int) -> None:
     """Check the length of packed numbers.
 
--- a/packages/daemon/gypsumpost_daemon/gateway/directory_exchange.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/directory_exchange.py
@@ -16,6 +16,7 @@
     encode_state,
 )
 from gypsumpost_daemon.gateway.item_set import ItemSet
+from gypsumpost_daemon.lifecycle.contained_errors import contain_errors
 from gypsumpost_daemon.peers.message_kind import MessageKind
 from gypsumpost_daemon.peers.peer_network import PeerNetwork
 from gypsumpost_daemon.peers.peer_request import PeerRequest
@@ -79,7 +80,12 @@
                 continue
             self._sources.drop_reached(self._directory.version, self._endpoint_revision)
             source = self._sources.choose(trio.current_time())
-            if source is not None and not await self._fetch(source):
+            if source is None:
+                continue
+            fetched = False
+            with contain_errors(LOG, "a fetch of the directory", peer=source.host_id):
+                fetched = await self._fetch(source)
+            if not fetched:
                 self._sources.record_failure(source.host_id, trio.current_time())
 
     @property
--- a/packages/daemon/gypsumpost_daemon/gateway/endpoint_monitor.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/endpoint_monitor.py
@@ -10,6 +10,7 @@
 from gypsumpost_daemon.engines.endpoint_probe import ProbeResult, probe_endpoint
 from gypsumpost_daemon.gateway.directory import Directory
 from gypsumpost_daemon.gateway.endpoint_identifier import EndpointIdentifier
+from gypsumpost_daemon.lifecycle.contained_errors import contain_errors
 from gypsumpost_daemon.telemetry.log import Log
 
 RETURN_PROBE_SECONDS = 0.3
@@ -142,8 +143,9 @@
         """
 
         async def check() -> None:
-            if not await self.check(record, reason) and handle_loss is not None:
-                handle_loss()
+            with contain_errors(LOG, "a check", endpoint=record.endpoint_id):
+                if not await self.check(record, reason) and handle_loss is not None:
+                    handle_loss()
 
         if self._nursery is not None:
             self._nursery.start_soon(check)
@@ -189,8 +191,9 @@
             return
         self._probing.add(record.endpoint_id)
         try:
-            if await probe_endpoint(record.address) is ProbeResult.ALIVE:
-                await self._identify(record)
+            with contain_errors(LOG, "a probe", endpoint=record.endpoint_id):
+                if await probe_endpoint(record.address) is ProbeResult.ALIVE:
+                    await self._identify(record)
         finally:
             self._probing.discard(record.endpoint_id)
 
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_application.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_application.py
@@ -7,6 +7,7 @@
 from gypsumpost_core.crashes.blame import Blame
 from gypsumpost_core.crashes.crash_attribution import FRESH_SECONDS
 from gypsumpost_core.crashes.crash_key import CauseKind
+from gypsumpost_core.decimal_digits import parse_bounded
 from gypsumpost_core.gateway.route import Route
 from gypsumpost_core.gateway.route_table import RouteTable
 from gypsumpost_core.gateway.stop_schedule import StopSchedule
@@ -32,6 +33,9 @@
 CRASHING_STATUS = 502
 """A request that crashed endpoints has run before; the status must not say that it has not."""
 
+MAX_REMAINING_MS = 2**31 - 1
+MAX_TOKENS = 2**31 - 1
+NO_TOKENS = b"0,0"
 BEARER = b"bearer "
 
 LOG = Log(prefix="gateway")
@@ -201,15 +205,15 @@
             return None
         request_id = find_header(headers, names.request_id)
         remaining = find_header(headers, names.remaining_ms)
-        counts = parse_numbers(find_header(headers, names.token_counts) or b"0,0")
-        if counts is None or len(counts) != 2 or (remaining and not remaining.isdigit()):
-            return None
-        seconds = route.timeout
-        if remaining:
-            seconds = min(seconds, int(remaining) / 1000)
         service = random.choices(
             [share.service for share in route.shares], [share.weight for share in route.shares]
         )[0]
+        value = find_header(headers, names.token_counts) or NO_TOKENS
+        counts = parse_numbers(value, self._find_max_tokens(service))
+        milliseconds = parse_bounded(remaining or b"0", MAX_REMAINING_MS)
+        if counts is None or len(counts) != 2 or milliseconds is None:
+            return None
+        seconds = min(route.timeout, milliseconds / 1000) if remaining else route.timeout
         selected = select_request_headers(headers, names)
         # Each attempt of a caller has an id of its own.
         lasting = tuple(header for header in selected if header[0] != names.request_id)
@@ -232,6 +236,12 @@
             last_event_id=find_header(headers, names.last_event_id) or b"",
         )
 
+    def _find_max_tokens(self, service: str) -> int:
+        """Return the most tokens that a request can use: all the memory of an engine."""
+        routes = self._context.directory.routes
+        found = routes.find_service(service) if routes else None
+        return found.engine.memory_tokens if found and found.engine else MAX_TOKENS
+
     async def _refuse(
         self, exchange: CallerExchange, status: int, reason: str, routes: RouteTable
     ) -> None:
@@ -257,10 +267,12 @@
     return value[len(BEARER) :].strip().decode("latin-1")
 
 
-def parse_numbers(value: bytes) -> list[int] | None:
+def parse_numbers(value: bytes, maximum: int) -> list[int] | None:
     """Return comma-separated non-negative integers, ``None`` if the value is malformed.
 
     :param value: the value of a header.
+    :param maximum: what is returned in place of greater ones.
     """
-    parts = [part.strip() for part in value.split(b",")]
-    return [int(part) for part in parts] if all(part.isdigit() for part in parts) else None
+    numbers = [parse_bounded(part.strip(), maximum) for part in value.split(b",")]
+    found = [number for number in numbers if number is not None]
+    return found if len(found) == len(numbers) else None
--- a/packages/daemon/gypsumpost_daemon/gateway/peer_exchange.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/peer_exchange.py
@@ -12,8 +12,10 @@
 from gypsumpost_daemon.gateway.beacon_socket import BeaconSocket, ReceivedBeacon
 from gypsumpost_daemon.gateway.beacon_state import BeaconState
 from gypsumpost_daemon.gateway.directory_exchange import DirectoryExchange
+from gypsumpost_daemon.lifecycle.contained_errors import contain_errors
 from gypsumpost_daemon.peers.gossip import Gossip
 from gypsumpost_daemon.peers.host_directory import HostDirectory
+from gypsumpost_daemon.telemetry.log import Log
 
 COALESCE_SECONDS = 0.02
 """Changes within this time are sent in one datagram."""
@@ -33,9 +35,14 @@
 INTRODUCTIONS = 2
 """Hosts of a new host's domain to which a seed forwards the new host's beacon."""
 
+FAILURE_PAUSE_SECONDS = 0.2
+"""Minimum time to the next beacon after one that could not be made."""
+
 REORDERED_BEACONS = 64
 BITS_PER_MEGABIT = 1e6
 
+LOG = Log(prefix="peers")
+
 
 class PeerExchange:
     """Sends and receives beacons.
@@ -115,7 +122,9 @@
     async def _report_to_domain(self, beacons: BeaconSocket) -> None:
         """Send the state of this host to the hosts of its domain, until cancelled."""
         while True:
-            next_send_at = await self._send_to_domain(beacons)
+            next_send_at = trio.current_time() + FAILURE_PAUSE_SECONDS
+            with contain_errors(LOG, "a beacon to the own domain"):
+                next_send_at = await self._send_to_domain(beacons)
             await trio.sleep(COALESCE_SECONDS)
             with trio.move_on_after(IDLE_SECONDS):
                 await self._changed.wait()
@@ -128,7 +137,9 @@
     async def _report_to_other_domains(self, beacons: BeaconSocket) -> None:
         """Send the totals of the own domain to the other domains while this host is a relay."""
         while True:
-            next_send_at = await self._send_to_other_domains(beacons)
+            next_send_at = trio.current_time() + FAILURE_PAUSE_SECONDS
+            with contain_errors(LOG, "a beacon to the other domains"):
+                next_send_at = await self._send_to_other_domains(beacons)
             await trio.sleep(COALESCE_SECONDS)
             with trio.move_on_after(IDLE_SECONDS):
                 await self._domain_changed.wait()
@@ -188,11 +199,15 @@
 
     async def _receive(self, beacons: BeaconSocket) -> None:
         async for received in beacons.receive_all():
-            self._add_contact(received.beacon)
-            if self._is_new(received.beacon):
-                self._handle_beacon(received.beacon, trio.current_time())
-                if received.source == received.beacon.ip:
-                    await self._forward(beacons, received)
+            with contain_errors(LOG, "a received beacon", peer=received.beacon.host.host_id):
+                await self._apply(beacons, received)
+
+    async def _apply(self, beacons: BeaconSocket, received: ReceivedBeacon) -> None:
+        self._add_contact(received.beacon)
+        if self._is_new(received.beacon):
+            self._handle_beacon(received.beacon, trio.current_time())
+            if received.source == received.beacon.ip:
+                await self._forward(beacons, received)
 
     async def _forward(self, beacons: BeaconSocket, received: ReceivedBeacon) -> None:
         """Forward a beacon that came directly from its sender to hosts that it did not reach."""
--- a/packages/daemon/gypsumpost_daemon/gateway/store_follower.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/store_follower.py
@@ -9,6 +9,7 @@
 from gypsumpost_core.gateway.host_roles import HostRoles
 from gypsumpost_daemon.gateway.directory import STORE, Directory
 from gypsumpost_daemon.gateway.item_store import ItemBatch, ItemStore, ItemStoreFailure
+from gypsumpost_daemon.lifecycle.contained_errors import contain_errors
 from gypsumpost_daemon.telemetry.log import Log
 
 READ_SECONDS = 2.0
@@ -33,6 +34,9 @@
 REFRESH_SECONDS = 1.0
 """Minimum interval between two refreshes."""
 
+UNEXPECTED = ItemStoreFailure(reason="an unexpected error", history_lost=True)
+"""The prefix is read again as a whole."""
+
 LOG = Log(prefix="store")
 
 
@@ -121,14 +125,17 @@
         while True:
             await trio.sleep(RECOVERY_SECONDS)
             if self._lost and self._is_watcher():
-                await self._read(self._failed_prefix)
+                with contain_errors(LOG, "an answer of the store", prefix=self._failed_prefix):
+                    await self._read(self._failed_prefix)
 
     async def _follow(self, prefix: str) -> None:
         failed_before = False
         while True:
             await self._wait_until_watcher()
             known = prefix in self._positions
-            failure = await (self._watch(prefix) if known else self._read(prefix))
+            failure: ItemStoreFailure | None = UNEXPECTED
+            with contain_errors(LOG, "an answer of the store", prefix=prefix):
+                failure = await (self._watch(prefix) if known else self._read(prefix))
             if failure is None:
                 failed_before = False
                 await trio.sleep(WATCH_PAUSE_SECONDS)
--- a/packages/daemon/gypsumpost_daemon/gateway/stream_progress.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/stream_progress.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from gypsumpost_core.decimal_digits import is_above
 from gypsumpost_core.gateway.copy_source import CopySource
 from gypsumpost_core.gateway.stream_usage import StreamUsage
 
@@ -65,7 +66,7 @@
         """
         last = self.last_event_id
         for event_id in filter(None, event_ids):
-            if last.isdigit() and event_id.isdigit() and int(event_id) <= int(last):
+            if last.isdigit() and event_id.isdigit() and not is_above(event_id, last):
                 return False
             last = event_id
         return True
--- a/packages/daemon/gypsumpost_daemon/http/http_connection.py
+++ b/packages/daemon/gypsumpost_daemon/http/http_connection.py
@@ -5,13 +5,13 @@
 import h11
 import trio
 
-from gypsumpost_core.broken_invariant import BrokenInvariant
 from gypsumpost_core.run_state import RunState
 from gypsumpost_daemon.http.asgi_application import ASGIApplication, Scope
 from gypsumpost_daemon.http.http_exchange import HttpExchange
 from gypsumpost_daemon.http.http_limits import HttpLimits
 from gypsumpost_daemon.http.http_refusal import HttpRefusal, refuse_long_body, refuse_malformed
 from gypsumpost_daemon.http.transport import Transport
+from gypsumpost_daemon.lifecycle.contained_errors import contains_broken_invariant
 from gypsumpost_daemon.telemetry.log import Log
 
 LOG = Log(prefix="http")
@@ -206,13 +206,3 @@
     if not separator:
         return target
     return b"/" + rest.partition(b"/")[2]
-
-
-def contains_broken_invariant(error: BaseException) -> bool:
-    """Return true for a broken invariant, also inside an exception group.
-
-    :param error: an exception of the application.
-    """
-    if isinstance(error, BaseExceptionGroup):
-        return error.subgroup(BrokenInvariant) is not None
-    return isinstance(error, BrokenInvariant)
--- a/packages/daemon/gypsumpost_daemon/limits/limit_codec.py
+++ b/packages/daemon/gypsumpost_daemon/limits/limit_codec.py
@@ -7,6 +7,7 @@
 from gypsumpost_core.limits.request_limit import RequestLimit
 
 NO_LIMIT = -1.0
+MAX_LIMIT_NUMBER = 0xFFFFFFFF
 
 
 def encode_limits(limits: Iterable[RequestLimit]) -> list[dict[str, Any]]:
@@ -18,7 +19,7 @@
         {
             "key": limit.key,
             "perSecond": NO_LIMIT if limit.per_second is None else limit.per_second,
-            "number": limit.number,
+            "number": min(MAX_LIMIT_NUMBER, limit.number),
         }
         for limit in limits
     ]
--- a/packages/daemon/gypsumpost_daemon/limits/permit_codec.py
+++ b/packages/daemon/gypsumpost_daemon/limits/permit_codec.py
@@ -89,4 +89,4 @@
 
 
 def _encode_delay(at: float, now: float) -> int:
-    return min(MAX_MILLISECONDS, max(0, math.ceil((at - now) * MILLISECONDS)))
+    return math.ceil(min(MAX_MILLISECONDS, max(0.0, (at - now) * MILLISECONDS)))
--- a/packages/daemon/gypsumpost_daemon/peers/gossip.py
+++ b/packages/daemon/gypsumpost_daemon/peers/gossip.py
@@ -17,6 +17,7 @@
 from gypsumpost_core.membership.report_list_revision import ReportListRevision
 from gypsumpost_core.membership.send_datagram import SendDatagram
 from gypsumpost_daemon.addresses import split_address
+from gypsumpost_daemon.lifecycle.contained_errors import contain_errors
 from gypsumpost_daemon.peers.gossip_codec import GossipCodec
 from gypsumpost_daemon.peers.host_directory import HostDirectory
 from gypsumpost_daemon.peers.host_list_snapshot import HostListSnapshot
@@ -112,7 +113,8 @@
 
     async def _tick(self) -> None:
         while True:
-            await self._carry_out(self._membership.tick(trio.current_time()))
+            with contain_errors(LOG, "a tick"):
+                await self._carry_out(self._membership.tick(trio.current_time()))
             await trio.sleep(self._settings.tick)
 
     async def _receive(self) -> None:
@@ -128,9 +130,10 @@
                 self._record_rejected(decoded.err_value)
                 continue
             datagram = decoded.ok_value
-            CLOCK.observe(datagram.clock)
-            now = trio.current_time()
-            await self._carry_out(self._membership.handle_datagram(datagram, now))
+            with contain_errors(LOG, "a datagram"):
+                CLOCK.observe(datagram.clock)
+                now = trio.current_time()
+                await self._carry_out(self._membership.handle_datagram(datagram, now))
 
     async def _carry_out(self, decisions: list[MembershipDecision]) -> None:
         for decision in decisions:
--- a/packages/daemon/gypsumpost_daemon/peers/peer_network.py
+++ b/packages/daemon/gypsumpost_daemon/peers/peer_network.py
@@ -9,6 +9,7 @@
 from gypsumpost_core.key_ring import KeyRing
 from gypsumpost_daemon.addresses import split_address
 from gypsumpost_daemon.http.keep_alive import enable_keep_alive
+from gypsumpost_daemon.lifecycle.contained_errors import contain_errors
 from gypsumpost_daemon.peers.frame import Frame
 from gypsumpost_daemon.peers.frame_decoder import FrameDecoder
 from gypsumpost_daemon.peers.host_directory import HostDirectory
@@ -163,8 +164,10 @@
         if handler is None:
             LOG.write("ignored a message of unknown kind", kind=frame.kind, peer=host_id)
             return
-        payload = await handler(PeerRequest(host_id=host_id, payload=frame.payload))
-        if not frame.correlation:
+        payload: bytes | None = None
+        with contain_errors(LOG, "a request of a peer", kind=frame.kind, peer=host_id):
+            payload = await handler(PeerRequest(host_id=host_id, payload=frame.payload))
+        if payload is None or not frame.correlation:
             return
         reply = Frame(
             kind=MessageKind.REPLY,
