Use a server at the address of a lost one only once its entry is known

Cause: whatever answered at the address was taken for the successor in the same service if it reported the same models; nothing a server says names its service.

A host now uses another id at an address only with its entry.

--- a/packages/core/gypsumpost_core/gateway/engine_limits.py
+++ b/packages/core/gypsumpost_core/gateway/engine_limits.py
@@ -12,11 +12,9 @@
     :param supports_copies: true if engines copy the memory of a stream to another one on request.
     :param copy_seconds: how long an engine keeps a copy that was moved to it, 0 if it takes no
         orders to move streams.
-    :param models: names of the models that the engines serve.
     """
 
     slots: int
     memory_tokens: int
     supports_copies: bool
     copy_seconds: float = 0.0
-    models: frozenset[str] = frozenset()
--- a/packages/core/gypsumpost_core/gateway/item_table.py
+++ b/packages/core/gypsumpost_core/gateway/item_table.py
@@ -78,11 +78,6 @@
             self.discarded = max(self.discarded, item.revision)
         self.forget_revision()
 
-    def has(self, key: str) -> bool:
-        """Return true if an item exists."""
-        item = self._items.get(key)
-        return item is not None and item.value is not None
-
     def list_present(self) -> list[StoredItem]:
         """Return the items that exist."""
         return [item for item in self._items.values() if item.value is not None]
--- a/packages/daemon/gypsumpost_daemon/gateway/directory.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/directory.py
@@ -7,7 +7,6 @@
 from result import Err
 
 from gypsumpost_core.gateway.endpoint_fleet import EndpointFleet
-from gypsumpost_core.gateway.endpoint_record import EndpointRecord
 from gypsumpost_core.gateway.first_use import FirstUse
 from gypsumpost_core.gateway.item_table import ItemTable
 from gypsumpost_core.gateway.route_table import RouteTable
@@ -42,7 +41,6 @@
         self.routes: RouteTable | None = None
         self._outage_ended_at = -math.inf
         self._remove_at: dict[str, float] = {}
-        self._unconfirmed: set[str] = set()
         self.store_lost = False
         self._first_use = FirstUse()
         self._lag = VersionLag()
@@ -174,37 +172,9 @@
         self._record_load(source)
         return bool(changed)
 
-    def add_successor(self, record: EndpointRecord, successor: EndpointRecord) -> None:
-        """Add an engine that has replaced another one at its address.
-
-        It is used without a store entry only while the store is unavailable. If the entry is still
-        missing some time after the store's recovery, the engine is removed.
-
-        :param record: the endpoint that was replaced.
-        :param successor: the engine now at its address.
-        """
-        if self.store_lost and not successor.leaving and not self.fleet.find(successor.endpoint_id):
-            LOG.write(
-                "an engine has started while the store is unavailable",
-                endpoint=successor.endpoint_id,
-                address=successor.address,
-                replaces=record.endpoint_id,
-            )
-            self.fleet.put(successor)
-            self._unconfirmed.add(successor.endpoint_id)
-            self.notify_change()
-
-    def record_recovery(self, now: float) -> None:
-        """Record that the store answers again.
-
-        :param now: monotonic time in seconds.
-        """
+    def record_recovery(self) -> None:
+        """Record that the store answers again."""
         self.store_lost = False
-        for endpoint_id in self._unconfirmed:
-            key = self._adapter.endpoint_prefix + endpoint_id
-            if not self.tables[self._adapter.endpoint_prefix].has(key):
-                self._remove_at[key] = now + REWRITE_GRACE_SECONDS
-        self._unconfirmed.clear()
         self.notify_change()
 
     def record_outage(self, now: float) -> None:
--- a/packages/daemon/gypsumpost_daemon/gateway/endpoint_identifier.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/endpoint_identifier.py
@@ -1,4 +1,4 @@
-"""Identifies the endpoint, and the start of it, that answers at an address."""
+"""Identifies the endpoint that answers at an address."""
 
 import attrs
 import trio
@@ -16,7 +16,7 @@
 
 @attrs.frozen(kw_only=True)
 class EndpointIdentifier:
-    """Queries an endpoint for its id and its state report.
+    """Queries an endpoint for its id.
 
     :param adapter: names and formats of the platform.
     :param notices: applies what the endpoint says about itself.
@@ -27,13 +27,11 @@
     notices: EndpointNotices
     permits: EndpointPermits
 
-    async def find_successor(
-        self, record: EndpointRecord, service: Service
-    ) -> Result[EndpointRecord | None, str]:
-        """Return the endpoint that now answers at the address of a known one.
+    async def is_same(self, record: EndpointRecord, service: Service) -> Result[bool, str]:
+        """Return whether the endpoint that answers at an address is the one that was known there.
 
-        The result is the same record if the endpoint is alive, the record of the engine that has
-        replaced it, or ``None`` if the address belongs to an endpoint of another kind.
+        Another one may belong to any service: addresses are assigned anew, and only the entry of
+        an endpoint in the store names its service.
 
         :param record: the endpoint that was known at the address.
         :param service: its service.
@@ -46,29 +44,12 @@
         health = await query_endpoint(record.address, service.health_path)
         if isinstance(health, Err):
             return health
-        reported_id = find_header(health.ok_value.headers, names.endpoint_id)
+        answer = health.ok_value
+        reported_id = find_header(answer.headers, names.endpoint_id)
         if reported_id is None:
             # An endpoint at capacity refuses the health check like any other request.
-            return Err(f"status {health.ok_value.status} without an id")
-        if reported_id == record.endpoint_id.encode():
-            answer = health.ok_value
+            return Err(f"status {answer.status} without an id")
+        same = reported_id == record.endpoint_id.encode()
+        if same:
             self.notices.observe(record, answer.status, answer.headers, sent_at)
-            return Ok(record)
-        if service.engine is None:
-            return Ok(None)
-        state_answer = await query_endpoint(record.address, self.adapter.report_path)
-        if isinstance(state_answer, Err):
-            return state_answer
-        report = self.adapter.decode_report(state_answer.ok_value.body)
-        if isinstance(report, Err) or not report.ok_value.models:
-            return Ok(None)
-        if report.ok_value.models != service.engine.models:
-            return Ok(None)
-        return Ok(
-            attrs.evolve(
-                record,
-                endpoint_id=reported_id.decode("latin-1"),
-                started_at=report.ok_value.started_at,
-                leaving=report.ok_value.leaving,
-            )
-        )
+        return Ok(same)
--- a/packages/daemon/gypsumpost_daemon/gateway/endpoint_monitor.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/endpoint_monitor.py
@@ -21,7 +21,7 @@
 the result from them."""
 
 STORE_ENTRY_SECONDS = 0.5
-"""How long to wait for the store entry of a restarted engine before the store is read."""
+"""How long to wait for the store entry of a new endpoint before the store is read."""
 
 LOG = Log(prefix="endpoint")
 Refresh = Callable[[], Awaitable[None]]
@@ -202,7 +202,7 @@
         service = routes.find_service(record.service) if routes else None
         if service is None:
             return
-        identified = await self._identifier.find_successor(record, service)
+        identified = await self._identifier.is_same(record, service)
         if isinstance(identified, Err):
             LOG.write(
                 "cannot identify an endpoint",
@@ -210,24 +210,22 @@
                 reason=identified.err_value,
             )
             return
+        if not identified.ok_value:
+            await self._wait_for_successor(record)
+            return
         state = self._directory.fleet.find(record.endpoint_id)
-        if identified.ok_value == record and state is not None and state.record == record:
+        if state is not None and state.record == record:
             LOG.write("a lost endpoint is alive again", endpoint=record.endpoint_id)
             self._directory.fleet.mark_alive(record.endpoint_id, trio.current_time())
             self._directory.notify_change()
             for listener in self._return_listeners:
                 listener(record)
-        elif identified.ok_value != record:
-            await self._add_successor(record, identified.ok_value)
 
-    async def _add_successor(
-        self, record: EndpointRecord, successor: EndpointRecord | None
-    ) -> None:
-        self._directory.fleet.mark_replaced(record)
-        if successor is None:
-            return
-        # An engine writes its store entry soon after its start, unless the store is unavailable.
+    async def _wait_for_successor(self, record: EndpointRecord) -> None:
+        """Give up a replaced endpoint, and read the store if the other one stays unknown."""
+        fleet = self._directory.fleet
+        fleet.mark_replaced(record)
+        # An endpoint writes its entry soon after its start, unless the store is unavailable.
         await trio.sleep(STORE_ENTRY_SECONDS)
-        if self._directory.fleet.find(successor.endpoint_id) is None:
+        if all(state.record.address != record.address for state in fleet):
             await self._refresh()
-            self._directory.add_successor(record, successor)
--- a/packages/daemon/gypsumpost_daemon/gateway/store_follower.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/store_follower.py
@@ -238,5 +238,5 @@
         now = trio.current_time()
         if self._lost:
             LOG.write("the store answers again", silent_seconds=round(now - self.answered_at, 3))
-            self._directory.record_recovery(now)
+            self._directory.record_recovery()
         self._lost = False
