Measure the rates of engines on long prompts, and never believe in zero

Cause: 2 tokens in 0.5 s were measured as 4 tokens a second, sent to peers as 0 and divided by in each choice. No host chose the engine again, so nothing corrected it.

Short prompts measure nothing, rates are bounded wherever they come from, and a low rate that is not measured for 10 s returns to the default.

--- a/packages/core/gypsumpost_core/gateway/engine_choice.py
+++ b/packages/core/gypsumpost_core/gateway/engine_choice.py
@@ -141,7 +141,9 @@
         :param state: the engine.
         :param prompt_tokens: tokens of the prompt that the engine has to prefill.
         """
-        return self.count_prefill(state, prompt_tokens) / self.rates.get(state.record.endpoint_id)
+        return self.count_prefill(state, prompt_tokens) / self.rates.get(
+            state.record.endpoint_id, self.now
+        )
 
     def count_prefill(self, state: EndpointState, prompt_tokens: int) -> int:
         """Return the tokens that an engine has to prefill until a prompt is done.
--- a/packages/core/gypsumpost_core/gateway/prefill_rates.py
+++ b/packages/core/gypsumpost_core/gateway/prefill_rates.py
@@ -12,11 +12,26 @@
 DEFAULT_RATE = 4000.0
 """Prefill rate in prompt tokens per second, assumed before one is known."""
 
+MIN_RATE = 400.0
+"""A slower engine would not be chosen at all, and so not be measured again."""
+
+MAX_RATE = 1e6
+MIN_PROMPT_TOKENS = 1000
+"""The first event of a shorter prompt takes a time that does not depend on its length."""
+
+KEEP_SECONDS = 10.0
+DOUBLING_SECONDS = 10.0
+"""A rate below the default that is not measured for ``KEEP_SECONDS`` doubles in this time, up to
+the default. So an engine that no host chooses is tried again."""
+
 RISE_WEIGHT = 0.5
 FALL_WEIGHT = 0.2
 """Weights of a higher and of a lower value in the mean: prompts of which this host does not know
 make an engine appear slower, and nothing makes it appear faster."""
 
+MAX_DOUBLINGS = 10.0
+"""More than lead from ``MIN_RATE`` to the default."""
+
 REPORT_SECONDS = 1.5
 """How long a new rate is reported repeatedly, because datagrams may be lost."""
 
@@ -26,16 +41,23 @@
     """Keeps a smoothed rate in tokens per second of each engine."""
 
     _rates: dict[str, float] = attrs.field(factory=dict, init=False)
+    _updated_at: dict[str, float] = attrs.field(factory=dict, init=False)
     _measured_until: dict[str, float] = attrs.field(factory=dict, init=False)
     _received_until: dict[str, float] = attrs.field(factory=dict, init=False)
     _last_reports: dict[str, int] = attrs.field(factory=dict, init=False)
 
-    def get(self, engine: str) -> float:
-        """Return the prefill rate of an engine in tokens per second.
+    def get(self, engine: str, now: float) -> float:
+        """Return the prefill rate of an engine in tokens per second, at least ``MIN_RATE``.
 
         :param engine: id of the engine.
+        :param now: monotonic time in seconds.
         """
-        return self._rates.get(engine, DEFAULT_RATE)
+        known = self._rates.get(engine, DEFAULT_RATE)
+        if known >= DEFAULT_RATE:
+            return known
+        unmeasured = now - self._updated_at[engine]
+        doublings = max(0.0, unmeasured - KEEP_SECONDS) / DOUBLING_SECONDS
+        return min(DEFAULT_RATE, known * 2 ** min(doublings, MAX_DOUBLINGS))
 
     def measure(self, engine: str, tokens: int, seconds: float, now: float) -> None:
         """Record how long an engine took to prefill prompts.
@@ -45,8 +67,8 @@
         :param seconds: time from the request to the first event.
         :param now: monotonic time in seconds.
         """
-        if tokens > 0 and seconds > 0:
-            self._merge(engine, tokens / seconds)
+        if tokens >= MIN_PROMPT_TOKENS and seconds > 0:
+            self._merge(engine, tokens / seconds, now)
             self._measured_until[engine] = now + REPORT_SECONDS
 
     def add_reports(self, rates: Mapping[str, int], now: float, *, own_domain: bool) -> None:
@@ -60,7 +82,7 @@
             # Reports are repeated, and each measurement is to count once.
             if self._last_reports.get(engine) != rate:
                 self._last_reports[engine] = rate
-                self._merge(engine, rate)
+                self._merge(engine, rate, now)
             if own_domain:
                 self._received_until[engine] = now + REPORT_SECONDS
 
@@ -84,10 +106,9 @@
                 del table[engine]
         return {engine: round(self._rates[engine]) for table in tables for engine in table}
 
-    def _merge(self, engine: str, rate: float) -> None:
-        known = self._rates.get(engine)
-        if known is None:
-            self._rates[engine] = rate
-        else:
-            weight = RISE_WEIGHT if rate > known else FALL_WEIGHT
-            self._rates[engine] = known + weight * (rate - known)
+    def _merge(self, engine: str, rate: float, now: float) -> None:
+        bounded = max(MIN_RATE, min(MAX_RATE, rate))
+        known = self.get(engine, now) if engine in self._rates else bounded
+        weight = RISE_WEIGHT if bounded > known else FALL_WEIGHT
+        self._rates[engine] = known + weight * (bounded - known)
+        self._updated_at[engine] = now
--- a/packages/daemon/gypsumpost_daemon/gateway/beacon_codec.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/beacon_codec.py
@@ -166,7 +166,8 @@
 
     :param rates: rates in tokens per second by engine.
     """
-    numbers = (min(MAX_RATE_NUMBER, round(rate / RATE_UNIT)) for rate in rates.values())
+    highest = MAX_RATE_NUMBER * RATE_UNIT
+    numbers = (round(max(RATE_UNIT, min(highest, rate)) / RATE_UNIT) for rate in rates.values())
     return {
         "engines": " ".join(rates),
         "numbers": b"".join(RATE_NUMBER.pack(number) for number in numbers),
--- a/packages/daemon/gypsumpost_daemon/gateway/stream_attempt.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/stream_attempt.py
@@ -75,7 +75,9 @@
         self._survived = self._crash_recorded = False
         self._sent_at = 0.0
         self._prefill_tokens = prefill_tokens
-        self._prefill_seconds = prefill_tokens / context.rates.get(self._record.endpoint_id)
+        self._prefill_seconds = prefill_tokens / context.rates.get(
+            self._record.endpoint_id, trio.current_time()
+        )
         self._watch = EngineWatch(
             context=context,
             call=call,
--- a/packages/daemon/gypsumpost_daemon/gateway/tests/test_beacon_codec.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/tests/test_beacon_codec.py
@@ -1,5 +1,6 @@
 """Tests of the codec of messages between gateways."""
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 from result import Err
@@ -14,6 +15,7 @@
 from gypsumpost_core.gateway.host_report import HostReport
 from gypsumpost_core.gateway.retry_count import RetryCount
 from gypsumpost_core.gateway.stored_item import StoredItem
+from gypsumpost_core.limits.request_limit import RequestLimit
 from gypsumpost_daemon.gateway.beacon import Beacon
 from gypsumpost_daemon.gateway.beacon_codec import decode_beacon, encode_beacon
 from gypsumpost_daemon.gateway.directory_codec import (
@@ -59,6 +61,31 @@
     assert decode_beacon(encode_beacon(beacon)).unwrap() == beacon
 
 
+@pytest.mark.parametrize("number", [0, 1, 4, 2**32, 10**400])
+def test_numbers_that_do_not_fit_are_bounded(number):
+    """Guards against a beacon that cannot be made, or a rate of zero that peers divide by."""
+    beacon = Beacon(
+        host=HostReport(
+            host_id="h", failure_domain="d", link_mbps=number, watching=True, store_lost=True
+        ),
+        ip="127.0.0.1",
+        sequence=3,
+        version=4,
+        endpoint_revision=5,
+        uses={
+            "e": EngineUsage(
+                running=number, prefill_tokens=number, memory_tokens=number, copy_tokens=number
+            )
+        },
+        rates={"e": number},
+        retries={"s": RetryCount(requests=number, retries=number)},
+        limits=(RequestLimit(key="e", per_second=1.5, number=number),),
+    )
+    decoded = decode_beacon(encode_beacon(beacon)).unwrap()
+    assert decoded.uses["e"].running == decoded.limits[0].number == min(number, 2**32 - 1)
+    assert decoded.rates["e"] > 0
+
+
 def test_a_directory_is_decoded_as_it_was_encoded():
     """Guards against binary values that are treated as text."""
     sets = [
