Bound the memory of all unfinished answers of endpoints together

Reported by another operator: a server sent bytes without end, and the host that had called it ran out of memory, with the requests of others (LOST).

--- a/packages/bench/gypsumpost_bench/tests/test_service_calls.py
+++ b/packages/bench/gypsumpost_bench/tests/test_service_calls.py
@@ -1,5 +1,6 @@
 """Tests of calls to services through several daemons over loopback HTTP."""
 
+import contextlib
 from collections.abc import AsyncIterator
 
 import attrs
@@ -15,6 +16,7 @@
 from gypsumpost_core.routing.endpoint_status import EndpointStatus
 from gypsumpost_daemon.callers.caller_response import CallerResponse
 from gypsumpost_daemon.calls.claim_batcher import find_batcher
+from gypsumpost_daemon.calls.service_sender import MAX_ANSWER_BYTES
 
 
 @pytest.fixture
@@ -232,3 +234,32 @@
     assert (await cluster.call(0, "/keys")).status == 200
     get = await cluster.call(0, "/charges", method="GET", x_call_id="get")
     assert orjson.loads(get.body)["call_id"] == "get"
+
+
+@pytest.mark.parametrize("framing", [b"", b"Content-Length: 99999999999\r\n"])
+@pytest.mark.parametrize("part", ["head", "body"])
+async def test_an_answer_without_end_is_given_up(
+    cluster: CallCluster, part: str, framing: bytes
+) -> None:
+    """Guards against a faulty service that fills the memory of a daemon (LOST)."""
+    sent: list[int] = []
+
+    async def answer(stream: trio.SocketStream) -> None:
+        if not await read_request(stream):
+            return
+        await stream.send_all(b"HTTP/1.1 200 OK\r\n" + framing)
+        await stream.send_all(b"X-A: " if part == "head" else b"\r\n")
+        with contextlib.suppress(trio.BrokenResourceError):
+            while True:
+                await stream.send_all(b"a" * 60000)
+                sent.append(60000)
+
+    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+    cluster.endpoints[:] = [attrs.evolve(cluster.endpoints[0], address=address)]
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(trio.serve_listeners, answer, listeners)
+        response = await cluster.call(0, x_call_id="c")
+        nursery.cancel_scope.cancel()
+    assert response.status == 502 and read_error(response)["run_state"] == "unknown"
+    assert sum(sent) < 2 * MAX_ANSWER_BYTES
--- a/packages/daemon/gypsumpost_daemon/calls/service_sender.py
+++ b/packages/daemon/gypsumpost_daemon/calls/service_sender.py
@@ -18,6 +18,7 @@
 from gypsumpost_daemon.callers.caller_response import CallerResponse
 from gypsumpost_daemon.calls.send_failure import SendFailure
 from gypsumpost_daemon.calls.service_request import NOT_FORWARDED, ServiceRequest
+from gypsumpost_daemon.engines.answer_memory import AnswerMemory, AnswerTooLongError
 from gypsumpost_daemon.engines.endpoint_probe import ProbeResult, probe_endpoint
 from gypsumpost_daemon.engines.h11_engine_connection import FRAMING_HEADERS
 from gypsumpost_daemon.engines.sent_trace import SentTrace
@@ -38,6 +39,9 @@
 PERMIT_WAIT_SECONDS = 2.0
 """How long a call waits for an endpoint that limits its requests; a longer queue serves no more."""
 
+MAX_ANSWER_BYTES = 16 << 20
+"""Answers are passed on whole, and a faulty service may send bytes without end."""
+
 LOG = Log(prefix="call")
 FORBIDDEN = "the deadline of the claim or key passed before the first byte"
 NETWORK_ERRORS = (
@@ -79,6 +83,7 @@
         self._failure_domain = failure_domain
         self._signals = signals
         self._budget = budget or CallRetryBudget()
+        self._memory = AnswerMemory()
         self._rng = rng or random.Random()
         self._in_flight: Counter[str] = Counter()
         self._avoided_until: dict[str, float] = {}
@@ -222,26 +227,37 @@
         reason = "no answer in time"
         try:
             with trio.move_on_at(deadline):
-                response = await self._pool.request(
+                async with self._pool.stream(
                     request.caller.method,
                     f"http://{endpoint.address}{request.target}",
                     headers=request.list_headers(endpoint),
                     content=request.caller.body,
                     extensions={"trace": trace.observe, "timeout": {"connect": CONNECT_SECONDS}},
-                )
+                ) as response:
+                    body = await self._read_body(response)
                 unframed = is_unframed(request.caller.method, response)
                 if unframed and not await _is_alive(endpoint):
                     reason = "the endpoint ended with its answer"
                     return Err(SendFailure(reason=reason, sent=True))
-                converted = _convert_response(response)
+                converted = _convert_response(response, body)
                 self._signals.observe(endpoint, converted.status, converted.headers, sent_at)
                 return Ok(converted)
         except _SendForbidden:
             return Err(SendFailure(reason=FORBIDDEN, sent=False))
-        except NETWORK_ERRORS as error:
+        except (*NETWORK_ERRORS, AnswerTooLongError) as error:
             reason = f"{type(error).__name__}: {error}"
         return Err(SendFailure(reason=reason, sent=trace.sent))
 
+    async def _read_body(self, response: httpcore.Response) -> bytes:
+        body = bytearray()
+        with self._memory.open_share() as share:
+            async for part in response.aiter_stream():
+                body += part
+                if len(body) > MAX_ANSWER_BYTES:
+                    raise AnswerTooLongError(f"the body is longer than {MAX_ANSWER_BYTES} bytes")
+                share.resize(len(body))
+        return bytes(body)
+
 
 def _make_guard(check: SendCheck | None) -> Callable[[], None] | None:
     if check is None:
@@ -269,10 +285,10 @@
     return await probe_endpoint(endpoint.address) is ProbeResult.ALIVE
 
 
-def _convert_response(response: httpcore.Response) -> CallerResponse:
+def _convert_response(response: httpcore.Response, body: bytes) -> CallerResponse:
     headers = {
         name.decode("latin-1").lower(): value.decode("latin-1")
         for name, value in response.headers
         if name.decode("latin-1").lower() not in NOT_FORWARDED
     }
-    return CallerResponse(status=response.status, headers=headers, body=response.content)
+    return CallerResponse(status=response.status, headers=headers, body=body)
--- a/packages/daemon/gypsumpost_daemon/engines/engine_client.py
+++ b/packages/daemon/gypsumpost_daemon/engines/engine_client.py
@@ -9,6 +9,11 @@
 from result import Err, Ok, Result
 
 from gypsumpost_daemon.engines import h11_engine_transport, httpcore_engine_transport  # noqa: F401
+from gypsumpost_daemon.engines.answer_memory import (
+    AnswerMemory,
+    AnswerShare,
+    AnswerTooLongError,
+)
 from gypsumpost_daemon.engines.engine_answer import EngineAnswer
 from gypsumpost_daemon.engines.engine_failure import NOT_RUN_STATUSES, EngineFailure
 from gypsumpost_daemon.engines.engine_request import EngineRequest
@@ -30,6 +35,7 @@
 
     def __init__(self, *, transport: str = "h11") -> None:
         self._transport = ENGINE_TRANSPORTS.create(transport)
+        self._memory = AnswerMemory()
 
     async def open(
         self,
@@ -60,8 +66,8 @@
             return sent
         response = sent.ok_value
         if response.status == 200:
-            return Ok(EngineStream(response=response))
-        read = await read_answer(response, deadline, MAX_REFUSAL_BYTES)
+            return Ok(EngineStream(response=response, memory=self._memory))
+        read = await self._read_answer(response, deadline, MAX_REFUSAL_BYTES)
         content = read.ok_value.body if isinstance(read, Ok) else b""
         return Err(attrs.evolve(create_refusal(response.status, content), headers=response.headers))
 
@@ -73,7 +79,7 @@
         sent = await self._transport.send(request)
         if isinstance(sent, Err):
             return sent
-        return await read_answer(sent.ok_value, request.deadline, MAX_ANSWER_BYTES)
+        return await self._read_answer(sent.ok_value, request.deadline, MAX_ANSWER_BYTES)
 
     async def get_json(
         self,
@@ -124,6 +130,12 @@
         """Close idle connections."""
         await self._transport.aclose()
 
+    async def _read_answer(
+        self, response: EngineResponse, deadline: float, limit: int
+    ) -> Result[EngineAnswer, EngineFailure]:
+        with self._memory.open_share() as share:
+            return await read_answer(response, deadline, limit, share)
+
     async def _call_json(self, request: EngineRequest) -> Result[Any, EngineFailure]:
         called = await self.call(request)
         if isinstance(called, Err):
@@ -139,13 +151,14 @@
 
 
 async def read_answer(
-    response: EngineResponse, deadline: float, limit: int
+    response: EngineResponse, deadline: float, limit: int, share: AnswerShare
 ) -> Result[EngineAnswer, EngineFailure]:
     """Read a response to its end and release its connection.
 
     :param response: the response, after its headers were received.
     :param deadline: monotonic time in seconds at which to stop waiting.
     :param limit: maximum length of the body in bytes.
+    :param share: counts the body among all unfinished answers.
     """
     reason = "no complete response before the deadline"
     pieces: list[bytes] = []
@@ -156,7 +169,8 @@
                 pieces.append(piece)
                 size += len(piece)
                 if size > limit:
-                    raise OSError("the response is too long")
+                    raise AnswerTooLongError("the response is too long")
+                share.resize(size)
             body = b"".join(pieces)
             return Ok(EngineAnswer(status=response.status, headers=response.headers, body=body))
     except OSError as error:
--- a/packages/daemon/gypsumpost_daemon/engines/engine_stream.py
+++ b/packages/daemon/gypsumpost_daemon/engines/engine_stream.py
@@ -1,9 +1,11 @@
 """Stream of events of one generation on an engine."""
 
 from collections.abc import Mapping
+from contextlib import ExitStack
 
 from result import Err, Ok, Result
 
+from gypsumpost_daemon.engines.answer_memory import AnswerMemory
 from gypsumpost_daemon.engines.engine_event import EngineEvent
 from gypsumpost_daemon.engines.engine_event_decoder import decode_event
 from gypsumpost_daemon.engines.engine_failure import EngineFailure
@@ -15,12 +17,16 @@
     """Reads server-sent events; must be closed with :meth:`aclose`.
 
     :param response: the engine's response with status 200.
+    :param memory: memory of the unfinished answers of endpoints.
     """
 
-    def __init__(self, *, response: EngineResponse) -> None:
+    def __init__(self, *, response: EngineResponse, memory: AnswerMemory) -> None:
         self._response = response
         self._receive_bytes = response.receive
-        self._decode = EventStreamDecoder().feed
+        self._decoder = EventStreamDecoder()
+        self._decode = self._decoder.feed
+        self._close_share = ExitStack()
+        self._share = self._close_share.enter_context(memory.open_share())
 
     @property
     def headers(self) -> Mapping[str, str]:
@@ -37,6 +43,7 @@
             try:
                 data = await self._receive_bytes()
                 events = [decode_event(payload) for payload in self._decode(data)]
+                self._share.resize(self._decoder.buffered)
             except (OSError, ValueError) as error:
                 return Err(EngineFailure(reason=str(error), may_have_run=True))
             if events:
@@ -47,4 +54,5 @@
 
     async def aclose(self) -> None:
         """Release the connection; the engine sees a disconnect if the stream has not ended."""
+        self._close_share.close()
         await self._response.aclose()
--- a/packages/daemon/gypsumpost_daemon/engines/event_stream_decoder.py
+++ b/packages/daemon/gypsumpost_daemon/engines/event_stream_decoder.py
@@ -9,6 +9,11 @@
     def __init__(self) -> None:
         self._incomplete = b""
 
+    @property
+    def buffered(self) -> int:
+        """Bytes of the event that is not complete yet."""
+        return len(self._incomplete)
+
     def feed(self, data: bytes) -> list[bytes]:
         """Add bytes and return the data fields of all events that they complete.
 
--- a/packages/daemon/gypsumpost_daemon/engines/h11_engine_connection.py
+++ b/packages/daemon/gypsumpost_daemon/engines/h11_engine_connection.py
@@ -10,6 +10,7 @@
 from result import Err, Ok, Result
 
 from gypsumpost_daemon.addresses import split_address
+from gypsumpost_daemon.engines.answer_memory import AnswerShare, AnswerTooLongError
 from gypsumpost_daemon.engines.endpoint_request import EndpointRequest
 from gypsumpost_daemon.engines.engine_failure import EngineFailure
 from gypsumpost_daemon.http.chunk_decoder import ChunkDecoder
@@ -87,17 +88,21 @@
             content = decode_chunks(chunks, data)
         return content
 
-    async def receive_whole_body(self, max_bytes: int) -> bytes:
+    async def receive_whole_body(self, max_bytes: int, share: AnswerShare | None = None) -> bytes:
         """Wait for the end of the body and return it.
 
         :param max_bytes: greatest accepted length.
-        :raises OSError: if the connection is lost, or the body is malformed or too long.
+        :param share: counts the body among all unfinished answers, ``None`` to leave it out.
+        :raises OSError: if the connection is lost, or the body is malformed.
+        :raises AnswerTooLongError: if it is too long.
         """
         body = bytearray()
         while part := await self.receive_body():
             body += part
             if len(body) > max_bytes:
-                raise ConnectionAbortedError(f"the body is longer than {max_bytes} bytes")
+                raise AnswerTooLongError(f"the body is longer than {max_bytes} bytes")
+            if share is not None:
+                share.resize(len(body))
         return bytes(body)
 
     async def _receive_plain_body(self) -> bytes:
--- a/packages/daemon/gypsumpost_daemon/gateway/call_forwarder.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/call_forwarder.py
@@ -197,7 +197,8 @@
                 rejected = self._check_head(call, state, head.status_code, headers)
                 if rejected is not None:
                     return Err(rejected)
-                body = await connection.receive_whole_body(MAX_ANSWER_BYTES)
+                with self._context.answer_memory.open_share() as share:
+                    body = await connection.receive_whole_body(MAX_ANSWER_BYTES, share)
                 if connection.unframed and not await self._context.monitor.check(
                     record, "no length"
                 ):
--- a/packages/daemon/gypsumpost_daemon/gateway/forward_context.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/forward_context.py
@@ -13,6 +13,7 @@
 from gypsumpost_core.gateway.retry_budget import RetryBudget
 from gypsumpost_core.gateway.retry_supply import GRANTED_FRACTION
 from gypsumpost_core.gateway.usage_table import UsageTable
+from gypsumpost_daemon.engines.answer_memory import AnswerMemory
 from gypsumpost_daemon.gateway.adapter import GatewayAdapter
 from gypsumpost_daemon.gateway.answer_check import is_own_answer
 from gypsumpost_daemon.gateway.caller_call import CallerCall
@@ -70,6 +71,7 @@
     :param takeover: finds the copies of streams whose callers come back from other hosts.
     :param retry_budget: the retry budget.
     :param metrics: counters and histograms.
+    :param answer_memory: memory of the unfinished answers of endpoints.
     :param count_hosts: returns the number of hosts that share budgets.
     :param rng: random number generator that spreads streams over engines.
     """
@@ -89,6 +91,7 @@
     retry_budget: RetryBudget
     metrics: GatewayMetrics
     count_hosts: Callable[[], int]
+    answer_memory: AnswerMemory = attrs.field(factory=AnswerMemory)
     rng: random.Random = attrs.field(factory=random.Random)
 
     @property
--- a/packages/daemon/gypsumpost_daemon/gateway/stream_attempt.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/stream_attempt.py
@@ -9,6 +9,7 @@
 from gypsumpost_core.gateway.copy_source import CopySource
 from gypsumpost_core.gateway.endpoint_record import EndpointRecord
 from gypsumpost_core.gateway.endpoint_state import EndpointState
+from gypsumpost_daemon.engines.answer_memory import AnswerShare
 from gypsumpost_daemon.engines.h11_engine_connection import H11EngineConnection, connect
 from gypsumpost_daemon.gateway.answer_check import check_answer
 from gypsumpost_daemon.gateway.attempt_failure import AttemptFailure
@@ -158,7 +159,8 @@
         head = await self._receive_head(connection)
         if isinstance(head, Err):
             return head
-        return await self._forward_events(connection, head.ok_value)
+        with self._context.answer_memory.open_share() as share:
+            return await self._forward_events(connection, head.ok_value, share)
 
     def _register_usage(self) -> None:
         usage = self._progress.usage
@@ -242,7 +244,7 @@
         return Ok(head)
 
     async def _forward_events(
-        self, connection: H11EngineConnection, head: h11.Response
+        self, connection: H11EngineConnection, head: h11.Response, share: AnswerShare
     ) -> Result[None, AttemptFailure]:
         while True:
             prefilling = self._progress.usage.prefilling
@@ -256,6 +258,7 @@
             if not data:
                 break
             events = self._splitter.feed(data)
+            share.resize(self._splitter.buffered)
             if self._splitter.buffered > MAX_EVENT_BYTES:
                 return Err(AttemptFailure(reason="an event is too long", may_have_run=True))
             if not self._progress.is_continued_by(event.event_id for event in events):
