Keep a sound endpoint whose address an odd entry names

Cause: of two entries with one address the later start held, whatever service it named, and the other record was deleted. An entry of a service that the configuration does not name adds no endpoint now, and an endpoint that another one displaced comes back, to be probed first, when that one is found out or removed.

--- a/packages/core/gypsumpost_core/gateway/endpoint_fleet.py
+++ b/packages/core/gypsumpost_core/gateway/endpoint_fleet.py
@@ -31,6 +31,7 @@
     _states: dict[str, EndpointState] = attrs.field(factory=dict, init=False)
     _domain_losses: dict[tuple[str, str], float] = attrs.field(factory=dict, init=False)
     _replaced: dict[str, int] = attrs.field(factory=dict, init=False)
+    _displaced: dict[str, EndpointRecord] = attrs.field(factory=dict, init=False)
     _leaving: OrderedDict[EndpointStart, None] = attrs.field(factory=OrderedDict, init=False)
 
     def put(self, record: EndpointRecord) -> None:
@@ -42,11 +43,14 @@
         """
         if self._replaced.get(record.endpoint_id) == record.started_at:
             return
+        self._displaced.pop(record.endpoint_id, None)
         for other in self._list_same_address(record):
             # If two endpoints have the same address, the later process replaces the earlier one.
             if other.started_at > record.started_at:
+                self._displaced[record.endpoint_id] = record
                 return
             del self._states[other.endpoint_id]
+            self._displaced[other.endpoint_id] = other
         state = self._states.get(record.endpoint_id)
         if state is None or state.record.started_at != record.started_at:
             start = EndpointStart(endpoint_id=record.endpoint_id, started_at=record.started_at)
@@ -115,12 +119,28 @@
         :param record: the endpoint that no longer exists.
         """
         self._replaced[record.endpoint_id] = record.started_at
-        self._states.pop(record.endpoint_id, None)
+        self._displaced.pop(record.endpoint_id, None)
+        if self._states.pop(record.endpoint_id, None) is not None:
+            self._restore(record.address)
 
     def remove(self, endpoint_id: str) -> None:
         """Remove an endpoint whose entry was removed from the directory."""
-        self._states.pop(endpoint_id, None)
+        state = self._states.pop(endpoint_id, None)
         self._replaced.pop(endpoint_id, None)
+        self._displaced.pop(endpoint_id, None)
+        if state is not None:
+            self._restore(state.record.address)
+
+    def _restore(self, address: str) -> None:
+        """Add the endpoint that had an address before, whose entry still exists, if there is one.
+
+        It counts as lost, so that it is probed before it is used.
+        """
+        others = [record for record in self._displaced.values() if record.address == address]
+        if others:
+            newest = max(others, key=lambda record: record.started_at)
+            self.put(newest)
+            self._states[newest.endpoint_id].lost_at = 0.0
 
     def find(self, endpoint_id: str) -> EndpointState | None:
         """Return an endpoint by its id, ``None`` if it does not exist."""
--- a/packages/core/gypsumpost_core/gateway/route_table.py
+++ b/packages/core/gypsumpost_core/gateway/route_table.py
@@ -39,6 +39,10 @@
         """Return a service by name, ``None`` if it does not exist."""
         return self._services.get(name)
 
+    def list_service_names(self) -> set[str]:
+        """Return the names of all services, also of those that no route uses."""
+        return set(self._services)
+
     def find_workspace(self, key: str) -> Workspace | None:
         """Return the workspace of an API key, ``None`` if the key is unknown."""
         return self._workspaces.get(key)
--- a/packages/daemon/gypsumpost_daemon/engines/endpoint_probe.py
+++ b/packages/daemon/gypsumpost_daemon/engines/endpoint_probe.py
@@ -15,11 +15,15 @@
 
 
 class ProbeResult(enum.Enum):
-    """Outcome of a probe; ``SILENT`` if no try was accepted or refused."""
+    """Outcome of a probe.
+
+    ``SILENT`` if no try was accepted or refused, ``NOT_TRIED`` if this host could not try.
+    """
 
     ALIVE = "alive"
     REFUSED = "refused"
     SILENT = "silent"
+    NOT_TRIED = "not tried"
 
 
 async def probe_endpoint(address: str) -> ProbeResult:
@@ -34,4 +38,6 @@
             return ProbeResult.ALIVE
         if opened.err_value.refused:
             return ProbeResult.REFUSED
+        if opened.err_value.local:
+            return ProbeResult.NOT_TRIED
     return ProbeResult.SILENT
--- a/packages/daemon/gypsumpost_daemon/engines/engine_failure.py
+++ b/packages/daemon/gypsumpost_daemon/engines/engine_failure.py
@@ -18,6 +18,7 @@
     :param body: body of a refusal, truncated to a bounded length.
     :param headers: headers of a refusal by lower-case name.
     :param refused: true if the connection was refused, so that nothing listens at the address.
+    :param local: true if this host could not try, which says nothing about the endpoint.
     """
 
     reason: str
@@ -26,3 +27,4 @@
     body: bytes = b""
     headers: Mapping[str, str] = attrs.field(factory=dict)
     refused: bool = False
+    local: bool = False
--- a/packages/daemon/gypsumpost_daemon/engines/h11_engine_connection.py
+++ b/packages/daemon/gypsumpost_daemon/engines/h11_engine_connection.py
@@ -233,7 +233,7 @@
         sock = socket.socket(socket.AF_INET6 if ":" in ip else socket.AF_INET, socket.SOCK_STREAM)
     except OSError as error:
         # The process has no free descriptor.
-        return Err(EngineFailure(reason=str(error), may_have_run=False))
+        return Err(EngineFailure(reason=str(error), may_have_run=False, local=True))
     sock.setblocking(False)
     if prepare is not None:
         prepare(sock)
--- a/packages/daemon/gypsumpost_daemon/gateway/directory.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/directory.py
@@ -7,6 +7,7 @@
 from result import Err
 
 from gypsumpost_core.gateway.endpoint_fleet import EndpointFleet
+from gypsumpost_core.gateway.endpoint_record import EndpointRecord
 from gypsumpost_core.gateway.first_use import FirstUse
 from gypsumpost_core.gateway.item_table import ItemTable
 from gypsumpost_core.gateway.route_table import RouteTable
@@ -225,7 +226,11 @@
         if configuration.version <= self.version:
             LOG.write("ignored an old configuration", version=configuration.version)
             return
-        self.routes = RouteTable(configuration=configuration)
+        former, self.routes = self.routes, RouteTable(configuration=configuration)
+        if former is None:
+            self._drop_unnamed()
+        elif former.list_service_names() != self.routes.list_service_names():
+            self._add_named()
         behind = self._lag.record_applied(configuration.version, trio.current_time())
         LOG.write(
             "applied a configuration",
@@ -253,6 +258,12 @@
             return
         record = decoded.ok_value
         known = self.fleet.find(record.endpoint_id)
+        if not self._is_named(record) and (known is None or known.record.service != record.service):
+            LOG.write(
+                "ignored an entry of an unknown service", key=item.key, service=record.service
+            )
+            self._remove_endpoint(item.key)
+            return
         if known is None or known.record != record:
             LOG.write(
                 "an endpoint has changed",
@@ -263,6 +274,24 @@
             )
         self.fleet.put(record)
 
+    def _is_named(self, record: EndpointRecord) -> bool:
+        """Return true unless the configuration does not name the service of an endpoint."""
+        return self.routes is None or self.routes.find_service(record.service) is not None
+
+    def _drop_unnamed(self) -> None:
+        """Drop the endpoints of other services that were added before any service was known."""
+        for state in self.fleet:
+            if not self._is_named(state.record):
+                LOG.write("an endpoint has no service", endpoint=state.record.endpoint_id)
+                self.fleet.remove(state.record.endpoint_id)
+
+    def _add_named(self) -> None:
+        """Add the endpoints of services that are new in the configuration."""
+        prefix = self._adapter.endpoint_prefix
+        for item in self.tables[prefix].list_present():
+            if self.fleet.find(item.key.removeprefix(prefix)) is None:
+                self._apply_endpoint(item)
+
     def _remove_endpoint(self, key: str) -> None:
         endpoint_id = key.removeprefix(self._adapter.endpoint_prefix)
         if self.fleet.find(endpoint_id) is not None:
--- a/packages/daemon/gypsumpost_daemon/gateway/endpoint_monitor.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/endpoint_monitor.py
@@ -10,6 +10,7 @@
 from gypsumpost_daemon.engines.endpoint_probe import ProbeResult, probe_endpoint
 from gypsumpost_daemon.gateway.directory import Directory
 from gypsumpost_daemon.gateway.endpoint_identifier import EndpointIdentifier
+from gypsumpost_daemon.gateway.shared_probe import SharedProbe
 from gypsumpost_daemon.lifecycle.contained_errors import contain_errors
 from gypsumpost_daemon.telemetry.log import Log
 
@@ -54,7 +55,7 @@
         self._count_hosts = count_hosts
         self._loss_listeners: list[Listener] = []
         self._return_listeners: list[Listener] = []
-        self._checks: dict[str, trio.Event] = {}
+        self._checks: dict[str, SharedProbe] = {}
         self._nursery: trio.Nursery | None = None
 
     def add_loss_listener(self, listener: Listener) -> None:
@@ -96,30 +97,40 @@
                 del self._scopes[endpoint_id]
 
     async def check(self, record: EndpointRecord, reason: str) -> bool:
-        """Probe an endpoint now and return whether it is alive.
+        """Probe an endpoint now and return whether it is known to be alive.
 
         Streams of one engine often call this at the same moment and then share one probe.
 
         :param record: the endpoint.
         :param reason: why it is suspected.
         """
-        running = self._checks.get(record.endpoint_id)
-        if running is None:
-            running = self._checks[record.endpoint_id] = trio.Event()
-            try:
-                outcome = await probe_endpoint(record.address)
-                if outcome is ProbeResult.ALIVE:
-                    self._directory.fleet.mark_alive(record.endpoint_id, trio.current_time())
-                else:
-                    refused = outcome is ProbeResult.REFUSED
-                    self.mark_lost(record, f"{reason}, probe {outcome.value}", refused=refused)
-            finally:
-                del self._checks[record.endpoint_id]
-                running.set()
-        else:
-            await running.wait()
+        outcome: ProbeResult | None = None
+        while outcome is None:
+            running = self._checks.get(record.endpoint_id)
+            if running is None:
+                outcome = await self._probe(record, reason)
+            else:
+                await running.ended.wait()
+                outcome = running.outcome
         state = self._directory.fleet.find(record.endpoint_id)
-        return state is not None and not state.lost and state.record == record
+        alive = state is not None and not state.lost and state.record == record
+        return alive and outcome is not ProbeResult.NOT_TRIED
+
+    async def _probe(self, record: EndpointRecord, reason: str) -> ProbeResult:
+        running = self._checks[record.endpoint_id] = SharedProbe()
+        try:
+            outcome = running.outcome = await probe_endpoint(record.address)
+            if outcome is ProbeResult.ALIVE:
+                self._directory.fleet.mark_alive(record.endpoint_id, trio.current_time())
+            elif outcome is ProbeResult.NOT_TRIED:
+                LOG.write("cannot probe an endpoint", endpoint=record.endpoint_id)
+            else:
+                refused = outcome is ProbeResult.REFUSED
+                self.mark_lost(record, f"{reason}, probe {outcome.value}", refused=refused)
+            return outcome
+        finally:
+            del self._checks[record.endpoint_id]
+            running.ended.set()
 
     def probe_in_background(self, record: EndpointRecord) -> None:
         """Probe a lost endpoint in the background because its address may answer again.
