--- a/packages/daemon/gypsumpost_daemon/engines/httpcore_engine_transport.py
+++ b/packages/daemon/gypsumpost_daemon/engines/httpcore_engine_transport.py
@@ -6,6 +6,7 @@
 import trio
 from result import Err, Ok, Result
 
+from gypsumpost_daemon.connection_refusal import is_refusal
 from gypsumpost_daemon.engines.engine_failure import EngineFailure
 from gypsumpost_daemon.engines.engine_request import EngineRequest
 from gypsumpost_daemon.engines.engine_response import EngineResponse
@@ -84,17 +85,3 @@
     async def aclose(self) -> None:
         """Close idle connections."""
         await self._pool.aclose()
-
-
-def is_refusal(error: BaseException | None) -> bool:
-    """Return true if an error was caused by a refused connection.
-
-    :param error: the error; trio and httpcore chain the operating system's error as its cause.
-    """
-    while error is not None:
-        if isinstance(error, ConnectionRefusedError):
-            return True
-        if isinstance(error, BaseExceptionGroup):
-            return all(map(is_refusal, error.exceptions))
-        error = error.__cause__ or error.__context__
-    return False
--- a/packages/daemon/gypsumpost_daemon/peers/peer_failure.py
+++ b/packages/daemon/gypsumpost_daemon/peers/peer_failure.py
@@ -10,7 +10,7 @@
     :param host_id: the peer.
     :param reason: a short description.
     :param sent: true if the request may have reached the peer.
-    :param refused: true if the peer's address refuses connections or cannot be reached.
+    :param refused: true if the peer's address refuses connections, so that no process listens.
     """
 
     host_id: str
--- a/packages/daemon/gypsumpost_daemon/peers/peer_network.py
+++ b/packages/daemon/gypsumpost_daemon/peers/peer_network.py
@@ -8,6 +8,7 @@
 
 from gypsumpost_core.key_ring import KeyRing
 from gypsumpost_daemon.addresses import split_address
+from gypsumpost_daemon.connection_refusal import is_refusal
 from gypsumpost_daemon.http.keep_alive import enable_keep_alive
 from gypsumpost_daemon.lifecycle.contained_errors import contain_errors
 from gypsumpost_daemon.peers.frame import Frame
@@ -106,7 +107,9 @@
         try:
             tcp = await trio.open_tcp_stream(ip, port)
         except OSError as error:
-            failure = PeerFailure(host_id=host_id, reason=str(error), sent=False, refused=True)
+            failure = PeerFailure(
+                host_id=host_id, reason=str(error), sent=False, refused=is_refusal(error)
+            )
             return Err(failure)
         enable_keep_alive(tcp)
         stream: trio.abc.Stream = self._tls.wrap_connected(tcp) if self._tls else tcp
