Wait after a refusal no longer than after a loss

The one wait of this length in the code is that of a started answer whose retry budget is spent after a refusal; after a loss it is CONTINUATION_WAIT, 0.5 s, which is what keeps a stall below 3 s. Both are 0.5 s now.

test_a_refused_continuation_does_not_wait_longer_than_a_lost_one fails before.

--- a/packages/daemon/gypsumpost_daemon/generations/attempt_sequence.py
+++ b/packages/daemon/gypsumpost_daemon/generations/attempt_sequence.py
@@ -35,7 +35,7 @@
 """Limit of the backoff in seconds after attempts without a token; it doubles each time."""
 
 CONTINUATION_WAIT = 0.5
-"""Maximum wait in seconds for the retry budget after the loss of an engine.
+"""Maximum wait in seconds for the retry budget after an engine was lost or has refused.
 
 Together with up to 1.8 s of silence before the loss is detected, a stall stays below 3 s.
 
@@ -183,7 +183,7 @@
             await trio.sleep_until(decision.at)
         elif self.status.record.pieces:
             # A started answer does not fail when the budget is exhausted; it is only delayed.
-            await trio.sleep(MAX_EMPTY_ATTEMPT_BACKOFF)
+            await trio.sleep(CONTINUATION_WAIT)
         else:
             message = "The endpoint failed and the budget for retries is used up."
             self.status.fail("retry_budget_exhausted", 503, message)
--- a/packages/daemon/gypsumpost_daemon/tests/test_generation_attempts.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_generation_attempts.py
@@ -9,7 +9,8 @@
 from gypsumpost_bench.engine_application import CRASH_TEXT
 from gypsumpost_cli.token_chain import TokenChain, find_chain_error
 from gypsumpost_cli.vocabulary import ANSWER_MARKER, FIRST_WORD, decode_tokens, tokenize_text
-from gypsumpost_core.generations.retry_budget import RetrySettings
+from gypsumpost_core.generations.retry_budget import RetryBudget, RetrySettings
+from gypsumpost_core.generations.retry_decision import RetryDecision
 from gypsumpost_core.run_state import RunState
 from gypsumpost_daemon.generations.attempt_sequence import CONTINUATION_WAIT
 from gypsumpost_daemon.generations.generation_task import GenerationTask
@@ -201,6 +202,33 @@
             check_whole(task, 300)
 
 
+async def test_a_refused_continuation_does_not_wait_longer_than_a_lost_one(
+    clock: object, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a stall of more than 3 s when engines refuse an answer that others lost.
+
+    In the soak (seed 72) an answer whose budget was used up waited a second more after a refusal.
+    """
+    spent = RetryDecision(allowed=False, at=None)
+    monkeypatch.setattr(RetryBudget, "decide_retry", lambda *arguments: spent)
+    async with run_hosts(2) as ([host], engines, nursery):
+        task = host.create_task("report", 200)
+        nursery.start_soon(task.run)
+        await trio.sleep(1.0)
+        first = next(engine for engine in engines if engine.requests)
+        other = next(engine for engine in engines if engine is not first)
+        other.refusing = True
+        first.die()
+        while not other.refusals:
+            await trio.sleep(0.01)
+        other.refusing = False
+        with trio.fail_after(CONTINUATION_WAIT + 0.1):
+            while not other.requests:
+                await trio.sleep(0.01)
+        await read_answer(task)
+        check_whole(task, 200)
+
+
 async def test_a_stream_cancelled_by_the_engine_is_not_the_end(clock: object) -> None:
     """An answer must not end when an engine cancels its stream."""
     async with run_hosts(2) as ([host], engines, nursery):
