--- a/packages/daemon/gypsumpost_daemon/gateway/beacon_socket.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/beacon_socket.py
@@ -14,6 +14,9 @@
 from gypsumpost_daemon.telemetry.log import Log
 
 RECEIVE_BYTES = 65536
+MAX_BODY_BYTES = 65507 - MAC_BYTES
+"""Longest payload of a UDP datagram. Callers choose the ids of their requests, which are part of
+the copies; without a beacon, peers would miss the losses and versions that it carries too."""
 
 LOG = Log(prefix="peers")
 
@@ -46,8 +49,11 @@
         self._key = key
 
     def encode(self, beacon: Beacon) -> bytes:
-        """Return a beacon as a signed datagram."""
+        """Return a beacon as a signed datagram, without the copies if it does not fit with them."""
         body = encode_beacon(beacon)
+        if len(body) > MAX_BODY_BYTES:
+            LOG.write("a beacon is too long", size=len(body), copies=len(beacon.copies))
+            body = encode_beacon(attrs.evolve(beacon, copies=()))
         return sign_datagram(self._key.choose_signing_key(trio.current_time()), body) + body
 
     async def send(self, data: bytes, ips: Iterable[str]) -> int:
--- a/packages/daemon/gypsumpost_daemon/gateway/tests/test_beacon_codec.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/tests/test_beacon_codec.py
@@ -1,5 +1,6 @@
 """Tests of the codec of messages between gateways."""
 
+import attrs
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -15,9 +16,11 @@
 from gypsumpost_core.gateway.host_report import HostReport
 from gypsumpost_core.gateway.retry_count import RetryCount
 from gypsumpost_core.gateway.stored_item import StoredItem
+from gypsumpost_core.key_ring import KeyRing
 from gypsumpost_core.limits.request_limit import RequestLimit
 from gypsumpost_daemon.gateway.beacon import Beacon
 from gypsumpost_daemon.gateway.beacon_codec import decode_beacon, encode_beacon
+from gypsumpost_daemon.gateway.beacon_socket import MAX_BODY_BYTES, BeaconSocket
 from gypsumpost_daemon.gateway.directory_codec import (
     decode_directory_request,
     decode_state,
@@ -25,6 +28,7 @@
     encode_state,
 )
 from gypsumpost_daemon.gateway.item_set import ItemSet
+from gypsumpost_daemon.peers.gossip_codec import MAC_BYTES
 
 
 def test_a_beacon_is_decoded_as_it_was_encoded():
@@ -86,6 +90,30 @@
     assert decoded.rates["e"] > 0
 
 
+async def test_a_beacon_with_long_ids_is_sent_without_its_copies():
+    """Guards against peers that hear nothing of a host for the long ids of its callers."""
+    beacon = Beacon(
+        host=HostReport(
+            host_id="h", failure_domain="d", link_mbps=8, watching=True, store_lost=True
+        ),
+        ip="127.0.0.1",
+        sequence=3,
+        version=4,
+        endpoint_revision=5,
+        uses={},
+        retries={},
+        copies=tuple(
+            CopyReport(fingerprint=b"f", request_id=f"{number:016000}", copy_engine="c")
+            for number in range(5)
+        ),
+    )
+    key = KeyRing(current=b"key")
+    beacons = BeaconSocket(udp=None, port=1, key=key)  # type: ignore[arg-type]
+    data = beacons.encode(beacon)
+    assert len(data) <= MAX_BODY_BYTES + MAC_BYTES
+    assert decode_beacon(data[MAC_BYTES:]).unwrap() == attrs.evolve(beacon, copies=())
+
+
 def test_a_directory_is_decoded_as_it_was_encoded():
     """Guards against binary values that are treated as text."""
     sets = [
