Keep the low rate of an engine longer before it is tried again

A slow engine of a large fleet gets a prompt less often than every 10 s, and was taken for a fast one again. It keeps its rate for 30 s now, which is long after the restart that the rule is for.

--- a/packages/core/gypsumpost_core/gateway/prefill_rates.py
+++ b/packages/core/gypsumpost_core/gateway/prefill_rates.py
@@ -19,8 +19,8 @@
 MIN_PROMPT_TOKENS = 1000
 """The first event of a shorter prompt takes a time that does not depend on its length."""
 
-KEEP_SECONDS = 10.0
-DOUBLING_SECONDS = 10.0
+KEEP_SECONDS = 30.0
+DOUBLING_SECONDS = 15.0
 """A rate below the default that is not measured for ``KEEP_SECONDS`` doubles in this time, up to
 the default. So an engine that no host chooses is tried again."""
 
