Tell null from an absent limit, and true from 1, in a generation request

A caller whose client writes the unused limit as null got 256 tokens in place of its own max_tokens, as a null max_completion_tokens was taken before max_tokens. "n": true and "echo": 0 passed, because they equal 1 and false in Python, and went to the engine as they were. Null now counts as absent, and a Boolean equals only a Boolean.

--- a/packages/core/gypsumpost_core/generations/completion_check.py
+++ b/packages/core/gypsumpost_core/generations/completion_check.py
@@ -69,12 +69,18 @@
 
 def _refuse_unsupported(body: Mapping[str, Any]) -> None:
     for name, accepted in UNSUPPORTED.items():
-        if body.get(name, accepted) not in (accepted, None):
+        value = body.get(name)
+        if value is not None and not _is_same_value(value, accepted):
             raise RequestError(f"'{name}' is not supported.")
     if body.get("seed") is not None and type(body["seed"]) is not int:
         raise RequestError("'seed' must be a whole number.")
 
 
+def _is_same_value(value: Any, accepted: Any) -> bool:
+    """Return true if two JSON values are equal; in Python ``True == 1`` as well."""
+    return isinstance(value, bool) == isinstance(accepted, bool) and bool(value == accepted)
+
+
 def _read_text(body: Mapping[str, Any], name: str) -> str:
     value = body.get(name)
     if not isinstance(value, str) or not value:
@@ -90,7 +96,9 @@
 
 
 def _read_max_tokens(body: Mapping[str, Any]) -> int:
-    value = body.get("max_completion_tokens", body.get("max_tokens"))
+    value = body.get("max_completion_tokens")
+    if value is None:
+        value = body.get("max_tokens")
     if value is None:
         return DEFAULT_MAX_TOKENS
     if type(value) is not int or not 1 <= value <= LARGEST_MAX_TOKENS:
