Refuse a load whose rate has no end

It was ended by hand after 8 s on, with 5,395 requests open. Both flags of a rate have to be finite now, as the message says; nan was refused before.

--- a/packages/cli/gypsumpost_cli/load_commands.py
+++ b/packages/cli/gypsumpost_cli/load_commands.py
@@ -80,8 +80,8 @@
 
 def _describe_invalid_flags(plan: LoadPlan, grace: float) -> str:
     checks = {
-        "--rate: must be 0 or more": plan.rate >= 0,
-        "--gate-rate: must be 0 or more": plan.gate_rate >= 0,
+        "--rate: must be 0 or more and finite": 0 <= plan.rate < float("inf"),
+        "--gate-rate: must be 0 or more and finite": 0 <= plan.gate_rate < float("inf"),
         "--seconds: must be more than 0 and finite": 0 < plan.seconds < float("inf"),
         "--grace: must be 0 or more and finite": 0 <= grace < float("inf"),
         "--long-share: must be from 0 to 1": 0 <= plan.long_share <= 1,
--- a/packages/cli/gypsumpost_cli/tests/test_load.py
+++ b/packages/cli/gypsumpost_cli/tests/test_load.py
@@ -64,3 +64,14 @@
     flags = ["--addresses", "a", "--workspaces", "n=k:1", "--seconds", "inf"]
     assert run_command(["load", *flags]) == 1
     assert "--seconds" in capsys.readouterr().err
+
+
+@pytest.mark.parametrize("flag", ["--rate", "--gate-rate"])
+@pytest.mark.parametrize("rate", ["inf", "nan"])
+def test_a_rate_without_end_is_refused(
+    capsys: pytest.CaptureFixture[str], flag: str, rate: str
+) -> None:
+    """Guards against a schedule that never reaches its end."""
+    flags = ["--addresses", "a", "--workspaces", "north=secret:1", flag, rate, "--seconds", "0.01"]
+    assert run_command(["load", *flags]) == 1
+    assert f"{flag}: must be 0 or more and finite" in capsys.readouterr().err
