Join the data lines of an event in the client

Of an event with several data lines the command line kept the last one only, and it passed over lines without a space after the colon. It reads both as the event stream format defines them. The new test failed before.

--- a/packages/cli/gypsumpost_cli/event_reader.py
+++ b/packages/cli/gypsumpost_cli/event_reader.py
@@ -38,11 +38,18 @@
 
 
 def _parse_block(block: bytes) -> ReceivedEvent | None:
-    fields = dict(line.split(b": ", 1) for line in block.split(b"\n") if b": " in line)
-    if b"data" not in fields:
+    event_id = b""
+    data_lines = []
+    for line in block.split(b"\n"):
+        name, _, value = line.partition(b":")
+        value = value.removeprefix(b" ")
+        if name == b"id":
+            event_id = value
+        elif name == b"data":
+            data_lines.append(value)
+    if not data_lines:
         return None
-    data = fields[b"data"]
+    data = b"\n".join(data_lines)
     return ReceivedEvent(
-        event_id=fields.get(b"id", b"").decode(),
-        data=None if data == b"[DONE]" else orjson.loads(data),
+        event_id=event_id.decode(), data=None if data == b"[DONE]" else orjson.loads(data)
     )
--- a/packages/cli/gypsumpost_cli/tests/test_load.py
+++ b/packages/cli/gypsumpost_cli/tests/test_load.py
@@ -6,6 +6,7 @@
 from result import Err
 
 from gypsumpost_cli.answer import Answer
+from gypsumpost_cli.event_reader import EventReader
 from gypsumpost_cli.load_plan import LoadPlan
 from gypsumpost_cli.load_report import describe_results, format_results
 from gypsumpost_cli.load_results import LoadResults
@@ -75,3 +76,10 @@
     flags = ["--addresses", "a", "--workspaces", "north=secret:1", flag, rate, "--seconds", "0.01"]
     assert run_command(["load", *flags]) == 1
     assert f"{flag}: must be 0 or more and finite" in capsys.readouterr().err
+
+
+def test_the_data_lines_of_an_event_are_joined() -> None:
+    """Guards against losing all but the last line of an event that is split over lines."""
+    reader = EventReader()
+    (event,) = reader.feed(b'id: 3\ndata: {"choices":\ndata:[1]}\n\n')
+    assert (event.event_id, event.data) == ("3", {"choices": [1]})
