Record error responses that are not JSON

A balancer that answers 503 with a page of its own ended `gypsumpost load` with a traceback. Such an answer is recorded as a refusal whose run state is unknown, and is retried from 500 on like the others. The four cases of the new test failed before.

--- a/packages/cli/gypsumpost_cli/answer_client.py
+++ b/packages/cli/gypsumpost_cli/answer_client.py
@@ -12,6 +12,7 @@
 from gypsumpost_cli.connection import Connection, ConnectionEnd
 from gypsumpost_cli.entry_pool import EntryPool
 from gypsumpost_cli.event_reader import EventReader, ReceivedEvent
+from gypsumpost_core.run_state import RunState
 
 MAX_TRIES = 40
 """Connections for one answer, including the first."""
@@ -120,7 +121,7 @@
             method, url, headers=headers, content=body, extensions={"timeout": timeout}
         ) as response:
             if response.status != 200:
-                return _record_refusal(answer, response.status, await response.aread())
+                return record_refusal(answer, response.status, await response.aread())
             return await self._read_events(answer, response)
 
     async def _read_events(self, answer: Answer, response: httpcore.Response) -> ConnectionEnd:
@@ -162,11 +163,21 @@
     answer.finish_reason = choice["finish_reason"] or answer.finish_reason
 
 
-def _record_refusal(answer: Answer, status: int, body: bytes) -> ConnectionEnd:
-    error = orjson.loads(body)["error"]
-    answer.error = f"{status}: {error['message']}"
-    answer.error_status, answer.run_state = status, error["run_state"]
-    answer.error_code = error["code"]
+def record_refusal(answer: Answer, status: int, body: bytes) -> ConnectionEnd:
+    """Record an error response; one that does not come from the daemon may have any body.
+
+    :param answer: the answer so far.
+    :param status: status code.
+    :param body: the complete body.
+    """
+    answer.error_status = status
+    try:
+        error = orjson.loads(body)["error"]
+        answer.error = f"{status}: {error['message']}"
+        answer.run_state, answer.error_code = error["run_state"], error["code"]
+    except (orjson.JSONDecodeError, KeyError, TypeError):
+        answer.error = f"status {status}"
+        answer.run_state, answer.error_code = RunState.UNKNOWN.value, ""
     # "moved": the answer was taken over by another connection of this caller.
     # 5xx: the host cannot serve the request now.
     is_retryable = status >= 500 or answer.error_code == "moved"
--- a/packages/cli/gypsumpost_cli/tests/test_load.py
+++ b/packages/cli/gypsumpost_cli/tests/test_load.py
@@ -6,6 +6,8 @@
 from result import Err
 
 from gypsumpost_cli.answer import Answer
+from gypsumpost_cli.answer_client import record_refusal
+from gypsumpost_cli.connection import ConnectionEnd
 from gypsumpost_cli.event_reader import EventReader
 from gypsumpost_cli.load_plan import LoadPlan
 from gypsumpost_cli.load_report import describe_results, format_results
@@ -83,3 +85,12 @@
     reader = EventReader()
     (event,) = reader.feed(b'id: 3\ndata: {"choices":\ndata:[1]}\n\n')
     assert (event.event_id, event.data) == ("3", {"choices": [1]})
+
+
+@pytest.mark.parametrize("body", [b"", b"<html>", b"[]", b'{"error": "no"}'])
+def test_a_refusal_that_is_no_json_is_recorded(body: bytes) -> None:
+    """Guards against a run that ends because a balancer answers 503 with a page of its own."""
+    answer = Answer(request_id="r", sent_at=1.0)
+    assert record_refusal(answer, 503, body) is ConnectionEnd.REFUSED
+    assert (answer.error_status, answer.run_state) == (503, "unknown")
+    assert record_refusal(answer, 404, body) is ConnectionEnd.DONE
