Measure the prefill time on the callers' interface on long prompts only

A first prompt of two tokens that took 0.3 s made an engine appear to prefill at 7 tokens a second. With another engine at hand it was chosen for none of 40 long prompts, and an engine that nobody chooses is not measured again. Prompts under 200 tokens measure nothing now, as on the gateway; a slow engine is still found by long ones. The first of the two new tests failed before, the second holds on both.

--- a/packages/core/gypsumpost_core/routing/engine_estimate.py
+++ b/packages/core/gypsumpost_core/routing/engine_estimate.py
@@ -17,6 +17,9 @@
 SLOT_GROWTH = 2.0
 """Assumed ratio of batch limit to running generations for an engine that never queued any."""
 
+MIN_PROMPT_TOKENS = 200
+"""The first token of a shorter prompt takes a time that does not depend on its length."""
+
 
 @attrs.define(kw_only=True)
 class EngineEstimate:
@@ -75,9 +78,10 @@
     def observe_first_token(self, wait: float, prompt_tokens: int) -> None:
         """Record the seconds to the first token of an attempt.
 
-        Ignored while the engine is expected to queue, as the time then includes the queue.
+        Ignored while the engine is expected to queue, as the time then includes the queue, and for
+        prompts shorter than ``MIN_PROMPT_TOKENS``.
         """
-        if self.estimate_queue() < 1 and prompt_tokens > 0:
+        if self.estimate_queue() < 1 and prompt_tokens >= MIN_PROMPT_TOKENS:
             self._prefill.observe(wait / prompt_tokens)
 
     def observe_tokens(self, count: int, gap: float) -> None:
--- a/packages/core/gypsumpost_core/tests/test_router.py
+++ b/packages/core/gypsumpost_core/tests/test_router.py
@@ -245,3 +245,27 @@
         router.record_start(name, REQUEST, now)
     else:
         router.record_end(name, REQUEST, AttemptOutcome.REFUSED, now)
+
+
+def test_a_short_prompt_does_not_make_an_engine_appear_slow() -> None:
+    """Guards against an engine that is never chosen again after a prompt of a few tokens.
+
+    The first token of a short prompt takes a time that does not depend on its length.
+    """
+    router = create_router(count=2, domain="d0")
+    long_request = RouteRequest(workspace="w", model="m", prompt_tokens=4000, max_tokens=200)
+    for _ in range(3):
+        router.record_first_token(
+            "e0", RouteRequest(workspace="w", model="m", prompt_tokens=2), 0.3, 0.0
+        )
+    chosen = {router.choose(long_request, 0.0).unwrap().name for _ in range(40)}
+    assert chosen == {"e0", "e1"}
+
+
+def test_a_long_prompt_measures_the_prefill_time() -> None:
+    """Guards against estimates that never learn that an engine is slow."""
+    router = create_router(count=2, domain="d0")
+    long_request = RouteRequest(workspace="w", model="m", prompt_tokens=4000, max_tokens=200)
+    router.record_first_token("e0", long_request, 20.0, 0.0)
+    chosen = {router.choose(long_request, 0.0).unwrap().name for _ in range(40)}
+    assert chosen == {"e1"}
