Check a configuration or a list before it is sent

Change: gypsumpost check reads a configuration through the platform's adapter, or one of the two lists, with the daemons' parsers. The check of an edit's size moves to the core, so that the command and the daemon use the same one.

--- a/packages/cli/gypsumpost_cli/main.py
+++ b/packages/cli/gypsumpost_cli/main.py
@@ -16,6 +16,7 @@
     "status_commands",
     "timeline_commands",
     "load_commands",
+    "check_commands",
 )
 """Modules of this package that register commands when they are imported."""
 
@@ -34,6 +35,8 @@
         no_negated_flags=True,
     )
     if isinstance(outcome, Err):
+        if outcome.err_value.output:
+            print(outcome.err_value.output)
         print(f"gypsumpost: {outcome.err_value.message}", file=sys.stderr)
         return outcome.err_value.exit_code
     print(outcome.ok_value)
--- /dev/null
+++ b/packages/core/gypsumpost_core/checks/__init__.py
@@ -0,0 +1,1 @@
+"""Checks of a configuration or a list before an operator sends it."""
--- /dev/null
+++ b/packages/core/gypsumpost_core/checks/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the checks."""
--- a/packages/core/gypsumpost_core/lists/list_check.py
+++ b/packages/core/gypsumpost_core/lists/list_check.py
@@ -1,9 +1,13 @@
-"""Consistency checks across both lists."""
+"""Consistency checks across both lists, and of the size of an edit."""
 
+from gypsumpost_core.lists.entry_edit import EntryEdit
 from gypsumpost_core.lists.list_error import ListError
 from gypsumpost_core.lists.list_lines import ListLines
 from gypsumpost_core.lists.lists import Lists
 
+MAX_EDITED_ENTRIES = 100
+"""etcd accepts 128 operations per transaction; head, history record and trimming need three."""
+
 
 def check_lists(lists: Lists, lines: ListLines) -> list[ListError]:
     """Return plans without an allowance and keys that are used by more than one workspace.
@@ -14,6 +18,17 @@
     return _check_plans(lists, lines) + _check_keys(lists, lines)
 
 
+def check_size(edits: tuple[EntryEdit, ...]) -> list[ListError]:
+    """Return an error if an edit changes more entries than one transaction of the store holds.
+
+    :param edits: the changed entries.
+    """
+    if len(edits) <= MAX_EDITED_ENTRIES:
+        return []
+    message = f"the edit changes {len(edits)} entries; accepted: at most {MAX_EDITED_ENTRIES}"
+    return [ListError(line=0, field="", message=message)]
+
+
 def _check_plans(lists: Lists, lines: ListLines) -> list[ListError]:
     return [
         ListError(
--- a/packages/daemon/gypsumpost_daemon/lists/list_editor.py
+++ b/packages/daemon/gypsumpost_daemon/lists/list_editor.py
@@ -9,7 +9,7 @@
 
 from gypsumpost_core.lists.entry_edit import EntryEdit
 from gypsumpost_core.lists.history_record import HistoryRecord
-from gypsumpost_core.lists.list_check import check_lists
+from gypsumpost_core.lists.list_check import check_lists, check_size
 from gypsumpost_core.lists.list_difference import compute_difference, format_edits, undo_edits
 from gypsumpost_core.lists.list_error import ListError
 from gypsumpost_core.lists.list_file import parse_list
@@ -49,9 +49,6 @@
     StoreTransaction,
 )
 
-MAX_EDITED_ENTRIES = 100
-"""etcd accepts 128 operations per transaction; head, history record and trimming need three."""
-
 HISTORY_REVISIONS = 20_000
 """History records kept in the store: about a day at 19,000 changes a day, about 10 MB."""
 
@@ -127,7 +124,7 @@
         self, current: StoredLists, edited: Lists, text: str, author: str, deadline: float
     ) -> EditOutcome:
         edits = compute_difference(current.lists, edited)
-        errors = check_lists(edited, ListLines(text=text)) or _check_size(edits)
+        errors = check_lists(edited, ListLines(text=text)) or check_size(edits)
         if errors:
             return EditRefused(errors=tuple(errors))
         if not edits:
@@ -182,13 +179,6 @@
     return EditConflict(revision=current.revision, difference=difference)
 
 
-def _check_size(edits: tuple[EntryEdit, ...]) -> list[ListError]:
-    if len(edits) <= MAX_EDITED_ENTRIES:
-        return []
-    message = f"the edit changes {len(edits)} entries; accepted: at most {MAX_EDITED_ENTRIES}"
-    return [ListError(line=0, field="", message=message)]
-
-
 def _create_transaction(current: StoredLists, record: HistoryRecord) -> StoreTransaction:
     condition = (
         StoreCompare(key=HEAD_KEY, mod_revision=current.head_revision)
