Let few hosts of a domain verify a reported loss

Cause: each host probed each endpoint that a peer reported, so that the loss of a domain of engines cost hosts x engines connections.

Change: three hosts of a domain, chosen by rendezvous hashing, and hosts with requests at the endpoint probe it; the others adopt a loss that two hosts of their domain have observed, and a return that one has identified. Lost endpoints are probed by one host a domain and interval, with one try, and less often when the loss lasts.

--- a/packages/core/gypsumpost_core/gateway/endpoint_fleet.py
+++ b/packages/core/gypsumpost_core/gateway/endpoint_fleet.py
@@ -209,7 +209,13 @@
         ]
 
     def mark_lost(
-        self, endpoint_id: str, started_at: int, now: float, *, refused: bool = False
+        self,
+        endpoint_id: str,
+        started_at: int,
+        now: float,
+        *,
+        refused: bool = False,
+        adopted: bool = False,
     ) -> bool:
         """Mark an endpoint lost because it does not answer.
 
@@ -217,6 +223,7 @@
         :param started_at: start time of the observed process, see :class:`EndpointRecord`.
         :param now: monotonic time in seconds.
         :param refused: true if its address refuses connections.
+        :param adopted: true if only peers have observed the loss.
         :returns: true if this call marked the endpoint lost; false if it was lost already, does not
             exist or has been restarted since the observation.
         """
@@ -225,6 +232,7 @@
             return False
         newly_lost = not state.lost
         state.refused = state.refused or refused
+        state.loss_adopted = adopted and (newly_lost or state.loss_adopted)
         if newly_lost:
             state.lost_at = now
         self.mark_domain_suspect(state.record, now)
@@ -254,6 +262,7 @@
         if state is not None:
             state.lost_at = NEVER
             state.refused = False
+            state.loss_adopted = False
             state.alive_at = now
 
     def get_domain_loss(self, service: str, failure_domain: str) -> float:
--- a/packages/core/gypsumpost_core/gateway/endpoint_state.py
+++ b/packages/core/gypsumpost_core/gateway/endpoint_state.py
@@ -19,6 +19,7 @@
     :param record: its entry in the directory.
     :param lost_at: monotonic time in seconds at which it was marked lost, ``NEVER`` if it is not.
     :param refused: true while it is marked lost and its address refuses connections.
+    :param loss_adopted: true while it is marked lost only because peers report it.
     :param said_leaving: true if it has said in an answer that it leaves.
     :param closed_until: monotonic time in seconds until which it wants no request of this host.
     :param limited_until: monotonic time in seconds until which it has no room within the limit that
@@ -33,6 +34,7 @@
     record: EndpointRecord
     lost_at: float = NEVER
     refused: bool = False
+    loss_adopted: bool = False
     said_leaving: bool = False
     closed_until: float = NEVER
     limited_until: float = NEVER
--- a/packages/daemon/gypsumpost_daemon/engines/endpoint_probe.py
+++ b/packages/daemon/gypsumpost_daemon/engines/endpoint_probe.py
@@ -26,12 +26,13 @@
     NOT_TRIED = "not tried"
 
 
-async def probe_endpoint(address: str) -> ProbeResult:
+async def probe_endpoint(address: str, *, tries: int = TRIES) -> ProbeResult:
     """Connect to an endpoint and close the connection.
 
     :param address: ``ip:port``.
+    :param tries: greatest number of connections to try.
     """
-    for _ in range(TRIES):
+    for _ in range(tries):
         opened = await connect(address, trio.current_time() + TRY_SECONDS)
         if not isinstance(opened, Err):
             opened.ok_value.close()
--- a/packages/daemon/gypsumpost_daemon/gateway/beacon_state.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/beacon_state.py
@@ -95,6 +95,8 @@
             uses=self.usage.sum_domain(now),
             rates=self.rates.list_domain(now),
             retries=self.retry_budget.sum_domain(now),
+            losses=self.reports.list_losses(now, of_domain=True),
+            returns=self.reports.list_returns(now, of_domain=True),
             copies=(),
         )
 
--- a/packages/daemon/gypsumpost_daemon/gateway/endpoint_monitor.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/endpoint_monitor.py
@@ -7,6 +7,7 @@
 from result import Err
 
 from gypsumpost_core.gateway.endpoint_record import EndpointRecord
+from gypsumpost_core.gateway.endpoint_state import EndpointState
 from gypsumpost_daemon.engines.endpoint_probe import ProbeResult, probe_endpoint
 from gypsumpost_daemon.gateway.directory import Directory
 from gypsumpost_daemon.gateway.endpoint_identifier import EndpointIdentifier
@@ -17,9 +18,13 @@
 RETURN_PROBE_SECONDS = 0.3
 """Interval between probes of a lost endpoint."""
 
-PROBING_HOSTS = 3
+PROBING_HOSTS = 1
 """Hosts of a domain that probe a lost endpoint in each interval, on average; the others receive
-the result from them."""
+the result from them, and those of other domains probe as soon as they hear of it."""
+
+BRIEF_LOSS_SECONDS = 3.0
+"""An endpoint that is lost for longer is probed less often, in proportion to the time, so that a
+return is found within a fraction of the loss that precedes it."""
 
 STORE_ENTRY_SECONDS = 0.5
 """How long to wait for the store entry of a new endpoint before the store is read."""
@@ -56,6 +61,7 @@
         self._loss_listeners: list[Listener] = []
         self._return_listeners: list[Listener] = []
         self._checks: dict[str, SharedProbe] = {}
+        self._lost_since: dict[EndpointRecord, float] = {}
         self._nursery: trio.Nursery | None = None
 
     def add_loss_listener(self, listener: Listener) -> None:
@@ -79,10 +85,26 @@
             task_status.started()
             while True:
                 await trio.sleep(RETURN_PROBE_SECONDS)
-                probability = PROBING_HOSTS / max(1, self._count_hosts())
-                for state in self._directory.fleet:
-                    if state.lost and random.random() < probability:
-                        nursery.start_soon(self._probe_lost, state.record)
+                for record in self._draw_probes(trio.current_time()):
+                    nursery.start_soon(self._probe_lost, record)
+
+    def _draw_probes(self, now: float) -> list[EndpointRecord]:
+        """Return the lost endpoints that this host probes in this interval."""
+        lost = [state.record for state in self._directory.fleet if state.lost]
+        self._lost_since = {record: self._lost_since.get(record, now) for record in lost}
+        share = PROBING_HOSTS / max(1, self._count_hosts())
+        return [
+            record
+            for record, since in self._lost_since.items()
+            if random.random() < share * compute_pace(now - since)
+        ]
+
+    def is_in_use(self, state: EndpointState) -> bool:
+        """Return true if requests of this host run at an endpoint.
+
+        :param state: the endpoint.
+        """
+        return state.pending > 0 or state.record.endpoint_id in self._scopes
 
     def watch(self, endpoint_id: str, scope: trio.CancelScope) -> None:
         """Cancel a scope when the endpoint is lost, until :meth:`unwatch`."""
@@ -161,15 +183,20 @@
         if self._nursery is not None:
             self._nursery.start_soon(check)
 
-    def mark_lost(self, record: EndpointRecord, reason: str, *, refused: bool = False) -> None:
+    def mark_lost(
+        self, record: EndpointRecord, reason: str, *, refused: bool = False, adopted: bool = False
+    ) -> None:
         """Mark an endpoint as lost and cancel the scopes that watch it.
 
         :param record: the endpoint as it was known when it was used.
         :param reason: the evidence.
         :param refused: true if its address refuses connections.
+        :param adopted: true if only peers have observed the loss.
         """
         fleet, now = self._directory.fleet, trio.current_time()
-        if not fleet.mark_lost(record.endpoint_id, record.started_at, now, refused=refused):
+        if not fleet.mark_lost(
+            record.endpoint_id, record.started_at, now, refused=refused, adopted=adopted
+        ):
             return
         LOG.write(
             "lost an endpoint",
@@ -203,7 +230,7 @@
         self._probing.add(record.endpoint_id)
         try:
             with contain_errors(LOG, "a probe", endpoint=record.endpoint_id):
-                if await probe_endpoint(record.address) is ProbeResult.ALIVE:
+                if await probe_endpoint(record.address, tries=1) is ProbeResult.ALIVE:
                     await self._identify(record)
         finally:
             self._probing.discard(record.endpoint_id)
@@ -226,11 +253,19 @@
             return
         state = self._directory.fleet.find(record.endpoint_id)
         if state is not None and state.record == record:
-            LOG.write("a lost endpoint is alive again", endpoint=record.endpoint_id)
-            self._directory.fleet.mark_alive(record.endpoint_id, trio.current_time())
-            self._directory.notify_change()
-            for listener in self._return_listeners:
-                listener(record)
+            self.mark_returned(record, "identified")
+
+    def mark_returned(self, record: EndpointRecord, reason: str) -> None:
+        """Clear the loss of an endpoint.
+
+        :param record: the endpoint.
+        :param reason: the evidence.
+        """
+        LOG.write("a lost endpoint is alive again", endpoint=record.endpoint_id, reason=reason)
+        self._directory.fleet.mark_alive(record.endpoint_id, trio.current_time())
+        self._directory.notify_change()
+        for listener in self._return_listeners:
+            listener(record)
 
     async def _wait_for_successor(self, record: EndpointRecord) -> None:
         """Give up a replaced endpoint, and read the store if the other one stays unknown."""
@@ -240,3 +275,11 @@
         await trio.sleep(STORE_ENTRY_SECONDS)
         if all(state.record.address != record.address for state in fleet):
             await self._refresh()
+
+
+def compute_pace(lost_seconds: float) -> float:
+    """Return the share of the intervals in which a lost endpoint is probed, from 0 to 1.
+
+    :param lost_seconds: how long it has been lost.
+    """
+    return BRIEF_LOSS_SECONDS / max(BRIEF_LOSS_SECONDS, lost_seconds)
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
@@ -146,7 +146,13 @@
                 directory=self.directory,
                 follower=self._follower,
                 roles=self.roles,
-                reports=EndpointReports(directory=self.directory, monitor=self.monitor),
+                reports=EndpointReports(
+                    own=own,
+                    directory=self.directory,
+                    monitor=self.monitor,
+                    metrics=gateway_metrics,
+                    list_hosts=self._list_domain_hosts,
+                ),
                 notices=notices,
                 usage=self.usage,
                 rates=rates,
@@ -251,8 +257,11 @@
         return len(self._hosts.list_live())
 
     def _count_domain_hosts(self) -> int:
+        return len(self._list_domain_hosts())
+
+    def _list_domain_hosts(self) -> list[Host]:
         domain = self.settings.failure_domain
-        return sum(host.failure_domain == domain for host in self._hosts.list_live())
+        return [host for host in self._hosts.list_live() if host.failure_domain == domain]
 
     async def _serve(
         self,
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_metrics.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_metrics.py
@@ -39,6 +39,12 @@
             "endpoint",
             "purpose",
         )
+        self._peer_reports = metrics.add_counter(
+            "gypsumpost_gateway_peer_reports_total",
+            "Reports of peers about lost and returned endpoints, by what this host did.",
+            "kind",
+            "verdict",
+        )
         self._permits = metrics.add_counter(
             "gypsumpost_gateway_permits_total",
             "Permits for requests to endpoints with a limit, by service and decision.",
@@ -85,6 +91,14 @@
         """
         self._limited_requests.add(endpoint_id, purpose)
 
+    def count_peer_report(self, kind: str, verdict: str) -> None:
+        """Count a peer's report about an endpoint.
+
+        :param kind: ``loss`` or ``return``.
+        :param verdict: ``probe``, ``adopt`` or ``wait``.
+        """
+        self._peer_reports.add(kind, verdict)
+
     def count_permit(self, service: str, *, granted: bool) -> None:
         """Count a decision about a request to an endpoint with a limit.
 
