Check silent engines on kept connections

Cause: a stream without events has its engine checked by a new connection up to four times a second.

Engines with a limit on requests, or that want none, are checked by connecting as before.

--- a/packages/daemon/gypsumpost_daemon/engines/idle_connections.py
+++ b/packages/daemon/gypsumpost_daemon/engines/idle_connections.py
@@ -8,22 +8,30 @@
 
 
 class IdleConnections:
-    """Keeps up to ``MAX_IDLE_PER_ADDRESS`` connections per endpoint for ``IDLE_SECONDS``."""
+    """Keeps up to ``MAX_IDLE_PER_ADDRESS`` connections per endpoint for a limited time."""
 
     def __init__(self) -> None:
         self._idle: dict[str, list[tuple[float, H11EngineConnection]]] = {}
 
-    def put(self, address: str, connection: H11EngineConnection, now: float) -> None:
+    def put(
+        self,
+        address: str,
+        connection: H11EngineConnection,
+        now: float,
+        *,
+        seconds: float = IDLE_SECONDS,
+    ) -> None:
         """Add a connection whose last response was read to its end.
 
         :param address: ``ip:port`` of the endpoint.
         :param connection: the connection.
         :param now: monotonic time in seconds.
+        :param seconds: how long it may be used again.
         """
         # Keeps the addresses ordered by last use, least recent first.
         entries = self._idle.pop(address, [])
         self._idle[address] = entries
-        entries.append((now + IDLE_SECONDS, connection))
+        entries.append((now + seconds, connection))
         if len(entries) > MAX_IDLE_PER_ADDRESS:
             entries.pop(0)[1].close()
         if len(self._idle) > MAX_ADDRESSES:
--- a/packages/daemon/gypsumpost_daemon/gateway/endpoint_monitor.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/endpoint_monitor.py
@@ -11,6 +11,7 @@
 from gypsumpost_daemon.engines.endpoint_probe import ProbeResult, probe_endpoint
 from gypsumpost_daemon.gateway.directory import Directory
 from gypsumpost_daemon.gateway.endpoint_identifier import EndpointIdentifier
+from gypsumpost_daemon.gateway.engine_probes import EngineProbes
 from gypsumpost_daemon.gateway.shared_probe import SharedProbe
 from gypsumpost_daemon.lifecycle.contained_errors import contain_errors
 from gypsumpost_daemon.telemetry.log import Log
@@ -32,6 +33,7 @@
 LOG = Log(prefix="endpoint")
 Refresh = Callable[[], Awaitable[None]]
 Listener = Callable[[EndpointRecord], None]
+Probe = Callable[[EndpointRecord], Awaitable[ProbeResult]]
 
 
 class EndpointMonitor:
@@ -39,6 +41,7 @@
 
     :param directory: the endpoints.
     :param identifier: identifies the endpoint at an address.
+    :param engine_probes: checks engines that are silent but probably alive.
     :param refresh: reads the endpoints from the store again.
     :param count_hosts: returns the number of hosts of the domain, which share the probes.
     """
@@ -48,11 +51,13 @@
         *,
         directory: Directory,
         identifier: EndpointIdentifier,
+        engine_probes: EngineProbes,
         refresh: Refresh,
         count_hosts: Callable[[], int],
     ) -> None:
         self._directory = directory
         self._identifier = identifier
+        self._engine_probes = engine_probes
         self._refresh = refresh
         self._probing: set[str] = set()
         # Ordered, so that a run does not depend on memory addresses.
@@ -118,19 +123,27 @@
             if not scopes:
                 del self._scopes[endpoint_id]
 
-    async def check(self, record: EndpointRecord, reason: str) -> bool:
+    async def check_silent(self, record: EndpointRecord) -> bool:
+        """Check an engine that sends no events, and return whether it is known to be alive.
+
+        :param record: the engine.
+        """
+        return await self.check(record, "a stream is silent", self._engine_probes.probe)
+
+    async def check(self, record: EndpointRecord, reason: str, probe: Probe | None = None) -> bool:
         """Probe an endpoint now and return whether it is known to be alive.
 
         Streams of one engine often call this at the same moment and then share one probe.
 
         :param record: the endpoint.
         :param reason: why it is suspected.
+        :param probe: how to probe it, ``None`` to connect.
         """
         outcome: ProbeResult | None = None
         while outcome is None:
             running = self._checks.get(record.endpoint_id)
             if running is None:
-                outcome = await self._probe(record, reason)
+                outcome = await self._probe(record, reason, probe or connect_to)
             else:
                 await running.ended.wait()
                 outcome = running.outcome
@@ -138,10 +151,10 @@
         alive = state is not None and not state.lost and state.record == record
         return alive and outcome is not ProbeResult.NOT_TRIED
 
-    async def _probe(self, record: EndpointRecord, reason: str) -> ProbeResult:
+    async def _probe(self, record: EndpointRecord, reason: str, probe: Probe) -> ProbeResult:
         running = self._checks[record.endpoint_id] = SharedProbe()
         try:
-            outcome = running.outcome = await probe_endpoint(record.address)
+            outcome = running.outcome = await probe(record)
             if outcome is ProbeResult.ALIVE:
                 self._directory.fleet.mark_alive(record.endpoint_id, trio.current_time())
             elif outcome is ProbeResult.NOT_TRIED:
@@ -277,6 +290,14 @@
             await self._refresh()
 
 
+async def connect_to(record: EndpointRecord) -> ProbeResult:
+    """Probe an endpoint by connecting to it.
+
+    :param record: the endpoint.
+    """
+    return await probe_endpoint(record.address)
+
+
 def compute_pace(lost_seconds: float) -> float:
     """Return the share of the intervals in which a lost endpoint is probed, from 0 to 1.
 
--- a/packages/daemon/gypsumpost_daemon/gateway/endpoint_query.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/endpoint_query.py
@@ -3,7 +3,7 @@
 import trio
 from result import Err, Ok, Result
 
-from gypsumpost_daemon.engines.h11_engine_connection import connect
+from gypsumpost_daemon.engines.h11_engine_connection import H11EngineConnection, connect
 from gypsumpost_daemon.gateway.endpoint_answer import EndpointAnswer
 from gypsumpost_daemon.gateway.forwarded_request import ForwardedRequest
 
@@ -26,6 +26,28 @@
     if isinstance(opened, Err):
         return Err(opened.err_value.reason)
     connection = opened.ok_value
+    try:
+        return await exchange_query(connection, address, path, deadline, body=body)
+    finally:
+        connection.close()
+
+
+async def exchange_query(
+    connection: H11EngineConnection,
+    address: str,
+    path: str,
+    deadline: float,
+    *,
+    body: bytes | None = None,
+) -> Result[EndpointAnswer, str]:
+    """Send a request on an open connection and return the answer, or why there is none.
+
+    :param connection: the connection, which stays open.
+    :param address: ``ip:port`` of the endpoint.
+    :param path: path of the request.
+    :param deadline: monotonic time in seconds at which to stop waiting.
+    :param body: body of a ``POST`` request, ``None`` for a ``GET`` request.
+    """
     request = ForwardedRequest(
         method="GET" if body is None else "POST",
         path=path,
@@ -44,6 +66,4 @@
             )
     except OSError as error:
         return Err(str(error))
-    finally:
-        connection.close()
     return Err("no answer in time")
--- a/packages/daemon/gypsumpost_daemon/gateway/engine_watch.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/engine_watch.py
@@ -103,7 +103,7 @@
         delay = compute_check_delay(self._state.event_gap, prefilling=False)
         if now - self._state.alive_at < delay:
             return True
-        return await self._context.monitor.check(self._record, "a stream is silent")
+        return await self._context.monitor.check_silent(self._record)
 
     async def _is_abandoned(self, silence: EngineSilence) -> bool:
         work = await self._context.work_reader.read(self._record)
--- a/packages/daemon/gypsumpost_daemon/gateway/engine_work_reader.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/engine_work_reader.py
@@ -7,11 +7,12 @@
 from gypsumpost_core.gateway.endpoint_fleet import EndpointFleet
 from gypsumpost_core.gateway.endpoint_record import EndpointRecord
 from gypsumpost_core.gateway.engine_work import EngineWork
+from gypsumpost_daemon.engines.h11_engine_connection import H11EngineConnection
 from gypsumpost_daemon.gateway.adapter import GatewayAdapter
 from gypsumpost_daemon.gateway.endpoint_answer import EndpointAnswer
 from gypsumpost_daemon.gateway.endpoint_notices import EndpointNotices
 from gypsumpost_daemon.gateway.endpoint_permits import EndpointPermits
-from gypsumpost_daemon.gateway.endpoint_query import query_endpoint
+from gypsumpost_daemon.gateway.endpoint_query import exchange_query, query_endpoint
 from gypsumpost_daemon.gateway.request_purpose import RequestPurpose
 from gypsumpost_daemon.telemetry.log import Log
 
@@ -33,6 +34,33 @@
     notices: EndpointNotices
     permits: EndpointPermits
 
+    def may_ask_often(self, record: EndpointRecord) -> bool:
+        """Return true if an engine neither limits its requests nor wants none for a while.
+
+        :param record: the engine.
+        """
+        state = self.fleet.find(record.endpoint_id)
+        closed = state is not None and state.is_closed(trio.current_time())
+        return not closed and not self.permits.is_limited(record)
+
+    async def ask(
+        self, connection: H11EngineConnection, record: EndpointRecord, deadline: float
+    ) -> EndpointAnswer | None:
+        """Ask an engine for a report on an open connection; return ``None`` without an answer.
+
+        :param connection: the connection, which stays open.
+        :param record: the engine.
+        :param deadline: monotonic time in seconds at which to stop waiting.
+        """
+        sent_at = trio.current_time()
+        answer = await exchange_query(
+            connection, record.address, self.adapter.report_path, deadline
+        )
+        if isinstance(answer, Err):
+            return None
+        self._observe(record, answer.ok_value, sent_at)
+        return answer.ok_value
+
     async def read(self, record: EndpointRecord) -> EngineWork | None:
         """Return the work of an engine, ``None`` if it does not report any.
 
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
@@ -26,6 +26,7 @@
 from gypsumpost_daemon.gateway.endpoint_notices import EndpointNotices
 from gypsumpost_daemon.gateway.endpoint_permits import RETRIES, EndpointPermits
 from gypsumpost_daemon.gateway.endpoint_reports import EndpointReports
+from gypsumpost_daemon.gateway.engine_probes import EngineProbes
 from gypsumpost_daemon.gateway.engine_work_reader import EngineWorkReader
 from gypsumpost_daemon.gateway.forward_context import ForwardContext, create_retry_budget
 from gypsumpost_daemon.gateway.gateway_application import GatewayApplication
@@ -114,9 +115,13 @@
             taker=PermitTaker(limits=self.request_limits, client=self._permit_client),
             metrics=gateway_metrics,
         )
+        work_reader = EngineWorkReader(
+            adapter=adapter, fleet=self.directory.fleet, notices=notices, permits=permits
+        )
         self.monitor = EndpointMonitor(
             directory=self.directory,
             identifier=EndpointIdentifier(adapter=adapter, notices=notices, permits=permits),
+            engine_probes=EngineProbes(reader=work_reader),
             refresh=lambda: self._follower.refresh(adapter.endpoint_prefix),
             count_hosts=self._count_domain_hosts,
         )
@@ -174,9 +179,7 @@
             monitor=self.monitor,
             notices=notices,
             permits=permits,
-            work_reader=EngineWorkReader(
-                adapter=adapter, fleet=self.directory.fleet, notices=notices, permits=permits
-            ),
+            work_reader=work_reader,
             usage=self.usage,
             rates=rates,
             crash_guard=crash_guard,
--- a/packages/daemon/gypsumpost_daemon/gateway/tests/test_endpoint_monitor.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/tests/test_endpoint_monitor.py
@@ -47,6 +47,7 @@
     return EndpointMonitor(
         directory=FleetOnly(fleet=fleet),  # type: ignore[arg-type]
         identifier=None,  # type: ignore[arg-type]
+        engine_probes=None,  # type: ignore[arg-type]
         refresh=refresh,
         count_hosts=lambda: 1,
     )
