Check an engine that prefills as often as the objective needs

Cause: every stream that waited for its first event had its engine checked four times a second, however long its objective.

Change: before the first event an engine is checked after an eighth of the objective, at the least after 0.25 s as before. Resumed streams keep 0.25 s, since their callers see a pause.

--- a/packages/core/gypsumpost_core/gateway/engine_silence.py
+++ b/packages/core/gypsumpost_core/gateway/engine_silence.py
@@ -21,7 +21,10 @@
 """Maximum check delay: a stream is late after a pause of 0.7 s, also at a slow engine."""
 
 PREFILL_CHECK_SECONDS = 0.25
-"""Interval of checks while the prompt is prefilled."""
+"""Shortest interval of checks while the prompt is prefilled."""
+
+PREFILL_CHECK_FRACTION = 0.125
+"""Fraction of the objective of the first event that a dark engine may cost before it is checked."""
 
 PREFILL_REPORT_FACTOR = 1.5
 """Multiple of the expected prefill time after which the engine is asked for its work."""
@@ -43,14 +46,16 @@
 """Silence within a stream after which an engine that does not report its work has hung."""
 
 
-def compute_check_delay(event_gap: float, *, prefilling: bool) -> float:
+def compute_check_delay(event_gap: float, *, prefilling: bool, objective: float = 0.0) -> float:
     """Return the time without events, in seconds, after which an engine is checked.
 
     :param event_gap: usual interval between its events in seconds, 0 if unknown.
     :param prefilling: true if no event has been received yet.
+    :param objective: target latency of the first event in seconds, 0 if the caller has received
+        events and would see a pause.
     """
     if prefilling:
-        return PREFILL_CHECK_SECONDS
+        return max(PREFILL_CHECK_SECONDS, PREFILL_CHECK_FRACTION * objective)
     return min(MAX_CHECK_SECONDS, max(MIN_CHECK_SECONDS, CHECK_GAP_FACTOR * event_gap))
 
 
--- a/packages/core/gypsumpost_core/gateway/tests/test_engine_silence.py
+++ b/packages/core/gypsumpost_core/gateway/tests/test_engine_silence.py
@@ -75,6 +75,16 @@
     assert compute_check_delay(0.0, prefilling=False) == 0.12
 
 
+def test_an_engine_that_prefills_is_checked_as_often_as_the_objective_needs():
+    """Guards against four checks a second of engines with prompts of 5,000 tokens.
+
+    Where the caller waits for the next event of a stream, the objective allows no longer pause.
+    """
+    assert compute_check_delay(0.1, prefilling=True, objective=4.0) == 0.5
+    assert compute_check_delay(0.1, prefilling=True, objective=1.0) == 0.25
+    assert compute_check_delay(0.1, prefilling=True) == 0.25
+
+
 def test_a_slow_engine_is_checked_early_enough_to_go_on_in_time():
     """Guards against pauses over 0.7 s when a slow engine goes dark.
 
--- a/packages/daemon/gypsumpost_daemon/gateway/engine_watch.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/engine_watch.py
@@ -25,6 +25,7 @@
     :param state: the engine.
     :param prefill_seconds: expected time to the first event.
     :param has_copy: true if another engine receives a copy of the stream.
+    :param resumes: true if the caller has received events of the stream.
     """
 
     def __init__(
@@ -35,6 +36,7 @@
         state: EndpointState,
         prefill_seconds: float,
         has_copy: bool,
+        resumes: bool,
     ) -> None:
         self._context = context
         self._call = call
@@ -42,6 +44,7 @@
         self._record = state.record
         self._prefill_seconds = prefill_seconds
         self._has_copy = has_copy
+        self._first_event_objective = 0.0 if resumes else call.route.objective
         self._report_at = 0.0
         self.restart()
 
@@ -73,7 +76,9 @@
 
         :param prefilling: true if no event has been received yet.
         """
-        delay = compute_check_delay(self._state.event_gap, prefilling=prefilling)
+        delay = compute_check_delay(
+            self._state.event_gap, prefilling=prefilling, objective=self._first_event_objective
+        )
         return max(self.last_event_at, self._checked_at) + delay
 
     async def is_alive(self, *, prefilling: bool) -> bool:
--- a/packages/daemon/gypsumpost_daemon/gateway/stream_attempt.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/stream_attempt.py
@@ -79,6 +79,7 @@
             state=state,
             prefill_seconds=self._prefill_seconds,
             has_copy=target is not None,
+            resumes=progress.events > 0,
         )
         self._relay = EventRelay(
             context=context,
