Choose endpoints for calls by the load that they state

Cause: X-Server-Load was only removed. A call went to the endpoint with the lowest smoothed answer time, which follows a change of speed after several answers, and knew only this host's requests there.

Change: the adapter decodes running, waiting, slots and the work factor, within bounds; odd values are ignored and logged. EndpointState keeps the load with its time and lets it decay (half of it in 0.25 s); load_factor(now) is the work factor for other decisions, 1.0 if unknown. Calls take the better one of two random endpoints by expected time, where endpoints state their load; others are ranked as before.

--- a/packages/core/gypsumpost_core/gateway/endpoint_state.py
+++ b/packages/core/gypsumpost_core/gateway/endpoint_state.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from gypsumpost_core.gateway.endpoint_load import EndpointLoad
 from gypsumpost_core.gateway.endpoint_record import EndpointRecord
 
 NEVER = float("-inf")
@@ -11,6 +12,10 @@
 SMOOTHING = 0.2
 """Weight of a new value in an exponentially smoothed mean."""
 
+LOAD_HALF_LIFE_SECONDS = 0.25
+"""Time in which a stated load loses half of its weight; hosts that endpoints share change their
+speed many times a second."""
+
 
 @attrs.define(kw_only=True)
 class EndpointState:
@@ -29,6 +34,10 @@
     :param answer_seconds: smoothed answer time in seconds, 0 before the first answer.
     :param failure_ratio: smoothed share of failed requests.
     :param event_gap: smoothed interval between events of a stream in seconds, 0 before the first.
+    :param load: load that it stated last, ``None`` if it has stated none.
+    :param load_at: monotonic time in seconds at which the load was received.
+    :param work_seconds: smoothed answer time in seconds without the effect of the load, 0 before
+        the first answer with a load.
     """
 
     record: EndpointRecord
@@ -43,6 +52,9 @@
     answer_seconds: float = 0.0
     failure_ratio: float = 0.0
     event_gap: float = 0.0
+    load: EndpointLoad | None = None
+    load_at: float = NEVER
+    work_seconds: float = 0.0
 
     @property
     def lost(self) -> bool:
@@ -84,6 +96,50 @@
         """
         self.failure_ratio += SMOOTHING * (float(failed) - self.failure_ratio)
 
+    def observe_load(self, load: EndpointLoad, now: float) -> None:
+        """Record the load that the endpoint states.
+
+        :param load: the load.
+        :param now: monotonic time in seconds.
+        """
+        self.load = load
+        self.load_at = now
+
+    def observe_work(self, seconds: float, now: float) -> None:
+        """Record the duration of a request that succeeded, without the effect of the load.
+
+        :param seconds: duration of the request.
+        :param now: monotonic time in seconds.
+        """
+        if self.load is not None:
+            self.work_seconds = smooth(self.work_seconds, seconds / self.compute_slowdown(now))
+
+    def load_factor(self, now: float) -> float:
+        """Return how long work takes as a multiple of the usual time, 1.0 if that is unknown.
+
+        :param now: monotonic time in seconds.
+        """
+        if self.load is None or self.load.work_factor is None:
+            return 1.0
+        return 1.0 + (self.load.work_factor - 1.0) * self._weigh_load(now)
+
+    def compute_slowdown(self, now: float) -> float:
+        """Return by which factor the load lengthens a request, at least that of the host's speed.
+
+        Requests of this host are known at any time, those of other hosts as of the stated load.
+
+        :param now: monotonic time in seconds.
+        """
+        if self.load is None:
+            return 1.0
+        stated = (self.load.running + self.load.waiting) * self._weigh_load(now)
+        queue_factor = (max(stated, self.pending) + 1) / self.load.slots
+        return self.load_factor(now) * max(1.0, queue_factor)
+
+    def _weigh_load(self, now: float) -> float:
+        age = max(0.0, now - self.load_at)
+        return float(0.5 ** (age / LOAD_HALF_LIFE_SECONDS))
+
     def observe_gap(self, seconds: float) -> None:
         """Record the interval in seconds between two events of a stream."""
         self.event_gap = smooth(self.event_gap, seconds)
--- a/packages/core/gypsumpost_core/gateway/tests/test_endpoint_choice.py
+++ b/packages/core/gypsumpost_core/gateway/tests/test_endpoint_choice.py
@@ -1,12 +1,14 @@
 """Tests of the choice of an endpoint for a call."""
 
+import random
+
 from gypsumpost_core.gateway.endpoint_choice import rank_endpoints
 from gypsumpost_core.gateway.tests.endpoint_fixtures import create_fleet, create_record, get_state
 
 
 def choose(fleet, tried=()):
     states = fleet.list_service("model")
-    ranked = rank_endpoints(states, failure_domain="a", tried=tried)
+    ranked = rank_endpoints(states, failure_domain="a", tried=tried, now=1.0, rng=random.Random(1))
     return ranked[0].record.endpoint_id if ranked else None
 
 
--- a/packages/daemon/gypsumpost_daemon/gateway/adapter.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/adapter.py
@@ -5,6 +5,7 @@
 from result import Result
 
 from gypsumpost_core.gateway.configuration import Configuration
+from gypsumpost_core.gateway.endpoint_load import EndpointLoad
 from gypsumpost_core.gateway.endpoint_record import EndpointRecord
 from gypsumpost_core.gateway.engine_state_report import EngineStateReport
 from gypsumpost_core.gateway.engine_work import EngineWork
@@ -54,6 +55,10 @@
         """Return the work in an engine's report of its state, or why the report has none."""
         ...
 
+    def decode_load(self, value: bytes) -> Result[EndpointLoad, str]:
+        """Return the load in the header of an answer, or why it cannot be read."""
+        ...
+
     def encode_move(self, request_id: str, target: str) -> bytes:
         """Return the body of an order to copy a stream to the engine at an address."""
         ...
--- a/packages/daemon/gypsumpost_daemon/gateway/call_endpoints.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/call_endpoints.py
@@ -40,6 +40,8 @@
                 fleet.list_open(call.service, now),
                 failure_domain=self._context.settings.failure_domain,
                 tried=tried,
+                now=now,
+                rng=self._context.rng,
             )
             if ranked:
                 permitted = await self._take_permit(call, ranked)
--- a/packages/daemon/gypsumpost_daemon/gateway/call_forwarder.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/call_forwarder.py
@@ -161,7 +161,10 @@
             return outcome
         finally:
             state.pending -= 1
-            state.observe_answer(trio.current_time() - started_at, failed)
+            now = trio.current_time()
+            state.observe_answer(now - started_at, failed)
+            if not failed:
+                state.observe_work(now - started_at, now)
 
     async def _exchange(
         self, call: CallerCall, state: EndpointState, attempt_deadline: float
--- a/packages/daemon/gypsumpost_daemon/gateway/endpoint_notices.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/endpoint_notices.py
@@ -10,8 +10,8 @@
 from gypsumpost_core.gateway.endpoint_start import EndpointStart
 from gypsumpost_core.limits.request_limit import RequestLimit
 from gypsumpost_core.limits.request_limits import RequestLimits
+from gypsumpost_daemon.gateway.adapter import GatewayAdapter
 from gypsumpost_daemon.gateway.gateway_metrics import GatewayMetrics
-from gypsumpost_daemon.gateway.header_names import HeaderNames
 from gypsumpost_daemon.gateway.message_headers import find_header
 from gypsumpost_daemon.gateway.request_purpose import RequestPurpose
 from gypsumpost_daemon.http.request_limit_header import parse_request_limit
@@ -31,7 +31,7 @@
     """Applies the headers by which an endpoint leaves, asks for a pause or limits the requests.
 
     :param fleet: the endpoints.
-    :param names: names of the platform's headers.
+    :param adapter: names and formats of the platform.
     :param limits: the limits on requests.
     :param metrics: counters of the gateway.
     """
@@ -40,12 +40,13 @@
         self,
         *,
         fleet: EndpointFleet,
-        names: HeaderNames,
+        adapter: GatewayAdapter,
         limits: RequestLimits,
         metrics: GatewayMetrics,
     ) -> None:
         self._fleet = fleet
-        self._names = names
+        self._adapter = adapter
+        self._names = adapter.headers
         self._limits = limits
         self._metrics = metrics
         self._limit_listeners: list[Callable[[], None]] = []
@@ -110,6 +111,7 @@
         pause = find_header(received, self._names.retry_after)
         if status == UNAVAILABLE and pause is not None:
             self._close(record, pause)
+        self._observe_load(record, [value for name, value in received if name == self._names.load])
         values = [value for name, value in received if name == self._names.request_limit]
         self._observe_limit(record, values, sent_at)
 
@@ -154,6 +156,24 @@
                 per_second=parsed.ok_value,
             )
 
+    def _observe_load(self, record: EndpointRecord, values: list[bytes]) -> None:
+        state = self._fleet.find_running(record)
+        if not values or state is None:
+            return
+        now = trio.current_time()
+        decoded = (
+            self._adapter.decode_load(values[0]) if len(values) == 1 else Err("it comes twice")
+        )
+        if not isinstance(decoded, Err):
+            state.observe_load(decoded.ok_value, now)
+        elif self._lines.allow(f"load {record.process_key}", now):
+            LOG.write(
+                "ignored a load",
+                endpoint=record.endpoint_id,
+                reason=decoded.err_value,
+                value=values[0][:MAX_LOGGED_BYTES].decode("latin-1"),
+            )
+
     def _notify_listeners(self) -> None:
         for listener in self._listeners:
             listener()
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
@@ -97,7 +97,7 @@
         self.request_limits = RequestLimits(own_id=settings.host_id)
         notices = EndpointNotices(
             fleet=self.directory.fleet,
-            names=adapter.headers,
+            adapter=adapter,
             limits=self.request_limits,
             metrics=gateway_metrics,
         )
--- a/packages/daemon/gypsumpost_daemon/gateway/header_names.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/header_names.py
@@ -19,6 +19,7 @@
     :param leaving: ``1`` on an answer if the endpoint leaves.
     :param retry_after: seconds for which an endpoint wants no request of this host, with status
         503.
+    :param load: load of the endpoint at the moment of an answer.
     :param request_limit: requests a second that an endpoint takes from all hosts together.
     :param priority: priority of a request at the engine.
     :param token_counts: number of prompt tokens and maximum number of output tokens.
@@ -41,6 +42,7 @@
     not_run: bytes
     leaving: bytes
     retry_after: bytes
+    load: bytes
     request_limit: bytes
     priority: bytes
     token_counts: bytes
--- a/packages/daemon/gypsumpost_daemon/gateway/tests/test_message_headers.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/tests/test_message_headers.py
@@ -18,6 +18,7 @@
     not_run=b"not-run",
     leaving=b"leaving",
     retry_after=b"retry-after",
+    load=b"load",
     request_limit=b"limit",
     priority=b"rank",
     token_counts=b"counts",
