--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
@@ -33,6 +33,7 @@
 from gypsumpost_daemon.gateway.endpoint_notices import EndpointNotices
 from gypsumpost_daemon.gateway.endpoint_permits import RETRIES, EndpointPermits
 from gypsumpost_daemon.gateway.endpoint_reports import EndpointReports
+from gypsumpost_daemon.gateway.engine_probes import EngineProbes
 from gypsumpost_daemon.gateway.engine_work_reader import EngineWorkReader
 from gypsumpost_daemon.gateway.forward_context import ForwardContext, create_retry_budget
 from gypsumpost_daemon.gateway.gateway_application import GatewayApplication
@@ -106,7 +107,7 @@
         self.request_limits = RequestLimits(own_id=settings.host_id)
         notices = EndpointNotices(
             fleet=self.directory.fleet,
-            names=adapter.headers,
+            adapter=adapter,
             limits=self.request_limits,
             metrics=gateway_metrics,
         )
@@ -124,9 +125,13 @@
             taker=PermitTaker(limits=self.request_limits, client=self._permit_client),
             metrics=gateway_metrics,
         )
+        work_reader = EngineWorkReader(
+            adapter=adapter, fleet=self.directory.fleet, notices=notices, permits=permits
+        )
         self.monitor = EndpointMonitor(
             directory=self.directory,
             identifier=EndpointIdentifier(adapter=adapter, notices=notices, permits=permits),
+            engine_probes=EngineProbes(reader=work_reader),
             refresh=lambda: self._follower.refresh(adapter.endpoint_prefix),
             count_hosts=self._count_domain_hosts,
         )
@@ -156,7 +161,13 @@
                 directory=self.directory,
                 follower=self._follower,
                 roles=self.roles,
-                reports=EndpointReports(directory=self.directory, monitor=self.monitor),
+                reports=EndpointReports(
+                    own=own,
+                    directory=self.directory,
+                    monitor=self.monitor,
+                    metrics=gateway_metrics,
+                    list_hosts=self._list_domain_hosts,
+                ),
                 notices=notices,
                 usage=self.usage,
                 rates=rates,
@@ -179,9 +190,7 @@
             monitor=self.monitor,
             notices=notices,
             permits=permits,
-            work_reader=EngineWorkReader(
-                adapter=adapter, fleet=self.directory.fleet, notices=notices, permits=permits
-            ),
+            work_reader=work_reader,
             usage=self.usage,
             rates=rates,
             crash_guard=crash_guard,
@@ -262,8 +271,11 @@
         return len(self._hosts.list_live())
 
     def _count_domain_hosts(self) -> int:
+        return len(self._list_domain_hosts())
+
+    def _list_domain_hosts(self) -> list[Host]:
         domain = self.settings.failure_domain
-        return sum(host.failure_domain == domain for host in self._hosts.list_live())
+        return [host for host in self._hosts.list_live() if host.failure_domain == domain]
 
     async def _serve(
         self,
