--- a/packages/bench/gypsumpost_bench/ports.py
+++ b/packages/bench/gypsumpost_bench/ports.py
@@ -16,7 +16,7 @@
 
 
 def reserve_addresses(count: int) -> list[str]:
-    """Return distinct loopback addresses whose ports were free when checked.
+    """Return distinct loopback addresses whose ports were free when checked, TCP and UDP.
 
     :param count: number of addresses.
     """
@@ -33,7 +33,11 @@
 
 
 def _is_free(port: int) -> bool:
-    with socket.socket() as probe:
+    return all(_can_bind(port, kind) for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM))
+
+
+def _can_bind(port: int, kind: socket.SocketKind) -> bool:
+    with socket.socket(socket.AF_INET, kind) as probe:
         try:
             probe.bind(("127.0.0.1", port))
         except OSError:
