--- a/packages/core/gypsumpost_core/checks/configuration_difference.py
+++ b/packages/core/gypsumpost_core/checks/configuration_difference.py
@@ -109,8 +109,8 @@
         change = f"moves from {_describe_shares(old)} to {_describe_shares(new)}"
         effect = f"new requests go to {_describe_shares(new)}; {UNDER_WAY}"
         found.append(Difference(subject=subject, change=change, effect=effect))
-    ignored = attrs.evolve(old, shares=new.shares)
-    return found + compare_fields(subject, ignored, new, EFFECTS, USUAL_EFFECT)
+    same_shares = attrs.evolve(old, shares=new.shares)
+    return found + compare_fields(subject, same_shares, new, EFFECTS, USUAL_EFFECT)
 
 
 def _compare_service(old: Service, new: Service) -> list[Difference]:
@@ -133,6 +133,7 @@
     "prefix": "requests below the former prefix get 404 or the next shorter prefix",
     "kind": "requests may be repeated as the new kind allows",
     "public": "the need for a key changes",
+    "health_path": "holds for the next health check",
     "idle_seconds": "holds for connections from their next request on",
 }
 """Effects of fields for which the usual one does not tell enough."""
