Read heads in small pieces and share one answer memory

A read of 64 KiB left up to as much of a chunked body in h11's buffer until the request was answered, uncounted: 480 bodies of 256 KiB took 137 MB of 128. Heads are now read in 8 KiB. Calls to plain services count their answers too.

--- a/packages/daemon/gypsumpost_daemon/calls/service_calls.py
+++ b/packages/daemon/gypsumpost_daemon/calls/service_calls.py
@@ -22,6 +22,7 @@
 from gypsumpost_daemon.calls.issued_calls import IssuedCalls
 from gypsumpost_daemon.calls.service_request import ServiceRequest, read_service_request
 from gypsumpost_daemon.calls.service_sender import ServiceSender
+from gypsumpost_daemon.engines.answer_memory import AnswerMemory
 from gypsumpost_daemon.limits.endpoint_signals import EndpointSignals
 from gypsumpost_daemon.peers.host_directory import HostDirectory
 from gypsumpost_daemon.peers.message_kind import MessageKind
@@ -42,6 +43,7 @@
     :param secret: the deployment's shared key, which signs issued keys.
     :param list_endpoints: returns the known endpoints; leaving ones receive no requests.
     :param signals: what endpoints say about themselves.
+    :param answer_memory: memory of the unfinished answers of endpoints.
     :param read_unix_time: returns the Unix time in seconds.
     """
 
@@ -55,6 +57,7 @@
         secret: bytes,
         list_endpoints: Callable[[], list[Endpoint]],
         signals: EndpointSignals,
+        answer_memory: AnswerMemory | None = None,
         read_unix_time: Callable[[], float] = time.time,
     ) -> None:
         own = directory.own
@@ -63,7 +66,10 @@
         self._read_unix_time = read_unix_time
         self._nursery: trio.Nursery | None = None
         self._sender = ServiceSender(
-            list_endpoints=list_endpoints, failure_domain=own.failure_domain, signals=signals
+            list_endpoints=list_endpoints,
+            failure_domain=own.failure_domain,
+            signals=signals,
+            answer_memory=answer_memory,
         )
         self._claimed = ClaimedCalls(
             directory=directory,
--- a/packages/daemon/gypsumpost_daemon/calls/service_sender.py
+++ b/packages/daemon/gypsumpost_daemon/calls/service_sender.py
@@ -22,6 +22,7 @@
 from gypsumpost_daemon.engines.endpoint_probe import ProbeResult, probe_endpoint
 from gypsumpost_daemon.engines.h11_engine_connection import FRAMING_HEADERS
 from gypsumpost_daemon.engines.sent_trace import SentTrace
+from gypsumpost_daemon.http.body_buffer import BodyBuffer
 from gypsumpost_daemon.http.http_response import STATUS_WITHOUT_BODY
 from gypsumpost_daemon.limits.endpoint_signals import EndpointSignals
 from gypsumpost_daemon.limits.permit_terms import PermitTerms
@@ -68,6 +69,7 @@
     :param signals: what endpoints say about themselves.
     :param budget: limits retries.
     :param rng: random number generator for ties between endpoints.
+    :param answer_memory: memory of the unfinished answers of endpoints.
     """
 
     def __init__(
@@ -78,12 +80,13 @@
         signals: EndpointSignals,
         budget: CallRetryBudget | None = None,
         rng: random.Random | None = None,
+        answer_memory: AnswerMemory | None = None,
     ) -> None:
         self._list_endpoints = list_endpoints
         self._failure_domain = failure_domain
         self._signals = signals
         self._budget = budget or CallRetryBudget()
-        self._memory = AnswerMemory()
+        self._memory = answer_memory or AnswerMemory()
         self._rng = rng or random.Random()
         self._in_flight: Counter[str] = Counter()
         self._avoided_until: dict[str, float] = {}
@@ -249,14 +252,14 @@
         return Err(SendFailure(reason=reason, sent=trace.sent))
 
     async def _read_body(self, response: httpcore.Response) -> bytes:
-        body = bytearray()
+        body = BodyBuffer()
         with self._memory.open_share() as share:
             async for part in response.aiter_stream():
-                body += part
-                if len(body) > MAX_ANSWER_BYTES:
+                body.append(part)
+                if body.size > MAX_ANSWER_BYTES:
                     raise AnswerTooLongError(f"the body is longer than {MAX_ANSWER_BYTES} bytes")
-                share.resize(len(body))
-        return bytes(body)
+                share.resize(body.size)
+        return body.take()
 
 
 def _make_guard(check: SendCheck | None) -> Callable[[], None] | None:
--- a/packages/daemon/gypsumpost_daemon/engines/engine_client.py
+++ b/packages/daemon/gypsumpost_daemon/engines/engine_client.py
@@ -38,7 +38,8 @@
 
     def __init__(self, *, transport: str = "h11", guard: OverloadGuard | None = None) -> None:
         self._transport = ENGINE_TRANSPORTS.create(transport)
-        self._memory = AnswerMemory(guard=guard)
+        self.answer_memory = AnswerMemory(guard=guard)
+        """Memory of the unfinished answers of endpoints."""
 
     async def open(
         self,
@@ -69,7 +70,7 @@
             return sent
         response = sent.ok_value
         if response.status == 200:
-            return Ok(EngineStream(response=response, memory=self._memory))
+            return Ok(EngineStream(response=response, memory=self.answer_memory))
         read = await self._read_answer(response, deadline, MAX_REFUSAL_BYTES)
         content = read.ok_value.body if isinstance(read, Ok) else b""
         return Err(attrs.evolve(create_refusal(response.status, content), headers=response.headers))
@@ -136,7 +137,7 @@
     async def _read_answer(
         self, response: EngineResponse, deadline: float, limit: int
     ) -> Result[EngineAnswer, EngineFailure]:
-        with self._memory.open_share() as share:
+        with self.answer_memory.open_share() as share:
             return await read_answer(response, deadline, limit, share)
 
     async def _call_json(self, request: EngineRequest) -> Result[Any, EngineFailure]:
--- a/packages/daemon/gypsumpost_daemon/http/chunk_decoder.py
+++ b/packages/daemon/gypsumpost_daemon/http/chunk_decoder.py
@@ -39,6 +39,10 @@
         """Bytes of content that the current chunk still has to bring."""
         return max(0, self._remaining - 2)
 
+    def clear(self) -> None:
+        """Free the bytes that are held; nothing more can be decoded."""
+        self._buffer = self.following = b""
+
     def feed(self, data: bytes, max_chunks: int = NO_BOUND) -> bytes:
         """Return the content that can be decoded with these bytes.
 
--- a/packages/daemon/gypsumpost_daemon/http/http_body.py
+++ b/packages/daemon/gypsumpost_daemon/http/http_body.py
@@ -181,6 +181,8 @@
     def _let_go(self) -> None:
         self._released = True
         self._buffer.clear()
+        if self._decoder is not None:
+            self._decoder.clear()
         if self._receiving is not None:
             self._receiving.cancel()
 
--- a/packages/daemon/gypsumpost_daemon/http/http_connection.py
+++ b/packages/daemon/gypsumpost_daemon/http/http_connection.py
@@ -22,6 +22,10 @@
 from gypsumpost_daemon.telemetry.log import Log
 
 LOG = Log(prefix="http")
+HEAD_READ_BYTES = 8192
+"""Most requests arrive in one read. What a longer read takes of a chunked body stays in the parser
+until the request is answered."""
+
 UNCOUNTED_HEAD_BYTES = 4096
 """Shorter incomplete heads are part of what each connection takes."""
 
@@ -195,7 +199,7 @@
         data = None
         with trio.CancelScope(deadline=deadline) as scope:
             self._idle_scope = scope
-            data = await self._transport.receive()
+            data = await self._transport.receive(HEAD_READ_BYTES)
         self._idle_scope = None
         return data
 
--- a/packages/daemon/gypsumpost_daemon/http/socket_transport.py
+++ b/packages/daemon/gypsumpost_daemon/http/socket_transport.py
@@ -12,9 +12,9 @@
 from gypsumpost_core.memory.memory_holder import MemoryHolder
 from gypsumpost_daemon.http.end_reason import EndReason
 from gypsumpost_daemon.http.overload_guard import OverloadGuard
+from gypsumpost_daemon.http.transport import RECEIVE_BYTES
 from gypsumpost_daemon.http.unread_answer import count_unread
 
-RECEIVE_BYTES = 65536
 STALL_SECONDS = 10.0
 FINISH_SECONDS = 1.0
 FINISH_BYTES = 1 << 20
@@ -53,22 +53,25 @@
         self._closed = False
         self._first_receive = True
 
-    async def receive(self) -> bytes:
-        """Wait for data; an empty result means that the other side has finished sending."""
+    async def receive(self, max_bytes: int = RECEIVE_BYTES) -> bytes:
+        """Wait for data; an empty result means that the other side has finished sending.
+
+        :param max_bytes: most bytes to return.
+        """
         if self._closed:
             raise ConnectionAbortedError("the connection is closed")
         if self._first_receive:
             # The first request often arrives with its connection; reading it needs no task switch.
             self._first_receive = False
             with contextlib.suppress(BlockingIOError):
-                return self._receive_now(RECEIVE_BYTES)
+                return self._receive_now(max_bytes)
         while True:
             try:
                 await wait_readable(self._socket)
             except trio.ClosedResourceError as error:
                 raise ConnectionAbortedError("the connection was closed") from error
             try:
-                return self._receive_now(RECEIVE_BYTES)
+                return self._receive_now(max_bytes)
             except BlockingIOError:
                 continue
 
--- a/packages/daemon/gypsumpost_daemon/http/stream_transport.py
+++ b/packages/daemon/gypsumpost_daemon/http/stream_transport.py
@@ -3,7 +3,8 @@
 import trio
 
 from gypsumpost_daemon.http.overload_guard import OverloadGuard
-from gypsumpost_daemon.http.socket_transport import FINISH_SECONDS, RECEIVE_BYTES, STALL_SECONDS
+from gypsumpost_daemon.http.socket_transport import FINISH_SECONDS, STALL_SECONDS
+from gypsumpost_daemon.http.transport import RECEIVE_BYTES
 from gypsumpost_daemon.http.unread_answer import count_unread
 
 CHUNK_BYTES = 65536
@@ -28,10 +29,13 @@
         self._stall_seconds = stall_seconds
         self._guard = guard
 
-    async def receive(self) -> bytes:
-        """Wait for data; an empty result means that the other side has finished sending."""
+    async def receive(self, max_bytes: int = RECEIVE_BYTES) -> bytes:
+        """Wait for data; an empty result means that the other side has finished sending.
+
+        :param max_bytes: most bytes to return.
+        """
         try:
-            return bytes(await self._stream.receive_some(RECEIVE_BYTES))
+            return bytes(await self._stream.receive_some(max_bytes))
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise ConnectionAbortedError(str(error)) from error
 
--- a/packages/daemon/gypsumpost_daemon/platform_components.py
+++ b/packages/daemon/gypsumpost_daemon/platform_components.py
@@ -116,6 +116,7 @@
             secret=secret,
             list_endpoints=endpoints.list_all,
             signals=signals,
+            answer_memory=engines.answer_memory,
         )
         demand = ModelDemand(
             get_lists=lambda: self.lists.lists, endpoints=endpoints, list_running=list_running
--- a/packages/daemon/gypsumpost_daemon/tests/test_http_server_endings.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_http_server_endings.py
@@ -44,7 +44,7 @@
 
     reads: int = 0
 
-    async def receive(self) -> bytes:
+    async def receive(self, max_bytes: int = 65536) -> bytes:
         self.reads += 1
         return b"GET / HTTP/1.1\r\nHost: x\r\n\r\n" * 400 if self.reads <= 100 else b""
 
