--- a/platform/gypsumpost_platform/tests/crowd.py
+++ b/packages/daemon/gypsumpost_daemon/tests/crowd.py
@@ -7,7 +7,7 @@
 import trio
 
 from gypsumpost_daemon.addresses import split_address
-from gypsumpost_platform.tests.waiting_bytes import count_waiting_bytes
+from gypsumpost_daemon.tests.waiting_bytes import count_waiting_bytes
 
 QUIET_SECONDS = 2.0
 """A server that reads and sends nothing for this long waits for the clients."""
