--- a/packages/core/gypsumpost_core/memory/memory_account.py
+++ b/packages/core/gypsumpost_core/memory/memory_account.py
@@ -133,8 +133,10 @@
         return large + small
 
     def _forget(self, holder: MemoryHolder) -> None:
+        size = holder.size
         holder.released = True
         self.close(holder)
+        holder.size = size  # What was let go, for the log.
 
     def _count(self, holder: MemoryHolder, growth: int) -> None:
         holder.size += growth
--- a/packages/core/gypsumpost_core/tests/test_memory_account.py
+++ b/packages/core/gypsumpost_core/tests/test_memory_account.py
@@ -33,6 +33,7 @@
     holder, decision = open_holder(account, HeldKind.INCOMPLETE_BODY, MEGABYTE, now=5.0)
     assert decision.allowed and not holder.released
     assert decision.released and set(decision.released) <= set(stalled)
+    assert {released.size for released in decision.released} == {MEGABYTE}
     assert account.total <= BOUND
 
 
