--- a/packages/daemon/gypsumpost_daemon/http/http_body.py
+++ b/packages/daemon/gypsumpost_daemon/http/http_body.py
@@ -24,8 +24,6 @@
 UNCOUNTED_BODY_BYTES = 4096
 """Shorter bodies are part of what each connection takes."""
 
-CHUNKED = (b"transfer-encoding", b"chunked")
-
 
 class HttpBody:
     """The body of the current request of a connection.
@@ -35,7 +33,7 @@
 
     :param transport: the connection.
     :param parser: h11 state of the connection after the request's headers.
-    :param request: the request's headers.
+    :param chunked: true for a body in the chunked transfer coding.
     :param limits: the limits.
     :param guard: counts the body and lets it be decoded.
     """
@@ -45,7 +43,7 @@
         *,
         transport: Transport,
         parser: h11.Connection,
-        request: h11.Request,
+        chunked: bool,
         limits: HttpLimits,
         guard: OverloadGuard,
     ) -> None:
@@ -54,7 +52,7 @@
         self._limits = limits
         self._guard = guard
         self._buffer = BodyBuffer()
-        self._decoder = ChunkDecoder(keeps_following=True) if CHUNKED in request.headers else None
+        self._decoder = ChunkDecoder(keeps_following=True) if chunked else None
         self._begun = False
         self._received = 0
         self._holder: MemoryHolder | None = None
--- a/packages/daemon/gypsumpost_daemon/http/http_connection.py
+++ b/packages/daemon/gypsumpost_daemon/http/http_connection.py
@@ -112,13 +112,14 @@
         request = await self._read_head()
         if request is None:
             return False
-        self._check_head(request)
+        names = self._check_head(request)
         exchange = HttpExchange(
             transport=self._transport,
             parser=self._parser,
             request=request,
             limits=self._limits,
             closing=self._stopping,
+            chunked=b"transfer-encoding" in names,  # h11 accepts no other coding.
             guard=self._guard,
             entry=self.entry,
         )
@@ -203,7 +204,8 @@
         self._idle_scope = None
         return data
 
-    def _check_head(self, request: h11.Request) -> None:
+    def _check_head(self, request: h11.Request) -> list[bytes]:
+        """Return the names of the headers, or refuse the request."""
         if request.http_version not in SUPPORTED_VERSIONS:
             raise refuse_malformed("Only HTTP/1.0 and HTTP/1.1 are supported.", 505)
         if request.method == b"CONNECT":
@@ -216,6 +218,7 @@
             if name == b"content-length" and int(value) > self._limits.max_body:
                 self._guard.record_refusal(EndReason.LONG_BODY)
                 raise refuse_long_body(self._limits.max_body)
+        return names
 
     async def _call_application(self, exchange: HttpExchange, request: h11.Request) -> None:
         try:
--- a/packages/daemon/gypsumpost_daemon/http/http_exchange.py
+++ b/packages/daemon/gypsumpost_daemon/http/http_exchange.py
@@ -33,6 +33,7 @@
     :param request: the request's headers.
     :param limits: the limits.
     :param closing: true if the connection is to be closed after the response.
+    :param chunked: true if the body has the chunked transfer coding.
     :param guard: counts what the exchange holds.
     :param entry: the connection among all of them.
     """
@@ -45,6 +46,7 @@
         request: h11.Request,
         limits: HttpLimits,
         closing: bool,
+        chunked: bool = False,
         guard: OverloadGuard | None = None,
         entry: ConnectionEntry | None = None,
     ) -> None:
@@ -55,7 +57,7 @@
         self._body = HttpBody(
             transport=transport,
             parser=parser,
-            request=request,
+            chunked=chunked,
             limits=limits,
             guard=self._guard,
         )
--- a/packages/daemon/gypsumpost_daemon/tests/test_overload.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_overload.py
@@ -61,7 +61,7 @@
     return HttpBody(
         transport=ScriptedTransport(pieces=iter(pieces), pause=pause),
         parser=parser,
-        request=request,
+        chunked=head == CHUNKED,
         limits=HttpLimits(max_body=MAX_BODY),
         guard=guard,
     )
