--- a/packages/daemon/gypsumpost_daemon/callers/caller_application.py
+++ b/packages/daemon/gypsumpost_daemon/callers/caller_application.py
@@ -109,11 +109,14 @@
         if isinstance(authenticated, Err):
             return describe_keyed_refusal(call, authenticated.err_value)
         workspace = authenticated.ok_value
+        method = call.scope["method"]
+        if not self._serves_path(path):
+            # The body of a request that is refused anyway is not read.
+            return refuse_request(404, "not_found", f"There is no {method} {path}.")
         body = await call.read_body(self.settings.max_body)
         if body is None:
             limit = self.settings.max_body
             return refuse_request(413, "body_too_long", f"The body is longer than {limit} bytes.")
-        method = call.scope["method"]
         if path in KINDS and method == "POST":
             return await self._create_generation(call, workspace, body, KINDS[path])
         if path.startswith("/v1/generations/") and method in ("GET", "DELETE"):
@@ -125,6 +128,11 @@
             return await self._serve_service(call, workspace, body)
         return refuse_request(404, "not_found", f"There is no {method} {path}.")
 
+    def _serves_path(self, path: str) -> bool:
+        if path.startswith("/v1/services/"):
+            return self.handle_service is not None
+        return path in KINDS or path == "/v1/models" or path.startswith("/v1/generations/")
+
     def _authenticate(self, call: HttpCall) -> Result[str, Failure]:
         scheme, _, key = call.headers.get("authorization", "").partition(" ")
         if scheme.lower() != "bearer":
--- a/packages/daemon/gypsumpost_daemon/http/http_call.py
+++ b/packages/daemon/gypsumpost_daemon/http/http_call.py
@@ -6,6 +6,7 @@
 
 from gypsumpost_daemon.callers.caller_response import CallerResponse
 from gypsumpost_daemon.http.asgi_application import Receive, Scope, Send
+from gypsumpost_daemon.http.body_buffer import BodyBuffer
 
 
 @attrs.define(kw_only=True)
@@ -34,14 +35,14 @@
 
         :param limit: longest accepted body in bytes.
         """
-        body = bytearray()
+        body = BodyBuffer()
         while True:
             message = await self.receive()
-            body += message.get("body", b"")
-            if len(body) > limit:
+            body.append(message.get("body", b""))
+            if body.size > limit:
                 return None
             if not message.get("more_body"):
-                return bytes(body)
+                return body.take()
 
     async def wait_disconnect(self) -> None:
         """Return when the caller has closed the connection."""
