Count heads of many fields, and keep slow callers before stalled ones

The connection that is closed for a new one was the oldest request rather than the one without progress. Also bounds the accepts in a row, and lets slow readers over TLS take single records.

--- a/packages/core/gypsumpost_core/memory/connection_choice.py
+++ b/packages/core/gypsumpost_core/memory/connection_choice.py
@@ -20,7 +20,8 @@
     """Return the connection to close for a new one, ``None`` if all serve requests.
 
     Answers the load of callers that open connections without using them. Those that have never
-    carried a request are closed first, then the one that has been idle for the longest time.
+    carried a request are closed first, then the one that has been idle for the longest time, then
+    the one whose request has made no progress for the longest time.
 
     :param entries: the open connections.
     :param now: monotonic time in seconds.
--- a/packages/core/gypsumpost_core/memory/held_kind.py
+++ b/packages/core/gypsumpost_core/memory/held_kind.py
@@ -10,10 +10,10 @@
     """
 
     INCOMPLETE_BODY = "incomplete-body"
-    """Request bodies that have not arrived completely."""
+    """Request bodies that have not arrived completely, with the fields of their heads."""
 
     KEPT_BODY = "kept-body"
-    """Complete request bodies, kept until the request is answered, for further attempts."""
+    """Complete requests, kept until they are answered, for further attempts."""
 
     UNREAD_ANSWER = "unread-answer"
     """Answers that wait for their callers to read."""
--- a/packages/core/gypsumpost_core/tests/test_overload_decisions.py
+++ b/packages/core/gypsumpost_core/tests/test_overload_decisions.py
@@ -61,6 +61,15 @@
     assert order == [unused, kept, reading]
 
 
+def test_a_slow_request_is_kept_before_a_stalled_one():
+    """Guards against closing an honest slow caller because its request began first."""
+    slow = create_entry(ConnectionStage.READING, 0.0)
+    stalled = create_entry(ConnectionStage.READING, 5.0)
+    slow.record_progress(10_000, 9.0)
+    stalled.record_progress(1, 10.0)
+    assert choose_connection([slow, stalled], 10.5) is stalled
+
+
 def test_a_connection_has_time_to_bring_its_request():
     """Guards against closing the connections of ordinary callers before their requests arrive."""
     entries = [create_entry(stage, 0.0) for stage in (ConnectionStage.NEW, ConnectionStage.READING)]
--- a/packages/daemon/gypsumpost_daemon/http/h11_server.py
+++ b/packages/daemon/gypsumpost_daemon/http/h11_server.py
@@ -23,6 +23,9 @@
 
 LOG = Log(prefix="http")
 BACKLOG = 1024
+ACCEPTS_PER_TURN = 64
+"""After these other tasks run."""
+
 RETRY_SECONDS = 0.1
 SOCKET_BUFFER_BYTES = 64 << 10
 """Accepted connections inherit it. The kernel's default grows to megabytes for each connection, and
@@ -124,7 +127,8 @@
                     task_status.started(running)
                     await running.stop_requested.wait()
                     accepting.cancel_scope.cancel()
-                self._accept_pending(listener, nursery)
+                for _ in range(BACKLOG // ACCEPTS_PER_TURN):
+                    self._accept_pending(listener, nursery)
                 trio.lowlevel.notify_closing(listener)
                 listener.close()
                 nursery.cancel_scope.deadline = running.stop_deadline
@@ -145,8 +149,8 @@
                 await trio.sleep(RETRY_SECONDS)
 
     def _accept_pending(self, listener: socket.socket, nursery: trio.Nursery) -> bool:
-        """Accept all pending connections; return false if the process is out of resources."""
-        while True:
+        """Accept pending connections; return false if the process is out of resources."""
+        for _ in range(ACCEPTS_PER_TURN):
             try:
                 accepted, peer = listener.accept()
             except BlockingIOError:
@@ -161,6 +165,7 @@
                 self._start_connection(accepted, peer[:2], nursery)
             else:
                 accepted.close()
+        return True
 
     def _make_room(self) -> bool:
         """Close a connection if there are too many; return false if a new one has no room."""
--- a/packages/daemon/gypsumpost_daemon/http/http_body.py
+++ b/packages/daemon/gypsumpost_daemon/http/http_body.py
@@ -3,6 +3,7 @@
 import h11
 import trio
 
+from gypsumpost_core.memory.connection_entry import ConnectionEntry
 from gypsumpost_core.memory.framing_cost import is_costly
 from gypsumpost_core.memory.held_kind import HeldKind
 from gypsumpost_core.memory.least_progress import LeastProgress
@@ -21,8 +22,8 @@
 from gypsumpost_daemon.http.overload_guard import OverloadGuard
 from gypsumpost_daemon.http.transport import Transport
 
-UNCOUNTED_BODY_BYTES = 4096
-"""Shorter bodies are part of what each connection takes."""
+UNCOUNTED_BYTES = 8192
+"""Shorter requests are part of what each connection takes."""
 
 
 class HttpBody:
@@ -34,6 +35,8 @@
     :param transport: the connection.
     :param parser: h11 state of the connection after the request's headers.
     :param chunked: true for a body in the chunked transfer coding.
+    :param head_bytes: memory that the head of the request takes.
+    :param entry: the connection among all of them.
     :param limits: the limits.
     :param guard: counts the body and lets it be decoded.
     """
@@ -44,6 +47,8 @@
         transport: Transport,
         parser: h11.Connection,
         chunked: bool,
+        head_bytes: int = 0,
+        entry: ConnectionEntry | None = None,
         limits: HttpLimits,
         guard: OverloadGuard,
     ) -> None:
@@ -53,6 +58,8 @@
         self._guard = guard
         self._buffer = BodyBuffer()
         self._decoder = ChunkDecoder(keeps_following=True) if chunked else None
+        self._entry = entry
+        self._base_bytes = head_bytes
         self._begun = False
         self._received = 0
         self._holder: MemoryHolder | None = None
@@ -95,10 +102,14 @@
         if self._begun:
             return
         self._begun = True
+        if self._base_bytes > UNCOUNTED_BYTES:
+            self._append(b"")
         if self._decoder is None:
             self._read_events()
         else:
-            self._consume(self._parser.trailing_data[0])
+            leading = self._parser.trailing_data[0]
+            self._base_bytes += len(leading)  # The parser keeps it until the request is answered.
+            self._consume(leading)
 
     def close(self) -> None:
         """Free the body; it is not counted any more."""
@@ -168,9 +179,12 @@
             raise refuse_long_body(self._limits.max_body)
         self._buffer.append(content)
         if self._progress is not None:
-            self._progress.record(len(content), trio.current_time())
-        held = self._buffer.size + buffered
-        if self._holder is None and held > UNCOUNTED_BODY_BYTES:
+            now = trio.current_time()
+            self._progress.record(len(content), now)
+            if self._entry is not None:
+                self._entry.record_progress(len(content), now)
+        held = self._base_bytes + self._buffer.size + buffered
+        if self._holder is None and held > UNCOUNTED_BYTES:
             self._holder = self._guard.hold(HeldKind.INCOMPLETE_BODY, self._let_go)
         if self._holder is not None and not self._guard.resize(self._holder, held):
             self._released = True
--- a/packages/daemon/gypsumpost_daemon/http/http_connection.py
+++ b/packages/daemon/gypsumpost_daemon/http/http_connection.py
@@ -7,6 +7,7 @@
 
 from gypsumpost_core.memory.connection_entry import ConnectionEntry
 from gypsumpost_core.memory.connection_stage import ConnectionStage
+from gypsumpost_core.memory.head_cost import estimate_head
 from gypsumpost_core.memory.held_kind import HeldKind
 from gypsumpost_core.memory.memory_holder import MemoryHolder
 from gypsumpost_core.run_state import RunState
@@ -120,6 +121,7 @@
             limits=self._limits,
             closing=self._stopping,
             chunked=b"transfer-encoding" in names,  # h11 accepts no other coding.
+            head_bytes=estimate_head(len(names)),
             guard=self._guard,
             entry=self.entry,
         )
@@ -128,6 +130,7 @@
             await self._call_application(exchange, request)
         finally:
             exchange.close()
+        del request  # A head of many fields is not kept while a refusal is being read.
         self._exchange = None
         reusable = exchange.reusable and self._parser.our_state is h11.DONE
         if not reusable and exchange.answered:
--- a/packages/daemon/gypsumpost_daemon/http/http_exchange.py
+++ b/packages/daemon/gypsumpost_daemon/http/http_exchange.py
@@ -34,6 +34,7 @@
     :param limits: the limits.
     :param closing: true if the connection is to be closed after the response.
     :param chunked: true if the body has the chunked transfer coding.
+    :param head_bytes: memory that the head of the request takes.
     :param guard: counts what the exchange holds.
     :param entry: the connection among all of them.
     """
@@ -47,6 +48,7 @@
         limits: HttpLimits,
         closing: bool,
         chunked: bool = False,
+        head_bytes: int = 0,
         guard: OverloadGuard | None = None,
         entry: ConnectionEntry | None = None,
     ) -> None:
@@ -58,6 +60,8 @@
             transport=transport,
             parser=parser,
             chunked=chunked,
+            head_bytes=head_bytes,
+            entry=entry,
             limits=limits,
             guard=self._guard,
         )
--- a/packages/daemon/gypsumpost_daemon/http/stream_transport.py
+++ b/packages/daemon/gypsumpost_daemon/http/stream_transport.py
@@ -7,7 +7,8 @@
 from gypsumpost_daemon.http.transport import RECEIVE_BYTES
 from gypsumpost_daemon.http.unread_answer import count_unread
 
-CHUNK_BYTES = 65536
+CHUNK_BYTES = 16384
+"""A record of TLS; the other side has to read one within ``stall_seconds``."""
 
 
 class StreamTransport:
