--- a/packages/daemon/gypsumpost_daemon/tests/crowd.py
+++ b/packages/daemon/gypsumpost_daemon/tests/crowd.py
@@ -5,6 +5,7 @@
 from contextlib import asynccontextmanager
 
 import trio
+import trio.testing
 
 from gypsumpost_daemon.addresses import split_address
 from gypsumpost_daemon.tests.waiting_bytes import count_waiting_bytes
