Parse long heads in turns

200 heads of 2,500 fields each arrived at once and were all parsed before one of them was let go: 146 MB of 128.

--- a/packages/daemon/gypsumpost_daemon/http/decode_turns.py
+++ b/packages/daemon/gypsumpost_daemon/http/decode_turns.py
@@ -18,6 +18,8 @@
 class DecodeTurns:
     """Lets one body decode at a time, in the order of arrival.
 
+    Long heads have turns of their own.
+
     A body in chunks of single bytes takes seconds to decode. If each connection decoded what it has
     received, a crowd of them would leave no time for other requests.
     """
--- a/packages/daemon/gypsumpost_daemon/http/http_connection.py
+++ b/packages/daemon/gypsumpost_daemon/http/http_connection.py
@@ -152,7 +152,7 @@
         deadline = trio.current_time() + seconds
         begun = False
         while True:
-            event = self._parse_head()
+            event = await self._parse_head()
             if isinstance(event, h11.Request):
                 self._release_head()
                 self.entry.enter(ConnectionStage.READING, trio.current_time())
@@ -193,7 +193,18 @@
             self._guard.account.close(self._head_holder)
             self._head_holder = None
 
-    def _parse_head(self) -> object:
+    async def _parse_head(self) -> object:
+        """Return the next event of h11.
+
+        A long head may take far more memory than its bytes. Long ones are parsed in turns, so that
+        what was let go for one of them is free before the next one.
+        """
+        if len(self._parser.trailing_data[0]) <= UNCOUNTED_HEAD_BYTES:
+            return self._parse_event()
+        async with self._guard.head_turns.open_turn():
+            return self._parse_event()
+
+    def _parse_event(self) -> object:
         try:
             return self._parser.next_event()
         except h11.RemoteProtocolError as error:
--- a/packages/daemon/gypsumpost_daemon/http/overload_guard.py
+++ b/packages/daemon/gypsumpost_daemon/http/overload_guard.py
@@ -33,6 +33,7 @@
     ) -> None:
         self.account = account or MemoryAccount(bound=DEFAULT_HELD_BYTES)
         self.turns = DecodeTurns()
+        self.head_turns = DecodeTurns()
         self._lines = LineLimiter(seconds=LINE_SECONDS)
         metrics = metrics or Metrics()
         self._refusals = metrics.add_counter(
