--- a/packages/daemon/gypsumpost_daemon/http/http_connection.py
+++ b/packages/daemon/gypsumpost_daemon/http/http_connection.py
@@ -7,6 +7,7 @@
 
 from gypsumpost_core.memory.connection_entry import ConnectionEntry
 from gypsumpost_core.memory.connection_stage import ConnectionStage
+from gypsumpost_core.memory.head_cost import estimate_head
 from gypsumpost_core.memory.held_kind import HeldKind
 from gypsumpost_core.memory.memory_holder import MemoryHolder
 from gypsumpost_core.run_state import RunState
@@ -22,6 +23,10 @@
 from gypsumpost_daemon.telemetry.log import Log
 
 LOG = Log(prefix="http")
+HEAD_READ_BYTES = 8192
+"""Most requests arrive in one read. What a longer read takes of a chunked body stays in the parser
+until the request is answered."""
+
 UNCOUNTED_HEAD_BYTES = 4096
 """Shorter incomplete heads are part of what each connection takes."""
 
@@ -108,13 +113,15 @@
         request = await self._read_head()
         if request is None:
             return False
-        self._check_head(request)
+        names = self._check_head(request)
         exchange = HttpExchange(
             transport=self._transport,
             parser=self._parser,
             request=request,
             limits=self._limits,
             closing=self._stopping,
+            chunked=b"transfer-encoding" in names,  # h11 accepts no other coding.
+            head_bytes=estimate_head(len(names)),
             guard=self._guard,
             entry=self.entry,
         )
@@ -123,6 +130,7 @@
             await self._call_application(exchange, request)
         finally:
             exchange.close()
+        del request  # A head of many fields is not kept while a refusal is being read.
         self._exchange = None
         reusable = exchange.reusable and self._parser.our_state is h11.DONE
         if not reusable and exchange.answered:
@@ -144,7 +152,7 @@
         deadline = trio.current_time() + seconds
         begun = False
         while True:
-            event = self._parse_head()
+            event = await self._parse_head()
             if isinstance(event, h11.Request):
                 self._release_head()
                 self.entry.enter(ConnectionStage.READING, trio.current_time())
@@ -185,7 +193,18 @@
             self._guard.account.close(self._head_holder)
             self._head_holder = None
 
-    def _parse_head(self) -> object:
+    async def _parse_head(self) -> object:
+        """Return the next event of h11.
+
+        A long head may take far more memory than its bytes. Long ones are parsed in turns, so that
+        what was let go for one of them is free before the next one.
+        """
+        if len(self._parser.trailing_data[0]) <= UNCOUNTED_HEAD_BYTES:
+            return self._parse_event()
+        async with self._guard.head_turns.open_turn():
+            return self._parse_event()
+
+    def _parse_event(self) -> object:
         try:
             return self._parser.next_event()
         except h11.RemoteProtocolError as error:
@@ -195,11 +214,12 @@
         data = None
         with trio.CancelScope(deadline=deadline) as scope:
             self._idle_scope = scope
-            data = await self._transport.receive()
+            data = await self._transport.receive(HEAD_READ_BYTES)
         self._idle_scope = None
         return data
 
-    def _check_head(self, request: h11.Request) -> None:
+    def _check_head(self, request: h11.Request) -> list[bytes]:
+        """Return the names of the headers, or refuse the request."""
         if request.http_version not in SUPPORTED_VERSIONS:
             raise refuse_malformed("Only HTTP/1.0 and HTTP/1.1 are supported.", 505)
         if request.method == b"CONNECT":
@@ -212,6 +232,7 @@
             if name == b"content-length" and int(value) > self._limits.max_body:
                 self._guard.record_refusal(EndReason.LONG_BODY)
                 raise refuse_long_body(self._limits.max_body)
+        return names
 
     async def _call_application(self, exchange: HttpExchange, request: h11.Request) -> None:
         try:
