Close kept connections when their time is over

Cause: a connection to an engine that was not checked again stayed open until its pool was full, and took one of the engine's places.

Change: the endpoint monitor closes expired connections at each of its intervals.

--- a/packages/daemon/gypsumpost_daemon/engines/idle_connections.py
+++ b/packages/daemon/gypsumpost_daemon/engines/idle_connections.py
@@ -53,6 +53,19 @@
             connection.close()
         return None
 
+    def close_expired(self, now: float) -> None:
+        """Close the connections that may not be used any more; endpoints bound their number.
+
+        :param now: monotonic time in seconds.
+        """
+        for address, entries in list(self._idle.items()):
+            self._idle[address] = [entry for entry in entries if now < entry[0]]
+            for deadline, connection in entries:
+                if now >= deadline:
+                    connection.close()
+            if not self._idle[address]:
+                del self._idle[address]
+
     def close(self) -> None:
         """Close all connections."""
         for address in list(self._idle):
--- a/packages/daemon/gypsumpost_daemon/gateway/endpoint_monitor.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/endpoint_monitor.py
@@ -90,6 +90,7 @@
             task_status.started()
             while True:
                 await trio.sleep(RETURN_PROBE_SECONDS)
+                self._engine_probes.close_expired()
                 for record in self._draw_probes(trio.current_time()):
                     nursery.start_soon(self._probe_lost, record)
 
--- a/packages/daemon/gypsumpost_daemon/gateway/engine_probes.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/engine_probes.py
@@ -60,6 +60,10 @@
         await self._ask(opened.ok_value, record, trio.current_time() + TRY_SECONDS)
         return ProbeResult.ALIVE
 
+    def close_expired(self) -> None:
+        """Close the kept connections that no check has used for a while."""
+        self._idle.close_expired(trio.current_time())
+
     async def _ask(
         self, connection: H11EngineConnection, record: EndpointRecord, deadline: float
     ) -> bool:
