--- a/packages/daemon/gypsumpost_daemon/tests/test_idle_connections.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_idle_connections.py
@@ -21,8 +21,8 @@
 def test_expired_connections_are_closed():
     """Guards against idle connections that take places which the endpoint has for others."""
     idle, short, long = IdleConnections(), FakeConnection(), FakeConnection()
-    idle.put("1.2.3.4:5", short, 10.0, seconds=0.5)
-    idle.put("1.2.3.4:6", long, 10.0, seconds=2.0)
+    idle.put("1.2.3.4:5", short, 10.0, seconds=0.5)  # type: ignore[arg-type]
+    idle.put("1.2.3.4:6", long, 10.0, seconds=2.0)  # type: ignore[arg-type]
     idle.close_expired(11.0)
     assert short.closed and not long.closed
     assert idle.take("1.2.3.4:5", 11.0) is None
