Let prompts wait on their host until an engine has room

One host a domain grants the prefill time of its engines, so that hosts do not choose the same one. Copies are placed only where there is room, and made later if there was none.

--- a/packages/core/gypsumpost_core/gateway/copy_schedule.py
+++ b/packages/core/gypsumpost_core/gateway/copy_schedule.py
@@ -53,14 +53,14 @@
         """
         return self.fleet.find_running(copy.holder) is None
 
-    def is_due(self, copy: CopySource, now: float) -> bool:
-        """Return true if the copy has to be made again.
+    def is_due(self, copy: CopySource | None, now: float) -> bool:
+        """Return true if the copy has to be made, or made again.
 
-        :param copy: the newest copy.
+        :param copy: the newest copy, ``None`` if no engine had room for one.
         :param now: monotonic time in seconds.
         """
         if now < self._retry_at:
             return False
-        if self.is_holder_lost(copy):
+        if copy is None or self.is_holder_lost(copy):
             return True
         return self._renew_at is not None and now >= self._renew_at
--- a/packages/core/gypsumpost_core/gateway/engine_choice.py
+++ b/packages/core/gypsumpost_core/gateway/engine_choice.py
@@ -11,6 +11,7 @@
 from gypsumpost_core.gateway.engine_limits import EngineLimits
 from gypsumpost_core.gateway.engine_usage import EngineUsage
 from gypsumpost_core.gateway.prefill_rates import PrefillRates
+from gypsumpost_core.prefill.engine_load import EngineLoad
 
 STREAM_DELAY_SECONDS = 0.03
 """Delay of the first event caused by each stream that runs on the same engine."""
@@ -59,6 +60,30 @@
     now: float
     rng: random.Random
 
+    def list_loads(self, service: str, limits: EngineLimits) -> list[EngineLoad]:
+        """Return the load of the engines that a new stream may use.
+
+        :param service: name of the service.
+        :param limits: limits of its engines.
+        """
+        return [self._create_load(state, limits) for state in self._list_healthy(service)]
+
+    def _create_load(self, state: EndpointState, limits: EngineLimits) -> EngineLoad:
+        usage, record = self._get_usage(state), state.record
+        penalty = FAILURE_COST_SECONDS * state.failure_ratio
+        if record.failure_domain != self.failure_domain:
+            penalty += CROSS_DOMAIN_SECONDS
+        return EngineLoad(
+            state=state,
+            prefill_rate=self.rates.get(record.endpoint_id, self.now),
+            slots=limits.slots,
+            memory_tokens=limits.memory_tokens,
+            penalty_seconds=penalty,
+            running=usage.running,
+            prefill_tokens=usage.prefill_tokens,
+            reserved_tokens=usage.memory_tokens + usage.copy_tokens,
+        )
+
     def rank_engines(
         self,
         service: str,
@@ -103,6 +128,7 @@
         engine: EndpointState,
         total_tokens: int,
         tried: Collection[str] = (),
+        only_with_room: bool = False,
     ) -> EndpointState | None:
         """Return the engine to hold the copy of a stream, ``None`` if no engine can hold it.
 
@@ -114,6 +140,7 @@
         :param engine: the engine that runs the stream.
         :param total_tokens: maximum tokens of the stream, prompt and output together.
         :param tried: ids of engines to exclude.
+        :param only_with_room: true if the copy must not exceed the memory of its holder.
         """
         domain = engine.record.failure_domain
         usable = [
@@ -121,6 +148,8 @@
             for state in self._list_healthy(service)
             if state.record.failure_domain != domain and state.record.endpoint_id not in tried
         ]
+        if only_with_room:
+            usable = [state for state in usable if self._has_room(state, limits, total_tokens)]
         if not limits.supports_copies or not usable:
             return None
 
@@ -177,6 +206,11 @@
     def _get_usage(self, state: EndpointState) -> EngineUsage:
         return self.usage.get(state.record.endpoint_id, NO_USAGE)
 
+    def _has_room(self, state: EndpointState, limits: EngineLimits, total_tokens: int) -> bool:
+        usage = self._get_usage(state)
+        reserved = usage.memory_tokens + usage.copy_tokens + total_tokens
+        return reserved <= MEMORY_LIMIT_RATIO * limits.memory_tokens
+
     def _estimate_overload_cost(
         self, state: EndpointState, limits: EngineLimits, total_tokens: int
     ) -> float:
--- a/packages/core/gypsumpost_core/gateway/route.py
+++ b/packages/core/gypsumpost_core/gateway/route.py
@@ -17,6 +17,8 @@
     :param shares: the services, each with its weight.
     :param timeout: seconds after which a request is answered at the latest.
     :param objective: target latency in seconds of an answer, or of the first event of a stream.
+    :param pause_objective: longest pause in seconds between two events of a stream that is on time,
+        ``None`` if the route names none.
     :param max_attempts: maximum number of endpoints to which one request is sent.
     :param priority: rank among the routes; 0 is the highest priority.
     :param public: true if requests do not need an API key.
@@ -34,6 +36,7 @@
     priority: int = 5
     public: bool = False
     resumable: bool = False
+    pause_objective: float | None = None
 
     @property
     def retryable(self) -> bool:
--- /dev/null
+++ b/packages/core/gypsumpost_core/prefill/prompt_queue.py
@@ -0,0 +1,186 @@
+"""Decides which of the waiting prompts of a host are sent, and to which engines.
+
+The load pattern: prompts of very different lengths arrive in waves at engines whose memory holds
+the streams and copies of a few of them. An engine admits prompts in the order in which they come,
+so that a short prompt waits behind long ones, and a prompt that waits at a full engine cannot use
+the room that becomes free at another one.
+"""
+
+import math
+import random
+from collections.abc import Iterable, Sequence
+
+import attrs
+
+from gypsumpost_core.prefill.engine_load import EngineLoad
+from gypsumpost_core.prefill.prefill_turns import MAX_BACKLOG_SECONDS
+from gypsumpost_core.prefill.prompt_grant import PromptGrant
+from gypsumpost_core.prefill.waiting_prompt import WaitingPrompt
+
+MAX_WAITING = 256
+"""Prompts that wait on a host; further ones are refused."""
+
+MEMORY_RATIO = 0.9
+"""Share of an engine's memory that may be reserved; above it, engines preempt streams."""
+
+LATE_MEMORY_RATIO = 0.6
+"""The same for prompts whose first event will be late. The rest stays free for prompts that can
+still be on time, also those of other hosts."""
+
+COPY_SLACK_SECONDS = 0.3
+"""Time before the latest start of a prompt at which it no longer waits for room for its copy."""
+
+SPREAD_SECONDS = 0.2
+"""An engine that costs this much more than the cheapest one is chosen 2.7 times less often, as
+hosts choose from reports of the same age."""
+
+
+@attrs.define(kw_only=True)
+class PromptQueue:
+    """The prompts of one host that wait for an engine.
+
+    :param rng: random number generator that spreads prompts over engines.
+    """
+
+    rng: random.Random
+    _prompts: dict[str, WaitingPrompt] = attrs.field(factory=dict, init=False)
+
+    def __len__(self) -> int:
+        return len(self._prompts)
+
+    def add(self, prompt: WaitingPrompt) -> bool:
+        """Let a prompt wait; return false if the queue is full."""
+        if len(self._prompts) >= MAX_WAITING and not prompt.started:
+            return False
+        self._prompts[prompt.request_id] = prompt
+        return True
+
+    def remove(self, prompt: WaitingPrompt) -> None:
+        """Remove a prompt that no longer waits."""
+        if self._prompts.get(prompt.request_id) is prompt:
+            del self._prompts[prompt.request_id]
+
+    def list_services(self) -> set[str]:
+        """Return the services for whose engines prompts wait."""
+        return {prompt.service for prompt in self._prompts.values()}
+
+    def grant(self, service: str, engines: Sequence[EngineLoad], now: float) -> list[PromptGrant]:
+        """Return the prompts to send now, and remove them from the queue.
+
+        Started streams go first, then the prompts that can still be on time in the order of their
+        latest starts, then the others by priority. A prompt that finds no room does not hold up
+        those behind it.
+
+        :param service: the service.
+        :param engines: its engines; granted prompts are added to their load.
+        :param now: monotonic time in seconds.
+        """
+        if not engines:
+            return []
+        best_rate = max(engine.prefill_rate for engine in engines)
+        waiting = [prompt for prompt in self._prompts.values() if prompt.service == service]
+        waiting.sort(key=lambda prompt: rank(prompt, best_rate, now))
+        grants = []
+        for prompt in waiting:
+            granted = self._find_engine(prompt, engines, best_rate, now)
+            if granted is not None:
+                self.remove(prompt)
+                grants.append(granted)
+        return grants
+
+    def _find_engine(
+        self,
+        prompt: WaitingPrompt,
+        engines: Sequence[EngineLoad],
+        best_rate: float,
+        now: float,
+    ) -> PromptGrant | None:
+        slack = compute_slack(prompt, best_rate, now)
+        late = slack < 0 and not prompt.started
+        usable = [
+            engine
+            for engine in engines
+            if has_room(engine, prompt, late=late)
+            and engine.state.record.endpoint_id not in prompt.tried
+        ]
+        if not late and not prompt.started:
+            left = prompt.first_event_by - now
+            usable = [
+                engine
+                for engine in usable
+                if engine.estimate_first_event(prompt.prompt_tokens) <= left
+            ]
+        if not usable:
+            return None
+        domains = find_copy_domains(engines, prompt.total_tokens) if prompt.wants_copy else set()
+        protected = [engine for engine in usable if domains - {get_domain(engine)}]
+        waits = late or slack > COPY_SLACK_SECONDS
+        if prompt.wants_copy and not prompt.started and waits and not protected:
+            return None
+        chosen = self._choose(protected or usable, prompt.prompt_tokens)
+        chosen.add(prompt)
+        return PromptGrant(prompt=prompt, engine=chosen.state, with_copy=bool(protected), late=late)
+
+    def _choose(self, engines: Sequence[EngineLoad], prompt_tokens: int) -> EngineLoad:
+        """Choose at random, with a probability that falls exponentially with the cost."""
+        costs = [engine.estimate_cost(prompt_tokens) for engine in engines]
+        lowest = min(costs)
+        weights = [math.exp((lowest - cost) / SPREAD_SECONDS) for cost in costs]
+        return self.rng.choices(engines, weights)[0]
+
+
+def compute_slack(prompt: WaitingPrompt, rate: float, now: float) -> float:
+    """Return the time in seconds for which a prompt can wait and still be on time.
+
+    :param prompt: the prompt.
+    :param rate: prefill rate of an idle engine in tokens per second.
+    :param now: monotonic time in seconds.
+    """
+    return prompt.first_event_by - now - prompt.prompt_tokens / rate
+
+
+def rank(prompt: WaitingPrompt, rate: float, now: float) -> tuple[int, int, float]:
+    """Return the sort key of a prompt, the lowest goes first.
+
+    :param prompt: the prompt.
+    :param rate: prefill rate of an idle engine in tokens per second.
+    :param now: monotonic time in seconds.
+    """
+    slack = compute_slack(prompt, rate, now)
+    if prompt.started:
+        return (0, 0, slack)
+    if slack >= 0:
+        return (1, 0, slack)
+    return (2, prompt.priority, slack)
+
+
+def has_room(engine: EngineLoad, prompt: WaitingPrompt, *, late: bool) -> bool:
+    """Return true if an engine can begin with a prompt at once.
+
+    :param engine: the engine.
+    :param prompt: the prompt.
+    :param late: true if its first event will be late anywhere.
+    """
+    if engine.running >= engine.slots:
+        return False
+    ratio = LATE_MEMORY_RATIO if late else MEMORY_RATIO
+    if not engine.has_memory(prompt.total_tokens, ratio):
+        # A prompt larger than the share goes to an engine without streams.
+        return not engine.running and not engine.reserved_tokens
+    return prompt.started or engine.backlog_seconds <= MAX_BACKLOG_SECONDS
+
+
+def find_copy_domains(engines: Iterable[EngineLoad], total_tokens: int) -> set[str]:
+    """Return the domains that have room for the copy of a stream.
+
+    :param engines: the engines.
+    :param total_tokens: maximum tokens of the stream.
+    """
+    return {
+        get_domain(engine) for engine in engines if engine.has_memory(total_tokens, MEMORY_RATIO)
+    }
+
+
+def get_domain(engine: EngineLoad) -> str:
+    """Return the failure domain of an engine."""
+    return engine.state.record.failure_domain
--- a/packages/daemon/gypsumpost_daemon/gateway/copy_renewal.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/copy_renewal.py
@@ -8,6 +8,7 @@
 from gypsumpost_core.gateway.endpoint_record import EndpointRecord
 from gypsumpost_core.gateway.endpoint_state import EndpointState
 from gypsumpost_core.gateway.engine_limits import EngineLimits
+from gypsumpost_core.prefill.pacing_condition import is_paced
 from gypsumpost_daemon.gateway.caller_call import CallerCall
 from gypsumpost_daemon.gateway.endpoint_query import query_endpoint
 from gypsumpost_daemon.gateway.forward_context import ForwardContext
@@ -60,24 +61,27 @@
         while True:
             await trio.sleep(CHECK_SECONDS)
             copy = self._progress.newest_copy
-            if copy is None or self._progress.usage.prefilling:
+            if self._progress.usage.prefilling:
                 continue
             if self._schedule.is_due(copy, trio.current_time()):
                 await self._renew(copy)
 
-    async def _renew(self, copy: CopySource) -> None:
-        target = copy.holder
-        if self._schedule.is_holder_lost(copy):
+    async def _renew(self, copy: CopySource | None) -> None:
+        target = copy.holder if copy else None
+        if copy is None or self._schedule.is_holder_lost(copy):
             chosen = self._context.create_choice().choose_copy_holder(
                 self._call.service,
                 self._limits,
                 engine=self._state,
                 total_tokens=self._progress.usage.total_tokens,
+                only_with_room=is_paced(
+                    self._call.route, self._limits, self._progress.usage.total_tokens
+                ),
             )
             if chosen is None:
                 return
             target = chosen.record
-        if self._state.is_closed(trio.current_time()):
+        if target is None or self._state.is_closed(trio.current_time()):
             return
         if not await self._context.permits.take(self._state.record):
             self._schedule.record_failure(trio.current_time())
--- a/packages/daemon/gypsumpost_daemon/gateway/forward_context.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/forward_context.py
@@ -28,6 +28,7 @@
 from gypsumpost_daemon.gateway.gateway_metrics import GatewayMetrics
 from gypsumpost_daemon.gateway.gateway_settings import GatewaySettings
 from gypsumpost_daemon.gateway.header_names import HeaderNames
+from gypsumpost_daemon.prefill.turn_desk import TurnDesk
 
 BUDGET_FRACTION = 0.8
 """Fraction of the deployment's retry budget that hosts use, as their windows are not aligned."""
@@ -69,6 +70,7 @@
     :param crash_guard: detects requests that crash endpoints.
     :param copies: locations of the copies of streams.
     :param takeover: finds the copies of streams whose callers come back from other hosts.
+    :param turns: shares the prefill time of engines between hosts.
     :param retry_budget: the retry budget.
     :param metrics: counters and histograms.
     :param answer_memory: memory of the unfinished answers of endpoints.
@@ -88,6 +90,7 @@
     crash_guard: CrashGuard
     copies: CopyDirectory
     takeover: CopyTakeover
+    turns: TurnDesk
     retry_budget: RetryBudget
     metrics: GatewayMetrics
     count_hosts: Callable[[], int]
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
@@ -47,6 +47,7 @@
 from gypsumpost_daemon.peers.gossip import Gossip
 from gypsumpost_daemon.peers.host_directory import HostDirectory
 from gypsumpost_daemon.peers.peer_network import PeerNetwork
+from gypsumpost_daemon.prefill.turn_desk import TurnDesk
 from gypsumpost_daemon.telemetry.log import Log
 from gypsumpost_daemon.telemetry.metrics import Metrics
 
@@ -176,6 +177,7 @@
             crash_guard=crash_guard,
             copies=self.copies,
             takeover=CopyTakeover(copies=self.copies, peers=self._network),
+            turns=TurnDesk(directory=self._hosts, peers=self._network),
             retry_budget=retry_budget,
             metrics=gateway_metrics,
             count_hosts=self._count_hosts,
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_metrics.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_metrics.py
@@ -45,6 +45,12 @@
             "service",
             "verdict",
         )
+        self._prefill_turns = metrics.add_counter(
+            "gypsumpost_gateway_prefill_turns_total",
+            "Requests for prefill time of an engine, by service and decision.",
+            "service",
+            "verdict",
+        )
         self._answers = metrics.add_durations(
             "gypsumpost_gateway_answer_seconds", "Time to the whole answer of a call."
         )
@@ -93,6 +99,14 @@
         """
         self._permits.add(service, "granted" if granted else "refused")
 
+    def count_prefill_turn(self, service: str, *, granted: bool) -> None:
+        """Count a request for prefill time of an engine.
+
+        :param service: the service.
+        :param granted: true if the prompt may be sent.
+        """
+        self._prefill_turns.add(service, "granted" if granted else "refused")
+
     def record_answer(self, seconds: float) -> None:
         """Record the time to the complete answer of a call."""
         self._answers.record(seconds)
--- a/packages/daemon/gypsumpost_daemon/gateway/stream_engines.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/stream_engines.py
@@ -7,10 +7,12 @@
 from gypsumpost_core.gateway.endpoint_state import EndpointState
 from gypsumpost_core.gateway.engine_limits import EngineLimits
 from gypsumpost_core.gateway.no_endpoint import NoEndpoint
+from gypsumpost_core.prefill.pacing_condition import is_paced
 from gypsumpost_daemon.gateway.caller_call import CallerCall
 from gypsumpost_daemon.gateway.forward_context import ForwardContext
 from gypsumpost_daemon.gateway.stream_progress import StreamProgress
 from gypsumpost_daemon.limits.permit_terms import RESUMPTION_PRIORITY, PermitTerms
+from gypsumpost_daemon.prefill.prompt_pacer import PromptPacer
 
 ENGINE_WAIT_FRACTION = 0.75
 """Fraction of the route's objective for which a new stream waits for an engine."""
@@ -31,6 +33,7 @@
 
     def __init__(self, *, context: ForwardContext) -> None:
         self._context = context
+        self._pacer = PromptPacer(context=context)
 
     async def acquire_copy_holder(self, copy: CopySource | None) -> EndpointState | None:
         """Return the engine with a copy if the stream may go on there now.
@@ -60,6 +63,11 @@
         :param limits: limits of the engines.
         :param tried: ids of engines to exclude; emptied when the choice is made anew.
         """
+        if is_paced(call.route, limits, progress.usage.total_tokens):
+            granted = await self._pacer.wait(call, progress, limits, tried)
+            if isinstance(granted, Err):
+                return granted
+            return await self._take_granted(call, progress, granted.ok_value)
         fleet = self._context.directory.fleet
         wait_deadline = max(
             trio.current_time() + CHOICE_SECONDS,
@@ -85,6 +93,15 @@
             tried.clear()
             await self._context.directory.wait_change(min(wait_deadline, now + CHOICE_SECONDS))
 
+    async def _take_granted(
+        self, call: CallerCall, progress: StreamProgress, state: EndpointState
+    ) -> Result[EndpointState, NoEndpoint]:
+        wait_deadline = max(
+            trio.current_time() + CHOICE_SECONDS, call.received_at + call.route.objective
+        )
+        permitted = await self._take_permit(call, progress, [state], wait_deadline)
+        return permitted or Err(NoEndpoint(reason="the engine takes no requests any more"))
+
     async def _take_permit(
         self,
         call: CallerCall,
--- a/packages/daemon/gypsumpost_daemon/gateway/stream_forwarder.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/stream_forwarder.py
@@ -10,6 +10,7 @@
 from gypsumpost_core.gateway.no_endpoint import NoEndpoint
 from gypsumpost_core.gateway.request_kind import RequestKind
 from gypsumpost_core.gateway.stream_usage import StreamUsage
+from gypsumpost_core.prefill.pacing_condition import is_paced
 from gypsumpost_core.run_state import RunState
 from gypsumpost_daemon.gateway.attempt_failure import AttemptFailure
 from gypsumpost_daemon.gateway.caller_call import CallerCall
@@ -222,6 +223,7 @@
         self._context.usage.drop(progress.usage)
         choice = self._context.create_choice()
         target = renewal = None
+        paced = limits is not None and is_paced(call.route, limits, progress.usage.total_tokens)
         if limits is not None:
             target = choice.choose_copy_holder(
                 call.service,
@@ -229,8 +231,9 @@
                 engine=state,
                 total_tokens=progress.usage.total_tokens,
                 tried=tried,
+                only_with_room=paced,
             )
-        if target is not None and limits is not None and limits.copy_seconds:
+        if limits is not None and limits.copy_seconds and (paced or target is not None):
             renewal = CopyRenewal(
                 context=self._context, call=call, progress=progress, state=state, limits=limits
             )
--- a/packages/daemon/gypsumpost_daemon/peers/message_kind.py
+++ b/packages/daemon/gypsumpost_daemon/peers/message_kind.py
@@ -24,3 +24,4 @@
     ENDPOINT_LEAVING = 51
     DIRECTORY_STATE = 60
     STREAM_STATE = 61
+    PREFILL_TURN = 62
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/prefill/turn_codec.py
@@ -0,0 +1,78 @@
+"""Encoding of requests for prefill time and of their replies."""
+
+import math
+from pathlib import Path
+
+import capnp
+from result import Err, Ok, Result
+
+from gypsumpost_core.prefill.prefill_turns import PrefillTurn
+from gypsumpost_daemon.prefill.turn_request import TurnRequest
+
+SCHEMA = capnp.load(str(Path(__file__).with_name("prefill_turns.capnp")))
+MILLISECONDS = 1000
+MAX_MILLISECONDS = 2**32 - 1
+
+
+def encode_turn_request(request: TurnRequest) -> bytes:
+    """Encode a ``PREFILL_TURN`` request.
+
+    :param request: the request.
+    """
+    message = SCHEMA.TurnRequest.new_message(
+        engine=request.engine,
+        prefillMs=_encode_seconds(request.seconds),
+        urgent=request.urgent,
+    )
+    packed: bytes = message.to_bytes_packed()
+    return packed
+
+
+def decode_turn_request(payload: bytes) -> Result[TurnRequest, str]:
+    """Decode a ``PREFILL_TURN`` request, or return why it cannot be decoded.
+
+    :param payload: the packed bytes.
+    """
+    try:
+        message = SCHEMA.TurnRequest.from_bytes_packed(payload)
+        return Ok(
+            TurnRequest(
+                engine=message.engine,
+                seconds=message.prefillMs / MILLISECONDS,
+                urgent=message.urgent,
+            )
+        )
+    except (capnp.KjException, ValueError) as error:
+        return Err(str(error).partition("\n")[0])
+
+
+def encode_turn_reply(turn: PrefillTurn, now: float) -> bytes:
+    """Encode the reply to a ``PREFILL_TURN`` request.
+
+    :param turn: the reply.
+    :param now: monotonic time in seconds.
+    """
+    message = SCHEMA.TurnReply.new_message(
+        granted=turn.granted, opensInMs=_encode_seconds(turn.opens_at - now)
+    )
+    packed: bytes = message.to_bytes_packed()
+    return packed
+
+
+def decode_turn_reply(payload: bytes, now: float) -> Result[PrefillTurn, str]:
+    """Decode the reply to a ``PREFILL_TURN`` request, or return why it cannot be decoded.
+
+    :param payload: the packed bytes.
+    :param now: monotonic time in seconds.
+    """
+    try:
+        message = SCHEMA.TurnReply.from_bytes_packed(payload)
+        return Ok(
+            PrefillTurn(granted=message.granted, opens_at=now + message.opensInMs / MILLISECONDS)
+        )
+    except (capnp.KjException, ValueError) as error:
+        return Err(str(error).partition("\n")[0])
+
+
+def _encode_seconds(seconds: float) -> int:
+    return math.ceil(min(MAX_MILLISECONDS, max(0.0, seconds * MILLISECONDS)))
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/prefill/turn_request.py
@@ -0,0 +1,17 @@
+"""Request for prefill time of an engine."""
+
+import attrs
+
+
+@attrs.frozen(kw_only=True)
+class TurnRequest:
+    """A host's request for prefill time of an engine.
+
+    :param engine: key of the engine's process.
+    :param seconds: expected prefill time of the prompt.
+    :param urgent: true if the prompt is sent in any case, and only counted.
+    """
+
+    engine: str
+    seconds: float
+    urgent: bool
