--- a/packages/daemon/gypsumpost_daemon/prefill/tests/test_turn_desk.py
+++ b/packages/daemon/gypsumpost_daemon/prefill/tests/test_turn_desk.py
@@ -1,6 +1,7 @@
 """Tests of the prefill time that hosts share over the network."""
 
 import trio
+from result import Ok
 
 from gypsumpost_bench.simulated_fleet import create_directory, create_hosts
 from gypsumpost_bench.simulated_network import SimulatedNetwork, SimulatedPort
@@ -58,8 +59,8 @@
 
 def test_messages_are_decoded_as_encoded():
     """Guards against times that change their unit on the way, and against foreign bytes."""
-    assert decode_turn_request(encode_turn_request(REQUEST)).ok_value == REQUEST
+    assert decode_turn_request(encode_turn_request(REQUEST)) == Ok(REQUEST)
     turn = PrefillTurn(granted=False, opens_at=12.5)
-    assert decode_turn_reply(encode_turn_reply(turn, 10.0), 10.0).ok_value == turn
+    assert decode_turn_reply(encode_turn_reply(turn, 10.0), 10.0) == Ok(turn)
     assert decode_turn_request(b"\xff" * 3).is_err()
     assert decode_turn_reply(b"\xff" * 3, 0.0).is_err()
