--- a/packages/core/gypsumpost_core/prefill/tests/prefill_replay.py
+++ b/packages/core/gypsumpost_core/prefill/tests/prefill_replay.py
@@ -78,7 +78,8 @@
 
     The rate rises to twice its mean in the middle.
     """
-    prompts, at = [], 0.0
+    prompts: list[WaitingPrompt] = []
+    at = 0.0
     while at < seconds:
         in_middle = seconds / 3 <= at < 2 * seconds / 3
         at += rng.expovariate(per_second * (2.0 if in_middle else 0.5))
--- a/packages/core/gypsumpost_core/prefill/tests/test_prompt_queue.py
+++ b/packages/core/gypsumpost_core/prefill/tests/test_prompt_queue.py
@@ -2,6 +2,8 @@
 
 import random
 
+import attrs
+
 from gypsumpost_core.gateway.endpoint_state import EndpointState
 from gypsumpost_core.gateway.engine_limits import EngineLimits
 from gypsumpost_core.gateway.request_kind import RequestKind
@@ -123,10 +125,18 @@
 
 def test_streams_are_paced_where_memory_is_scarcer_than_slots():
     """Guards against prompts that wait on hosts of a deployment with room for all slots."""
-    fields = dict(name="r", host="h", prefix="/", kind=RequestKind.STREAM, shares=())
-    route = Route(**fields, timeout=25.0, objective=4.5, max_attempts=5, pause_objective=0.7)
+    route = Route(
+        name="r",
+        host="h",
+        prefix="/",
+        kind=RequestKind.STREAM,
+        shares=(),
+        timeout=25.0,
+        objective=4.5,
+        max_attempts=5,
+        pause_objective=0.7,
+    )
     limits = EngineLimits(slots=24, memory_tokens=55_000, supports_copies=True)
     assert is_paced(route, limits, 6200)
     assert not is_paced(route, limits, 2000)
-    unbounded = Route(**fields, timeout=25.0, objective=4.5, max_attempts=5)
-    assert not is_paced(unbounded, limits, 6200)
+    assert not is_paced(attrs.evolve(route, pause_objective=None), limits, 6200)
