--- a/packages/core/gypsumpost_core/prefill/tests/test_prompt_queue.py
+++ b/packages/core/gypsumpost_core/prefill/tests/test_prompt_queue.py
@@ -23,14 +23,15 @@
 
 
 def create_prompt(request_id="r1", **changes):
-    fields = {
-        "service": "model",
-        "priority": 1,
-        "prompt_tokens": 5000,
-        "total_tokens": 6000,
-        "first_event_by": 4.5,
-    }
-    return WaitingPrompt(request_id=request_id, **(fields | changes))
+    prompt = WaitingPrompt(
+        request_id=request_id,
+        service="model",
+        priority=1,
+        prompt_tokens=5000,
+        total_tokens=6000,
+        first_event_by=4.5,
+    )
+    return attrs.evolve(prompt, **changes)
 
 
 def grant(prompts, loads, now=0.0):
