--- a/packages/bench/gypsumpost_bench/experiment_slopes.py
+++ b/packages/bench/gypsumpost_bench/experiment_slopes.py
@@ -4,6 +4,7 @@
 from gypsumpost_bench.experiment_row import ExperimentRow
 from gypsumpost_bench.slope_control import measure_control
 from gypsumpost_bench.slope_generations import measure_generations
+from gypsumpost_bench.slope_prefill import measure_prefill
 from gypsumpost_bench.slope_requests import measure_requests
 
 
@@ -13,5 +14,5 @@
 
     :param quick: true for only the slopes that are measured inside this process.
     """
-    rows = [*measure_generations(), *measure_control()]
+    rows = [*measure_generations(), *measure_control(), *measure_prefill()]
     return rows if quick else [*rows, *measure_requests()]
--- a/packages/core/gypsumpost_core/prefill/prompt_queue.py
+++ b/packages/core/gypsumpost_core/prefill/prompt_queue.py
@@ -102,14 +102,8 @@
             for engine in engines
             if has_room(engine, prompt, late=late)
             and engine.state.record.endpoint_id not in prompt.tried
+            and (late or prompt.started or is_on_time(engine, prompt, now))
         ]
-        if not late and not prompt.started:
-            left = prompt.first_event_by - now
-            usable = [
-                engine
-                for engine in usable
-                if engine.estimate_first_event(prompt.prompt_tokens) <= left
-            ]
         if not usable:
             return None
         domains = find_copy_domains(engines, prompt.total_tokens) if prompt.wants_copy else set()
@@ -154,6 +148,16 @@
     return (2, prompt.priority, slack)
 
 
+def is_on_time(engine: EngineLoad, prompt: WaitingPrompt, now: float) -> bool:
+    """Return true if the first event of a prompt comes in time from an engine.
+
+    :param engine: the engine.
+    :param prompt: the prompt.
+    :param now: monotonic time in seconds.
+    """
+    return now + engine.estimate_first_event(prompt.prompt_tokens) <= prompt.first_event_by
+
+
 def has_room(engine: EngineLoad, prompt: WaitingPrompt, *, late: bool) -> bool:
     """Return true if an engine can begin with a prompt at once.
 
@@ -161,24 +165,30 @@
     :param prompt: the prompt.
     :param late: true if its first event will be late anywhere.
     """
+    if engine.backlog_seconds > MAX_BACKLOG_SECONDS and not prompt.started:
+        return False
     if engine.running >= engine.slots:
         return False
+    # A prompt larger than the share goes to an engine without streams.
     ratio = LATE_MEMORY_RATIO if late else MEMORY_RATIO
-    if not engine.has_memory(prompt.total_tokens, ratio):
-        # A prompt larger than the share goes to an engine without streams.
-        return not engine.running and not engine.reserved_tokens
-    return prompt.started or engine.backlog_seconds <= MAX_BACKLOG_SECONDS
+    return engine.has_memory(prompt.total_tokens, ratio) or not engine.reserved_tokens
 
 
 def find_copy_domains(engines: Iterable[EngineLoad], total_tokens: int) -> set[str]:
-    """Return the domains that have room for the copy of a stream.
+    """Return up to two domains that have room for the copy of a stream.
+
+    Two are enough: whatever the domain of the stream, one of them is another one.
 
     :param engines: the engines.
     :param total_tokens: maximum tokens of the stream.
     """
-    return {
-        get_domain(engine) for engine in engines if engine.has_memory(total_tokens, MEMORY_RATIO)
-    }
+    found: set[str] = set()
+    for engine in engines:
+        if engine.has_memory(total_tokens, MEMORY_RATIO):
+            found.add(get_domain(engine))
+            if len(found) == 2:
+                break
+    return found
 
 
 def get_domain(engine: EngineLoad) -> str:
