--- a/packages/core/gypsumpost_core/prefill/prompt_queue.py
+++ b/packages/core/gypsumpost_core/prefill/prompt_queue.py
@@ -13,6 +13,7 @@
 import attrs
 
 from gypsumpost_core.prefill.engine_load import EngineLoad
+from gypsumpost_core.prefill.obstacle import Obstacle
 from gypsumpost_core.prefill.prefill_turns import MAX_BACKLOG_SECONDS
 from gypsumpost_core.prefill.prompt_grant import PromptGrant
 from gypsumpost_core.prefill.waiting_prompt import WaitingPrompt
@@ -44,6 +45,7 @@
 
     rng: random.Random
     _prompts: dict[str, WaitingPrompt] = attrs.field(factory=dict, init=False)
+    _obstacles: dict[str, Obstacle] = attrs.field(factory=dict, init=False)
 
     def __len__(self) -> int:
         return len(self._prompts)
@@ -59,10 +61,7 @@
         """Remove a prompt that no longer waits."""
         if self._prompts.get(prompt.request_id) is prompt:
             del self._prompts[prompt.request_id]
-
-    def list_services(self) -> set[str]:
-        """Return the services for whose engines prompts wait."""
-        return {prompt.service for prompt in self._prompts.values()}
+            self._obstacles.pop(prompt.request_id, None)
 
     def grant(self, service: str, engines: Sequence[EngineLoad], now: float) -> list[PromptGrant]:
         """Return the prompts to send now, and remove them from the queue.
@@ -82,10 +81,12 @@
         waiting.sort(key=lambda prompt: rank(prompt, best_rate, now))
         grants = []
         for prompt in waiting:
-            granted = self._find_engine(prompt, engines, best_rate, now)
-            if granted is not None:
+            found = self._find_engine(prompt, engines, best_rate, now)
+            if isinstance(found, Obstacle):
+                self._obstacles[prompt.request_id] = found
+            else:
                 self.remove(prompt)
-                grants.append(granted)
+                grants.append(found)
         return grants
 
     def _find_engine(
@@ -94,7 +95,7 @@
         engines: Sequence[EngineLoad],
         best_rate: float,
         now: float,
-    ) -> PromptGrant | None:
+    ) -> PromptGrant | Obstacle:
         slack = compute_slack(prompt, best_rate, now)
         late = slack < 0 and not prompt.started
         usable = [
@@ -105,15 +106,21 @@
             and (late or prompt.started or is_on_time(engine, prompt, now))
         ]
         if not usable:
-            return None
+            return find_obstacle(engines, prompt, late=late)
         domains = find_copy_domains(engines, prompt.total_tokens) if prompt.wants_copy else set()
         protected = [engine for engine in usable if domains - {get_domain(engine)}]
         waits = late or slack > COPY_SLACK_SECONDS
         if prompt.wants_copy and not prompt.started and waits and not protected:
-            return None
+            return Obstacle.COPY
         chosen = self._choose(protected or usable, prompt.prompt_tokens)
         chosen.add(prompt)
-        return PromptGrant(prompt=prompt, engine=chosen.state, with_copy=bool(protected), late=late)
+        return PromptGrant(
+            prompt=prompt,
+            engine=chosen.state,
+            with_copy=bool(protected),
+            late=late,
+            waited_for=self._obstacles.get(prompt.request_id),
+        )
 
     def _choose(self, engines: Sequence[EngineLoad], prompt_tokens: int) -> EngineLoad:
         """Choose at random, with a probability that falls exponentially with the cost."""
@@ -174,6 +181,19 @@
     return engine.has_memory(prompt.total_tokens, ratio) or not engine.reserved_tokens
 
 
+def find_obstacle(engines: Iterable[EngineLoad], prompt: WaitingPrompt, *, late: bool) -> Obstacle:
+    """Return why no engine can begin with a prompt.
+
+    :param engines: the engines.
+    :param prompt: the prompt.
+    :param late: true if its first event will be late anywhere.
+    """
+    ratio = LATE_MEMORY_RATIO if late else MEMORY_RATIO
+    if any(engine.has_memory(prompt.total_tokens, ratio) for engine in engines):
+        return Obstacle.PREFILL
+    return Obstacle.MEMORY
+
+
 def find_copy_domains(engines: Iterable[EngineLoad], total_tokens: int) -> set[str]:
     """Return up to two domains that have room for the copy of a stream.
 
--- a/packages/daemon/gypsumpost_daemon/prefill/prompt_pacer.py
+++ b/packages/daemon/gypsumpost_daemon/prefill/prompt_pacer.py
@@ -141,6 +141,7 @@
             waited_seconds=round(waited, 3),
             prompt_tokens=granted.prompt.prompt_tokens,
             late=granted.late,
+            waited_for=granted.waited_for.value if granted.waited_for else "",
             with_copy=granted.with_copy,
             waiting=len(self._queue),
         )
