--- a/packages/core/gypsumpost_core/prefill/prefill_turns.py
+++ b/packages/core/gypsumpost_core/prefill/prefill_turns.py
@@ -36,17 +36,16 @@
 
     _busy_until: dict[str, float] = attrs.field(factory=dict, init=False)
 
-    def take(self, engine: str, seconds: float, now: float, *, urgent: bool) -> PrefillTurn:
+    def take(self, engine: str, seconds: float, now: float) -> PrefillTurn:
         """Return whether a prompt may be sent to an engine, and count it if it may.
 
         :param engine: key of the engine's process.
         :param seconds: prefill time of the prompt.
         :param now: monotonic time in seconds.
-        :param urgent: true if the prompt is sent in any case.
         """
         busy_until = max(now, self._busy_until.get(engine, now))
         opens_at = busy_until - MAX_BACKLOG_SECONDS
-        if opens_at > now and not urgent:
+        if opens_at > now:
             return PrefillTurn(granted=False, opens_at=opens_at)
         if len(self._busy_until) >= MAX_ENGINES:
             self._forget_free(now)
--- a/packages/daemon/gypsumpost_daemon/prefill/prefill_turns.capnp
+++ b/packages/daemon/gypsumpost_daemon/prefill/prefill_turns.capnp
@@ -5,7 +5,6 @@
 struct TurnRequest {
   engine @0 :Text;        # key of the engine's process
   prefillMs @1 :UInt32;   # expected prefill time of the prompt
-  urgent @2 :Bool;        # the prompt is sent in any case, and only counted
 }
 
 struct TurnReply {
--- a/packages/daemon/gypsumpost_daemon/prefill/prompt_pacer.py
+++ b/packages/daemon/gypsumpost_daemon/prefill/prompt_pacer.py
@@ -114,12 +114,14 @@
     async def _take_turn(self, granted: PromptGrant, now: float) -> bool:
         """Return true if no other host has just sent a prompt to the engine."""
         prompt, record = granted.prompt, granted.engine.record
+        if prompt.started:
+            # Its caller waits for the next event, not for the first one.
+            return True
         rate = self._context.rates.get(record.endpoint_id, now)
         turn = await self._context.turns.take(
             TurnRequest(
                 engine=record.process_key,
                 seconds=prompt.prompt_tokens / rate,
-                urgent=prompt.started,
             ),
             record.failure_domain,
         )
--- a/packages/daemon/gypsumpost_daemon/prefill/turn_codec.py
+++ b/packages/daemon/gypsumpost_daemon/prefill/turn_codec.py
@@ -22,7 +22,6 @@
     message = SCHEMA.TurnRequest.new_message(
         engine=request.engine,
         prefillMs=_encode_seconds(request.seconds),
-        urgent=request.urgent,
     )
     packed: bytes = message.to_bytes_packed()
     return packed
@@ -39,7 +38,6 @@
             TurnRequest(
                 engine=message.engine,
                 seconds=message.prefillMs / MILLISECONDS,
-                urgent=message.urgent,
             )
         )
     except (capnp.KjException, ValueError) as error:
--- a/packages/daemon/gypsumpost_daemon/prefill/turn_desk.py
+++ b/packages/daemon/gypsumpost_daemon/prefill/turn_desk.py
@@ -19,8 +19,8 @@
 from gypsumpost_daemon.prefill.turn_request import TurnRequest
 from gypsumpost_daemon.telemetry.log import Log
 
-REPLY_SECONDS = 0.15
-"""Several round trips between domains, also for a new connection; the prompt waits meanwhile."""
+REPLY_SECONDS = 0.25
+"""Time for a new connection and for a small host that is busy; the prompt waits meanwhile."""
 
 SILENCE_SECONDS = 0.5
 """How long a coordinator that has not replied is not asked again."""
@@ -83,9 +83,7 @@
         return PrefillTurn(granted=True, opens_at=now)
 
     def _grant(self, request: TurnRequest) -> PrefillTurn:
-        return self._turns.take(
-            request.engine, request.seconds, trio.current_time(), urgent=request.urgent
-        )
+        return self._turns.take(request.engine, request.seconds, trio.current_time())
 
     async def _serve(self, request: PeerRequest) -> bytes:
         decoded = decode_turn_request(request.payload)
--- a/packages/daemon/gypsumpost_daemon/prefill/turn_request.py
+++ b/packages/daemon/gypsumpost_daemon/prefill/turn_request.py
@@ -9,9 +9,7 @@
 
     :param engine: key of the engine's process.
     :param seconds: expected prefill time of the prompt.
-    :param urgent: true if the prompt is sent in any case, and only counted.
     """
 
     engine: str
     seconds: float
-    urgent: bool
