--- a/packages/daemon/gypsumpost_daemon/prefill/tests/test_turn_desk.py
+++ b/packages/daemon/gypsumpost_daemon/prefill/tests/test_turn_desk.py
@@ -15,6 +15,9 @@
 from gypsumpost_daemon.prefill.turn_desk import SILENCE_SECONDS, TurnDesk
 from gypsumpost_daemon.prefill.turn_request import TurnRequest
 
+MAX_WAIT_SECONDS = 0.5
+"""A ninth of the objective of the streams that are paced."""
+
 REQUEST = TurnRequest(engine="e-1/1", seconds=2.0)
 
 
@@ -49,9 +52,10 @@
     network = SimulatedNetwork(is_cut=lambda sender, receiver: trio.current_time() < cut["until"])
     desks = create_desks(network)
     cut["until"] = trio.current_time() + 5.0
-    started_at = trio.current_time()
-    await take_all(desks, "zone-a")
-    assert trio.current_time() - started_at < 1.0
+    for desk in desks:
+        started_at = trio.current_time()
+        await desk.take(REQUEST, "zone-a")
+        assert trio.current_time() - started_at < MAX_WAIT_SECONDS
     assert sum(await take_all(desks, "zone-a")) == 5, "only the coordinator knows of its grant"
     await trio.sleep(5.0 + SILENCE_SECONDS)
     assert sum(await take_all(desks, "zone-a")) == 1
