--- a/packages/core/gypsumpost_core/prefill/pacing_condition.py
+++ b/packages/core/gypsumpost_core/prefill/pacing_condition.py
@@ -14,6 +14,7 @@
     :param limits: limits of the engines.
     :param total_tokens: maximum tokens of the stream, prompt and output together.
     """
-    if route.pause_objective is None:
+    if route.pause_objective is None or total_tokens > limits.memory_tokens:
+        # No engine ever has room for a larger stream; the engine decides about it.
         return False
     return limits.slots * total_tokens > limits.memory_tokens
--- a/packages/core/gypsumpost_core/prefill/prompt_queue.py
+++ b/packages/core/gypsumpost_core/prefill/prompt_queue.py
@@ -109,8 +109,8 @@
             return find_obstacle(engines, prompt, late=late)
         domains = find_copy_domains(engines, prompt.total_tokens) if prompt.wants_copy else set()
         protected = [engine for engine in usable if domains - {get_domain(engine)}]
-        waits = late or slack > COPY_SLACK_SECONDS
-        if prompt.wants_copy and not prompt.started and waits and not protected:
+        waits = not prompt.started and (late or slack > COPY_SLACK_SECONDS)
+        if waits and not protected and can_be_copied(engines, prompt):
             return Obstacle.COPY
         chosen = self._choose(protected or usable, prompt.prompt_tokens)
         chosen.add(prompt)
@@ -194,6 +194,17 @@
     return Obstacle.MEMORY
 
 
+def can_be_copied(engines: Sequence[EngineLoad], prompt: WaitingPrompt) -> bool:
+    """Return true if room for the copy of a stream may come free.
+
+    :param engines: the engines.
+    :param prompt: the prompt of the stream.
+    """
+    if not prompt.wants_copy or len({get_domain(engine) for engine in engines}) < 2:
+        return False
+    return any(prompt.total_tokens <= MEMORY_RATIO * engine.memory_tokens for engine in engines)
+
+
 def find_copy_domains(engines: Iterable[EngineLoad], total_tokens: int) -> set[str]:
     """Return up to two domains that have room for the copy of a stream.
 
--- a/packages/core/gypsumpost_core/prefill/tests/test_prompt_queue.py
+++ b/packages/core/gypsumpost_core/prefill/tests/test_prompt_queue.py
@@ -96,6 +96,14 @@
     assert grant([large], [create_load()]) == ["r1"]
 
 
+def test_no_prompt_waits_for_a_copy_that_cannot_be_made():
+    """Guards against late prompts that wait for good after the loss of all other domains."""
+    late = create_prompt(wants_copy=True, first_event_by=0.5)
+    assert grant([late], [create_load(), create_load("e2")]) == ["r1"]
+    large = create_prompt(wants_copy=True, total_tokens=48_000)
+    assert grant([large], [create_load(), create_load("b1", "b")]) == ["r1"]
+
+
 def test_a_full_queue_takes_only_started_streams():
     """Guards against memory that grows with the load, and against losing started streams."""
     queue = PromptQueue(rng=random.Random(1))
@@ -139,4 +147,5 @@
     limits = EngineLimits(slots=24, memory_tokens=55_000, supports_copies=True)
     assert is_paced(route, limits, 6200)
     assert not is_paced(route, limits, 2000)
+    assert not is_paced(route, limits, 2**31 - 1)
     assert not is_paced(attrs.evolve(route, pause_objective=None), limits, 6200)
