--- a/packages/daemon/gypsumpost_daemon/gateway/forward_context.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/forward_context.py
@@ -28,6 +28,7 @@
 from gypsumpost_daemon.gateway.gateway_metrics import GatewayMetrics
 from gypsumpost_daemon.gateway.gateway_settings import GatewaySettings
 from gypsumpost_daemon.gateway.header_names import HeaderNames
+from gypsumpost_daemon.prefill.turn_desk import TurnDesk
 
 BUDGET_FRACTION = 0.8
 """Fraction of the deployment's retry budget that hosts use, as their windows are not aligned."""
@@ -69,6 +70,7 @@
     :param crash_guard: detects requests that crash endpoints.
     :param copies: locations of the copies of streams.
     :param takeover: finds the copies of streams whose callers come back from other hosts.
+    :param turns: shares the prefill time of engines between hosts.
     :param retry_budget: the retry budget.
     :param metrics: counters and histograms.
     :param answer_memory: memory of the unfinished answers of endpoints.
@@ -88,6 +90,7 @@
     crash_guard: CrashGuard
     copies: CopyDirectory
     takeover: CopyTakeover
+    turns: TurnDesk
     retry_budget: RetryBudget
     metrics: GatewayMetrics
     count_hosts: Callable[[], int]
@@ -120,13 +123,19 @@
             return True
         return await self.permits.take_retry(service)
 
-    def try_acquire_stream_retry(self, service: str) -> bool:
+    async def try_acquire_stream_retry(self, service: str) -> bool:
         """Take a retry of a stream from the budget; return false if none is left.
 
+        A host has the part of its streams in those of all hosts. After a loss, hosts that have lost
+        more of them than others ask for more.
+
         :param service: the service.
         """
         now = trio.current_time()
-        return self.retry_budget.try_acquire(service, now, self.usage.compute_own_part(now))
+        part = (1 - GRANTED_FRACTION) * self.usage.compute_own_part(now)
+        if self.retry_budget.try_acquire(service, now, part):
+            return True
+        return await self.permits.take_retry(service)
 
     def compute_budget_left(self, service: str) -> float:
         """Return the retries that are left in the budget of a service, for the log.
