--- /dev/null
+++ b/packages/core/gypsumpost_core/rollouts/rollout_settings.py
@@ -0,0 +1,17 @@
+"""Bounds of roll-outs."""
+
+import attrs
+
+
+@attrs.frozen(kw_only=True)
+class RolloutSettings:
+    """Bounds of roll-outs; without them a deployment has no roll-outs.
+
+    :param expose_share: part of a service's requests that may go to a version without a verdict.
+    :param expose_slack: requests that may go to it beyond that part, over all hosts.
+    :param rollback_seconds: time within which a bad version must get no more requests.
+    """
+
+    expose_share: float
+    expose_slack: int
+    rollback_seconds: float
