--- a/packages/core/gypsumpost_core/rollouts/allowed_versions.py
+++ b/packages/core/gypsumpost_core/rollouts/allowed_versions.py
@@ -10,7 +10,7 @@
     :param preferred: versions to try first.
     :param fallback: versions to try if no endpoint of a preferred version can take the request.
     :param exposes: true if the preferred version has no verdict yet. A request that is sent to it
-        has to be reported to the choice.
+        has to be reported with :meth:`VersionChoice.record_exposure`.
     """
 
     preferred: frozenset[str]
--- a/packages/core/gypsumpost_core/rollouts/fleet_view.py
+++ b/packages/core/gypsumpost_core/rollouts/fleet_view.py
@@ -9,10 +9,9 @@
 
     :param service_known: true if the configuration has the service.
     :param target_endpoints: endpoints of the target version that accept requests.
-    :param other_endpoints: endpoints of other versions.
+    :param other_endpoints: endpoints of other versions that are not barred.
     :param other_requests: requests and streams that run on other versions, over all hosts.
     :param missing_hosts: hosts whose reports the decider lacks.
-    :param store_stable_since_ms: Unix milliseconds since which the store has answered.
     """
 
     service_known: bool
@@ -20,4 +19,3 @@
     other_endpoints: int
     other_requests: int
     missing_hosts: int
-    store_stable_since_ms: int = 0
--- a/packages/core/gypsumpost_core/rollouts/rollout_record.py
+++ b/packages/core/gypsumpost_core/rollouts/rollout_record.py
@@ -17,6 +17,9 @@
     :param phase: phase of the roll-out.
     :param share: part of the service's requests that may go to the target version, 0 to 1. A
         running roll-out with the share 1 drains the other versions.
+    :param spare: requests that may go to the target version beyond that part before there is a
+        verdict, over all hosts since the order; it only grows.
+    :param barred: versions of earlier orders that got no good verdict; no request goes there.
     :param started_at_ms: Unix milliseconds of the first step.
     :param share_since_ms: Unix milliseconds of the last change of the share.
     :param deadline_ms: Unix milliseconds by which the roll-out has to end.
@@ -34,3 +37,5 @@
     deadline_ms: int
     fencing_token: int
     reason: str
+    spare: int = 0
+    barred: tuple[str, ...] = ()
--- a/packages/daemon/gypsumpost_daemon/gateway/item_store.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/item_store.py
@@ -1,4 +1,4 @@
-"""Interface to a store of items that can be read and watched by prefix."""
+"""Interface to a store of items that are read, watched by prefix and changed under conditions."""
 
 from typing import Protocol
 
@@ -6,6 +6,9 @@
 from result import Result
 
 from gypsumpost_core.gateway.stored_item import StoredItem
+from gypsumpost_daemon.gateway.item_transaction import ItemTransaction
+from gypsumpost_daemon.gateway.store_lease import StoreLease
+from gypsumpost_daemon.gateway.write_failure import WriteFailure
 
 
 @attrs.frozen(kw_only=True)
@@ -44,3 +47,21 @@
     async def watch(self, prefix: str, revision: int) -> Result[ItemBatch, ItemStoreFailure]:
         """Wait for changes after a revision."""
         ...
+
+    async def commit(
+        self, transaction: ItemTransaction, deadline: float
+    ) -> Result[int, WriteFailure]:
+        """Change items until a deadline in monotonic time, and return the store's revision."""
+        ...
+
+    async def open_lease(self, seconds: float, deadline: float) -> Result[StoreLease, WriteFailure]:
+        """Open a lease that ends after some seconds unless it is renewed."""
+        ...
+
+    async def renew_lease(self, lease: StoreLease, deadline: float) -> Result[None, WriteFailure]:
+        """Let a lease last its whole time from now on."""
+        ...
+
+    async def end_lease(self, lease: StoreLease, deadline: float) -> Result[None, WriteFailure]:
+        """End a lease and remove the items written under it."""
+        ...
