--- /dev/null
+++ b/packages/core/gypsumpost_core/rollouts/baseline.py
@@ -0,0 +1,46 @@
+"""Answers of the other versions, with which a version is compared."""
+
+import attrs
+
+from gypsumpost_core.rollouts.bad_answers import BadAnswers
+from gypsumpost_core.rollouts.bad_count import BadCount, sum_bad
+from gypsumpost_core.rollouts.evidence_key import EvidenceKey
+
+# Without answers of other versions nearby, a failure may as well be the fault of something else.
+UNMATCHED_RATE = 0.1
+# The windows before and after count as the same moment: answers of one moment fall in both.
+NEARBY_WINDOWS = 1
+MIN_NEARBY_ANSWERS = 5
+# Faults come in bursts, so counts vary more than independent requests would.
+OVERDISPERSION = 2.0
+
+
+@attrs.frozen(kw_only=True)
+class Baseline:
+    """Counts of the other versions on one route, by window.
+
+    :param windows: the counts.
+    """
+
+    windows: dict[int, BadCount]
+
+    def compare(self, key: EvidenceKey, count: BadCount) -> BadAnswers:
+        """Compare a count of the version with the others at the same moment.
+
+        :param key: what the count is about.
+        :param count: the count.
+        """
+        near = range(key.window - NEARBY_WINDOWS, key.window + NEARBY_WINDOWS + 1)
+        others = sum_bad(self.windows[window] for window in near if window in self.windows)
+        floor = 0.0
+        if others.answers < MIN_NEARBY_ANSWERS:
+            others = sum_bad(self.windows.values())
+            floor = UNMATCHED_RATE
+        # The added answer keeps one failure of few answers from being taken for the rate.
+        rate = max(floor, (others.bad + 0.5) / (others.answers + 1.0))
+        rate = min(rate, 1.0)
+        weight = 1.0 + count.answers / (others.answers + 1.0)
+        variance = OVERDISPERSION * count.answers * rate * (1.0 - rate) * weight
+        return BadAnswers(
+            answers=count.answers, bad=count.bad, expected=count.answers * rate, variance=variance
+        )
--- a/packages/core/gypsumpost_core/rollouts/evidence_sum.py
+++ b/packages/core/gypsumpost_core/rollouts/evidence_sum.py
@@ -29,6 +29,14 @@
                 total = total.add(row.count)
         return total
 
-    def list_routes(self) -> list[str]:
-        """Return the routes with evidence in alphabetical order."""
-        return sorted({row.key.route for row in self.rows})
+    def sum_routes(self, matches: Callable[[EvidenceKey], bool]) -> dict[str, VersionCount]:
+        """Return the sum of the rows that match by route.
+
+        :param matches: true for a key to be counted.
+        """
+        totals: dict[str, VersionCount] = {}
+        for row in self.rows:
+            if matches(row.key):
+                total = totals.get(row.key.route, VersionCount())
+                totals[row.key.route] = total.add(row.count)
+        return totals
--- a/packages/core/gypsumpost_core/rollouts/version_count.py
+++ b/packages/core/gypsumpost_core/rollouts/version_count.py
@@ -15,6 +15,7 @@
     :param shared: failures of requests that failed at another version, too.
     :param timed: answers whose time could be compared.
     :param slow: timed answers that took several times as long as is usual at the other versions.
+    :param elapsed_ms: sum of the times to the begin of the served answers, in milliseconds.
     """
 
     arrivals: int = 0
@@ -23,6 +24,7 @@
     shared: int = 0
     timed: int = 0
     slow: int = 0
+    elapsed_ms: int = 0
 
     def add(self, other: "VersionCount") -> "VersionCount":
         """Return the sum with a count of other requests.
@@ -30,7 +32,13 @@
         :param other: count from another source.
         """
         return VersionCount(
-            **{name: getattr(self, name) + getattr(other, name) for name in COUNT_NAMES}
+            arrivals=self.arrivals + other.arrivals,
+            answers=self.answers + other.answers,
+            failures=self.failures + other.failures,
+            shared=self.shared + other.shared,
+            timed=self.timed + other.timed,
+            slow=self.slow + other.slow,
+            elapsed_ms=self.elapsed_ms + other.elapsed_ms,
         )
 
     def merge(self, other: "VersionCount") -> "VersionCount":
@@ -39,8 +47,11 @@
         :param other: earlier or later count of the same requests.
         """
         return VersionCount(
-            **{name: max(getattr(self, name), getattr(other, name)) for name in COUNT_NAMES}
+            arrivals=max(self.arrivals, other.arrivals),
+            answers=max(self.answers, other.answers),
+            failures=max(self.failures, other.failures),
+            shared=max(self.shared, other.shared),
+            timed=max(self.timed, other.timed),
+            slow=max(self.slow, other.slow),
+            elapsed_ms=max(self.elapsed_ms, other.elapsed_ms),
         )
-
-
-COUNT_NAMES = tuple(field.name for field in attrs.fields(VersionCount))
--- a/packages/core/gypsumpost_core/rollouts/version_evidence.py
+++ b/packages/core/gypsumpost_core/rollouts/version_evidence.py
@@ -1,8 +1,5 @@
 """Evidence about versions: counts of this host and of its peers."""
 
-import statistics
-from collections import deque
-
 import attrs
 import xxhash
 
@@ -25,7 +22,6 @@
 SLOW_FACTOR = 3.0
 SLOW_FLOOR_MS = 50.0
 REFERENCE_ANSWERS = 5
-REFERENCE_SAMPLES = 64
 
 Source = tuple[str, int]
 Counts = dict[EvidenceKey, VersionCount]
@@ -49,7 +45,7 @@
     epoch: int
     _targets: dict[str, str] = attrs.field(factory=dict, init=False)
     _sent: set[SentRequest] = attrs.field(factory=set, init=False)
-    _times: dict[tuple[str, str], deque[float]] = attrs.field(factory=dict, init=False)
+    _slow_bounds: dict[tuple[str, str], float] = attrs.field(factory=dict, init=False)
     _sources: dict[Source, Counts] = attrs.field(factory=dict, init=False)
     _domains: set[str] = attrs.field(factory=set, init=False)
     _closed: Counts = attrs.field(factory=dict, init=False)
@@ -72,7 +68,9 @@
         """
         self._targets.pop(service, None)
         self._sent = {sent for sent in self._sent if sent.service != service}
-        self._times = {key: times for key, times in self._times.items() if key[0] != service}
+        self._slow_bounds = {
+            key: bound for key, bound in self._slow_bounds.items() if key[0] != service
+        }
         for counts in [self._closed, *self._sources.values()]:
             for key in [key for key in counts if key.service == service]:
                 del counts[key]
@@ -185,7 +183,7 @@
                 counts[row.key] = row.count.merge(counts.get(row.key, VersionCount()))
 
     def sum_counts(self, service: str, now_ms: int) -> EvidenceSum:
-        """Return the sum over all known hosts.
+        """Return the sum over all known hosts, and update the time from which answers are slow.
 
         :param service: name of the service.
         :param now_ms: Unix time in milliseconds.
@@ -196,7 +194,9 @@
         for counts in [self._closed, *self._sources.values()]:
             add_counts(total, {key: counts[key] for key in counts if key.service == service})
         rows = tuple(EvidenceRow(key=key, count=count) for key, count in total.items())
-        return EvidenceSum(rows=rows)
+        evidence = EvidenceSum(rows=rows)
+        self._update_slow_bounds(service, evidence)
+        return evidence
 
     def _count(self, sent: SentRequest, count: VersionCount, now_ms: int) -> None:
         key = EvidenceKey(
@@ -210,16 +210,12 @@
         counts[key] = counts.get(key, VersionCount()).add(count)
 
     def _count_time(self, sent: SentRequest, now_ms: int) -> None:
-        elapsed = float(now_ms - sent.sent_at_ms)
-        bound = self._get_slow_bound(sent)
-        if sent.version != self._targets[sent.service]:
-            times = self._times.setdefault(
-                (sent.service, sent.route), deque(maxlen=REFERENCE_SAMPLES)
-            )
-            times.append(elapsed)
+        elapsed_ms = now_ms - sent.sent_at_ms
+        self._count(sent, VersionCount(elapsed_ms=elapsed_ms), now_ms)
+        bound = self._slow_bounds.get((sent.service, sent.route))
         if bound is None or sent.slow:
             return
-        if elapsed > bound:
+        if elapsed_ms > bound:
             self._count_slow(sent, now_ms)
         else:
             self._count(sent, VersionCount(timed=1), now_ms)
@@ -232,21 +228,29 @@
     def _count_overdue(self, now_ms: int) -> None:
         # A slow answer is evidence before it arrives: it may take longer than the roll-out.
         for sent in self._sent:
-            bound = self._get_slow_bound(sent)
+            bound = self._slow_bounds.get((sent.service, sent.route))
             if bound is not None and now_ms - sent.sent_at_ms > bound:
                 self._count_slow(sent, now_ms)
 
-    def _get_slow_bound(self, sent: SentRequest) -> float | None:
-        times = self._times.get((sent.service, sent.route), ())
-        if len(times) < REFERENCE_ANSWERS:
-            return None
-        return max(SLOW_FLOOR_MS, SLOW_FACTOR * statistics.median(times))
+    def _update_slow_bounds(self, service: str, evidence: EvidenceSum) -> None:
+        # The bound comes from all hosts: one host alone may see few answers of a route.
+        target = self._targets.get(service)
+        if target is None:
+            return
+        for route, count in evidence.sum_routes(lambda key: key.version != target).items():
+            served = count.answers - count.failures
+            if served >= REFERENCE_ANSWERS:
+                bound = SLOW_FACTOR * count.elapsed_ms / served
+                self._slow_bounds[service, route] = max(SLOW_FLOOR_MS, bound)
 
     def _close_windows(self, now_ms: int) -> None:
         window = now_ms // WINDOW_MS
         for counts in self._sources.values():
             old = [key for key in counts if key.window <= window - OPEN_WINDOWS]
             add_counts(self._closed, {key: counts.pop(key) for key in old})
+            # Windows in the future come from a clock that was set back.
+            for key in [key for key in counts if key.window >= window + OPEN_WINDOWS]:
+                del counts[key]
         for key in [key for key in self._closed if key.window < window - KEPT_WINDOWS]:
             del self._closed[key]
         self._sources = {source: counts for source, counts in self._sources.items() if counts}
