--- a/packages/core/gypsumpost_core/rollouts/fleet_view.py
+++ b/packages/core/gypsumpost_core/rollouts/fleet_view.py
@@ -12,6 +12,7 @@
     :param other_endpoints: endpoints of other versions that are not barred.
     :param other_requests: requests and streams that run on other versions, over all hosts.
     :param missing_hosts: hosts whose reports the decider lacks.
+    :param hosts: hosts of the deployment.
     """
 
     service_known: bool
@@ -19,3 +20,4 @@
     other_endpoints: int
     other_requests: int
     missing_hosts: int
+    hosts: int
--- a/packages/core/gypsumpost_core/rollouts/rollout_decider.py
+++ b/packages/core/gypsumpost_core/rollouts/rollout_decider.py
@@ -16,9 +16,13 @@
 from gypsumpost_core.rollouts.verdict import Verdict
 from gypsumpost_core.rollouts.version_judge import judge_version
 
-# The rest of the bounds covers hosts that round up, retries and requests that are on their way.
+# The rest of the bounds covers late news, restarts and requests that never reach an endpoint.
 USED_SHARE_PART = 0.8
 USED_SLACK_PART = 0.6
+KEPT_SLACK_PART = 0.1
+# Each host rounds its part to whole requests at random, which has a deviation of at most 0.5.
+ROUNDING_DEVIATION = 0.5
+ROUNDING_DEVIATIONS = 4
 FIRST_SHARE_PART = 0.5
 FIRST_SPARE_PART = 0.1
 GROWTH_FACTOR = 2
@@ -56,9 +60,13 @@
     """
     if record is not None and record.fencing_token > fencing_token:
         return wait("another decider has a later lease")
-    if order is not None and (record is None or record.order_revision < order.revision):
+    if order is not None and not order.is_valid:
+        reason = f"order {order.revision} is not valid"
+        if record is None or record.phase is not RolloutPhase.RUNNING:
+            return wait(reason)
+    elif order is not None and (record is None or record.order_revision < order.revision):
         return RolloutStep(
-            record=start_rollout(record, order, fleet, settings, fencing_token, now_ms),
+            record=start_rollout(record, order, fleet, fencing_token, now_ms),
             reason="new order",
         )
     if record is None or record.phase is not RolloutPhase.RUNNING:
@@ -84,7 +92,6 @@
     record: RolloutRecord | None,
     order: RolloutOrder,
     fleet: FleetView,
-    settings: RolloutSettings,
     fencing_token: int,
     now_ms: int,
 ) -> RolloutRecord:
@@ -93,16 +100,12 @@
     :param record: the record of the service's last order.
     :param order: the order.
     :param fleet: what the decider knows of the fleet.
-    :param settings: bounds of roll-outs.
     :param fencing_token: token of the decider's lease.
     :param now_ms: Unix time in milliseconds.
     """
     phase, share, reason = RolloutPhase.RUNNING, 0.0, "new order"
-    if not math.isfinite(order.seconds) or order.seconds <= 0:
-        phase, reason = RolloutPhase.ROLLED_BACK, "the order has no valid duration"
-    elif fleet.target_endpoints and not fleet.other_endpoints:
+    if fleet.target_endpoints and not fleet.other_endpoints:
         phase, share, reason = RolloutPhase.COMPLETED, 1.0, "no other version serves"
-    seconds = order.seconds if phase is not RolloutPhase.ROLLED_BACK else 0.0
     return RolloutRecord(
         service=order.service,
         target_version=order.target_version,
@@ -111,7 +114,7 @@
         share=share,
         started_at_ms=now_ms,
         share_since_ms=now_ms,
-        deadline_ms=now_ms + int(seconds * 1_000),
+        deadline_ms=now_ms + int(order.seconds * 1_000),
         fencing_token=fencing_token,
         reason=reason,
         barred=list_barred(record, order.target_version),
@@ -145,11 +148,14 @@
         return set_share(inputs, 0.0, reason) if record.share > 0 else wait(reason)
     if record.share <= 0:
         # The slack is granted once: a version that comes back after an outage keeps what it had.
-        spare = record.spare or round(FIRST_SPARE_PART * inputs.settings.expose_slack)
+        full_spare = compute_full_spare(inputs.settings, inputs.fleet.hosts)
+        spare = record.spare or min(
+            full_spare, round(FIRST_SPARE_PART * inputs.settings.expose_slack)
+        )
         share = FIRST_SHARE_PART * inputs.settings.expose_share
         return set_share(inputs, share, "first requests", spare)
     if inputs.judgement.verdict is Verdict.DOUBTFUL:
-        return wait(f"doubtful: {inputs.judgement.reason}")
+        return decide_doubtful(inputs)
     if inputs.judgement.verdict is Verdict.GOOD and now_ms >= plan.ramp_at_ms:
         return decide_ramp(inputs)
     return decide_growth(inputs)
@@ -192,7 +198,7 @@
     """
     record, settings = inputs.record, inputs.settings
     full_share = USED_SHARE_PART * settings.expose_share
-    full_spare = round(USED_SLACK_PART * settings.expose_slack)
+    full_spare = compute_full_spare(settings, inputs.fleet.hosts)
     if record.share >= full_share and record.spare >= full_spare:
         return wait("the share is as large as it may be before the verdict")
     if inputs.now_ms - record.share_since_ms < GROWTH_INTERVAL_MS:
@@ -216,8 +222,7 @@
         reason = explain_absence(fleet)
         return roll_back(inputs, reason) if is_final else set_share(inputs, 0.0, reason)
     if inputs.judgement.verdict is Verdict.DOUBTFUL:
-        reason = f"doubtful: {inputs.judgement.reason}"
-        return roll_back(inputs, reason) if is_final else wait(reason)
+        return decide_doubtful(inputs)
     left = f"{fleet.other_requests} requests on old versions, {fleet.missing_hosts} silent hosts"
     is_settled = now_ms - inputs.record.share_since_ms >= DRAIN_SETTLE_MS
     is_drained = is_settled and not fleet.other_requests and not fleet.missing_hosts
@@ -226,6 +231,31 @@
     return finish(inputs, RolloutPhase.COMPLETED, 1.0, f"{inputs.judgement.reason}; {left}")
 
 
+def decide_doubtful(inputs: RolloutInputs) -> RolloutStep:
+    """Decide on evidence that is too weak for a verdict.
+
+    :param inputs: the inputs.
+    """
+    reason = f"doubtful: {inputs.judgement.reason}"
+    open_share = USED_SHARE_PART * inputs.settings.expose_share
+    if inputs.now_ms >= inputs.plan.final_at_ms:
+        return roll_back(inputs, reason)
+    if inputs.record.share > open_share and inputs.now_ms < inputs.plan.last_drain_at_ms:
+        return set_share(inputs, open_share, reason)
+    return wait(reason)
+
+
+def compute_full_spare(settings: RolloutSettings, hosts: int) -> int:
+    """Return the number of spare requests that may be granted to all hosts together.
+
+    :param settings: bounds of roll-outs.
+    :param hosts: hosts of the deployment.
+    """
+    rounding = ROUNDING_DEVIATIONS * ROUNDING_DEVIATION * math.sqrt(hosts)
+    usable = (1.0 - KEPT_SLACK_PART) * settings.expose_slack - rounding
+    return max(0, int(min(USED_SLACK_PART * settings.expose_slack, usable)))
+
+
 def explain_absence(fleet: FleetView) -> str:
     """Return why no request can go to the target version.
 
--- a/packages/core/gypsumpost_core/rollouts/rollout_order.py
+++ b/packages/core/gypsumpost_core/rollouts/rollout_order.py
@@ -1,5 +1,7 @@
 """Order of an operator to move a service to a new version."""
 
+import math
+
 import attrs
 
 
@@ -18,3 +20,8 @@
     target_version: str
     seconds: float
     revision: int
+
+    @property
+    def is_valid(self) -> bool:
+        """True if the order can be carried out; one that cannot changes nothing."""
+        return bool(self.target_version) and math.isfinite(self.seconds) and self.seconds > 0
--- a/packages/core/gypsumpost_core/rollouts/version_evidence.py
+++ b/packages/core/gypsumpost_core/rollouts/version_evidence.py
@@ -16,7 +16,8 @@
 REPORTED_WINDOWS = 4
 # Longer than reports are repeated, so that a window is closed only after its last report.
 OPEN_WINDOWS = 2 * REPORTED_WINDOWS
-KEPT_WINDOWS = 64
+# Covers two minutes of a busy service and hours of an idle one.
+KEPT_ROWS = 1_000
 ENDPOINT_GROUPS = 3
 # Below this factor callers still meet their deadlines, and uneven load can explain it.
 SLOW_FACTOR = 3.0
@@ -251,8 +252,10 @@
             # Windows in the future come from a clock that was set back.
             for key in [key for key in counts if key.window >= window + OPEN_WINDOWS]:
                 del counts[key]
-        for key in [key for key in self._closed if key.window < window - KEPT_WINDOWS]:
-            del self._closed[key]
+        if len(self._closed) > KEPT_ROWS:
+            keys = sorted(self._closed, key=lambda key: key.window)
+            for key in keys[: len(keys) - KEPT_ROWS]:
+                del self._closed[key]
         self._sources = {source: counts for source, counts in self._sources.items() if counts}
 
 
