Read orders of roll-outs and the versions of endpoints

Nothing read op/rollout/, and an endpoint's version was dropped. Orders arrive with the watch of the configuration; one that cannot be read is logged and changes nothing. The bounds of exposure become optional settings.

--- a/packages/core/gypsumpost_core/gateway/endpoint_record.py
+++ b/packages/core/gypsumpost_core/gateway/endpoint_record.py
@@ -14,6 +14,7 @@
     :param slots: maximum number of concurrent requests.
     :param leaving: true if it accepts no new requests.
     :param started_at: Unix milliseconds at which the process started; identifies the process.
+    :param version: version of its software, empty if it names none.
     """
 
     endpoint_id: str
@@ -23,6 +24,7 @@
     slots: int
     leaving: bool
     started_at: int
+    version: str = ""
 
     @property
     def process_key(self) -> str:
--- a/packages/core/gypsumpost_core/settings/setting_parsers.py
+++ b/packages/core/gypsumpost_core/settings/setting_parsers.py
@@ -73,6 +73,14 @@
     return parse
 
 
+def parse_optional(parse: Callable[[str], float]) -> Callable[[str], float | None]:
+    """Return a parser that also accepts the empty string, for no value.
+
+    :param parse: parser of the other values.
+    """
+    return lambda text: parse(text) if text else None
+
+
 def parse_integer(minimum: int, maximum: int) -> Callable[[str], int]:
     """Return a parser of whole numbers within bounds.
 
--- a/packages/daemon/gypsumpost_daemon/gateway/directory.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/directory.py
@@ -47,11 +47,19 @@
         self._lag = VersionLag()
         self._changed = trio.Event()
         self._listeners: list[Callable[[], None]] = []
+        self._item_listeners: list[Callable[[StoredItem], None]] = []
 
     def add_listener(self, listener: Callable[[], None]) -> None:
         """Register a function to call when items have changed; it must not block."""
         self._listeners.append(listener)
 
+    def add_item_listener(self, listener: Callable[[StoredItem], None]) -> None:
+        """Register a function to call with each changed item beside the configuration.
+
+        :param listener: the function; it must not block.
+        """
+        self._item_listeners.append(listener)
+
     @property
     def version(self) -> int:
         """Version of the applied configuration, 0 before the first."""
@@ -204,7 +212,10 @@
         for item in changed:
             if prefix == self._adapter.endpoint_prefix:
                 self._apply_endpoint(item)
-            elif item.key == self._adapter.configuration_key and item.value is not None:
+            elif item.key != self._adapter.configuration_key:
+                for notify in self._item_listeners:
+                    notify(item)
+            elif item.value is not None:
                 self._apply_configuration(item.value, item.revision, source)
         if changed:
             self.notify_change()
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_settings.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_settings.py
@@ -8,6 +8,7 @@
     parse_ips,
     parse_label,
     parse_number,
+    parse_optional,
     parse_optional_address,
 )
 
@@ -113,6 +114,27 @@
         unit="repeats",
         help="Repeated sends allowed in a window besides, all hosts together.",
     )
+    expose_share: float | None = define_setting(
+        default="",
+        parse=parse_optional(parse_number(0, 1)),
+        accepted="a number from 0 to 1, or empty",
+        help="Part of a service's requests that may go to a version without a verdict; empty for "
+        "no roll-outs.",
+    )
+    expose_slack: float = define_setting(
+        default="0",
+        parse=parse_number(0),
+        accepted="a number from 0",
+        unit="requests",
+        help="Requests that may go to a version without a verdict beyond that part.",
+    )
+    rollback_ms: float = define_setting(
+        default="5000",
+        parse=parse_number(1),
+        accepted="a number from 1",
+        unit="milliseconds",
+        help="Time after which a bad version must get no more requests.",
+    )
 
     def find_changes(self, other: "GatewaySettings") -> tuple[str, ...]:
         """Return the names of the settings that differ.
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/rollouts/order_table.py
@@ -0,0 +1,63 @@
+"""Orders of roll-outs that are in force."""
+
+from result import Err
+
+from gypsumpost_core.gateway.stored_item import StoredItem
+from gypsumpost_core.rollouts.rollout_order import RolloutOrder
+from gypsumpost_daemon.gateway.adapter import GatewayAdapter
+from gypsumpost_daemon.telemetry.log import Log
+
+LOG = Log(prefix="rollout")
+
+
+class OrderTable:
+    """Keeps the newest order of each service.
+
+    :param adapter: decodes the orders.
+    """
+
+    def __init__(self, *, adapter: GatewayAdapter) -> None:
+        self._adapter = adapter
+        self._orders: dict[str, RolloutOrder] = {}
+
+    def apply(self, item: StoredItem) -> None:
+        """Apply a changed item; one that is no order, or cannot be read, changes nothing.
+
+        :param item: the item.
+        """
+        prefix = self._adapter.rollout_order_prefix
+        if not item.key.startswith(prefix):
+            return
+        if item.value is None:
+            if self._orders.pop(item.key.removeprefix(prefix), None) is not None:
+                LOG.write("an order was removed", key=item.key, revision=item.revision)
+            return
+        decoded = self._adapter.decode_rollout_order(item)
+        if isinstance(decoded, Err):
+            LOG.write(
+                "ignored an invalid order",
+                key=item.key,
+                revision=item.revision,
+                reason=decoded.err_value,
+            )
+            return
+        order = decoded.ok_value
+        self._orders[order.service] = order
+        LOG.write(
+            "received an order",
+            service=order.service,
+            target=order.target_version,
+            seconds=order.seconds,
+            revision=order.revision,
+        )
+
+    def get(self, service: str) -> RolloutOrder | None:
+        """Return the order of a service, ``None`` if there is none.
+
+        :param service: name of the service.
+        """
+        return self._orders.get(service)
+
+    def list_orders(self) -> list[RolloutOrder]:
+        """Return all orders."""
+        return list(self._orders.values())
