Move services to new versions on order

Orders under op/rollout/ were not served. One host decides under a lease in the store; its records travel in beacons, with the evidence about versions that each host collects from its attempts. Requests draw their versions before endpoints are ranked; streams keep their copies at their own version. Measured: test_rollouts (a good version completes over sockets), test_streams, test_calls, test_codecs, test_copies and the core gateway tests pass.

--- a/packages/core/gypsumpost_core/gateway/engine_choice.py
+++ b/packages/core/gypsumpost_core/gateway/engine_choice.py
@@ -40,6 +40,14 @@
 NO_USAGE = EngineUsage()
 
 
+def select_all(states: Sequence[EndpointState], *_: object) -> Sequence[EndpointState]:
+    """Return all engines.
+
+    :param states: the engines.
+    """
+    return states
+
+
 @attrs.frozen(kw_only=True)
 class EngineChoice:
     """Compares engines by expected time to the first event and by free memory.
@@ -50,6 +58,9 @@
     :param failure_domain: failure domain of this host.
     :param now: monotonic time in seconds.
     :param rng: random number generator that spreads streams over engines.
+    :param select: returns the engines to which a request may go, without the excluded ones if
+        others remain.
+    :param select_holders: returns the engines that may hold a copy of a stream of an engine.
     """
 
     fleet: EndpointFleet
@@ -58,6 +69,12 @@
     failure_domain: str
     now: float
     rng: random.Random
+    select: Callable[[Sequence[EndpointState], Collection[str]], Sequence[EndpointState]] = (
+        select_all
+    )
+    select_holders: Callable[[Sequence[EndpointState], EndpointState], Sequence[EndpointState]] = (
+        select_all
+    )
 
     def rank_engines(
         self,
@@ -76,9 +93,8 @@
         :param total_tokens: maximum tokens of the stream, prompt and output together.
         :param tried: ids of engines to exclude.
         """
-        usable = [
-            state for state in self._list_healthy(service) if state.record.endpoint_id not in tried
-        ]
+        healthy = self.select(self._list_healthy(service), tried)
+        usable = [state for state in healthy if state.record.endpoint_id not in tried]
         if not usable:
             return []
 
@@ -118,7 +134,7 @@
         domain = engine.record.failure_domain
         usable = [
             state
-            for state in self._list_healthy(service)
+            for state in self.select_holders(self._list_healthy(service), engine)
             if state.record.failure_domain != domain and state.record.endpoint_id not in tried
         ]
         if not limits.supports_copies or not usable:
--- a/packages/daemon/gypsumpost_daemon/gateway/attempt_failure.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/attempt_failure.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from gypsumpost_core.rollouts.answer_outcome import AnswerOutcome
+
 
 @attrs.frozen(kw_only=True)
 class AttemptFailure:
@@ -10,6 +12,7 @@
     :param reason: a short description.
     :param may_have_run: false only if it is certain that the endpoint has not run the request.
     :param replaced: true if another endpoint answered at the address.
+    :param outcome: what it says about the endpoint's version, ``None`` for nothing.
     :param sent: true if the endpoint may have received any part of the request.
     """
 
@@ -17,3 +20,4 @@
     may_have_run: bool
     sent: bool = True
     replaced: bool = False
+    outcome: AnswerOutcome | None = None
--- a/packages/daemon/gypsumpost_daemon/gateway/beacon.capnp
+++ b/packages/daemon/gypsumpost_daemon/gateway/beacon.capnp
@@ -1,6 +1,7 @@
 @0xd1f3a86c5e9b7247;
 
 using Evidence = import "../crashes/crash_evidence.capnp";
+using RolloutReport = import "../rollouts/rollout.capnp".Report;
 using Limit = import "../limits/limit.capnp".Limit;
 
 # Datagrams between gateways, and requests and replies of STREAM_STATE and DIRECTORY_STATE.
@@ -60,6 +61,7 @@
   survivals @13 :List(Evidence.SurvivalReport);
   leaving @14 :List(EndpointStart);
   limits @15 :List(Limit);
+  rollouts @16 :RolloutReport;
 }
 
 struct Item {
--- a/packages/daemon/gypsumpost_daemon/gateway/beacon.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/beacon.py
@@ -12,6 +12,7 @@
 from gypsumpost_core.gateway.host_report import HostReport
 from gypsumpost_core.gateway.retry_count import RetryCount
 from gypsumpost_core.limits.request_limit import RequestLimit
+from gypsumpost_daemon.rollouts.rollout_report import NO_REPORT, RolloutReport
 
 
 @attrs.frozen(kw_only=True)
@@ -34,6 +35,7 @@
     :param crashes: requests that engines had when they crashed.
     :param survivals: possible causes of crashes with which requests have run.
     :param copies: locations of the copies of the sender's streams.
+    :param rollouts: records of roll-outs and evidence about versions.
     """
 
     host: HostReport
@@ -51,4 +53,5 @@
     crashes: tuple[CrashReport, ...] = ()
     survivals: tuple[SurvivalReport, ...] = ()
     copies: tuple[CopyReport, ...] = ()
+    rollouts: RolloutReport = NO_REPORT
     rates: Mapping[str, int] = attrs.field(factory=dict)
--- a/packages/daemon/gypsumpost_daemon/gateway/beacon_codec.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/beacon_codec.py
@@ -21,6 +21,7 @@
 from gypsumpost_daemon.gateway.beacon import Beacon
 from gypsumpost_daemon.gateway.peer_schema import SCHEMA
 from gypsumpost_daemon.limits.limit_codec import decode_limits, encode_limits
+from gypsumpost_daemon.rollouts.report_codec import decode_report, encode_report
 
 USAGE_NUMBERS = struct.Struct("<4I")
 MAX_NUMBER = 0xFFFFFFFF
@@ -72,6 +73,7 @@
             }
             for copy in beacon.copies
         ],
+        rollouts=encode_report(beacon.rollouts),
     ).to_bytes_packed()
     return packed
 
@@ -118,6 +120,7 @@
                     )
                     for copy in message.copies
                 ),
+                rollouts=decode_report(message.rollouts),
             )
         )
     except (capnp.KjException, ValueError, UnicodeDecodeError) as error:
--- a/packages/daemon/gypsumpost_daemon/gateway/beacon_state.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/beacon_state.py
@@ -18,6 +18,8 @@
 from gypsumpost_daemon.gateway.endpoint_notices import EndpointNotices
 from gypsumpost_daemon.gateway.endpoint_reports import EndpointReports
 from gypsumpost_daemon.gateway.store_follower import StoreFollower
+from gypsumpost_daemon.rollouts.rollout_report import NO_REPORT, RolloutReport
+from gypsumpost_daemon.rollouts.rollout_state import RolloutState
 
 
 @attrs.define(kw_only=True)
@@ -36,6 +38,7 @@
     :param crash_guard: detects requests that crash endpoints.
     :param copies: locations of the copies of streams.
     :param retry_budget: the retry budget.
+    :param rollouts: what this host knows of roll-outs, ``None`` if the deployment has none.
     """
 
     own: Host
@@ -50,6 +53,7 @@
     crash_guard: CrashGuard
     copies: CopyDirectory
     retry_budget: RetryBudget
+    rollouts: RolloutState | None = None
     # Starts at the clock, so that a restarted host continues with higher numbers.
     _sequence: itertools.count = attrs.field(
         factory=lambda: itertools.count(int(time.time() * 1000)), init=False
@@ -82,6 +86,7 @@
             crashes=self.crash_guard.list_reports(now),
             survivals=self.crash_guard.list_survivals(now),
             copies=self.copies.list_own(),
+            rollouts=self._report_rollouts(now, of_domain=False),
         )
 
     def create_domain_beacon(self, now: float) -> Beacon:
@@ -96,6 +101,7 @@
             rates=self.rates.list_domain(now),
             retries=self.retry_budget.sum_domain(now),
             copies=(),
+            rollouts=self._report_rollouts(now, of_domain=True),
         )
 
     def apply(self, beacon: Beacon, now: float) -> bool:
@@ -125,6 +131,13 @@
             self.crash_guard.add_report(crash, now)
         for survival in beacon.survivals:
             self.crash_guard.add_survival(survival, now)
+        if self.rollouts is not None:
+            self.rollouts.apply_report(beacon.rollouts, report, now, of_domain=beacon.covers_domain)
         if self.roles.is_store_lost(now):
             self.follower.record_peers_outage()
         return changed
+
+    def _report_rollouts(self, now: float, *, of_domain: bool) -> RolloutReport:
+        if self.rollouts is None:
+            return NO_REPORT
+        return self.rollouts.create_report(now, of_domain=of_domain)
--- a/packages/daemon/gypsumpost_daemon/gateway/call_endpoints.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/call_endpoints.py
@@ -36,8 +36,9 @@
         wait_deadline = trio.current_time() + ENDPOINT_WAIT_FRACTION * call.route.objective
         while True:
             now = trio.current_time()
+            call.versions.draw()
             ranked = rank_endpoints(
-                fleet.list_open(call.service, now),
+                call.versions.select(fleet.list_open(call.service, now), tried),
                 failure_domain=self._context.settings.failure_domain,
                 tried=tried,
             )
--- a/packages/daemon/gypsumpost_daemon/gateway/call_forwarder.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/call_forwarder.py
@@ -8,6 +8,7 @@
 from gypsumpost_core.gateway.endpoint_state import EndpointState
 from gypsumpost_core.gateway.no_endpoint import NoEndpoint
 from gypsumpost_core.gateway.request_kind import RequestKind
+from gypsumpost_core.rollouts.answer_outcome import AnswerOutcome
 from gypsumpost_core.run_state import RunState
 from gypsumpost_daemon.engines.h11_engine_connection import connect
 from gypsumpost_daemon.gateway.answer_check import check_answer
@@ -154,13 +155,17 @@
         started_at = trio.current_time()
         state.pending += 1
         failed = True
+        version_outcome: AnswerOutcome | None = None
+        call.versions.record_sent(state.record)
         try:
             outcome = await self._exchange(call, state, attempt_deadline)
+            version_outcome = find_version_outcome(outcome)
             failed = isinstance(outcome, Err) or outcome.ok_value.status >= SERVER_ERROR_STATUS
             self._context.metrics.count_attempt(call.service, describe_outcome(outcome))
             return outcome
         finally:
             state.pending -= 1
+            call.versions.record_outcome(version_outcome)
             state.observe_answer(trio.current_time() - started_at, failed)
 
     async def _exchange(
@@ -210,7 +215,11 @@
             return Err(AttemptFailure(reason=str(error), may_have_run=True))
         finally:
             connection.close()
-        return Err(AttemptFailure(reason="no answer in time", may_have_run=True))
+        return Err(
+            AttemptFailure(
+                reason="no answer in time", may_have_run=True, outcome=AnswerOutcome.TIMED_OUT
+            )
+        )
 
     def _suspect(
         self, call: CallerCall, record: EndpointRecord, reason: str, sent_at: float
@@ -247,3 +256,16 @@
     if isinstance(outcome, Ok):
         return "answered"
     return "lost" if outcome.err_value.may_have_run else "not-run"
+
+
+def find_version_outcome(
+    outcome: Result[EndpointAnswer, AttemptFailure],
+) -> AnswerOutcome | None:
+    """Return what an attempt says about the version of the endpoint, ``None`` for nothing.
+
+    :param outcome: the result of the attempt.
+    """
+    if isinstance(outcome, Err):
+        return outcome.err_value.outcome
+    failed = outcome.ok_value.status >= SERVER_ERROR_STATUS
+    return AnswerOutcome.FAILED if failed else AnswerOutcome.SERVED
--- a/packages/daemon/gypsumpost_daemon/gateway/caller_call.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/caller_call.py
@@ -8,6 +8,7 @@
 from gypsumpost_core.gateway.route import Route
 from gypsumpost_daemon.gateway.forwarded_request import Headers
 from gypsumpost_daemon.gateway.run_evidence import RunEvidence
+from gypsumpost_daemon.rollouts.request_versions import ALL_VERSIONS, RequestVersions
 
 
 @attrs.frozen(kw_only=True)
@@ -30,6 +31,7 @@
     :param output_tokens: maximum number of output tokens.
     :param shared_parts: digests of the parts of the prompt that other requests may share.
     :param last_event_id: id of the last event that the caller has received, empty for none.
+    :param versions: the versions of endpoints that it may go to.
     :param run: what is known about whether it has run.
     """
 
@@ -49,6 +51,7 @@
     output_tokens: int = 0
     shared_parts: tuple[bytes, ...] = ()
     last_event_id: bytes = b""
+    versions: RequestVersions = attrs.field(default=ALL_VERSIONS, eq=False, repr=False)
     run: RunEvidence = attrs.field(factory=RunEvidence, eq=False)
 
     @cached_property
--- a/packages/daemon/gypsumpost_daemon/gateway/copy_renewal.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/copy_renewal.py
@@ -68,7 +68,7 @@
     async def _renew(self, copy: CopySource) -> None:
         target = copy.holder
         if self._schedule.is_holder_lost(copy):
-            chosen = self._context.create_choice().choose_copy_holder(
+            chosen = self._context.create_choice(self._call).choose_copy_holder(
                 self._call.service,
                 self._limits,
                 engine=self._state,
--- a/packages/daemon/gypsumpost_daemon/gateway/event_relay.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/event_relay.py
@@ -6,6 +6,7 @@
 
 from gypsumpost_core.crashes.run_progress import SURVIVAL_SECONDS
 from gypsumpost_core.gateway.endpoint_state import EndpointState
+from gypsumpost_core.rollouts.answer_outcome import AnswerOutcome
 from gypsumpost_daemon.engines.answer_memory import AnswerShare
 from gypsumpost_daemon.engines.h11_engine_connection import H11EngineConnection
 from gypsumpost_daemon.gateway.attempt_failure import AttemptFailure
@@ -116,6 +117,7 @@
                 self._record.endpoint_id, self._prefill_tokens, seconds, now
             )
             self._progress.usage.prefilling = False
+            self._call.versions.record_outcome(AnswerOutcome.SERVED)
             self._context.usage.notify_listeners()
         else:
             self._state.observe_gap(now - self._watch.last_event_at)
--- a/packages/daemon/gypsumpost_daemon/gateway/forward_context.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/forward_context.py
@@ -28,6 +28,8 @@
 from gypsumpost_daemon.gateway.gateway_metrics import GatewayMetrics
 from gypsumpost_daemon.gateway.gateway_settings import GatewaySettings
 from gypsumpost_daemon.gateway.header_names import HeaderNames
+from gypsumpost_daemon.rollouts.request_versions import RequestVersions
+from gypsumpost_daemon.rollouts.rollout_state import RolloutState
 
 BUDGET_FRACTION = 0.8
 """Fraction of the deployment's retry budget that hosts use, as their windows are not aligned."""
@@ -73,6 +75,7 @@
     :param metrics: counters and histograms.
     :param answer_memory: memory of the unfinished answers of endpoints.
     :param count_hosts: returns the number of hosts that share budgets.
+    :param rollouts: what this host knows of roll-outs, ``None`` if the deployment has none.
     :param rng: random number generator that spreads streams over engines.
     """
 
@@ -91,6 +94,7 @@
     retry_budget: RetryBudget
     metrics: GatewayMetrics
     count_hosts: Callable[[], int]
+    rollouts: RolloutState | None = None
     answer_memory: AnswerMemory = attrs.field(factory=AnswerMemory)
     rng: random.Random = attrs.field(factory=random.Random)
 
@@ -167,8 +171,24 @@
             opens_at = self.directory.fleet.find_opening(service, now)
         return usual if opens_at is None else max(usual, opens_at - now)
 
-    def create_choice(self) -> EngineChoice:
-        """Return the choice between the engines as this host knows them now."""
+    def create_versions(self, service: str, route: str) -> RequestVersions:
+        """Return the choice of versions for a request.
+
+        :param service: name of its service.
+        :param route: name of its route.
+        """
+        return RequestVersions(
+            state=self.rollouts,
+            fleet=self.directory.fleet,
+            service=service,
+            route=route,
+        )
+
+    def create_choice(self, call: CallerCall) -> EngineChoice:
+        """Return the choice between the engines as this host knows them now.
+
+        :param call: the request.
+        """
         now = trio.current_time()
         return EngineChoice(
             fleet=self.directory.fleet,
@@ -177,6 +197,8 @@
             failure_domain=self.settings.failure_domain,
             now=now,
             rng=self.rng,
+            select=call.versions.select,
+            select_holders=call.versions.select_holders,
         )
 
     def create_request(
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_application.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_application.py
@@ -234,6 +234,7 @@
             output_tokens=counts[1],
             shared_parts=read_shared_parts(find_header(headers, names.prompt_parts) or b""),
             last_event_id=find_header(headers, names.last_event_id) or b"",
+            versions=self._context.create_versions(service, route.name),
         )
 
     def _find_max_tokens(self, service: str) -> int:
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
@@ -47,6 +47,7 @@
 from gypsumpost_daemon.peers.gossip import Gossip
 from gypsumpost_daemon.peers.host_directory import HostDirectory
 from gypsumpost_daemon.peers.peer_network import PeerNetwork
+from gypsumpost_daemon.rollouts.rollout_components import create_rollouts
 from gypsumpost_daemon.telemetry.log import Log
 from gypsumpost_daemon.telemetry.metrics import Metrics
 
@@ -86,8 +87,9 @@
         )
         self._hosts = HostDirectory(own=own)
         self.roles = HostRoles(own=own, link_mbps=max(1, round(settings.link_mbps)))
+        store = adapter.create_store(settings)
         self._follower = StoreFollower(
-            store=adapter.create_store(settings),
+            store=store,
             directory=self.directory,
             roles=self.roles,
         )
@@ -126,6 +128,17 @@
             settings=MembershipSettings(tick=GOSSIP_TICK_SECONDS),
         )
         self.usage = UsageTable()
+        self.rollouts = create_rollouts(
+            own=own,
+            settings=settings,
+            adapter=adapter,
+            store=store,
+            directory=self.directory,
+            usage=self.usage,
+            list_domains=self._list_domains,
+            is_watching=lambda: self._follower.watching,
+        )
+        rollout_state = self.rollouts.state if self.rollouts else None
         rates = PrefillRates()
         crash_guard = CrashGuard(
             fleet=self.directory.fleet,
@@ -153,6 +166,7 @@
                 crash_guard=crash_guard,
                 copies=self.copies,
                 retry_budget=retry_budget,
+                rollouts=rollout_state,
             ),
             exchange=DirectoryExchange(
                 own_domain=settings.failure_domain,
@@ -179,6 +193,7 @@
             retry_budget=retry_budget,
             metrics=gateway_metrics,
             count_hosts=self._count_hosts,
+            rollouts=rollout_state,
         )
         self.application = GatewayApplication(context=self.context)
         self._limits = HttpLimits(max_body=CallerLimits().max_body)
@@ -202,6 +217,8 @@
             nursery.start_soon(self.directory.run)
             nursery.start_soon(self._follower.run)
             nursery.start_soon(self._permit_client.run)
+            if self.rollouts is not None:
+                nursery.start_soon(self.rollouts.run)
             await nursery.start(self.monitor.run)
             nursery.start_soon(self._update_limits)
             ready = ReadyApplication(is_ready=self._is_ready)
@@ -247,6 +264,10 @@
         """
         return self.directory.store_lost and self.directory.has_lost_service()
 
+    def _list_domains(self) -> dict[str, str]:
+        """Return the failure domain of each live host by its id."""
+        return {host.host_id: host.failure_domain for host in self._hosts.list_live()}
+
     def _count_hosts(self) -> int:
         return len(self._hosts.list_live())
 
--- a/packages/daemon/gypsumpost_daemon/gateway/peer_exchange.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/peer_exchange.py
@@ -94,6 +94,8 @@
         state.crash_guard.add_listener(self._handle_loss)
         state.crash_guard.add_forward_listener(self._handle_forwarded_evidence)
         state.directory.add_listener(self.schedule_beacons)
+        if state.rollouts is not None:
+            state.rollouts.add_listener(self._handle_loss)
 
     def set_seeds(self, seed_ips: Collection[str]) -> None:
         """Replace the seed hosts.
--- a/packages/daemon/gypsumpost_daemon/gateway/stream_attempt.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/stream_attempt.py
@@ -9,6 +9,7 @@
 from gypsumpost_core.gateway.copy_source import CopySource
 from gypsumpost_core.gateway.endpoint_record import EndpointRecord
 from gypsumpost_core.gateway.endpoint_state import EndpointState
+from gypsumpost_core.rollouts.answer_outcome import AnswerOutcome
 from gypsumpost_daemon.engines.h11_engine_connection import H11EngineConnection, connect
 from gypsumpost_daemon.gateway.answer_check import check_answer
 from gypsumpost_daemon.gateway.attempt_failure import AttemptFailure
@@ -27,6 +28,7 @@
 """Several round trips; then another engine is tried, which is safe since nothing was sent."""
 
 LOWEST_PRIORITY = 9
+SERVER_ERROR_STATUS = 500
 
 LOG = Log(prefix="stream")
 
@@ -240,7 +242,14 @@
                 self._context.monitor.mark_replaced(self._record)
             return Err(failure)
         if head.status_code != SUCCESS:
-            return Err(AttemptFailure(reason=f"status {head.status_code}", may_have_run=True))
+            failed = head.status_code >= SERVER_ERROR_STATUS
+            return Err(
+                AttemptFailure(
+                    reason=f"status {head.status_code}",
+                    may_have_run=True,
+                    outcome=AnswerOutcome.FAILED if failed else None,
+                )
+            )
         if self._exchange.started and find_content_type(headers) != self._progress.content_type:
             return Err(AttemptFailure(reason="an answer of another kind", may_have_run=True))
         return Ok(head)
--- a/packages/daemon/gypsumpost_daemon/gateway/stream_engines.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/stream_engines.py
@@ -66,7 +66,8 @@
             call.received_at + ENGINE_WAIT_FRACTION * call.route.objective,
         )
         while True:
-            ranked = self._context.create_choice().rank_engines(
+            call.versions.draw()
+            ranked = self._context.create_choice(call).rank_engines(
                 call.service,
                 limits,
                 prompt_tokens=call.prompt_tokens,
--- a/packages/daemon/gypsumpost_daemon/gateway/stream_forwarder.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/stream_forwarder.py
@@ -10,6 +10,7 @@
 from gypsumpost_core.gateway.no_endpoint import NoEndpoint
 from gypsumpost_core.gateway.request_kind import RequestKind
 from gypsumpost_core.gateway.stream_usage import StreamUsage
+from gypsumpost_core.rollouts.answer_outcome import AnswerOutcome
 from gypsumpost_core.run_state import RunState
 from gypsumpost_daemon.gateway.attempt_failure import AttemptFailure
 from gypsumpost_daemon.gateway.caller_call import CallerCall
@@ -67,6 +68,7 @@
                     self._log_end(call, progress)
                     return
         finally:
+            call.versions.record_outcome(None)
             self._context.usage.drop(progress.usage)
             self._context.copies.drop(call.request_id)
         if trio.current_time() >= call.deadline:
@@ -83,7 +85,7 @@
             stop_reason = await self._find_stop_reason(call, progress)
             if stop_reason:
                 return NoEndpoint(reason=stop_reason)
-            copy = progress.copy
+            copy = call.versions.choose_copy(progress.copy)
             state = await self._engines.acquire_copy_holder(copy)
             if state is None:
                 copy = None
@@ -98,12 +100,15 @@
             if self._context.crash_guard.find_cause(call) is not None:
                 return NoEndpoint(reason="endpoints crash on it")
             events = progress.events
+            call.versions.record_sent(state.record)
             outcome = await self._run_attempt(call, exchange, progress, state, copy, tried)
             if isinstance(outcome, Ok):
                 call.run.end_send(may_have_run=True)
                 state.observe_outcome(failed=False)
+                call.versions.record_outcome(AnswerOutcome.SERVED)
                 return None
             failure = outcome.err_value
+            call.versions.record_outcome(failure.outcome)
             self._record_failure(call, progress, state, failure, copy is not None)
             if not state.lost and (failure.may_have_run or copy is None):
                 tried.add(state.record.endpoint_id)
@@ -220,7 +225,7 @@
     ) -> Result[None, AttemptFailure]:
         limits = self._find_limits(call)
         self._context.usage.drop(progress.usage)
-        choice = self._context.create_choice()
+        choice = self._context.create_choice(call)
         target = renewal = None
         if limits is not None:
             target = choice.choose_copy_holder(
--- a/packages/daemon/gypsumpost_daemon/rollouts/order_table.py
+++ b/packages/daemon/gypsumpost_daemon/rollouts/order_table.py
@@ -20,18 +20,20 @@
         self._adapter = adapter
         self._orders: dict[str, RolloutOrder] = {}
 
-    def apply(self, item: StoredItem) -> None:
-        """Apply a changed item; one that is no order, or cannot be read, changes nothing.
+    def apply(self, item: StoredItem) -> RolloutOrder | None:
+        """Apply a changed item and return the new order in it, if there is one.
+
+        An item that is no order, or cannot be read, changes nothing.
 
         :param item: the item.
         """
         prefix = self._adapter.rollout_order_prefix
         if not item.key.startswith(prefix):
-            return
+            return None
         if item.value is None:
             if self._orders.pop(item.key.removeprefix(prefix), None) is not None:
                 LOG.write("an order was removed", key=item.key, revision=item.revision)
-            return
+            return None
         decoded = self._adapter.decode_rollout_order(item)
         if isinstance(decoded, Err):
             LOG.write(
@@ -40,7 +42,7 @@
                 revision=item.revision,
                 reason=decoded.err_value,
             )
-            return
+            return None
         order = decoded.ok_value
         self._orders[order.service] = order
         LOG.write(
@@ -50,6 +52,7 @@
             seconds=order.seconds,
             revision=order.revision,
         )
+        return order
 
     def get(self, service: str) -> RolloutOrder | None:
         """Return the order of a service, ``None`` if there is none.
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/rollouts/rollout_state.py
@@ -0,0 +1,234 @@
+"""What this host knows of roll-outs, and what it tells its peers."""
+
+import math
+import random
+import time
+from collections.abc import Callable, Mapping
+
+import trio
+
+from gypsumpost_core.gateway.host_report import HostReport
+from gypsumpost_core.gateway.stored_item import StoredItem
+from gypsumpost_core.host import Host
+from gypsumpost_core.rollouts.evidence_report import EvidenceReport
+from gypsumpost_core.rollouts.rollout_order import RolloutOrder
+from gypsumpost_core.rollouts.rollout_phase import RolloutPhase
+from gypsumpost_core.rollouts.rollout_record import RolloutRecord
+from gypsumpost_core.rollouts.rollout_settings import RolloutSettings
+from gypsumpost_core.rollouts.verdict import Verdict
+from gypsumpost_core.rollouts.version_choice import VersionChoice
+from gypsumpost_core.rollouts.version_evidence import VersionEvidence
+from gypsumpost_core.rollouts.version_judge import judge_version
+from gypsumpost_daemon.rollouts.order_table import OrderTable
+from gypsumpost_daemon.rollouts.rollout_report import NEVER_MS, NO_REPORT, RolloutReport
+from gypsumpost_daemon.telemetry.log import Log
+
+MILLISECONDS = 1000
+REPORT_SECONDS = 2.5
+"""More than the longest time between the reports of an idle host, relays included."""
+
+UPDATE_SECONDS = 1.0
+
+LOG = Log(prefix="rollout")
+
+
+class RolloutState:
+    """Orders, records and evidence of this host.
+
+    :param own: this host.
+    :param settings: bounds of roll-outs.
+    :param orders: the orders in force.
+    :param count_hosts: returns the number of hosts of the deployment.
+    """
+
+    def __init__(
+        self,
+        *,
+        own: Host,
+        settings: RolloutSettings,
+        orders: OrderTable,
+        count_hosts: Callable[[], int],
+    ) -> None:
+        self._own = own
+        self.settings = settings
+        self.orders = orders
+        self._count_hosts = count_hosts
+        self.choice = VersionChoice(settings=settings, rng=random.Random())
+        # The clock, so that a restarted host has a higher epoch.
+        self.evidence = VersionEvidence(
+            host_id=own.host_id, failure_domain=own.failure_domain, epoch=read_unix_ms()
+        )
+        self.records: dict[str, RolloutRecord] = {}
+        self.confirmed_at = -math.inf
+        self._heard: dict[str, float] = {}
+        self._changed = trio.Event()
+        self._listeners: list[Callable[[], None]] = []
+
+    def add_listener(self, listener: Callable[[], None]) -> None:
+        """Register a function to call when a record has changed; it must not block."""
+        self._listeners.append(listener)
+
+    def apply_item(self, item: StoredItem) -> None:
+        """Apply a changed item of the store that may be an order.
+
+        :param item: the item.
+        """
+        order = self.orders.apply(item)
+        if order is not None:
+            self.choice.put_order(order)
+        self._notify_change()
+
+    async def wait_open(self) -> None:
+        """Wait until there is a roll-out that has not ended."""
+        while not self.list_open():
+            await self._changed.wait()
+
+    def _notify_change(self) -> None:
+        self._changed.set()
+        self._changed = trio.Event()
+
+    def is_open(self, order: RolloutOrder) -> bool:
+        """Return true if the roll-out of an order has not ended, as far as this host knows.
+
+        :param order: the order.
+        """
+        record = self.records.get(order.service)
+        if record is None or record.order_revision < order.revision:
+            return True
+        return record.phase is RolloutPhase.RUNNING
+
+    def list_open(self) -> list[str]:
+        """Return the services whose roll-out has not ended, also if its order was removed."""
+        services = {order.service for order in self.orders.list_orders() if self.is_open(order)}
+        services |= {
+            record.service
+            for record in self.records.values()
+            if record.phase is RolloutPhase.RUNNING
+        }
+        return sorted(services)
+
+    def is_involved(self, service: str) -> bool:
+        """Return true if a service has an order or a record.
+
+        :param service: name of the service.
+        """
+        return service in self.records or self.orders.get(service) is not None
+
+    def put_record(self, record: RolloutRecord, now: float, source: str) -> None:
+        """Apply a record that was read, written or received.
+
+        :param record: the record.
+        :param now: monotonic time in seconds.
+        :param source: where it comes from, for the log.
+        """
+        self.choice.put_hosts(self._count_hosts())
+        self.choice.put_record(record, now)
+        newest = self.choice.get_record(record.service)
+        if newest is None or newest == self.records.get(record.service):
+            return
+        self.records[record.service] = newest
+        if newest.phase is RolloutPhase.RUNNING:
+            self.evidence.start(newest.service, newest.target_version)
+        else:
+            self.evidence.stop(newest.service)
+        LOG.write(
+            "the roll-out has changed",
+            service=newest.service,
+            target=newest.target_version,
+            phase=newest.phase.value,
+            share=newest.share,
+            spare=newest.spare,
+            reason=newest.reason,
+            age_seconds=round((read_unix_ms() - newest.share_since_ms) / MILLISECONDS, 3),
+            source=source,
+        )
+        self._notify_change()
+        for listener in self._listeners:
+            listener()
+
+    def confirm(self, now: float) -> None:
+        """Record that the decider held its lease, so that the records are those of the store.
+
+        :param now: monotonic time in seconds.
+        """
+        self.confirmed_at = max(self.confirmed_at, now)
+        self.choice.confirm(now)
+
+    def count_silent(self, domains: Mapping[str, str], now: float) -> int:
+        """Return how many hosts have not reported lately.
+
+        :param domains: failure domain of each live host by its id.
+        :param now: monotonic time in seconds.
+        """
+        sources = [
+            host_id if domain == self._own.failure_domain else domain
+            for host_id, domain in domains.items()
+            if host_id != self._own.host_id
+        ]
+        return sum(now - self._heard.get(source, -math.inf) > REPORT_SECONDS for source in sources)
+
+    def update(self) -> None:
+        """Stop the use of versions against which the evidence speaks."""
+        now_ms = read_unix_ms()
+        for record in self.records.values():
+            if record.phase is RolloutPhase.RUNNING:
+                evidence = self.evidence.sum_counts(record.service, now_ms)
+                verdict = judge_version(evidence, record.target_version).verdict
+                self.choice.put_brake(record.service, verdict is Verdict.BAD)
+
+    async def run(self) -> None:
+        """Weigh the evidence of running roll-outs until cancelled."""
+        while True:
+            await self.wait_open()
+            await trio.sleep(UPDATE_SECONDS)
+            self.update()
+
+    def create_report(self, now: float, *, of_domain: bool) -> RolloutReport:
+        """Return what this host tells its peers.
+
+        :param now: monotonic time in seconds.
+        :param of_domain: true for the evidence of all hosts of the domain.
+        """
+        if not self.records:
+            return NO_REPORT
+        age = now - self.confirmed_at
+        now_ms = read_unix_ms()
+        evidence = self.evidence.sum_domain(now_ms) if of_domain else self.evidence.snapshot(now_ms)
+        return RolloutReport(
+            records=tuple(self.records.values()),
+            confirmed_age_ms=round(min(NEVER_MS, age * MILLISECONDS)),
+            epoch=evidence.epoch,
+            evidence=evidence.rows,
+        )
+
+    def apply_report(
+        self, report: RolloutReport, host: HostReport, now: float, *, of_domain: bool
+    ) -> None:
+        """Take in what a peer tells.
+
+        :param report: the report.
+        :param host: the peer.
+        :param now: monotonic time in seconds.
+        :param of_domain: true if the evidence is that of the peer's whole domain.
+        """
+        self._heard[host.failure_domain if of_domain else host.host_id] = now
+        for record in report.records:
+            self.put_record(record, now, host.host_id)
+        if report.confirmed_age_ms < NEVER_MS:
+            self.confirm(now - report.confirmed_age_ms / MILLISECONDS)
+        if not of_domain and host.failure_domain != self._own.failure_domain:
+            return  # Its counts come with those of its domain.
+        self.evidence.merge(
+            EvidenceReport(
+                source=host.failure_domain if of_domain else host.host_id,
+                epoch=report.epoch,
+                rows=report.evidence,
+            ),
+            of_domain=of_domain,
+            now_ms=read_unix_ms(),
+        )
+
+
+def read_unix_ms() -> int:
+    """Return the Unix time in milliseconds."""
+    return int(time.time() * MILLISECONDS)
