--- a/packages/core/gypsumpost_core/rollouts/baseline.py
+++ b/packages/core/gypsumpost_core/rollouts/baseline.py
@@ -8,9 +8,9 @@
 
 # Without answers of other versions nearby, a failure may as well be the fault of something else.
 UNMATCHED_RATE = 0.1
-# The windows before and after count as the same moment: answers of one moment fall in both.
+# With fewer answers in a window the windows around it count, too.
+MIN_ANSWERS = 8
 NEARBY_WINDOWS = 1
-MIN_NEARBY_ANSWERS = 5
 # Faults come in bursts, so counts vary more than independent requests would.
 OVERDISPERSION = 2.0
 
@@ -30,12 +30,12 @@
         :param key: what the count is about.
         :param count: the count.
         """
-        near = range(key.window - NEARBY_WINDOWS, key.window + NEARBY_WINDOWS + 1)
-        others = sum_bad(self.windows[window] for window in near if window in self.windows)
-        floor = 0.0
-        if others.answers < MIN_NEARBY_ANSWERS:
-            others = sum_bad(self.windows.values())
-            floor = UNMATCHED_RATE
+        others, floor = self.windows.get(key.window, BadCount()), 0.0
+        if others.answers < MIN_ANSWERS:
+            near = range(key.window - NEARBY_WINDOWS, key.window + NEARBY_WINDOWS + 1)
+            others = sum_bad(self.windows[window] for window in near if window in self.windows)
+        if others.answers < MIN_ANSWERS:
+            others, floor = sum_bad(self.windows.values()), UNMATCHED_RATE
         # The added answer keeps one failure of few answers from being taken for the rate.
         rate = max(floor, (others.bad + 0.5) / (others.answers + 1.0))
         rate = min(rate, 1.0)
--- a/packages/core/gypsumpost_core/rollouts/version_choice.py
+++ b/packages/core/gypsumpost_core/rollouts/version_choice.py
@@ -175,7 +175,7 @@
     ) -> AllowedVersions:
         target = frozenset({record.target_version})
         share = 0.0 if rollout.braked else record.share * self._compute_confidence(now)
-        if record.share > self.settings.expose_share:
+        if record.share >= 1.0 or record.share > self.settings.expose_share:
             if self.rng.random() < share:
                 return AllowedVersions(preferred=target, fallback=others)
             # With all requests granted the old servers may have stopped without this host's news.
--- a/packages/core/gypsumpost_core/rollouts/version_evidence.py
+++ b/packages/core/gypsumpost_core/rollouts/version_evidence.py
@@ -17,8 +17,8 @@
 # Longer than reports are repeated, so that a window is closed only after its last report.
 OPEN_WINDOWS = 2 * REPORTED_WINDOWS
 # Covers two minutes of a busy service and hours of an idle one.
-KEPT_ROWS = 1_000
-ENDPOINT_GROUPS = 3
+KEPT_ROWS = 1_500
+ENDPOINT_GROUPS = 16
 # Below this factor callers still meet their deadlines, and uneven load can explain it.
 SLOW_FACTOR = 3.0
 SLOW_FLOOR_MS = 50.0
@@ -91,11 +91,12 @@
         """
         if service not in self._targets:
             return None
+        is_target = version == self._targets[service]
         sent = SentRequest(
             service=service,
             version=version,
             route=route,
-            group=find_endpoint_group(endpoint_id),
+            group=find_endpoint_group(endpoint_id) if is_target else 0,
             sent_at_ms=now_ms,
         )
         self._sent.add(sent)
