Tell peers at once who decides on a roll-out

Nine watchers asked for the lease within 0.4 s, as the new decider was told of only with its first record. It is announced when the lease is taken, and hosts ask within one second. The socket tests cover good and bad versions, the loss of the decider, an outage of the store and odd orders.

--- a/packages/daemon/gypsumpost_daemon/rollouts/rollout_decider.py
+++ b/packages/daemon/gypsumpost_daemon/rollouts/rollout_decider.py
@@ -19,8 +19,8 @@
 TAKEOVER_SECONDS = 2.2
 """A decider that no host has heard of for this long has lost its lease."""
 
-SPREAD_SECONDS = 0.4
-"""Hosts ask for the lease at different moments; most of them then hear of the new decider."""
+SPREAD_SECONDS = 1.0
+"""Hosts ask for the lease at different moments; most of them hear of the new decider before."""
 
 RETRY_SECONDS = 1.0
 SOURCE = "store"
@@ -115,6 +115,8 @@
             return
         LOG.write("took the lease", token=self._lease.token)
         self._stale = True
+        self._state.confirm(self._lease.confirmed_at)
+        self._state.announce()
 
     async def _read(self) -> bool:
         read = await self._records.read()
--- a/packages/daemon/gypsumpost_daemon/rollouts/rollout_state.py
+++ b/packages/daemon/gypsumpost_daemon/rollouts/rollout_state.py
@@ -143,8 +143,7 @@
             source=source,
         )
         self._notify_change()
-        for listener in self._listeners:
-            listener()
+        self.announce()
 
     def confirm(self, now: float) -> None:
         """Record that the decider held its lease, so that the records are those of the store.
@@ -154,6 +153,11 @@
         self.confirmed_at = max(self.confirmed_at, now)
         self.choice.confirm(now)
 
+    def announce(self) -> None:
+        """Tell the peers at once what this host knows."""
+        for listener in self._listeners:
+            listener()
+
     def count_silent(self, domains: Mapping[str, str], now: float) -> int:
         """Return how many hosts have not reported lately.
 
@@ -189,7 +193,7 @@
         :param now: monotonic time in seconds.
         :param of_domain: true for the evidence of all hosts of the domain.
         """
-        if not self.records:
+        if not self.records and self.confirmed_at == -math.inf:
             return NO_REPORT
         age = now - self.confirmed_at
         now_ms = read_unix_ms()
