Let streams leave the old version before its servers stop

At completed the old servers stop at once, and a stream there would break off and count as a crash. Streams leave 1.5 s before the last step.

--- a/packages/daemon/gypsumpost_daemon/gateway/forward_context.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/forward_context.py
@@ -182,6 +182,7 @@
             fleet=self.directory.fleet,
             service=service,
             route=route,
+            count=self.metrics.count_version,
         )
 
     def create_choice(self, call: CallerCall) -> EngineChoice:
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_gauges.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_gauges.py
@@ -8,6 +8,7 @@
 from gypsumpost_daemon.gateway.forward_context import ForwardContext
 from gypsumpost_daemon.gateway.store_follower import StoreFollower
 from gypsumpost_daemon.limits.limit_gauges import add_limit_gauges
+from gypsumpost_daemon.rollouts.rollout_gauges import add_rollout_gauges
 from gypsumpost_daemon.telemetry.metrics import Metrics
 
 
@@ -81,4 +82,6 @@
         lambda: sum(state.is_closed(trio.current_time()) for state in directory.fleet),
     )
     add_limit_gauges(metrics, limits=limits, desk=context.permits.taker.client.desk)
+    if context.rollouts is not None:
+        add_rollout_gauges(metrics, state=context.rollouts)
     add("gypsumpost_gateway_open_requests", "Requests that are being served.", count_open)
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_metrics.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_metrics.py
@@ -19,6 +19,13 @@
             "service",
             "end",
         )
+        self._versions = metrics.add_counter(
+            "gypsumpost_gateway_version_answers_total",
+            "Answers of services with roll-outs, by version and outcome.",
+            "service",
+            "version",
+            "outcome",
+        )
         self._resumptions = metrics.add_counter(
             "gypsumpost_gateway_resumptions_total",
             "Streams that went on at another engine, by source of their memory.",
@@ -63,6 +70,10 @@
         """Count an attempt by how it ended: ``answered``, ``not-run`` or ``lost``."""
         self._attempts.add(service, end)
 
+    def count_version(self, service: str, version: str, outcome: str) -> None:
+        """Count an answer of a service with a roll-out by the endpoint's version."""
+        self._versions.add(service, version, outcome)
+
     def count_resumption(self, *, from_copy: bool) -> None:
         """Count a stream that is resumed on another engine."""
         self._resumptions.add("copy" if from_copy else "prompt")
--- a/packages/daemon/gypsumpost_daemon/gateway/stream_attempt.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/stream_attempt.py
@@ -124,14 +124,21 @@
         async with trio.open_nursery() as nursery:
             if self._renewal is not None:
                 nursery.start_soon(self._renewal.run)
+            if self._call.route.resumable and self._call.versions.tracked:
+                nursery.start_soon(self._leave_version, nursery.cancel_scope)
             try:
                 outcome = await self._send_and_forward(connection)
             except OSError as error:
                 outcome = await self._report_broken_connection(error)
             nursery.cancel_scope.cancel()
-        assert outcome is not None
+        if outcome is None:
+            return Err(AttemptFailure(reason="the version of the engine ends", may_have_run=True))
         return outcome
 
+    async def _leave_version(self, scope: trio.CancelScope) -> None:
+        await self._call.versions.wait_end(self._record)
+        scope.cancel()
+
     async def _report_broken_connection(self, error: OSError) -> Result[None, AttemptFailure]:
         if not await self._context.monitor.check(self._record, str(error)):
             self._record_crash()
--- a/packages/daemon/gypsumpost_daemon/rollouts/report_codec.py
+++ b/packages/daemon/gypsumpost_daemon/rollouts/report_codec.py
@@ -15,6 +15,9 @@
 from gypsumpost_daemon.rollouts.rollout_report import NEVER_MS, RolloutReport
 
 COUNT_NAMES = tuple(field.name for field in attrs.fields(VersionCount))
+MAX_ROWS = 400
+"""Rows in a beacon, which holds more than rows; the newest go first."""
+
 ROW = struct.Struct(f"<3HBQ{len(COUNT_NAMES)}I")
 
 
@@ -83,7 +86,8 @@
 def _encode_rows(rows: Iterable[EvidenceRow]) -> dict[str, Any]:
     indexes: dict[str, int] = {}
     numbers = []
-    for row in rows:
+    newest = sorted(rows, key=lambda row: row.key.window, reverse=True)
+    for row in newest[:MAX_ROWS]:
         key = row.key
         names = [
             indexes.setdefault(name, len(indexes)) for name in (key.service, key.version, key.route)
--- a/packages/daemon/gypsumpost_daemon/rollouts/request_versions.py
+++ b/packages/daemon/gypsumpost_daemon/rollouts/request_versions.py
@@ -1,6 +1,7 @@
 """Versions that one request may go to, and what its attempts say about them."""
 
-from collections.abc import Collection, Sequence
+import math
+from collections.abc import Callable, Collection, Sequence
 
 import trio
 
@@ -12,8 +13,13 @@
 from gypsumpost_core.rollouts.answer_outcome import AnswerOutcome
 from gypsumpost_core.rollouts.canary_endpoints import select_canary_endpoints
 from gypsumpost_core.rollouts.rollout_phase import RolloutPhase
+from gypsumpost_core.rollouts.rollout_plan import plan_rollout
 from gypsumpost_core.rollouts.sent_request import SentRequest
-from gypsumpost_daemon.rollouts.rollout_state import RolloutState, read_unix_ms
+from gypsumpost_daemon.rollouts.rollout_state import MILLISECONDS, RolloutState, read_unix_ms
+
+MOVE_MS = 1_500
+"""Streams leave the old version this long before the last step, which stops its servers: another
+engine has to read their prompts meanwhile."""
 
 
 class RequestVersions:
@@ -25,20 +31,33 @@
     :param fleet: the endpoints.
     :param service: name of the service.
     :param route: name of the route.
+    :param count: counts an outcome by service, version and outcome, for the metrics.
     """
 
     def __init__(
-        self, *, state: RolloutState | None, fleet: EndpointFleet, service: str, route: str
+        self,
+        *,
+        state: RolloutState | None,
+        fleet: EndpointFleet,
+        service: str,
+        route: str,
+        count: Callable[[str, str, str], None],
     ) -> None:
         self._state = state
         self._fleet = fleet
         self._service = service
         self._route = route
+        self._count = count
         self._allowed: AllowedVersions | None = None
         self._attempts = 0
         self._sent: SentRequest | None = None
         self._failed: SentRequest | None = None
 
+    @property
+    def tracked(self) -> bool:
+        """True if the deployment has roll-outs."""
+        return self._state is not None
+
     @property
     def limited(self) -> bool:
         """True if the service has a roll-out."""
@@ -98,6 +117,22 @@
         """
         return copy if copy is not None and self._permits(copy.holder) else None
 
+    async def wait_end(self, record: EndpointRecord) -> None:
+        """Wait until a stream has to leave an endpoint, because its version is about to stop.
+
+        :param record: the endpoint.
+        """
+        assert self._state is not None
+        while True:
+            move_at_ms = self._find_move_time(record.version)
+            seconds = math.inf
+            if move_at_ms is not None:
+                seconds = (move_at_ms - read_unix_ms()) / MILLISECONDS
+            if seconds <= 0:
+                return
+            with trio.move_on_after(seconds):
+                await self._state.wait_change()
+
     def record_sent(self, record: EndpointRecord) -> None:
         """Record that the request is sent to an endpoint.
 
@@ -132,6 +167,8 @@
         if outcome is None:
             self._state.evidence.forget(sent)
             return
+        if not sent.answered:
+            self._count(sent.service, sent.version, outcome.value)
         self._state.evidence.record_answer(sent, outcome, now_ms)
         if outcome is not AnswerOutcome.FAILED:
             return
@@ -139,6 +176,15 @@
             self._state.evidence.record_shared_failure(self._failed, now_ms)
         self._failed = self._failed or sent
 
+    def _find_move_time(self, version: str) -> int | None:
+        """Return the Unix milliseconds at which streams leave a version, ``None`` if they stay."""
+        record = self._state.records.get(self._service) if self._state else None
+        if record is None or record.phase is not RolloutPhase.RUNNING or record.share < 1.0:
+            return None
+        if version == record.target_version:
+            return None
+        return plan_rollout(record.started_at_ms, record.deadline_ms).final_at_ms - MOVE_MS
+
     def _permits(self, holder: EndpointRecord) -> bool:
         record = self._state.records.get(self._service) if self._state else None
         if record is None:
@@ -175,5 +221,7 @@
         return AllowedVersions(preferred=versions)
 
 
-ALL_VERSIONS = RequestVersions(state=None, fleet=EndpointFleet(), service="", route="")
+ALL_VERSIONS = RequestVersions(
+    state=None, fleet=EndpointFleet(), service="", route="", count=lambda *_: None
+)
 """For requests to services without roll-outs."""
--- a/packages/daemon/gypsumpost_daemon/rollouts/rollout_components.py
+++ b/packages/daemon/gypsumpost_daemon/rollouts/rollout_components.py
@@ -63,7 +63,7 @@
     :param list_domains: returns the failure domain of each live host by its id.
     :param is_watching: returns true while this host watches the store and the store answers.
     """
-    if settings.expose_share is None:
+    if not settings.expose_share:
         return None
     state = RolloutState(
         own=own,
--- a/packages/daemon/gypsumpost_daemon/rollouts/rollout_state.py
+++ b/packages/daemon/gypsumpost_daemon/rollouts/rollout_state.py
@@ -83,6 +83,10 @@
         while not self.list_open():
             await self._changed.wait()
 
+    async def wait_change(self) -> None:
+        """Wait until an order or a record has changed."""
+        await self._changed.wait()
+
     def _notify_change(self) -> None:
         self._changed.set()
         self._changed = trio.Event()
