Count the time of a roll-out from its order

The time since the order arrived is taken off, the lease is shorter, and a host that cannot read the records gives it up.

--- a/packages/daemon/gypsumpost_daemon/rollouts/decider_lease.py
+++ b/packages/daemon/gypsumpost_daemon/rollouts/decider_lease.py
@@ -9,12 +9,12 @@
 from gypsumpost_daemon.gateway.write_failure import WriteFailure, WriteFailureKind
 
 DECIDER_KEY = "gypsumpost/rollouts/decider"
-LEASE_SECONDS = 2.0
-"""Time after which another host takes over from a decider that is gone. Hosts give a share up
-that nobody has confirmed for a little longer."""
+LEASE_SECONDS = 1.2
+"""Time after which another host takes over from a decider that is gone, or that the store turns
+away. A roll-out may have only a few seconds left."""
 
-RENEWAL_SECONDS = 0.5
-CALL_SECONDS = 1.0
+RENEWAL_SECONDS = 0.4
+CALL_SECONDS = 0.8
 
 
 class DeciderLease:
--- a/packages/daemon/gypsumpost_daemon/rollouts/order_table.py
+++ b/packages/daemon/gypsumpost_daemon/rollouts/order_table.py
@@ -1,5 +1,7 @@
 """Orders of roll-outs that are in force."""
 
+import time
+
 from result import Err
 
 from gypsumpost_core.gateway.stored_item import StoredItem
@@ -7,6 +9,8 @@
 from gypsumpost_daemon.gateway.adapter import GatewayAdapter
 from gypsumpost_daemon.telemetry.log import Log
 
+MILLISECONDS = 1000
+
 LOG = Log(prefix="rollout")
 
 
@@ -19,6 +23,7 @@
     def __init__(self, *, adapter: GatewayAdapter) -> None:
         self._adapter = adapter
         self._orders: dict[str, RolloutOrder] = {}
+        self._received_ms: dict[str, int] = {}
 
     def apply(self, item: StoredItem) -> RolloutOrder | None:
         """Apply a changed item and return the new order in it, if there is one.
@@ -45,6 +50,7 @@
             return None
         order = decoded.ok_value
         self._orders[order.service] = order
+        self._received_ms[order.service] = int(time.time() * MILLISECONDS)
         LOG.write(
             "received an order",
             service=order.service,
@@ -61,6 +67,13 @@
         """
         return self._orders.get(service)
 
+    def get_received_ms(self, service: str) -> int:
+        """Return the Unix milliseconds at which the order of a service arrived at this host.
+
+        :param service: name of the service.
+        """
+        return self._received_ms[service]
+
     def list_orders(self) -> list[RolloutOrder]:
         """Return all orders."""
         return list(self._orders.values())
--- a/packages/daemon/gypsumpost_daemon/rollouts/rollout_decider.py
+++ b/packages/daemon/gypsumpost_daemon/rollouts/rollout_decider.py
@@ -3,26 +3,38 @@
 import random
 from collections.abc import Callable
 
+import attrs
 import trio
 from result import Err
 
 from gypsumpost_core.rollouts.rollout_decider import decide_step
+from gypsumpost_core.rollouts.rollout_order import RolloutOrder
 from gypsumpost_core.rollouts.rollout_record import RolloutRecord
 from gypsumpost_daemon.lifecycle.contained_errors import contain_errors
 from gypsumpost_daemon.rollouts.decider_lease import DeciderLease
 from gypsumpost_daemon.rollouts.fleet_observer import FleetObserver
 from gypsumpost_daemon.rollouts.record_store import RecordStore
-from gypsumpost_daemon.rollouts.rollout_state import RolloutState, read_unix_ms
+from gypsumpost_daemon.rollouts.rollout_state import MILLISECONDS, RolloutState, read_unix_ms
 from gypsumpost_daemon.telemetry.log import Log
 
 STEP_SECONDS = 0.25
-TAKEOVER_SECONDS = 2.2
-"""A decider that no host has heard of for this long has lost its lease."""
+TAKEOVER_SECONDS = 2.0
+"""A decider that has not been heard of for this long has lost its lease: the lease, and the time
+that news takes between domains."""
 
 SPREAD_SECONDS = 1.0
 """Hosts ask for the lease at different moments; most of them hear of the new decider before."""
 
 RETRY_SECONDS = 1.0
+STEPS_AT_ONCE = 2
+"""The first share follows at once on the record of a new order."""
+
+MIN_ORDER_SECONDS = 1.0
+"""An order that was found late is still decided on, and rolled back."""
+
+LOG_SECONDS = 1.0
+"""Minimum time between two lines that say why no step is taken."""
+
 SOURCE = "store"
 
 LOG = Log(prefix="rollout")
@@ -58,6 +70,7 @@
         self._take_at = 0.0
         self._due = False
         self._stale = True
+        self._log_at = 0.0
         self._reasons: dict[str, str] = {}
 
     @property
@@ -90,8 +103,13 @@
         if self._stale and not await self._read():
             return
         self._state.confirm(self._lease.confirmed_at)
+        await self._decide_all()
+
+    async def _decide_all(self) -> None:
         for service in self._state.list_open():
-            await self._decide(service)
+            for _ in range(STEPS_AT_ONCE):
+                if not await self._decide(service):
+                    break
 
     def _is_take_due(self) -> bool:
         now = trio.current_time()
@@ -114,9 +132,13 @@
             )
             return
         LOG.write("took the lease", token=self._lease.token)
-        self._stale = True
+        if not await self._read():
+            # The store may turn this host away and serve others.
+            await self._lease.end()
+            return
         self._state.confirm(self._lease.confirmed_at)
         self._state.announce()
+        await self._decide_all()
 
     async def _read(self) -> bool:
         read = await self._records.read()
@@ -128,10 +150,11 @@
             self._state.put_record(record, trio.current_time(), SOURCE)
         return True
 
-    async def _decide(self, service: str) -> None:
+    async def _decide(self, service: str) -> bool:
+        """Take the next step of a roll-out; return true if one was taken."""
         now_ms = read_unix_ms()
         record = self._records.records.get(service)
-        order = self._state.orders.get(service)
+        order = self._find_order(service, now_ms)
         target = order.target_version if order else record.target_version if record else ""
         evidence = self._state.evidence.sum_counts(service, now_ms)
         fleet = self._observer.observe(service, target, trio.current_time())
@@ -144,8 +167,10 @@
             fencing_token=self._lease.token,
             now_ms=now_ms,
         )
-        if step.record is not None or self._reasons.get(service) != step.reason:
+        is_due = trio.current_time() >= self._log_at and self._reasons.get(service) != step.reason
+        if step.record is not None or is_due:
             self._reasons[service] = step.reason
+            self._log_at = trio.current_time() + LOG_SECONDS
             LOG.write(
                 "took a step" if step.record else "waits",
                 service=service,
@@ -157,12 +182,19 @@
                 other_requests=fleet.other_requests,
                 missing_hosts=fleet.missing_hosts,
                 hosts=fleet.hosts,
-                left_seconds=(record.deadline_ms - now_ms) / 1000 if record else 0.0,
+                left_seconds=(record.deadline_ms - now_ms) / MILLISECONDS if record else 0.0,
             )
-        if step.record is not None:
-            await self._write(step.record)
+        return step.record is not None and await self._write(step.record)
+
+    def _find_order(self, service: str, now_ms: int) -> RolloutOrder | None:
+        """Return the order of a service with the time that is left of it."""
+        order = self._state.orders.get(service)
+        if order is None or not order.is_valid:
+            return order
+        waited = (now_ms - self._state.orders.get_received_ms(service)) / MILLISECONDS
+        return attrs.evolve(order, seconds=max(MIN_ORDER_SECONDS, order.seconds - waited))
 
-    async def _write(self, record: RolloutRecord) -> None:
+    async def _write(self, record: RolloutRecord) -> bool:
         written = await self._records.write(record)
         if isinstance(written, Err):
             self._stale = True
@@ -173,5 +205,6 @@
                 kind=written.err_value.kind.value,
                 reason=written.err_value.reason,
             )
-            return
+            return False
         self._state.put_record(record, trio.current_time(), SOURCE)
+        return True
