Keep the time of roll-outs apart from the time of day

A decider whose time of day is set forward by seconds would have ended a roll-out at once. The offset to the time since the boot is read once.

--- a/packages/daemon/gypsumpost_daemon/rollouts/order_table.py
+++ b/packages/daemon/gypsumpost_daemon/rollouts/order_table.py
@@ -1,16 +1,13 @@
 """Orders of roll-outs that are in force."""
 
-import time
-
 from result import Err
 
 from gypsumpost_core.gateway.stored_item import StoredItem
 from gypsumpost_core.rollouts.rollout_order import RolloutOrder
 from gypsumpost_daemon.gateway.adapter import GatewayAdapter
+from gypsumpost_daemon.rollouts.unix_clock import read_unix_ms
 from gypsumpost_daemon.telemetry.log import Log
 
-MILLISECONDS = 1000
-
 LOG = Log(prefix="rollout")
 
 
@@ -50,7 +47,7 @@
             return None
         order = decoded.ok_value
         self._orders[order.service] = order
-        self._received_ms[order.service] = int(time.time() * MILLISECONDS)
+        self._received_ms[order.service] = read_unix_ms()
         LOG.write(
             "received an order",
             service=order.service,
--- a/packages/daemon/gypsumpost_daemon/rollouts/request_versions.py
+++ b/packages/daemon/gypsumpost_daemon/rollouts/request_versions.py
@@ -15,7 +15,8 @@
 from gypsumpost_core.rollouts.rollout_phase import RolloutPhase
 from gypsumpost_core.rollouts.rollout_plan import plan_rollout
 from gypsumpost_core.rollouts.sent_request import SentRequest
-from gypsumpost_daemon.rollouts.rollout_state import MILLISECONDS, RolloutState, read_unix_ms
+from gypsumpost_daemon.rollouts.rollout_state import RolloutState
+from gypsumpost_daemon.rollouts.unix_clock import MILLISECONDS, read_unix_ms
 
 MOVE_MS = 1_500
 """Streams leave the old version this long before the last step, which stops its servers: another
--- a/packages/daemon/gypsumpost_daemon/rollouts/rollout_decider.py
+++ b/packages/daemon/gypsumpost_daemon/rollouts/rollout_decider.py
@@ -14,7 +14,8 @@
 from gypsumpost_daemon.rollouts.decider_lease import DeciderLease
 from gypsumpost_daemon.rollouts.fleet_observer import FleetObserver
 from gypsumpost_daemon.rollouts.record_store import RecordStore
-from gypsumpost_daemon.rollouts.rollout_state import MILLISECONDS, RolloutState, read_unix_ms
+from gypsumpost_daemon.rollouts.rollout_state import RolloutState
+from gypsumpost_daemon.rollouts.unix_clock import MILLISECONDS, read_unix_ms
 from gypsumpost_daemon.telemetry.log import Log
 
 STEP_SECONDS = 0.25
--- a/packages/daemon/gypsumpost_daemon/rollouts/rollout_state.py
+++ b/packages/daemon/gypsumpost_daemon/rollouts/rollout_state.py
@@ -2,7 +2,6 @@
 
 import math
 import random
-import time
 from collections.abc import Callable, Mapping
 
 import trio
@@ -21,9 +20,9 @@
 from gypsumpost_core.rollouts.version_judge import judge_version
 from gypsumpost_daemon.rollouts.order_table import OrderTable
 from gypsumpost_daemon.rollouts.rollout_report import NEVER_MS, NO_REPORT, RolloutReport
+from gypsumpost_daemon.rollouts.unix_clock import MILLISECONDS, read_unix_ms
 from gypsumpost_daemon.telemetry.log import Log
 
-MILLISECONDS = 1000
 REPORT_SECONDS = 2.5
 """More than the longest time between the reports of an idle host, relays included."""
 
@@ -235,8 +234,3 @@
             of_domain=of_domain,
             now_ms=read_unix_ms(),
         )
-
-
-def read_unix_ms() -> int:
-    """Return the Unix time in milliseconds."""
-    return int(time.time() * MILLISECONDS)
