Judge the first moments of an outage by the old version too

An outage that had just begun was compared with the windows before it, in which the old version was still well. Versions that hang are rolled back at the last time to drain, and the first step grants a fifth of the slack, since answers of engines take seconds and a roll-out may have only fifteen.

--- a/packages/core/gypsumpost_core/rollouts/baseline.py
+++ b/packages/core/gypsumpost_core/rollouts/baseline.py
@@ -32,10 +32,13 @@
         """
         others, floor = self.windows.get(key.window, BadCount()), 0.0
         if others.answers < MIN_ANSWERS:
+            # An outage that has just begun shows in these few answers only.
+            floor = others.bad / others.answers if others.answers else 0.0
             near = range(key.window - NEARBY_WINDOWS, key.window + NEARBY_WINDOWS + 1)
             others = sum_bad(self.windows[window] for window in near if window in self.windows)
         if others.answers < MIN_ANSWERS:
-            others, floor = sum_bad(self.windows.values()), UNMATCHED_RATE
+            others = sum_bad(self.windows.values())
+            floor = max(floor, UNMATCHED_RATE)
         # The added answer keeps one failure of few answers from being taken for the rate.
         rate = max(floor, (others.bad + 0.5) / (others.answers + 1.0))
         rate = min(rate, 1.0)
--- a/packages/core/gypsumpost_core/rollouts/rollout_decider.py
+++ b/packages/core/gypsumpost_core/rollouts/rollout_decider.py
@@ -24,14 +24,18 @@
 ROUNDING_DEVIATION = 0.5
 ROUNDING_DEVIATIONS = 4
 FIRST_SHARE_PART = 0.5
-FIRST_SPARE_PART = 0.1
+FIRST_SPARE_PART = 0.2
 GROWTH_FACTOR = 2
 GROWTH_ANSWERS = 3
+# Answers for each spare request granted so far; most requests are still on their way.
+GROWTH_ANSWERS_PART = 1 / 3
 # A step is written at most this often, so that the load on the store does not depend on traffic.
 GROWTH_INTERVAL_MS = 1_000
 RAMP_SHARES = (0.25, 0.5)
 # Below this number of answers a version is not judged, however good they are.
 FEW_ANSWERS = 3
+# A version that has answered less than this part of what the others would have may hang.
+USUAL_ANSWERS_PART = 0.5
 # Hosts need this long to hear that no new request goes to the old versions, and to report it.
 DRAIN_SETTLE_MS = 2_000
 
@@ -172,6 +176,8 @@
         return roll_back(inputs, f"doubtful: {inputs.judgement.reason}")
     if inputs.judgement.answers < FEW_ANSWERS:
         return roll_back(inputs, f"too little traffic: {inputs.judgement.reason}")
+    if inputs.judgement.answers < USUAL_ANSWERS_PART * inputs.judgement.usual_answers:
+        return roll_back(inputs, f"answers are missing: {inputs.judgement.reason}")
     if inputs.now_ms >= inputs.plan.final_at_ms:
         return roll_back(inputs, "too little time is left to drain the old versions")
     return set_share(inputs, 1.0, f"last time to drain: {inputs.judgement.reason}")
@@ -204,7 +210,7 @@
     if inputs.now_ms - record.share_since_ms < GROWTH_INTERVAL_MS:
         return wait("the share has just changed")
     # Each doubling needs more answers, so that the share does not outrun the evidence.
-    if inputs.judgement.answers < max(GROWTH_ANSWERS, record.spare // GROWTH_FACTOR):
+    if inputs.judgement.answers < max(GROWTH_ANSWERS, GROWTH_ANSWERS_PART * record.spare):
         return wait(inputs.judgement.reason)
     share = max(record.share, min(full_share, GROWTH_FACTOR * record.share))
     spare = max(record.spare, min(full_spare, GROWTH_FACTOR * max(1, record.spare)))
