Read the spare requests and barred versions of a stored record

The codec wrote both fields but did not read them, so a new decider, or one that reads after an unconfirmed write, forgot which versions are barred and began the spare requests anew.

--- a/packages/daemon/gypsumpost_daemon/rollouts/record_codec.py
+++ b/packages/daemon/gypsumpost_daemon/rollouts/record_codec.py
@@ -37,6 +37,8 @@
                 deadline_ms=int(document["deadline_ms"]),
                 fencing_token=int(document["fencing_token"]),
                 reason=str(document["reason"]),
+                spare=int(document["spare"]),
+                barred=tuple(str(version) for version in document["barred"]),
             )
         )
     except (ValueError, KeyError, TypeError) as error:
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/rollouts/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of roll-outs on a host."""
