Divide spare requests among the hosts that the decider knows

A host that has just started knows few hosts and took up to two of the spare requests; hosts that start together could exceed the slack. The record carries the number of hosts.

--- a/packages/core/gypsumpost_core/rollouts/rollout_decider.py
+++ b/packages/core/gypsumpost_core/rollouts/rollout_decider.py
@@ -121,6 +121,7 @@
         deadline_ms=now_ms + int(order.seconds * 1_000),
         fencing_token=fencing_token,
         reason=reason,
+        hosts=fleet.hosts,
         barred=list_barred(record, order.target_version),
     )
 
@@ -286,6 +287,7 @@
         inputs.record,
         share=share,
         spare=inputs.record.spare if spare is None else spare,
+        hosts=max(inputs.record.hosts, inputs.fleet.hosts),
         share_since_ms=inputs.now_ms,
         reason=reason,
     )
--- a/packages/core/gypsumpost_core/rollouts/rollout_record.py
+++ b/packages/core/gypsumpost_core/rollouts/rollout_record.py
@@ -19,6 +19,7 @@
         running roll-out with the share 1 drains the other versions.
     :param spare: requests that may go to the target version beyond that part before there is a
         verdict, over all hosts since the order; it only grows.
+    :param hosts: hosts among which the spare requests are divided, the most that a decider knew.
     :param barred: versions of earlier orders that got no good verdict; no request goes there.
     :param started_at_ms: Unix milliseconds of the first step.
     :param share_since_ms: Unix milliseconds of the last change of the share.
@@ -38,4 +39,5 @@
     fencing_token: int
     reason: str
     spare: int = 0
+    hosts: int = 1
     barred: tuple[str, ...] = ()
--- a/packages/core/gypsumpost_core/rollouts/tests/test_version_choice.py
+++ b/packages/core/gypsumpost_core/rollouts/tests/test_version_choice.py
@@ -98,6 +98,21 @@
     assert choice.choose("s", BOTH | {"3"}, 101.0).preferred == OLD
 
 
+def test_a_host_that_knows_few_hosts_takes_no_larger_part() -> None:
+    """Guards against hosts that start together and each take all of the spare requests."""
+    choice = build_told(hosts=72)
+    choice.put_hosts(1)
+    choice.put_record(
+        attrs.evolve(RECORD, share=1e-9, spare=28, hosts=72, share_since_ms=1_000), 100.5
+    )
+    exposed = 0
+    for _ in range(400):
+        if choice.choose("s", BOTH, 101.0).exposes:
+            choice.record_exposure("s")
+            exposed += 1
+    assert exposed <= 1
+
+
 def test_a_brake_stops_the_target_version_at_once() -> None:
     """Guards against waiting for the store when the host has seen enough."""
     choice = build_told(share=1.0)
--- a/packages/core/gypsumpost_core/rollouts/version_choice.py
+++ b/packages/core/gypsumpost_core/rollouts/version_choice.py
@@ -70,7 +70,9 @@
         if known is None or known.phase is not record.phase:
             rollout.known_since = now
         if record.spare > rollout.spare:
-            rollout.credit += (record.spare - rollout.spare) / self._hosts
+            # A host that has just started may know fewer hosts than the decider.
+            hosts = max(self._hosts, record.hosts)
+            rollout.credit += (record.spare - rollout.spare) / hosts
             rollout.spare = record.spare
         rollout.record = record
 
--- a/packages/daemon/gypsumpost_daemon/rollouts/record_codec.py
+++ b/packages/daemon/gypsumpost_daemon/rollouts/record_codec.py
@@ -38,6 +38,7 @@
                 fencing_token=int(document["fencing_token"]),
                 reason=str(document["reason"]),
                 spare=int(document["spare"]),
+                hosts=int(document["hosts"]),
                 barred=tuple(str(version) for version in document["barred"]),
             )
         )
--- a/packages/daemon/gypsumpost_daemon/rollouts/rollout.capnp
+++ b/packages/daemon/gypsumpost_daemon/rollouts/rollout.capnp
@@ -15,6 +15,7 @@
   deadline @9 :Int64;        # Unix milliseconds
   fencingToken @10 :UInt64;
   reason @11 :Text;
+  hosts @12 :UInt32;
 }
 
 # Counts of evidence. Packed numbers are decoded much faster than a list of structs.
--- a/packages/daemon/gypsumpost_daemon/rollouts/tests/test_record_codec.py
+++ b/packages/daemon/gypsumpost_daemon/rollouts/tests/test_record_codec.py
@@ -21,6 +21,7 @@
         fencing_token=5,
         reason="20 answers",
         spare=20,
+        hosts=72,
         barred=("3",),
     )
     assert decode_record(encode_record(record)) == Ok(record)
