Wait for the reports of a moment before it counts against a version

The newest window counts once the old version has eight answers in it, or the next window has begun. An endpoint group that has all bad answers is left out on each route too.

--- a/packages/core/gypsumpost_core/rollouts/baseline.py
+++ b/packages/core/gypsumpost_core/rollouts/baseline.py
@@ -24,6 +24,13 @@
 
     windows: dict[int, BadCount]
 
+    def covers(self, window: int) -> bool:
+        """Return true if the other versions have enough answers in a window.
+
+        :param window: number of the window.
+        """
+        return self.windows.get(window, BadCount()).answers >= MIN_ANSWERS
+
     def compare(self, key: EvidenceKey, count: BadCount) -> BadAnswers:
         """Compare a count of the version with the others at the same moment.
 
@@ -31,7 +38,7 @@
         :param count: the count.
         """
         others, floor = self.windows.get(key.window, BadCount()), 0.0
-        if others.answers < MIN_ANSWERS:
+        if not self.covers(key.window):
             # An outage that has just begun shows in these few answers only.
             floor = others.bad / others.answers if others.answers else 0.0
             near = range(key.window - NEARBY_WINDOWS, key.window + NEARBY_WINDOWS + 1)
--- a/packages/core/gypsumpost_core/rollouts/version_judge.py
+++ b/packages/core/gypsumpost_core/rollouts/version_judge.py
@@ -95,17 +95,38 @@
             counts = windows[row.key.route]
             counted = counts.get(row.key.window, BadCount())
             counts[row.key.window] = counted.add(respect.count(row.count))
+    newest = max((row.key.window for row in evidence.rows), default=0)
     everywhere: Groups = {}
-    scopes: dict[str, Groups] = {"on all routes": everywhere}
+    routes: dict[str, Groups] = defaultdict(dict)
     for row in evidence.rows:
-        if row.key.version == target_version:
-            baseline = Baseline(windows=windows.get(row.key.route, {}))
-            bad = baseline.compare(row.key, respect.count(row.count))
-            for groups in (scopes.setdefault(f"on route {row.key.route}", {}), everywhere):
-                groups[row.key.group] = groups.get(row.key.group, BadAnswers()).add(bad)
+        if row.key.version != target_version:
+            continue
+        baseline = Baseline(windows=windows.get(row.key.route, {}))
+        if row.key.window == newest and not baseline.covers(newest):
+            # Reports of other hosts about the same moment are still on their way.
+            continue
+        bad = baseline.compare(row.key, respect.count(row.count))
+        for groups in (routes[row.key.route], everywhere):
+            groups[row.key.group] = groups.get(row.key.group, BadAnswers()).add(bad)
+    faulty = find_faulty_group(everywhere)
+    scopes = {"on all routes": everywhere}
+    for route, groups in routes.items():
+        scopes[f"on route {route}"] = {
+            group: answers for group, answers in groups.items() if group != faulty
+        }
     return scopes
 
 
+def find_faulty_group(groups: Groups) -> int | None:
+    """Return the endpoint group that has all bad answers of a version, ``None`` if none has.
+
+    :param groups: the answers of the version by endpoint group.
+    """
+    bad = [group for group, answers in groups.items() if answers.bad]
+    others = sum_answers(answers for group, answers in groups.items() if group not in bad)
+    return bad[0] if len(bad) == 1 and others.answers >= OTHER_GROUPS_FEW_ANSWERS else None
+
+
 def judge_groups(groups: Groups, respect: Respect) -> Verdict:
     """Return what the answers of a version's endpoint groups say in one respect.
 
@@ -114,7 +135,7 @@
     :returns: ``BAD``, ``DOUBTFUL`` or ``UNKNOWN``.
     """
     total = sum_answers(groups.values())
-    if total.excess_rate < respect.tolerated:
+    if not groups or total.excess_rate < respect.tolerated:
         return Verdict.UNKNOWN
     worst = max(groups, key=lambda group: groups[group].excess)
     others = sum_answers(answers for group, answers in groups.items() if group != worst)
