Count an engine that hangs against its version

A request to a silent engine was left out of the evidence. Engines that list a request without events are left after 5 s, before a slow answer counts, so a version several times slower than engines' usual seconds showed no bad answer. An engine that can be reached and gives no first event now counts as timed out; a lost engine still does not.

--- a/packages/core/gypsumpost_core/rollouts/version_evidence.py
+++ b/packages/core/gypsumpost_core/rollouts/version_evidence.py
@@ -118,7 +118,7 @@
         sent.answered = True
         sent.failed = failed
         self._count(sent, VersionCount(answers=int(first), failures=int(failed)), now_ms)
-        if outcome is AnswerOutcome.TIMED_OUT:
+        if first and outcome is AnswerOutcome.TIMED_OUT:
             self._count_slow(sent, now_ms)
         elif first and not failed:
             self._count_time(sent, now_ms)
--- a/packages/daemon/gypsumpost_daemon/gateway/event_relay.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/event_relay.py
@@ -94,7 +94,14 @@
                 data = await connection.receive_body()
             if data is None:
                 if not await self._watch.is_alive(prefilling=prefilling):
-                    return Err(AttemptFailure(reason="the engine is silent", may_have_run=True))
+                    hangs = prefilling and not self._state.lost
+                    return Err(
+                        AttemptFailure(
+                            reason="the engine is silent",
+                            may_have_run=True,
+                            outcome=AnswerOutcome.TIMED_OUT if hangs else None,
+                        )
+                    )
                 continue
             if not data:
                 return Ok(None)
--- a/packages/daemon/gypsumpost_daemon/gateway/stream_attempt.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/stream_attempt.py
@@ -235,7 +235,13 @@
             with trio.move_on_at(self._watch.compute_check_time(prefilling=True)):
                 head = await connection.receive_head(self._call.method)
             if head is None and not await self._watch.is_alive(prefilling=True):
-                return Err(AttemptFailure(reason="the engine is silent", may_have_run=True))
+                return Err(
+                    AttemptFailure(
+                        reason="the engine is silent",
+                        may_have_run=True,
+                        outcome=None if self._state.lost else AnswerOutcome.TIMED_OUT,
+                    )
+                )
         headers = list(head.headers)
         self._context.observe_answer(
             self._call, self._record, head.status_code, headers, self._sent_at
