--- a/packages/core/gypsumpost_core/rollouts/tests/test_version_evidence.py
+++ b/packages/core/gypsumpost_core/rollouts/tests/test_version_evidence.py
@@ -101,6 +101,18 @@
     assert (total.answers, total.failures, total.shared) == (1, 1, 1)
 
 
+def test_a_request_without_an_answer_counts_as_slow_once() -> None:
+    """Guards against a version that hangs and has no bad answer, and against counting it twice."""
+    host = build_host("h", "d")
+    serve(host, NOW_MS, outcome=AnswerOutcome.TIMED_OUT)
+    assert (count(host, NOW_MS).slow, count(host, NOW_MS).timed) == (1, 1)
+    sent = host.record_sent(service="s", version="2", route="a", endpoint_id="e", now_ms=NOW_MS)
+    assert sent is not None
+    host.record_answer(sent, AnswerOutcome.SERVED, NOW_MS + 100)
+    host.record_answer(sent, AnswerOutcome.TIMED_OUT, NOW_MS + 900)
+    assert (count(host, NOW_MS + 900).slow, count(host, NOW_MS + 900).answers) == (1, 2)
+
+
 def test_lost_connections_and_services_without_a_rollout_are_not_counted() -> None:
     """Guards against evidence from a cut link, and counts that nobody reads."""
     host = build_host("h", "d")
