Grant spare requests to hosts that miss the first record

A host that has run from before the roll-out takes its part whichever record arrives first. Measured: tests of rollouts in the daemon (3) and test_rollouts (9) pass.

--- a/packages/daemon/gypsumpost_daemon/rollouts/rollout_state.py
+++ b/packages/daemon/gypsumpost_daemon/rollouts/rollout_state.py
@@ -4,6 +4,7 @@
 import random
 from collections.abc import Callable, Mapping
 
+import attrs
 import trio
 
 from gypsumpost_core.gateway.host_report import HostReport
@@ -27,6 +28,9 @@
 """More than the longest time between the reports of an idle host, relays included."""
 
 UPDATE_SECONDS = 1.0
+CLOCK_MARGIN_MS = 1000
+"""Difference of the clocks of two hosts."""
+
 
 LOG = Log(prefix="rollout")
 
@@ -53,9 +57,10 @@
         self.orders = orders
         self._count_hosts = count_hosts
         self.choice = VersionChoice(settings=settings, rng=random.Random())
-        # The clock, so that a restarted host has a higher epoch.
+        self._started_ms = read_unix_ms()
+        # A restarted host has a higher epoch.
         self.evidence = VersionEvidence(
-            host_id=own.host_id, failure_domain=own.failure_domain, epoch=read_unix_ms()
+            host_id=own.host_id, failure_domain=own.failure_domain, epoch=self._started_ms
         )
         self.records: dict[str, RolloutRecord] = {}
         self.confirmed_at = -math.inf
@@ -125,6 +130,13 @@
         :param source: where it comes from, for the log.
         """
         self.choice.put_hosts(self._count_hosts())
+        known = self.choice.get_record(record.service)
+        is_new = known is None or known.order_revision < record.order_revision
+        if is_new and self._started_ms + CLOCK_MARGIN_MS < record.started_at_ms:
+            # This host has run from the start of the roll-out and has used none of the spare
+            # requests, even if a later record than the first one reaches it first.
+            first = attrs.evolve(record, share=0.0, spare=0, share_since_ms=record.started_at_ms)
+            self.choice.put_record(first, now)
         self.choice.put_record(record, now)
         newest = self.choice.get_record(record.service)
         if newest is None or newest == self.records.get(record.service):
