--- a/packages/daemon/gypsumpost_daemon/rollouts/request_versions.py
+++ b/packages/daemon/gypsumpost_daemon/rollouts/request_versions.py
@@ -18,9 +18,9 @@
 from gypsumpost_daemon.rollouts.rollout_state import RolloutState
 from gypsumpost_daemon.rollouts.unix_clock import MILLISECONDS, read_unix_ms
 
-MOVE_MS = 1_500
-"""Streams leave the old version this long before the last step, which stops its servers: another
-engine has to read their prompts meanwhile."""
+MOVE_MS = 700
+"""Streams leave the old version this long before the last step, which stops its servers. Many end
+by themselves until then, and another engine has to read the prompts of the others."""
 
 
 class RequestVersions:
