Compare a version at little traffic with the old one over more windows

With two requests a second the old version seldom has eight answers in three windows, so a tenth of bad answers was expected and a version that fails a tenth was never doubted. The windows within half a minute count now, if the old version still answered at that time.

Tests of the package pass.

--- a/packages/core/gypsumpost_core/rollouts/baseline.py
+++ b/packages/core/gypsumpost_core/rollouts/baseline.py
@@ -10,7 +10,7 @@
 UNMATCHED_RATE = 0.1
 # With fewer answers in a window the windows around it count, too.
 MIN_ANSWERS = 8
-NEARBY_WINDOWS = 1
+NEARBY_WINDOWS = (0, 1, 4, 16)
 # Faults come in bursts, so counts vary more than independent requests would.
 OVERDISPERSION = 2.0
 
@@ -37,13 +37,12 @@
         :param key: what the count is about.
         :param count: the count.
         """
-        others, floor = self.windows.get(key.window, BadCount()), 0.0
+        others, floor = self._sum_near(key.window), 0.0
         if not self.covers(key.window):
             # An outage that has just begun shows in these few answers only.
-            floor = others.bad / others.answers if others.answers else 0.0
-            near = range(key.window - NEARBY_WINDOWS, key.window + NEARBY_WINDOWS + 1)
-            others = sum_bad(self.windows[window] for window in near if window in self.windows)
-        if others.answers < MIN_ANSWERS:
+            own = self.windows.get(key.window, BadCount())
+            floor = own.bad / own.answers if own.answers else 0.0
+        if others.answers < MIN_ANSWERS or not self._is_observed(key.window):
             others = sum_bad(self.windows.values())
             floor = max(floor, UNMATCHED_RATE)
         # The added answer keeps one failure of few answers from being taken for the rate.
@@ -54,3 +53,16 @@
         return BadAnswers(
             answers=count.answers, bad=count.bad, expected=count.answers * rate, variance=variance
         )
+
+    def _sum_near(self, window: int) -> BadCount:
+        others = BadCount()
+        for span in NEARBY_WINDOWS:
+            near = range(window - span, window + span + 1)
+            others = sum_bad(self.windows[number] for number in near if number in self.windows)
+            if others.answers >= MIN_ANSWERS:
+                break
+        return others
+
+    def _is_observed(self, window: int) -> bool:
+        """Return true if the other versions still answered at the time of a window."""
+        return any(number >= window for number in self.windows)
--- a/packages/core/gypsumpost_core/rollouts/tests/fleet_replay.py
+++ b/packages/core/gypsumpost_core/rollouts/tests/fleet_replay.py
@@ -92,7 +92,8 @@
         host = self.rng.randrange(len(self.choices))
         route = self.rng.choice("ab")
         allowed = self.choices[host].choose("s", frozenset("12"), now_ms / 1_000)
-        (version,) = allowed.preferred
+        # Both versions only long after the completion, when the old servers have stopped.
+        version = max(allowed.preferred)
         if allowed.exposes:
             self.choices[host].record_exposure("s")
         self.requests += 1
