--- a/packages/daemon/gypsumpost_daemon/rollouts/rollout_state.py
+++ b/packages/daemon/gypsumpost_daemon/rollouts/rollout_state.py
@@ -31,7 +31,6 @@
 CLOCK_MARGIN_MS = 1000
 """Difference of the clocks of two hosts."""
 
-
 LOG = Log(prefix="rollout")
 
 
@@ -91,10 +90,6 @@
         """Wait until an order or a record has changed."""
         await self._changed.wait()
 
-    def _notify_change(self) -> None:
-        self._changed.set()
-        self._changed = trio.Event()
-
     def is_open(self, order: RolloutOrder) -> bool:
         """Return true if the roll-out of an order has not ended, as far as this host knows.
 
@@ -129,6 +124,8 @@
         :param now: monotonic time in seconds.
         :param source: where it comes from, for the log.
         """
+        if record == self.records.get(record.service):
+            return  # Peers repeat it in each beacon.
         self.choice.put_hosts(self._count_hosts())
         known = self.choice.get_record(record.service)
         is_new = known is None or known.order_revision < record.order_revision
@@ -246,3 +243,7 @@
             of_domain=of_domain,
             now_ms=read_unix_ms(),
         )
+
+    def _notify_change(self) -> None:
+        self._changed.set()
+        self._changed = trio.Event()
