--- a/packages/core/gypsumpost_core/prefill/prompt_queue.py
+++ b/packages/core/gypsumpost_core/prefill/prompt_queue.py
@@ -81,7 +81,7 @@
         waiting.sort(key=lambda prompt: rank(prompt, best_rate, now))
         grants = []
         for prompt in waiting:
-            found = self._find_engine(prompt, engines, best_rate, now)
+            found = self._find_engine(prompt, select_engines(prompt, engines), best_rate, now)
             if isinstance(found, Obstacle):
                 self._obstacles[prompt.request_id] = found
             else:
@@ -130,6 +130,19 @@
         return self.rng.choices(engines, weights)[0]
 
 
+def select_engines(prompt: WaitingPrompt, engines: Sequence[EngineLoad]) -> Sequence[EngineLoad]:
+    """Return the engines to which a prompt may go, for example those of one version.
+
+    :param prompt: the prompt.
+    :param engines: all engines of the service.
+    """
+    if prompt.select is None:
+        return engines
+    selected = prompt.select([engine.state for engine in engines], prompt.tried)
+    ids = {state.record.endpoint_id for state in selected}
+    return [engine for engine in engines if engine.state.record.endpoint_id in ids]
+
+
 def compute_slack(prompt: WaitingPrompt, rate: float, now: float) -> float:
     """Return the time in seconds for which a prompt can wait and still be on time.
 
--- a/packages/core/gypsumpost_core/prefill/tests/test_prompt_queue.py
+++ b/packages/core/gypsumpost_core/prefill/tests/test_prompt_queue.py
@@ -149,3 +149,15 @@
     assert not is_paced(route, limits, 2000)
     assert not is_paced(route, limits, 2**31 - 1)
     assert not is_paced(attrs.evolve(route, pause_objective=None), limits, 6200)
+
+
+def test_a_prompt_goes_only_to_engines_of_its_version():
+    """Guards against a new version that gets prompts beyond its share while they wait."""
+
+    def select_second(states, tried):
+        return [state for state in states if state.record.endpoint_id == "e2"]
+
+    loads = [create_load(), create_load("e2", running=3, reserved_tokens=44_000)]
+    assert grant([create_prompt(select=select_second)], loads) == []
+    assert grant([create_prompt(select=select_second, total_tokens=500)], loads) == ["r1"]
+    assert (loads[0].running, loads[1].running) == (0, 4)
--- a/packages/core/gypsumpost_core/prefill/waiting_prompt.py
+++ b/packages/core/gypsumpost_core/prefill/waiting_prompt.py
@@ -1,7 +1,13 @@
 """Prompt that waits for an engine."""
 
+from collections.abc import Callable, Collection, Sequence
+
 import attrs
 
+from gypsumpost_core.gateway.endpoint_state import EndpointState
+
+Select = Callable[[Sequence[EndpointState], Collection[str]], list[EndpointState]]
+
 
 @attrs.frozen(kw_only=True, eq=False)
 class WaitingPrompt:
@@ -16,6 +22,8 @@
     :param started: true if the caller has received events, which no longer come.
     :param wants_copy: true if the engines of the service support copies.
     :param tried: ids of engines that are excluded; may change meanwhile.
+    :param select: returns the engines to which the request may go, of those given and with those
+        tried; ``None`` if it may go to all.
     """
 
     request_id: str
@@ -27,3 +35,4 @@
     started: bool = False
     wants_copy: bool = False
     tried: set[str] = attrs.field(factory=set)
+    select: Select | None = None
--- a/packages/daemon/gypsumpost_daemon/gateway/event_relay.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/event_relay.py
@@ -6,6 +6,7 @@
 
 from gypsumpost_core.crashes.run_progress import SURVIVAL_SECONDS
 from gypsumpost_core.gateway.endpoint_state import EndpointState
+from gypsumpost_core.rollouts.answer_outcome import AnswerOutcome
 from gypsumpost_daemon.engines.answer_memory import AnswerShare
 from gypsumpost_daemon.engines.h11_engine_connection import H11EngineConnection
 from gypsumpost_daemon.gateway.attempt_failure import AttemptFailure
@@ -93,7 +94,14 @@
                 data = await connection.receive_body()
             if data is None:
                 if not await self._watch.is_alive(prefilling=prefilling):
-                    return Err(AttemptFailure(reason="the engine is silent", may_have_run=True))
+                    hangs = prefilling and not self._state.lost
+                    return Err(
+                        AttemptFailure(
+                            reason="the engine is silent",
+                            may_have_run=True,
+                            outcome=AnswerOutcome.TIMED_OUT if hangs else None,
+                        )
+                    )
                 continue
             if not data:
                 return Ok(None)
@@ -116,6 +124,7 @@
                 self._record.endpoint_id, self._prefill_tokens, seconds, now
             )
             self._progress.usage.prefilling = False
+            self._call.versions.record_outcome(AnswerOutcome.SERVED)
             self._context.usage.notify_listeners()
         else:
             self._state.observe_gap(now - self._watch.last_event_at)
--- a/packages/daemon/gypsumpost_daemon/gateway/stream_attempt.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/stream_attempt.py
@@ -9,6 +9,7 @@
 from gypsumpost_core.gateway.copy_source import CopySource
 from gypsumpost_core.gateway.endpoint_record import EndpointRecord
 from gypsumpost_core.gateway.endpoint_state import EndpointState
+from gypsumpost_core.rollouts.answer_outcome import AnswerOutcome
 from gypsumpost_daemon.engines.h11_engine_connection import H11EngineConnection, connect
 from gypsumpost_daemon.gateway.answer_check import check_answer
 from gypsumpost_daemon.gateway.attempt_failure import AttemptFailure
@@ -27,6 +28,7 @@
 """Several round trips; then another engine is tried, which is safe since nothing was sent."""
 
 LOWEST_PRIORITY = 9
+SERVER_ERROR_STATUS = 500
 
 LOG = Log(prefix="stream")
 
@@ -123,14 +125,21 @@
         async with trio.open_nursery() as nursery:
             if self._renewal is not None:
                 nursery.start_soon(self._renewal.run)
+            if self._call.route.resumable and self._call.versions.tracked:
+                nursery.start_soon(self._leave_version, nursery.cancel_scope)
             try:
                 outcome = await self._send_and_forward(connection)
             except OSError as error:
                 outcome = await self._report_broken_connection(error)
             nursery.cancel_scope.cancel()
-        assert outcome is not None
+        if outcome is None:
+            return Err(AttemptFailure(reason="the version of the engine ends", may_have_run=True))
         return outcome
 
+    async def _leave_version(self, scope: trio.CancelScope) -> None:
+        await self._call.versions.wait_end(self._record)
+        scope.cancel()
+
     async def _report_broken_connection(self, error: OSError) -> Result[None, AttemptFailure]:
         if not await self._context.monitor.check(self._record, str(error)):
             self._record_crash()
@@ -227,7 +236,13 @@
             with trio.move_on_at(self._watch.compute_check_time(prefilling=True)):
                 head = await connection.receive_head(self._call.method)
             if head is None and not await self._watch.is_alive(prefilling=True):
-                return Err(AttemptFailure(reason="the engine is silent", may_have_run=True))
+                return Err(
+                    AttemptFailure(
+                        reason="the engine is silent",
+                        may_have_run=True,
+                        outcome=None if self._state.lost else AnswerOutcome.TIMED_OUT,
+                    )
+                )
         headers = list(head.headers)
         self._context.observe_answer(
             self._call, self._record, head.status_code, headers, self._sent_at
@@ -241,7 +256,14 @@
                 self._context.monitor.mark_replaced(self._record)
             return Err(failure)
         if head.status_code != SUCCESS:
-            return Err(AttemptFailure(reason=f"status {head.status_code}", may_have_run=True))
+            failed = head.status_code >= SERVER_ERROR_STATUS
+            return Err(
+                AttemptFailure(
+                    reason=f"status {head.status_code}",
+                    may_have_run=True,
+                    outcome=AnswerOutcome.FAILED if failed else None,
+                )
+            )
         if self._exchange.started and find_content_type(headers) != self._progress.content_type:
             return Err(AttemptFailure(reason="an answer of another kind", may_have_run=True))
         return Ok(head)
--- a/packages/daemon/gypsumpost_daemon/prefill/prompt_pacer.py
+++ b/packages/daemon/gypsumpost_daemon/prefill/prompt_pacer.py
@@ -64,6 +64,7 @@
         :param tried: ids of engines to exclude; emptied when no other engine is left.
         """
         arrived_at = trio.current_time()
+        call.versions.draw()
         stream = PacedStream(
             prompt=WaitingPrompt(
                 request_id=call.request_id,
@@ -75,6 +76,7 @@
                 started=bool(progress.events),
                 wants_copy=limits.supports_copies,
                 tried=tried,
+                select=call.versions.select if call.versions.tracked else None,
             ),
             progress=progress,
         )
@@ -97,7 +99,9 @@
         while True:
             granted = stream.granted
             if granted is not None:
-                if await self._take_turn(granted, trio.current_time()):
+                if not call.versions.current:
+                    call.versions.draw()
+                elif await self._take_turn(granted, trio.current_time()):
                     self._log_grant(granted, trio.current_time() - arrived_at)
                     return Ok(granted.engine)
                 self._return_to_queue(stream)
