Do not renew a confirmation by repeating it

A confirmation has a number now, and the same one counts with its highest age. Measured: a test with two hosts that repeat it 50 times; daemon and platform tests of rollouts pass (13).

--- a/packages/daemon/gypsumpost_daemon/rollouts/decider_lease.py
+++ b/packages/daemon/gypsumpost_daemon/rollouts/decider_lease.py
@@ -7,6 +7,7 @@
 from gypsumpost_daemon.gateway.item_transaction import ItemTransaction, ItemWrite
 from gypsumpost_daemon.gateway.store_lease import StoreLease
 from gypsumpost_daemon.gateway.write_failure import WriteFailure, WriteFailureKind
+from gypsumpost_daemon.rollouts.lease_confirmation import NEVER, LeaseConfirmation
 
 DECIDER_KEY = "gypsumpost/rollouts/decider"
 LEASE_SECONDS = 1.2
@@ -31,6 +32,7 @@
         self._ends_at = 0.0
         self._renew_at = 0.0
         self.token = 0
+        self.confirmation = NEVER
         self.confirmed_at = 0.0
 
     @property
@@ -84,6 +86,8 @@
 
     def _record_renewal(self, asked_at: float) -> None:
         assert self._lease is not None
+        number = self.confirmation.number + 1
+        self.confirmation = LeaseConfirmation(token=self.token, number=number)
         self.confirmed_at = asked_at
         self._ends_at = asked_at + self._lease.seconds
         self._renew_at = asked_at + RENEWAL_SECONDS
--- a/packages/daemon/gypsumpost_daemon/rollouts/report_codec.py
+++ b/packages/daemon/gypsumpost_daemon/rollouts/report_codec.py
@@ -12,6 +12,7 @@
 from gypsumpost_core.rollouts.rollout_phase import RolloutPhase
 from gypsumpost_core.rollouts.rollout_record import RolloutRecord
 from gypsumpost_core.rollouts.version_count import VersionCount
+from gypsumpost_daemon.rollouts.lease_confirmation import LeaseConfirmation
 from gypsumpost_daemon.rollouts.rollout_report import NEVER_MS, RolloutReport
 
 COUNT_NAMES = tuple(field.name for field in attrs.fields(VersionCount))
@@ -29,6 +30,8 @@
     return {
         "records": [_encode_record(record) for record in report.records],
         "confirmedAge": _bound(report.confirmed_age_ms),
+        "confirmedToken": report.confirmation.token,
+        "confirmedNumber": _bound(report.confirmation.number),
         "evidence": {"epoch": report.epoch} | _encode_rows(report.evidence),
     }
 
@@ -41,6 +44,9 @@
     """
     return RolloutReport(
         records=tuple(_decode_record(record) for record in message.records),
+        confirmation=LeaseConfirmation(
+            token=message.confirmedToken, number=message.confirmedNumber
+        ),
         confirmed_age_ms=message.confirmedAge,
         epoch=message.evidence.epoch,
         evidence=_decode_rows(message.evidence),
--- a/packages/daemon/gypsumpost_daemon/rollouts/rollout.capnp
+++ b/packages/daemon/gypsumpost_daemon/rollouts/rollout.capnp
@@ -29,4 +29,6 @@
   records @0 :List(Record);
   confirmedAge @1 :UInt32;   # milliseconds since the decider held its lease; the highest for never
   evidence @2 :Evidence;
+  confirmedToken @3 :UInt64;
+  confirmedNumber @4 :UInt32;
 }
--- a/packages/daemon/gypsumpost_daemon/rollouts/rollout_decider.py
+++ b/packages/daemon/gypsumpost_daemon/rollouts/rollout_decider.py
@@ -103,7 +103,7 @@
             return
         if self._stale and not await self._read():
             return
-        self._state.confirm(self._lease.confirmed_at)
+        self._state.confirm(self._lease.confirmation, self._lease.confirmed_at)
         await self._decide_all()
 
     async def _decide_all(self) -> None:
@@ -137,7 +137,7 @@
             # The store may turn this host away and serve others.
             await self._lease.end()
             return
-        self._state.confirm(self._lease.confirmed_at)
+        self._state.confirm(self._lease.confirmation, self._lease.confirmed_at)
         self._state.announce()
         await self._decide_all()
 
--- a/packages/daemon/gypsumpost_daemon/rollouts/rollout_state.py
+++ b/packages/daemon/gypsumpost_daemon/rollouts/rollout_state.py
@@ -19,6 +19,7 @@
 from gypsumpost_core.rollouts.version_choice import VersionChoice
 from gypsumpost_core.rollouts.version_evidence import VersionEvidence
 from gypsumpost_core.rollouts.version_judge import judge_version
+from gypsumpost_daemon.rollouts.lease_confirmation import NEVER, LeaseConfirmation
 from gypsumpost_daemon.rollouts.order_table import OrderTable
 from gypsumpost_daemon.rollouts.rollout_report import NEVER_MS, NO_REPORT, RolloutReport
 from gypsumpost_daemon.rollouts.unix_clock import MILLISECONDS, read_unix_ms
@@ -62,6 +63,7 @@
             host_id=own.host_id, failure_domain=own.failure_domain, epoch=self._started_ms
         )
         self.records: dict[str, RolloutRecord] = {}
+        self.confirmation = NEVER
         self.confirmed_at = -math.inf
         self._heard: dict[str, float] = {}
         self._changed = trio.Event()
@@ -157,13 +159,22 @@
         self._notify_change()
         self.announce()
 
-    def confirm(self, now: float) -> None:
+    def confirm(self, confirmation: LeaseConfirmation, confirmed_at: float) -> None:
         """Record that the decider held its lease, so that the records are those of the store.
 
-        :param now: monotonic time in seconds.
+        A report takes some time to arrive, by which its confirmation seems too young. Hosts that
+        repeat it to each other would make it younger and younger, so the same one counts with its
+        highest age.
+
+        :param confirmation: which confirmation it is.
+        :param confirmed_at: monotonic time in seconds at which the lease was held.
         """
-        self.confirmed_at = max(self.confirmed_at, now)
-        self.choice.confirm(now)
+        if confirmation > self.confirmation:
+            self.confirmation = confirmation
+            self.confirmed_at = confirmed_at
+            self.choice.confirm(confirmed_at)
+        elif confirmation == self.confirmation:
+            self.confirmed_at = min(self.confirmed_at, confirmed_at)
 
     def announce(self) -> None:
         """Tell the peers at once what this host knows."""
@@ -212,6 +223,7 @@
         evidence = self.evidence.sum_domain(now_ms) if of_domain else self.evidence.snapshot(now_ms)
         return RolloutReport(
             records=tuple(self.records.values()),
+            confirmation=self.confirmation,
             confirmed_age_ms=round(min(NEVER_MS, age * MILLISECONDS)),
             epoch=evidence.epoch,
             evidence=evidence.rows,
@@ -230,8 +242,8 @@
         self._heard[host.failure_domain if of_domain else host.host_id] = now
         for record in report.records:
             self.put_record(record, now, host.host_id)
-        if report.confirmed_age_ms < NEVER_MS:
-            self.confirm(now - report.confirmed_age_ms / MILLISECONDS)
+        if report.confirmation != NEVER:
+            self.confirm(report.confirmation, now - report.confirmed_age_ms / MILLISECONDS)
         if not of_domain and host.failure_domain != self._own.failure_domain:
             return  # Its counts come with those of its domain.
         self.evidence.merge(
--- a/packages/daemon/gypsumpost_daemon/rollouts/tests/test_rollout_state.py
+++ b/packages/daemon/gypsumpost_daemon/rollouts/tests/test_rollout_state.py
@@ -10,11 +10,13 @@
 from gypsumpost_core.rollouts.rollout_settings import RolloutSettings
 from gypsumpost_daemon.gateway.beacon import Beacon
 from gypsumpost_daemon.gateway.beacon_codec import decode_beacon, encode_beacon
+from gypsumpost_daemon.rollouts.lease_confirmation import LeaseConfirmation
 from gypsumpost_daemon.rollouts.order_table import OrderTable
 from gypsumpost_daemon.rollouts.rollout_state import RolloutState
 from gypsumpost_daemon.rollouts.unix_clock import read_unix_ms
 
 OWN = Host(host_id="h-1", failure_domain="a", peer_address="", gossip_address="", api_address="")
+CONFIRMATION = LeaseConfirmation(token=4, number=1)
 PEER = HostReport(host_id="h-2", failure_domain="b", link_mbps=1)
 
 
@@ -62,7 +64,7 @@
     for state, started_at_ms in ((ran_before, 60000), (started_later, -60000)):
         record = create_record(read_unix_ms() + started_at_ms)
         state.put_record(attrs.evolve(record, share=1e-9), now, "peer")
-        state.confirm(now)
+        state.confirm(CONFIRMATION, now)
     assert count_exposed(ran_before) > 0
     assert count_exposed(started_later) == 0
 
@@ -74,7 +76,7 @@
     state, peer = create_state(), create_state()
     record = create_record(read_unix_ms())
     state.put_record(record, trio.current_time(), "store")
-    state.confirm(trio.current_time())
+    state.confirm(CONFIRMATION, trio.current_time())
     await trio.sleep(1.5)
     now = trio.current_time()
     beacon = Beacon(
@@ -92,3 +94,22 @@
     assert peer.records == {"s": record}
     assert abs(peer.confirmed_at - (now - 1.5)) < 0.01
     assert peer.count_silent({"h-1": "a", "h-2": "b", "h-3": "a"}, now) == 2
+
+
+async def test_hosts_that_repeat_a_confirmation_do_not_renew_it(
+    autojump_clock: trio.abc.Clock,
+) -> None:
+    """Guards against a share that stays after its decider is gone, and a late next decider."""
+    state, peer = create_state(), create_state()
+    confirmed_at = trio.current_time()
+    state.confirm(CONFIRMATION, confirmed_at)
+    for _ in range(50):
+        for sender, receiver in ((state, peer), (peer, state)):
+            report = sender.create_report(trio.current_time(), of_domain=False)
+            await trio.sleep(0.02)
+            receiver.apply_report(report, PEER, trio.current_time(), of_domain=False)
+    assert state.confirmed_at == confirmed_at
+    assert peer.confirmed_at <= confirmed_at + 0.03
+    newer = LeaseConfirmation(token=4, number=2)
+    state.confirm(newer, trio.current_time())
+    assert state.confirmed_at == trio.current_time()
