--- a/packages/core/gypsumpost_core/gateway/host_roles.py
+++ b/packages/core/gypsumpost_core/gateway/host_roles.py
@@ -75,15 +75,6 @@
             return True
         return self._has_turn(now, len(self._list_domain(now)) + 1)
 
-    def is_first_watcher(self, now: float) -> bool:
-        """Return true if no host before this one in the ranking watches the store.
-
-        The others then learn of changes from this host, and need its successors only if it fails.
-
-        :param now: monotonic time in seconds.
-        """
-        return not any(report.watching for report in self._list_higher_ranked(now))
-
     def is_store_lost(self, now: float) -> bool:
         """Return true if the store answers none of the hosts of the domain that query it.
 
--- a/packages/core/gypsumpost_core/gateway/tests/test_host_roles.py
+++ b/packages/core/gypsumpost_core/gateway/tests/test_host_roles.py
@@ -121,21 +121,3 @@
     for name in WATCHING:
         roles.put_report(create_report(name, watching=True), 2.6)
     assert not roles.is_watcher(2.6, answered=True)
-
-
-def test_one_host_of_a_domain_is_the_first_watcher():
-    """Guards against three hosts that each make a call to the store for the same change."""
-    names = ("h-0", *WATCHING)
-    first = []
-    for name in names:
-        roles = create_roles(name)
-        for other in names:
-            if other != name:
-                roles.put_report(create_report(other, watching=True), 1.0)
-        if roles.is_first_watcher(1.0):
-            first.append(name)
-    assert first == [max(names)]
-    roles = create_roles()
-    for name in WATCHING:
-        roles.put_report(create_report(name, store_lost=True), 1.0)
-    assert roles.is_first_watcher(1.0)
--- a/packages/daemon/gypsumpost_daemon/gateway/store_follower.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/store_follower.py
@@ -21,10 +21,6 @@
 WATCH_PAUSE_SECONDS = 0.15
 """Changes within this time arrive in one call, because calls are billed."""
 
-NEXT_WATCHER_PAUSE_SECONDS = 0.6
-"""Pause of the watchers after the first one of a domain, from which they learn of changes. If it
-fails, this delays a change by a fraction of the two seconds in which it has to be applied."""
-
 SOUND_CONNECTION_SECONDS = 1.0
 """A connection that breaks after this time says nothing of the store: the next call tells whether
 the store answers. Endpoints whose entries are removed are kept for a while after an outage."""
@@ -142,7 +138,7 @@
                 failure = await (self._watch(prefix) if known else self._read(prefix))
             if failure is None:
                 failed_before = False
-                await trio.sleep(self._get_pause())
+                await trio.sleep(WATCH_PAUSE_SECONDS)
                 continue
             if failure.history_lost:
                 self._positions.pop(prefix, None)
@@ -164,10 +160,6 @@
                 self._record_recovery()
             await trio.sleep(WATCHER_CHECK_SECONDS)
 
-    def _get_pause(self) -> float:
-        first = self._roles.is_first_watcher(trio.current_time())
-        return WATCH_PAUSE_SECONDS if first else NEXT_WATCHER_PAUSE_SECONDS
-
     def _is_watcher(self) -> bool:
         return self._roles.is_watcher(trio.current_time(), answered=self._following)
 
