Grant streams retries by the part of their host again

The part of each host is halved, and the question takes time.

Change: streams use the part of their host only, as before.

--- a/packages/daemon/gypsumpost_daemon/gateway/forward_context.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/forward_context.py
@@ -123,19 +123,13 @@
             return True
         return await self.permits.take_retry(service)
 
-    async def try_acquire_stream_retry(self, service: str) -> bool:
+    def try_acquire_stream_retry(self, service: str) -> bool:
         """Take a retry of a stream from the budget; return false if none is left.
 
-        A host has the part of its streams in those of all hosts. After a loss, hosts that have lost
-        more of them than others ask for more.
-
         :param service: the service.
         """
         now = trio.current_time()
-        part = (1 - GRANTED_FRACTION) * self.usage.compute_own_part(now)
-        if self.retry_budget.try_acquire(service, now, part):
-            return True
-        return await self.permits.take_retry(service)
+        return self.retry_budget.try_acquire(service, now, self.usage.compute_own_part(now))
 
     def compute_budget_left(self, service: str) -> float:
         """Return the retries that are left in the budget of a service, for the log.
--- a/packages/daemon/gypsumpost_daemon/gateway/stream_forwarder.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/stream_forwarder.py
@@ -181,7 +181,7 @@
         wait_deadline = call.received_at + ENGINE_WAIT_FRACTION * call.route.objective
         if progress.events:
             wait_deadline = now + BUDGET_WAIT_SECONDS
-        while not await self._context.try_acquire_stream_retry(call.service):
+        while not self._context.try_acquire_stream_retry(call.service):
             if trio.current_time() >= wait_deadline:
                 return False
             await trio.sleep(BUDGET_CHECK_SECONDS)
