Test bodies that grow when they are parsed

Cause: on the interface of docs/callers.md a body is decoded from JSON. 900 KB of empty lists take 27 MB as objects, which a count of bytes does not show.

Change: 100 clients send such bodies inside the limit.

--- a/packages/bench/gypsumpost_bench/tests/test_caller_crowds.py
+++ b/packages/bench/gypsumpost_bench/tests/test_caller_crowds.py
@@ -153,6 +153,14 @@
         await check_crowd(daemon, 300, pieces)
 
 
+async def test_bodies_that_grow_when_they_are_parsed(monkeypatch):
+    """Guards against bodies that are counted by their bytes, and take thirty times as objects."""
+    fields = ORDINARY[:-1] + b',"user":[' + b",".join([b"[]"] * 300_000) + b"]}"
+    request = encode_head(len(fields)) + fields
+    async with run_daemon(monkeypatch) as daemon:
+        await check_crowd(daemon, 100, lambda: iter([request]))
+
+
 async def test_chunks_of_one_byte_left_open(monkeypatch):
     """Guards against a process that does not answer others any more for the chunks it decodes."""
     pieces = partial(send_chunked, size=120_000, chunk_bytes=1)
