--- a/packages/daemon/gypsumpost_daemon/callers/caller_application.py
+++ b/packages/daemon/gypsumpost_daemon/callers/caller_application.py
@@ -15,6 +15,7 @@
 from gypsumpost_core.generations.event_id import parse_event_id
 from gypsumpost_core.generations.generation_kind import GenerationKind
 from gypsumpost_core.generations.generation_record import GenerationRecord
+from gypsumpost_core.memory.json_cost import estimate_parsed
 from gypsumpost_daemon.callers.access_control import AccessControl
 from gypsumpost_daemon.callers.call_headers import read_deadline
 from gypsumpost_daemon.callers.caller_events import CallerEvents
@@ -35,6 +36,8 @@
 from gypsumpost_daemon.http.asgi_application import Receive, Scope, Send
 from gypsumpost_daemon.http.asgi_lifespan import complete_lifespan
 from gypsumpost_daemon.http.http_call import HttpCall
+from gypsumpost_daemon.http.http_refusal import OVERLOAD_RETRY_SECONDS
+from gypsumpost_daemon.http.overload_guard import OverloadGuard
 from gypsumpost_daemon.limits.admission_gate import AdmissionGate
 from gypsumpost_daemon.settings import Settings
 from gypsumpost_daemon.telemetry.metrics import Metrics
@@ -57,6 +60,7 @@
     :param admission: queues or refuses new generations while the engines are busy.
     :param list_models: returns the names of the models that are currently loaded on engines.
     :param metrics: metrics of the daemon, served at ``/metrics``.
+    :param guard: bounds the memory of parsed bodies.
     :param handle_service: handles requests below ``/v1/services/``, ``None`` if there are none.
     """
 
@@ -68,6 +72,7 @@
     list_models: Callable[[], list[str]]
     metrics: Metrics
     handle_service: Callable[[CallerRequest], Awaitable[CallerResponse]] | None = None
+    guard: OverloadGuard = attrs.field(factory=OverloadGuard)
     draining: bool = attrs.field(default=False, init=False)
     open_requests: int = attrs.field(default=0, init=False)
     _events: CallerEvents = attrs.field(init=False)
@@ -168,10 +173,20 @@
     async def _create_generation(
         self, call: HttpCall, workspace: str, body: bytes, kind: GenerationKind
     ) -> Failure | None:
-        checked = _check_body(body, kind)
-        if isinstance(checked, Err):
-            return checked.err_value
-        request = checked.ok_value
+        with self.guard.count_parsed(estimate_parsed(body)) as has_room:
+            if not has_room:
+                refusal = refuse_request(
+                    503, "overloaded", "The host has no memory for this body now."
+                )
+                return attrs.evolve(refusal, retry_at=time.time() + OVERLOAD_RETRY_SECONDS)
+            checked = _check_body(body, kind)
+            if isinstance(checked, Err):
+                return checked.err_value
+            return await self._run_generation(call, workspace, body, checked.ok_value)
+
+    async def _run_generation(
+        self, call: HttpCall, workspace: str, body: bytes, request: CompletionRequest
+    ) -> Failure | None:
         created = self._records.create(call, workspace, body, request)
         if isinstance(created, Err):
             return created.err_value
--- a/packages/daemon/gypsumpost_daemon/http/http_body.py
+++ b/packages/daemon/gypsumpost_daemon/http/http_body.py
@@ -186,9 +186,10 @@
         held = self._base_bytes + self._buffer.size + buffered
         if self._holder is None and held > UNCOUNTED_BYTES:
             self._holder = self._guard.hold(HeldKind.INCOMPLETE_BODY, self._let_go)
-        if self._holder is not None and not self._guard.resize(self._holder, held):
-            self._released = True
-        self._check_released()
+        if self._holder is not None:
+            if not self._guard.resize(self._holder, held):
+                self._released = True
+            self._check_released()
 
     def _let_go(self) -> None:
         self._released = True
--- a/packages/daemon/gypsumpost_daemon/http/http_connection.py
+++ b/packages/daemon/gypsumpost_daemon/http/http_connection.py
@@ -152,14 +152,20 @@
         deadline = trio.current_time() + seconds
         begun = False
         while True:
-            event = await self._parse_head()
+            received = len(self._parser.trailing_data[0])
+            if received <= UNCOUNTED_HEAD_BYTES:
+                event = self._parse_head()
+            else:
+                # A long head may take far more memory than its bytes. Long ones are parsed in
+                # turns, so that what was let go for one is free before the next.
+                async with self._guard.head_turns.open_turn():
+                    event = self._parse_head()
             if isinstance(event, h11.Request):
                 self._release_head()
                 self.entry.enter(ConnectionStage.READING, trio.current_time())
                 return event
             if event is not h11.NEED_DATA:
                 return None
-            received = len(self._parser.trailing_data[0])
             if not begun and received:
                 begun = True
                 deadline = trio.current_time() + self._limits.head_seconds
@@ -193,18 +199,7 @@
             self._guard.account.close(self._head_holder)
             self._head_holder = None
 
-    async def _parse_head(self) -> object:
-        """Return the next event of h11.
-
-        A long head may take far more memory than its bytes. Long ones are parsed in turns, so that
-        what was let go for one of them is free before the next one.
-        """
-        if len(self._parser.trailing_data[0]) <= UNCOUNTED_HEAD_BYTES:
-            return self._parse_event()
-        async with self._guard.head_turns.open_turn():
-            return self._parse_event()
-
-    def _parse_event(self) -> object:
+    def _parse_head(self) -> object:
         try:
             return self._parser.next_event()
         except h11.RemoteProtocolError as error:
--- a/packages/daemon/gypsumpost_daemon/tests/test_caller_refusals.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_caller_refusals.py
@@ -10,6 +10,7 @@
 import trio.testing
 
 from gypsumpost_bench.engine_application import CRASH_TEXT
+from gypsumpost_core.memory.memory_account import MemoryAccount
 from gypsumpost_daemon.callers.caller_application import CallerApplication
 from gypsumpost_daemon.callers.settings_access import SettingsAccess
 from gypsumpost_daemon.callers.workspace_keys import parse_workspace_keys
@@ -18,6 +19,7 @@
 from gypsumpost_daemon.generations.generation_supervisor import GenerationSupervisor
 from gypsumpost_daemon.generations.idempotency_key_client import IdempotencyKeyClient
 from gypsumpost_daemon.generations.idempotency_key_directory import IdempotencyKeyDirectory
+from gypsumpost_daemon.http.overload_guard import OverloadGuard
 from gypsumpost_daemon.settings import Settings
 from gypsumpost_daemon.telemetry.metrics import Metrics
 from gypsumpost_daemon.tests.fake_engine import MODEL
@@ -126,3 +128,18 @@
             assert replies[-1].get_error()["code"] == "request_quarantined"
             assert replies[-1].get_error()["run_state"] == run_state
         assert sum(engine.lost for engine in engines) <= 3
+
+
+async def test_a_body_without_room_for_its_values_is_refused(clock: object) -> None:
+    """Guards against bodies that take thirty times their bytes as objects."""
+    replies: list[Reply] = []
+    async with run_hosts(1) as ([host], _, nursery):
+        application = await start_application(host, nursery)
+        application.guard = OverloadGuard(account=MemoryAccount(bound=1 << 20))
+        await call(application, "p" + "," * 100_000, replies)
+    (reply,) = replies
+    assert reply.status == 503
+    assert reply.get_error()["code"] == "overloaded"
+    assert reply.get_error()["run_state"] == "not_run"
+    assert float(reply.headers[b"retry-after"]) > 0
+    assert application.guard.account.total == 0
