--- a/packages/daemon/gypsumpost_daemon/http/socket_transport.py
+++ b/packages/daemon/gypsumpost_daemon/http/socket_transport.py
@@ -1,8 +1,11 @@
 """A TCP socket that is read and written without a task switch where possible."""
 
 import contextlib
+import fcntl
 import socket
 import struct
+import sys
+import termios
 from collections.abc import Awaitable, Callable
 
 import trio
@@ -18,6 +21,7 @@
 STALL_SECONDS = 10.0
 FINISH_SECONDS = 1.0
 FINISH_BYTES = 1 << 20
+INTEGER_BYTES = 4
 ABORT_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
@@ -159,10 +163,18 @@
         progress = LeastProgress(
             least=self._least_bytes, seconds=self._stall_seconds, now=trio.current_time()
         )
+        unacknowledged = self._count_unacknowledged()
         while remaining:
             with trio.move_on_at(progress.deadline) as scope:
                 await self._wait_writable()
+            now = trio.current_time()
             if scope.cancelled_caught:
+                # The kernel reports room only once a third of its buffer is free.
+                passed = unacknowledged - self._count_unacknowledged()
+                unacknowledged -= passed
+                progress.record(passed, now)
+                if progress.deadline > now:
+                    continue
                 if self._guard is not None:
                     self._guard.record_end(EndReason.SLOW_READER)
                 raise TimeoutError("the other side does not read")
@@ -171,11 +183,19 @@
             except BlockingIOError:
                 continue
             remaining = remaining[sent:]
-            now = trio.current_time()
+            unacknowledged = self._count_unacknowledged()
             progress.record(sent, now)
             if holder is not None:
                 holder.record_progress(sent, now)
 
+    def _count_unacknowledged(self) -> int:
+        """Return the number of bytes in the send buffer, 0 where the system does not tell."""
+        try:
+            value = fcntl.ioctl(self._socket, termios.TIOCOUTQ, bytes(INTEGER_BYTES))
+        except OSError:
+            return 0
+        return int.from_bytes(value, sys.byteorder)
+
     async def _wait_writable(self) -> None:
         if self._closed:
             raise ConnectionAbortedError("the connection is closed")
--- a/packages/daemon/gypsumpost_daemon/tests/test_http_server_endings.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_http_server_endings.py
@@ -91,6 +91,24 @@
     remote.close()
 
 
+async def test_send_goes_on_while_the_reader_reads_slowly(nursery):
+    """Guards against a reader that is cut off while the kernel reports no room in its buffer."""
+    remote = socket.socket()
+    remote.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        remote.connect(listener.getsockname())
+        local, _ = listener.accept()
+    local.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 65536)
+    transport = socket_transport.SocketTransport(sock=local, stall_seconds=0.5, least_rate=500.0)
+    nursery.start_soon(transport.send, b"x" * 8_000_000)
+    remote.setblocking(False)
+    for _ in range(20):
+        await trio.sleep(0.1)
+        assert remote.recv(4000)
+    nursery.cancel_scope.cancel()
+    remote.close()
+
+
 def connect_pair():
     with socket.create_server(("127.0.0.1", 0)) as listener:
         client = socket.create_connection(listener.getsockname())
