--- a/packages/core/gypsumpost_core/tests/test_overload_decisions.py
+++ b/packages/core/gypsumpost_core/tests/test_overload_decisions.py
@@ -12,6 +12,7 @@
     compute_held_bytes,
     compute_max_connections,
 )
+from gypsumpost_core.memory.json_cost import estimate_parsed
 from gypsumpost_core.memory.least_progress import LeastProgress
 
 
@@ -88,3 +89,9 @@
     """Guards against bounds of zero."""
     assert compute_max_connections(descriptors) >= 64
     assert compute_held_bytes(0, 64) > 0
+
+
+def test_a_body_of_empty_lists_is_estimated_far_above_its_text():
+    """Guards against bodies that are counted by their bytes and take thirty times as objects."""
+    assert estimate_parsed(b"[" + b",".join([b"[]"] * 1000) + b"]") > 30 * 3000
+    assert estimate_parsed(b'{"prompt":"' + b"some words, and more. " * 1000 + b'"}') < 100_000
--- a/packages/daemon/gypsumpost_daemon/daemon.py
+++ b/packages/daemon/gypsumpost_daemon/daemon.py
@@ -193,6 +193,7 @@
             list_models=self._endpoints.list_models,
             handle_service=self._platform.calls.handle if self._platform else None,
             metrics=self._metrics,
+            guard=self._guard,
         )
 
     def _add_gauges(self) -> None:
--- a/packages/daemon/gypsumpost_daemon/http/overload_guard.py
+++ b/packages/daemon/gypsumpost_daemon/http/overload_guard.py
@@ -1,12 +1,13 @@
 """Applies the decisions about memory and processor time to the connections of a process."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 
 import trio
 
 from gypsumpost_core.memory.held_kind import HeldKind
 from gypsumpost_core.memory.host_bounds import MEGABYTE
-from gypsumpost_core.memory.memory_account import MemoryAccount
+from gypsumpost_core.memory.memory_account import SMALL_BYTES, MemoryAccount
 from gypsumpost_core.memory.memory_holder import MemoryHolder
 from gypsumpost_daemon.http.decode_turns import DecodeTurns
 from gypsumpost_daemon.http.end_reason import EndReason
@@ -81,6 +82,25 @@
         """
         return self.account.open(kind, trio.current_time(), end)
 
+    @contextmanager
+    def count_parsed(self, size: int) -> Iterator[bool]:
+        """Count the values of a parsed body until the end of the context.
+
+        :param size: their estimated bytes.
+        :returns: a context with false if there is no room for them.
+        """
+        if size <= SMALL_BYTES:
+            yield True
+            return
+        holder = self.hold(HeldKind.KEPT_BODY, ignore_end)
+        try:
+            has_room = self.resize(holder, size)
+            if not has_room:
+                self.record_refusal(EndReason.MEMORY)
+            yield has_room
+        finally:
+            self.account.close(holder)
+
     def record_refusal(self, reason: EndReason) -> None:
         """Count and log a request that is refused.
 
@@ -112,3 +132,7 @@
                 held_bytes=self.account.total,
                 bound=self.account.bound,
             )
+
+
+def ignore_end() -> None:
+    """Do nothing: parsed bodies belong to requests under way and are not let go."""
