Send the slow chunked bodies of the calm test at 10 KB a second

Cause: the pieces of a chunked body held 60 KB, so the test sent it in four seconds rather than in 25 and guarded against nothing.

Change: the size of a piece is a parameter; the test sends 10 KB a second with a length, in chunks of 10 KB and in chunks of 64 bytes.

--- a/packages/daemon/gypsumpost_daemon/tests/body_pieces.py
+++ b/packages/daemon/gypsumpost_daemon/tests/body_pieces.py
@@ -15,13 +15,14 @@
         yield b"b" * min(PIECE_BYTES, size - start)
 
 
-def split_chunks(body: bytes, chunk_bytes: int) -> Iterator[bytes]:
+def split_chunks(body: bytes, chunk_bytes: int, piece_bytes: int = PIECE_BYTES) -> Iterator[bytes]:
     """Return a body in chunks without the last one, in pieces of many chunks.
 
     :param body: the body.
     :param chunk_bytes: content of a chunk in bytes.
+    :param piece_bytes: most content of a piece in bytes, unless a chunk has more.
     """
-    step = max(1, PIECE_BYTES // chunk_bytes) * chunk_bytes
+    step = max(1, piece_bytes // chunk_bytes) * chunk_bytes
     for start in range(0, len(body), step):
         part = body[start : start + step]
         chunks = (part[at : at + chunk_bytes] for at in range(0, len(part), chunk_bytes))
