Choose engines by cost in one place

The random choice that prefers cheap engines stood in EngineChoice and in the queue of waiting prompts, with three constants written twice. Both call choose_cheap with the constants of engine_costs now; the draws are the same. The replay of the rule before calls the function rather than a private method of the queue.

--- a/packages/core/gypsumpost_core/gateway/engine_choice.py
+++ b/packages/core/gypsumpost_core/gateway/engine_choice.py
@@ -1,28 +1,27 @@
 """Chooses the engine that runs a stream and the engine that holds its copy."""
 
-import math
 import random
 from collections.abc import Callable, Collection, Mapping, Sequence
 
 import attrs
 
+from gypsumpost_core.cheap_choice import choose_cheap
 from gypsumpost_core.gateway.endpoint_fleet import EndpointFleet
 from gypsumpost_core.gateway.endpoint_state import EndpointState
 from gypsumpost_core.gateway.engine_limits import EngineLimits
 from gypsumpost_core.gateway.engine_usage import EngineUsage
 from gypsumpost_core.gateway.prefill_rates import PrefillRates
+from gypsumpost_core.prefill.engine_costs import (
+    MEMORY_RATIO,
+    SPREAD_SECONDS,
+    STREAM_DELAY_SECONDS,
+)
 from gypsumpost_core.prefill.engine_load import EngineLoad
 
-STREAM_DELAY_SECONDS = 0.03
-"""Delay of the first event caused by each stream that runs on the same engine."""
-
 CROSS_DOMAIN_SECONDS = 0.4
 """Cost added for an engine in another domain: traffic between domains is expensive, and reports
 from other domains are older."""
 
-MEMORY_LIMIT_RATIO = 0.9
-"""Share of the memory that may be reserved; above it, engines preempt streams."""
-
 OVERLOAD_SECONDS = 20.0
 """Cost of reserving the whole memory a second time, or of having no free slot; the prompt of a
 preempted stream is prefilled again."""
@@ -30,13 +29,8 @@
 FAILURE_COST_SECONDS = 4.0
 """Cost of an engine that is alive but fails all its streams."""
 
-SPREAD_SECONDS = 0.2
-"""An engine that costs this much more than the cheapest one is chosen 2.7 times less often. Usage
-that other hosts report is up to a second old, so hosts that all chose the cheapest engine would
-send their prompts to the same one."""
-
 SPREAD_MEMORY_RATIO = 0.02
-"""The same for the choice of a copy's holder, as a share of the engine's memory."""
+"""Like ``SPREAD_SECONDS`` for the choice of a copy's holder, as a share of the engine's memory."""
 
 NO_USAGE = EngineUsage()
 
@@ -132,7 +126,7 @@
                 seconds += CROSS_DOMAIN_SECONDS
             return seconds + self._estimate_overload_cost(state, limits, total_tokens)
 
-        chosen = self._choose_cheap(usable, estimate_cost, SPREAD_SECONDS)
+        chosen = choose_cheap(self.rng, usable, estimate_cost, SPREAD_SECONDS)
         others = [state for state in usable if state is not chosen]
         return [chosen, *sorted(others, key=estimate_cost)]
 
@@ -178,7 +172,7 @@
                 + self._estimate_overload_cost(state, limits, total_tokens)
             )
 
-        return self._choose_cheap(usable, estimate_cost, SPREAD_MEMORY_RATIO)
+        return choose_cheap(self.rng, usable, estimate_cost, SPREAD_MEMORY_RATIO)
 
     def estimate_prefill(self, state: EndpointState, prompt_tokens: int) -> float:
         """Return the expected time in seconds until an engine has prefilled a prompt.
@@ -198,18 +192,6 @@
         """
         return self._get_usage(state).prefill_tokens + prompt_tokens
 
-    def _choose_cheap(
-        self,
-        states: Sequence[EndpointState],
-        estimate_cost: Callable[[EndpointState], float],
-        spread: float,
-    ) -> EndpointState:
-        """Choose at random, with a probability that falls exponentially with the cost."""
-        costs = [estimate_cost(state) for state in states]
-        lowest = min(costs)
-        weights = [math.exp((lowest - cost) / spread) for cost in costs]
-        return self.rng.choices(states, weights)[0]
-
     def _list_healthy(self, service: str) -> list[EndpointState]:
         states = [state for state in self.fleet.list_open(service, self.now) if not state.lost]
         unsuspected = [
@@ -225,14 +207,14 @@
     def _has_room(self, state: EndpointState, limits: EngineLimits, total_tokens: int) -> bool:
         usage = self._get_usage(state)
         reserved = usage.memory_tokens + usage.copy_tokens + total_tokens
-        return reserved <= MEMORY_LIMIT_RATIO * limits.memory_tokens
+        return reserved <= MEMORY_RATIO * limits.memory_tokens
 
     def _estimate_overload_cost(
         self, state: EndpointState, limits: EngineLimits, total_tokens: int
     ) -> float:
         usage = self._get_usage(state)
         reserved = usage.memory_tokens + usage.copy_tokens + total_tokens
-        excess = reserved / limits.memory_tokens - MEMORY_LIMIT_RATIO
+        excess = reserved / limits.memory_tokens - MEMORY_RATIO
         return OVERLOAD_SECONDS * max(0.0, excess) + (
             OVERLOAD_SECONDS if usage.running >= limits.slots else 0.0
         )
--- a/packages/core/gypsumpost_core/prefill/engine_load.py
+++ b/packages/core/gypsumpost_core/prefill/engine_load.py
@@ -3,12 +3,10 @@
 import attrs
 
 from gypsumpost_core.gateway.endpoint_state import EndpointState
+from gypsumpost_core.prefill.engine_costs import STREAM_DELAY_SECONDS
 from gypsumpost_core.prefill.prefill_turns import MAX_BACKLOG_SECONDS
 from gypsumpost_core.prefill.waiting_prompt import WaitingPrompt
 
-STREAM_DELAY_SECONDS = 0.03
-"""Delay of the first event caused by each stream that runs on the same engine."""
-
 FULL_MEMORY_SECONDS = 0.5
 """Cost of an engine whose memory is full: the streams that run there produce events more slowly and
 are held up by the prompt."""
--- a/packages/core/gypsumpost_core/prefill/prompt_queue.py
+++ b/packages/core/gypsumpost_core/prefill/prompt_queue.py
@@ -6,12 +6,13 @@
 the room that becomes free at another one.
 """
 
-import math
 import random
 from collections.abc import Iterable, Sequence
 
 import attrs
 
+from gypsumpost_core.cheap_choice import choose_cheap
+from gypsumpost_core.prefill.engine_costs import MEMORY_RATIO, SPREAD_SECONDS
 from gypsumpost_core.prefill.engine_load import EngineLoad
 from gypsumpost_core.prefill.obstacle import Obstacle
 from gypsumpost_core.prefill.prefill_turns import MAX_BACKLOG_SECONDS
@@ -21,20 +22,13 @@
 MAX_WAITING = 256
 """Prompts that wait on a host; further ones are refused."""
 
-MEMORY_RATIO = 0.9
-"""Share of an engine's memory that may be reserved; above it, engines preempt streams."""
-
 LATE_MEMORY_RATIO = 0.6
-"""The same for prompts whose first event will be late. The rest stays free for prompts that can
-still be on time, also those of other hosts."""
+"""``MEMORY_RATIO`` for prompts whose first event will be late. The rest stays free for prompts that
+can still be on time, also those of other hosts."""
 
 COPY_SLACK_SECONDS = 0.3
 """Time before the latest start of a prompt at which it no longer waits for room for its copy."""
 
-SPREAD_SECONDS = 0.2
-"""An engine that costs this much more than the cheapest one is chosen 2.7 times less often, as
-hosts choose from reports of the same age."""
-
 
 @attrs.define(kw_only=True)
 class PromptQueue:
@@ -112,7 +106,12 @@
         waits = not prompt.started and (late or slack > COPY_SLACK_SECONDS)
         if waits and not protected and can_be_copied(engines, prompt):
             return Obstacle.COPY
-        chosen = self._choose(protected or usable, prompt.prompt_tokens)
+        chosen = choose_cheap(
+            self.rng,
+            protected or usable,
+            lambda engine: engine.estimate_cost(prompt.prompt_tokens),
+            SPREAD_SECONDS,
+        )
         chosen.add(prompt)
         return PromptGrant(
             prompt=prompt,
@@ -122,13 +121,6 @@
             waited_for=self._obstacles.get(prompt.request_id),
         )
 
-    def _choose(self, engines: Sequence[EngineLoad], prompt_tokens: int) -> EngineLoad:
-        """Choose at random, with a probability that falls exponentially with the cost."""
-        costs = [engine.estimate_cost(prompt_tokens) for engine in engines]
-        lowest = min(costs)
-        weights = [math.exp((lowest - cost) / SPREAD_SECONDS) for cost in costs]
-        return self.rng.choices(engines, weights)[0]
-
 
 def select_engines(prompt: WaitingPrompt, engines: Sequence[EngineLoad]) -> Sequence[EngineLoad]:
     """Return the engines to which a prompt may go, for example those of one version.
--- a/packages/core/gypsumpost_core/prefill/tests/test_prefill_replay.py
+++ b/packages/core/gypsumpost_core/prefill/tests/test_prefill_replay.py
@@ -1,10 +1,13 @@
 """Replays of waves of short and long prompts, compared with the rule before."""
 
 import random
+from operator import methodcaller
 
 import attrs
 import pytest
 
+from gypsumpost_core.cheap_choice import choose_cheap
+from gypsumpost_core.prefill.engine_costs import SPREAD_SECONDS
 from gypsumpost_core.prefill.prefill_turns import PrefillTurns
 from gypsumpost_core.prefill.prompt_queue import PromptQueue
 from gypsumpost_core.prefill.tests.prefill_replay import OBJECTIVE, RATE, create_wave, replay
@@ -18,12 +21,12 @@
 
 def send_at_once(rng):
     """The rule before: each prompt goes to an engine as soon as it arrives."""
-    queue = PromptQueue(rng=rng)
 
     def choose(now, arrived, loads, send):
         for prompt in arrived:
             fitting = [load for load in loads if load.has_memory(prompt.total_tokens, 0.9)]
-            send(prompt, queue._choose(fitting or loads, prompt.prompt_tokens).state)
+            estimate = methodcaller("estimate_cost", prompt.prompt_tokens)
+            send(prompt, choose_cheap(rng, fitting or loads, estimate, SPREAD_SECONDS).state)
 
     return choose
 
