--- a/packages/daemon/gypsumpost_daemon/limits/permit_codec.py
+++ b/packages/daemon/gypsumpost_daemon/limits/permit_codec.py
@@ -1,6 +1,5 @@
 """Encoding of requests for permits and of their replies."""
 
-import math
 from pathlib import Path
 
 import capnp
@@ -9,10 +8,9 @@
 from gypsumpost_core.limits.permit_decision import PermitDecision, PermitVerdict
 from gypsumpost_core.limits.permit_request import PermitRequest
 from gypsumpost_daemon.limits.limit_codec import decode_limits, encode_limits
+from gypsumpost_daemon.peers.delay_codec import MILLISECONDS, encode_delay
 
 SCHEMA = capnp.load(str(Path(__file__).with_name("permits.capnp")))
-MILLISECONDS = 1000
-MAX_MILLISECONDS = 2**32 - 1
 
 
 def encode_permit_request(request: PermitRequest, now: float) -> bytes:
@@ -25,8 +23,8 @@
         group=request.group,
         limits=encode_limits(request.limits),
         priority=request.priority,
-        queueMs=_encode_delay(request.queue_until, now),
-        waitMs=_encode_delay(request.deadline, now),
+        queueMs=encode_delay(request.queue_until - now),
+        waitMs=encode_delay(request.deadline - now),
     )
     packed: bytes = message.to_bytes_packed()
     return packed
@@ -63,7 +61,7 @@
     message = SCHEMA.PermitReply.new_message(
         verdict=decision.verdict.value,
         key=decision.key,
-        opensInMs=_encode_delay(decision.opens_at, now),
+        opensInMs=encode_delay(decision.opens_at - now),
     )
     packed: bytes = message.to_bytes_packed()
     return packed
@@ -86,7 +84,3 @@
         )
     except (capnp.KjException, ValueError) as error:
         return Err(str(error).partition("\n")[0])
-
-
-def _encode_delay(at: float, now: float) -> int:
-    return math.ceil(min(MAX_MILLISECONDS, max(0.0, (at - now) * MILLISECONDS)))
--- a/packages/daemon/gypsumpost_daemon/prefill/turn_codec.py
+++ b/packages/daemon/gypsumpost_daemon/prefill/turn_codec.py
@@ -1,17 +1,15 @@
 """Encoding of requests for prefill time and of their replies."""
 
-import math
 from pathlib import Path
 
 import capnp
 from result import Err, Ok, Result
 
 from gypsumpost_core.prefill.prefill_turns import PrefillTurn
+from gypsumpost_daemon.peers.delay_codec import MILLISECONDS, encode_delay
 from gypsumpost_daemon.prefill.turn_request import TurnRequest
 
 SCHEMA = capnp.load(str(Path(__file__).with_name("prefill_turns.capnp")))
-MILLISECONDS = 1000
-MAX_MILLISECONDS = 2**32 - 1
 
 
 def encode_turn_request(request: TurnRequest) -> bytes:
@@ -21,7 +19,7 @@
     """
     message = SCHEMA.TurnRequest.new_message(
         engine=request.engine,
-        prefillMs=_encode_seconds(request.seconds),
+        prefillMs=encode_delay(request.seconds),
     )
     packed: bytes = message.to_bytes_packed()
     return packed
@@ -51,7 +49,7 @@
     :param now: monotonic time in seconds.
     """
     message = SCHEMA.TurnReply.new_message(
-        granted=turn.granted, opensInMs=_encode_seconds(turn.opens_at - now)
+        granted=turn.granted, opensInMs=encode_delay(turn.opens_at - now)
     )
     packed: bytes = message.to_bytes_packed()
     return packed
@@ -70,7 +68,3 @@
         )
     except (capnp.KjException, ValueError) as error:
         return Err(str(error).partition("\n")[0])
-
-
-def _encode_seconds(seconds: float) -> int:
-    return math.ceil(min(MAX_MILLISECONDS, max(0.0, seconds * MILLISECONDS)))
