Count the progress of bodies and connections in one place

MemoryHolder and ConnectionEntry each counted bytes until they were enough for progress. Both are a ByteProgress now; the time of a connection's stage has the same name as that of a holder.

--- a/packages/core/gypsumpost_core/memory/connection_choice.py
+++ b/packages/core/gypsumpost_core/memory/connection_choice.py
@@ -29,10 +29,10 @@
     oldest: dict[ConnectionStage, ConnectionEntry] = {}
     for entry in entries:
         found = oldest.get(entry.stage)
-        if found is None or entry.since < found.since:
+        if found is None or entry.progressed_at < found.progressed_at:
             oldest[entry.stage] = entry
     for stage, least_age in ORDER:
         candidate = oldest.get(stage)
-        if candidate is not None and now - candidate.since >= least_age:
+        if candidate is not None and now - candidate.progressed_at >= least_age:
             return candidate
     return None
--- a/packages/core/gypsumpost_core/memory/connection_entry.py
+++ b/packages/core/gypsumpost_core/memory/connection_entry.py
@@ -2,21 +2,18 @@
 
 import attrs
 
+from gypsumpost_core.memory.byte_progress import ByteProgress
 from gypsumpost_core.memory.connection_stage import ConnectionStage
-from gypsumpost_core.memory.memory_holder import PROGRESS_BYTES
 
 
 @attrs.define(kw_only=True, eq=False)
-class ConnectionEntry:
-    """Stage of a connection.
+class ConnectionEntry(ByteProgress):
+    """Stage of a connection; the beginning of a stage counts as progress.
 
-    :param since: monotonic time in seconds at which the stage began or last made progress.
     :param stage: the stage.
     """
 
-    since: float
     stage: ConnectionStage = ConnectionStage.NEW
-    _unrecorded: int = attrs.field(default=0, init=False)
 
     def enter(self, stage: ConnectionStage, now: float) -> None:
         """Change the stage.
@@ -25,16 +22,4 @@
         :param now: monotonic time in seconds.
         """
         self.stage = stage
-        self.since = now
-        self._unrecorded = 0
-
-    def record_progress(self, amount: int, now: float) -> None:
-        """Note that bytes of a request were received.
-
-        :param amount: number of bytes.
-        :param now: monotonic time in seconds.
-        """
-        self._unrecorded += amount
-        if self._unrecorded >= PROGRESS_BYTES:
-            self._unrecorded = 0
-            self.since = now
+        self.restart(now)
--- a/packages/core/gypsumpost_core/memory/memory_holder.py
+++ b/packages/core/gypsumpost_core/memory/memory_holder.py
@@ -4,43 +4,27 @@
 
 import attrs
 
+from gypsumpost_core.memory.byte_progress import ByteProgress
 from gypsumpost_core.memory.held_kind import HeldKind
 
-PROGRESS_BYTES = 4096
-"""Fewer bytes do not count as progress, so that a trickle does not hold a large body."""
-
 MIN_IDLE_SECONDS = 0.1
 """Ranks holders that make progress by size."""
 
 
 @attrs.define(kw_only=True, eq=False)
-class MemoryHolder:
+class MemoryHolder(ByteProgress):
     """A share of the memory account.
 
     :param kind: what the memory is held for.
     :param size: bytes held.
-    :param progressed_at: monotonic time in seconds of the latest progress.
     :param end: frees the memory and ends the request or connection; called once at most.
     :param released: true once the account has let go of it.
     """
 
     kind: HeldKind
-    progressed_at: float
     end: Callable[[], None] = attrs.field(repr=False)
     size: int = attrs.field(default=0, init=False)
     released: bool = attrs.field(default=False, init=False)
-    _unrecorded: int = attrs.field(default=0, init=False)
-
-    def record_progress(self, amount: int, now: float) -> None:
-        """Note that bytes were received or sent.
-
-        :param amount: number of bytes.
-        :param now: monotonic time in seconds.
-        """
-        self._unrecorded += amount
-        if self._unrecorded >= PROGRESS_BYTES:
-            self._unrecorded = 0
-            self.progressed_at = now
 
     def compute_weight(self, now: float) -> float:
         """Return the holder's claim to be let go: its size times its time without progress.
--- a/packages/core/gypsumpost_core/tests/test_overload_decisions.py
+++ b/packages/core/gypsumpost_core/tests/test_overload_decisions.py
@@ -44,7 +44,7 @@
 
 
 def create_entry(stage, since):
-    return ConnectionEntry(stage=stage, since=since)
+    return ConnectionEntry(stage=stage, progressed_at=since)
 
 
 def test_unused_connections_are_closed_before_kept_ones():
--- a/packages/daemon/gypsumpost_daemon/http/http_connection.py
+++ b/packages/daemon/gypsumpost_daemon/http/http_connection.py
@@ -74,7 +74,7 @@
         self._head_holder: MemoryHolder | None = None
         self._idle_scope: trio.CancelScope | None = None
         self._stopping = False
-        self.entry = ConnectionEntry(since=trio.current_time())
+        self.entry = ConnectionEntry(progressed_at=trio.current_time())
         """The stage of the connection, by which the server chooses one to close."""
 
     async def run(self) -> None:
