Split the limits and the listeners from the gateway's components

GatewayLimits follows the configuration and the settings, and GatewayListeners starts the servers; what they do is unchanged.

--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
@@ -4,7 +4,6 @@
 import trio
 from result import Err
 
-from gypsumpost_core.gateway.caller_limits import CallerLimits
 from gypsumpost_core.gateway.copy_directory import CopyDirectory
 from gypsumpost_core.gateway.host_roles import HostRoles
 from gypsumpost_core.gateway.prefill_rates import PrefillRates
@@ -14,12 +13,6 @@
 from gypsumpost_core.key_ring import KeyRing
 from gypsumpost_core.limits.request_limits import RequestLimits
 from gypsumpost_core.membership.membership_settings import MembershipSettings
-from gypsumpost_core.memory.host_bounds import (
-    MEGABYTE,
-    compute_held_bytes,
-    compute_max_connections,
-)
-from gypsumpost_core.memory.memory_account import MemoryAccount
 from gypsumpost_daemon.addresses import split_address
 from gypsumpost_daemon.engines.answer_memory import AnswerMemory
 from gypsumpost_daemon.gateway.adapter import GatewayAdapter
@@ -38,6 +31,8 @@
 from gypsumpost_daemon.gateway.forward_context import ForwardContext, create_retry_budget
 from gypsumpost_daemon.gateway.gateway_application import GatewayApplication
 from gypsumpost_daemon.gateway.gateway_gauges import add_gauges
+from gypsumpost_daemon.gateway.gateway_limits import GatewayLimits
+from gypsumpost_daemon.gateway.gateway_listeners import GatewayListeners
 from gypsumpost_daemon.gateway.gateway_metrics import GatewayMetrics
 from gypsumpost_daemon.gateway.gateway_settings import RELOADABLE, GatewaySettings
 from gypsumpost_daemon.gateway.metrics_application import MetricsApplication
@@ -45,11 +40,6 @@
 from gypsumpost_daemon.gateway.planned_stop import PlannedStop
 from gypsumpost_daemon.gateway.ready_application import ReadyApplication
 from gypsumpost_daemon.gateway.store_follower import StoreFollower
-from gypsumpost_daemon.http.asgi_application import ASGIApplication
-from gypsumpost_daemon.http.h11_server import serve_limited
-from gypsumpost_daemon.http.http_limits import HttpLimits
-from gypsumpost_daemon.http.overload_guard import OverloadGuard
-from gypsumpost_daemon.http.running_server import RunningServer
 from gypsumpost_daemon.lifecycle.process_signals import ProcessSignals
 from gypsumpost_daemon.limits.permit_client import PermitClient
 from gypsumpost_daemon.limits.permit_taker import PermitTaker
@@ -61,17 +51,9 @@
 from gypsumpost_daemon.telemetry.log import Log
 from gypsumpost_daemon.telemetry.metrics import Metrics
 
-IDLE_MARGIN_SECONDS = 0.5
-"""Idle connections are closed this long after the limit, so that a request sent just before the
-limit does not reach a closed connection."""
-
 GOSSIP_TICK_SECONDS = 0.1
 """Shorter than any timeout of the membership protocol; each tick wakes the process."""
 
-READY_BODY_BYTES = 4096
-PROBE_CONNECTIONS = 32
-"""Most connections to the readiness check, and to the metrics."""
-
 LOG = Log(prefix="gateway")
 
 
@@ -197,7 +179,7 @@
                 record_change=self._follower.record_change_of_peer,
             ),
         )
-        self.guard = OverloadGuard(account=MemoryAccount(bound=0), metrics=metrics)
+        self.limits = GatewayLimits(settings=settings, metrics=metrics)
         self.context = ForwardContext(
             settings=settings,
             adapter=adapter,
@@ -214,13 +196,11 @@
             turns=TurnDesk(directory=self._hosts, peers=self._network),
             retry_budget=retry_budget,
             metrics=gateway_metrics,
-            answer_memory=AnswerMemory(guard=self.guard),
+            answer_memory=AnswerMemory(guard=self.limits.guard),
             count_hosts=self._count_hosts,
             rollouts=rollout_state,
         )
         self.application = GatewayApplication(context=self.context)
-        self._limits = HttpLimits(max_body=CallerLimits().max_body)
-        self._apply_bounds()
         self._signals = ProcessSignals(reload=self._reload)
         self.serving = False
         add_gauges(
@@ -244,19 +224,17 @@
             if self.rollouts is not None:
                 nursery.start_soon(self.rollouts.run)
             await nursery.start(self.monitor.run)
-            nursery.start_soon(self._update_limits)
+            nursery.start_soon(self.limits.follow, self.directory)
+            listeners = GatewayListeners(nursery=nursery, guard=self.limits.guard)
             ready = ReadyApplication(is_ready=self._is_ready)
-            probe_limits = HttpLimits(max_body=READY_BODY_BYTES, max_connections=PROBE_CONNECTIONS)
-            await self._serve(nursery, ready, self.settings.ready_address, probe_limits)
+            await listeners.serve_probes(ready, self.settings.ready_address)
             self._signals.record_serving()
-            server = await self._serve(
-                nursery, self.application, self.settings.caller_address, self._limits
+            server = await listeners.serve(
+                self.application, self.settings.caller_address, self.limits.http
             )
             if self.settings.metrics_address:
                 scrape_application = MetricsApplication(metrics=self._metrics)
-                await self._serve(
-                    nursery, scrape_application, self.settings.metrics_address, probe_limits
-                )
+                await listeners.serve_probes(scrape_application, self.settings.metrics_address)
             self.serving = True
             LOG.write("started", address=server.address)
             await self._signals.stop_requested.wait()
@@ -300,43 +278,6 @@
         domain = self.settings.failure_domain
         return [host for host in self._hosts.list_live() if host.failure_domain == domain]
 
-    async def _serve(
-        self,
-        nursery: trio.Nursery,
-        application: ASGIApplication,
-        address: str,
-        limits: HttpLimits,
-    ) -> RunningServer:
-        async def serve(task_status: trio.TaskStatus[RunningServer]) -> None:
-            await serve_limited(
-                application=application,
-                address=address,
-                limits=limits,
-                guard=self.guard,
-                task_status=task_status,
-            )
-
-        server: RunningServer = await nursery.start(serve)
-        return server
-
-    async def _update_limits(self) -> None:
-        while True:
-            routes = self.directory.routes
-            if routes is not None:
-                limits = routes.configuration.limits
-                self._limits.max_body = limits.max_body
-                self._limits.max_head = limits.max_head
-                self._limits.head_seconds = limits.head_seconds
-                self._limits.idle_seconds = limits.idle_seconds + IDLE_MARGIN_SECONDS
-            await self.directory.wait_change(float("inf"))
-
-    def _apply_bounds(self) -> None:
-        """Bound connections and memory by what the host has."""
-        connections = compute_max_connections(self.settings.max_descriptors)
-        self._limits.max_connections = connections
-        memory_bytes = int(self.settings.memory_mb * MEGABYTE)
-        self.guard.account.bound = compute_held_bytes(memory_bytes, connections)
-
     def _reload(self) -> None:
         """Read the settings again and apply those that may change while the gateway runs."""
         read = self._adapter.read_settings()
@@ -347,7 +288,7 @@
         reloaded = {name: getattr(read.ok_value, name) for name in changed if name in RELOADABLE}
         self.settings = attrs.evolve(self.settings, **reloaded)
         self.context.apply_settings(self.settings)
-        self._apply_bounds()
+        self.limits.apply_settings(self.settings)
         self._exchange.set_seeds(self.settings.seed_ips)
         self.roles.link_mbps = max(1, round(self.settings.link_mbps))
         LOG.write(
