--- a/review/standins-2/harness.py
+++ b/review/standins-2/harness.py
@@ -441,6 +441,8 @@
         for daemon in self.daemons:
             while not await daemon.is_ready():
                 if time.monotonic() > deadline:
+                    for line in daemon.read_log()[-5:]:
+                        self.record.write(f"{daemon.name}: {line}")
                     raise RuntimeError(f"{daemon.name} is not ready")
                 await asyncio.sleep(0.1)
         self.record.write(f"ready: {', '.join(daemon.name for daemon in self.daemons)}")
--- a/review/standins-2/server.py
+++ b/review/standins-2/server.py
@@ -118,7 +118,7 @@
             f"HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\nX-Request-Attempt-Id: {request_id}\r\n"
             "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
         ).encode()
-        unit = {"chunks": b"1\r\nx\r\n", "interim": b"HTTP/1.1 102 Processing\r\n\r\n"}[self.options["flood"]]
+        unit = {"chunks": b"1\r\n\n\r\n", "interim": b"HTTP/1.1 102 Processing\r\n\r\n"}[self.options["flood"]]
         if self.options["flood"] == "chunks":
             writer.write(head)
         piece = unit * (FLOOD_BYTES // len(unit))
