--- a/review/standins-2/harness.py
+++ b/review/standins-2/harness.py
@@ -598,7 +598,12 @@
         async def run():
             nonlocal deployment
             deployment = Deployment(record)
-            return await asyncio.wait_for(main(deployment, trouble), 110)
+            try:
+                return await asyncio.wait_for(main(deployment, trouble), 110)
+            finally:
+                for task in asyncio.all_tasks() - {asyncio.current_task()}:
+                    task.cancel()
+                await asyncio.sleep(0.1)
 
         held = asyncio.run(run())
         status = 0 if held else 1
