--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""Servers of one service are cut off for a second; two of the three name a limit.
+"""The servers of one service crash and are back after some seconds; two of the three name a limit.
 
 Each host then takes all three for lost. A call asks for a permit of a limited one, is sent on to
 the one without a limit, finds it lost, and chooses again without a pause: the process of the host
@@ -25,16 +25,16 @@
 """Servers of one service differ in speed."""
 
 MODEL_SERVERS = 7
-"""With the three others there are ten servers; those that are cut off are a share of 0.3."""
 
 REQUESTS_PER_SECOND = 22.5
 """As on the sheet: 17.8 calls and 4.7 streams."""
 
-CUT_SECONDS = 6.0
+DOWN_SECONDS = 4.5
+PORTAL = ("p-0", "p-1", "p-2")
 BEFORE_SECONDS = 5.0
 AFTER_SECONDS = 15.0
 TIMEOUT_SECONDS = 0.8
-CONTACT_SECONDS = 3.0
+MIN_SERVED = 20
 SLACK_SECONDS = 0.5
 GRACE_SECONDS = 8.0
 STREAM = {"X-Model": "m", "X-Token-Counts": "1460,780", "X-Prompt-Prefix": "5c1e07a2:800,e4402b7d:660"}
@@ -48,7 +48,7 @@
     for number, (limit, work) in enumerate(zip(LIMITS, WORK_SECONDS)):
         options = {} if limit is None else {"limit": limit}
         zone = f"zone-{'abc'[number]}"
-        await deployment.start_server(f"p-{number}", "portal", zone, proxied=True, slots=6, work=work, **options)
+        await deployment.start_server(f"p-{number}", "portal", zone, slots=6, work=work, **options)
     for number in range(MODEL_SERVERS):
         await deployment.start_server(f"m-{number}", "models", f"zone-{'abc'[number % 3]}", events=20)
     await asyncio.sleep(3)
@@ -58,22 +58,23 @@
     tasks = [asyncio.ensure_future(ask_ready(daemon, ready[daemon.name])) for daemon in deployment.daemons]
     tasks.append(asyncio.ensure_future(send_calls(deployment, ready, answers)))
     await asyncio.sleep(BEFORE_SECONDS)
+    crashed_at = time.monotonic()
     if trouble:
-        for server_id in ("p-0", "p-1", "p-2"):
-            await deployment.servers[server_id]["proxy"].cut()
-        deployment.record.write("p-0, p-1 and p-2 are cut off from all machines")
-    await asyncio.sleep(CUT_SECONDS)
+        for server_id in PORTAL:
+            deployment.servers[server_id]["process"].kill()
+        deployment.record.write(f"{', '.join(PORTAL)} crash")
+    await asyncio.sleep(DOWN_SECONDS)
     if trouble:
-        for server_id in ("p-0", "p-1", "p-2"):
-            await deployment.servers[server_id]["proxy"].heal()
-        deployment.record.write("the cut has healed")
-    healed_at = time.monotonic()
+        for server_id in PORTAL:
+            server = deployment.servers[server_id]
+            options = {name: server["options"][name] for name in ("slots", "work", "limit") if name in server["options"]}
+            await deployment.start_server(server_id, "portal", server["zone"], **options)
+        deployment.record.write(f"{', '.join(PORTAL)} are back")
     await asyncio.sleep(AFTER_SECONDS)
     for task in tasks:
         task.cancel()
-    judged_from = healed_at + CONTACT_SECONDS
-    await report_processes(deployment, ready, judged_from)
-    return check(deployment, answers, judged_from)
+    await report_processes(deployment, ready, crashed_at)
+    return check(deployment, answers, crashed_at)
 
 
 async def ask_ready(daemon, found):
@@ -157,19 +158,22 @@
 
 
 def check(deployment, answers, since):
-    """Judge the calls that were sent at least ``contact_ms`` after the cut."""
+    """Judge the calls that were sent from the crash on."""
     now = time.monotonic()
-    calls = [a for a in answers if not a["stream"] and since < a["at"] < now - 5]
+    calls = [a for a in answers if not a["stream"] and since < a["at"] < now - 2]
     waited = [a["seconds"] if a["seconds"] is not None else now - a["at"] for a in calls]
     past = [seconds for seconds in waited if seconds >= TIMEOUT_SECONDS]
     late = [seconds for seconds in past if seconds >= TIMEOUT_SECONDS + SLACK_SECONDS]
     never = sum(a["seconds"] is None for a in calls)
     served = sum(a["status"] == 200 for a in calls)
     deployment.record.write(
-        f"calls sent later than contact_ms after the cut: {len(calls)}, served {served},"
+        f"calls sent from the crash on: {len(calls)}, served {served},"
         f" unanswered at the timeout {len(past)}, still unanswered 0.5 s later {len(late)}, never answered {never}"
     )
-    streams = [a for a in answers if a["stream"] and since < a["at"] < now - 5]
+    before = sum(a["status"] == 200 for a in answers if not a["stream"] and a["at"] < since)
+    if before < MIN_SERVED:
+        raise RuntimeError(f"only {before} calls were served before the crash")
+    streams = [a for a in answers if a["stream"] and since < a["at"] < now - 2]
     deployment.record.write(
         f"streams of the other service sent then: {len(streams)}, begun {sum(a['status'] == 200 for a in streams)}"
     )
--- a/review/standins-2/harness.py
+++ b/review/standins-2/harness.py
@@ -26,7 +26,8 @@
 TENANT = "tenant-1"
 HOST = "model.example"
 METRICS_PORT = 9102
-CANNOT_RUN = 2
+HELD, BROKEN, CANNOT_RUN = 0, 10, 2
+"""Exit statuses; ``run.sh`` makes 1 of a broken rule."""
 
 GATE_ROUTE = {
     "host": HOST,
@@ -580,12 +581,19 @@
     return "\r\n".join([*lines, "", ""]).encode() + body
 
 
+def end_by_signal(number, frame):
+    """End the script by way of its ``finally`` clauses, which end the processes that it started."""
+    raise SystemExit(CANNOT_RUN)
+
+
 def run_case(main, record_path):
-    """Run a case and exit with 1 if the rule was broken, 0 if it held, 2 if it could not run.
+    """Run a case and exit with ``BROKEN``, ``HELD`` or ``CANNOT_RUN``.
 
     :param main: called with the deployment; returns true if the rule held.
     :param record_path: where to write what happened.
     """
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, end_by_signal)
     record = Record(record_path)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write(f"TROUBLE={int(trouble)}")
@@ -601,12 +609,13 @@
             try:
                 return await asyncio.wait_for(main(deployment, trouble), 110)
             finally:
-                for task in asyncio.all_tasks() - {asyncio.current_task()}:
+                tasks = asyncio.all_tasks() - {asyncio.current_task()}
+                for task in tasks:
                     task.cancel()
-                await asyncio.sleep(0.1)
+                await asyncio.wait(tasks, timeout=2) if tasks else None
 
         held = asyncio.run(run())
-        status = 0 if held else 1
+        status = HELD if held else BROKEN
         record.write("the rule held" if held else "the rule was broken")
     except Exception as error:  # Whatever prevents a verdict is reported as such.
         record.write(f"the case could not run: {error!r}")
--- a/review/standins-2/server.py
+++ b/review/standins-2/server.py
@@ -3,8 +3,7 @@
 Started with one argument, a JSON object: ``id``, ``ip``, ``port``, ``born``, ``log`` (a file to
 which each request is appended) and, where they fit, ``events`` (length of a stream), ``gap``
 (seconds between events), ``work`` (seconds for a call), ``crash_on`` (a body on which the process
-ends), ``limit`` (the ``Server-Limit`` of every answer), ``flood`` (the kind of bytes without end that it sends), ``pause`` (``Retry-After`` of every
-answer, which is then a 503).
+ends), ``limit`` (the ``Server-Limit`` of every answer).
 """
 
 import asyncio
@@ -18,7 +17,6 @@
 HANDLE_SECONDS = 4.0
 COPY_SECONDS = 0.2
 CRASH_SECONDS = 0.05
-FLOOD_BYTES = 1 << 18
 
 
 class Server:
@@ -63,9 +61,6 @@
             method=method, path=path, request=request_id, body=request.body[:60].decode("latin-1"),
             headers={name: value for name, value in request.headers.items() if name != "authorization"},
         )
-        if "flood" in self.options:
-            await self._flood(request_id, writer)
-            return False
         if path == "/report":
             await self._send(writer, 200, json.dumps(self._report()).encode())
             return True
@@ -75,10 +70,6 @@
         if request.headers.get("x-expect-instance", self.id) != self.id:
             await self._send(writer, 421, b"", {"X-Instance-Id": self.id})
             return True
-        if "pause" in self.options:
-            headers = {"X-Not-Executed": "1", "Retry-After": str(self.options["pause"])}
-            await self._send(writer, 503, b"", headers, request_id)
-            return True
         if self.options.get("crash_on") and self.options["crash_on"].encode() in request.body:
             await asyncio.sleep(CRASH_SECONDS)
             self.log(event="crash", request=request_id)
@@ -113,19 +104,6 @@
             "handles": 0, "runs": runs, "next": 0, "born": self.options["born"],
         }
 
-    async def _flood(self, request_id, writer):
-        head = (
-            f"HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\nX-Request-Attempt-Id: {request_id}\r\n"
-            "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-        ).encode()
-        unit = {"chunks": b"1\r\n\n\r\n", "interim": b"HTTP/1.1 102 Processing\r\n\r\n"}[self.options["flood"]]
-        if self.options["flood"] == "chunks":
-            writer.write(head)
-        piece = unit * (FLOOD_BYTES // len(unit))
-        while True:
-            writer.write(piece)
-            await writer.drain()
-
     async def _stream(self, request, request_id, reader, writer):
         """Write a stream. The text of an event names the run whose memory it was made from."""
         origin, source = request_id, request.headers.get("kv-from")
@@ -144,7 +122,7 @@
             await asyncio.sleep(self.options.get("prefill", 0.3))
         head = (
             f"HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\nX-Request-Attempt-Id: {request_id}\r\n"
-            "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+            "X-Weight-Versions: 1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
         )
         writer.write(head.encode())
         left = asyncio.ensure_future(reader.read(1))
