Continue a stream only for the caller who can be its only owner

Cause: a host took the only stream that it knew under the digest of a request for the caller's. It did not know the streams of other domains, those without a copy, those that had broken at itself, those older than 5 s, and, after a start, those that were lost before. The host's line "looked for the copy of a stream" names one stream, of the other caller, as not served.

Change: streams are told with or without a copy, remembered for 60 s and handed to peers that join; relays announce digests to other domains; the stream's host says whether it is over and what it passed on last. A stream is continued if it is the only one that can be the caller's, and the host would know of another one; else the prompt is read again.

--- /dev/null
+++ b/packages/core/gypsumpost_core/gateway/begun_streams.py
@@ -0,0 +1,73 @@
+"""Which requests have begun to stream lately, in this failure domain and in others."""
+
+from collections import OrderedDict, deque
+from collections.abc import Iterable
+
+import attrs
+
+DIGEST_BYTES = 8
+"""Part of the digest of a request that is told to other domains, where each byte is paid for."""
+
+ANNOUNCE_SECONDS = 3.0
+"""How long a new stream is announced: several beacons, and the loss of a relay in between."""
+
+MEMORY_SECONDS = 60.0
+"""How long a stream is remembered, which is longer than callers wait for a whole answer."""
+
+
+@attrs.define(kw_only=True)
+class BegunStreams:
+    """Tells whether a caller with an equal request may come from another failure domain.
+
+    The caller of a stream in a domain that is lost comes to a host that knows nothing else of that
+    stream.
+    """
+
+    _announced: deque[tuple[float, bytes]] = attrs.field(factory=deque, init=False)
+    _elsewhere: OrderedDict[bytes, float] = attrs.field(factory=OrderedDict, init=False)
+
+    def announce(self, fingerprint: bytes, now: float) -> None:
+        """Add a stream of this domain.
+
+        :param fingerprint: digest of its request.
+        :param now: monotonic time in seconds at which it was heard of.
+        """
+        self._announced.append((now, fingerprint[:DIGEST_BYTES]))
+        self._drop_announced(now)
+
+    def list_announced(self, now: float) -> tuple[bytes, ...]:
+        """Return the digests to tell the other domains.
+
+        :param now: monotonic time in seconds.
+        """
+        self._drop_announced(now)
+        return tuple(dict.fromkeys(digest for _, digest in self._announced))
+
+    def put_elsewhere(self, digests: Iterable[bytes], now: float) -> None:
+        """Add the digests that a relay of another domain has told.
+
+        :param digests: the digests.
+        :param now: monotonic time in seconds.
+        """
+        for digest in digests:
+            self._elsewhere[digest] = now
+            self._elsewhere.move_to_end(digest)
+        while self._elsewhere and next(iter(self._elsewhere.values())) < now - MEMORY_SECONDS:
+            self._elsewhere.popitem(last=False)
+
+    def list_elsewhere(self) -> tuple[bytes, ...]:
+        """Return the digests of the other domains."""
+        return tuple(self._elsewhere)
+
+    def is_begun_elsewhere(self, fingerprint: bytes, now: float) -> bool:
+        """Return true if an equal request has begun to stream in another domain lately.
+
+        :param fingerprint: digest of the request.
+        :param now: monotonic time in seconds.
+        """
+        heard_at = self._elsewhere.get(fingerprint[:DIGEST_BYTES])
+        return heard_at is not None and now < heard_at + MEMORY_SECONDS
+
+    def _drop_announced(self, now: float) -> None:
+        while self._announced and self._announced[0][0] < now - ANNOUNCE_SECONDS:
+            self._announced.popleft()
--- a/packages/core/gypsumpost_core/gateway/tests/test_budgets.py
+++ b/packages/core/gypsumpost_core/gateway/tests/test_budgets.py
@@ -124,10 +124,10 @@
     directory.put_peer_reports("host-1", [copy], 1.0)
     assert [known.report for known in directory.list_peer_copies(b"f", 4.0)] == [copy]
     assert directory.list_peer_copies(b"f", 7.0) == []
-    directory.put(copy)
-    assert directory.list_own() == (copy,)
+    directory.put(copy, 1.0)
+    assert directory.list_own(1.0) == (copy,)
     directory.drop("r")
-    assert directory.list_own() == ()
+    assert directory.list_own(1.0) == ()
 
 
 def test_equal_requests_have_a_copy_each():
@@ -136,10 +136,10 @@
     first, second = (
         CopyReport(fingerprint=b"f", request_id=name, copy_engine="e1") for name in ("r1", "r2")
     )
-    directory.put(first)
-    directory.put(second)
+    directory.put(first, 1.0)
+    directory.put(second, 1.0)
     directory.drop("r1")
-    assert directory.list_own() == (second,)
+    assert directory.list_own(1.0) == (second,)
     assert directory.is_serving(b"f", "r2") and not directory.is_serving(b"f", "r1")
     directory.put_peer_reports("host-1", [first], 1.0)
     directory.put_peer_reports("host-2", [second], 1.0)
--- a/packages/core/gypsumpost_core/settings/setting_parsers.py
+++ b/packages/core/gypsumpost_core/settings/setting_parsers.py
@@ -109,3 +109,13 @@
         return text
 
     return parse
+
+
+def parse_boolean(text: str) -> bool:
+    """Parse ``true`` or ``false``.
+
+    :param text: the value as text.
+    """
+    if text not in ("true", "false"):
+        raise ValueError(text)
+    return text == "true"
--- a/packages/daemon/gypsumpost_daemon/gateway/beacon.capnp
+++ b/packages/daemon/gypsumpost_daemon/gateway/beacon.capnp
@@ -4,7 +4,8 @@
 using RolloutReport = import "../rollouts/rollout.capnp".Report;
 using Limit = import "../limits/limit.capnp".Limit;
 
-# Datagrams between gateways, and requests and replies of STREAM_STATE and DIRECTORY_STATE.
+# Datagrams between gateways, and requests and replies of STREAM_STATE, STREAM_MEMORY and
+# DIRECTORY_STATE.
 
 # Usage by engine. Packed numbers are decoded in a tenth of the time of a list of structs.
 struct Uses {
@@ -23,6 +24,8 @@
   requestId @1 :Text;
   copyEngine @2 :Text;
   continues @3 :Text;           # id of the stream that this one continues, empty for none
+  broken @4 :Bool;              # true if the stream has ended before its last event
+  lastEventId @5 :Data;         # of a broken stream: the last event passed on
 }
 
 struct HostReport {
@@ -62,6 +65,9 @@
   leaving @14 :List(EndpointStart);
   limits @15 :List(Limit);
   rollouts @16 :RolloutReport;
+  incarnation @17 :UInt64;      # process of the sender: Unix milliseconds of its start
+  copiesLeftOut @18 :Bool;      # true if the copies did not fit into the datagram
+  begun @19 :Data;              # digests, 8 bytes each, of streams that began in the domain lately
 }
 
 struct Item {
@@ -87,10 +93,28 @@
 struct StreamQuery {
   fingerprint @0 :Data;
   requestId @1 :Text;
+  incarnation @2 :UInt64;       # process of the host that has reported the stream
 }
 
 struct StreamState {
   served @0 :Bool;
+  over @1 :Bool;                # true if no caller comes back for it
+  lastEventId @2 :Data;         # the last event passed on, empty if not known
+  sole @3 :Bool;                # true if the host knows for sure of no other one like it
+}
+
+struct KnownStream {
+  hostId @0 :Text;
+  incarnation @1 :UInt64;
+  report @2 :CopyReport;
+  ageMs @3 :UInt32;             # since the last report that the stream runs
+}
+
+# Reply of STREAM_MEMORY; the request is empty.
+struct StreamMemory {
+  completeMs @0 :UInt32;        # for how long the host has heard of all streams
+  streams @1 :List(KnownStream);
+  begunElsewhere @2 :Data;      # digests, 8 bytes each
 }
 
 struct DirectoryRequest {
--- a/packages/daemon/gypsumpost_daemon/gateway/beacon.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/beacon.py
@@ -34,8 +34,11 @@
     :param limits: limits on requests that endpoints have named, or that have ended lately.
     :param crashes: requests that engines had when they crashed.
     :param survivals: possible causes of crashes with which requests have run.
-    :param copies: locations of the copies of the sender's streams.
+    :param copies: the sender's streams, and where their copies are.
     :param rollouts: records of roll-outs and evidence about versions.
+    :param incarnation: process of the sender, in Unix milliseconds of its start.
+    :param copies_left_out: true if the copies did not fit into the datagram.
+    :param begun: digests of the requests that have begun to stream in the domain lately.
     """
 
     host: HostReport
@@ -54,4 +57,7 @@
     survivals: tuple[SurvivalReport, ...] = ()
     copies: tuple[CopyReport, ...] = ()
     rollouts: RolloutReport = NO_REPORT
+    incarnation: int = 0
+    copies_left_out: bool = False
+    begun: tuple[bytes, ...] = ()
     rates: Mapping[str, int] = attrs.field(factory=dict)
--- a/packages/daemon/gypsumpost_daemon/gateway/beacon_codec.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/beacon_codec.py
@@ -7,7 +7,6 @@
 import capnp
 from result import Err, Ok, Result
 
-from gypsumpost_core.gateway.copy_report import CopyReport
 from gypsumpost_core.gateway.endpoint_start import EndpointStart
 from gypsumpost_core.gateway.engine_usage import EngineUsage
 from gypsumpost_core.gateway.host_report import HostReport
@@ -19,6 +18,7 @@
     encode_survivals,
 )
 from gypsumpost_daemon.gateway.beacon import Beacon
+from gypsumpost_daemon.gateway.copy_codec import decode_copy, encode_copy, split_digests
 from gypsumpost_daemon.gateway.peer_schema import SCHEMA
 from gypsumpost_daemon.limits.limit_codec import decode_limits, encode_limits
 from gypsumpost_daemon.rollouts.report_codec import decode_report, encode_report
@@ -64,16 +64,11 @@
         limits=encode_limits(beacon.limits),
         crashes=encode_crashes(beacon.crashes),
         survivals=encode_survivals(beacon.survivals),
-        copies=[
-            {
-                "fingerprint": copy.fingerprint,
-                "requestId": copy.request_id,
-                "copyEngine": copy.copy_engine,
-                "continues": copy.continues,
-            }
-            for copy in beacon.copies
-        ],
+        copies=[encode_copy(copy) for copy in beacon.copies],
         rollouts=encode_report(beacon.rollouts),
+        incarnation=beacon.incarnation,
+        copiesLeftOut=beacon.copies_left_out,
+        begun=b"".join(beacon.begun),
     ).to_bytes_packed()
     return packed
 
@@ -111,16 +106,11 @@
                 limits=decode_limits(message.limits),
                 crashes=decode_crashes(message.crashes),
                 survivals=decode_survivals(message.survivals),
-                copies=tuple(
-                    CopyReport(
-                        fingerprint=bytes(copy.fingerprint),
-                        request_id=copy.requestId,
-                        copy_engine=copy.copyEngine,
-                        continues=copy.continues,
-                    )
-                    for copy in message.copies
-                ),
+                copies=tuple(decode_copy(copy) for copy in message.copies),
                 rollouts=decode_report(message.rollouts),
+                incarnation=message.incarnation,
+                copies_left_out=message.copiesLeftOut,
+                begun=split_digests(bytes(message.begun)),
             )
         )
     except (capnp.KjException, ValueError, UnicodeDecodeError) as error:
--- a/packages/daemon/gypsumpost_daemon/gateway/beacon_socket.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/beacon_socket.py
@@ -53,7 +53,7 @@
         body = encode_beacon(beacon)
         if len(body) > MAX_BODY_BYTES:
             LOG.write("a beacon is too long", size=len(body), copies=len(beacon.copies))
-            body = encode_beacon(attrs.evolve(beacon, copies=()))
+            body = encode_beacon(attrs.evolve(beacon, copies=(), copies_left_out=True))
         return sign_datagram(self._key.choose_signing_key(trio.current_time()), body) + body
 
     async def send(self, data: bytes, ips: Iterable[str]) -> int:
--- a/packages/daemon/gypsumpost_daemon/gateway/beacon_state.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/beacon_state.py
@@ -36,7 +36,7 @@
     :param usage: usage of the engines.
     :param rates: prefill rates of the engines.
     :param crash_guard: detects requests that crash endpoints.
-    :param copies: locations of the copies of streams.
+    :param copies: the streams and their copies.
     :param retry_budget: the retry budget.
     :param rollouts: what this host knows of roll-outs, ``None`` if the deployment has none.
     """
@@ -85,8 +85,9 @@
             limits=self.notices.list_limits(now),
             crashes=self.crash_guard.list_reports(now),
             survivals=self.crash_guard.list_survivals(now),
-            copies=self.copies.list_own(),
+            copies=self.copies.list_own(now),
             rollouts=self._report_rollouts(now, of_domain=False),
+            incarnation=self.copies.incarnation,
         )
 
     def create_domain_beacon(self, now: float) -> Beacon:
@@ -103,6 +104,7 @@
             losses=self.reports.list_losses(now, of_domain=True),
             returns=self.reports.list_returns(now, of_domain=True),
             copies=(),
+            begun=self.copies.begun.list_announced(now),
             rollouts=self._report_rollouts(now, of_domain=True),
         )
 
@@ -120,11 +122,16 @@
         if beacon.covers_domain:
             self.usage.reports.put_domain(report.failure_domain, beacon.uses, now)
             self.retry_budget.reports.put_domain(report.failure_domain, beacon.retries, now)
+            if not in_own_domain:
+                self.copies.begun.put_elsewhere(beacon.begun, now)
         elif in_own_domain:
             changed = beacon.uses != self.usage.reports.get_host(report.host_id)
             self.usage.reports.put_host(report.host_id, beacon.uses, now)
             self.retry_budget.reports.put_host(report.host_id, beacon.retries, now)
-            self.copies.put_peer_reports(report.host_id, beacon.copies, now)
+            if not beacon.copies_left_out:
+                self.copies.put_peer_reports(
+                    report.host_id, beacon.copies, now, incarnation=beacon.incarnation
+                )
         self.reports.handle_beacon(beacon, now)
         for start in beacon.leaving:
             changed = self.directory.fleet.mark_leaving(start) or changed
--- a/packages/daemon/gypsumpost_daemon/gateway/copy_takeover.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/copy_takeover.py
@@ -1,11 +1,12 @@
-"""Finds the copy of a stream whose caller comes back to another host."""
+"""Finds the stream whose caller comes back after its host or its connection was lost."""
 
+import attrs
 import trio
 from result import Err
 
 from gypsumpost_core.gateway.copy_directory import CopyDirectory
-from gypsumpost_core.gateway.copy_report import CopyReport
-from gypsumpost_core.gateway.peer_copy import PeerCopy
+from gypsumpost_core.gateway.known_stream import KnownStream, may_have_received
+from gypsumpost_core.gateway.stream_state import StreamState
 from gypsumpost_daemon.gateway.caller_call import CallerCall
 from gypsumpost_daemon.gateway.stream_codec import (
     decode_stream_query,
@@ -33,14 +34,27 @@
 LOG = Log(prefix="copy")
 
 
+@attrs.frozen(kw_only=True)
+class Candidate:
+    """A stream that a caller may continue.
+
+    :param stream: the stream.
+    :param sole: true if its host knows for sure of no other one like it.
+    """
+
+    stream: KnownStream
+    sole: bool
+
+
 class CopyTakeover:
-    """Decides whether a request continues the stream of another host from its copy.
+    """Decides whether a request continues an earlier stream from its copy.
 
     Equal requests may come from different callers. A caller that comes back says so with the id of
     its last event, and the host that served it does not serve the stream any more. If this fits
-    several streams, none is continued: reading the prompt again is always correct.
+    several streams, or there may be one that this host knows nothing of, none is continued: reading
+    the prompt again is always correct.
 
-    :param copies: locations of the copies of streams.
+    :param copies: the streams and their copies.
     :param peers: sends messages to other hosts.
     """
 
@@ -49,52 +63,86 @@
         self._peers = peers
         peers.add_handler(MessageKind.STREAM_STATE, self._serve)
 
-    async def find(self, call: CallerCall) -> CopyReport | None:
-        """Return the copy from which a request continues, ``None`` if it is a new one.
+    async def find(self, call: CallerCall) -> KnownStream | None:
+        """Return the stream that a request continues, ``None`` if it is a new one.
 
         :param call: the request.
         """
         if not call.route.resumable or not call.last_event_id:
             return None
-        known = self._copies.list_peer_copies(call.fingerprint, trio.current_time())
+        known = self._copies.list_known(call.fingerprint, trio.current_time())
         if not known:
             return None
-        free = [copy for copy in known if not await self._is_served(copy)]
+        found = [await self._check(stream, call.last_event_id) for stream in known]
+        candidates = [candidate for candidate in found if candidate is not None]
+        doubt = self._find_doubt(call, candidates)
         LOG.write(
             "looked for the copy of a stream",
             request_id=call.request_id,
             fingerprint=call.fingerprint.hex(),
             last_event=call.last_event_id.decode("latin-1"),
-            streams=[copy.report.request_id for copy in known],
-            not_served=[copy.report.request_id for copy in free],
+            streams=[stream.report.request_id for stream in known],
+            not_served=[candidate.stream.report.request_id for candidate in candidates],
+            doubt=doubt,
         )
-        return free[0].report if len(free) == 1 else None
-
-    async def _is_served(self, copy: PeerCopy) -> bool:
-        """Return true unless the host of a stream has ended it or is gone."""
-        for check in range(CHECKS):
-            if check:
-                await trio.sleep(CHECK_PAUSE_SECONDS)
-            if not await self._ask(copy):
-                return False
-        return True
-
-    async def _ask(self, copy: PeerCopy) -> bool:
+        return None if doubt else candidates[0].stream
+
+    def _find_doubt(self, call: CallerCall, candidates: list[Candidate]) -> str:
+        """Return why no stream is certain to be the caller's, empty if one is."""
+        now = trio.current_time()
+        if len(candidates) != 1:
+            return "several streams" if candidates else "no stream"
+        if self._copies.begun.is_begun_elsewhere(call.fingerprint, now):
+            return "an equal request in another domain"
+        if not self._copies.remembers_all(now) and not candidates[0].sole:
+            return "this host has started lately"
+        return ""
+
+    async def _check(self, stream: KnownStream, last_event_id: bytes) -> Candidate | None:
+        """Return a stream if its caller may be the one that has received an event."""
+        state = await self._wait_end(stream)
+        if state.served or state.over:
+            return None
+        passed_on = state.last_event_id or stream.report.last_event_id
+        if not may_have_received(last_event_id, passed_on):
+            return None
+        return Candidate(stream=stream, sole=state.sole)
+
+    async def _wait_end(self, stream: KnownStream) -> StreamState:
+        """Return the state of a stream, a moment later if its host still serves it."""
+        if stream.report.broken and self._copies.remembers_all(trio.current_time()):
+            return StreamState(served=False)
+        state = await self._ask(stream)
+        for _ in range(CHECKS - 1):
+            if not state.served:
+                break
+            await trio.sleep(CHECK_PAUSE_SECONDS)
+            state = await self._ask(stream)
+        return state
+
+    async def _ask(self, stream: KnownStream) -> StreamState:
+        query = StreamQuery(
+            fingerprint=stream.report.fingerprint,
+            request_id=stream.report.request_id,
+            incarnation=stream.incarnation,
+        )
+        if stream.host_id == self._copies.own_id:
+            return self._describe(query)
         deadline = trio.current_time() + REPLY_SECONDS
-        query = StreamQuery(fingerprint=copy.report.fingerprint, request_id=copy.report.request_id)
         reply = await self._peers.request(
-            copy.host_id, MessageKind.STREAM_STATE, encode_stream_query(query), deadline
+            stream.host_id, MessageKind.STREAM_STATE, encode_stream_query(query), deadline
         )
         if isinstance(reply, Err):
             # A process that has ended refuses connections; one that is frozen is silent.
-            silent = trio.current_time() >= copy.reported_at + SILENCE_SECONDS
-            return not reply.err_value.refused and not silent
+            silent = trio.current_time() >= stream.reported_at + SILENCE_SECONDS
+            gone = reply.err_value.refused or silent or stream.report.broken
+            return StreamState(served=not gone)
         decoded = decode_stream_state(reply.ok_value)
         if isinstance(decoded, Err):
             LOG.write(
-                "cannot decode the state of a stream", peer=copy.host_id, reason=decoded.err_value
+                "cannot decode the state of a stream", peer=stream.host_id, reason=decoded.err_value
             )
-            return True
+            return StreamState(served=True)
         return decoded.ok_value
 
     async def _serve(self, request: PeerRequest) -> bytes:
@@ -105,6 +153,10 @@
                 peer=request.host_id,
                 reason=decoded.err_value,
             )
-            return encode_stream_state(True)
-        query = decoded.ok_value
-        return encode_stream_state(self._copies.is_serving(query.fingerprint, query.request_id))
+            return encode_stream_state(StreamState(served=True))
+        return encode_stream_state(self._describe(decoded.ok_value))
+
+    def _describe(self, query: StreamQuery) -> StreamState:
+        return self._copies.describe(
+            query.fingerprint, query.request_id, query.incarnation, trio.current_time()
+        )
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
@@ -1,5 +1,8 @@
 """Creates the components of the gateway and runs them."""
 
+import math
+import time
+
 import attrs
 import trio
 from result import Err
@@ -40,6 +43,7 @@
 from gypsumpost_daemon.gateway.planned_stop import PlannedStop
 from gypsumpost_daemon.gateway.ready_application import ReadyApplication
 from gypsumpost_daemon.gateway.store_follower import StoreFollower
+from gypsumpost_daemon.gateway.stream_memory_exchange import StreamMemoryExchange
 from gypsumpost_daemon.lifecycle.process_signals import ProcessSignals
 from gypsumpost_daemon.limits.permit_client import PermitClient
 from gypsumpost_daemon.limits.permit_taker import PermitTaker
@@ -54,6 +58,8 @@
 GOSSIP_TICK_SECONDS = 0.1
 """Shorter than any timeout of the membership protocol; each tick wakes the process."""
 
+MILLISECONDS = 1000
+
 LOG = Log(prefix="gateway")
 
 
@@ -144,7 +150,14 @@
             is_responsible=self._hosts.is_responsible,
         )
         self.monitor.add_loss_listener(crash_guard.record_loss)
-        self.copies = CopyDirectory()
+        self.copies = CopyDirectory(
+            own_id=settings.host_id,
+            incarnation=round(time.time() * MILLISECONDS),
+            remembers_since=trio.current_time() if settings.joins_running_hosts else -math.inf,
+        )
+        self._stream_memory = StreamMemoryExchange(
+            hosts=self._hosts, peers=self._network, copies=self.copies
+        )
         self._exchange = PeerExchange(
             address=settings.beacon_address,
             seed_ips=settings.seed_ips,
@@ -221,6 +234,7 @@
             nursery.start_soon(self.directory.run)
             nursery.start_soon(self._follower.run)
             nursery.start_soon(self._permit_client.run)
+            nursery.start_soon(self._stream_memory.run)
             if self.rollouts is not None:
                 nursery.start_soon(self.rollouts.run)
             await nursery.start(self.monitor.run)
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_settings.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_settings.py
@@ -5,6 +5,7 @@
 from gypsumpost_core.settings.setting import define_setting
 from gypsumpost_core.settings.setting_parsers import (
     parse_address,
+    parse_boolean,
     parse_integer,
     parse_ips,
     parse_label,
@@ -15,6 +16,7 @@
 
 RELOADABLE = (
     "seed_ips",
+    "joins_running_hosts",
     "link_mbps",
     "memory_mb",
     "max_descriptors",
@@ -82,6 +84,12 @@
     store_address: str = define_setting(
         parse=parse_address, accepted=ADDRESS, help="Address of the platform's store."
     )
+    joins_running_hosts: bool = define_setting(
+        default="false",
+        parse=parse_boolean,
+        accepted="true or false",
+        help="Whether other hosts may have served callers before this process started.",
+    )
     link_mbps: float = define_setting(
         default="1000",
         parse=parse_number(0.1),
--- a/packages/daemon/gypsumpost_daemon/gateway/stream_attempt.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/stream_attempt.py
@@ -207,14 +207,14 @@
             self._progress.newest_copy = CopySource(
                 holder=self._target, address=self._target.address, handle=self._call.request_id
             )
-            self._context.copies.put(
-                CopyReport(
-                    fingerprint=self._call.fingerprint,
-                    request_id=self._call.request_id,
-                    copy_engine=self._target.endpoint_id,
-                    continues=self._progress.continues,
-                )
+        if self._call.route.resumable:
+            report = CopyReport(
+                fingerprint=self._call.fingerprint,
+                request_id=self._call.request_id,
+                copy_engine=self._progress.usage.copy_engine,
+                continues=self._progress.continues,
             )
+            self._context.copies.put(report, trio.current_time())
 
     def _create_headers(self) -> tuple[tuple[bytes, bytes], ...]:
         names, progress = self._context.header_names, self._progress
--- a/packages/daemon/gypsumpost_daemon/gateway/stream_forwarder.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/stream_forwarder.py
@@ -61,22 +61,32 @@
             ),
         )
         end: NoEndpoint | None = None
+        complete = False
         try:
             with trio.move_on_at(call.deadline):
                 await self._take_over(call, progress)
                 end = await self._run_attempts(call, exchange, progress)
-                if end is None:
+                complete = end is None
+                if complete:
                     self._log_end(call, progress)
                     return
         finally:
             call.versions.record_outcome(None)
             self._context.usage.drop(progress.usage)
-            self._context.copies.drop(call.request_id)
+            self._drop_copy(call, progress, complete)
         if trio.current_time() >= call.deadline:
             end = NoEndpoint(reason="the deadline has passed")
         assert end is not None
         await self._refuse(call, exchange, progress, end)
 
+    def _drop_copy(self, call: CallerCall, progress: StreamProgress, complete: bool) -> None:
+        # A caller that has received no event comes back with a new request.
+        if complete or not progress.events:
+            self._context.copies.drop(call.request_id)
+        else:
+            now = trio.current_time()
+            self._context.copies.drop_broken(call.request_id, progress.last_event_id, now)
+
     async def _run_attempts(
         self, call: CallerCall, exchange: CallerExchange, progress: StreamProgress
     ) -> NoEndpoint | None:
@@ -206,14 +216,17 @@
         )
 
     async def _take_over(self, call: CallerCall, progress: StreamProgress) -> None:
-        """Let the stream go on from its copy if its caller comes back from another host."""
-        report = await self._context.takeover.find(call)
-        state = self._context.directory.fleet.find(report.copy_engine) if report else None
-        if report is None or state is None:
+        """Let the stream go on from its copy if its caller comes back."""
+        stream = await self._context.takeover.find(call)
+        if stream is None:
+            return
+        handle = stream.report.request_id
+        progress.continues = handle
+        state = self._context.directory.fleet.find(stream.report.copy_engine)
+        if state is None or not self._context.copies.has_copy(stream, trio.current_time()):
             return
         holder = state.record
-        progress.continues = report.request_id
-        progress.copy = CopySource(holder=holder, address=holder.address, handle=report.request_id)
+        progress.copy = CopySource(holder=holder, address=holder.address, handle=handle)
 
     async def _run_attempt(
         self,
--- a/packages/daemon/gypsumpost_daemon/gateway/stream_query.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/stream_query.py
@@ -5,11 +5,13 @@
 
 @attrs.frozen(kw_only=True)
 class StreamQuery:
-    """Asks whether the peer serves a stream.
+    """Asks for the state of a stream.
 
     :param fingerprint: digest of the request.
     :param request_id: id of the stream at the engines.
+    :param incarnation: process of the peer that has reported the stream.
     """
 
     fingerprint: bytes
     request_id: str
+    incarnation: int = 0
--- a/packages/daemon/gypsumpost_daemon/gateway/tests/test_beacon_codec.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/tests/test_beacon_codec.py
@@ -60,7 +60,19 @@
             SurvivalReport(key=CrashKey(kind=kind, digest=b"\xff"), count=1.5, age_seconds=2.5)
             for kind in CauseKind
         ),
-        copies=(CopyReport(fingerprint=b"f", request_id="r", copy_engine="c"),),
+        copies=(
+            CopyReport(
+                fingerprint=b"f",
+                request_id="r",
+                copy_engine="c",
+                continues="q",
+                broken=True,
+                last_event_id=b"\xff",
+            ),
+        ),
+        incarnation=11,
+        copies_left_out=True,
+        begun=(b"\xff1234567", b"12345678"),
     )
     assert decode_beacon(encode_beacon(beacon)).unwrap() == beacon
 
@@ -111,7 +123,9 @@
     beacons = BeaconSocket(udp=None, port=1, key=key)  # type: ignore[arg-type]
     data = beacons.encode(beacon)
     assert len(data) <= MAX_BODY_BYTES + MAC_BYTES
-    assert decode_beacon(data[MAC_BYTES:]).unwrap() == attrs.evolve(beacon, copies=())
+    assert decode_beacon(data[MAC_BYTES:]).unwrap() == attrs.evolve(
+        beacon, copies=(), copies_left_out=True
+    )
 
 
 def test_a_directory_is_decoded_as_it_was_encoded():
--- a/packages/daemon/gypsumpost_daemon/peers/message_kind.py
+++ b/packages/daemon/gypsumpost_daemon/peers/message_kind.py
@@ -25,3 +25,4 @@
     DIRECTORY_STATE = 60
     STREAM_STATE = 61
     PREFILL_TURN = 62
+    STREAM_MEMORY = 63
