Leave lost endpoints with limits to their health checks

Cause: CallEndpoints.choose offers lost endpoints if no other one is left, but uses a permit only for one that is not lost. For an endpoint without a limit the permit comes at once, so the loop goes on without any wait; the traceback of a hanging process (SIGABRT, PYTHONFAULTHANDLER=1) ends in choose and _take_permit.

Change: a lost endpoint that has named a limit is not offered, as its health checks need the permits. What is offered is then also used, or its state has changed. The loop ends at the deadline and gives way to other tasks.

--- a/packages/daemon/gypsumpost_daemon/gateway/call_endpoints.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/call_endpoints.py
@@ -34,11 +34,11 @@
         """
         fleet = self._context.directory.fleet
         wait_deadline = trio.current_time() + ENDPOINT_WAIT_FRACTION * call.route.objective
-        while True:
+        while trio.current_time() < call.deadline:
             now = trio.current_time()
             call.versions.draw()
             ranked = rank_endpoints(
-                call.versions.select(fleet.list_open(call.service, now), tried),
+                call.versions.select(self._list_usable(call.service, now), tried),
                 failure_domain=self._context.settings.failure_domain,
                 tried=tried,
                 now=now,
@@ -48,6 +48,7 @@
                 permitted = await self._take_permit(call, ranked)
                 if permitted is not None:
                     return permitted
+                await trio.lowlevel.checkpoint()
                 continue
             opens_at = fleet.find_opening(call.service, now)
             if opens_at is not None and opens_at + call.route.objective < call.deadline:
@@ -59,6 +60,19 @@
                 return Err(NoEndpoint(opens_at=opens_at))
             else:
                 await self._context.directory.wait_change(wait_deadline)
+        return Err(NoEndpoint(reason="the deadline has passed"))
+
+    def _list_usable(self, service: str, now: float) -> list[EndpointState]:
+        """Return the endpoints that may get a call, also lost ones that need no permit.
+
+        A lost endpoint gets none: its health checks need them, and a permit for it is not used.
+        """
+        permits = self._context.permits
+        return [
+            state
+            for state in self._context.directory.fleet.list_open(service, now)
+            if not state.lost or not permits.is_limited(state.record)
+        ]
 
     async def _take_permit(
         self, call: CallerCall, ranked: list[EndpointState]
