Take an answer without a length only after the whole request was written

What callers of docs/callers.md saw: a service answers a long upload at once with a 200 without a length, sends part of its body and resets the connection during the upload; the caller gets that part as a complete answer.

Cause: httpcore hides an error while it writes the request and reads the answer. The system reports the error of a connection once, so what is read afterwards ends as if the service had closed the connection in order.

Answers with a length or chunks show their end themselves.

--- a/packages/bench/gypsumpost_bench/call_cluster.py
+++ b/packages/bench/gypsumpost_bench/call_cluster.py
@@ -43,12 +43,14 @@
     :param claim_mode: name in the registry of claim modes.
     :param domains: failure domain of each daemon.
     :param service_count: number of stand-in services.
+    :param body: body of the calls.
     """
 
     store: MemoryStore = attrs.field(factory=MemoryStore)
     claim_mode: str = "batched"
     domains: tuple[str, ...] = ("d1", "d1", "d2")
     service_count: int = 2
+    body: bytes = b"{}"
     hosts: list[Host] = attrs.field(init=False, factory=list)
     directories: list[HostDirectory] = attrs.field(init=False, factory=list)
     modes: list[ClaimMode] = attrs.field(init=False, factory=list)
@@ -72,7 +74,11 @@
             await self._start_daemon(nursery, host)
 
     async def call(
-        self, daemon: int, path: str = "/charges", method: str = "POST", **headers: str
+        self,
+        daemon: int,
+        path: str = "/charges",
+        method: str = "POST",
+        **headers: str,
     ) -> CallerResponse:
         """Send a call to a daemon.
 
@@ -85,7 +91,7 @@
             method=method,
             path=f"/v1/services/{SERVICE}{path}",
             headers={name.replace("_", "-"): value for name, value in headers.items()},
-            body=b"" if path == "/keys" else b"{}",
+            body=b"" if path == "/keys" else self.body,
             workspace=WORKSPACE,
             request_id="request",
             deadline=trio.current_time() + CALL_SECONDS,
--- a/packages/daemon/gypsumpost_daemon/calls/service_sender.py
+++ b/packages/daemon/gypsumpost_daemon/calls/service_sender.py
@@ -238,10 +238,13 @@
                     extensions={"trace": trace.observe, "timeout": {"connect": CONNECT_SECONDS}},
                 ) as response:
                     body = await self._read_body(response)
-                unframed = is_unframed(request.caller.method, response)
-                if unframed and not await _is_alive(endpoint):
-                    reason = "the endpoint ended with its answer"
-                    return Err(SendFailure(reason=reason, sent=True))
+                if is_unframed(request.caller.method, response):
+                    if not trace.complete:
+                        reason = "the answer may have been reset during the upload"
+                        return Err(SendFailure(reason=reason, sent=True))
+                    if not await _is_alive(endpoint):
+                        reason = "the endpoint ended with its answer"
+                        return Err(SendFailure(reason=reason, sent=True))
                 converted = _convert_response(response, body)
                 self._signals.observe(endpoint, converted.status, converted.headers, sent_at)
                 return Ok(converted)
