Bound what a host remembers of streams

Cause: streams that broke are remembered for 60 s, with the ids that callers and engines choose, so a crowd of callers could fill the memory of a host and the beacons.

Change: at most 4,096 streams are remembered; of older ones the digest stays, so that none is taken for sole by that. Ids are cut at 256 characters and event ids of more than 32 digits are left out; such a stream is not continued. Announcements have at most 2,048 digests, and 65,536 of other domains are remembered.

Tests: three in test_equal_streams.py.

--- a/packages/core/gypsumpost_core/gateway/begun_streams.py
+++ b/packages/core/gypsumpost_core/gateway/begun_streams.py
@@ -14,6 +14,12 @@
 MEMORY_SECONDS = 60.0
 """How long a stream is remembered, which is longer than callers wait for a whole answer."""
 
+MAX_ANNOUNCED = 2048
+"""Digests in a beacon, which has to fit into a datagram; the newest ones go first."""
+
+MAX_REMEMBERED = 1 << 16
+"""Digests of other domains that are remembered, the newest ones."""
+
 
 @attrs.define(kw_only=True)
 class BegunStreams:
@@ -41,10 +47,11 @@
         :param now: monotonic time in seconds.
         """
         self._drop_announced(now)
-        return tuple(dict.fromkeys(digest for _, digest in self._announced))
+        newest = dict.fromkeys(digest for _, digest in reversed(self._announced))
+        return tuple(newest)[:MAX_ANNOUNCED]
 
     def put_elsewhere(self, digests: Iterable[bytes], now: float) -> None:
-        """Add the digests that a relay of another domain has told.
+        """Add digests of streams of which this host knows nothing else.
 
         :param digests: the digests.
         :param now: monotonic time in seconds.
@@ -52,7 +59,10 @@
         for digest in digests:
             self._elsewhere[digest] = now
             self._elsewhere.move_to_end(digest)
-        while self._elsewhere and next(iter(self._elsewhere.values())) < now - MEMORY_SECONDS:
+        while self._elsewhere and (
+            len(self._elsewhere) > MAX_REMEMBERED
+            or next(iter(self._elsewhere.values())) < now - MEMORY_SECONDS
+        ):
             self._elsewhere.popitem(last=False)
 
     def list_elsewhere(self) -> tuple[bytes, ...]:
--- a/packages/core/gypsumpost_core/gateway/copy_directory.py
+++ b/packages/core/gypsumpost_core/gateway/copy_directory.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from gypsumpost_core.gateway.begun_streams import MEMORY_SECONDS, BegunStreams
+from gypsumpost_core.gateway.begun_streams import DIGEST_BYTES, MEMORY_SECONDS, BegunStreams
 from gypsumpost_core.gateway.copy_report import CopyReport
 from gypsumpost_core.gateway.known_stream import KnownStream
 from gypsumpost_core.gateway.stream_memory import StreamMemory
@@ -21,6 +21,15 @@
 SWEEP_SECONDS = 1.0
 """Interval at which old streams are forgotten."""
 
+MAX_STREAMS = 4096
+"""Streams that are remembered. Of the oldest ones beyond, only the digests are."""
+
+MAX_ID_CHARACTERS = 256
+"""Longest id of a stream that is remembered; callers choose the ids."""
+
+MAX_EVENT_DIGITS = 32
+"""Longest id of an event that is compared; engines choose the ids."""
+
 
 @attrs.define(kw_only=True)
 class CopyDirectory:
@@ -74,8 +83,15 @@
         if report is None:
             return
         self._sweep(now)
-        broken = attrs.evolve(report, broken=True, last_event_id=last_event_id)
-        self._broken[request_id] = self._create_own(broken, now)
+        shortened = request_id[:MAX_ID_CHARACTERS]
+        broken = attrs.evolve(
+            report,
+            request_id=shortened,
+            copy_engine=report.copy_engine if shortened == request_id else "",
+            broken=True,
+            last_event_id=last_event_id if len(last_event_id) <= MAX_EVENT_DIGITS else b"",
+        )
+        self._broken[shortened] = self._create_own(broken, now)
 
     def is_serving(self, fingerprint: bytes, request_id: str) -> bool:
         """Return true if this host serves a stream.
@@ -239,6 +255,19 @@
         self._broken = keep_recent(self._broken, oldest)
         recent = {key: keep_recent(streams, oldest) for key, streams in self._peers.items()}
         self._peers = {key: streams for key, streams in recent.items() if streams}
+        self._shorten(now)
+
+    def _shorten(self, now: float) -> None:
+        """Remember only the digests of the oldest streams if there are too many."""
+        tables = [self._broken, *self._peers.values()]
+        excess = sum(map(len, tables)) - MAX_STREAMS
+        if excess <= 0:
+            return
+        entries = [(s.reported_at, name, table) for table in tables for name, s in table.items()]
+        entries.sort(key=lambda entry: entry[0])
+        for _, name, table in entries[:excess]:
+            fingerprint = table.pop(name).report.fingerprint
+            self.begun.put_elsewhere([fingerprint[:DIGEST_BYTES]], now)
 
 
 def keep_recent(streams: dict[str, KnownStream], oldest: float) -> dict[str, KnownStream]:
--- a/packages/core/gypsumpost_core/gateway/tests/test_equal_streams.py
+++ b/packages/core/gypsumpost_core/gateway/tests/test_equal_streams.py
@@ -1,12 +1,20 @@
 """Tests of the memory of streams whose callers may come back."""
 
+import attrs
+
 from gypsumpost_core.gateway.begun_streams import (
     ANNOUNCE_SECONDS,
     DIGEST_BYTES,
+    MAX_ANNOUNCED,
     MEMORY_SECONDS,
     BegunStreams,
 )
-from gypsumpost_core.gateway.copy_directory import CopyDirectory
+from gypsumpost_core.gateway.copy_directory import (
+    MAX_ID_CHARACTERS,
+    MAX_STREAMS,
+    SWEEP_SECONDS,
+    CopyDirectory,
+)
 from gypsumpost_core.gateway.copy_report import CopyReport
 from gypsumpost_core.gateway.known_stream import may_have_received
 
@@ -94,6 +102,40 @@
     assert begun.is_begun_elsewhere(first, 2.0 + MEMORY_SECONDS)
 
 
+def test_the_memory_is_bounded_without_taking_one_stream_for_another():
+    """Guards against callers that fill the memory, and against a stream that is sole by that."""
+    directory = CopyDirectory()
+    for number in range(MAX_STREAMS + 2):
+        report = attrs.evolve(create_report(f"r{number}"), fingerprint=b"%08d" % number)
+        directory.put(report, number / 1000)
+        directory.drop_broken(report.request_id, b"1", number / 1000)
+    now = MAX_STREAMS / 1000 + SWEEP_SECONDS
+    directory.put_peer_reports("host-1", [create_report("last")], now)
+    assert len(directory.list_memory(now).streams) == MAX_STREAMS + 1
+    assert not directory.list_known(b"%08d" % 0, now)
+    assert directory.begun.is_begun_elsewhere(b"%08d" % 0, now)
+
+
+def test_long_ids_are_not_kept():
+    """Guards against ids of callers and of engines' events that fill the memory and the beacons."""
+    directory = CopyDirectory()
+    name = "x" * 16000
+    directory.put(create_report(name), 1.0)
+    directory.drop_broken(name, b"9" * 5000, 1.0)
+    (report,) = directory.list_own(1.0)
+    assert len(report.request_id) == MAX_ID_CHARACTERS and report.copy_engine == ""
+    assert report.broken and report.last_event_id == b""
+
+
+def test_announcements_fit_into_a_datagram():
+    """Guards against a crowd of callers that stops the beacons between domains."""
+    begun = BegunStreams()
+    for number in range(MAX_ANNOUNCED + 10):
+        begun.announce(b"%08d" % number, 1.0)
+    announced = begun.list_announced(1.0)
+    assert len(announced) == MAX_ANNOUNCED and announced[0] == b"%08d" % (MAX_ANNOUNCED + 9)
+
+
 def test_only_numbers_tell_which_events_a_caller_has_received():
     """Guards against a caller that is turned away because engines name events otherwise."""
     assert may_have_received(b"38", b"38") and may_have_received(b"9", b"10")
