--- a/packages/bench/gypsumpost_bench/engine_application.py
+++ b/packages/bench/gypsumpost_bench/engine_application.py
@@ -14,9 +14,9 @@
 from gypsumpost_bench.engine_batch import EngineBatch
 from gypsumpost_bench.engine_sequence import EngineSequence
 from gypsumpost_bench.exchange import Exchange
-from gypsumpost_bench.stand_in_http import accept_lifespan
 from gypsumpost_cli.token_chain import TokenChain
 from gypsumpost_cli.vocabulary import ANSWER_MARKER, tokenize_text
+from gypsumpost_daemon.http.asgi_lifespan import complete_lifespan
 
 CRASH_TEXT = "crash-this-engine"
 """A request whose prompt contains this text crashes the engine, as an injected fault."""
@@ -57,7 +57,7 @@
     async def __call__(self, scope: dict[str, Any], receive: Any, send: Any) -> None:
         """Serve one ASGI connection scope."""
         if scope["type"] == "lifespan":
-            await accept_lifespan(receive, send)
+            await complete_lifespan(receive, send)
             return
         exchange = Exchange(scope=scope, receive=receive, send=send)
         parts = exchange.path.strip("/").split("/")
--- a/packages/bench/gypsumpost_bench/platform_application.py
+++ b/packages/bench/gypsumpost_bench/platform_application.py
@@ -14,7 +14,6 @@
     AsgiReceive,
     AsgiScope,
     AsgiSend,
-    accept_lifespan,
     drop_connection,
     read_body,
     read_headers,
@@ -31,6 +30,7 @@
     encode_result,
 )
 from gypsumpost_bench.store_rejection import StoreRejection
+from gypsumpost_daemon.http.asgi_lifespan import complete_lifespan
 from gypsumpost_daemon.store.store_codec import decode_bytes
 from gypsumpost_daemon.store.store_transaction import StoreTransaction
 
@@ -52,7 +52,7 @@
     async def __call__(self, scope: AsgiScope, receive: AsgiReceive, send: AsgiSend) -> None:
         """Serve one ASGI connection scope."""
         if scope["type"] == "lifespan":
-            await accept_lifespan(receive, send)
+            await complete_lifespan(receive, send)
             return
         body = await read_body(receive)
         try:
--- a/packages/bench/gypsumpost_bench/service_application.py
+++ b/packages/bench/gypsumpost_bench/service_application.py
@@ -17,12 +17,12 @@
     AsgiReceive,
     AsgiScope,
     AsgiSend,
-    accept_lifespan,
     drop_connection,
     read_body,
     read_headers,
     send_json,
 )
+from gypsumpost_daemon.http.asgi_lifespan import complete_lifespan
 
 CALL_ID_HEADER = "x-call-id"
 
@@ -61,7 +61,7 @@
     async def __call__(self, scope: AsgiScope, receive: AsgiReceive, send: AsgiSend) -> None:
         """Serve one ASGI connection scope."""
         if scope["type"] == "lifespan":
-            await accept_lifespan(receive, send)
+            await complete_lifespan(receive, send)
             return
         body = await read_body(receive)
         if scope["path"] == "/faults":
--- a/packages/bench/gypsumpost_bench/stand_in_http.py
+++ b/packages/bench/gypsumpost_bench/stand_in_http.py
@@ -36,19 +36,6 @@
     )
 
 
-async def accept_lifespan(receive: AsgiReceive, send: AsgiSend) -> None:
-    """Answer the messages of the ASGI lifespan protocol.
-
-    :param receive: ASGI receive function.
-    :param send: ASGI send function.
-    """
-    while True:
-        message = await receive()
-        await send({"type": message["type"] + ".complete"})
-        if message["type"] == "lifespan.shutdown":
-            return
-
-
 async def read_body(receive: AsgiReceive) -> bytes:
     """Read the whole body of a request.
 
--- a/packages/core/gypsumpost_core/limits/share_coordinator.py
+++ b/packages/core/gypsumpost_core/limits/share_coordinator.py
@@ -114,10 +114,6 @@
             holder.grants.append(grant)
         return share, seconds
 
-    def compute_outstanding(self) -> ShareAmounts:
-        """Return the maximum amounts that all daemons together may hold."""
-        return add_amounts([_compute_max_held(holder) for holder in self._holders.values()])
-
     def is_idle(self, now: float) -> bool:
         """Return whether there is neither an outstanding grant nor demand.
 
--- a/packages/daemon/gypsumpost_daemon/http/body_limit.py
+++ b/packages/daemon/gypsumpost_daemon/http/body_limit.py
@@ -1,6 +1,7 @@
 """Adapts an application to servers without a body limit that send lifespan events."""
 
 from gypsumpost_daemon.http.asgi_application import ASGIApplication, Message, Receive, Scope, Send
+from gypsumpost_daemon.http.asgi_lifespan import complete_lifespan
 from gypsumpost_daemon.http.http_refusal import refuse_long_body
 
 
@@ -13,7 +14,7 @@
 
     async def call(scope: Scope, receive: Receive, send: Send) -> None:
         if scope["type"] == "lifespan":
-            await acknowledge_lifespan(receive, send)
+            await complete_lifespan(receive, send)
             return
         if scope["type"] != "http":
             return
@@ -56,19 +57,6 @@
     return any(value.isdigit() and int(value) > max_body for value in lengths)
 
 
-async def acknowledge_lifespan(receive: Receive, send: Send) -> None:
-    """Acknowledge the server's startup and shutdown events, which the application does not handle.
-
-    :param receive: the ASGI ``receive`` of the lifespan.
-    :param send: the ASGI ``send`` of the lifespan.
-    """
-    while True:
-        message = await receive()
-        await send({"type": message["type"] + ".complete"})
-        if message["type"] == "lifespan.shutdown":
-            return
-
-
 async def send_refusal(send: Send, max_body: int) -> None:
     """Send the 413 response to a body that is too long.
 
