Ask other domains for their streams where an equal request has begun there

Cause: the announcement of an equal request in another domain made each caller's stream doubtful, also that of a caller whose request merely equals one that is served there; its prompt was read again.

Change: a host of that domain is asked for its streams with the digest (STREAM_MEMORY). They are checked like those of the own domain; only if no host there answers that remembers all is the stream in doubt. So a caller that comes from a lost host of another domain goes on from its copy as well.

--- a/packages/core/gypsumpost_core/gateway/begun_streams.py
+++ b/packages/core/gypsumpost_core/gateway/begun_streams.py
@@ -1,7 +1,8 @@
 """Which requests have begun to stream lately, in this failure domain and in others."""
 
+import math
 from collections import OrderedDict, deque
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 import attrs
 
@@ -20,6 +21,9 @@
 MAX_REMEMBERED = 1 << 16
 """Digests of other domains that are remembered, the newest ones."""
 
+NO_DOMAIN = ""
+"""Stands for the domain of streams about which no host can be asked."""
+
 
 @attrs.define(kw_only=True)
 class BegunStreams:
@@ -30,7 +34,8 @@
     """
 
     _announced: deque[tuple[float, bytes]] = attrs.field(factory=deque, init=False)
-    _elsewhere: OrderedDict[bytes, float] = attrs.field(factory=OrderedDict, init=False)
+    _elsewhere: OrderedDict[tuple[bytes, str], float] = attrs.field(factory=OrderedDict, init=False)
+    _domains: set[str] = attrs.field(factory=set, init=False)
 
     def announce(self, fingerprint: bytes, now: float) -> None:
         """Add a stream of this domain.
@@ -50,33 +55,44 @@
         newest = dict.fromkeys(digest for _, digest in reversed(self._announced))
         return tuple(newest)[:MAX_ANNOUNCED]
 
-    def put_elsewhere(self, digests: Iterable[bytes], now: float) -> None:
+    def put_elsewhere(self, domain: str, digests: Iterable[bytes], now: float) -> None:
         """Add digests of streams of which this host knows nothing else.
 
+        :param domain: failure domain whose hosts know them.
         :param digests: the digests.
         :param now: monotonic time in seconds.
         """
+        self._domains.add(domain)
         for digest in digests:
-            self._elsewhere[digest] = now
-            self._elsewhere.move_to_end(digest)
+            self._elsewhere[digest, domain] = now
+            self._elsewhere.move_to_end((digest, domain))
         while self._elsewhere and (
             len(self._elsewhere) > MAX_REMEMBERED
             or next(iter(self._elsewhere.values())) < now - MEMORY_SECONDS
         ):
             self._elsewhere.popitem(last=False)
 
-    def list_elsewhere(self) -> tuple[bytes, ...]:
-        """Return the digests of the other domains."""
-        return tuple(self._elsewhere)
+    def list_elsewhere(self) -> Mapping[str, tuple[bytes, ...]]:
+        """Return the digests of other domains by domain."""
+        found: dict[str, list[bytes]] = {}
+        for digest, domain in self._elsewhere:
+            found.setdefault(domain, []).append(digest)
+        return {domain: tuple(digests) for domain, digests in found.items()}
 
-    def is_begun_elsewhere(self, fingerprint: bytes, now: float) -> bool:
-        """Return true if an equal request has begun to stream in another domain lately.
+    def list_domains(self, fingerprint: bytes, now: float) -> list[str]:
+        """Return the other domains in which an equal request has begun to stream lately.
 
         :param fingerprint: digest of the request.
         :param now: monotonic time in seconds.
         """
-        heard_at = self._elsewhere.get(fingerprint[:DIGEST_BYTES])
-        return heard_at is not None and now < heard_at + MEMORY_SECONDS
+        return [
+            domain
+            for domain in sorted(self._domains)
+            if now < self._get_time(fingerprint, domain) + MEMORY_SECONDS
+        ]
+
+    def _get_time(self, fingerprint: bytes, domain: str) -> float:
+        return self._elsewhere.get((fingerprint[:DIGEST_BYTES], domain), -math.inf)
 
     def _drop_announced(self, now: float) -> None:
         while self._announced and self._announced[0][0] < now - ANNOUNCE_SECONDS:
--- a/packages/core/gypsumpost_core/gateway/copy_directory.py
+++ b/packages/core/gypsumpost_core/gateway/copy_directory.py
@@ -1,11 +1,16 @@
 """Index of streams and their copies: whose callers may come back, and where to go on."""
 
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 import attrs
 
-from gypsumpost_core.gateway.begun_streams import DIGEST_BYTES, MEMORY_SECONDS, BegunStreams
+from gypsumpost_core.gateway.begun_streams import (
+    DIGEST_BYTES,
+    MEMORY_SECONDS,
+    NO_DOMAIN,
+    BegunStreams,
+)
 from gypsumpost_core.gateway.copy_report import CopyReport
 from gypsumpost_core.gateway.known_stream import KnownStream
 from gypsumpost_core.gateway.stream_memory import StreamMemory
@@ -126,7 +131,7 @@
             last_event_id=broken.report.last_event_id if broken else b"",
             sole=not others
             and self.remembers_all(now)
-            and not self.begun.is_begun_elsewhere(fingerprint, now),
+            and not self.begun.list_domains(fingerprint, now),
         )
 
     def list_own(self, now: float) -> tuple[CopyReport, ...]:
@@ -177,14 +182,20 @@
         :param fingerprint: digest of the request.
         :param now: monotonic time in seconds.
         """
-        found = [
+        return leave_out_continued(self.list_equal(fingerprint, now))
+
+    def list_equal(self, fingerprint: bytes, now: float) -> list[KnownStream]:
+        """Return all remembered streams with equal requests.
+
+        :param fingerprint: digest of the request.
+        :param now: monotonic time in seconds.
+        """
+        return [
             stream
             for stream in self._list_all(now)
             if stream.report.fingerprint == fingerprint
             and now < stream.reported_at + MEMORY_SECONDS
         ]
-        continued = {stream.report.continues for stream in found}
-        return [stream for stream in found if stream.report.request_id not in continued]
 
     def list_peer_copies(self, fingerprint: bytes, now: float) -> list[KnownStream]:
         """Return the streams of peers with equal requests whose copies can still be used.
@@ -213,13 +224,18 @@
         """
         return now >= self.remembers_since + MEMORY_SECONDS
 
-    def list_memory(self, now: float) -> StreamMemory:
-        """Return what this host remembers, for a peer that has just started.
+    def list_memory(self, now: float, fingerprint: bytes = b"") -> StreamMemory:
+        """Return what this host remembers of its domain, and of others if all is asked for.
 
         :param now: monotonic time in seconds.
+        :param fingerprint: digest of the request whose streams to return, empty for all.
         """
+        complete_since = max(self.remembers_since, now - MEMORY_SECONDS)
+        if fingerprint:
+            equal = tuple(self.list_equal(fingerprint, now))
+            return StreamMemory(complete_since=complete_since, streams=equal)
         return StreamMemory(
-            complete_since=max(self.remembers_since, now - MEMORY_SECONDS),
+            complete_since=complete_since,
             streams=tuple(self._list_all(now)),
             begun_elsewhere=self.begun.list_elsewhere(),
         )
@@ -230,7 +246,8 @@
         :param memory: the memory of the peer.
         :param now: monotonic time in seconds.
         """
-        self.begun.put_elsewhere(memory.begun_elsewhere, now)
+        for domain, digests in memory.begun_elsewhere.items():
+            self.begun.put_elsewhere(domain, digests, now)
         for stream in memory.streams:
             key = (stream.host_id, stream.incarnation)
             self._peers.setdefault(key, {}).setdefault(stream.report.request_id, stream)
@@ -267,7 +284,16 @@
         entries.sort(key=lambda entry: entry[0])
         for _, name, table in entries[:excess]:
             fingerprint = table.pop(name).report.fingerprint
-            self.begun.put_elsewhere([fingerprint[:DIGEST_BYTES]], now)
+            self.begun.put_elsewhere(NO_DOMAIN, [fingerprint[:DIGEST_BYTES]], now)
+
+
+def leave_out_continued(streams: Sequence[KnownStream]) -> list[KnownStream]:
+    """Return the streams that none of the others continues.
+
+    :param streams: streams with equal requests.
+    """
+    continued = {stream.report.continues for stream in streams}
+    return [stream for stream in streams if stream.report.request_id not in continued]
 
 
 def keep_recent(streams: dict[str, KnownStream], oldest: float) -> dict[str, KnownStream]:
--- a/packages/core/gypsumpost_core/gateway/tests/test_equal_streams.py
+++ b/packages/core/gypsumpost_core/gateway/tests/test_equal_streams.py
@@ -76,7 +76,7 @@
     assert not directory.describe(DIGEST, "r1", 0, 2.0).sole
     now = 1.0 + MEMORY_SECONDS
     assert directory.describe(DIGEST, "r1", 0, now).sole
-    directory.begun.put_elsewhere([DIGEST[:DIGEST_BYTES]], now)
+    directory.begun.put_elsewhere("b", [DIGEST[:DIGEST_BYTES]], now)
     assert not directory.describe(DIGEST, "r1", 0, now).sole
 
 
@@ -94,12 +94,12 @@
     """Guards against a forgotten stream, and against a table that grows without end."""
     begun = BegunStreams()
     first, second = b"11111111", b"22222222"
-    begun.put_elsewhere([first, second], 1.0)
-    begun.put_elsewhere([first], 3.0)
-    assert begun.is_begun_elsewhere(second + b"rest", 1.0 + MEMORY_SECONDS - 0.1)
-    begun.put_elsewhere([], 2.0 + MEMORY_SECONDS)
-    assert not begun.is_begun_elsewhere(second, 2.0 + MEMORY_SECONDS)
-    assert begun.is_begun_elsewhere(first, 2.0 + MEMORY_SECONDS)
+    begun.put_elsewhere("b", [first, second], 1.0)
+    begun.put_elsewhere("b", [first], 3.0)
+    assert begun.list_domains(second + b"rest", 1.0 + MEMORY_SECONDS - 0.1)
+    begun.put_elsewhere("b", [], 2.0 + MEMORY_SECONDS)
+    assert not begun.list_domains(second, 2.0 + MEMORY_SECONDS)
+    assert begun.list_domains(first, 2.0 + MEMORY_SECONDS)
 
 
 def test_the_memory_is_bounded_without_taking_one_stream_for_another():
@@ -113,7 +113,7 @@
     directory.put_peer_reports("host-1", [create_report("last")], now)
     assert len(directory.list_memory(now).streams) == MAX_STREAMS + 1
     assert not directory.list_known(b"%08d" % 0, now)
-    assert directory.begun.is_begun_elsewhere(b"%08d" % 0, now)
+    assert directory.begun.list_domains(b"%08d" % 0, now)
 
 
 def test_long_ids_are_not_kept():
--- a/packages/daemon/gypsumpost_daemon/gateway/beacon.capnp
+++ b/packages/daemon/gypsumpost_daemon/gateway/beacon.capnp
@@ -110,11 +110,16 @@
   ageMs @3 :UInt32;             # since the last report that the stream runs
 }
 
-# Reply of STREAM_MEMORY; the request is empty.
+struct DomainDigests {
+  domain @0 :Text;
+  digests @1 :Data;             # 8 bytes each
+}
+
+# Reply of STREAM_MEMORY; the request is the digest of a request, or empty for all streams.
 struct StreamMemory {
   completeMs @0 :UInt32;        # for how long the host has heard of all streams
   streams @1 :List(KnownStream);
-  begunElsewhere @2 :Data;      # digests, 8 bytes each
+  begunElsewhere @2 :List(DomainDigests);
 }
 
 struct DirectoryRequest {
--- a/packages/daemon/gypsumpost_daemon/gateway/beacon_state.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/beacon_state.py
@@ -123,7 +123,7 @@
             self.usage.reports.put_domain(report.failure_domain, beacon.uses, now)
             self.retry_budget.reports.put_domain(report.failure_domain, beacon.retries, now)
             if not in_own_domain:
-                self.copies.begun.put_elsewhere(beacon.begun, now)
+                self.copies.begun.put_elsewhere(report.failure_domain, beacon.begun, now)
         elif in_own_domain:
             changed = beacon.uses != self.usage.reports.get_host(report.host_id)
             self.usage.reports.put_host(report.host_id, beacon.uses, now)
--- a/packages/daemon/gypsumpost_daemon/gateway/copy_codec.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/copy_codec.py
@@ -72,7 +72,10 @@
             }
             for stream in memory.streams
         ],
-        begunElsewhere=b"".join(memory.begun_elsewhere),
+        begunElsewhere=[
+            {"domain": domain, "digests": b"".join(digests)}
+            for domain, digests in memory.begun_elsewhere.items()
+        ],
     ).to_bytes_packed()
     return packed
 
@@ -97,7 +100,10 @@
                     )
                     for stream in message.streams
                 ),
-                begun_elsewhere=split_digests(bytes(message.begunElsewhere)),
+                begun_elsewhere={
+                    begun.domain: split_digests(bytes(begun.digests))
+                    for begun in message.begunElsewhere
+                },
             )
         )
     except (capnp.KjException, ValueError) as error:
--- a/packages/daemon/gypsumpost_daemon/gateway/copy_takeover.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/copy_takeover.py
@@ -4,7 +4,7 @@
 import trio
 from result import Err
 
-from gypsumpost_core.gateway.copy_directory import CopyDirectory
+from gypsumpost_core.gateway.copy_directory import CopyDirectory, leave_out_continued
 from gypsumpost_core.gateway.known_stream import KnownStream, may_have_received
 from gypsumpost_core.gateway.stream_state import StreamState
 from gypsumpost_daemon.gateway.caller_call import CallerCall
@@ -14,6 +14,7 @@
     encode_stream_query,
     encode_stream_state,
 )
+from gypsumpost_daemon.gateway.stream_memory_exchange import StreamMemoryExchange
 from gypsumpost_daemon.gateway.stream_query import StreamQuery
 from gypsumpost_daemon.peers.message_kind import MessageKind
 from gypsumpost_daemon.peers.peer_channel import PeerChannel
@@ -55,11 +56,15 @@
     the prompt again is always correct.
 
     :param copies: the streams and their copies.
+    :param memory: asks other domains for their streams.
     :param peers: sends messages to other hosts.
     """
 
-    def __init__(self, *, copies: CopyDirectory, peers: PeerChannel) -> None:
+    def __init__(
+        self, *, copies: CopyDirectory, memory: StreamMemoryExchange, peers: PeerChannel
+    ) -> None:
         self._copies = copies
+        self._memory = memory
         self._peers = peers
         peers.add_handler(MessageKind.STREAM_STATE, self._serve)
 
@@ -70,12 +75,21 @@
         """
         if not call.route.resumable or not call.last_event_id:
             return None
-        known = self._copies.list_known(call.fingerprint, trio.current_time())
+        now = trio.current_time()
+        equal = self._copies.list_equal(call.fingerprint, now)
+        unknown = []
+        for domain in self._copies.begun.list_domains(call.fingerprint, now):
+            streams = await self._memory.list_equal(domain, call.fingerprint)
+            if streams is None:
+                unknown.append(domain)
+            else:
+                equal += streams
+        known = leave_out_continued(equal)
         if not known:
             return None
         found = [await self._check(stream, call.last_event_id) for stream in known]
         candidates = [candidate for candidate in found if candidate is not None]
-        doubt = self._find_doubt(call, candidates)
+        doubt = self._find_doubt(candidates, unknown)
         LOG.write(
             "looked for the copy of a stream",
             request_id=call.request_id,
@@ -87,14 +101,17 @@
         )
         return None if doubt else candidates[0].stream
 
-    def _find_doubt(self, call: CallerCall, candidates: list[Candidate]) -> str:
-        """Return why no stream is certain to be the caller's, empty if one is."""
-        now = trio.current_time()
+    def _find_doubt(self, candidates: list[Candidate], unknown: list[str]) -> str:
+        """Return why no stream is certain to be the caller's, empty if one is.
+
+        :param candidates: the streams that can be the caller's.
+        :param unknown: domains that have equal requests and cannot be asked for their streams.
+        """
         if len(candidates) != 1:
             return "several streams" if candidates else "no stream"
-        if self._copies.begun.is_begun_elsewhere(call.fingerprint, now):
+        if unknown:
             return "an equal request in another domain"
-        if not self._copies.remembers_all(now) and not candidates[0].sole:
+        if not self._copies.remembers_all(trio.current_time()) and not candidates[0].sole:
             return "this host has started lately"
         return ""
 
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
@@ -205,7 +205,9 @@
             rates=rates,
             crash_guard=crash_guard,
             copies=self.copies,
-            takeover=CopyTakeover(copies=self.copies, peers=self._network),
+            takeover=CopyTakeover(
+                copies=self.copies, memory=self._stream_memory, peers=self._network
+            ),
             turns=TurnDesk(directory=self._hosts, peers=self._network),
             retry_budget=retry_budget,
             metrics=gateway_metrics,
--- a/packages/daemon/gypsumpost_daemon/gateway/tests/test_beacon_codec.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/tests/test_beacon_codec.py
@@ -14,13 +14,16 @@
 from gypsumpost_core.gateway.endpoint_start import EndpointStart
 from gypsumpost_core.gateway.engine_usage import EngineUsage
 from gypsumpost_core.gateway.host_report import HostReport
+from gypsumpost_core.gateway.known_stream import KnownStream
 from gypsumpost_core.gateway.retry_count import RetryCount
 from gypsumpost_core.gateway.stored_item import StoredItem
+from gypsumpost_core.gateway.stream_memory import StreamMemory
 from gypsumpost_core.key_ring import KeyRing
 from gypsumpost_core.limits.request_limit import RequestLimit
 from gypsumpost_daemon.gateway.beacon import Beacon
 from gypsumpost_daemon.gateway.beacon_codec import decode_beacon, encode_beacon
 from gypsumpost_daemon.gateway.beacon_socket import MAX_BODY_BYTES, BeaconSocket
+from gypsumpost_daemon.gateway.copy_codec import decode_memory, encode_memory
 from gypsumpost_daemon.gateway.directory_codec import (
     decode_directory_request,
     decode_state,
@@ -153,3 +156,34 @@
     assert isinstance(decoded, Err) or decoded.ok_value.sequence >= 0
     decode_state(data)
     decode_directory_request(data)
+
+
+def test_remembered_streams_are_decoded_as_they_were_encoded():
+    """Guards against streams that a host which joins gets with the age or domain of others."""
+    memory = StreamMemory(
+        complete_since=40.0,
+        streams=(
+            KnownStream(
+                host_id="h",
+                incarnation=7,
+                report=CopyReport(
+                    fingerprint=b"f",
+                    request_id="r",
+                    copy_engine="c",
+                    broken=True,
+                    last_event_id=b"5",
+                ),
+                reported_at=98.5,
+            ),
+        ),
+        begun_elsewhere={"b": (b"12345678", b"\xff2345678"), "c": (b"12345678",)},
+    )
+    assert decode_memory(encode_memory(memory, 100.0), 100.0).unwrap() == memory
+    assert memory.is_complete(100.0) and not memory.is_complete(99.0)
+
+
+@pytest.mark.parametrize("payload", [b"\xff" * 40, b""])
+def test_remembered_streams_that_cannot_be_decoded_are_reported(payload):
+    """Guards against a host that ends its task because of a peer's reply."""
+    decoded = decode_memory(payload, 100.0)
+    assert isinstance(decoded, Err) or not decoded.ok_value.is_complete(100.0)
