--- a/packages/core/gypsumpost_core/gateway/item_table.py
+++ b/packages/core/gypsumpost_core/gateway/item_table.py
@@ -25,6 +25,11 @@
         """True once a complete read has been applied."""
         return self._first_revision is not None
 
+    @property
+    def first_revision(self) -> int:
+        """Revision from which on the table knows all removals, 0 before a complete read."""
+        return self._first_revision or 0
+
     def apply(self, items: Iterable[StoredItem], revision: int) -> list[StoredItem]:
         """Apply changes and return those that were not known, the last one of each key.
 
--- a/packages/daemon/gypsumpost_daemon/gateway/directory.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/directory.py
@@ -117,6 +117,10 @@
             prefix: table.revision if table.loaded else 0 for prefix, table in self.tables.items()
         }
 
+    def list_first_revisions(self) -> dict[str, int]:
+        """Return the revision from which on all removals are known, by prefix."""
+        return {prefix: table.first_revision for prefix, table in self.tables.items()}
+
     def forget_revision(self, prefix: str) -> None:
         """Keep the items under a prefix, but count them as complete only after the next full list.
 
--- a/packages/daemon/gypsumpost_daemon/gateway/directory_exchange.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/directory_exchange.py
@@ -15,6 +15,7 @@
     encode_directory_request,
     encode_state,
 )
+from gypsumpost_daemon.gateway.gateway_metrics import GatewayMetrics
 from gypsumpost_daemon.gateway.item_set import ItemSet
 from gypsumpost_daemon.lifecycle.contained_errors import contain_errors
 from gypsumpost_daemon.peers.message_kind import MessageKind
@@ -24,6 +25,9 @@
 
 REPLY_SECONDS = 1.0
 
+LARGE_REPLY_BYTES = 65536
+"""Replies from this size on are logged: they take long on a slow link."""
+
 LOG = Log(prefix="peers")
 
 
@@ -34,6 +38,7 @@
     :param directory: configuration and endpoints.
     :param network: requests to peers.
     :param record_change: called with the prefix of a change that a peer has sent, and the peer.
+    :param metrics: counters of the gateway.
     """
 
     def __init__(
@@ -43,9 +48,11 @@
         directory: Directory,
         network: PeerNetwork,
         record_change: Callable[[str, str], None],
+        metrics: GatewayMetrics,
     ) -> None:
         self._directory = directory
         self._record_change = record_change
+        self._metrics = metrics
         self._network = network
         self._reached_endpoint_revision = 0
         self._sources = DirectorySources(own_domain=own_domain)
@@ -149,6 +156,7 @@
                 waited_seconds=round(trio.current_time() - started_at, 3),
             )
             return None
+        self._log_if_large("fetched a large directory", host_id, reply.ok_value, known, started_at)
         decoded = decode_state(reply.ok_value)
         if isinstance(decoded, Err):
             LOG.write(
@@ -166,4 +174,25 @@
                 reason=decoded.err_value,
             )
             return encode_state(())
-        return encode_state(self._directory.list_sets(decoded.ok_value))
+        sets = self._directory.list_sets(decoded.ok_value)
+        reply = encode_state(sets)
+        form = "changes" if all(entry.partial for entry in sets) else "all"
+        self._metrics.count_directory_reply(form, len(reply))
+        started_at = trio.current_time()
+        self._log_if_large(
+            "sends a large directory", request.host_id, reply, decoded.ok_value, started_at
+        )
+        return reply
+
+    def _log_if_large(
+        self, message: str, peer: str, reply: bytes, known: Mapping[str, int], started_at: float
+    ) -> None:
+        if len(reply) >= LARGE_REPLY_BYTES:
+            LOG.write(
+                message,
+                peer=peer,
+                size=len(reply),
+                known=dict(known),
+                complete_since=self._directory.list_first_revisions(),
+                waited_seconds=round(trio.current_time() - started_at, 3),
+            )
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_application.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_application.py
@@ -272,6 +272,7 @@
                 status=refusal.status,
                 reason=refusal.reason,
                 version=self._context.directory.version,
+                behind_seconds=round(self._context.directory.compute_lag(), 3),
             )
         await exchange.refuse(refusal.status, refusal.reason, RunState.NOT_RUN, refusal.retry_after)
 
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
@@ -190,6 +190,7 @@
                 directory=self.directory,
                 network=self._network,
                 record_change=self._follower.record_change_of_peer,
+                metrics=gateway_metrics,
             ),
         )
         self.limits = GatewayLimits(settings=settings, metrics=metrics)
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_metrics.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_metrics.py
@@ -64,6 +64,16 @@
             "service",
             "verdict",
         )
+        self._directory_replies = metrics.add_counter(
+            "gypsumpost_directory_replies_total",
+            "Directories sent to peers, by whether they hold all items or the changes.",
+            "form",
+        )
+        self._directory_bytes = metrics.add_counter(
+            "gypsumpost_directory_sent_bytes_total",
+            "Bytes of the directories sent to peers, by whether they hold all items.",
+            "form",
+        )
         self._answers = metrics.add_durations(
             "gypsumpost_gateway_answer_seconds", "Time to the whole answer of a call."
         )
@@ -86,6 +96,15 @@
         """Count an answer of a service with a roll-out by the endpoint's version."""
         self._versions.add(service, version, outcome)
 
+    def count_directory_reply(self, form: str, size: int) -> None:
+        """Count a directory sent to a peer.
+
+        :param form: ``all`` if it holds all items of some prefix, else ``changes``.
+        :param size: its length in bytes.
+        """
+        self._directory_replies.add(form)
+        self._directory_bytes.add(form, amount=size)
+
     def count_resumption(self, *, from_copy: bool) -> None:
         """Count a stream that is resumed on another engine."""
         self._resumptions.add("copy" if from_copy else "prompt")
--- a/packages/daemon/gypsumpost_daemon/gateway/tests/test_directory_exchange.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/tests/test_directory_exchange.py
@@ -10,8 +10,10 @@
 from gypsumpost_daemon.gateway.beacon import Beacon
 from gypsumpost_daemon.gateway.directory_codec import encode_state
 from gypsumpost_daemon.gateway.directory_exchange import DirectoryExchange
+from gypsumpost_daemon.gateway.gateway_metrics import GatewayMetrics
 from gypsumpost_daemon.gateway.item_set import ItemSet
 from gypsumpost_daemon.peers.peer_failure import PeerFailure
+from gypsumpost_daemon.telemetry.metrics import Metrics
 
 
 @attrs.define(kw_only=True)
@@ -77,7 +79,11 @@
     It also guards against a host that waits for the next beacon when the first peer does not reply.
     """
     network = RecordingNetwork()
-    dependencies: dict[str, Any] = {"directory": EmptyDirectory(), "network": network}
+    dependencies: dict[str, Any] = {
+        "directory": EmptyDirectory(),
+        "network": network,
+        "metrics": GatewayMetrics(metrics=Metrics()),
+    }
     exchange = DirectoryExchange(
         own_domain="a", record_change=lambda prefix, peer: None, **dependencies
     )
@@ -101,7 +107,11 @@
     nothing = encode_state(())
     full = encode_state([ItemSet(prefix="servers/", revision=12, items=(), partial=False)])
     network = RecordingNetwork(replies={"empty": [nothing, nothing], "full": [full]})
-    dependencies: dict[str, Any] = {"directory": EmptyDirectory(), "network": network}
+    dependencies: dict[str, Any] = {
+        "directory": EmptyDirectory(),
+        "network": network,
+        "metrics": GatewayMetrics(metrics=Metrics()),
+    }
     exchange = DirectoryExchange(
         own_domain="a", record_change=lambda prefix, peer: None, **dependencies
     )
--- a/packages/daemon/gypsumpost_daemon/telemetry/counter.py
+++ b/packages/daemon/gypsumpost_daemon/telemetry/counter.py
@@ -21,9 +21,10 @@
         if not self.labels:
             self.values[()] = 0
 
-    def add(self, *label_values: str) -> None:
-        """Count one event.
+    def add(self, *label_values: str, amount: int = 1) -> None:
+        """Count events.
 
         :param label_values: one value for each label.
+        :param amount: how many events.
         """
-        self.values[label_values] = self.values.get(label_values, 0) + 1
+        self.values[label_values] = self.values.get(label_values, 0) + amount
