--- a/packages/core/gypsumpost_core/gateway/version_lag.py
+++ b/packages/core/gypsumpost_core/gateway/version_lag.py
@@ -4,6 +4,10 @@
 
 import attrs
 
+BELIEF_SECONDS = 1.6
+"""How long a version that a peer has named is believed to exist: slightly more than two beacon
+intervals of an idle host."""
+
 
 @attrs.define(kw_only=True)
 class VersionLag:
