Send a peer only what it lacks, also from a host that joined late

Cause: a host does not know what was removed before its first read of the store, so it answered each peer with older lists with all items, a configuration of 1,890 routes among them, although the peer had it. Its own fetches, its watch and its answers wait in the same link. Change: it sends the items that are newer and the keys of the rest, from which the receiver finds the removals. Whoever lacks one of those keys asks for all items; hosts of older versions get all items.

--- a/packages/core/gypsumpost_core/gateway/item_table.py
+++ b/packages/core/gypsumpost_core/gateway/item_table.py
@@ -1,6 +1,6 @@
 """Local replica of the items under one prefix of the store."""
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 from gypsumpost_core.gateway.stored_item import StoredItem
 
@@ -46,16 +46,19 @@
         self.revision = max(self.revision, revision)
         return list(changed.values())
 
-    def replace(self, items: Iterable[StoredItem], revision: int) -> list[StoredItem]:
+    def replace(
+        self, items: Iterable[StoredItem], revision: int, kept: Collection[str] = ()
+    ) -> list[StoredItem]:
         """Apply a complete read of the prefix and return the changes, removals included.
 
         Items newer than the read are kept.
 
         :param items: all items that exist.
         :param revision: revision of the store at which the read began.
+        :param kept: keys of items that exist as they are known.
         """
         present = list(items)
-        keys = {item.key for item in present}
+        keys = {item.key for item in present}.union(kept)
         removed = [
             StoredItem(key=item.key, revision=revision, value=None)
             for item in self._items.values()
@@ -65,6 +68,18 @@
             self._first_revision = revision
         return self.apply([*present, *removed], revision)
 
+    def holds(self, keys: Iterable[str], revision: int) -> bool:
+        """Return true if the items of some keys are known, or their removals after a revision.
+
+        :param keys: the keys.
+        :param revision: revision of the store at which the items exist.
+        """
+        found = [self._items.get(key) for key in keys]
+        return all(
+            item is not None and (item.value is not None or item.revision > revision)
+            for item in found
+        )
+
     def forget_revision(self) -> None:
         """Keep the items, but no longer take them for complete until the next complete read.
 
--- a/packages/core/gypsumpost_core/gateway/tests/test_item_table.py
+++ b/packages/core/gypsumpost_core/gateway/tests/test_item_table.py
@@ -83,3 +83,35 @@
     table = ItemTable()
     changed = table.apply([create_item("a", 1), create_item("b", 2), create_item("a", 3)], 3)
     assert sorted((item.key, item.revision) for item in changed) == [("a", 3), ("b", 2)]
+
+
+@given(CHANGES, CHANGES)
+def test_a_complete_read_may_leave_out_the_items_that_are_known(before, after):
+    """Guards against a missed removal or a lost item when the known items are left out."""
+    sender, receiver = ItemTable(), ItemTable()
+    receiver.replace([], 0)
+    receiver.apply(before, len(before))
+    later = [
+        StoredItem(key=change.key, revision=change.revision + len(before), value=change.value)
+        for change in after
+    ]
+    for change in (*before, *later):
+        sender.apply([change], change.revision)
+    present = sender.list_present()
+    newer = [item for item in present if item.revision > receiver.revision]
+    kept = [item.key for item in present if item.revision <= receiver.revision]
+    assert receiver.holds(kept, sender.revision)
+    receiver.replace(newer, sender.revision, kept)
+    assert {item.key: item.value for item in receiver.list_present()} == {
+        item.key: item.value for item in present
+    }
+
+
+def test_an_item_that_was_never_known_is_not_held():
+    """Guards against an item that a peer leaves out and this host does not have."""
+    table = ItemTable()
+    table.apply([create_item("a", 1), create_item("b", 2, None)], 2)
+    assert table.holds(["a"], 5)
+    assert not table.holds(["a", "c"], 5)
+    assert not table.holds(["b"], 5)
+    assert table.holds(["b"], 1)
--- a/packages/daemon/gypsumpost_daemon/gateway/beacon.capnp
+++ b/packages/daemon/gypsumpost_daemon/gateway/beacon.capnp
@@ -82,6 +82,7 @@
   revision @1 :UInt64;
   items @2 :List(Item);
   partial @3 :Bool;             # true if only changes since the requested revision are included
+  kept @4 :List(Text);          # keys of existing items that are left out, as the receiver has them
 }
 
 struct KnownRevision {
@@ -124,6 +125,7 @@
 
 struct DirectoryRequest {
   known @0 :List(KnownRevision);
+  acceptsKept @1 :Bool;         # false from hosts of versions that do not read ItemSet.kept
 }
 
 struct DirectoryState {
--- a/packages/daemon/gypsumpost_daemon/gateway/directory.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/directory.py
@@ -1,7 +1,7 @@
 """This host's view of the configuration and the endpoints."""
 
 import math
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable
 
 import trio
 from result import Err
@@ -14,6 +14,7 @@
 from gypsumpost_core.gateway.stored_item import StoredItem
 from gypsumpost_core.gateway.version_lag import VersionLag
 from gypsumpost_daemon.gateway.adapter import GatewayAdapter
+from gypsumpost_daemon.gateway.directory_query import DirectoryQuery
 from gypsumpost_daemon.gateway.item_set import ItemSet
 from gypsumpost_daemon.telemetry.log import Log
 
@@ -91,25 +92,40 @@
                 return True
         return False
 
-    def list_sets(self, known: Mapping[str, int]) -> list[ItemSet]:
+    def list_sets(self, query: DirectoryQuery) -> list[ItemSet]:
         """Return the items that a peer lacks, except under prefixes that were not read yet.
 
-        :param known: the revision up to which the peer has all items, by prefix.
+        :param query: what the peer has.
         """
-        sets = []
-        for prefix, table in self.tables.items():
-            if not table.loaded:
-                continue
-            changes = table.list_changes_after(known.get(prefix, 0))
-            sets.append(
-                ItemSet(
-                    prefix=prefix,
-                    revision=table.revision,
-                    items=tuple(table.list_present() if changes is None else changes),
-                    partial=changes is not None,
-                )
-            )
-        return sets
+        return [
+            self._create_set(prefix, query) for prefix, table in self.tables.items() if table.loaded
+        ]
+
+    def _create_set(self, prefix: str, query: DirectoryQuery) -> ItemSet:
+        table, known = self.tables[prefix], query.known.get(prefix, 0)
+        changes = table.list_changes_after(known)
+        if changes is not None:
+            items, kept = changes, []
+        elif query.accepts_kept:
+            items = [item for item in table.list_present() if item.revision > known]
+            kept = [item.key for item in table.list_present() if item.revision <= known]
+        else:
+            items, kept = table.list_present(), []
+        return ItemSet(
+            prefix=prefix,
+            revision=table.revision,
+            items=tuple(items),
+            partial=changes is not None,
+            kept=tuple(kept),
+        )
+
+    def lacks_kept(self, entry: ItemSet) -> bool:
+        """Return true if a peer has left out an item that this host does not have.
+
+        :param entry: the items that the peer has sent.
+        """
+        table = self.tables.get(entry.prefix)
+        return table is not None and not table.holds(entry.kept, entry.revision)
 
     def list_revisions(self) -> dict[str, int]:
         """Return the revision up to which all items are known, by prefix, 0 for an unread one."""
@@ -139,7 +155,7 @@
             return False
         if entry.partial:
             return self.apply(entry.prefix, entry.items, entry.revision, source)
-        return self.replace(entry.prefix, entry.items, entry.revision, source)
+        return self.replace(entry.prefix, entry.items, entry.revision, source, kept=entry.kept)
 
     @property
     def ready(self) -> bool:
@@ -172,15 +188,24 @@
         self._record_load(source)
         return bool(changed)
 
-    def replace(self, prefix: str, items: Iterable[StoredItem], revision: int, source: str) -> bool:
+    def replace(
+        self,
+        prefix: str,
+        items: Iterable[StoredItem],
+        revision: int,
+        source: str,
+        *,
+        kept: Collection[str] = (),
+    ) -> bool:
         """Replace all items under a prefix; return true if any has changed.
 
         :param prefix: the prefix under which they were read.
         :param items: all items.
         :param revision: revision of the store when the read started.
         :param source: where they come from, for the log.
+        :param kept: keys of items that exist as they are known.
         """
-        changed = self.tables[prefix].replace(items, revision)
+        changed = self.tables[prefix].replace(items, revision, kept)
         self._apply_changes(prefix, changed, source)
         self._record_load(source)
         return bool(changed)
--- a/packages/daemon/gypsumpost_daemon/gateway/directory_codec.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/directory_codec.py
@@ -1,34 +1,43 @@
 """Cap'n Proto codec of the directory that hosts exchange."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 
 import capnp
 from result import Err, Ok, Result
 
 from gypsumpost_core.gateway.stored_item import StoredItem
+from gypsumpost_daemon.gateway.directory_query import DirectoryQuery
 from gypsumpost_daemon.gateway.item_set import ItemSet
 from gypsumpost_daemon.gateway.peer_schema import SCHEMA
 
 
-def encode_directory_request(known: Mapping[str, int]) -> bytes:
+def encode_directory_query(query: DirectoryQuery) -> bytes:
     """Return the request for a peer's directory as packed bytes.
 
-    :param known: the revision up to which the sender has all items, by prefix.
+    :param query: what the sender has.
     """
     packed: bytes = SCHEMA.DirectoryRequest.new_message(
-        known=[{"prefix": prefix, "revision": revision} for prefix, revision in known.items()]
+        known=[
+            {"prefix": prefix, "revision": revision} for prefix, revision in query.known.items()
+        ],
+        acceptsKept=query.accepts_kept,
     ).to_bytes_packed()
     return packed
 
 
-def decode_directory_request(data: bytes) -> Result[dict[str, int], str]:
-    """Return the revision up to which a peer has all items, by prefix, or a decoding error.
+def decode_directory_query(data: bytes) -> Result[DirectoryQuery, str]:
+    """Return a peer's request for the directory, or a decoding error.
 
     :param data: the packed bytes.
     """
     try:
         message = SCHEMA.DirectoryRequest.from_bytes_packed(data)
-        return Ok({entry.prefix: entry.revision for entry in message.known})
+        return Ok(
+            DirectoryQuery(
+                known={entry.prefix: entry.revision for entry in message.known},
+                accepts_kept=message.acceptsKept,
+            )
+        )
     except (capnp.KjException, ValueError, UnicodeDecodeError) as error:
         return Err(str(error).partition("\n")[0])
 
@@ -44,6 +53,7 @@
                 "prefix": entry.prefix,
                 "revision": entry.revision,
                 "partial": entry.partial,
+                "kept": list(entry.kept),
                 "items": [
                     {
                         "key": item.key,
@@ -73,6 +83,7 @@
                     prefix=entry.prefix,
                     revision=entry.revision,
                     partial=entry.partial,
+                    kept=tuple(entry.kept),
                     items=tuple(
                         StoredItem(
                             key=item.key,
--- a/packages/daemon/gypsumpost_daemon/gateway/directory_exchange.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/directory_exchange.py
@@ -10,11 +10,12 @@
 from gypsumpost_daemon.gateway.beacon import Beacon
 from gypsumpost_daemon.gateway.directory import Directory
 from gypsumpost_daemon.gateway.directory_codec import (
-    decode_directory_request,
+    decode_directory_query,
     decode_state,
-    encode_directory_request,
+    encode_directory_query,
     encode_state,
 )
+from gypsumpost_daemon.gateway.directory_query import DirectoryQuery
 from gypsumpost_daemon.gateway.gateway_metrics import GatewayMetrics
 from gypsumpost_daemon.gateway.item_set import ItemSet
 from gypsumpost_daemon.lifecycle.contained_errors import contain_errors
@@ -108,13 +109,18 @@
         sets = await self._request_sets(source, known)
         if sets is None:
             return False
+        lacking = any(self._directory.lacks_kept(entry) for entry in sets)
         self._apply(sets, source)
-        if not self._is_ahead(source):
+        if not self._is_ahead(source) and not lacking:
             return True
-        # The changes since the known revision do not hold what the peer named, so that revision
-        # may be too high. The peer sends all items to a host that knows none.
+        # The reply does not hold what the peer named, or leaves out an item that is not known here,
+        # so the known revision may be too high. The peer sends all items to a host that knows none.
         LOG.write(
-            "a peer that is ahead has sent nothing newer",
+            (
+                "a peer has left out an item that is not known"
+                if lacking
+                else "a peer that is ahead has sent nothing newer"
+            ),
             peer=source.host_id,
             peer_version=source.version,
             version=self._directory.version,
@@ -145,7 +151,7 @@
         host_id = source.host_id
         started_at = trio.current_time()
         deadline = started_at + REPLY_SECONDS
-        payload = encode_directory_request(known)
+        payload = encode_directory_query(DirectoryQuery(known=known))
         reply = await self._network.request(host_id, MessageKind.DIRECTORY_STATE, payload, deadline)
         if isinstance(reply, Err):
             self._network.drop_link(host_id)
@@ -166,7 +172,7 @@
         return decoded.ok_value
 
     async def _handle_request(self, request: PeerRequest) -> bytes:
-        decoded = decode_directory_request(request.payload)
+        decoded = decode_directory_query(request.payload)
         if isinstance(decoded, Err):
             LOG.write(
                 "cannot decode a request for the directory",
@@ -176,11 +182,11 @@
             return encode_state(())
         sets = self._directory.list_sets(decoded.ok_value)
         reply = encode_state(sets)
-        form = "changes" if all(entry.partial for entry in sets) else "all"
+        form = "changes" if all(entry.partial or entry.kept for entry in sets) else "all"
         self._metrics.count_directory_reply(form, len(reply))
         started_at = trio.current_time()
         self._log_if_large(
-            "sends a large directory", request.host_id, reply, decoded.ok_value, started_at
+            "sends a large directory", request.host_id, reply, decoded.ok_value.known, started_at
         )
         return reply
 
--- /dev/null
+++ b/packages/daemon/gypsumpost_daemon/gateway/directory_query.py
@@ -0,0 +1,18 @@
+"""A host's question for the directory of a peer."""
+
+from collections.abc import Mapping
+
+import attrs
+
+
+@attrs.frozen(kw_only=True)
+class DirectoryQuery:
+    """What a host has, so that the peer sends the rest.
+
+    :param known: the revision up to which the host has all items, by prefix, 0 for none.
+    :param accepts_kept: true if the host reads the keys of items that it has in place of the items;
+        hosts of older versions do not.
+    """
+
+    known: Mapping[str, int]
+    accepts_kept: bool = True
--- a/packages/daemon/gypsumpost_daemon/gateway/item_set.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/item_set.py
@@ -13,9 +13,12 @@
     :param revision: revision up to which they are complete.
     :param items: the existing items, or the changes including removals.
     :param partial: true if these are only the changes since the requested revision.
+    :param kept: keys of existing items that are left out, because the receiver has them as they
+        are; empty if ``partial``.
     """
 
     prefix: str
     revision: int
     items: tuple[StoredItem, ...]
     partial: bool = False
+    kept: tuple[str, ...] = ()
--- a/packages/daemon/gypsumpost_daemon/gateway/tests/test_beacon_codec.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/tests/test_beacon_codec.py
@@ -25,11 +25,12 @@
 from gypsumpost_daemon.gateway.beacon_socket import MAX_BODY_BYTES, BeaconSocket
 from gypsumpost_daemon.gateway.copy_codec import decode_memory, encode_memory
 from gypsumpost_daemon.gateway.directory_codec import (
-    decode_directory_request,
+    decode_directory_query,
     decode_state,
-    encode_directory_request,
+    encode_directory_query,
     encode_state,
 )
+from gypsumpost_daemon.gateway.directory_query import DirectoryQuery
 from gypsumpost_daemon.gateway.item_set import ItemSet
 from gypsumpost_daemon.peers.gossip_codec import MAC_BYTES
 
@@ -142,11 +143,13 @@
                 StoredItem(key="p/b", revision=9, value=None),
             ),
             partial=True,
-        )
+        ),
+        ItemSet(prefix="q/", revision=9, items=(), kept=("q/a", "q/b")),
     ]
     assert decode_state(encode_state(sets)).unwrap() == sets
-    known = {"p/": 7}
-    assert decode_directory_request(encode_directory_request(known)).unwrap() == known
+    for accepts_kept in (False, True):
+        query = DirectoryQuery(known={"p/": 7}, accepts_kept=accepts_kept)
+        assert decode_directory_query(encode_directory_query(query)).unwrap() == query
 
 
 @given(st.binary(max_size=60))
@@ -155,7 +158,7 @@
     decoded = decode_beacon(data)
     assert isinstance(decoded, Err) or decoded.ok_value.sequence >= 0
     decode_state(data)
-    decode_directory_request(data)
+    decode_directory_query(data)
 
 
 def test_remembered_streams_are_decoded_as_they_were_encoded():
--- a/packages/daemon/gypsumpost_daemon/gateway/tests/test_directory_exchange.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/tests/test_directory_exchange.py
@@ -34,6 +34,12 @@
             self.endpoint_revision = entry.revision
         return True
 
+    def list_first_revisions(self):
+        return {}
+
+    def lacks_kept(self, entry):
+        return False
+
     def forget_revision(self, prefix):
         pass
 
