Compress large values between hosts

A configuration of 1,890 routes has about 400 KB. All hosts of a domain that do not watch the store fetch it from one peer at the same moment, and a reply that takes longer than a second is thrown away and asked for again elsewhere. Change: values from 4 KB on are compressed, once for each version and host; the length of the decompressed value is bounded. Hosts of older versions get them as they are.

--- a/packages/daemon/gypsumpost_daemon/gateway/beacon.capnp
+++ b/packages/daemon/gypsumpost_daemon/gateway/beacon.capnp
@@ -75,6 +75,7 @@
   revision @1 :UInt64;
   value @2 :Data;
   present @3 :Bool;             # false for a removed item
+  compressed @4 :Bool;          # true if the value is compressed with zlib
 }
 
 struct ItemSet {
@@ -126,6 +127,7 @@
 struct DirectoryRequest {
   known @0 :List(KnownRevision);
   acceptsKept @1 :Bool;         # false from hosts of versions that do not read ItemSet.kept
+  acceptsCompressed @2 :Bool;   # false from hosts of versions that do not read Item.compressed
 }
 
 struct DirectoryState {
--- a/packages/daemon/gypsumpost_daemon/gateway/directory_exchange.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/directory_exchange.py
@@ -180,13 +180,14 @@
                 reason=decoded.err_value,
             )
             return encode_state(())
-        sets = self._directory.list_sets(decoded.ok_value)
-        reply = encode_state(sets)
+        query = decoded.ok_value
+        sets = self._directory.list_sets(query)
+        reply = encode_state(sets, compressed=query.accepts_compressed)
         form = "changes" if all(entry.partial or entry.kept for entry in sets) else "all"
         self._metrics.count_directory_reply(form, len(reply))
         started_at = trio.current_time()
         self._log_if_large(
-            "sends a large directory", request.host_id, reply, decoded.ok_value.known, started_at
+            "sends a large directory", request.host_id, reply, query.known, started_at
         )
         return reply
 
--- a/packages/daemon/gypsumpost_daemon/gateway/directory_query.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/directory_query.py
@@ -12,7 +12,10 @@
     :param known: the revision up to which the host has all items, by prefix, 0 for none.
     :param accepts_kept: true if the host reads the keys of items that it has in place of the items;
         hosts of older versions do not.
+    :param accepts_compressed: true if the host reads compressed values; hosts of older versions do
+        not.
     """
 
     known: Mapping[str, int]
     accepts_kept: bool = True
+    accepts_compressed: bool = True
--- a/packages/daemon/gypsumpost_daemon/gateway/tests/test_beacon_codec.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/tests/test_beacon_codec.py
@@ -1,5 +1,8 @@
 """Tests of the codec of messages between gateways."""
 
+import itertools
+import zlib
+
 import attrs
 import pytest
 from hypothesis import given
@@ -32,6 +35,8 @@
 )
 from gypsumpost_daemon.gateway.directory_query import DirectoryQuery
 from gypsumpost_daemon.gateway.item_set import ItemSet
+from gypsumpost_daemon.gateway.peer_schema import SCHEMA
+from gypsumpost_daemon.gateway.value_compression import MAX_BYTES
 from gypsumpost_daemon.peers.gossip_codec import MAC_BYTES
 
 
@@ -147,11 +152,36 @@
         ItemSet(prefix="q/", revision=9, items=(), kept=("q/a", "q/b")),
     ]
     assert decode_state(encode_state(sets)).unwrap() == sets
-    for accepts_kept in (False, True):
-        query = DirectoryQuery(known={"p/": 7}, accepts_kept=accepts_kept)
+    for kept, compressed in itertools.product((False, True), repeat=2):
+        query = DirectoryQuery(known={"p/": 7}, accepts_kept=kept, accepts_compressed=compressed)
         assert decode_directory_query(encode_directory_query(query)).unwrap() == query
 
 
+def test_a_large_value_is_compressed_and_decoded_as_it_was():
+    """Guards against a configuration that takes a slow link for a third of a second."""
+    value = b"".join(b'{"name":"route-%d","kind":"idempotent"},' % n for n in range(2000))
+    items = (
+        StoredItem(key="p/large", revision=8, value=value),
+        StoredItem(key="p/small", revision=9, value=b"small"),
+        StoredItem(key="p/gone", revision=10, value=None),
+    )
+    sets = [ItemSet(prefix="p/", revision=10, items=items)]
+    data = encode_state(sets, compressed=True)
+    assert len(data) < len(value) / 4
+    assert decode_state(data).unwrap() == sets
+    assert len(encode_state(sets)) > len(value)
+
+
+@pytest.mark.parametrize(
+    "data", [b"", b"no zlib", zlib.compress(b"cut off")[:-2], zlib.compress(bytes(MAX_BYTES + 1))]
+)
+def test_a_malformed_compressed_value_is_an_error(data):
+    """Guards against a peer's value without end, and against an exception that ends a task."""
+    item = {"key": "a", "revision": 1, "value": data, "present": True, "compressed": True}
+    state = SCHEMA.DirectoryState.new_message(sets=[{"prefix": "p/", "items": [item]}])
+    assert isinstance(decode_state(state.to_bytes_packed()), Err)
+
+
 @given(st.binary(max_size=60))
 def test_no_datagram_raises(data):
     """Guards against a malformed datagram that stops the process with an exception."""
