Fit lines and find quantiles of measurements in one place

The bench had two functions fit_line and four quantile functions, two pairs of which computed the same. Figures are unchanged: the two kinds of quantile are kept, with their values for no measurements.

--- a/packages/bench/gypsumpost_bench/experiment_admission.py
+++ b/packages/bench/gypsumpost_bench/experiment_admission.py
@@ -3,8 +3,8 @@
 from gypsumpost_bench.admission_simulation import AdmissionSimulation, LoadPhase
 from gypsumpost_bench.experiment import EXPERIMENTS
 from gypsumpost_bench.experiment_row import ExperimentRow
+from gypsumpost_bench.quantiles import find_quantile
 from gypsumpost_bench.retry_simulation import RetrySimulation
-from gypsumpost_bench.simulated_load import find_quantile
 
 WARM_UP_SECONDS = 60.0
 MAX_FIRST_TOKEN_SECONDS = 1.0
--- a/packages/bench/gypsumpost_bench/experiment_allowances.py
+++ b/packages/bench/gypsumpost_bench/experiment_allowances.py
@@ -10,7 +10,7 @@
 
 from gypsumpost_bench.experiment import EXPERIMENTS
 from gypsumpost_bench.experiment_row import ExperimentRow
-from gypsumpost_bench.linear_fit import fit_line
+from gypsumpost_bench.line_fit import fit_line
 from gypsumpost_bench.share_fleet import MODEL, SERVICE, TOKENS_PER_GENERATION, ShareFleet
 from gypsumpost_bench.share_reassignment import (
     DAEMONS,
@@ -209,7 +209,7 @@
 def _create_slope_row(
     unit: str, fixed: str, points: list[tuple[int, float]], load: float
 ) -> ExperimentRow:
-    fit = fit_line([(float(x), y) for x, y in points])
+    fit = fit_line(((float(x), y) for x, y in points), min_points=2)
     listed = ", ".join(f"{x}: {y:.0f}" for x, y in points)
     return ExperimentRow(
         name=f"allowances: control bytes of a daemon for each {unit}, {load}x load",
--- a/packages/bench/gypsumpost_bench/experiment_lists.py
+++ b/packages/bench/gypsumpost_bench/experiment_lists.py
@@ -8,6 +8,7 @@
 
 from gypsumpost_bench.experiment import EXPERIMENTS
 from gypsumpost_bench.experiment_row import ExperimentRow
+from gypsumpost_bench.quantiles import find_nearest_rank
 from gypsumpost_bench.scripted_store import ScriptedStore
 from gypsumpost_bench.simulated_fleet import DOMAINS, create_directory, create_hosts
 from gypsumpost_bench.simulated_network import SimulatedNetwork, SimulatedPort
@@ -135,15 +136,6 @@
     return sum(network.sent_bytes.values())
 
 
-def compute_quantile(values: list[float], fraction: float) -> float:
-    """Return a quantile by the nearest rank.
-
-    :param values: the values, at least one.
-    :param fraction: fraction of the values at or below the quantile, for example 0.99.
-    """
-    return sorted(values)[max(0, math.ceil(len(values) * fraction) - 1)]
-
-
 def _run_simulated(daemons: int, changes: int, watchers: int, loss: float) -> PropagationResult:
     clock = trio.testing.MockClock(autojump_threshold=0)
     return trio.run(measure_propagation, daemons, changes, watchers, loss, clock=clock)
@@ -192,8 +184,8 @@
             met=met,
         )
 
-    p50, p99, last = (compute_quantile(chosen.times, fraction) for fraction in (0.5, 0.99, 1.0))
-    base50, base99, base_last = (compute_quantile(baseline.times, p) for p in (0.5, 0.99, 1.0))
+    p50, p99, last = (find_nearest_rank(chosen.times, fraction) for fraction in (0.5, 0.99, 1.0))
+    base50, base99, base_last = (find_nearest_rank(baseline.times, p) for p in (0.5, 0.99, 1.0))
     return [
         create_row("spread time p50", "s", p50, base50),
         create_row("spread time p99", "s", p99, base99, "< 4 s", p99 < TARGET_SECONDS),
--- a/packages/bench/gypsumpost_bench/experiment_routing.py
+++ b/packages/bench/gypsumpost_bench/experiment_routing.py
@@ -2,8 +2,8 @@
 
 from gypsumpost_bench.experiment import EXPERIMENTS
 from gypsumpost_bench.experiment_row import ExperimentRow
+from gypsumpost_bench.quantiles import find_quantile
 from gypsumpost_bench.routing_simulation import RoutingSimulation
-from gypsumpost_bench.simulated_load import find_quantile
 from gypsumpost_core.routing.routing_policy import ROUTING
 
 BASELINE = "round-robin"
--- a/packages/bench/gypsumpost_bench/line_fit.py
+++ b/packages/bench/gypsumpost_bench/line_fit.py
@@ -36,14 +36,15 @@
         )
 
 
-def fit_line(points: Iterable[tuple[float, float]]) -> LineFit:
-    """Return the least-squares line through at least four points.
+def fit_line(points: Iterable[tuple[float, float]], *, min_points: int = MIN_POINTS) -> LineFit:
+    """Return the least-squares line through points.
 
     :param points: pairs of size and figure.
+    :param min_points: how many there must be.
     :raises ValueError: if there are fewer points.
     """
     kept = tuple(points)
-    if len(kept) < MIN_POINTS:
+    if len(kept) < min_points:
         raise ValueError(f"{len(kept)} points are too few for a slope")
     line = statistics.linear_regression([x for x, _ in kept], [y for _, y in kept])
     return LineFit(points=kept, slope=line.slope, intercept=line.intercept)
--- a/packages/bench/gypsumpost_bench/resume_figures.py
+++ b/packages/bench/gypsumpost_bench/resume_figures.py
@@ -1,9 +1,9 @@
 """Figures of the experiment ``resume``."""
 
-import math
-
 import attrs
 
+from gypsumpost_bench.quantiles import find_nearest_rank
+
 
 @attrs.frozen(kw_only=True)
 class ResumeFigures:
@@ -34,9 +34,7 @@
 
         :param fraction: fraction of the stalls at or below the quantile, for example 0.99.
         """
-        if not self.stalls:
-            return math.nan
-        return sorted(self.stalls)[max(0, math.ceil(len(self.stalls) * fraction) - 1)]
+        return find_nearest_rank(list(self.stalls), fraction)
 
 
 def join_figures(rounds: list[ResumeFigures]) -> ResumeFigures:
--- a/packages/bench/gypsumpost_bench/tests/test_experiment_allowances.py
+++ b/packages/bench/gypsumpost_bench/tests/test_experiment_allowances.py
@@ -3,7 +3,7 @@
 import pytest
 
 from gypsumpost_bench.experiment_allowances import compute_errors, measure_error, run_simulated
-from gypsumpost_bench.linear_fit import fit_line
+from gypsumpost_bench.line_fit import fit_line
 from gypsumpost_bench.share_fleet import SERVICE
 
 
@@ -25,5 +25,5 @@
 
 def test_fit_finds_the_line() -> None:
     """Guards against slopes with a wrong sign or scale."""
-    fit = fit_line([(1, 5), (2, 7), (4, 11)])
+    fit = fit_line([(1, 5), (2, 7), (4, 11)], min_points=2)
     assert (fit.slope, fit.intercept) == (pytest.approx(2), pytest.approx(3))
--- a/packages/bench/gypsumpost_bench/tests/test_token_path.py
+++ b/packages/bench/gypsumpost_bench/tests/test_token_path.py
@@ -4,10 +4,11 @@
 
 import orjson
 
+from gypsumpost_bench.quantiles import find_quantile
 from gypsumpost_bench.token_path_client import LoadStream, TokenPathClient
 from gypsumpost_bench.token_path_engine import HEAD, FakeStream
 from gypsumpost_bench.token_path_plan import TokenPathPlan
-from gypsumpost_bench.token_path_run import find_percentile, summarize
+from gypsumpost_bench.token_path_run import summarize
 from gypsumpost_daemon.engines.engine_event_decoder import decode_event
 from gypsumpost_daemon.engines.event_stream_decoder import EventStreamDecoder
 from gypsumpost_daemon.http.chunk_decoder import ChunkDecoder
@@ -77,7 +78,7 @@
     figures = summarize(results, 0.002, 2.0)
     assert (figures.microseconds, figures.rate, figures.gap_p95) == (20.0, 50.0, 9.0)
     assert (figures.first_p95, figures.burst_first_p95, figures.incomplete) == (3.0, 4.0, 3)
-    assert find_percentile(list(range(1, 101)), 0.95) == 96
+    assert find_quantile(list(range(1, 101)), 0.95) == 96
 
 
 def test_fake_engine_answers_load_and_cancel_calls_at_once():
--- a/packages/bench/gypsumpost_bench/token_path_run.py
+++ b/packages/bench/gypsumpost_bench/token_path_run.py
@@ -3,6 +3,7 @@
 import contextlib
 import http.client
 import json
+import math
 import subprocess
 import sys
 import time
@@ -10,6 +11,7 @@
 
 import attrs
 
+from gypsumpost_bench.quantiles import find_quantile
 from gypsumpost_bench.token_path_engine import TOKEN_SECONDS
 from gypsumpost_bench.token_path_plan import TokenPathPlan
 from gypsumpost_daemon.addresses import split_address
@@ -128,13 +130,6 @@
     return read_usage(relay) - before
 
 
-def find_percentile(values: list[float], fraction: float) -> float:
-    """Return a percentile, ``nan`` without values."""
-    if not values:
-        return float("nan")
-    return sorted(values)[min(int(len(values) * fraction), len(values) - 1)]
-
-
 def create_plan(rate: int, quick: bool) -> TokenPathPlan:
     """Return the schedule, which all load clients use.
 
@@ -196,9 +191,9 @@
     return TokenPathFigures(
         microseconds=used / max(len(steady), 1) * 1e6,
         rate=len(steady) / seconds,
-        gap_p95=find_percentile(steady, 0.95),
-        first_p95=find_percentile(join("added", "probe"), 0.95),
-        burst_first_p95=find_percentile(join("added", "burst"), 0.95),
-        burst_gap_p95=find_percentile(join("gaps", "burst"), 0.95),
+        gap_p95=find_quantile(steady, 0.95, empty=math.nan),
+        first_p95=find_quantile(join("added", "probe"), 0.95, empty=math.nan),
+        burst_first_p95=find_quantile(join("added", "burst"), 0.95, empty=math.nan),
+        burst_gap_p95=find_quantile(join("gaps", "burst"), 0.95, empty=math.nan),
         incomplete=sum(result["incomplete"] for result in results),
     )
