Move what hosts exchange of the tables out of the directory

The sets that hosts send each other, and the revisions that they name, are in item_tables.py now. The check that an open watch counts as news has a task of its own beside the one that reads after a failure. A host that sends a large directory no longer logs a waiting time that was always 0.

--- a/packages/daemon/gypsumpost_daemon/gateway/directory.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/directory.py
@@ -15,8 +15,8 @@
 from gypsumpost_core.gateway.stored_item import StoredItem
 from gypsumpost_core.gateway.version_lag import VersionLag
 from gypsumpost_daemon.gateway.adapter import GatewayAdapter
-from gypsumpost_daemon.gateway.directory_query import DirectoryQuery
 from gypsumpost_daemon.gateway.item_set import ItemSet
+from gypsumpost_daemon.gateway.item_tables import ItemTables
 from gypsumpost_daemon.telemetry.log import Log
 
 REWRITE_GRACE_SECONDS = 2.2
@@ -36,10 +36,9 @@
 
     def __init__(self, *, adapter: GatewayAdapter) -> None:
         self._adapter = adapter
-        self.tables = {
-            adapter.configuration_prefix: ItemTable(),
-            adapter.endpoint_prefix: ItemTable(),
-        }
+        self.tables = ItemTables(
+            {adapter.configuration_prefix: ItemTable(), adapter.endpoint_prefix: ItemTable()}
+        )
         self.fleet = EndpointFleet()
         self.routes: RouteTable | None = None
         self._outage_ended_at = -math.inf
@@ -115,59 +114,6 @@
                 return True
         return False
 
-    def list_sets(self, query: DirectoryQuery) -> list[ItemSet]:
-        """Return the items that a peer lacks, except under prefixes that were not read yet.
-
-        :param query: what the peer has.
-        """
-        return [
-            self._create_set(prefix, query) for prefix, table in self.tables.items() if table.loaded
-        ]
-
-    def _create_set(self, prefix: str, query: DirectoryQuery) -> ItemSet:
-        table, known = self.tables[prefix], query.known.get(prefix, 0)
-        changes = table.list_changes_after(known)
-        if changes is not None:
-            items, kept = changes, []
-        elif query.accepts_kept:
-            items = [item for item in table.list_present() if item.revision > known]
-            kept = [item.key for item in table.list_present() if item.revision <= known]
-        else:
-            items, kept = table.list_present(), []
-        return ItemSet(
-            prefix=prefix,
-            revision=table.revision,
-            items=tuple(items),
-            partial=changes is not None,
-            kept=tuple(kept),
-        )
-
-    def lacks_kept(self, entry: ItemSet) -> bool:
-        """Return true if a peer has left out an item that this host does not have.
-
-        :param entry: the items that the peer has sent.
-        """
-        table = self.tables.get(entry.prefix)
-        return table is not None and not table.holds(entry.kept, entry.revision)
-
-    def list_revisions(self) -> dict[str, int]:
-        """Return the revision up to which all items are known, by prefix, 0 for an unread one."""
-        return {
-            prefix: table.revision if table.loaded else 0 for prefix, table in self.tables.items()
-        }
-
-    def list_first_revisions(self) -> dict[str, int]:
-        """Return the revision from which on all removals are known, by prefix."""
-        return {prefix: table.first_revision for prefix, table in self.tables.items()}
-
-    def forget_revision(self, prefix: str) -> None:
-        """Keep the items under a prefix, but count them as complete only after the next full list.
-
-        :param prefix: the prefix.
-        """
-        if prefix in self.tables:
-            self.tables[prefix].forget_revision()
-
     def apply_set(self, entry: ItemSet, source: str) -> bool:
         """Apply the items received from a peer; return true if any was not known.
 
--- a/packages/daemon/gypsumpost_daemon/gateway/directory_exchange.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/directory_exchange.py
@@ -106,11 +106,11 @@
 
     async def _fetch(self, source: DirectorySource) -> bool:
         """Fetch changes from a peer; return true if it has sent all that it named."""
-        known = self._directory.list_revisions()
+        known = self._directory.tables.list_revisions()
         sets = await self._request_sets(source, known)
         if sets is None:
             return False
-        lacking = [entry.prefix for entry in sets if self._directory.lacks_kept(entry)]
+        lacking = [entry.prefix for entry in sets if self._directory.tables.lacks_kept(entry)]
         self._apply(sets, source)
         if not self._is_ahead(source) and not lacking:
             return True
@@ -131,12 +131,12 @@
             endpoint_revision=self._directory.endpoint_revision,
             known=known,
         )
-        known = self._directory.list_revisions() | dict.fromkeys(in_doubt, 0)
+        known = self._directory.tables.list_revisions() | dict.fromkeys(in_doubt, 0)
         sets = await self._request_sets(source, known)
         if sets is None or len(sets) < len(known):
             return False  # The peer does not hold all items itself.
         for prefix in in_doubt:
-            self._directory.forget_revision(prefix)
+            self._directory.tables.forget_revision(prefix)
         self._apply(sets, source)
         # A peer that has found an endpoint missing in a complete read names the revision of that
         # read, which is higher than that of the removal.
@@ -166,7 +166,9 @@
                 waited_seconds=round(trio.current_time() - started_at, 3),
             )
             return None
-        self._log_if_large("fetched a large directory", host_id, reply.ok_value, known, started_at)
+        waited = round(trio.current_time() - started_at, 3)
+        size = len(reply.ok_value)
+        self._log_if_large("fetched a large directory", host_id, size, known, waited_seconds=waited)
         decoded = decode_state(reply.ok_value)
         if isinstance(decoded, Err):
             LOG.write(
@@ -185,25 +187,17 @@
             )
             return encode_state(())
         query = decoded.ok_value
-        sets = self._directory.list_sets(query)
+        sets = self._directory.tables.list_sets(query)
         reply = encode_state(sets, compressed=query.accepts_compressed)
         form = "changes" if all(entry.partial or entry.kept for entry in sets) else "all"
         self._metrics.count_directory_reply(form, len(reply))
-        started_at = trio.current_time()
-        self._log_if_large(
-            "sends a large directory", request.host_id, reply, query.known, started_at
-        )
+        self._log_if_large("sends a large directory", request.host_id, len(reply), query.known)
         return reply
 
     def _log_if_large(
-        self, message: str, peer: str, reply: bytes, known: Mapping[str, int], started_at: float
+        self, message: str, peer: str, size: int, known: Mapping[str, int], **fields: float
     ) -> None:
-        if len(reply) >= LARGE_REPLY_BYTES:
-            LOG.write(
-                message,
-                peer=peer,
-                size=len(reply),
-                known=dict(known),
-                complete_since=self._directory.list_first_revisions(),
-                waited_seconds=round(trio.current_time() - started_at, 3),
-            )
+        if size >= LARGE_REPLY_BYTES:
+            first = self._directory.tables.list_first_revisions()
+            known = dict(known)
+            LOG.write(message, peer=peer, size=size, known=known, complete_since=first, **fields)
--- a/packages/daemon/gypsumpost_daemon/gateway/store_follower.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/store_follower.py
@@ -18,6 +18,9 @@
 """Interval between reads that check whether the store answers again; a configuration must be
 applied within two seconds of its recovery."""
 
+CONFIRM_SECONDS = 0.8
+"""Interval at which an open watch counts as news."""
+
 WATCH_PAUSE_SECONDS = 0.15
 """Changes within this time arrive in one call, because calls are billed."""
 
@@ -119,22 +122,28 @@
             for prefix in self._directory.tables:
                 nursery.start_soon(self._follow, prefix)
             nursery.start_soon(self._check_recovery)
+            nursery.start_soon(self._confirm_watch)
 
     async def _check_recovery(self) -> None:
-        """Read from the store after a failure, since watch calls may block through the outage.
+        """Read from the store after a failure, since watch calls may block through the outage."""
+        while True:
+            await trio.sleep(RECOVERY_SECONDS)
+            if self._lost and self._is_watcher():
+                with contain_errors(LOG, "an answer of the store", prefix=self._failed_prefix):
+                    await self._read(self._failed_prefix)
 
-        After a pause of the process, an open watch counts as news only with the next check: it
-        needs time to bring what has changed meanwhile.
+    async def _confirm_watch(self) -> None:
+        """Record at intervals that an open watch would have brought a change.
+
+        After a pause of the process it counts only with the next check: it needs time to bring what
+        has changed meanwhile.
         """
         while True:
-            due_at = trio.current_time() + RECOVERY_SECONDS
+            due_at = trio.current_time() + CONFIRM_SECONDS
             await trio.sleep_until(due_at)
-            paused = trio.current_time() > due_at + RECOVERY_SECONDS
+            paused = trio.current_time() > due_at + CONFIRM_SECONDS
             if self._following and not paused:
-                self._directory.record_news()  # An open watch would have brought a change.
-            if self._lost and self._is_watcher():
-                with contain_errors(LOG, "an answer of the store", prefix=self._failed_prefix):
-                    await self._read(self._failed_prefix)
+                self._directory.record_news()
 
     async def _follow(self, prefix: str) -> None:
         failed_before = False
--- a/packages/daemon/gypsumpost_daemon/gateway/tests/test_directory_exchange.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/tests/test_directory_exchange.py
@@ -25,6 +25,10 @@
 
     applied: list[str] = attrs.field(factory=list)
 
+    @property
+    def tables(self):
+        return self
+
     def list_revisions(self):
         return {"servers/": 9}
 
