--- a/packages/core/gypsumpost_core/gateway/news_age.py
+++ b/packages/core/gypsumpost_core/gateway/news_age.py
@@ -32,3 +32,10 @@
         :param now: monotonic time in seconds.
         """
         return now > self._heard_at + NEWS_SECONDS
+
+    def compute(self, now: float) -> float:
+        """Return the time since the last news in seconds, infinity before the first.
+
+        :param now: monotonic time in seconds.
+        """
+        return now - self._heard_at
--- a/packages/daemon/gypsumpost_daemon/gateway/directory.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/directory.py
@@ -100,6 +100,10 @@
         now = trio.current_time()
         return self._lag.is_behind(now) or self._news.is_stale(now)
 
+    def compute_news_age(self) -> float:
+        """Return for how many seconds no store and no peer has told of the configuration."""
+        return self._news.compute(trio.current_time())
+
     def compute_lag(self) -> float:
         """Return for how many seconds a newer configuration has been known, 0 if none is."""
         return self._lag.compute(trio.current_time())
--- a/packages/daemon/gypsumpost_daemon/gateway/forward_context.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/forward_context.py
@@ -31,6 +31,7 @@
 from gypsumpost_daemon.prefill.turn_desk import TurnDesk
 from gypsumpost_daemon.rollouts.request_versions import ALL_VERSIONS, RequestVersions
 from gypsumpost_daemon.rollouts.rollout_state import RolloutState
+from gypsumpost_daemon.telemetry.loop_lag import LoopLag
 
 BUDGET_FRACTION = 0.8
 """Fraction of the deployment's retry budget that hosts use, as their windows are not aligned."""
@@ -78,6 +79,7 @@
     :param answer_memory: memory of the unfinished answers of endpoints.
     :param count_hosts: returns the number of hosts that share budgets.
     :param rollouts: what this host knows of roll-outs, ``None`` if the deployment has none.
+    :param loop_lag: how late the tasks of this host run.
     :param rng: random number generator that spreads streams over engines.
     """
 
@@ -98,6 +100,7 @@
     metrics: GatewayMetrics
     count_hosts: Callable[[], int]
     rollouts: RolloutState | None = None
+    loop_lag: LoopLag = attrs.field(factory=LoopLag)
     answer_memory: AnswerMemory = attrs.field(factory=AnswerMemory)
     rng: random.Random = attrs.field(factory=random.Random)
 
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_application.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_application.py
@@ -291,6 +291,8 @@
                 reason=refusal.reason,
                 version=self._context.directory.version,
                 behind_seconds=round(self._context.directory.compute_lag(), 3),
+                news_seconds=round(self._context.directory.compute_news_age(), 3),
+                loop_lag_seconds=round(self._context.loop_lag.seconds, 3),
             )
         await exchange.refuse(refusal.status, refusal.reason, RunState.NOT_RUN, refusal.retry_after)
 
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
@@ -234,6 +234,7 @@
             await nursery.start(self._network.run)
             await nursery.start(self._gossip.run)
             await nursery.start(self._exchange.run)
+            nursery.start_soon(self.context.loop_lag.run)
             nursery.start_soon(self.directory.run)
             nursery.start_soon(self._follower.run)
             nursery.start_soon(self._permit_client.run)
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_gauges.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_gauges.py
@@ -60,6 +60,16 @@
         "Time for which the oldest open watch has waited for an answer, 0 if none is open.",
         lambda: max(follower.compute_watch_age(prefix) for prefix in directory.tables),
     )
+    add(
+        "gypsumpost_loop_lag_seconds",
+        "Greatest lateness of the tasks of this process in the last second.",
+        lambda: context.loop_lag.seconds,
+    )
+    add(
+        "gypsumpost_configuration_news_seconds",
+        "Time since the store or a peer has last told this host of the configuration in force.",
+        directory.compute_news_age,
+    )
     add("gypsumpost_hosts_live", "Live hosts, this one included.", context.count_hosts)
     add(
         "gypsumpost_endpoints_lost",
