Refuse for good only what the store has confirmed lately

Cause: being current was believed, not known. An open watch counted as news every 0.8 s though its answer may be lost (PROTOCOL.md: a connection on which a response is lost returns nothing further); any beacon of any peer counted too, whatever its sender relied on. Two hosts whose watches were lost renewed each other's belief until the watches ended after 5 to 10 s.

Change: a confirmation is a moment at which the store itself had no newer version. Beacons carry its age, and it counts for hosts that have that version in force. A watcher of a domain polls the store when nobody has for 0.8 s; the answer also brings what a lost watch did not, and starts it again. A request that would be refused for good waits for one shared poll (0.5 s at most) if the last confirmation is older than 1.6 s, and gets 503 if there is none. Hosts of older versions send no age and confirm nothing.

--- a/packages/daemon/gypsumpost_daemon/gateway/beacon.capnp
+++ b/packages/daemon/gypsumpost_daemon/gateway/beacon.capnp
@@ -68,6 +68,7 @@
   incarnation @17 :UInt64;      # process of the sender: Unix milliseconds of its start
   copiesLeftOut @18 :Bool;      # true if the copies did not fit into the datagram
   begun @19 :Data;              # digests, 8 bytes each, of streams that began in the domain lately
+  confirmedMsAgo @20 :UInt32 = 4294967295;  # since the store confirmed the version; most: never
 }
 
 struct Item {
--- a/packages/daemon/gypsumpost_daemon/gateway/beacon.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/beacon.py
@@ -38,6 +38,8 @@
     :param rollouts: records of roll-outs and evidence about versions.
     :param incarnation: process of the sender, in Unix milliseconds of its start.
     :param copies_left_out: true if the copies did not fit into the datagram.
+    :param confirmed_ms_ago: age of the store's last confirmation that no newer version exists,
+        ``None`` if there is none.
     :param begun: digests of the requests that have begun to stream in the domain lately.
     """
 
@@ -60,4 +62,5 @@
     incarnation: int = 0
     copies_left_out: bool = False
     begun: tuple[bytes, ...] = ()
+    confirmed_ms_ago: int | None = None
     rates: Mapping[str, int] = attrs.field(factory=dict)
--- a/packages/daemon/gypsumpost_daemon/gateway/beacon_codec.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/beacon_codec.py
@@ -25,6 +25,7 @@
 
 USAGE_NUMBERS = struct.Struct("<4I")
 MAX_NUMBER = 0xFFFFFFFF
+NEVER_CONFIRMED = MAX_NUMBER
 RATE_NUMBER = struct.Struct("<H")
 RATE_UNIT = 10
 MAX_RATE_NUMBER = 0xFFFF
@@ -69,6 +70,11 @@
         incarnation=beacon.incarnation,
         copiesLeftOut=beacon.copies_left_out,
         begun=b"".join(beacon.begun),
+        confirmedMsAgo=(
+            NEVER_CONFIRMED
+            if beacon.confirmed_ms_ago is None
+            else bound_number(beacon.confirmed_ms_ago)
+        ),
     ).to_bytes_packed()
     return packed
 
@@ -111,6 +117,9 @@
                 incarnation=message.incarnation,
                 copies_left_out=message.copiesLeftOut,
                 begun=split_digests(bytes(message.begun)),
+                confirmed_ms_ago=(
+                    None if message.confirmedMsAgo == NEVER_CONFIRMED else message.confirmedMsAgo
+                ),
             )
         )
     except (capnp.KjException, ValueError, UnicodeDecodeError) as error:
--- a/packages/daemon/gypsumpost_daemon/gateway/beacon_state.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/beacon_state.py
@@ -1,6 +1,7 @@
 """The state that hosts tell each other in beacons."""
 
 import itertools
+import math
 import time
 
 import attrs
@@ -21,6 +22,8 @@
 from gypsumpost_daemon.rollouts.rollout_report import NO_REPORT, RolloutReport
 from gypsumpost_daemon.rollouts.rollout_state import RolloutState
 
+MILLISECONDS = 1000
+
 
 @attrs.define(kw_only=True)
 class BeaconState:
@@ -88,6 +91,7 @@
             copies=self.copies.list_own(now),
             rollouts=self._report_rollouts(now, of_domain=False),
             incarnation=self.copies.incarnation,
+            confirmed_ms_ago=self._compute_confirmed_ms(),
         )
 
     def create_domain_beacon(self, now: float) -> Beacon:
@@ -146,6 +150,10 @@
             self.follower.record_peers_outage()
         return changed
 
+    def _compute_confirmed_ms(self) -> int | None:
+        age = self.directory.compute_confirmation_age()
+        return None if age == math.inf else math.ceil(age * MILLISECONDS)
+
     def _report_rollouts(self, now: float, *, of_domain: bool) -> RolloutReport:
         if self.rollouts is None:
             return NO_REPORT
--- a/packages/daemon/gypsumpost_daemon/gateway/directory.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/directory.py
@@ -10,8 +10,8 @@
 from gypsumpost_core.gateway.endpoint_record import EndpointRecord
 from gypsumpost_core.gateway.first_use import FirstUse
 from gypsumpost_core.gateway.item_table import ItemTable
-from gypsumpost_core.gateway.news_age import NewsAge
 from gypsumpost_core.gateway.route_table import RouteTable
+from gypsumpost_core.gateway.store_confirmation import StoreConfirmation
 from gypsumpost_core.gateway.stored_item import StoredItem
 from gypsumpost_core.gateway.version_lag import VersionLag
 from gypsumpost_daemon.gateway.adapter import GatewayAdapter
@@ -46,7 +46,8 @@
         self.store_lost = False
         self._first_use = FirstUse()
         self._lag = VersionLag()
-        self._news = NewsAge()
+        self._confirmation = StoreConfirmation()
+        self._applied_revision = 0
         self._changed = trio.Event()
         self._listeners: list[Callable[[], None]] = []
         self._item_listeners: list[Callable[[StoredItem], None]] = []
@@ -91,18 +92,42 @@
         """
         self._lag.record_named(version, self.version, trio.current_time())
 
-    def record_news(self) -> None:
-        """Record that the store or a peer would have told this host of a newer configuration."""
-        self._news.record(trio.current_time())
+    @property
+    def configuration_prefix(self) -> str:
+        """Prefix of the key of the configuration."""
+        return self._adapter.configuration_prefix
+
+    def record_store_answer(self, asked_at: float) -> None:
+        """Record that the store has sent all changes of the configuration up to some moment.
+
+        :param asked_at: the moment, as monotonic time in seconds.
+        """
+        if self.tables[self.configuration_prefix].discarded <= self._applied_revision:
+            self.record_confirmation(self.version, asked_at)
+
+    def record_confirmation(self, version: int, confirmed_at: float) -> None:
+        """Record that the store had no newer version of the configuration at some moment.
+
+        :param version: the version.
+        :param confirmed_at: the moment, as monotonic time in seconds.
+        """
+        self._confirmation.record(version, confirmed_at, applied=self.version)
+
+    def is_behind(self) -> bool:
+        """Return true if a peer has a newer configuration in force, as far as is known."""
+        return self._lag.is_behind(trio.current_time())
+
+    def is_confirmed(self) -> bool:
+        """Return true if the store has confirmed lately that no newer configuration exists."""
+        return self._confirmation.is_recent(trio.current_time())
 
     def may_be_behind(self) -> bool:
-        """Return true if a peer has a newer configuration, or if nothing was heard lately."""
-        now = trio.current_time()
-        return self._lag.is_behind(now) or self._news.is_stale(now)
+        """Return true unless the configuration in force is known to be the newest."""
+        return self.is_behind() or not self.is_confirmed()
 
-    def compute_news_age(self) -> float:
-        """Return for how many seconds no store and no peer has told of the configuration."""
-        return self._news.compute(trio.current_time())
+    def compute_confirmation_age(self) -> float:
+        """Return the age in seconds of the store's last confirmation, infinity if there is none."""
+        return self._confirmation.compute_age(trio.current_time())
 
     def compute_lag(self) -> float:
         """Return for how many seconds a newer configuration has been known, 0 if none is."""
@@ -126,7 +151,6 @@
         """
         if entry.prefix not in self.tables:
             return False
-        self.record_news()
         if entry.partial:
             return self.apply(entry.prefix, entry.items, entry.revision, source)
         return self.replace(entry.prefix, entry.items, entry.revision, source, kept=entry.kept)
@@ -245,6 +269,8 @@
             self._drop_unnamed()
         elif former.list_service_names() != self.routes.list_service_names():
             self._add_named()
+        self._applied_revision = revision
+        self._confirmation.record_applied(configuration.version)
         behind = self._lag.record_applied(configuration.version, trio.current_time())
         LOG.write(
             "applied a configuration",
--- a/packages/daemon/gypsumpost_daemon/gateway/directory_exchange.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/directory_exchange.py
@@ -25,6 +25,7 @@
 from gypsumpost_daemon.telemetry.log import Log
 
 REPLY_SECONDS = 1.0
+MILLISECONDS = 1000
 
 LARGE_REPLY_BYTES = 65536
 """Replies from this size on are logged: they take long on a slow link."""
@@ -60,10 +61,11 @@
         self._changed = trio.Event()
         network.add_handler(MessageKind.DIRECTORY_STATE, self._handle_request)
 
-    def handle_beacon(self, beacon: Beacon, *, watching: bool) -> None:
+    def handle_beacon(self, beacon: Beacon, *, arrived_after: float, watching: bool) -> None:
         """Schedule a fetch if a peer is ahead of this host.
 
         :param beacon: the peer's beacon.
+        :param arrived_after: moment before its arrival, as monotonic time in seconds.
         :param watching: true if this host watches the store itself.
         """
         source = DirectorySource(
@@ -73,7 +75,9 @@
             version=beacon.version,
             endpoint_revision=beacon.endpoint_revision,
         )
-        self._directory.record_news()
+        if beacon.confirmed_ms_ago is not None:
+            confirmed_at = arrived_after - beacon.confirmed_ms_ago / MILLISECONDS
+            self._directory.record_confirmation(beacon.version, confirmed_at)
         if self._is_ahead(source):
             self._directory.record_named_version(source.version)
             self._sources.put(source, trio.current_time(), watching=watching)
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_application.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_application.py
@@ -1,6 +1,7 @@
 """The gateway's ASGI application."""
 
 import random
+from collections.abc import Awaitable, Callable
 
 import trio
 from result import Err, Ok, Result
@@ -63,10 +64,12 @@
     """Matches each request to a route and passes it to the forwarder for its kind.
 
     :param context: state shared by the forwarders.
+    :param confirm: returns whether the configuration in force is known to be the newest.
     """
 
-    def __init__(self, *, context: ForwardContext) -> None:
+    def __init__(self, *, context: ForwardContext, confirm: Callable[[], Awaitable[bool]]) -> None:
         self._context = context
+        self._confirm = confirm
         self._forwarders: dict[str, Forwarder] = {
             name: FORWARDERS.create(name, context=context) for name in FORWARDERS.names()
         }
@@ -89,7 +92,7 @@
         try:
             if exchange.announces_long_body:
                 # The body of a request that is refused anyway is not read.
-                matched = self._match_route(exchange)
+                matched = await self._match_route(exchange)
                 if isinstance(matched, Err):
                     await self._refuse(exchange, matched.err_value)
                     return
@@ -101,7 +104,7 @@
 
     async def _serve(self, exchange: CallerExchange, body: bytes, received_at: float) -> None:
         # The configuration may have changed while the body arrived.
-        matched = self._match_route(exchange)
+        matched = await self._match_route(exchange)
         if isinstance(matched, Err):
             await self._refuse(exchange, matched.err_value)
             return
@@ -121,16 +124,19 @@
         self._context.retry_budget.record_request(call.service, received_at)
         await self._forward(call, exchange)
 
-    def _match_route(self, exchange: CallerExchange) -> Result[MatchedRoute, HeadRefusal]:
+    async def _match_route(self, exchange: CallerExchange) -> Result[MatchedRoute, HeadRefusal]:
         """Return what the head of a request selects, or why it selects nothing.
 
-        What the configuration in force does not allow is refused for good only if this host knows
-        of no newer one and would have been told of it.
+        What the configuration in force does not allow is refused for good only if the store has
+        confirmed lately that there is no newer one.
         """
         matched = self._match_in_force(exchange)
-        if isinstance(matched, Err) and matched.err_value is not NO_CONFIGURATION:
-            return Err(BEHIND) if self._context.directory.may_be_behind() else matched
-        return matched
+        if not isinstance(matched, Err) or matched.err_value is NO_CONFIGURATION:
+            return matched
+        if not await self._confirm():
+            return Err(BEHIND)
+        # The answer of the store may have brought a newer configuration.
+        return self._match_in_force(exchange)
 
     def _match_in_force(self, exchange: CallerExchange) -> Result[MatchedRoute, HeadRefusal]:
         routes = self._context.directory.routes
@@ -291,7 +297,7 @@
                 reason=refusal.reason,
                 version=self._context.directory.version,
                 behind_seconds=round(self._context.directory.compute_lag(), 3),
-                news_seconds=round(self._context.directory.compute_news_age(), 3),
+                confirmed_seconds=round(self._context.directory.compute_confirmation_age(), 3),
                 loop_lag_seconds=round(self._context.loop_lag.seconds, 3),
             )
         await exchange.refuse(refusal.status, refusal.reason, RunState.NOT_RUN, refusal.retry_after)
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
@@ -42,6 +42,7 @@
 from gypsumpost_daemon.gateway.peer_exchange import PeerExchange
 from gypsumpost_daemon.gateway.planned_stop import PlannedStop
 from gypsumpost_daemon.gateway.ready_application import ReadyApplication
+from gypsumpost_daemon.gateway.store_confirmer import StoreConfirmer
 from gypsumpost_daemon.gateway.store_follower import StoreFollower
 from gypsumpost_daemon.gateway.stream_memory_exchange import StreamMemoryExchange
 from gypsumpost_daemon.lifecycle.process_signals import ProcessSignals
@@ -93,6 +94,7 @@
             directory=self.directory,
             roles=self.roles,
         )
+        self._confirmer = StoreConfirmer(directory=self.directory, follower=self._follower)
         gateway_metrics = GatewayMetrics(metrics=metrics)
         retry_budget = create_retry_budget(settings)
         self.request_limits = RequestLimits(own_id=settings.host_id)
@@ -189,7 +191,7 @@
                 own_domain=settings.failure_domain,
                 directory=self.directory,
                 network=self._network,
-                record_change=self._follower.record_change_of_peer,
+                record_change=self._follower.record_missed_change,
                 metrics=gateway_metrics,
             ),
         )
@@ -216,7 +218,7 @@
             count_hosts=self._count_hosts,
             rollouts=rollout_state,
         )
-        self.application = GatewayApplication(context=self.context)
+        self.application = GatewayApplication(context=self.context, confirm=self._confirmer.confirm)
         self._signals = ProcessSignals(reload=self._reload)
         self.serving = False
         add_gauges(
@@ -237,6 +239,7 @@
             nursery.start_soon(self.context.loop_lag.run)
             nursery.start_soon(self.directory.run)
             nursery.start_soon(self._follower.run)
+            nursery.start_soon(self._confirmer.run)
             nursery.start_soon(self._permit_client.run)
             nursery.start_soon(self._stream_memory.run)
             if self.rollouts is not None:
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_gauges.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_gauges.py
@@ -66,9 +66,9 @@
         lambda: context.loop_lag.seconds,
     )
     add(
-        "gypsumpost_configuration_news_seconds",
-        "Time since the store or a peer has last told this host of the configuration in force.",
-        directory.compute_news_age,
+        "gypsumpost_configuration_confirmed_seconds",
+        "Time since the store has confirmed that no newer configuration exists.",
+        directory.compute_confirmation_age,
     )
     add("gypsumpost_hosts_live", "Live hosts, this one included.", context.count_hosts)
     add(
--- a/packages/daemon/gypsumpost_daemon/gateway/item_store.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/item_store.py
@@ -48,6 +48,12 @@
         """Wait for changes after a revision."""
         ...
 
+    async def poll(
+        self, prefix: str, revision: int, deadline: float
+    ) -> Result[ItemBatch, ItemStoreFailure]:
+        """Return the changes after a revision until now, until a deadline in monotonic time."""
+        ...
+
     async def commit(
         self, transaction: ItemTransaction, deadline: float
     ) -> Result[int, WriteFailure]:
--- a/packages/daemon/gypsumpost_daemon/gateway/peer_exchange.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/peer_exchange.py
@@ -254,7 +254,9 @@
     def _handle_beacon(self, beacon: Beacon, now: float) -> None:
         if self._state.apply(beacon, now):
             self._domain_changed.set()
-        self._exchange.handle_beacon(beacon, watching=self._state.follower.watching)
+        self._exchange.handle_beacon(
+            beacon, arrived_after=now, watching=self._state.follower.watching
+        )
 
 
 def find_ip(host: Host) -> str:
--- a/packages/daemon/gypsumpost_daemon/gateway/store_follower.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/store_follower.py
@@ -18,9 +18,6 @@
 """Interval between reads that check whether the store answers again; a configuration must be
 applied within two seconds of its recovery."""
 
-CONFIRM_SECONDS = 0.8
-"""Interval at which an open watch counts as news."""
-
 WATCH_PAUSE_SECONDS = 0.15
 """Changes within this time arrive in one call, because calls are billed."""
 
@@ -60,6 +57,7 @@
         self._lost = False
         self._following = False
         self._refresh_at = -math.inf
+        self._asked_at: dict[str, float] = {}
         self._watched_since: dict[str, float] = {}
         self._watch_scopes: dict[str, trio.CancelScope] = {}
         # Revisions up to which the store itself has sent the changes. What peers say does not
@@ -86,16 +84,27 @@
         now = trio.current_time()
         return now - self._watched_since.get(prefix, now)
 
-    def record_change_of_peer(self, prefix: str, peer: str) -> None:
-        """Start the watch of a prefix again if a peer has sent a change that it did not bring.
+    def is_quiet(self, prefix: str, asked_before: float) -> bool:
+        """Return true if the store has answered no call for a prefix that was made lately.
+
+        :param prefix: prefix of the keys.
+        :param asked_before: moment from which on calls are lately, as monotonic time in seconds.
+        """
+        return self._asked_at.get(prefix, -math.inf) < asked_before
+
+    def record_missed_change(self, prefix: str, source: str) -> None:
+        """Start the watch of a prefix again if a change that it did not bring came otherwise.
 
         :param prefix: prefix of the keys.
-        :param peer: the peer, for the log.
+        :param source: the peer that has sent the change, or the store, for the log.
         """
         age = self.compute_watch_age(prefix)
         if age >= MISSED_CHANGE_SECONDS:
             LOG.write(
-                "a watch has missed a change", prefix=prefix, peer=peer, watch_seconds=round(age, 3)
+                "a watch has missed a change",
+                prefix=prefix,
+                source=source,
+                watch_seconds=round(age, 3),
             )
             self._watch_scopes[prefix].cancel()
 
@@ -116,13 +125,44 @@
             self._refresh_at = now + REFRESH_SECONDS
             await self._read(prefix)
 
+    async def poll(self, prefix: str, deadline: float) -> bool:
+        """Ask the store for what has changed until now; return true if it has answered.
+
+        A failure says nothing of the watch, and does not count as an outage.
+
+        :param prefix: prefix of the keys.
+        :param deadline: monotonic time in seconds at which to stop waiting.
+        """
+        asked_at = trio.current_time()
+        polled: Result[ItemBatch, ItemStoreFailure] | None = None
+        position = self._positions.get(prefix)
+        if position is not None:
+            self.calls += 1
+            polled = await self._store.poll(prefix, position, deadline)
+        if polled is None or (isinstance(polled, Err) and polled.err_value.history_lost):
+            position = None
+            self.calls += 1
+            polled = await self._store.read(prefix, deadline)
+        if isinstance(polled, Err):
+            LOG.write(
+                "the store did not answer a poll",
+                prefix=prefix,
+                reason=polled.err_value.reason,
+                waited_seconds=round(trio.current_time() - asked_at, 3),
+            )
+            return False
+        apply = self._directory.replace if position is None else self._directory.apply
+        if apply(prefix, polled.ok_value.items, polled.ok_value.revision, STORE):
+            self.record_missed_change(prefix, STORE)
+        self._record_items(prefix, polled.ok_value.revision, asked_at)
+        return True
+
     async def run(self) -> None:
         """Follow all prefixes until cancelled."""
         async with trio.open_nursery() as nursery:
             for prefix in self._directory.tables:
                 nursery.start_soon(self._follow, prefix)
             nursery.start_soon(self._check_recovery)
-            nursery.start_soon(self._confirm_watch)
 
     async def _check_recovery(self) -> None:
         """Read from the store after a failure, since watch calls may block through the outage."""
@@ -132,19 +172,6 @@
                 with contain_errors(LOG, "an answer of the store", prefix=self._failed_prefix):
                     await self._read(self._failed_prefix)
 
-    async def _confirm_watch(self) -> None:
-        """Record at intervals that an open watch would have brought a change.
-
-        After a pause of the process it counts only with the next check: it needs time to bring what
-        has changed meanwhile.
-        """
-        while True:
-            due_at = trio.current_time() + CONFIRM_SECONDS
-            await trio.sleep_until(due_at)
-            paused = trio.current_time() > due_at + CONFIRM_SECONDS
-            if self._following and not paused:
-                self._directory.record_news()
-
     async def _follow(self, prefix: str) -> None:
         failed_before = False
         while True:
@@ -187,9 +214,8 @@
         if isinstance(read, Err):
             return self._record_failure(prefix, read.err_value, asked_at)
         self._record_answer()
-        self._positions[prefix] = read.ok_value.revision
         self._directory.replace(prefix, read.ok_value.items, read.ok_value.revision, STORE)
-        self._check_readable(prefix)
+        self._record_items(prefix, read.ok_value.revision, asked_at)
         return None
 
     async def _watch(self, prefix: str) -> ItemStoreFailure | None:
@@ -215,13 +241,17 @@
                 return failure
             return self._record_failure(prefix, failure, watched_since)
         self._record_answer()
-        self._positions[prefix] = watched.ok_value.revision
         self._directory.apply(prefix, watched.ok_value.items, watched.ok_value.revision, STORE)
-        self._check_readable(prefix)
+        self._record_items(prefix, watched.ok_value.revision, watched_since)
         return None
 
-    def _check_readable(self, prefix: str) -> None:
-        """Read a prefix again, once for each write, if an item arrived damaged."""
+    def _record_items(self, prefix: str, revision: int, asked_at: float) -> None:
+        """Record that the items are known that the store had when it was asked."""
+        self._positions[prefix] = revision
+        self._asked_at[prefix] = max(asked_at, self._asked_at.get(prefix, -math.inf))
+        if prefix == self._directory.configuration_prefix:
+            self._directory.record_store_answer(asked_at)
+        # Items that arrived damaged are read again, once for each write.
         discarded = self._directory.tables[prefix].discarded
         if discarded > self._reread.get(prefix, 0):
             self._reread[prefix] = discarded
@@ -248,7 +278,6 @@
 
     def _record_answer(self) -> None:
         self._record_recovery()
-        self._directory.record_news()
         self._following = True
         self.answered_at = trio.current_time()
 
--- a/packages/daemon/gypsumpost_daemon/gateway/tests/test_beacon_codec.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/tests/test_beacon_codec.py
@@ -111,6 +111,22 @@
     assert decoded.rates["e"] > 0
 
 
+def test_a_host_of_an_older_version_confirms_nothing():
+    """Guards against hosts that take the absence of an age for an age of zero in a roll-out."""
+    beacon = Beacon(
+        host=HostReport(host_id="h", failure_domain="d", link_mbps=8),
+        ip="127.0.0.1",
+        sequence=3,
+        version=4,
+        endpoint_revision=5,
+        uses={},
+        retries={},
+    )
+    assert decode_beacon(encode_beacon(beacon)).unwrap().confirmed_ms_ago is None
+    confirmed = attrs.evolve(beacon, confirmed_ms_ago=0)
+    assert decode_beacon(encode_beacon(confirmed)).unwrap().confirmed_ms_ago == 0
+
+
 async def test_a_beacon_with_long_ids_is_sent_without_its_copies():
     """Guards against peers that hear nothing of a host for the long ids of its callers."""
     beacon = Beacon(
--- a/packages/daemon/gypsumpost_daemon/gateway/tests/test_directory_exchange.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/tests/test_directory_exchange.py
@@ -53,7 +53,7 @@
     def record_named_version(self, version):
         pass
 
-    def record_news(self):
+    def record_confirmation(self, version, confirmed_at):
         pass
 
 
@@ -111,7 +111,7 @@
         create_beacon("slow-too", link_mbps=25),
     ]
     for beacon in beacons:
-        exchange.handle_beacon(beacon, watching=False)
+        exchange.handle_beacon(beacon, arrived_after=0.0, watching=False)
     await trio.sleep(1.0)
     assert network.requested_peers == ["fast", "slow-too", "slow", "other-domain"]
 
@@ -134,7 +134,7 @@
     nursery.start_soon(exchange.run)
     for name, link_mbps in (("empty", 200), ("full", 10)):
         beacon = create_beacon(name, link_mbps=link_mbps, version=0, endpoint_revision=12)
-        exchange.handle_beacon(beacon, watching=False)
+        exchange.handle_beacon(beacon, arrived_after=0.0, watching=False)
     await trio.sleep(1.0)
     assert network.requested_peers == ["empty", "empty", "full"]
     assert dependencies["directory"].applied == ["full"]
