Take no beacon for newer than it is at a host that reads its socket late

A datagram arrived after the moment at which the socket was last seen empty. The age of a confirmation now counts from there, so a backlog makes it too old and the host asks the store or answers 503.

--- a/packages/daemon/gypsumpost_daemon/gateway/beacon_socket.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/beacon_socket.py
@@ -1,6 +1,8 @@
 """Sends and receives signed beacons over UDP."""
 
 import hmac
+import math
+import socket
 from collections.abc import AsyncIterator, Iterable
 
 import attrs
@@ -28,23 +30,26 @@
     :param beacon: the beacon.
     :param data: the datagram as received.
     :param source: address of the host that sent or forwarded the datagram.
+    :param arrived_after: monotonic time in seconds of the last moment at which it was not there.
     """
 
     beacon: Beacon
     data: bytes
     source: str
+    arrived_after: float
 
 
 class BeaconSocket:
     """Signs and sends beacons, and verifies those received.
 
-    :param udp: the bound socket.
+    :param udp: the bound, non-blocking socket.
     :param port: UDP port, the same on all hosts.
     :param key: shared key of the deployment.
     """
 
-    def __init__(self, *, udp: trio.socket.SocketType, port: int, key: KeyRing) -> None:
+    def __init__(self, *, udp: socket.socket, port: int, key: KeyRing) -> None:
         self._udp = udp
+        self._sender = trio.socket.from_stdlib_socket(udp)
         self._port = port
         self._key = key
 
@@ -65,16 +70,26 @@
         sent = 0
         for ip in ips:
             try:
-                sent += await self._udp.sendto(data, (ip, self._port))
+                sent += await self._sender.sendto(data, (ip, self._port))
             except OSError as error:
                 LOG.write("failed to send a beacon", ip=ip, reason=str(error))
         return sent
 
     async def receive_all(self) -> AsyncIterator[ReceivedBeacon]:
-        """Yield verified beacons as they arrive; other datagrams are logged and dropped."""
+        """Yield verified beacons as they arrive; other datagrams are logged and dropped.
+
+        A datagram may have waited in the socket if this host is slow. It arrived after the moment
+        at which the socket was seen to be empty for the last time.
+        """
+        emptied_at = -math.inf
         while True:
+            await trio.lowlevel.checkpoint()
             try:
-                data, source = await self._udp.recvfrom(RECEIVE_BYTES)
+                data, source = self._udp.recvfrom(RECEIVE_BYTES)
+            except BlockingIOError:
+                emptied_at = trio.current_time()
+                await trio.lowlevel.wait_readable(self._udp)
+                continue
             except OSError as error:
                 LOG.write("failed to receive a datagram", reason=str(error))
                 continue
@@ -89,4 +104,6 @@
             if isinstance(decoded, Err):
                 LOG.write("ignored a malformed datagram", reason=decoded.err_value)
                 continue
-            yield ReceivedBeacon(beacon=decoded.ok_value, data=data, source=source[0])
+            yield ReceivedBeacon(
+                beacon=decoded.ok_value, data=data, source=source[0], arrived_after=emptied_at
+            )
--- a/packages/daemon/gypsumpost_daemon/gateway/peer_exchange.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/peer_exchange.py
@@ -1,6 +1,7 @@
 """Exchanges engine usage, lost endpoints and configuration versions with the other hosts."""
 
 import random
+import socket
 from collections.abc import Collection
 
 import trio
@@ -111,8 +112,9 @@
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Send and receive beacons until cancelled."""
-        with trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM) as udp:
-            await udp.bind((self._ip, self._port))
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
+            udp.setblocking(False)
+            udp.bind((self._ip, self._port))
             beacons = BeaconSocket(udp=udp, port=self._port, key=self._key)
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._receive, beacons)
@@ -207,7 +209,7 @@
     async def _apply(self, beacons: BeaconSocket, received: ReceivedBeacon) -> None:
         self._add_contact(received.beacon)
         if self._is_new(received.beacon):
-            self._handle_beacon(received.beacon, trio.current_time())
+            self._handle_beacon(received, trio.current_time())
             if received.source == received.beacon.ip:
                 await self._forward(beacons, received)
 
@@ -251,11 +253,13 @@
         self._seen[key] = beacon.sequence
         return True
 
-    def _handle_beacon(self, beacon: Beacon, now: float) -> None:
-        if self._state.apply(beacon, now):
+    def _handle_beacon(self, received: ReceivedBeacon, now: float) -> None:
+        if self._state.apply(received.beacon, now):
             self._domain_changed.set()
         self._exchange.handle_beacon(
-            beacon, arrived_after=now, watching=self._state.follower.watching
+            received.beacon,
+            arrived_after=received.arrived_after,
+            watching=self._state.follower.watching,
         )
 
 
--- a/packages/daemon/gypsumpost_daemon/gateway/tests/test_beacon_codec.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/tests/test_beacon_codec.py
@@ -1,6 +1,7 @@
 """Tests of the codec of messages between gateways."""
 
 import itertools
+import socket
 import zlib
 
 import attrs
@@ -145,8 +146,8 @@
         ),
     )
     key = KeyRing(current=b"key")
-    beacons = BeaconSocket(udp=None, port=1, key=key)  # type: ignore[arg-type]
-    data = beacons.encode(beacon)
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
+        data = BeaconSocket(udp=udp, port=1, key=key).encode(beacon)
     assert len(data) <= MAX_BODY_BYTES + MAC_BYTES
     assert decode_beacon(data[MAC_BYTES:]).unwrap() == attrs.evolve(
         beacon, copies=(), copies_left_out=True
