Let one watcher of the deployment ask the store, and tell the others

Now the first watcher of a domain asks after 0.8 to 1.2 s and announces the answer; those of other domains hear it before their own time comes, and the next watchers of the domain wait 0.5 s longer each. Only the first one polls the endpoints, after 1.5 s without an answer about them.

--- a/packages/core/gypsumpost_core/gateway/host_roles.py
+++ b/packages/core/gypsumpost_core/gateway/host_roles.py
@@ -68,9 +68,9 @@
         :param now: monotonic time in seconds.
         :param answered: true if the store has answered this host's last call.
         """
-        higher_ranked = self._list_higher_ranked(now)
-        if sum(report.watching for report in higher_ranked) >= WATCHERS:
+        if self.count_watchers_ahead(now) >= WATCHERS:
             return False
+        higher_ranked = self._list_higher_ranked(now)
         if answered or sum(report.store_lost for report in higher_ranked) < WATCHERS:
             return True
         return self._has_turn(now, len(self._list_domain(now)) + 1)
@@ -83,6 +83,13 @@
         querying = [r for r in self._list_domain(now) if r.watching or r.store_lost]
         return bool(querying) and all(report.store_lost for report in querying)
 
+    def count_watchers_ahead(self, now: float) -> int:
+        """Return the number of watchers of the domain that come before this host in the ranking.
+
+        :param now: monotonic time in seconds.
+        """
+        return sum(report.watching for report in self._list_higher_ranked(now))
+
     def get_relay_index(self, now: float) -> int | None:
         """Return this host's index among the relays of its domain, ``None`` if it is not a relay.
 
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
@@ -94,7 +94,6 @@
             directory=self.directory,
             roles=self.roles,
         )
-        self._confirmer = StoreConfirmer(directory=self.directory, follower=self._follower)
         gateway_metrics = GatewayMetrics(metrics=metrics)
         retry_budget = create_retry_budget(settings)
         self.request_limits = RequestLimits(own_id=settings.host_id)
@@ -195,6 +194,12 @@
                 metrics=gateway_metrics,
             ),
         )
+        self._confirmer = StoreConfirmer(
+            directory=self.directory,
+            follower=self._follower,
+            roles=self.roles,
+            announce=self._exchange.schedule_beacons,
+        )
         self.limits = GatewayLimits(settings=settings, metrics=metrics)
         self.context = ForwardContext(
             settings=settings,
--- a/packages/daemon/gypsumpost_daemon/gateway/store_confirmer.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/store_confirmer.py
@@ -1,9 +1,12 @@
 """Asks the store whether a newer configuration exists, where nobody has lately."""
 
 import math
+import random
+from collections.abc import Callable
 
 import trio
 
+from gypsumpost_core.gateway.host_roles import HostRoles
 from gypsumpost_daemon.gateway.directory import Directory
 from gypsumpost_daemon.gateway.store_follower import StoreFollower
 from gypsumpost_daemon.lifecycle.contained_errors import contain_errors
@@ -15,6 +18,16 @@
 CONFIRM_SECONDS = 0.8
 """Age of a confirmation from which on a watcher asks again."""
 
+SPREAD_SECONDS = 0.4
+"""By how much the first watchers of the domains differ in that age, drawn anew for each question.
+The first one to ask tells the others, as calls to the store are billed."""
+
+TURN_SECONDS = 0.5
+"""How much longer each next watcher of a domain waits for those before it."""
+
+QUIET_SECONDS = 1.5
+"""Time without an answer of the store after which the first watcher polls other prefixes."""
+
 REPLY_SECONDS = 1.2
 """How long an answer of the store is waited for."""
 
@@ -34,14 +47,26 @@
 
     :param directory: configuration and endpoints.
     :param follower: asks the store.
+    :param roles: which hosts watch the store.
+    :param announce: called after a poll, to tell the peers soon; must not block.
     """
 
-    def __init__(self, *, directory: Directory, follower: StoreFollower) -> None:
+    def __init__(
+        self,
+        *,
+        directory: Directory,
+        follower: StoreFollower,
+        roles: HostRoles,
+        announce: Callable[[], None],
+    ) -> None:
         self._directory = directory
         self._follower = follower
+        self._roles = roles
+        self._announce = announce
         self._wanted = trio.Event()
         self._answered = trio.Event()
         self._failed_until = -math.inf
+        self._spread = random.uniform(0.0, SPREAD_SECONDS)
 
     async def run(self) -> None:
         """Ask at intervals while this host is a watcher, and on demand, until cancelled."""
@@ -72,21 +97,30 @@
                 await self._wanted.wait()
             wanted = self._wanted.is_set() and not self._directory.is_confirmed()
             self._wanted = trio.Event()
-            age = self._directory.compute_confirmation_age()
-            answered = True
-            if wanted or (self._follower.watching and age > CONFIRM_SECONDS):
-                answered = await self._poll(self._directory.configuration_prefix)
-            if not answered:
-                self._failed_until = trio.current_time() + FAILURE_PAUSE_SECONDS
+            if wanted or self._is_due():
+                self._spread = random.uniform(0.0, SPREAD_SECONDS)
+                if await self._poll(self._directory.configuration_prefix):
+                    self._announce()
+                else:
+                    self._failed_until = trio.current_time() + FAILURE_PAUSE_SECONDS
             self._answered.set()
             self._answered = trio.Event()
 
+    def _is_due(self) -> bool:
+        """Return true if this host watches the store and no other host has asked for a while."""
+        if not self._follower.watching:
+            return False
+        turn = self._roles.count_watchers_ahead(trio.current_time())
+        age = self._directory.compute_confirmation_age()
+        return age > CONFIRM_SECONDS + self._spread + turn * TURN_SECONDS
+
     async def _poll_quiet(self, prefix: str) -> None:
-        """Poll a prefix at a watcher whenever the store has told nothing of it for a while."""
+        """Poll a prefix at the first watcher when the store has told nothing of it for a while."""
         while True:
             await trio.sleep(CHECK_SECONDS)
-            asked_before = trio.current_time() - CONFIRM_SECONDS
-            if self._follower.watching and self._follower.is_quiet(prefix, asked_before):
+            now = trio.current_time()
+            is_first = self._follower.watching and not self._roles.count_watchers_ahead(now)
+            if is_first and self._follower.is_quiet(prefix, now - QUIET_SECONDS):
                 await self._poll(prefix)
 
     async def _poll(self, prefix: str) -> bool:
