--- a/packages/daemon/gypsumpost_daemon/gateway/store_confirmer.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/store_confirmer.py
@@ -79,16 +79,16 @@
 
     async def confirm(self) -> bool:
         """Return whether the configuration in force is known to be the newest; ask if it is not."""
-        if self._directory.is_behind() or self._directory.is_confirmed():
-            return not self._directory.is_behind()
+        if not self._directory.may_be_behind():
+            return True
         now = trio.current_time()
-        if now < self._failed_until:
+        if self._directory.is_behind() or now < self._failed_until:
             return False
         answered = self._answered
         self._wanted.set()
         with trio.move_on_at(now + WAIT_SECONDS):
             await answered.wait()
-        return self._directory.is_confirmed() and not self._directory.is_behind()
+        return not self._directory.may_be_behind()
 
     async def _confirm_configuration(self) -> None:
         """Poll the configuration when a request waits, or when nobody has asked for a while."""
--- a/packages/daemon/gypsumpost_daemon/gateway/tests/test_beacon_codec.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/tests/test_beacon_codec.py
@@ -3,6 +3,7 @@
 import itertools
 import socket
 import zlib
+from typing import Any
 
 import attrs
 import pytest
@@ -41,6 +42,22 @@
 from gypsumpost_daemon.peers.gossip_codec import MAC_BYTES
 
 
+def create_beacon(**fields: Any) -> Beacon:
+    """Return a beacon without usage; ``fields`` are added."""
+    return Beacon(
+        host=HostReport(
+            host_id="h", failure_domain="d", link_mbps=8, watching=True, store_lost=True
+        ),
+        ip="127.0.0.1",
+        sequence=3,
+        version=4,
+        endpoint_revision=5,
+        uses={},
+        retries={},
+        **fields,
+    )
+
+
 def test_a_beacon_is_decoded_as_it_was_encoded():
     """Guards against fields that are confused with each other."""
     beacon = Beacon(
@@ -114,15 +131,7 @@
 
 def test_a_host_of_an_older_version_confirms_nothing():
     """Guards against hosts that take the absence of an age for an age of zero in a roll-out."""
-    beacon = Beacon(
-        host=HostReport(host_id="h", failure_domain="d", link_mbps=8),
-        ip="127.0.0.1",
-        sequence=3,
-        version=4,
-        endpoint_revision=5,
-        uses={},
-        retries={},
-    )
+    beacon = create_beacon()
     assert decode_beacon(encode_beacon(beacon)).unwrap().confirmed_ms_ago is None
     confirmed = attrs.evolve(beacon, confirmed_ms_ago=0)
     assert decode_beacon(encode_beacon(confirmed)).unwrap().confirmed_ms_ago == 0
@@ -130,16 +139,7 @@
 
 async def test_a_beacon_with_long_ids_is_sent_without_its_copies():
     """Guards against peers that hear nothing of a host for the long ids of its callers."""
-    beacon = Beacon(
-        host=HostReport(
-            host_id="h", failure_domain="d", link_mbps=8, watching=True, store_lost=True
-        ),
-        ip="127.0.0.1",
-        sequence=3,
-        version=4,
-        endpoint_revision=5,
-        uses={},
-        retries={},
+    beacon = create_beacon(
         copies=tuple(
             CopyReport(fingerprint=b"f", request_id=f"{number:016000}", copy_engine="c")
             for number in range(5)
