Count a prefix as quiet since its last answer

It counted from the question of the last answered watch, so that a watch which had just brought a change was followed by a poll. Fewer calls to the store; the bound of test_an_endpoint_is_known_in_time_although_its_watch_was_lost is the same.

--- a/packages/daemon/gypsumpost_daemon/gateway/store_follower.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/store_follower.py
@@ -57,7 +57,7 @@
         self._lost = False
         self._following = False
         self._refresh_at = -math.inf
-        self._asked_at: dict[str, float] = {}
+        self._told_at: dict[str, float] = {}
         self._watched_since: dict[str, float] = {}
         self._watch_scopes: dict[str, trio.CancelScope] = {}
         # Revisions up to which the store itself has sent the changes. What peers say does not
@@ -84,13 +84,13 @@
         now = trio.current_time()
         return now - self._watched_since.get(prefix, now)
 
-    def is_quiet(self, prefix: str, asked_before: float) -> bool:
-        """Return true if the store has answered no call for a prefix that was made lately.
+    def is_quiet(self, prefix: str, since: float) -> bool:
+        """Return true if the store has answered no call for a prefix since some moment.
 
         :param prefix: prefix of the keys.
-        :param asked_before: moment from which on calls are lately, as monotonic time in seconds.
+        :param since: the moment, as monotonic time in seconds.
         """
-        return self._asked_at.get(prefix, -math.inf) < asked_before
+        return self._told_at.get(prefix, -math.inf) < since
 
     def record_missed_change(self, prefix: str, source: str) -> None:
         """Start the watch of a prefix again if a change that it did not bring came otherwise.
@@ -248,7 +248,7 @@
     def _record_items(self, prefix: str, revision: int, asked_at: float) -> None:
         """Record that the items are known that the store had when it was asked."""
         self._positions[prefix] = revision
-        self._asked_at[prefix] = max(asked_at, self._asked_at.get(prefix, -math.inf))
+        self._told_at[prefix] = trio.current_time()
         if prefix == self._directory.configuration_prefix:
             self._directory.record_store_answer(asked_at)
         # Items that arrived damaged are read again, once for each write.
