Move what is known of newer configurations out of the directory

No behaviour changes.

Measured: the tests of the gateway, of refusals for good and of the configuration in force pass (a stand-in of the directory has the new field).

--- a/packages/daemon/gypsumpost_daemon/gateway/beacon_state.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/beacon_state.py
@@ -151,7 +151,7 @@
         return changed
 
     def _compute_confirmed_ms(self) -> int | None:
-        age = self.directory.compute_confirmation_age()
+        age = self.directory.freshness.compute_confirmation_age()
         return None if age == math.inf else math.ceil(age * MILLISECONDS)
 
     def _report_rollouts(self, now: float, *, of_domain: bool) -> RolloutReport:
--- a/packages/daemon/gypsumpost_daemon/gateway/directory.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/directory.py
@@ -11,12 +11,11 @@
 from gypsumpost_core.gateway.first_use import FirstUse
 from gypsumpost_core.gateway.item_table import ItemTable
 from gypsumpost_core.gateway.route_table import RouteTable
-from gypsumpost_core.gateway.store_confirmation import StoreConfirmation
 from gypsumpost_core.gateway.stored_item import StoredItem
-from gypsumpost_core.gateway.version_lag import VersionLag
 from gypsumpost_daemon.gateway.adapter import GatewayAdapter
 from gypsumpost_daemon.gateway.item_set import ItemSet
 from gypsumpost_daemon.gateway.item_tables import ItemTables
+from gypsumpost_daemon.gateway.version_freshness import VersionFreshness
 from gypsumpost_daemon.telemetry.log import Log
 
 REWRITE_GRACE_SECONDS = 2.2
@@ -45,8 +44,7 @@
         self._remove_at: dict[str, float] = {}
         self.store_lost = False
         self._first_use = FirstUse()
-        self._lag = VersionLag()
-        self._confirmation = StoreConfirmation()
+        self.freshness = VersionFreshness()
         self._applied_revision = 0
         self._changed = trio.Event()
         self._listeners: list[Callable[[], None]] = []
@@ -85,13 +83,6 @@
         }
         return [prefix for prefix, is_behind in behind.items() if is_behind]
 
-    def record_named_version(self, version: int) -> None:
-        """Record the version of the configuration that a peer has in force.
-
-        :param version: the peer's version.
-        """
-        self._lag.record_named(version, self.version, trio.current_time())
-
     @property
     def configuration_prefix(self) -> str:
         """Prefix of the key of the configuration."""
@@ -103,35 +94,7 @@
         :param asked_at: the moment, as monotonic time in seconds.
         """
         if self.tables[self.configuration_prefix].discarded <= self._applied_revision:
-            self.record_confirmation(self.version, asked_at)
-
-    def record_confirmation(self, version: int, confirmed_at: float) -> None:
-        """Record that the store had no newer version of the configuration at some moment.
-
-        :param version: the version.
-        :param confirmed_at: the moment, as monotonic time in seconds.
-        """
-        self._confirmation.record(version, confirmed_at, applied=self.version)
-
-    def is_behind(self) -> bool:
-        """Return true if a peer has a newer configuration in force, as far as is known."""
-        return self._lag.is_behind(trio.current_time())
-
-    def is_confirmed(self) -> bool:
-        """Return true if the store has confirmed lately that no newer configuration exists."""
-        return self._confirmation.is_recent(trio.current_time())
-
-    def may_be_behind(self) -> bool:
-        """Return true unless the configuration in force is known to be the newest."""
-        return self.is_behind() or not self.is_confirmed()
-
-    def compute_confirmation_age(self) -> float:
-        """Return the age in seconds of the store's last confirmation, infinity if there is none."""
-        return self._confirmation.compute_age(trio.current_time())
-
-    def compute_lag(self) -> float:
-        """Return for how many seconds a newer configuration has been known, 0 if none is."""
-        return self._lag.compute(trio.current_time())
+            self.freshness.record_confirmation(self.version, asked_at)
 
     def has_lost_service(self) -> bool:
         """Return true if some routed service has only endpoints that are considered lost."""
@@ -270,8 +233,7 @@
         elif former.list_service_names() != self.routes.list_service_names():
             self._add_named()
         self._applied_revision = revision
-        self._confirmation.record_applied(configuration.version)
-        behind = self._lag.record_applied(configuration.version, trio.current_time())
+        behind = self.freshness.record_applied(configuration.version)
         LOG.write(
             "applied a configuration",
             version=configuration.version,
--- a/packages/daemon/gypsumpost_daemon/gateway/directory_exchange.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/directory_exchange.py
@@ -77,9 +77,9 @@
         )
         if beacon.confirmed_ms_ago is not None:
             confirmed_at = arrived_after - beacon.confirmed_ms_ago / MILLISECONDS
-            self._directory.record_confirmation(beacon.version, confirmed_at)
+            self._directory.freshness.record_confirmation(beacon.version, confirmed_at)
         if self._is_ahead(source):
-            self._directory.record_named_version(source.version)
+            self._directory.freshness.record_named(source.version)
             self._sources.put(source, trio.current_time(), watching=watching)
             self._changed.set()
 
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_application.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_application.py
@@ -296,8 +296,10 @@
                 status=refusal.status,
                 reason=refusal.reason,
                 version=self._context.directory.version,
-                behind_seconds=round(self._context.directory.compute_lag(), 3),
-                confirmed_seconds=round(self._context.directory.compute_confirmation_age(), 3),
+                behind_seconds=round(self._context.directory.freshness.compute_lag(), 3),
+                confirmed_seconds=round(
+                    self._context.directory.freshness.compute_confirmation_age(), 3
+                ),
                 loop_lag_seconds=round(self._context.loop_lag.seconds, 3),
             )
         await exchange.refuse(refusal.status, refusal.reason, RunState.NOT_RUN, refusal.retry_after)
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_gauges.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_gauges.py
@@ -53,7 +53,7 @@
     add(
         "gypsumpost_configuration_behind_seconds",
         "Time for which a peer has had a newer configuration in force, 0 if none is known.",
-        directory.compute_lag,
+        directory.freshness.compute_lag,
     )
     add(
         "gypsumpost_store_watch_seconds",
@@ -68,7 +68,7 @@
     add(
         "gypsumpost_configuration_confirmed_seconds",
         "Time since the store has confirmed that no newer configuration exists.",
-        directory.compute_confirmation_age,
+        directory.freshness.compute_confirmation_age,
     )
     add("gypsumpost_hosts_live", "Live hosts, this one included.", context.count_hosts)
     add(
--- a/packages/daemon/gypsumpost_daemon/gateway/store_confirmer.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/store_confirmer.py
@@ -79,23 +79,23 @@
 
     async def confirm(self) -> bool:
         """Return whether the configuration in force is known to be the newest; ask if it is not."""
-        if not self._directory.may_be_behind():
+        if not self._directory.freshness.may_be_behind():
             return True
         now = trio.current_time()
-        if self._directory.is_behind() or now < self._failed_until:
+        if self._directory.freshness.is_behind() or now < self._failed_until:
             return False
         answered = self._answered
         self._wanted.set()
         with trio.move_on_at(now + WAIT_SECONDS):
             await answered.wait()
-        return not self._directory.may_be_behind()
+        return not self._directory.freshness.may_be_behind()
 
     async def _confirm_configuration(self) -> None:
         """Poll the configuration when a request waits, or when nobody has asked for a while."""
         while True:
             with trio.move_on_at(trio.current_time() + CHECK_SECONDS):
                 await self._wanted.wait()
-            wanted = self._wanted.is_set() and not self._directory.is_confirmed()
+            wanted = self._wanted.is_set() and not self._directory.freshness.is_confirmed()
             self._wanted = trio.Event()
             if wanted or self._is_due():
                 self._spread = random.uniform(0.0, SPREAD_SECONDS)
@@ -111,7 +111,7 @@
         if not self._follower.watching:
             return False
         turn = self._roles.count_watchers_ahead(trio.current_time())
-        age = self._directory.compute_confirmation_age()
+        age = self._directory.freshness.compute_confirmation_age()
         return age > CONFIRM_SECONDS + self._spread + turn * TURN_SECONDS
 
     async def _poll_quiet(self, prefix: str) -> None:
--- a/packages/daemon/gypsumpost_daemon/gateway/tests/test_directory_exchange.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/tests/test_directory_exchange.py
@@ -12,6 +12,7 @@
 from gypsumpost_daemon.gateway.directory_exchange import DirectoryExchange
 from gypsumpost_daemon.gateway.gateway_metrics import GatewayMetrics
 from gypsumpost_daemon.gateway.item_set import ItemSet
+from gypsumpost_daemon.gateway.version_freshness import VersionFreshness
 from gypsumpost_daemon.peers.peer_failure import PeerFailure
 from gypsumpost_daemon.telemetry.metrics import Metrics
 
@@ -24,6 +25,7 @@
     endpoint_revision: int = 0
 
     applied: list[str] = attrs.field(factory=list)
+    freshness: VersionFreshness = attrs.field(factory=VersionFreshness)
 
     @property
     def tables(self):
@@ -50,12 +52,6 @@
     def forget_revision(self, prefix):
         pass
 
-    def record_named_version(self, version):
-        pass
-
-    def record_confirmation(self, version, confirmed_at):
-        pass
-
 
 @attrs.define(kw_only=True)
 class RecordingNetwork:
