--- a/packages/core/gypsumpost_core/gateway/copy_directory.py
+++ b/packages/core/gypsumpost_core/gateway/copy_directory.py
@@ -197,18 +197,6 @@
             and now < stream.reported_at + MEMORY_SECONDS
         ]
 
-    def list_peer_copies(self, fingerprint: bytes, now: float) -> list[KnownStream]:
-        """Return the streams of peers with equal requests whose copies can still be used.
-
-        :param fingerprint: digest of the request.
-        :param now: monotonic time in seconds.
-        """
-        return [
-            stream
-            for stream in self.list_known(fingerprint, now)
-            if stream.host_id != self.own_id and self.has_copy(stream, now)
-        ]
-
     def has_copy(self, stream: KnownStream, now: float) -> bool:
         """Return true if an engine probably still holds the copy of a stream.
 
--- a/packages/core/gypsumpost_core/gateway/tests/test_equal_streams.py
+++ b/packages/core/gypsumpost_core/gateway/tests/test_equal_streams.py
@@ -17,6 +17,7 @@
 )
 from gypsumpost_core.gateway.copy_report import CopyReport
 from gypsumpost_core.gateway.known_stream import may_have_received
+from gypsumpost_core.gateway.tests.peer_copies import list_peer_copies
 
 DIGEST = b"digest-of-12"
 
@@ -35,7 +36,7 @@
     directory.put_peer_reports("host-1", [create_report("r1")], 1.0)
     directory.put_peer_reports("host-2", [create_report("r2")], 20.0)
     assert list_names(directory, 21.0) == ["r1", "r2"]
-    assert [s.report.request_id for s in directory.list_peer_copies(DIGEST, 21.0)] == ["r2"]
+    assert [s.report.request_id for s in list_peer_copies(directory, DIGEST, 21.0)] == ["r2"]
     assert list_names(directory, 1.0 + MEMORY_SECONDS) == ["r2"]
 
 
