Do not send a request that has not run again just before its deadline

Callers see: 504 and an unknown outcome for a stream that engines refused until its deadline, and that no engine has run.

An attempt that is open when it passes may have run, so the refusals before it count for nothing.

Change: a stream that has been refused, and has certainly not run, is not sent again in the last 0.1 s. The caller gets 503 with Retry-After then. A first attempt is made however near the deadline is, and streams that have begun go on as before.

--- a/packages/daemon/gypsumpost_daemon/gateway/stream_forwarder.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/stream_forwarder.py
@@ -32,6 +32,10 @@
 REFUSAL_PAUSE_SECONDS = 0.02
 """Minimum time between two attempts that engines refuse for lack of capacity."""
 
+LAST_SEND_SECONDS = 0.1
+"""Time before its deadline from which on a request that has not run is not sent again: nobody could
+tell whether an attempt has run that the deadline ends."""
+
 LOG = Log(prefix="stream")
 
 
@@ -110,6 +114,8 @@
             # Peers may have reported crashes while the stream waited for an engine.
             if self._context.crash_guard.find_cause(call) is not None:
                 return NoEndpoint(reason="endpoints crash on it")
+            if self._is_too_late(call, progress):
+                return NoEndpoint(reason="the deadline is too near")
             events = progress.events
             call.versions.record_sent(state.record)
             outcome = await self._run_attempt(call, exchange, progress, state, copy, tried)
@@ -139,6 +145,11 @@
             return "the retry budget is spent"
         return ""
 
+    def _is_too_late(self, call: CallerCall, progress: StreamProgress) -> bool:
+        """Return true if a request that has not run would be sent again close to its deadline."""
+        due = trio.current_time() >= call.deadline - LAST_SEND_SECONDS
+        return due and progress.failed_sends > 0 and not call.run.may_have_run
+
     def _record_failure(
         self,
         call: CallerCall,
