Revert the cost of failures, which left recovered endpoints unused

Tried: a failure that is faster than an answer did not shorten the expected time, and cost at least the mean answer time of the service.

Suspected, not traced: the share of failures does not fade with time, and the short time of its errors was what brought an endpoint calls again after its recovery.

--- a/packages/core/gypsumpost_core/gateway/endpoint_choice.py
+++ b/packages/core/gypsumpost_core/gateway/endpoint_choice.py
@@ -10,8 +10,8 @@
 expensive; a tie goes to the own domain."""
 
 FAILURE_WEIGHT = 8.0
-"""Weight of the failure ratio; an endpoint that fails half of its requests costs four more answer
-times, its own or the mean of the service."""
+"""Weight of the failure ratio; an endpoint that fails half of its requests costs five times as
+much."""
 
 DRAWN_ENDPOINTS = 2
 
@@ -38,41 +38,23 @@
     """
     untried = [state for state in states if state.record.endpoint_id not in tried]
     usable = [state for state in untried if not state.lost] or untried
-    mean_seconds = average_answer_seconds(usable)
-    ranked = sorted(
-        usable, key=lambda state: estimate_seconds(state, failure_domain, now, mean_seconds)
-    )
+    ranked = sorted(usable, key=lambda state: estimate_seconds(state, failure_domain, now))
     if any(state.load is not None for state in ranked):
         drawn = rng.sample(range(len(ranked)), min(DRAWN_ENDPOINTS, len(ranked)))
         ranked.insert(0, ranked.pop(min(drawn)))
     return ranked
 
 
-def average_answer_seconds(states: Sequence[EndpointState]) -> float:
-    """Return the mean answer time in seconds of the endpoints that have answered, 0 for none.
-
-    :param states: the endpoints.
-    """
-    measured = [state.answer_seconds for state in states if state.answer_seconds]
-    return sum(measured) / len(measured) if measured else 0.0
-
-
-def estimate_seconds(
-    state: EndpointState, failure_domain: str, now: float, mean_seconds: float
-) -> float:
+def estimate_seconds(state: EndpointState, failure_domain: str, now: float) -> float:
     """Return the expected answer time in seconds, increased by a penalty for failures.
 
-    A failure costs at least the mean answer time, however fast the endpoint fails.
-
     :param state: the endpoint.
     :param failure_domain: failure domain of this host.
     :param now: monotonic time in seconds.
-    :param mean_seconds: mean answer time in seconds of the endpoints of the service.
     """
-    answer_seconds = estimate_answer_seconds(state, now)
-    failure_seconds = FAILURE_WEIGHT * state.failure_ratio * max(answer_seconds, mean_seconds)
     domain_seconds = 0.0 if state.record.failure_domain == failure_domain else CROSS_DOMAIN_SECONDS
-    return answer_seconds + failure_seconds + domain_seconds
+    failure_factor = 1 + FAILURE_WEIGHT * state.failure_ratio
+    return estimate_answer_seconds(state, now) * failure_factor + domain_seconds
 
 
 def estimate_answer_seconds(state: EndpointState, now: float) -> float:
--- a/packages/core/gypsumpost_core/gateway/endpoint_state.py
+++ b/packages/core/gypsumpost_core/gateway/endpoint_state.py
@@ -81,13 +81,12 @@
         return now < self.limited_until
 
     def observe_answer(self, seconds: float, failed: bool) -> None:
-        """Record the duration and outcome of a request; a fast failure is no fast answer.
+        """Record the duration and outcome of a request.
 
         :param seconds: duration of the request.
         :param failed: true if it failed.
         """
-        if not failed or seconds > self.expected_seconds:
-            self.answer_seconds = smooth(self.answer_seconds, seconds)
+        self.answer_seconds = smooth(self.answer_seconds, seconds)
         self.observe_outcome(failed)
 
     def observe_outcome(self, failed: bool) -> None:
