Ask the store when the peers that have a change do not send it

A host ran requests by a former version and refused bodies for good by its limits for up to 3 s after a version was acknowledged, although the store would have answered it.

Cause: a host that does not watch the store learns of a version from a beacon and fetches it from one peer after the other, 1.0 s each. Connections that have gone silent cost as many seconds as there are silent peers, and nothing asks the store, as only watchers do. The class: one path of several is tried to its end while the time for all of them runs out.

Change: a fetch that has failed after 0.5 s makes the host poll the store for the prefixes that it lacks, while it goes on to ask peers. One that fails at once costs no call, since the next peer is asked at once.

--- a/packages/daemon/gypsumpost_daemon/gateway/directory_exchange.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/directory_exchange.py
@@ -27,6 +27,10 @@
 REPLY_SECONDS = 1.0
 MILLISECONDS = 1000
 
+SLOW_FETCH_SECONDS = 0.5
+"""A fetch that fails after this time has left too little of the time in which a change has to be in
+force to ask one peer after the other."""
+
 LARGE_REPLY_BYTES = 65536
 """Replies from this size on are logged: they take long on a slow link."""
 
@@ -40,6 +44,8 @@
     :param directory: configuration and endpoints.
     :param network: requests to peers.
     :param record_change: called with the prefix of a change that a peer has sent, and the peer.
+    :param ask_store: called with a prefix under which changes are lacking that a peer has not sent
+        in time; must not block.
     :param metrics: counters of the gateway.
     """
 
@@ -50,10 +56,12 @@
         directory: Directory,
         network: PeerNetwork,
         record_change: Callable[[str, str], None],
+        ask_store: Callable[[str], None],
         metrics: GatewayMetrics,
     ) -> None:
         self._directory = directory
         self._record_change = record_change
+        self._ask_store = ask_store
         self._metrics = metrics
         self._network = network
         self._reached_endpoint_revision = 0
@@ -96,10 +104,18 @@
             if source is None:
                 continue
             fetched = False
+            started_at = trio.current_time()
             with contain_errors(LOG, "a fetch of the directory", peer=source.host_id):
                 fetched = await self._fetch(source)
             if not fetched:
-                self._sources.record_failure(source.host_id, trio.current_time())
+                self._record_failure(source, started_at)
+
+    def _record_failure(self, source: DirectorySource, started_at: float) -> None:
+        now = trio.current_time()
+        self._sources.record_failure(source.host_id, now)
+        if now >= started_at + SLOW_FETCH_SECONDS:
+            for prefix in self._directory.list_behind(source.version, source.endpoint_revision):
+                self._ask_store(prefix)
 
     @property
     def _endpoint_revision(self) -> int:
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
@@ -191,6 +191,7 @@
                 directory=self.directory,
                 network=self._network,
                 record_change=self._follower.record_missed_change,
+                ask_store=lambda prefix: self._confirmer.request(prefix),
                 metrics=gateway_metrics,
             ),
         )
--- a/packages/daemon/gypsumpost_daemon/gateway/store_confirmer.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/store_confirmer.py
@@ -1,4 +1,4 @@
-"""Asks the store whether a newer configuration exists, where nobody has lately."""
+"""Asks the store what is new, where neither a watch nor a peer tells."""
 
 import math
 import random
@@ -43,7 +43,8 @@
 class StoreConfirmer:
     """Polls the store for a domain that hears nothing of it, and for requests that need to know.
 
-    An open watch proves nothing, since its answer may be lost. One question serves all who wait.
+    It also polls for a host whose peers have changes and do not send them. An open watch proves
+    nothing, since its answer may be lost. One question serves all who wait.
 
     :param directory: configuration and endpoints.
     :param follower: asks the store.
@@ -67,10 +68,21 @@
         self._answered = trio.Event()
         self._failed_until = -math.inf
         self._spread = random.uniform(0.0, SPREAD_SECONDS)
+        self._requested: set[str] = set()
+        self._request_made = trio.Event()
+
+    def request(self, prefix: str) -> None:
+        """Poll a prefix soon; must not block.
+
+        :param prefix: prefix of the keys.
+        """
+        self._requested.add(prefix)
+        self._request_made.set()
 
     async def run(self) -> None:
         """Ask at intervals while this host is a watcher, and on demand, until cancelled."""
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._poll_requested)
             for prefix in self._directory.tables:
                 if prefix == self._directory.configuration_prefix:
                     nursery.start_soon(self._confirm_configuration)
@@ -114,6 +126,16 @@
         age = self._directory.freshness.compute_confirmation_age()
         return age > CONFIRM_SECONDS + self._spread + turn * TURN_SECONDS
 
+    async def _poll_requested(self) -> None:
+        """Poll the prefixes that were requested, also on hosts that do not watch the store."""
+        while True:
+            await self._request_made.wait()
+            self._request_made = trio.Event()
+            prefixes, self._requested = self._requested, set()
+            for prefix in sorted(prefixes):
+                if await self._poll(prefix):
+                    self._announce()
+
     async def _poll_quiet(self, prefix: str) -> None:
         """Poll a prefix at the first watcher when the store has told nothing of it for a while."""
         while True:
--- a/packages/daemon/gypsumpost_daemon/gateway/tests/test_directory_exchange.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/tests/test_directory_exchange.py
@@ -88,7 +88,8 @@
 async def test_each_peer_that_is_ahead_is_asked_until_one_replies(nursery, autojump_clock):
     """Guards against a large configuration that all hosts fetch over one slow link.
 
-    It also guards against a host that waits for the next beacon when the first peer does not reply.
+    It also guards against a host that waits for the next beacon when the first peer does not reply,
+    and against calls to the store because of peers that fail at once.
     """
     network = RecordingNetwork()
     dependencies: dict[str, Any] = {
@@ -96,8 +97,12 @@
         "network": network,
         "metrics": GatewayMetrics(metrics=Metrics()),
     }
+    asked: list[str] = []
     exchange = DirectoryExchange(
-        own_domain="a", record_change=lambda prefix, peer: None, **dependencies
+        own_domain="a",
+        record_change=lambda prefix, peer: None,
+        ask_store=asked.append,
+        **dependencies,
     )
     nursery.start_soon(exchange.run)
     beacons = [
@@ -110,6 +115,7 @@
         exchange.handle_beacon(beacon, arrived_after=0.0, watching=False)
     await trio.sleep(1.0)
     assert network.requested_peers == ["fast", "slow-too", "slow", "other-domain"]
+    assert not asked
 
 
 async def test_a_peer_that_holds_no_full_list_does_not_hide_the_changes_of_others(
@@ -125,7 +131,10 @@
         "metrics": GatewayMetrics(metrics=Metrics()),
     }
     exchange = DirectoryExchange(
-        own_domain="a", record_change=lambda prefix, peer: None, **dependencies
+        own_domain="a",
+        record_change=lambda prefix, peer: None,
+        ask_store=lambda prefix: None,
+        **dependencies,
     )
     nursery.start_soon(exchange.run)
     for name, link_mbps in (("empty", 200), ("full", 10)):
