Log the refusals that rest on the limits of the configuration

A body or a head over the configuration's limits was refused for good (413, 431) without the line that 404 and 401 leave, so a record of such a run does not tell by which version it was refused.

The server now hands each refusal to a review before it sends it, and the gateway writes the line for those that a limit decides: the same fields as for 404. The answers are unchanged. The only bound on these lines is the rate of the log, as for the others; 400 and 408 do not depend on the configuration.

--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_application.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_application.py
@@ -22,6 +22,7 @@
 from gypsumpost_daemon.gateway.matched_route import MatchedRoute
 from gypsumpost_daemon.gateway.message_headers import find_header, select_request_headers
 from gypsumpost_daemon.gateway.prompt_parts import read_shared_parts
+from gypsumpost_daemon.gateway.refusal_log import log_refusal
 from gypsumpost_daemon.gateway.request_digest import digest_request
 from gypsumpost_daemon.http.asgi_application import Receive, Scope, Send
 from gypsumpost_daemon.telemetry.log import Log
@@ -290,18 +291,7 @@
     async def _refuse(self, exchange: CallerExchange, refusal: HeadRefusal) -> None:
         if refusal is not NO_CONFIGURATION:
             request_id = find_header(exchange.headers, self._context.header_names.request_id) or b""
-            LOG.write(
-                "refused",
-                request_id=request_id.decode("latin-1"),
-                status=refusal.status,
-                reason=refusal.reason,
-                version=self._context.directory.version,
-                behind_seconds=round(self._context.directory.freshness.compute_lag(), 3),
-                confirmed_seconds=round(
-                    self._context.directory.freshness.compute_confirmation_age(), 3
-                ),
-                loop_lag_seconds=round(self._context.loop_lag.seconds, 3),
-            )
+            log_refusal(self._context, request_id, refusal.status, refusal.reason)
         await exchange.refuse(refusal.status, refusal.reason, RunState.NOT_RUN, refusal.retry_after)
 
 
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
@@ -38,6 +38,7 @@
 from gypsumpost_daemon.gateway.gateway_listeners import GatewayListeners
 from gypsumpost_daemon.gateway.gateway_metrics import GatewayMetrics
 from gypsumpost_daemon.gateway.gateway_settings import RELOADABLE, GatewaySettings
+from gypsumpost_daemon.gateway.limit_refusals import LimitRefusals
 from gypsumpost_daemon.gateway.metrics_application import MetricsApplication
 from gypsumpost_daemon.gateway.peer_exchange import PeerExchange
 from gypsumpost_daemon.gateway.planned_stop import PlannedStop
@@ -257,7 +258,10 @@
             await listeners.serve_probes(ready, self.settings.ready_address)
             self._signals.record_serving()
             server = await listeners.serve(
-                self.application, self.settings.caller_address, self.limits.http
+                self.application,
+                self.settings.caller_address,
+                self.limits.http,
+                LimitRefusals(context=self.context).review,
             )
             if self.settings.metrics_address:
                 scrape_application = MetricsApplication(metrics=self._metrics)
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_listeners.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_listeners.py
@@ -6,6 +6,7 @@
 from gypsumpost_daemon.http.asgi_application import ASGIApplication
 from gypsumpost_daemon.http.h11_server import serve_limited
 from gypsumpost_daemon.http.http_limits import HttpLimits
+from gypsumpost_daemon.http.http_refusal import RefusalReview, keep_refusal
 from gypsumpost_daemon.http.overload_guard import OverloadGuard
 from gypsumpost_daemon.http.running_server import RunningServer
 
@@ -35,13 +36,18 @@
         return await self.serve(application, address, limits)
 
     async def serve(
-        self, application: ASGIApplication, address: str, limits: HttpLimits
+        self,
+        application: ASGIApplication,
+        address: str,
+        limits: HttpLimits,
+        review: RefusalReview = keep_refusal,
     ) -> RunningServer:
         """Serve an application in the nursery.
 
         :param application: the ASGI application.
         :param address: ``ip:port`` to listen on.
         :param limits: limits of the connections.
+        :param review: decides what is sent where a request exceeds a limit.
         """
 
         async def serve(task_status: trio.TaskStatus[RunningServer]) -> None:
@@ -50,6 +56,7 @@
                 address=address,
                 limits=limits,
                 guard=self.guard,
+                review=review,
                 task_status=task_status,
             )
 
--- a/packages/daemon/gypsumpost_daemon/http/h11_server.py
+++ b/packages/daemon/gypsumpost_daemon/http/h11_server.py
@@ -14,6 +14,7 @@
 from gypsumpost_daemon.http.end_reason import EndReason
 from gypsumpost_daemon.http.http_connection import HttpConnection
 from gypsumpost_daemon.http.http_limits import MAX_CONNECTIONS, HttpLimits
+from gypsumpost_daemon.http.http_refusal import RefusalReview, keep_refusal
 from gypsumpost_daemon.http.overload_guard import OverloadGuard
 from gypsumpost_daemon.http.running_server import RunningServer
 from gypsumpost_daemon.http.socket_transport import SocketTransport
@@ -71,6 +72,7 @@
     limits: HttpLimits,
     tls: ssl.SSLContext | None = None,
     guard: OverloadGuard | None = None,
+    review: RefusalReview = keep_refusal,
     task_status: trio.TaskStatus[RunningServer] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serve an application with limits that may change while the server runs.
@@ -80,10 +82,15 @@
     :param limits: the limits; see :class:`HttpLimits` for when a change applies.
     :param tls: TLS context, ``None`` for plain TCP.
     :param guard: bounds what all connections of the process hold; ``None`` for default bounds.
+    :param review: decides what is sent where a request exceeds a limit.
     :param task_status: receives a :class:`RunningServer`.
     """
     server = H11Server(
-        application=application, limits=limits, tls=tls, guard=guard or OverloadGuard()
+        application=application,
+        limits=limits,
+        tls=tls,
+        guard=guard or OverloadGuard(),
+        review=review,
     )
     await server.run(address, task_status)
 
@@ -95,6 +102,7 @@
     :param limits: the limits.
     :param tls: TLS context, ``None`` for plain TCP.
     :param guard: bounds what all connections hold.
+    :param review: decides what is sent where a request exceeds a limit.
     """
 
     def __init__(
@@ -104,11 +112,13 @@
         limits: HttpLimits,
         tls: ssl.SSLContext | None,
         guard: OverloadGuard,
+        review: RefusalReview,
     ) -> None:
         self._application = application
         self._limits = limits
         self._tls = tls
         self._guard = guard
+        self._review = review
         self._connections: set[HttpConnection] = set()
         self._draining = False
 
@@ -193,6 +203,7 @@
             client=peer,
             server=accepted.getsockname()[:2],
             guard=self._guard,
+            review=self._review,
         )
         self._connections.add(connection)
         if self._draining:
--- a/packages/daemon/gypsumpost_daemon/http/http_connection.py
+++ b/packages/daemon/gypsumpost_daemon/http/http_connection.py
@@ -16,7 +16,14 @@
 from gypsumpost_daemon.http.http_body import create_parser
 from gypsumpost_daemon.http.http_exchange import HttpExchange
 from gypsumpost_daemon.http.http_limits import HttpLimits
-from gypsumpost_daemon.http.http_refusal import HttpRefusal, refuse_long_body, refuse_malformed
+from gypsumpost_daemon.http.http_refusal import (
+    LONG_HEAD_STATUS,
+    HttpRefusal,
+    RefusalReview,
+    refuse_long_body,
+    refuse_long_head,
+    refuse_malformed,
+)
 from gypsumpost_daemon.http.overload_guard import OverloadGuard
 from gypsumpost_daemon.http.transport import Transport
 from gypsumpost_daemon.lifecycle.contained_errors import contains_broken_invariant
@@ -49,6 +56,7 @@
     :param client: IP and port of the caller.
     :param server: IP and port of the listener.
     :param guard: counts what the connection holds.
+    :param review: decides what is sent where a request exceeds a limit.
     """
 
     def __init__(
@@ -61,6 +69,7 @@
         client: tuple[str, int],
         server: tuple[str, int],
         guard: OverloadGuard,
+        review: RefusalReview,
     ) -> None:
         self._transport = transport
         self._application = application
@@ -69,6 +78,8 @@
         self._client = client
         self._server = server
         self._guard = guard
+        self._review = review
+        self._max_head = limits.max_head
         self._parser = create_parser(limits)
         self._exchange: HttpExchange | None = None
         self._head_holder: MemoryHolder | None = None
@@ -110,10 +121,15 @@
         self._transport.close()
 
     async def _serve_request(self) -> bool:
-        request = await self._read_head()
-        if request is None:
-            return False
-        names = self._check_head(request)
+        request: h11.Request | None = None
+        try:
+            request = await self._read_head()
+            if request is None:
+                return False
+            names = self._check_head(request)
+        except HttpRefusal as refusal:
+            headers = [] if request is None else list(request.headers)
+            raise await self._review(refusal, headers) from None
         exchange = HttpExchange(
             transport=self._transport,
             parser=self._parser,
@@ -124,6 +140,7 @@
             head_bytes=estimate_head(len(names)),
             guard=self._guard,
             entry=self.entry,
+            review=self._review,
         )
         self._exchange = exchange
         try:
@@ -203,6 +220,8 @@
         try:
             return self._parser.next_event()
         except h11.RemoteProtocolError as error:
+            if error.error_status_hint == LONG_HEAD_STATUS:
+                raise refuse_long_head(str(error), self._max_head) from error
             raise refuse_malformed(str(error), error.error_status_hint) from error
 
     async def _receive_by(self, deadline: float) -> bytes | None:
--- a/packages/daemon/gypsumpost_daemon/http/http_exchange.py
+++ b/packages/daemon/gypsumpost_daemon/http/http_exchange.py
@@ -12,7 +12,7 @@
 from gypsumpost_daemon.http.asgi_application import Message
 from gypsumpost_daemon.http.http_body import HttpBody
 from gypsumpost_daemon.http.http_limits import HttpLimits
-from gypsumpost_daemon.http.http_refusal import HttpRefusal
+from gypsumpost_daemon.http.http_refusal import HttpRefusal, RefusalReview, keep_refusal
 from gypsumpost_daemon.http.http_response import HttpResponse, frame_chunk
 from gypsumpost_daemon.http.overload_guard import OverloadGuard
 from gypsumpost_daemon.http.transport import Transport
@@ -37,6 +37,7 @@
     :param head_bytes: memory that the head of the request takes.
     :param guard: counts what the exchange holds.
     :param entry: the connection among all of them.
+    :param review: decides what is sent where the body exceeds a limit.
     """
 
     def __init__(
@@ -51,11 +52,14 @@
         head_bytes: int = 0,
         guard: OverloadGuard | None = None,
         entry: ConnectionEntry | None = None,
+        review: RefusalReview = keep_refusal,
     ) -> None:
         self._transport = transport
         self._limits = limits
         self._guard = guard or OverloadGuard()
         self._entry = entry
+        self._review = review
+        self._headers = list(request.headers)
         self._body = HttpBody(
             transport=transport,
             parser=parser,
@@ -90,6 +94,7 @@
 
     def close(self) -> None:
         """Stop counting what the exchange held."""
+        self._headers = []
         self._body.close()
         if self._read_ahead_holder is not None:
             self._guard.account.close(self._read_ahead_holder)
@@ -101,7 +106,7 @@
         try:
             body = await self._body.read()
         except HttpRefusal as refusal:
-            await self.refuse(refusal)
+            await self.refuse(await self._review(refusal, self._headers))
             return {"type": DISCONNECT}
         except OSError:
             self.disconnect()
--- a/packages/daemon/gypsumpost_daemon/http/http_refusal.py
+++ b/packages/daemon/gypsumpost_daemon/http/http_refusal.py
@@ -1,10 +1,13 @@
 """An error response from the server itself."""
 
+from collections.abc import Awaitable, Callable, Sequence
+
 import attrs
 import orjson
 
 from gypsumpost_core.run_state import RunState
 
+LONG_HEAD_STATUS = 431
 OVERLOAD_RETRY_SECONDS = 0.2
 """The load balancer may send the next connection to a host with room."""
 
@@ -18,6 +21,7 @@
     :param message: one sentence for a human reader.
     :param run_state: what is known about the execution of the request.
     :param retry_after: seconds after which the caller may retry, 0 for no ``retry-after``.
+    :param limit: the limit in bytes that the request exceeds, ``None`` if it exceeds none.
     """
 
     status: int
@@ -25,6 +29,7 @@
     message: str
     run_state: RunState = RunState.NOT_RUN
     retry_after: float = 0.0
+    limit: int | None = None
 
     def encode_body(self) -> bytes:
         """Return the OpenAI error object."""
@@ -45,22 +50,42 @@
         return headers
 
 
+RefusalReview = Callable[[HttpRefusal, Sequence[tuple[bytes, bytes]]], Awaitable[HttpRefusal]]
+"""Returns the refusal to send in place of one that was found, given the headers that are known."""
+
+
+async def keep_refusal(refusal: HttpRefusal, headers: Sequence[tuple[bytes, bytes]]) -> HttpRefusal:
+    """Return a refusal as it is; a :data:`RefusalReview`."""
+    return refusal
+
+
 def refuse_malformed(reason: str, status: int = 400) -> HttpRefusal:
     """Return the refusal of a request that is not valid HTTP.
 
     :param reason: what is wrong.
-    :param status: the status code, for example 431 for headers that are too long.
+    :param status: the status code.
     """
     return HttpRefusal(status=status, code="malformed_request", message=reason)
 
 
+def refuse_long_head(reason: str, limit: int) -> HttpRefusal:
+    """Return the refusal of a request line and headers that are too long.
+
+    :param reason: what is wrong.
+    :param limit: the longest accepted head in bytes.
+    """
+    return HttpRefusal(
+        status=LONG_HEAD_STATUS, code="malformed_request", message=reason, limit=limit
+    )
+
+
 def refuse_long_body(limit: int) -> HttpRefusal:
     """Return the refusal of a body that is too long.
 
     :param limit: the longest accepted body in bytes.
     """
     message = f"The body is longer than {limit} bytes."
-    return HttpRefusal(status=413, code="body_too_long", message=message)
+    return HttpRefusal(status=413, code="body_too_long", message=message, limit=limit)
 
 
 def refuse_overloaded(message: str) -> HttpRefusal:
