Refuse for good by a limit only where the store has confirmed the version

A host that was behind answered 413 or 431 by its older limits to requests that the newest version allows, also while it knew of that version, and a host that had just started did so by its default limits.

Cause: the server refuses by the limits that it holds, and only 401 and 404 asked whether the version they rest on is the newest. The class: a refusal for good that rests on an older version.

Change: the review of such a refusal asks for the same confirmation as a 404, and compares the limit with the one in force after it, since the answer may have brought a newer version. Otherwise the caller gets 503 with Retry-After. The bounds on memory are unchanged.

--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
@@ -261,7 +261,7 @@
                 self.application,
                 self.settings.caller_address,
                 self.limits.http,
-                LimitRefusals(context=self.context).review,
+                LimitRefusals(context=self.context, confirm=self._confirmer.confirm).review,
             )
             if self.settings.metrics_address:
                 scrape_application = MetricsApplication(metrics=self._metrics)
--- a/packages/daemon/gypsumpost_daemon/gateway/limit_refusals.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/limit_refusals.py
@@ -1,21 +1,27 @@
 """Reviews the refusals that rest on the limits of the configuration."""
 
-from collections.abc import Sequence
+from collections.abc import Awaitable, Callable, Sequence
 
 from gypsumpost_daemon.gateway.forward_context import ForwardContext
+from gypsumpost_daemon.gateway.gateway_application import BEHIND, NO_CONFIGURATION
+from gypsumpost_daemon.gateway.head_refusal import HeadRefusal
 from gypsumpost_daemon.gateway.message_headers import find_header
 from gypsumpost_daemon.gateway.refusal_log import log_refusal
-from gypsumpost_daemon.http.http_refusal import HttpRefusal
+from gypsumpost_daemon.http.http_refusal import LONG_HEAD_STATUS, HttpRefusal
 
 
 class LimitRefusals:
-    """Logs each request that exceeds a limit of the configuration.
+    """Decides whether a request that exceeds a limit of the configuration is refused for good.
+
+    As for a path without a route, that needs a recent confirmation of the store.
 
     :param context: state shared by the forwarders.
+    :param confirm: returns whether the configuration in force is known to be the newest.
     """
 
-    def __init__(self, *, context: ForwardContext) -> None:
+    def __init__(self, *, context: ForwardContext, confirm: Callable[[], Awaitable[bool]]) -> None:
         self._context = context
+        self._confirm = confirm
 
     async def review(
         self, refusal: HttpRefusal, headers: Sequence[tuple[bytes, bytes]]
@@ -27,6 +33,27 @@
         """
         if refusal.limit is None:
             return refusal
+        if not self._context.directory.ready:
+            return _postpone(NO_CONFIGURATION)
+        if not await self._confirm() or refusal.limit < self._find_limit(refusal.status):
+            refusal = _postpone(BEHIND)
         request_id = find_header(headers, self._context.header_names.request_id) or b""
         log_refusal(self._context, request_id, refusal.status, refusal.message)
         return refusal
+
+    def _find_limit(self, status: int) -> int:
+        """Return the limit in force, which the answer of the store may have raised."""
+        routes = self._context.directory.routes
+        if routes is None:
+            return 0
+        limits = routes.configuration.limits
+        return limits.max_head if status == LONG_HEAD_STATUS else limits.max_body
+
+
+def _postpone(refusal: HeadRefusal) -> HttpRefusal:
+    return HttpRefusal(
+        status=refusal.status,
+        code="configuration_unconfirmed",
+        message=refusal.reason,
+        retry_after=refusal.retry_after,
+    )
