Add the time in a relay's socket to the age of a confirmation

A host that the store did not answer refused a request on an added route with 404, 2 s and more after the version with this route was acknowledged.

Cause: a relay forwarded a beacon of another domain with the age that its confirmation had when it was sent. Beacons that had waited in the socket of a relay that was slow or suspended looked new to the hosts of its domain, and confirmed their older version. The relay itself counted the time.

Change: a beacon that may have waited for more than 0.15 s is forwarded with this time added, and signed again; others are forwarded unchanged. Only the one field is written, so fields of later versions are kept. The moment of the check is taken before the read, not after it.

Not covered: a beacon that is late on the network itself names the age that it had when it was sent.

--- a/packages/daemon/gypsumpost_daemon/gateway/beacon_codec.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/beacon_codec.py
@@ -1,5 +1,6 @@
 """Cap'n Proto codec of beacons."""
 
+import math
 import struct
 from collections.abc import Iterable, Mapping
 from typing import Any
@@ -26,6 +27,7 @@
 USAGE_NUMBERS = struct.Struct("<4I")
 MAX_NUMBER = 0xFFFFFFFF
 NEVER_CONFIRMED = MAX_NUMBER
+MILLISECONDS = 1000
 RATE_NUMBER = struct.Struct("<H")
 RATE_UNIT = 10
 MAX_RATE_NUMBER = 0xFFFF
@@ -126,6 +128,21 @@
         return Err(str(error).partition("\n")[0])
 
 
+def add_confirmation_age(data: bytes, seconds: float) -> bytes:
+    """Return a beacon as packed bytes, with a confirmation that is older by some time.
+
+    The fields that only newer versions of this software know are kept.
+
+    :param data: the packed bytes of a valid beacon.
+    :param seconds: the time, infinity if it is not known.
+    """
+    message = SCHEMA.Beacon.from_bytes_packed(data).as_builder()
+    age = message.confirmedMsAgo + seconds * MILLISECONDS
+    message.confirmedMsAgo = math.ceil(min(age, NEVER_CONFIRMED))
+    packed: bytes = message.to_bytes_packed()
+    return packed
+
+
 def encode_uses(uses: Mapping[str, EngineUsage]) -> dict[str, Any]:
     """Return the usage by engine as fields of the schema's ``Uses``.
 
--- a/packages/daemon/gypsumpost_daemon/gateway/beacon_socket.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/beacon_socket.py
@@ -11,7 +11,11 @@
 
 from gypsumpost_core.key_ring import KeyRing
 from gypsumpost_daemon.gateway.beacon import Beacon
-from gypsumpost_daemon.gateway.beacon_codec import decode_beacon, encode_beacon
+from gypsumpost_daemon.gateway.beacon_codec import (
+    add_confirmation_age,
+    decode_beacon,
+    encode_beacon,
+)
 from gypsumpost_daemon.peers.gossip_codec import MAC_BYTES, sign_datagram
 from gypsumpost_daemon.telemetry.log import Log
 
@@ -20,6 +24,13 @@
 """Longest payload of a UDP datagram. Callers choose the ids of their requests, which are part of
 the copies; without a beacon, peers would miss the losses and versions that it carries too."""
 
+EMPTY_CHECK_SECONDS = 0.1
+"""Interval at which the socket is checked while no datagram arrives."""
+
+FORWARDED_LATE_SECONDS = 1.5 * EMPTY_CHECK_SECONDS
+"""Time in the socket from which on a forwarded beacon is given the age of its confirmation anew.
+It is longer than the interval of the checks, so that most beacons are forwarded unchanged."""
+
 LOG = Log(prefix="peers")
 
 
@@ -61,6 +72,20 @@
             body = encode_beacon(attrs.evolve(beacon, copies=(), copies_left_out=True))
         return sign_datagram(self._key.choose_signing_key(trio.current_time()), body) + body
 
+    def encode_forwarded(self, received: ReceivedBeacon) -> bytes:
+        """Return the datagram with which a beacon is forwarded.
+
+        A beacon that has waited here was confirmed longer ago than when it was sent.
+
+        :param received: the beacon.
+        """
+        now = trio.current_time()
+        waited = now - received.arrived_after
+        if waited <= FORWARDED_LATE_SECONDS or received.beacon.confirmed_ms_ago is None:
+            return received.data
+        body = add_confirmation_age(received.data[MAC_BYTES:], waited)
+        return sign_datagram(self._key.choose_signing_key(now), body) + body
+
     async def send(self, data: bytes, ips: Iterable[str]) -> int:
         """Send a datagram to hosts and return the number of bytes that were sent.
 
@@ -84,11 +109,14 @@
         emptied_at = -math.inf
         while True:
             await trio.lowlevel.checkpoint()
+            checked_at = trio.current_time()
             try:
                 data, source = self._udp.recvfrom(RECEIVE_BYTES)
             except BlockingIOError:
-                emptied_at = trio.current_time()
-                await trio.lowlevel.wait_readable(self._udp)
+                emptied_at = checked_at
+                # Without the limit, a beacon that comes after a quiet time would count as old.
+                with trio.move_on_at(checked_at + EMPTY_CHECK_SECONDS):
+                    await trio.lowlevel.wait_readable(self._udp)
                 continue
             except OSError as error:
                 LOG.write("failed to receive a datagram", reason=str(error))
--- a/packages/daemon/gypsumpost_daemon/gateway/peer_exchange.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/peer_exchange.py
@@ -217,7 +217,8 @@
         """Forward a beacon that came directly from its sender to hosts that it did not reach."""
         sender = received.beacon.host
         if received.beacon.covers_domain:
-            await beacons.send(received.data, self._list_domain_ips(self._hosts.list_peers()))
+            ips = self._list_domain_ips(self._hosts.list_peers())
+            await beacons.send(beacons.encode_forwarded(received), ips)
         elif sender.failure_domain != self._domain:
             # In a domain without seeds, a new host is introduced to the others in this way.
             others = [
@@ -226,7 +227,8 @@
                 if host.failure_domain == sender.failure_domain and host.host_id != sender.host_id
             ]
             await beacons.send(
-                received.data, random.sample(others, min(INTRODUCTIONS, len(others)))
+                beacons.encode_forwarded(received),
+                random.sample(others, min(INTRODUCTIONS, len(others))),
             )
 
     def _add_contact(self, beacon: Beacon) -> None:
