Name the age of a confirmation as of when each datagram is sent

Found by reading the path of beacons that wait; no record shows it.

Cause: a host makes a beacon once and sends it to one peer after the other, and its other tasks run between two of them. A relay that forwards does the same.

Change: the age is brought up to date when a datagram is sent, if the beacon was made, or arrived, more than 0.15 s ago. This replaces the same step before a beacon is forwarded.

Not covered: a datagram that waits because the send buffer is full.

--- a/packages/daemon/gypsumpost_daemon/gateway/beacon_codec.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/beacon_codec.py
@@ -137,6 +137,8 @@
     :param seconds: the time, infinity if it is not known.
     """
     message = SCHEMA.Beacon.from_bytes_packed(data).as_builder()
+    if message.confirmedMsAgo == NEVER_CONFIRMED:
+        return data
     age = message.confirmedMsAgo + seconds * MILLISECONDS
     message.confirmedMsAgo = math.ceil(min(age, NEVER_CONFIRMED))
     packed: bytes = message.to_bytes_packed()
--- a/packages/daemon/gypsumpost_daemon/gateway/beacon_socket.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/beacon_socket.py
@@ -27,9 +27,9 @@
 EMPTY_CHECK_SECONDS = 0.1
 """Interval at which the socket is checked while no datagram arrives."""
 
-FORWARDED_LATE_SECONDS = 1.5 * EMPTY_CHECK_SECONDS
-"""Time in the socket from which on a forwarded beacon is given the age of its confirmation anew.
-It is longer than the interval of the checks, so that most beacons are forwarded unchanged."""
+LATE_SECONDS = 1.5 * EMPTY_CHECK_SECONDS
+"""Time from which on a beacon that waits is given the age of its confirmation anew. It is longer
+than the interval of the checks, so that most beacons are forwarded unchanged."""
 
 LOG = Log(prefix="peers")
 
@@ -72,30 +72,32 @@
             body = encode_beacon(attrs.evolve(beacon, copies=(), copies_left_out=True))
         return sign_datagram(self._key.choose_signing_key(trio.current_time()), body) + body
 
-    def encode_forwarded(self, received: ReceivedBeacon) -> bytes:
-        """Return the datagram with which a beacon is forwarded.
+    def update_age(self, data: bytes, dated_at: float) -> bytes:
+        """Return a datagram with the age that its confirmation has now.
 
-        A beacon that has waited here was confirmed longer ago than when it was sent.
-
-        :param received: the beacon.
+        :param data: the datagram.
+        :param dated_at: moment for which it names the age, as monotonic time in seconds.
         """
         now = trio.current_time()
-        waited = now - received.arrived_after
-        if waited <= FORWARDED_LATE_SECONDS or received.beacon.confirmed_ms_ago is None:
-            return received.data
-        body = add_confirmation_age(received.data[MAC_BYTES:], waited)
+        if now - dated_at <= LATE_SECONDS:
+            return data
+        body = add_confirmation_age(data[MAC_BYTES:], now - dated_at)
         return sign_datagram(self._key.choose_signing_key(now), body) + body
 
-    async def send(self, data: bytes, ips: Iterable[str]) -> int:
+    async def send(self, data: bytes, ips: Iterable[str], *, dated_at: float) -> int:
         """Send a datagram to hosts and return the number of bytes that were sent.
 
+        Other tasks run between two hosts, which takes long if this host is slow.
+
         :param data: the datagram.
         :param ips: addresses of the hosts.
+        :param dated_at: moment for which it names the age of its confirmation, as monotonic time
+            in seconds.
         """
         sent = 0
         for ip in ips:
             try:
-                sent += await self._sender.sendto(data, (ip, self._port))
+                sent += await self._sender.sendto(self.update_age(data, dated_at), (ip, self._port))
             except OSError as error:
                 LOG.write("failed to send a beacon", ip=ip, reason=str(error))
         return sent
--- a/packages/daemon/gypsumpost_daemon/gateway/peer_exchange.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/peer_exchange.py
@@ -170,9 +170,8 @@
         # Membership needs the ids of hosts, which are known only from their beacons.
         known = {find_ip(host) for host in self._hosts.list_known()}
         unknown = [ip for ip in self._seed_ips if ip not in known]
-        sent = await beacons.send(
-            beacons.encode(self._state.create_beacon(now)), [*domain_ips, *unknown]
-        )
+        data = beacons.encode(self._state.create_beacon(now))
+        sent = await beacons.send(data, [*domain_ips, *unknown], dated_at=now)
         return now + max(self._compute_pause(sent), SECONDS_PER_PEER * len(domain_ips))
 
     async def _send_to_other_domains(self, beacons: BeaconSocket) -> float:
@@ -191,7 +190,7 @@
             relay = self._roles.choose_relay(hosts, relay_index, now)
             if relay is not None:
                 relays.append(find_ip(relay))
-        sent = await beacons.send(beacons.encode(beacon), relays)
+        sent = await beacons.send(beacons.encode(beacon), relays, dated_at=now)
         return max(next_send_at, now + self._compute_pause(sent))
 
     def _compute_pause(self, sent: int) -> float:
@@ -218,7 +217,7 @@
         sender = received.beacon.host
         if received.beacon.covers_domain:
             ips = self._list_domain_ips(self._hosts.list_peers())
-            await beacons.send(beacons.encode_forwarded(received), ips)
+            await beacons.send(received.data, ips, dated_at=received.arrived_after)
         elif sender.failure_domain != self._domain:
             # In a domain without seeds, a new host is introduced to the others in this way.
             others = [
@@ -226,10 +225,8 @@
                 for host in self._contacts.values()
                 if host.failure_domain == sender.failure_domain and host.host_id != sender.host_id
             ]
-            await beacons.send(
-                beacons.encode_forwarded(received),
-                random.sample(others, min(INTRODUCTIONS, len(others))),
-            )
+            chosen = random.sample(others, min(INTRODUCTIONS, len(others)))
+            await beacons.send(received.data, chosen, dated_at=received.arrived_after)
 
     def _add_contact(self, beacon: Beacon) -> None:
         host_id = beacon.host.host_id
--- a/packages/daemon/gypsumpost_daemon/gateway/tests/test_beacon_socket.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/tests/test_beacon_socket.py
@@ -24,6 +24,11 @@
 KEY = b"key"
 CONFIRMED_MS = 300
 PAUSE_SECONDS = 0.5
+PEERS = 25
+TURN_SECONDS = 0.04
+"""Time that other tasks take between two datagrams of a slow host."""
+
+UNUSED_IP = "127.0.0.9"
 
 BEACON = Beacon(
     host=HostReport(host_id="h", failure_domain="d", link_mbps=8),
@@ -46,6 +51,11 @@
         yield BeaconSocket(udp=udp, port=udp.getsockname()[1], key=KeyRing(current=KEY))
 
 
+async def send_to_itself(beacons: BeaconSocket, beacon: Beacon) -> None:
+    """Send a beacon to the socket itself."""
+    await beacons.send(beacons.encode(beacon), ["127.0.0.1"], dated_at=trio.current_time())
+
+
 async def receive_after_pause(beacons: BeaconSocket, beacon: Beacon) -> ReceivedBeacon:
     """Return a beacon that arrives while the process is paused."""
     received = beacons.receive_all()
@@ -53,7 +63,7 @@
 
         async def pause() -> None:
             await trio.testing.wait_all_tasks_blocked()
-            await beacons.send(beacons.encode(beacon), ["127.0.0.1"])
+            await send_to_itself(beacons, beacon)
             time.sleep(PAUSE_SECONDS)
 
         nursery.start_soon(pause)
@@ -64,7 +74,7 @@
     """Guards against a relay that makes an old confirmation look new after a pause."""
     with open_beacons() as beacons:
         received = await receive_after_pause(beacons, BEACON)
-        forwarded = beacons.encode_forwarded(received)
+        forwarded = beacons.update_age(received.data, received.arrived_after)
     assert forwarded[:MAC_BYTES] == sign_datagram(KEY, forwarded[MAC_BYTES:])
     beacon = decode_beacon(forwarded[MAC_BYTES:]).unwrap()
     assert beacon.confirmed_ms_ago is not None
@@ -72,11 +82,31 @@
     assert attrs.evolve(beacon, confirmed_ms_ago=CONFIRMED_MS) == BEACON
 
 
+async def test_a_beacon_that_is_sent_late_names_the_age_of_its_confirmation(nursery):
+    """Guards against a slow host that tells the last of its peers an age as of a second ago."""
+
+    async def delay_tasks() -> None:
+        while True:
+            time.sleep(TURN_SECONDS)
+            await trio.lowlevel.checkpoint()
+
+    with open_beacons() as beacons:
+        made_at = trio.current_time()
+        data = beacons.encode(BEACON)
+        nursery.start_soon(delay_tasks)
+        await beacons.send(data, [*[UNUSED_IP] * PEERS, "127.0.0.1"], dated_at=made_at)
+        received = await anext(beacons.receive_all())
+        nursery.cancel_scope.cancel()
+    beacon = received.beacon
+    assert beacon.confirmed_ms_ago is not None
+    assert beacon.confirmed_ms_ago >= CONFIRMED_MS + PEERS * TURN_SECONDS * 1000
+
+
 async def test_a_forwarded_beacon_without_a_confirmation_gets_none():
     """Guards against a confirmation that no host has had."""
     with open_beacons() as beacons:
         received = await receive_after_pause(beacons, attrs.evolve(BEACON, confirmed_ms_ago=None))
-        assert beacons.encode_forwarded(received) == received.data
+        assert beacons.update_age(received.data, received.arrived_after) == received.data
 
 
 async def test_a_beacon_after_a_quiet_time_does_not_count_as_old():
@@ -87,13 +117,12 @@
 
             async def send_later() -> None:
                 await trio.sleep(2 * PAUSE_SECONDS)
-                await beacons.send(beacons.encode(BEACON), ["127.0.0.1"])
+                await send_to_itself(beacons, BEACON)
 
             nursery.start_soon(send_later)
             beacon = await anext(received)
         assert trio.current_time() - beacon.arrived_after < PAUSE_SECONDS
-        beacon = attrs.evolve(beacon, arrived_after=trio.current_time())
-        assert beacons.encode_forwarded(beacon) == beacon.data
+        assert beacons.update_age(beacon.data, trio.current_time()) == beacon.data
 
 
 @pytest.mark.parametrize("confirmed_ms_ago", [0, CONFIRMED_MS, 2**32 - 2])
