Ignore old beacons of the same process, however old they are

Found by reading the path of beacons that wait; no record shows it.

Cause: a beacon whose number is lower by 64 or more counts as one of a host that has restarted after its clock was set back. A relay sends up to 25 beacons a second in a deployment of nine hosts, so one that waited for three seconds at a paused relay, while another relay forwarded later ones, counted as new. The usage of a domain, its retries, reports of losses and roles were set back, and all that had waited behind it was applied too.

Change: the number decides alone while the beacon is of the same process, which beacons name since copies are exchanged.

--- a/packages/daemon/gypsumpost_daemon/gateway/peer_exchange.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/peer_exchange.py
@@ -83,7 +83,7 @@
         self._state = state
         self._roles = state.roles
         self._exchange = exchange
-        self._seen: dict[tuple[str, bool], int] = {}
+        self._seen: dict[tuple[str, bool], tuple[int, int]] = {}
         self._changed = trio.Event()
         self._domain_changed = trio.Event()
         self._loss_detected = trio.Event()
@@ -245,11 +245,15 @@
 
     def _is_new(self, beacon: Beacon) -> bool:
         key = (beacon.host.host_id, beacon.covers_domain)
-        last_sequence = self._seen.get(key, 0)
-        # A much lower number comes from a host that restarted after its clock was set back.
-        if last_sequence - REORDERED_BEACONS < beacon.sequence <= last_sequence:
+        last_incarnation, last_sequence = self._seen.get(key, (0, 0))
+        # A much lower number comes from a host that restarted after its clock was set back, or has
+        # waited for long at a relay; then it is of the same process.
+        same_process = beacon.incarnation == last_incarnation != 0
+        if beacon.sequence <= last_sequence and (
+            same_process or beacon.sequence > last_sequence - REORDERED_BEACONS
+        ):
             return False
-        self._seen[key] = beacon.sequence
+        self._seen[key] = (beacon.incarnation, beacon.sequence)
         return True
 
     def _handle_beacon(self, received: ReceivedBeacon, now: float) -> None:
