Apply a changed limit of heads to connections that are open

Cause: h11 takes the limit when a parser is created, and a connection keeps its parser. The class: a refusal for good that rests on an older version.

Change: a head that is not complete is given to a new parser when the limit has changed since its parser was created. Nothing is copied where it has not. A parser that follows a body in chunks may have been created before a change, so it is replaced once.

--- a/packages/daemon/gypsumpost_daemon/http/http_connection.py
+++ b/packages/daemon/gypsumpost_daemon/http/http_connection.py
@@ -79,7 +79,7 @@
         self._server = server
         self._guard = guard
         self._review = review
-        self._max_head = limits.max_head
+        self._max_head: int | None = limits.max_head
         self._parser = create_parser(limits)
         self._exchange: HttpExchange | None = None
         self._head_holder: MemoryHolder | None = None
@@ -159,6 +159,8 @@
     def _prepare_next_request(self, parser: h11.Connection) -> None:
         if parser is self._parser:
             parser.start_next_cycle()
+        else:
+            self._max_head = None
         self._parser = parser
         self.entry.enter(ConnectionStage.IDLE, trio.current_time())
 
@@ -217,13 +219,26 @@
             self._head_holder = None
 
     def _parse_head(self) -> object:
+        max_head = self._limits.max_head
+        if max_head != self._max_head:
+            self._replace_parser()
         try:
             return self._parser.next_event()
         except h11.RemoteProtocolError as error:
             if error.error_status_hint == LONG_HEAD_STATUS:
-                raise refuse_long_head(str(error), self._max_head) from error
+                raise refuse_long_head(str(error), max_head) from error
             raise refuse_malformed(str(error), error.error_status_hint) from error
 
+    def _replace_parser(self) -> None:
+        """Parse the head that is arriving by the limit in force; a parser's own is fixed."""
+        received, ended = self._parser.trailing_data
+        self._max_head = self._limits.max_head
+        self._parser = create_parser(self._limits)
+        if received:  # An empty argument means the end of the connection.
+            self._parser.receive_data(received)
+        if ended:
+            self._parser.receive_data(b"")
+
     async def _receive_by(self, deadline: float) -> bytes | None:
         data = None
         with trio.CancelScope(deadline=deadline) as scope:
--- a/packages/daemon/gypsumpost_daemon/http/http_limits.py
+++ b/packages/daemon/gypsumpost_daemon/http/http_limits.py
@@ -9,8 +9,8 @@
 class HttpLimits:
     """Sizes in bytes and times in seconds.
 
-    A change applies to the next request of a connection, but one of ``max_head``, ``stall_seconds``
-    or ``least_rate`` only to new connections.
+    A change applies to the next request of a connection, one of ``max_head`` also to a head that is
+    under way, but one of ``stall_seconds`` or ``least_rate`` only to new connections.
 
     :param max_body: longest request body.
     :param max_head: longest request line with headers.
