Eject endpoints that fail one call after the other

Callers saw all calls that may not be repeated fail with 500, although a sound endpoint of the service was there.

Cause: `estimate_seconds` takes the time of an error for an answer time, and a share of failures makes an endpoint at most nine times as dear. An error after 1 ms costs 9 ms, an endpoint without an answer is taken for 30 ms. Where endpoints state their load, errors do not shorten the time, but an endpoint that is avoided for its failures keeps its share of them, and stays unused after it has recovered.

Change: four failures in a row eject an endpoint for calls. It is used only where no other one remains that is not lost, and gets a test call after 0.5 s, 1 s and then every 2 s, if four calls have gone elsewhere since the last one. A success ends the ejection and clears the share of failures, as that described the time before. Where all endpoints are ejected they are ranked as before. Timeouts and refusals that say that the call has not run are not counted.

Two tests pass with and without it and keep what may have broken: endpoints with an equal share of 0.14 share the calls, and over sockets an endpoint has its share 3 s after it serves again.

--- a/packages/core/gypsumpost_core/gateway/endpoint_choice.py
+++ b/packages/core/gypsumpost_core/gateway/endpoint_choice.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Collection, Sequence
 
+from gypsumpost_core.gateway.endpoint_ejection import exclude_ejected, find_test_endpoint
 from gypsumpost_core.gateway.endpoint_state import EndpointState
 
 CROSS_DOMAIN_SECONDS = 0.004
@@ -26,9 +27,10 @@
 ) -> list[EndpointState]:
     """Return the endpoints by expected answer time, the lowest first; none if all were tried.
 
-    Endpoints marked lost are used only if no other endpoint remains. The better one of two random
-    endpoints goes first where endpoints state their load, since hosts that know the same load would
-    otherwise all choose the same endpoint.
+    Endpoints marked lost are used only if no other endpoint remains, and so are ejected ones; one
+    of those goes first if its test call is due, unless the call has failed at another one. The
+    better one of two random endpoints goes first where endpoints state their load, since hosts that
+    know the same load would otherwise all choose the same endpoint.
 
     :param states: endpoints of the service that accept new requests.
     :param failure_domain: failure domain of this host.
@@ -37,11 +39,15 @@
     :param rng: random number generator that draws the two endpoints.
     """
     untried = [state for state in states if state.record.endpoint_id not in tried]
-    usable = [state for state in untried if not state.lost] or untried
-    ranked = sorted(usable, key=lambda state: estimate_seconds(state, failure_domain, now))
+    present = [state for state in untried if not state.lost] or untried
+    ranked = exclude_ejected(present)
+    ranked.sort(key=lambda state: estimate_seconds(state, failure_domain, now))
     if any(state.load is not None for state in ranked):
         drawn = rng.sample(range(len(ranked)), min(DRAWN_ENDPOINTS, len(ranked)))
         ranked.insert(0, ranked.pop(min(drawn)))
+    tested = None if tried else find_test_endpoint(present, now)
+    if tested is not None:
+        ranked.insert(0, tested)
     return ranked
 
 
--- a/packages/core/gypsumpost_core/gateway/endpoint_state.py
+++ b/packages/core/gypsumpost_core/gateway/endpoint_state.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from gypsumpost_core.gateway.call_failures import CallFailures
 from gypsumpost_core.gateway.endpoint_load import EndpointLoad
 from gypsumpost_core.gateway.endpoint_record import EndpointRecord
 
@@ -33,6 +34,7 @@
     :param pending: requests of this host that are in progress at the endpoint.
     :param answer_seconds: smoothed answer time in seconds, 0 before the first answer.
     :param failure_ratio: smoothed share of failed requests.
+    :param call_failures: consecutive failures of calls, which eject it.
     :param event_gap: smoothed interval between events of a stream in seconds, 0 before the first.
     :param load: load that it stated last, ``None`` if it has stated none.
     :param load_at: monotonic time in seconds at which the load was received.
@@ -51,6 +53,7 @@
     pending: int = 0
     answer_seconds: float = 0.0
     failure_ratio: float = 0.0
+    call_failures: CallFailures = attrs.field(factory=CallFailures)
     event_gap: float = 0.0
     load: EndpointLoad | None = None
     load_at: float = NEVER
@@ -96,6 +99,18 @@
         """
         self.failure_ratio += SMOOTHING * (float(failed) - self.failure_ratio)
 
+    def observe_call_end(self, *, served: bool, now: float) -> None:
+        """Record whether a call was served or failed by the endpoint's own fault.
+
+        :param served: true if it was served.
+        :param now: monotonic time in seconds.
+        """
+        if not served:
+            self.call_failures.observe_failure(now)
+        elif self.call_failures.observe_success():
+            # The failures before the ejection say nothing about the endpoint that has recovered.
+            self.failure_ratio = 0.0
+
     def observe_load(self, load: EndpointLoad, now: float) -> None:
         """Record the load that the endpoint states.
 
--- a/packages/daemon/gypsumpost_daemon/gateway/call_endpoints.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/call_endpoints.py
@@ -4,6 +4,7 @@
 from result import Err, Ok, Result
 
 from gypsumpost_core.gateway.endpoint_choice import rank_endpoints
+from gypsumpost_core.gateway.endpoint_ejection import record_choice
 from gypsumpost_core.gateway.endpoint_state import EndpointState
 from gypsumpost_core.gateway.no_endpoint import NoEndpoint
 from gypsumpost_daemon.gateway.caller_call import CallerCall
@@ -37,14 +38,16 @@
         while trio.current_time() < call.deadline:
             now = trio.current_time()
             call.versions.draw()
+            usable = call.versions.select(self._list_usable(call.service, now), tried)
             ranked = rank_endpoints(
-                call.versions.select(self._list_usable(call.service, now), tried),
+                usable,
                 failure_domain=self._context.settings.failure_domain,
                 tried=tried,
                 now=now,
                 rng=self._context.rng,
             )
             if ranked:
+                record_choice(usable, ranked[0], now)
                 permitted = await self._take_permit(call, ranked)
                 if permitted is not None:
                     return permitted
--- a/packages/daemon/gypsumpost_daemon/gateway/call_forwarder.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/call_forwarder.py
@@ -161,6 +161,9 @@
             outcome = await self._exchange(call, state, attempt_deadline)
             version_outcome = find_version_outcome(outcome)
             failed = isinstance(outcome, Err) or outcome.ok_value.status >= SERVER_ERROR_STATUS
+            served = find_served(outcome)
+            if served is not None:
+                state.observe_call_end(served=served, now=trio.current_time())
             self._context.metrics.count_attempt(call.service, describe_outcome(outcome))
             return outcome
         finally:
@@ -261,6 +264,21 @@
     return "lost" if outcome.err_value.may_have_run else "not-run"
 
 
+def find_served(outcome: Result[EndpointAnswer, AttemptFailure]) -> bool | None:
+    """Return whether an endpoint served a call or failed it, ``None`` if neither is certain.
+
+    A timeout may be due to the time that the call had left, and a refusal to the load.
+
+    :param outcome: the result of the attempt.
+    """
+    if isinstance(outcome, Ok):
+        return outcome.ok_value.status < SERVER_ERROR_STATUS
+    failure = outcome.err_value
+    if not failure.may_have_run or failure.outcome is AnswerOutcome.TIMED_OUT:
+        return None
+    return False
+
+
 def find_version_outcome(
     outcome: Result[EndpointAnswer, AttemptFailure],
 ) -> AnswerOutcome | None:
