Ask the store beside the peers when a change is late, and spread the questions

Change: what decides is the time since a peer has first named a change that is still lacking: 0.9 s and a spread of 0.3 s, or 0.02 s for each host of the domain, during which most hosts get it from the next peer. A question is repeated after 2 s at the earliest, and not for a change that no beacon names any more.

--- a/packages/daemon/gypsumpost_daemon/gateway/directory_exchange.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/directory_exchange.py
@@ -7,6 +7,7 @@
 
 from gypsumpost_core.gateway.directory_source import DirectorySource
 from gypsumpost_core.gateway.directory_sources import DirectorySources
+from gypsumpost_core.gateway.late_changes import LateChanges
 from gypsumpost_daemon.gateway.beacon import Beacon
 from gypsumpost_daemon.gateway.directory import Directory
 from gypsumpost_daemon.gateway.directory_codec import (
@@ -27,9 +28,8 @@
 REPLY_SECONDS = 1.0
 MILLISECONDS = 1000
 
-SLOW_FETCH_SECONDS = 0.5
-"""A fetch that fails after this time has left too little of the time in which a change has to be in
-force to ask one peer after the other."""
+LATE_CHECK_SECONDS = 0.1
+"""Interval at which a host checks whether changes that peers name are still lacking."""
 
 LARGE_REPLY_BYTES = 65536
 """Replies from this size on are logged: they take long on a slow link."""
@@ -44,8 +44,9 @@
     :param directory: configuration and endpoints.
     :param network: requests to peers.
     :param record_change: called with the prefix of a change that a peer has sent, and the peer.
-    :param ask_store: called with a prefix under which changes are lacking that a peer has not sent
-        in time; must not block.
+    :param ask_store: called with a prefix under which changes are lacking that no peer has sent in
+        time; must not block.
+    :param count_domain_hosts: returns the number of hosts of the domain.
     :param metrics: counters of the gateway.
     """
 
@@ -57,11 +58,15 @@
         network: PeerNetwork,
         record_change: Callable[[str, str], None],
         ask_store: Callable[[str], None],
+        count_domain_hosts: Callable[[], int],
         metrics: GatewayMetrics,
     ) -> None:
         self._directory = directory
         self._record_change = record_change
         self._ask_store = ask_store
+        self._count_domain_hosts = count_domain_hosts
+        self._late = LateChanges()
+        self._newest_named: DirectorySource | None = None
         self._metrics = metrics
         self._network = network
         self._reached_endpoint_revision = 0
@@ -88,11 +93,36 @@
             self._directory.freshness.record_confirmation(beacon.version, confirmed_at)
         if self._is_ahead(source):
             self._directory.freshness.record_named(source.version)
-            self._sources.put(source, trio.current_time(), watching=watching)
+            now = trio.current_time()
+            self._sources.put(source, now, watching=watching)
+            self._newest_named = source
+            self._late.record_named(self._list_lacking(source), self._count_domain_hosts(), now)
             self._changed.set()
 
     async def run(self) -> None:
         """Fetch changes from peers that are ahead, until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._ask_when_late)
+            await self._fetch_changes()
+
+    async def _ask_when_late(self) -> None:
+        """Ask the store for what peers have named and not sent, while they are still asked."""
+        while True:
+            await trio.sleep(LATE_CHECK_SECONDS)
+            if self._newest_named is not None:
+                lacking = self._list_lacking(self._newest_named)
+                hosts = self._count_domain_hosts()
+                for prefix in self._late.take_due(lacking, hosts, trio.current_time()):
+                    LOG.write("no peer has sent a change in time", prefix=prefix)
+                    self._ask_store(prefix)
+
+    def _list_lacking(self, source: DirectorySource) -> list[str]:
+        """Return the prefixes under which this host lacks what a peer has named."""
+        if not self._is_ahead(source):
+            return []
+        return self._directory.list_behind(source.version, source.endpoint_revision)
+
+    async def _fetch_changes(self) -> None:
         while True:
             with trio.move_on_at(self._sources.compute_due()):
                 await self._changed.wait()
@@ -104,18 +134,10 @@
             if source is None:
                 continue
             fetched = False
-            started_at = trio.current_time()
             with contain_errors(LOG, "a fetch of the directory", peer=source.host_id):
                 fetched = await self._fetch(source)
             if not fetched:
-                self._record_failure(source, started_at)
-
-    def _record_failure(self, source: DirectorySource, started_at: float) -> None:
-        now = trio.current_time()
-        self._sources.record_failure(source.host_id, now)
-        if now >= started_at + SLOW_FETCH_SECONDS:
-            for prefix in self._directory.list_behind(source.version, source.endpoint_revision):
-                self._ask_store(prefix)
+                self._sources.record_failure(source.host_id, trio.current_time())
 
     @property
     def _endpoint_revision(self) -> int:
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
@@ -192,7 +192,8 @@
                 directory=self.directory,
                 network=self._network,
                 record_change=self._follower.record_missed_change,
-                ask_store=lambda prefix: self._confirmer.request(prefix),
+                ask_store=lambda prefix: self._confirmer.poll_soon(prefix),
+                count_domain_hosts=self._count_domain_hosts,
                 metrics=gateway_metrics,
             ),
         )
--- a/packages/daemon/gypsumpost_daemon/gateway/store_confirmer.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/store_confirmer.py
@@ -71,7 +71,7 @@
         self._requested: set[str] = set()
         self._request_made = trio.Event()
 
-    def request(self, prefix: str) -> None:
+    def poll_soon(self, prefix: str) -> None:
         """Poll a prefix soon; must not block.
 
         :param prefix: prefix of the keys.
--- a/packages/daemon/gypsumpost_daemon/gateway/tests/test_directory_exchange.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/tests/test_directory_exchange.py
@@ -102,6 +102,7 @@
         own_domain="a",
         record_change=lambda prefix, peer: None,
         ask_store=asked.append,
+        count_domain_hosts=lambda: 1,
         **dependencies,
     )
     nursery.start_soon(exchange.run)
@@ -134,6 +135,7 @@
         own_domain="a",
         record_change=lambda prefix, peer: None,
         ask_store=lambda prefix: None,
+        count_domain_hosts=lambda: 1,
         **dependencies,
     )
     nursery.start_soon(exchange.run)
