Pause between polls that confirm nothing

While the store answered polls with 429, and for as long as a version could not be read, each watcher polled the configuration 4 times a second, and the first one of each domain the endpoints too. The store limits the reads of all daemons together, so hosts that ask like that keep each other from an answer. While a version could not be read, each request with a wrong path made a poll as well.

Cause: a host asks when its confirmation is old, and a poll that does not help leaves it as old as it was. The pause for requests counted failures of the call only, not an answer that confirms nothing.

Change: after a poll that has not helped the next one waits 0.25, 0.5 and then 0.8 s, and requests wait 0.3 s for any poll that confirmed nothing. The first repetition comes as soon as before, so a single lost answer costs no time.

--- a/packages/daemon/gypsumpost_daemon/gateway/store_confirmer.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/store_confirmer.py
@@ -35,7 +35,8 @@
 """How long a request that would be refused for good waits for the answer of the store."""
 
 FAILURE_PAUSE_SECONDS = 0.3
-"""After a failure, requests do not wait for another answer within this time."""
+"""After a poll that has confirmed nothing, requests do not wait for another one within this time.
+"""
 
 LOG = Log(prefix="store")
 
@@ -67,6 +68,8 @@
         self._wanted = trio.Event()
         self._answered = trio.Event()
         self._failed_until = -math.inf
+        self._asked_at = -math.inf
+        self._pause = 0.0
         self._spread = random.uniform(0.0, SPREAD_SECONDS)
         self._requested: set[str] = set()
         self._request_made = trio.Event()
@@ -111,16 +114,20 @@
             self._wanted = trio.Event()
             if wanted or self._is_due():
                 self._spread = random.uniform(0.0, SPREAD_SECONDS)
+                self._asked_at = trio.current_time()
                 if await self._poll(self._directory.configuration_prefix):
                     self._announce()
+                if self._directory.freshness.is_confirmed():
+                    self._pause = 0.0
                 else:
+                    self._pause = extend_pause(self._pause)
                     self._failed_until = trio.current_time() + FAILURE_PAUSE_SECONDS
             self._answered.set()
             self._answered = trio.Event()
 
     def _is_due(self) -> bool:
         """Return true if this host watches the store and no other host has asked for a while."""
-        if not self._follower.watching:
+        if not self._follower.watching or trio.current_time() < self._asked_at + self._pause:
             return False
         turn = self._roles.count_watchers_ahead(trio.current_time())
         age = self._directory.freshness.compute_confirmation_age()
@@ -138,14 +145,25 @@
 
     async def _poll_quiet(self, prefix: str) -> None:
         """Poll a prefix at the first watcher when the store has told nothing of it for a while."""
+        pause = 0.0
         while True:
-            await trio.sleep(CHECK_SECONDS)
+            await trio.sleep(max(CHECK_SECONDS, pause))
             now = trio.current_time()
             is_first = self._follower.watching and not self._roles.count_watchers_ahead(now)
             if is_first and self._follower.is_quiet(prefix, now - QUIET_SECONDS):
-                await self._poll(prefix)
+                pause = 0.0 if await self._poll(prefix) else extend_pause(pause)
 
     async def _poll(self, prefix: str) -> bool:
         with contain_errors(LOG, "a poll", prefix=prefix):
             return await self._follower.poll(prefix, trio.current_time() + REPLY_SECONDS)
         return False
+
+
+def extend_pause(pause: float) -> float:
+    """Return the seconds between the next polls after one that did not help.
+
+    The store limits the calls of all hosts together, so asking without pause prolongs a failure.
+
+    :param pause: the seconds before it, 0 if the poll before it helped.
+    """
+    return min(CONFIRM_SECONDS, max(CHECK_SECONDS, 2 * pause))
