Probe an endpoint whose loss is reported by beacons that have waited

A host that is woken from a pause, and does not verify losses itself, took a sound endpoint for lost because of reports of its domain from the time of the pause.

Cause: two hosts of the domain suffice for the loss, whatever the age of their beacons. Reports of the return are repeated for 1.0 s only, and can be lost, as the buffer of the socket drops what arrives when it is full. Then no other host takes the endpoint for lost, and this one probes it with a share of one in 27 in each 0.3 s.

Change: a report that waited for longer than reports are repeated makes the host probe the endpoint in place of believing it. This is one probe for an endpoint that is not yet lost, only at hosts that read their socket later than 1.0 s.

A crash of a whole domain at a slow host, where such probes add up, was not played.

--- a/packages/daemon/gypsumpost_daemon/gateway/beacon_state.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/beacon_state.py
@@ -112,11 +112,12 @@
             rollouts=self._report_rollouts(now, of_domain=True),
         )
 
-    def apply(self, beacon: Beacon, now: float) -> bool:
+    def apply(self, beacon: Beacon, now: float, *, arrived_after: float) -> bool:
         """Apply the state of another host, and return true if the totals of this domain change.
 
         :param beacon: the beacon of the other host.
         :param now: monotonic time in seconds.
+        :param arrived_after: moment before its arrival, as monotonic time in seconds.
         """
         report = beacon.host
         changed = False
@@ -136,7 +137,7 @@
                 self.copies.put_peer_reports(
                     report.host_id, beacon.copies, now, incarnation=beacon.incarnation
                 )
-        self.reports.handle_beacon(beacon, now)
+        self.reports.handle_beacon(beacon, now, arrived_after=arrived_after)
         for start in beacon.leaving:
             changed = self.directory.fleet.mark_leaving(start) or changed
         changed = self.notices.apply_limits(beacon.limits, report.host_id, now) or changed
--- a/packages/daemon/gypsumpost_daemon/gateway/endpoint_reports.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/endpoint_reports.py
@@ -95,11 +95,12 @@
         """
         return list_current(self._returns, now, of_domain)
 
-    def handle_beacon(self, beacon: Beacon, now: float) -> None:
+    def handle_beacon(self, beacon: Beacon, now: float, *, arrived_after: float) -> None:
         """Judge the losses and returns that a peer reports.
 
         :param beacon: the peer's beacon.
         :param now: monotonic time in seconds.
+        :param arrived_after: moment before its arrival, as monotonic time in seconds.
         """
         fleet = self._directory.fleet
         heard = self._evidence.record(
@@ -116,6 +117,9 @@
                 fleet.mark_domain_suspect(state.record, now)
                 in_use = self._monitor.is_in_use(state)
                 verdict = self._evidence.judge_loss(start, state, hosts, now, in_use=in_use)
+                if verdict is ReportVerdict.ADOPT and arrived_after < now - REPORT_SECONDS:
+                    # The endpoint may have returned since, and the reports of that have ended.
+                    verdict = ReportVerdict.PROBE
                 self._apply_loss(state, verdict, beacon.host.host_id)
         for start in beacon.returns:
             state = fleet.find(start.endpoint_id)
--- a/packages/daemon/gypsumpost_daemon/gateway/peer_exchange.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/peer_exchange.py
@@ -257,7 +257,7 @@
         return True
 
     def _handle_beacon(self, received: ReceivedBeacon, now: float) -> None:
-        if self._state.apply(received.beacon, now):
+        if self._state.apply(received.beacon, now, arrived_after=received.arrived_after):
             self._domain_changed.set()
         self._exchange.handle_beacon(
             received.beacon,
