Count only the certain turns in the test of a beacon that is sent late

The test failed once in a run of several files and once in four runs alone: 1,271 ms in place of 1,300. Trio runs the tasks of a turn in random order, so only 24 of the 25 turns are certain to come before the last datagram. An age that is not brought up to date stays at 300 ms, so the test guards against the same fault.

--- a/packages/daemon/gypsumpost_daemon/gateway/tests/test_beacon_socket.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/tests/test_beacon_socket.py
@@ -99,7 +99,8 @@
         nursery.cancel_scope.cancel()
     beacon = received.beacon
     assert beacon.confirmed_ms_ago is not None
-    assert beacon.confirmed_ms_ago >= CONFIRMED_MS + PEERS * TURN_SECONDS * 1000
+    # The order of tasks within a turn is random, so the first and the last turn may not count.
+    assert beacon.confirmed_ms_ago >= CONFIRMED_MS + (PEERS - 1) * TURN_SECONDS * 1000
 
 
 async def test_a_forwarded_beacon_without_a_confirmation_gets_none():
