--- a/packages/daemon/gypsumpost_daemon/gateway/directory_exchange.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/directory_exchange.py
@@ -66,7 +66,7 @@
         self._ask_store = ask_store
         self._count_domain_hosts = count_domain_hosts
         self._late = LateChanges()
-        self._newest_named: DirectorySource | None = None
+        self._awaited: dict[str, DirectorySource] = {}
         self._metrics = metrics
         self._network = network
         self._reached_endpoint_revision = 0
@@ -95,8 +95,10 @@
             self._directory.freshness.record_named(source.version)
             now = trio.current_time()
             self._sources.put(source, now, watching=watching)
-            self._newest_named = source
-            self._late.record_named(self._list_lacking(source), self._count_domain_hosts(), now)
+            lacking = self._list_lacking(source)
+            for prefix in lacking:
+                self._awaited.setdefault(prefix, source)
+            self._late.record_named(lacking, self._count_domain_hosts(), now)
             self._changed.set()
 
     async def run(self) -> None:
@@ -109,12 +111,16 @@
         """Ask the store for what peers have named and not sent, while they are still asked."""
         while True:
             await trio.sleep(LATE_CHECK_SECONDS)
-            if self._newest_named is not None:
-                lacking = self._list_lacking(self._newest_named)
-                hosts = self._count_domain_hosts()
-                for prefix in self._late.take_due(lacking, hosts, trio.current_time()):
-                    LOG.write("no peer has sent a change in time", prefix=prefix)
-                    self._ask_store(prefix)
+            # Where changes follow each other, the newest one is always lacking for a moment.
+            self._awaited = {
+                prefix: source
+                for prefix, source in self._awaited.items()
+                if prefix in self._list_lacking(source)
+            }
+            hosts = self._count_domain_hosts()
+            for prefix in self._late.take_due(self._awaited, hosts, trio.current_time()):
+                LOG.write("no peer has sent a change in time", prefix=prefix)
+                self._ask_store(prefix)
 
     def _list_lacking(self, source: DirectorySource) -> list[str]:
         """Return the prefixes under which this host lacks what a peer has named."""
--- a/packages/daemon/gypsumpost_daemon/gateway/tests/test_directory_exchange.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/tests/test_directory_exchange.py
@@ -7,6 +7,7 @@
 from result import Err, Ok
 
 from gypsumpost_core.gateway.host_report import HostReport
+from gypsumpost_core.gateway.late_changes import ASK_SECONDS, SPREAD_SECONDS
 from gypsumpost_daemon.gateway.beacon import Beacon
 from gypsumpost_daemon.gateway.directory_codec import encode_state
 from gypsumpost_daemon.gateway.directory_exchange import DirectoryExchange
@@ -145,3 +146,27 @@
     await trio.sleep(1.0)
     assert network.requested_peers == ["empty", "empty", "full"]
     assert dependencies["directory"].applied == ["full"]
+
+
+async def test_changes_that_follow_each_other_and_arrive_are_not_asked_for(nursery, autojump_clock):
+    """Guards against calls to the store by hosts that always lack the newest of many changes."""
+    directory = EmptyDirectory()
+    asked: list[str] = []
+    exchange = DirectoryExchange(
+        own_domain="a",
+        directory=directory,  # type: ignore[arg-type]
+        network=RecordingNetwork(),  # type: ignore[arg-type]
+        record_change=lambda prefix, peer: None,
+        ask_store=asked.append,
+        count_domain_hosts=lambda: 1,
+        metrics=GatewayMetrics(metrics=Metrics()),
+    )
+    nursery.start_soon(exchange.run)
+    for revision in range(1, 60):
+        beacon = create_beacon("h", version=0, endpoint_revision=revision)
+        exchange.handle_beacon(beacon, arrived_after=0.0, watching=False)
+        await trio.sleep(0.07)
+        directory.endpoint_revision = revision - 1
+    assert not asked
+    await trio.sleep(ASK_SECONDS + SPREAD_SECONDS)
+    assert asked == ["servers/"]
