--- a/packages/daemon/gypsumpost_daemon/gateway/tests/test_directory_exchange.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/tests/test_directory_exchange.py
@@ -115,9 +115,10 @@
     ]
     for beacon in beacons:
         exchange.handle_beacon(beacon, arrived_after=0.0, watching=False)
-    await trio.sleep(1.0)
-    assert network.requested_peers == ["fast", "slow-too", "slow", "other-domain"]
+    await trio.sleep(ASK_SECONDS - 0.1)
     assert not asked
+    await trio.sleep(0.2)
+    assert network.requested_peers == ["fast", "slow-too", "slow", "other-domain"]
 
 
 async def test_a_peer_that_holds_no_full_list_does_not_hide_the_changes_of_others(
