Order what the store and the peers tell by the store's era

Cause: an item table keeps the item with the higher revision, so what the operator and the endpoints wrote again was ignored, while a poll that brought nothing usable counted as a confirmation that the version in force is the newest. Store-Era was read nowhere. The class: numbers of two counters are compared as if they were one.

Change: the adapter hands on the era of each answer, also of errors. A higher era is believed when two answers in a row name it; answers of other eras are dropped. Each table is of one era, which only a complete read changes. Beacons, requests for the directory and its sets carry the era. A store that has come back with an older configuration confirms nothing, so refusals for good wait for the operator's write. Entries that the copy lacks are kept as after an outage; those whose removal was known are held back; what was leaving stays so. One line for each host, prefix and era, two gauges. The application of endpoint entries moved out of directory.py.

--- a/packages/core/gypsumpost_core/gateway/directory_sources.py
+++ b/packages/core/gypsumpost_core/gateway/directory_sources.py
@@ -10,6 +10,7 @@
 import attrs
 
 from gypsumpost_core.gateway.directory_source import DirectorySource
+from gypsumpost_core.gateway.store_position import StorePosition
 
 COALESCE_SECONDS = 0.1
 """Changes within this time are fetched together."""
@@ -46,14 +47,14 @@
         self._sources[source.host_id] = source
         self._due_at.setdefault(source.host_id, now + delay)
 
-    def drop_reached(self, version: int, endpoint_revision: int) -> None:
+    def drop_reached(self, version: int, endpoint_position: StorePosition) -> None:
         """Forget the peers that are no longer ahead.
 
         :param version: version of the configuration in force on this host.
-        :param endpoint_revision: revision of the newest endpoint change that it knows.
+        :param endpoint_position: position of the newest endpoint change that it knows.
         """
         for host_id, source in list(self._sources.items()):
-            if not source.is_ahead(version, endpoint_revision):
+            if not source.is_ahead(version, endpoint_position):
                 self._drop(host_id)
 
     def record_failure(self, host_id: str, now: float) -> None:
--- /dev/null
+++ b/packages/core/gypsumpost_core/gateway/era_belief.py
@@ -0,0 +1,66 @@
+"""Decides which era of the store a host believes in.
+
+The load pattern: the store comes back from an older copy, and answers of the former era are still
+under way; or a single answer names a wrong era.
+"""
+
+import enum
+
+import attrs
+
+from gypsumpost_core.gateway.store_era import NO_ERA, StoreEra
+
+MAX_RISE = 1_000
+"""The store's era rises by one at a time, and a host that was cut off may miss several."""
+
+
+class EraVerdict(enum.Enum):
+    """What an answer is worth.
+
+    ``CURRENT``: it is of the believed era, or names none.
+    ``UNCONFIRMED``: it names a higher era, which no other answer has named yet.
+    ``FORMER``: it names a lower era.
+    ``UNLIKELY``: it names an era that is too high to be believed.
+    """
+
+    CURRENT = "current"
+    UNCONFIRMED = "unconfirmed"
+    FORMER = "former"
+    UNLIKELY = "unlikely"
+
+
+@attrs.define(kw_only=True)
+class EraBelief:
+    """Believes a higher era when two answers in a row name it.
+
+    :ivar era: the believed era.
+    """
+
+    era: StoreEra = attrs.field(default=NO_ERA, init=False)
+    _candidate: StoreEra = attrs.field(default=NO_ERA, init=False)
+
+    def observe(self, era: StoreEra | None) -> EraVerdict:
+        """Return what an answer of the store is worth, and believe its era if that is confirmed.
+
+        :param era: the era that the answer names, ``None`` if it names none.
+        """
+        if era is None:
+            return EraVerdict.CURRENT
+        if self.era != NO_ERA and era > self.era + MAX_RISE:
+            return EraVerdict.UNLIKELY
+        if era > self.era and era != self._candidate:
+            self._candidate = era
+            return EraVerdict.UNCONFIRMED
+        self._candidate = NO_ERA
+        if era < self.era:
+            return EraVerdict.FORMER
+        self.era = era
+        return EraVerdict.CURRENT
+
+    def adopt(self, era: StoreEra) -> None:
+        """Believe an era that a peer has had confirmed.
+
+        :param era: the era.
+        """
+        if era > self.era:
+            self.era, self._candidate = era, NO_ERA
--- a/packages/core/gypsumpost_core/gateway/item_table.py
+++ b/packages/core/gypsumpost_core/gateway/item_table.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Collection, Iterable
 
+from gypsumpost_core.gateway.store_era import NO_ERA, StoreEra
 from gypsumpost_core.gateway.stored_item import StoredItem
 
 
@@ -10,15 +11,21 @@
 
     The revision of a removed key is kept, so that an older write that arrives late has no effect.
     The changes are complete up to ``revision``; ``newest`` is the revision of the newest item, and
-    ``discarded`` that of the newest item that could not be used.
+    ``discarded`` that of the newest item that could not be used. All revisions are of one ``era``
+    of the store; what is of an earlier one has no effect, and a complete read begins a later one.
+    ``restored`` is true once a later era has begun, and ``revived`` holds the revisions of items
+    that exist at its begin although their removal was known.
     """
 
     def __init__(self) -> None:
         self._items: dict[str, StoredItem] = {}
         self._first_revision: int | None = None
+        self.era = NO_ERA
         self.revision = 0
         self.newest = 0
         self.discarded = 0
+        self.restored = False
+        self.revived: dict[str, int] = {}
 
     @property
     def loaded(self) -> bool:
@@ -30,12 +37,19 @@
         """Revision from which on the table knows all removals, 0 before a complete read."""
         return self._first_revision or 0
 
-    def apply(self, items: Iterable[StoredItem], revision: int) -> list[StoredItem]:
+    def apply(
+        self, items: Iterable[StoredItem], revision: int, era: StoreEra = NO_ERA
+    ) -> list[StoredItem]:
         """Apply changes and return those that were not known, the last one of each key.
 
+        Changes of a later era have no effect, as they may rest on changes that are not known.
+
         :param items: the changes.
         :param revision: revision of the store up to which the changes are complete.
+        :param era: era of the store.
         """
+        if era != self.era:
+            return []
         changed = {}
         for item in items:
             current = self._items.get(item.key)
@@ -47,17 +61,26 @@
         return list(changed.values())
 
     def replace(
-        self, items: Iterable[StoredItem], revision: int, kept: Collection[str] = ()
+        self,
+        items: Iterable[StoredItem],
+        revision: int,
+        kept: Collection[str] = (),
+        era: StoreEra = NO_ERA,
     ) -> list[StoredItem]:
         """Apply a complete read of the prefix and return the changes, removals included.
 
-        Items newer than the read are kept.
+        Items newer than the read are kept, unless the read begins a later era.
 
         :param items: all items that exist.
         :param revision: revision of the store at which the read began.
         :param kept: keys of items that exist as they are known.
+        :param era: era of the store.
         """
+        if era < self.era:
+            return []
         present = list(items)
+        if era > self.era:
+            return [] if kept else self._begin_era(present, revision, era)
         keys = {item.key for item in present}.union(kept)
         removed = [
             StoredItem(key=item.key, revision=revision, value=None)
@@ -66,7 +89,45 @@
         ]
         if self._first_revision is None:
             self._first_revision = revision
-        return self.apply([*present, *removed], revision)
+        return self.apply([*present, *removed], revision, era)
+
+    def find(self, key: str) -> StoredItem | None:
+        """Return the latest write or removal of a key, ``None`` if none is known.
+
+        :param key: the key.
+        """
+        return self._items.get(key)
+
+    def resolve_era(self, era: StoreEra) -> StoreEra:
+        """Return the era of revisions that a host of an older version names.
+
+        :param era: the era that it names, ``NO_ERA`` if it knows none.
+        """
+        return self.era if era == NO_ERA and not self.restored else era
+
+    def _begin_era(
+        self, present: list[StoredItem], revision: int, era: StoreEra
+    ) -> list[StoredItem]:
+        """Take over the items of a later era and return those whose values differ."""
+        former = {item.key: item.value for item in self._items.values()}
+        self.restored = self.restored or self.loaded
+        self._items.clear()
+        self._first_revision = None
+        self.era, self.revision, self.newest, self.discarded = era, 0, 0, 0
+        keys = {item.key for item in present}
+        removed = [
+            StoredItem(key=key, revision=revision, value=None)
+            for key, value in former.items()
+            if value is not None and key not in keys
+        ]
+        self.revived = {
+            item.key: item.revision
+            for item in present
+            if item.key in former and former[item.key] is None
+        }
+        self._first_revision = revision
+        applied = self.apply([*present, *removed], revision, era)
+        return [item for item in applied if item.value != former.get(item.key)]
 
     def holds(self, keys: Iterable[str], revision: int) -> bool:
         """Return true if the items of some keys are known, or their removals after a revision.
--- a/packages/core/gypsumpost_core/gateway/tests/test_directory_sources.py
+++ b/packages/core/gypsumpost_core/gateway/tests/test_directory_sources.py
@@ -4,6 +4,7 @@
 
 from gypsumpost_core.gateway.directory_source import DirectorySource
 from gypsumpost_core.gateway.directory_sources import DirectorySources
+from gypsumpost_core.gateway.store_position import StorePosition
 
 
 def create_source(name, domain="a", link_mbps=10, version=7):
@@ -12,7 +13,7 @@
         failure_domain=domain,
         link_mbps=link_mbps,
         version=version,
-        endpoint_revision=0,
+        endpoint_position=StorePosition(),
     )
 
 
@@ -61,7 +62,7 @@
     table.put(create_source("peer"), 4.0, watching=True)
     table.put(create_source("peer", version=8), 4.1, watching=True)
     assert table.compute_due() == 4.2
-    table.drop_reached(7, 0)
+    table.drop_reached(7, StorePosition())
     assert table.compute_due() == 4.2
-    table.drop_reached(8, 0)
+    table.drop_reached(8, StorePosition())
     assert table.compute_due() == math.inf and table.choose(5.0) is None
--- a/packages/core/gypsumpost_core/gateway/tests/test_item_table.py
+++ b/packages/core/gypsumpost_core/gateway/tests/test_item_table.py
@@ -4,6 +4,7 @@
 from hypothesis import strategies as st
 
 from gypsumpost_core.gateway.item_table import ItemTable
+from gypsumpost_core.gateway.store_era import NO_ERA, StoreEra
 from gypsumpost_core.gateway.stored_item import StoredItem
 
 
@@ -115,3 +116,56 @@
     assert not table.holds(["a", "c"], 5)
     assert not table.holds(["b"], 5)
     assert table.holds(["b"], 1)
+
+
+ERA = StoreEra(4)
+NEXT_ERA = StoreEra(5)
+
+
+def create_loaded_table() -> ItemTable:
+    table = ItemTable()
+    items = [StoredItem(key=key, revision=80, value=b"former") for key in ("a", "b", "c")]
+    table.replace(items, 80, era=ERA)
+    table.apply([StoredItem(key="c", revision=81, value=None)], 81, ERA)
+    return table
+
+
+def test_items_of_a_later_era_count_although_their_revisions_are_lower():
+    """Guards against changes that are ignored after a restore of the store."""
+    table = create_loaded_table()
+    items = [
+        StoredItem(key="a", revision=20, value=b"former"),
+        StoredItem(key="c", revision=21, value=b"former"),
+        StoredItem(key="d", revision=22, value=b"new"),
+    ]
+    changed = table.replace(items, 30, era=NEXT_ERA)
+    assert {item.key: item.value for item in changed} == {"b": None, "c": b"former", "d": b"new"}
+    assert table.revived == {"c": 21}
+    assert (table.era, table.revision, table.restored) == (NEXT_ERA, 30, True)
+    written = StoredItem(key="a", revision=31, value=b"again")
+    assert table.apply([written], 31, NEXT_ERA) == [written]
+
+
+def test_what_is_of_a_former_era_changes_nothing():
+    """Guards against late answers, and peers with old news, after a restore of the store."""
+    table = create_loaded_table()
+    table.replace([StoredItem(key="a", revision=20, value=b"copy")], 20, era=NEXT_ERA)
+    late = [StoredItem(key="a", revision=90, value=b"late")]
+    assert table.apply(late, 90, ERA) == [] == table.replace(late, 90, era=ERA)
+    assert [item.value for item in table.list_present()] == [b"copy"]
+    assert table.revision == 20
+
+
+def test_changes_alone_begin_no_era():
+    """Guards against a table that lacks what was removed before it heard of the new era."""
+    table = create_loaded_table()
+    assert table.apply([StoredItem(key="a", revision=20, value=b"new")], 20, NEXT_ERA) == []
+    assert (table.era, table.revision) == (ERA, 81)
+
+
+def test_revisions_without_an_era_are_of_the_only_one_that_is_known():
+    """Guards against hosts of an older version that are not understood in a roll-out."""
+    table = create_loaded_table()
+    assert table.resolve_era(NO_ERA) == ERA
+    table.replace([], 20, era=NEXT_ERA)
+    assert table.resolve_era(NO_ERA) == NO_ERA
--- a/packages/daemon/gypsumpost_daemon/gateway/beacon.capnp
+++ b/packages/daemon/gypsumpost_daemon/gateway/beacon.capnp
@@ -69,6 +69,7 @@
   copiesLeftOut @18 :Bool;      # true if the copies did not fit into the datagram
   begun @19 :Data;              # digests, 8 bytes each, of streams that began in the domain lately
   confirmedMsAgo @20 :UInt32 = 4294967295;  # since the store confirmed the version; most: never
+  era @21 :UInt32;              # era of the store to which endpointRevision belongs, 0 for none
 }
 
 struct Item {
@@ -85,11 +86,13 @@
   items @2 :List(Item);
   partial @3 :Bool;             # true if only changes since the requested revision are included
   kept @4 :List(Text);          # keys of existing items that are left out, as the receiver has them
+  era @5 :UInt32;               # era of the store to which all revisions belong, 0 for none
 }
 
 struct KnownRevision {
   prefix @0 :Text;
   revision @1 :UInt64;
+  era @2 :UInt32;
 }
 
 # Request and reply of STREAM_STATE.
--- a/packages/daemon/gypsumpost_daemon/gateway/beacon.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/beacon.py
@@ -11,6 +11,7 @@
 from gypsumpost_core.gateway.engine_usage import EngineUsage
 from gypsumpost_core.gateway.host_report import HostReport
 from gypsumpost_core.gateway.retry_count import RetryCount
+from gypsumpost_core.gateway.store_era import NO_ERA, StoreEra
 from gypsumpost_core.limits.request_limit import RequestLimit
 from gypsumpost_daemon.rollouts.rollout_report import NO_REPORT, RolloutReport
 
@@ -40,6 +41,7 @@
     :param copies_left_out: true if the copies did not fit into the datagram.
     :param confirmed_ms_ago: age of the store's last confirmation that no newer version exists,
         ``None`` if there is none.
+    :param era: era of the store to which the endpoint revision belongs.
     :param begun: digests of the requests that have begun to stream in the domain lately.
     """
 
@@ -63,4 +65,5 @@
     copies_left_out: bool = False
     begun: tuple[bytes, ...] = ()
     confirmed_ms_ago: int | None = None
+    era: StoreEra = NO_ERA
     rates: Mapping[str, int] = attrs.field(factory=dict)
--- a/packages/daemon/gypsumpost_daemon/gateway/beacon_codec.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/beacon_codec.py
@@ -12,6 +12,7 @@
 from gypsumpost_core.gateway.engine_usage import EngineUsage
 from gypsumpost_core.gateway.host_report import HostReport
 from gypsumpost_core.gateway.retry_count import RetryCount
+from gypsumpost_core.gateway.store_era import StoreEra
 from gypsumpost_daemon.crashes.crash_codec import (
     decode_crashes,
     decode_survivals,
@@ -72,6 +73,7 @@
         incarnation=beacon.incarnation,
         copiesLeftOut=beacon.copies_left_out,
         begun=b"".join(beacon.begun),
+        era=beacon.era,
         confirmedMsAgo=(
             NEVER_CONFIRMED
             if beacon.confirmed_ms_ago is None
@@ -119,6 +121,7 @@
                 incarnation=message.incarnation,
                 copies_left_out=message.copiesLeftOut,
                 begun=split_digests(bytes(message.begun)),
+                era=StoreEra(message.era),
                 confirmed_ms_ago=(
                     None if message.confirmedMsAgo == NEVER_CONFIRMED else message.confirmedMsAgo
                 ),
--- a/packages/daemon/gypsumpost_daemon/gateway/directory.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/directory.py
@@ -6,21 +6,20 @@
 import trio
 from result import Err
 
-from gypsumpost_core.gateway.endpoint_fleet import EndpointFleet
-from gypsumpost_core.gateway.endpoint_record import EndpointRecord
+from gypsumpost_core.gateway.era_belief import EraBelief
 from gypsumpost_core.gateway.first_use import FirstUse
 from gypsumpost_core.gateway.item_table import ItemTable
 from gypsumpost_core.gateway.route_table import RouteTable
+from gypsumpost_core.gateway.store_era import NO_ERA, StoreEra
+from gypsumpost_core.gateway.store_position import StorePosition
 from gypsumpost_core.gateway.stored_item import StoredItem
 from gypsumpost_daemon.gateway.adapter import GatewayAdapter
+from gypsumpost_daemon.gateway.endpoint_entries import REWRITE_GRACE_SECONDS, EndpointEntries
 from gypsumpost_daemon.gateway.item_set import ItemSet
 from gypsumpost_daemon.gateway.item_tables import ItemTables
 from gypsumpost_daemon.gateway.version_freshness import VersionFreshness
 from gypsumpost_daemon.telemetry.log import Log
 
-REWRITE_GRACE_SECONDS = 2.2
-"""Endpoints whose entries expired during a store outage write them again within this time."""
-
 STORE = "store"
 """Source of the items that this host has read from the store itself."""
 
@@ -38,14 +37,22 @@
         self.tables = ItemTables(
             {adapter.configuration_prefix: ItemTable(), adapter.endpoint_prefix: ItemTable()}
         )
-        self.fleet = EndpointFleet()
+        self._endpoints = EndpointEntries(
+            adapter=adapter,
+            table=self.tables[adapter.endpoint_prefix],
+            notify=self.notify_change,
+        )
+        self.fleet = self._endpoints.fleet
         self.routes: RouteTable | None = None
-        self._outage_ended_at = -math.inf
-        self._remove_at: dict[str, float] = {}
+        self.era_belief = EraBelief()
+        self.restores = 0
+        self._restored_at = -math.inf
+        self._withdraw_at: dict[str, float] = {}
         self.store_lost = False
         self._first_use = FirstUse()
         self.freshness = VersionFreshness()
         self._applied_revision = 0
+        self._stored_version = 0
         self._changed = trio.Event()
         self._listeners: list[Callable[[], None]] = []
         self._item_listeners: list[Callable[[StoredItem], None]] = []
@@ -67,19 +74,27 @@
         return self.routes.configuration.version if self.routes else 0
 
     @property
-    def endpoint_revision(self) -> int:
-        """Revision of the newest known endpoint change."""
-        return self.tables[self._adapter.endpoint_prefix].newest
+    def endpoint_position(self) -> StorePosition:
+        """Position of the newest known endpoint change."""
+        table = self.tables[self._adapter.endpoint_prefix]
+        return StorePosition(era=table.era, revision=table.newest)
+
+    def resolve_era(self, era: StoreEra) -> StoreEra:
+        """Return the era of the endpoint revisions that a peer names.
+
+        :param era: the era that it names, ``NO_ERA`` if its software knows none.
+        """
+        return self.tables[self._adapter.endpoint_prefix].resolve_era(era)
 
-    def list_behind(self, version: int, endpoint_revision: int) -> list[str]:
+    def list_behind(self, version: int, endpoint_position: StorePosition) -> list[str]:
         """Return the prefixes under which this host lacks what a peer names.
 
         :param version: version of the configuration that the peer has in force.
-        :param endpoint_revision: revision of the newest endpoint change that it knows.
+        :param endpoint_position: position of the newest endpoint change that it knows.
         """
         behind = {
             self._adapter.configuration_prefix: version > self.version,
-            self._adapter.endpoint_prefix: endpoint_revision > self.endpoint_revision,
+            self._adapter.endpoint_prefix: endpoint_position > self.endpoint_position,
         }
         return [prefix for prefix, is_behind in behind.items() if is_behind]
 
@@ -91,9 +106,13 @@
     def record_store_answer(self, asked_at: float) -> None:
         """Record that the store has sent all changes of the configuration up to some moment.
 
+        A store that has come back with an older configuration than the one in force has lost what
+        was written since, and confirms nothing.
+
         :param asked_at: the moment, as monotonic time in seconds.
         """
-        if self.tables[self.configuration_prefix].discarded <= self._applied_revision:
+        discarded = self.tables[self.configuration_prefix].discarded
+        if discarded <= self._applied_revision and self._stored_version >= self.version:
             self.freshness.record_confirmation(self.version, asked_at)
 
     def has_lost_service(self) -> bool:
@@ -114,9 +133,12 @@
         """
         if entry.prefix not in self.tables:
             return False
+        self.era_belief.adopt(entry.era)
         if entry.partial:
-            return self.apply(entry.prefix, entry.items, entry.revision, source)
-        return self.replace(entry.prefix, entry.items, entry.revision, source, kept=entry.kept)
+            return self.apply(entry.prefix, entry.items, entry.revision, source, era=entry.era)
+        return self.replace(
+            entry.prefix, entry.items, entry.revision, source, kept=entry.kept, era=entry.era
+        )
 
     @property
     def ready(self) -> bool:
@@ -136,15 +158,24 @@
         self._changed.set()
         self._changed = trio.Event()
 
-    def apply(self, prefix: str, items: Iterable[StoredItem], revision: int, source: str) -> bool:
+    def apply(
+        self,
+        prefix: str,
+        items: Iterable[StoredItem],
+        revision: int,
+        source: str,
+        *,
+        era: StoreEra = NO_ERA,
+    ) -> bool:
         """Apply changes of items; return true if any was not known.
 
         :param prefix: the prefix under which they were read.
         :param items: the changes.
         :param revision: revision up to which they are complete.
         :param source: where they come from, for the log.
+        :param era: era of the store to which the revisions belong.
         """
-        changed = self.tables[prefix].apply(items, revision)
+        changed = self.tables[prefix].apply(items, revision, era)
         self._apply_changes(prefix, changed, source)
         self._record_load(source)
         return bool(changed)
@@ -157,6 +188,7 @@
         source: str,
         *,
         kept: Collection[str] = (),
+        era: StoreEra = NO_ERA,
     ) -> bool:
         """Replace all items under a prefix; return true if any has changed.
 
@@ -165,8 +197,13 @@
         :param revision: revision of the store when the read started.
         :param source: where they come from, for the log.
         :param kept: keys of items that exist as they are known.
+        :param era: era of the store to which the revisions belong.
         """
-        changed = self.tables[prefix].replace(items, revision, kept)
+        table = self.tables[prefix]
+        former, loaded = StorePosition(era=table.era, revision=table.revision), table.loaded
+        changed = table.replace(items, revision, kept, era)
+        if loaded and table.era > former.era:
+            self._record_restore(prefix, former, changed, source)
         self._apply_changes(prefix, changed, source)
         self._record_load(source)
         return bool(changed)
@@ -181,18 +218,45 @@
 
         :param now: monotonic time in seconds.
         """
-        self._outage_ended_at = now
+        self._endpoints.record_outage(now)
         self.store_lost = True
 
     async def run(self) -> None:
-        """Remove endpoints whose entries have not been written again after a store outage."""
+        """Remove what has not been written again after an outage or a restore of the store."""
         while True:
             now = trio.current_time()
-            due = [key for key, remove_at in self._remove_at.items() if remove_at <= now]
-            for key in due:
-                del self._remove_at[key]
-                self._remove_endpoint(key)
-            await self.wait_change(min(self._remove_at.values(), default=math.inf))
+            self._endpoints.apply_due(now)
+            for key in [key for key, due in self._withdraw_at.items() if due <= now]:
+                del self._withdraw_at[key]
+                revision = self.tables[self.configuration_prefix].revision
+                self._notify_item(StoredItem(key=key, revision=revision, value=None))
+            due_at = min(self._withdraw_at.values(), default=math.inf)
+            await self.wait_change(min(due_at, self._endpoints.compute_due()))
+
+    def _record_restore(
+        self, prefix: str, former: StorePosition, changed: list[StoredItem], source: str
+    ) -> None:
+        """Prepare for the items of a store that has come back from an older copy."""
+        now = trio.current_time()
+        self.restores += 1
+        self._restored_at = now
+        table = self.tables[prefix]
+        if prefix == self._adapter.endpoint_prefix:
+            self._endpoints.record_restore(now)
+        else:
+            self._applied_revision = 0
+        LOG.write(
+            "the store has come back from an older copy",
+            prefix=prefix,
+            source=source,
+            former_era=former.era,
+            era=table.era,
+            former_revision=former.revision,
+            revision=table.revision,
+            changed=sum(item.value is not None for item in changed),
+            missing=sum(item.value is None for item in changed),
+            revived=len(table.revived),
+        )
 
     def _record_load(self, source: str) -> None:
         if self.routes is not None and all(table.loaded for table in self.tables.values()):
@@ -201,17 +265,34 @@
     def _apply_changes(self, prefix: str, changed: list[StoredItem], source: str) -> None:
         for item in changed:
             if prefix == self._adapter.endpoint_prefix:
-                self._apply_endpoint(item)
+                self._endpoints.apply(item)
             elif item.key != self._adapter.configuration_key:
-                for notify in self._item_listeners:
-                    notify(item)
+                self._apply_other(item)
             elif item.value is not None:
                 self._apply_configuration(item.value, item.revision, source)
+            else:
+                self._stored_version = 0
         if changed:
             self.notify_change()
             for listener in self._listeners:
                 listener()
 
+    def _apply_other(self, item: StoredItem) -> None:
+        """Hand on an item that is neither an endpoint nor the configuration.
+
+        What a copy lacks is not taken for removed before it can have been written again.
+        """
+        self._withdraw_at.pop(item.key, None)
+        withdraw_at = self._restored_at + REWRITE_GRACE_SECONDS
+        if item.value is None and trio.current_time() < withdraw_at:
+            self._withdraw_at[item.key] = withdraw_at
+        else:
+            self._notify_item(item)
+
+    def _notify_item(self, item: StoredItem) -> None:
+        for notify in self._item_listeners:
+            notify(item)
+
     def _apply_configuration(self, value: bytes, revision: int, source: str) -> None:
         decoded = self._adapter.decode_configuration(value)
         if isinstance(decoded, Err):
@@ -224,14 +305,14 @@
             self.tables[self._adapter.configuration_prefix].discard(self._adapter.configuration_key)
             return
         configuration = decoded.ok_value
+        self._stored_version = configuration.version
+        if configuration.version == self.version:
+            self._applied_revision = revision
         if configuration.version <= self.version:
             LOG.write("ignored an old configuration", version=configuration.version)
             return
-        former, self.routes = self.routes, RouteTable(configuration=configuration)
-        if former is None:
-            self._drop_unnamed()
-        elif former.list_service_names() != self.routes.list_service_names():
-            self._add_named()
+        self.routes = RouteTable(configuration=configuration)
+        self._endpoints.set_routes(self.routes)
         self._applied_revision = revision
         behind = self.freshness.record_applied(configuration.version)
         LOG.write(
@@ -242,61 +323,3 @@
             routes=len(configuration.routes),
             behind_seconds=round(behind, 3),
         )
-
-    def _apply_endpoint(self, item: StoredItem) -> None:
-        if item.value is None:
-            now = trio.current_time()
-            remove_at = self._outage_ended_at + REWRITE_GRACE_SECONDS
-            if now < remove_at:
-                self._remove_at[item.key] = remove_at
-            else:
-                self._remove_endpoint(item.key)
-            return
-        self._remove_at.pop(item.key, None)
-        decoded = self._adapter.decode_endpoint(item.key, item.value)
-        if isinstance(decoded, Err):
-            LOG.write("ignored an invalid endpoint entry", key=item.key, reason=decoded.err_value)
-            self._remove_endpoint(item.key)
-            return
-        record = decoded.ok_value
-        known = self.fleet.find(record.endpoint_id)
-        if not self._is_named(record) and (known is None or known.record.service != record.service):
-            LOG.write(
-                "ignored an entry of an unknown service", key=item.key, service=record.service
-            )
-            self._remove_endpoint(item.key)
-            return
-        if known is None or known.record != record:
-            LOG.write(
-                "an endpoint has changed",
-                endpoint=record.endpoint_id,
-                leaving=record.leaving,
-                started_at=record.started_at,
-                revision=item.revision,
-            )
-        self.fleet.put(record)
-
-    def _is_named(self, record: EndpointRecord) -> bool:
-        """Return true unless the configuration does not name the service of an endpoint."""
-        return self.routes is None or self.routes.find_service(record.service) is not None
-
-    def _drop_unnamed(self) -> None:
-        """Drop the endpoints of other services that were added before any service was known."""
-        for state in self.fleet:
-            if not self._is_named(state.record):
-                LOG.write("an endpoint has no service", endpoint=state.record.endpoint_id)
-                self.fleet.remove(state.record.endpoint_id)
-
-    def _add_named(self) -> None:
-        """Add the endpoints of services that are new in the configuration."""
-        prefix = self._adapter.endpoint_prefix
-        for item in self.tables[prefix].list_present():
-            if self.fleet.find(item.key.removeprefix(prefix)) is None:
-                self._apply_endpoint(item)
-
-    def _remove_endpoint(self, key: str) -> None:
-        endpoint_id = key.removeprefix(self._adapter.endpoint_prefix)
-        if self.fleet.find(endpoint_id) is not None:
-            LOG.write("an endpoint is gone", endpoint=endpoint_id)
-        self.fleet.remove(endpoint_id)
-        self.notify_change()
--- a/packages/daemon/gypsumpost_daemon/gateway/directory_codec.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/directory_codec.py
@@ -6,6 +6,8 @@
 import capnp
 from result import Err, Ok, Result
 
+from gypsumpost_core.gateway.store_era import StoreEra
+from gypsumpost_core.gateway.store_position import StorePosition
 from gypsumpost_core.gateway.stored_item import StoredItem
 from gypsumpost_daemon.gateway.directory_query import DirectoryQuery
 from gypsumpost_daemon.gateway.item_set import ItemSet
@@ -24,7 +26,8 @@
     """
     packed: bytes = SCHEMA.DirectoryRequest.new_message(
         known=[
-            {"prefix": prefix, "revision": revision} for prefix, revision in query.known.items()
+            {"prefix": prefix, "revision": position.revision, "era": position.era}
+            for prefix, position in query.known.items()
         ],
         acceptsKept=query.accepts_kept,
         acceptsCompressed=query.accepts_compressed,
@@ -41,7 +44,10 @@
         message = SCHEMA.DirectoryRequest.from_bytes_packed(data)
         return Ok(
             DirectoryQuery(
-                known={entry.prefix: entry.revision for entry in message.known},
+                known={
+                    entry.prefix: StorePosition(era=StoreEra(entry.era), revision=entry.revision)
+                    for entry in message.known
+                },
                 accepts_kept=message.acceptsKept,
                 accepts_compressed=message.acceptsCompressed,
             )
@@ -61,6 +67,7 @@
             {
                 "prefix": entry.prefix,
                 "revision": entry.revision,
+                "era": entry.era,
                 "partial": entry.partial,
                 "kept": list(entry.kept),
                 "items": [encode_item(item, compressed=compressed) for item in entry.items],
@@ -83,6 +90,7 @@
                 ItemSet(
                     prefix=entry.prefix,
                     revision=entry.revision,
+                    era=StoreEra(entry.era),
                     partial=entry.partial,
                     kept=tuple(entry.kept),
                     items=tuple(decode_item(item) for item in entry.items),
--- a/packages/daemon/gypsumpost_daemon/gateway/directory_exchange.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/directory_exchange.py
@@ -2,12 +2,14 @@
 
 from collections.abc import Callable, Mapping
 
+import attrs
 import trio
 from result import Err
 
 from gypsumpost_core.gateway.directory_source import DirectorySource
 from gypsumpost_core.gateway.directory_sources import DirectorySources
 from gypsumpost_core.gateway.late_changes import LateChanges
+from gypsumpost_core.gateway.store_position import StorePosition
 from gypsumpost_daemon.gateway.beacon import Beacon
 from gypsumpost_daemon.gateway.directory import Directory
 from gypsumpost_daemon.gateway.directory_codec import (
@@ -69,7 +71,7 @@
         self._awaited: dict[str, DirectorySource] = {}
         self._metrics = metrics
         self._network = network
-        self._reached_endpoint_revision = 0
+        self._reached_position = StorePosition()
         self._sources = DirectorySources(own_domain=own_domain)
         self._changed = trio.Event()
         network.add_handler(MessageKind.DIRECTORY_STATE, self._handle_request)
@@ -86,7 +88,9 @@
             failure_domain=beacon.host.failure_domain,
             link_mbps=beacon.host.link_mbps,
             version=beacon.version,
-            endpoint_revision=beacon.endpoint_revision,
+            endpoint_position=StorePosition(
+                era=self._directory.resolve_era(beacon.era), revision=beacon.endpoint_revision
+            ),
         )
         if beacon.confirmed_ms_ago is not None:
             confirmed_at = arrived_after - beacon.confirmed_ms_ago / MILLISECONDS
@@ -126,7 +130,7 @@
         """Return the prefixes under which this host lacks what a peer has named."""
         if not self._is_ahead(source):
             return []
-        return self._directory.list_behind(source.version, source.endpoint_revision)
+        return self._directory.list_behind(source.version, source.endpoint_position)
 
     async def _fetch_changes(self) -> None:
         while True:
@@ -135,7 +139,7 @@
             self._changed = trio.Event()
             if trio.current_time() < self._sources.compute_due():
                 continue
-            self._sources.drop_reached(self._directory.version, self._endpoint_revision)
+            self._sources.drop_reached(self._directory.version, self._endpoint_position)
             source = self._sources.choose(trio.current_time())
             if source is None:
                 continue
@@ -146,15 +150,15 @@
                 self._sources.record_failure(source.host_id, trio.current_time())
 
     @property
-    def _endpoint_revision(self) -> int:
-        return max(self._directory.endpoint_revision, self._reached_endpoint_revision)
+    def _endpoint_position(self) -> StorePosition:
+        return max(self._directory.endpoint_position, self._reached_position)
 
     def _is_ahead(self, source: DirectorySource) -> bool:
-        return source.is_ahead(self._directory.version, self._endpoint_revision)
+        return source.is_ahead(self._directory.version, self._endpoint_position)
 
     async def _fetch(self, source: DirectorySource) -> bool:
         """Fetch changes from a peer; return true if it has sent all that it named."""
-        known = self._directory.tables.list_revisions()
+        known = self._directory.tables.list_positions()
         sets = await self._request_sets(source, known)
         if sets is None:
             return False
@@ -164,7 +168,7 @@
             return True
         # The reply does not hold what the peer named, or leaves out an item that is not known here,
         # so the known revision may be too high. The peer sends all items to a host that knows none.
-        behind = self._directory.list_behind(source.version, source.endpoint_revision)
+        behind = self._directory.list_behind(source.version, source.endpoint_position)
         in_doubt = {*lacking, *behind}
         LOG.write(
             (
@@ -175,11 +179,11 @@
             peer=source.host_id,
             peer_version=source.version,
             version=self._directory.version,
-            peer_endpoint_revision=source.endpoint_revision,
-            endpoint_revision=self._directory.endpoint_revision,
-            known=known,
+            peer_endpoint_position=attrs.asdict(source.endpoint_position),
+            endpoint_position=attrs.asdict(self._directory.endpoint_position),
+            known=list_revisions(known),
         )
-        known = self._directory.tables.list_revisions() | dict.fromkeys(in_doubt, 0)
+        known = self._directory.tables.list_positions() | dict.fromkeys(in_doubt, StorePosition())
         sets = await self._request_sets(source, known)
         if sets is None or len(sets) < len(known):
             return False  # The peer does not hold all items itself.
@@ -188,7 +192,7 @@
         self._apply(sets, source)
         # A peer that has found an endpoint missing in a complete read names the revision of that
         # read, which is higher than that of the removal.
-        self._reached_endpoint_revision = source.endpoint_revision
+        self._reached_position = source.endpoint_position
         return not self._is_ahead(source)
 
     def _apply(self, sets: list[ItemSet], source: DirectorySource) -> None:
@@ -197,7 +201,7 @@
                 self._record_change(entry.prefix, source.host_id)
 
     async def _request_sets(
-        self, source: DirectorySource, known: Mapping[str, int]
+        self, source: DirectorySource, known: Mapping[str, StorePosition]
     ) -> list[ItemSet] | None:
         """Request what a peer knows after the given revisions, ``None`` if it does not reply."""
         host_id = source.host_id
@@ -243,9 +247,28 @@
         return reply
 
     def _log_if_large(
-        self, message: str, peer: str, size: int, known: Mapping[str, int], **fields: float
+        self,
+        message: str,
+        peer: str,
+        size: int,
+        known: Mapping[str, StorePosition],
+        **fields: float,
     ) -> None:
         if size >= LARGE_REPLY_BYTES:
             first = self._directory.tables.list_first_revisions()
-            known = dict(known)
-            LOG.write(message, peer=peer, size=size, known=known, complete_since=first, **fields)
+            LOG.write(
+                message,
+                peer=peer,
+                size=size,
+                known=list_revisions(known),
+                complete_since=first,
+                **fields,
+            )
+
+
+def list_revisions(positions: Mapping[str, StorePosition]) -> dict[str, int]:
+    """Return the revisions of positions, for the log.
+
+    :param positions: the positions by prefix.
+    """
+    return {prefix: position.revision for prefix, position in positions.items()}
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_gauges.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_gauges.py
@@ -45,6 +45,12 @@
         "Repeated sends left to the service that has least.",
         lambda: context.retry_budget.compute_lowest_remaining(trio.current_time()),
     )
+    add("gypsumpost_store_era", "Believed era of the store.", lambda: directory.era_belief.era)
+    add(
+        "gypsumpost_store_restores",
+        "Restores of the store that this host has seen, counted for each prefix.",
+        lambda: directory.restores,
+    )
     add(
         "gypsumpost_configuration_version",
         "Version of the configuration in force.",
--- a/packages/daemon/gypsumpost_daemon/gateway/item_set.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/item_set.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from gypsumpost_core.gateway.store_era import NO_ERA, StoreEra
 from gypsumpost_core.gateway.stored_item import StoredItem
 
 
@@ -15,6 +16,7 @@
     :param partial: true if these are only the changes since the requested revision.
     :param kept: keys of existing items that are left out, because the receiver has them as they
         are; empty if ``partial``.
+    :param era: era of the store to which all revisions belong.
     """
 
     prefix: str
@@ -22,3 +24,4 @@
     items: tuple[StoredItem, ...]
     partial: bool = False
     kept: tuple[str, ...] = ()
+    era: StoreEra = NO_ERA
--- a/packages/daemon/gypsumpost_daemon/gateway/item_store.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/item_store.py
@@ -5,6 +5,7 @@
 import attrs
 from result import Result
 
+from gypsumpost_core.gateway.store_era import StoreEra
 from gypsumpost_core.gateway.stored_item import StoredItem
 from gypsumpost_daemon.gateway.item_transaction import ItemTransaction
 from gypsumpost_daemon.gateway.store_lease import StoreLease
@@ -17,10 +18,12 @@
 
     :param items: the items or changes.
     :param revision: the store's revision.
+    :param era: era of the store, ``None`` if the answer names none.
     """
 
     items: tuple[StoredItem, ...]
     revision: int
+    era: StoreEra | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -30,11 +33,15 @@
     :param reason: a short description.
     :param history_lost: true if the store no longer keeps the requested changes.
     :param connection_lost: true if an open connection broke. That says nothing of the store itself.
+    :param wrong_era: true if the answer was of an era that is not believed.
+    :param era: era of the store, ``None`` if there was no answer or it names none.
     """
 
     reason: str
     history_lost: bool = False
     connection_lost: bool = False
+    wrong_era: bool = False
+    era: StoreEra | None = None
 
 
 class ItemStore(Protocol):
--- a/packages/daemon/gypsumpost_daemon/gateway/item_tables.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/item_tables.py
@@ -1,6 +1,7 @@
 """The tables of a directory by prefix, and what hosts send each other of them."""
 
 from gypsumpost_core.gateway.item_table import ItemTable
+from gypsumpost_core.gateway.store_position import StorePosition
 from gypsumpost_daemon.gateway.directory_query import DirectoryQuery
 from gypsumpost_daemon.gateway.item_set import ItemSet
 
@@ -21,11 +22,19 @@
         :param entry: the items that the peer has sent.
         """
         table = self.get(entry.prefix)
-        return table is not None and not table.holds(entry.kept, entry.revision)
+        if table is None or entry.era != table.era:
+            return False
+        return not table.holds(entry.kept, entry.revision)
 
-    def list_revisions(self) -> dict[str, int]:
-        """Return the revision up to which all items are known, by prefix, 0 for an unread one."""
-        return {prefix: table.revision if table.loaded else 0 for prefix, table in self.items()}
+    def list_positions(self) -> dict[str, StorePosition]:
+        """Return the position up to which all items are known, by prefix.
+
+        The revision of a prefix that was not read yet is 0.
+        """
+        return {
+            prefix: StorePosition(era=table.era, revision=table.revision if table.loaded else 0)
+            for prefix, table in self.items()
+        }
 
     def list_first_revisions(self) -> dict[str, int]:
         """Return the revision from which on all removals are known, by prefix."""
@@ -40,7 +49,8 @@
             self[prefix].forget_revision()
 
     def _create_set(self, prefix: str, query: DirectoryQuery) -> ItemSet:
-        table, known = self[prefix], query.known.get(prefix, 0)
+        table, position = self[prefix], query.known.get(prefix, StorePosition())
+        known = position.revision if table.resolve_era(position.era) == table.era else 0
         changes = table.list_changes_after(known)
         items = table.list_present() if changes is None else changes
         kept = []
@@ -50,6 +60,7 @@
         return ItemSet(
             prefix=prefix,
             revision=table.revision,
+            era=table.era,
             items=tuple(items),
             partial=changes is not None,
             kept=tuple(kept),
--- a/packages/daemon/gypsumpost_daemon/gateway/store_follower.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/store_follower.py
@@ -2,11 +2,15 @@
 
 import math
 import random
+from collections.abc import Callable
 
 import trio
 from result import Err, Result
 
+from gypsumpost_core.gateway.era_belief import EraVerdict
 from gypsumpost_core.gateway.host_roles import HostRoles
+from gypsumpost_core.gateway.store_era import NO_ERA, StoreEra
+from gypsumpost_core.gateway.store_position import StorePosition
 from gypsumpost_daemon.gateway.directory import STORE, Directory
 from gypsumpost_daemon.gateway.item_store import ItemBatch, ItemStore, ItemStoreFailure
 from gypsumpost_daemon.lifecycle.contained_errors import contain_errors
@@ -34,6 +38,9 @@
 REFRESH_SECONDS = 1.0
 """Minimum interval between two refreshes."""
 
+ERA_LOG_SECONDS = 1.0
+"""Minimum interval between two lines on answers of a wrong era."""
+
 UNEXPECTED = ItemStoreFailure(reason="an unexpected error", history_lost=True)
 """The prefix is read again as a whole."""
 
@@ -60,9 +67,10 @@
         self._told_at: dict[str, float] = {}
         self._watched_since: dict[str, float] = {}
         self._watch_scopes: dict[str, trio.CancelScope] = {}
-        # Revisions up to which the store itself has sent the changes. What peers say does not
+        # Positions up to which the store itself has sent the changes. What peers say does not
         # count here, so that a wrong revision of a peer cannot hide changes of the store.
-        self._positions: dict[str, int] = {}
+        self._positions: dict[str, StorePosition] = {}
+        self._era_log_at = -math.inf
         self._reread: dict[str, int] = {}
         self._failed_prefix = next(iter(directory.tables))
 
@@ -138,11 +146,12 @@
         position = self._positions.get(prefix)
         if position is not None:
             self.calls += 1
-            polled = await self._store.poll(prefix, position, deadline)
+            polled = self._check_era(
+                await self._store.poll(prefix, position.revision, deadline), position
+            )
         if polled is None or (isinstance(polled, Err) and polled.err_value.history_lost):
             position = None
-            self.calls += 1
-            polled = await self._store.read(prefix, deadline)
+            polled = await self._read_era(prefix, deadline)
         if isinstance(polled, Err):
             LOG.write(
                 "the store did not answer a poll",
@@ -152,9 +161,8 @@
             )
             return False
         apply = self._directory.replace if position is None else self._directory.apply
-        if apply(prefix, polled.ok_value.items, polled.ok_value.revision, STORE):
+        if self._apply(apply, prefix, polled.ok_value, asked_at):
             self.record_missed_change(prefix, STORE)
-        self._record_items(prefix, polled.ok_value.revision, asked_at)
         return True
 
     async def run(self) -> None:
@@ -186,6 +194,8 @@
                 continue
             if failure.history_lost:
                 self._positions.pop(prefix, None)
+            if failure.wrong_era:
+                await trio.sleep(RECOVERY_SECONDS)
             await trio.sleep(FIRST_RETRY_SECONDS * (0.5 + random.random()))
             if failed_before:
                 await self._wait_recovery()
@@ -208,23 +218,38 @@
         return self._roles.is_watcher(trio.current_time(), answered=self._following)
 
     async def _read(self, prefix: str) -> ItemStoreFailure | None:
-        self.calls += 1
         asked_at = trio.current_time()
-        read = await self._store.read(prefix, asked_at + READ_SECONDS)
+        read = await self._read_era(prefix, asked_at + READ_SECONDS)
         if isinstance(read, Err):
             return self._record_failure(prefix, read.err_value, asked_at)
         self._record_answer()
-        self._directory.replace(prefix, read.ok_value.items, read.ok_value.revision, STORE)
-        self._record_items(prefix, read.ok_value.revision, asked_at)
+        self._apply(self._directory.replace, prefix, read.ok_value, asked_at)
         return None
 
+    async def _read_era(self, prefix: str, deadline: float) -> Result[ItemBatch, ItemStoreFailure]:
+        """Read a prefix, a second time if the first answer names a new era."""
+        for _ in range(2):
+            self.calls += 1
+            read = await self._store.read(prefix, deadline)
+            if isinstance(read, Err):
+                self._observe_era(read.err_value.era)
+                return read
+            verdict = self._observe_era(read.ok_value.era)
+            if verdict is EraVerdict.CURRENT:
+                return read
+            if verdict is not EraVerdict.UNCONFIRMED:
+                break
+        return Err(ItemStoreFailure(reason="an answer of another era", wrong_era=True))
+
     async def _watch(self, prefix: str) -> ItemStoreFailure | None:
         self.calls += 1
         self._watched_since[prefix] = trio.current_time()
         watched: Result[ItemBatch, ItemStoreFailure] | None = None
         with trio.CancelScope() as scope:
             self._watch_scopes[prefix] = scope
-            watched = await self._store.watch(prefix, self._positions[prefix])
+            position = self._positions[prefix]
+            watched = await self._store.watch(prefix, position.revision)
+            watched = self._check_era(watched, position)
         watched_since = self._watched_since.pop(prefix)
         if watched is None:
             return None  # The watch has missed a change and is started again.
@@ -241,13 +266,54 @@
                 return failure
             return self._record_failure(prefix, failure, watched_since)
         self._record_answer()
-        self._directory.apply(prefix, watched.ok_value.items, watched.ok_value.revision, STORE)
-        self._record_items(prefix, watched.ok_value.revision, watched_since)
+        self._apply(self._directory.apply, prefix, watched.ok_value, watched_since)
         return None
 
-    def _record_items(self, prefix: str, revision: int, asked_at: float) -> None:
+    def _check_era(
+        self, answer: Result[ItemBatch, ItemStoreFailure], position: StorePosition
+    ) -> Result[ItemBatch, ItemStoreFailure]:
+        """Return the changes after a position, or why they cannot be used."""
+        named = answer.err_value.era if isinstance(answer, Err) else answer.ok_value.era
+        verdict = self._observe_era(named)
+        if isinstance(answer, Err):
+            return answer
+        if verdict in (EraVerdict.FORMER, EraVerdict.UNLIKELY):
+            return Err(ItemStoreFailure(reason="an answer of another era", wrong_era=True))
+        if verdict is EraVerdict.UNCONFIRMED or position.era != self._directory.era_belief.era:
+            return Err(ItemStoreFailure(reason="the era has changed", history_lost=True))
+        return answer
+
+    def _observe_era(self, era: StoreEra | None) -> EraVerdict:
+        believed = self._directory.era_belief.era
+        verdict = self._directory.era_belief.observe(era)
+        missing = era is None and believed != NO_ERA
+        now = trio.current_time()
+        if (verdict is not EraVerdict.CURRENT or missing) and now >= self._era_log_at:
+            self._era_log_at = now + ERA_LOG_SECONDS
+            LOG.write(
+                "an answer does not name the believed era",
+                era=era,
+                believed_era=believed,
+                verdict=verdict.value,
+            )
+        return verdict
+
+    def _apply(
+        self,
+        apply: Callable[..., bool],
+        prefix: str,
+        batch: ItemBatch,
+        asked_at: float,
+    ) -> bool:
+        """Apply what the store has sent; return true if anything was not known."""
+        era = self._directory.era_belief.era
+        changed = apply(prefix, batch.items, batch.revision, STORE, era=era)
+        self._positions[prefix] = StorePosition(era=era, revision=batch.revision)
+        self._record_items(prefix, asked_at)
+        return changed
+
+    def _record_items(self, prefix: str, asked_at: float) -> None:
         """Record that the items are known that the store had when it was asked."""
-        self._positions[prefix] = revision
         self._told_at[prefix] = trio.current_time()
         if prefix == self._directory.configuration_prefix:
             self._directory.record_store_answer(asked_at)
@@ -261,7 +327,16 @@
         self, prefix: str, failure: ItemStoreFailure, asked_at: float
     ) -> ItemStoreFailure:
         if failure.history_lost:
-            LOG.write("the store has lost its history", prefix=prefix, reason=failure.reason)
+            position = self._positions.get(prefix, StorePosition())
+            LOG.write(
+                "the store has lost its history",
+                prefix=prefix,
+                reason=failure.reason,
+                known_era=position.era,
+                known_revision=position.revision,
+            )
+            return failure
+        if failure.wrong_era:
             return failure
         self._directory.record_outage(trio.current_time())
         if not self._lost:
--- a/packages/daemon/gypsumpost_daemon/gateway/tests/test_beacon_codec.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/tests/test_beacon_codec.py
@@ -21,6 +21,8 @@
 from gypsumpost_core.gateway.host_report import HostReport
 from gypsumpost_core.gateway.known_stream import KnownStream
 from gypsumpost_core.gateway.retry_count import RetryCount
+from gypsumpost_core.gateway.store_era import StoreEra
+from gypsumpost_core.gateway.store_position import StorePosition
 from gypsumpost_core.gateway.stored_item import StoredItem
 from gypsumpost_core.gateway.stream_memory import StreamMemory
 from gypsumpost_core.key_ring import KeyRing
@@ -166,11 +168,12 @@
             ),
             partial=True,
         ),
-        ItemSet(prefix="q/", revision=9, items=(), kept=("q/a", "q/b")),
+        ItemSet(prefix="q/", revision=9, items=(), kept=("q/a", "q/b"), era=StoreEra(3)),
     ]
     assert decode_state(encode_state(sets)).unwrap() == sets
     for kept, compressed in itertools.product((False, True), repeat=2):
-        query = DirectoryQuery(known={"p/": 7}, accepts_kept=kept, accepts_compressed=compressed)
+        known = {"p/": StorePosition(era=StoreEra(3), revision=7)}
+        query = DirectoryQuery(known=known, accepts_kept=kept, accepts_compressed=compressed)
         assert decode_directory_query(encode_directory_query(query)).unwrap() == query
 
 
--- a/packages/daemon/gypsumpost_daemon/gateway/tests/test_directory_exchange.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/tests/test_directory_exchange.py
@@ -8,6 +8,7 @@
 
 from gypsumpost_core.gateway.host_report import HostReport
 from gypsumpost_core.gateway.late_changes import ASK_SECONDS, SPREAD_SECONDS
+from gypsumpost_core.gateway.store_position import StorePosition
 from gypsumpost_daemon.gateway.beacon import Beacon
 from gypsumpost_daemon.gateway.directory_codec import encode_state
 from gypsumpost_daemon.gateway.directory_exchange import DirectoryExchange
@@ -23,7 +24,7 @@
     """An empty directory that is behind every peer."""
 
     version: int = 0
-    endpoint_revision: int = 0
+    endpoint_position: StorePosition = StorePosition()
 
     applied: list[str] = attrs.field(factory=list)
     freshness: VersionFreshness = attrs.field(factory=VersionFreshness)
@@ -32,19 +33,22 @@
     def tables(self):
         return self
 
-    def list_revisions(self):
-        return {"servers/": 9}
+    def list_positions(self):
+        return {"servers/": StorePosition(revision=9)}
+
+    def resolve_era(self, era):
+        return era
 
     def apply_set(self, entry, source):
         self.applied.append(source)
         if not entry.partial:
-            self.endpoint_revision = entry.revision
+            self.endpoint_position = StorePosition(revision=entry.revision)
         return True
 
     def list_first_revisions(self):
         return {}
 
-    def list_behind(self, version, endpoint_revision):
+    def list_behind(self, version, endpoint_position):
         return ["servers/"]
 
     def lacks_kept(self, entry):
@@ -167,7 +171,7 @@
         beacon = create_beacon("h", version=0, endpoint_revision=revision)
         exchange.handle_beacon(beacon, arrived_after=0.0, watching=False)
         await trio.sleep(0.07)
-        directory.endpoint_revision = revision - 1
+        directory.endpoint_position = StorePosition(revision=revision - 1)
     assert not asked
     await trio.sleep(ASK_SECONDS + SPREAD_SECONDS)
     assert asked == ["servers/"]
