Count the calls of a restore, and tell operators what they see in one

A table whose list is in doubt at the moment of a restore counts it as well: the holding back of entries that the copy revives depended on it.

--- a/packages/core/gypsumpost_core/gateway/item_table.py
+++ b/packages/core/gypsumpost_core/gateway/item_table.py
@@ -13,8 +13,8 @@
     The changes are complete up to ``revision``; ``newest`` is the revision of the newest item, and
     ``discarded`` that of the newest item that could not be used. All revisions are of one ``era``
     of the store; what is of an earlier one has no effect, and a complete read begins a later one.
-    ``restored`` is true once a later era has begun, and ``revived`` holds the revisions of items
-    that exist at its begin although their removal was known.
+    ``restores`` is how often a later era has begun after an earlier one, and ``revived`` holds the
+    revisions of items that exist at its begin although their removal was known.
     """
 
     def __init__(self) -> None:
@@ -24,7 +24,7 @@
         self.revision = 0
         self.newest = 0
         self.discarded = 0
-        self.restored = False
+        self.restores = 0
         self.revived: dict[str, int] = {}
 
     @property
@@ -103,14 +103,14 @@
 
         :param era: the era that it names, ``NO_ERA`` if it knows none.
         """
-        return self.era if era == NO_ERA and not self.restored else era
+        return self.era if era == NO_ERA and not self.restores else era
 
     def _begin_era(
         self, present: list[StoredItem], revision: int, era: StoreEra
     ) -> list[StoredItem]:
         """Take over the items of a later era and return those whose values differ."""
         former = {item.key: item.value for item in self._items.values()}
-        self.restored = self.restored or self.loaded
+        self.restores += bool(self._items) or self.loaded
         self._items.clear()
         self._first_revision = None
         self.era, self.revision, self.newest, self.discarded = era, 0, 0, 0
--- a/packages/core/gypsumpost_core/gateway/tests/test_item_table.py
+++ b/packages/core/gypsumpost_core/gateway/tests/test_item_table.py
@@ -141,7 +141,7 @@
     changed = table.replace(items, 30, era=NEXT_ERA)
     assert {item.key: item.value for item in changed} == {"b": None, "c": b"former", "d": b"new"}
     assert table.revived == {"c": 21}
-    assert (table.era, table.revision, table.restored) == (NEXT_ERA, 30, True)
+    assert (table.era, table.revision, table.restores) == (NEXT_ERA, 30, 1)
     written = StoredItem(key="a", revision=31, value=b"again")
     assert table.apply([written], 31, NEXT_ERA) == [written]
 
--- a/packages/daemon/gypsumpost_daemon/gateway/directory.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/directory.py
@@ -45,7 +45,6 @@
         self.fleet = self._endpoints.fleet
         self.routes: RouteTable | None = None
         self.era_belief = EraBelief()
-        self.restores = 0
         self._restored_at = -math.inf
         self._withdraw_at: dict[str, float] = {}
         self.store_lost = False
@@ -200,9 +199,9 @@
         :param era: era of the store to which the revisions belong.
         """
         table = self.tables[prefix]
-        former, loaded = StorePosition(era=table.era, revision=table.revision), table.loaded
+        former, restores = StorePosition(era=table.era, revision=table.revision), table.restores
         changed = table.replace(items, revision, kept, era)
-        if loaded and table.era > former.era:
+        if table.restores > restores:
             self._record_restore(prefix, former, changed, source)
         self._apply_changes(prefix, changed, source)
         self._record_load(source)
@@ -238,7 +237,6 @@
     ) -> None:
         """Prepare for the items of a store that has come back from an older copy."""
         now = trio.current_time()
-        self.restores += 1
         self._restored_at = now
         table = self.tables[prefix]
         if prefix == self._adapter.endpoint_prefix:
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_gauges.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_gauges.py
@@ -49,7 +49,7 @@
     add(
         "gypsumpost_store_restores",
         "Restores of the store that this host has seen, counted for each prefix.",
-        lambda: directory.restores,
+        lambda: sum(table.restores for table in directory.tables.values()),
     )
     add(
         "gypsumpost_configuration_version",
