Keep removals known over restores of the store

Cause: a table that begins an era dropped the removals that it knew. So a first copy that lacks an endpoint, and a second, older one that has it, made its entry usable. What a copy lacked was kept as a removal, so an entry that was written again and is in the next copy was held back, although nobody had removed it.

Change: removals of former eras stay known with revision 0; keys that only a copy lacks are no removals.

--- a/packages/core/gypsumpost_core/gateway/item_table.py
+++ b/packages/core/gypsumpost_core/gateway/item_table.py
@@ -5,6 +5,9 @@
 from gypsumpost_core.gateway.store_era import NO_ERA, StoreEra
 from gypsumpost_core.gateway.stored_item import StoredItem
 
+REMOVED_IN_FORMER_ERA = 0
+"""Revision of removals of a former era, lower than that of any item."""
+
 
 class ItemTable:
     """Applies changes that arrive in any order and from several sources.
@@ -26,6 +29,8 @@
         self.discarded = 0
         self.restored = False
         self.revived: dict[str, int] = {}
+        # Keys of items that did not exist at the begin of the era, although nobody removed them.
+        self._lacking: set[str] = set()
 
     @property
     def loaded(self) -> bool:
@@ -56,6 +61,7 @@
             if current is None or item.revision > current.revision:
                 self._items[item.key] = item
                 self.newest = max(self.newest, item.revision)
+                self._lacking.discard(item.key)
                 changed[item.key] = item
         self.revision = max(self.revision, revision)
         return list(changed.values())
@@ -108,10 +114,17 @@
     def _begin_era(
         self, present: list[StoredItem], revision: int, era: StoreEra
     ) -> list[StoredItem]:
-        """Take over the items of a later era and return those whose values differ."""
+        """Take over the items of a later era and return those whose values differ.
+
+        Removals stay known, as the store may come back once more, from a copy older than those.
+        """
         former = {item.key: item.value for item in self._items.values()}
+        known_removed = {key for key, value in former.items() if value is None} - self._lacking
         self.restored = self.restored or self.loaded
-        self._items.clear()
+        self._items = {
+            key: StoredItem(key=key, revision=REMOVED_IN_FORMER_ERA, value=None)
+            for key in known_removed
+        }
         self._first_revision = None
         self.era, self.revision, self.newest, self.discarded = era, 0, 0, 0
         keys = {item.key for item in present}
@@ -120,13 +133,10 @@
             for key, value in former.items()
             if value is not None and key not in keys
         ]
-        self.revived = {
-            item.key: item.revision
-            for item in present
-            if item.key in former and former[item.key] is None
-        }
+        self.revived = {item.key: item.revision for item in present if item.key in known_removed}
         self._first_revision = revision
         applied = self.apply([*present, *removed], revision, era)
+        self._lacking = former.keys() - known_removed - keys
         return [item for item in applied if item.value != former.get(item.key)]
 
     def holds(self, keys: Iterable[str], revision: int) -> bool:
--- a/packages/core/gypsumpost_core/gateway/tests/test_item_table.py
+++ b/packages/core/gypsumpost_core/gateway/tests/test_item_table.py
@@ -1,5 +1,6 @@
 """Tests of the table of items received from the store and from peers."""
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -169,3 +170,33 @@
     assert table.resolve_era(NO_ERA) == ERA
     table.replace([], 20, era=NEXT_ERA)
     assert table.resolve_era(NO_ERA) == NO_ERA
+
+
+def test_a_removal_stays_known_over_a_copy_that_lacks_it():
+    """Guards against an endpoint that has left and is used after a second restore."""
+    table = create_loaded_table()
+    table.replace([create_item("a", 20)], 20, era=NEXT_ERA)
+    read = [create_item("a", 10), create_item("b", 11), create_item("c", 12)]
+    table.replace(read, 15, era=StoreEra(NEXT_ERA + 1))
+    assert table.revived == {"c": 12}
+
+
+@pytest.mark.parametrize("copies", [1, 2])
+def test_what_a_copy_lacks_is_not_taken_for_removed(copies):
+    """Guards against an endpoint that lives and is held back after a later restore."""
+    table = create_loaded_table()
+    for revision in range(20, 20 + copies):
+        table.replace([create_item("a", 20)], revision, era=StoreEra(ERA + revision))
+    read = [create_item("a", 20), create_item("b", 22)]
+    changed = table.replace(read, 22, era=StoreEra(ERA + 22))
+    assert [item.key for item in changed if item.value is not None] == ["b"]
+    assert table.revived == {}
+
+
+def test_a_removal_after_a_restore_is_known_at_the_next_one():
+    """Guards against an endpoint that left after a restore and counts as only missing."""
+    table = create_loaded_table()
+    table.replace([], 20, era=NEXT_ERA)
+    table.apply([create_item("b", 21), create_item("b", 22, None)], 22, NEXT_ERA)
+    table.replace([create_item("b", 21)], 21, era=StoreEra(NEXT_ERA + 1))
+    assert table.revived == {"b": 21}
