Poll quiet entries by turns of the watchers

Only the first watcher of a domain polled the entries of the endpoints. Where it got no answer and the watch of the second one was lost, a removed endpoint stayed for 19.3 s.

Beacons now carry how long ago the store has told the sender of the endpoints. A peer of the domain counts that as its own if it lacks no entry that the sender has; the age grows while a beacon waits, as that of the confirmation of the configuration does. Each next watcher waits 0.25 s longer for it (1.4, 1.65 and 1.9 s). A poll counts from when it was sent, not from its answer. A host of an older version names no age, so the others poll by their own answers during a roll-out.

--- a/packages/daemon/gypsumpost_daemon/gateway/beacon.capnp
+++ b/packages/daemon/gypsumpost_daemon/gateway/beacon.capnp
@@ -70,6 +70,7 @@
   begun @19 :Data;              # digests, 8 bytes each, of streams that began in the domain lately
   confirmedMsAgo @20 :UInt32 = 4294967295;  # since the store confirmed the version; most: never
   era @21 :UInt32;              # era of the store to which endpointRevision belongs, 0 for none
+  endpointsToldMsAgo @22 :UInt32 = 4294967295;  # since the store told of the endpoints; most: never
 }
 
 struct Item {
--- a/packages/daemon/gypsumpost_daemon/gateway/beacon.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/beacon.py
@@ -42,6 +42,8 @@
     :param confirmed_ms_ago: age of the store's last confirmation that no newer version exists,
         ``None`` if there is none.
     :param era: era of the store to which the endpoint revision belongs.
+    :param endpoints_told_ms_ago: time for which the store has told the domain nothing of the
+        endpoints, ``None`` if it never has.
     :param begun: digests of the requests that have begun to stream in the domain lately.
     """
 
@@ -66,4 +68,5 @@
     begun: tuple[bytes, ...] = ()
     confirmed_ms_ago: int | None = None
     era: StoreEra = NO_ERA
+    endpoints_told_ms_ago: int | None = None
     rates: Mapping[str, int] = attrs.field(factory=dict)
--- a/packages/daemon/gypsumpost_daemon/gateway/beacon_codec.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/beacon_codec.py
@@ -74,11 +74,8 @@
         copiesLeftOut=beacon.copies_left_out,
         begun=b"".join(beacon.begun),
         era=beacon.era,
-        confirmedMsAgo=(
-            NEVER_CONFIRMED
-            if beacon.confirmed_ms_ago is None
-            else bound_number(beacon.confirmed_ms_ago)
-        ),
+        confirmedMsAgo=encode_age(beacon.confirmed_ms_ago),
+        endpointsToldMsAgo=encode_age(beacon.endpoints_told_ms_ago),
     ).to_bytes_packed()
     return packed
 
@@ -122,17 +119,32 @@
                 copies_left_out=message.copiesLeftOut,
                 begun=split_digests(bytes(message.begun)),
                 era=StoreEra(message.era),
-                confirmed_ms_ago=(
-                    None if message.confirmedMsAgo == NEVER_CONFIRMED else message.confirmedMsAgo
-                ),
+                confirmed_ms_ago=decode_age(message.confirmedMsAgo),
+                endpoints_told_ms_ago=decode_age(message.endpointsToldMsAgo),
             )
         )
     except (capnp.KjException, ValueError, UnicodeDecodeError) as error:
         return Err(str(error).partition("\n")[0])
 
 
+def encode_age(milliseconds: int | None) -> int:
+    """Return the age of an answer of the store as a number of the message.
+
+    :param milliseconds: the age, ``None`` if there is no answer.
+    """
+    return NEVER_CONFIRMED if milliseconds is None else bound_number(milliseconds)
+
+
+def decode_age(number: int) -> int | None:
+    """Return the age of an answer of the store in milliseconds, ``None`` if there is none.
+
+    :param number: the number in the message.
+    """
+    return None if number == NEVER_CONFIRMED else number
+
+
 def add_confirmation_age(data: bytes, seconds: float) -> bytes:
-    """Return a beacon as packed bytes, with a confirmation that is older by some time.
+    """Return a beacon as packed bytes, with answers of the store that are older by some time.
 
     The fields that only newer versions of this software know are kept.
 
@@ -140,14 +152,24 @@
     :param seconds: the time, infinity if it is not known.
     """
     message = SCHEMA.Beacon.from_bytes_packed(data).as_builder()
-    if message.confirmedMsAgo == NEVER_CONFIRMED:
+    if message.confirmedMsAgo == message.endpointsToldMsAgo == NEVER_CONFIRMED:
         return data
-    age = message.confirmedMsAgo + seconds * MILLISECONDS
-    message.confirmedMsAgo = math.ceil(min(age, NEVER_CONFIRMED))
+    milliseconds = seconds * MILLISECONDS
+    message.confirmedMsAgo = extend_age(message.confirmedMsAgo, milliseconds)
+    message.endpointsToldMsAgo = extend_age(message.endpointsToldMsAgo, milliseconds)
     packed: bytes = message.to_bytes_packed()
     return packed
 
 
+def extend_age(number: int, milliseconds: float) -> int:
+    """Return the age of an answer of the store, as a number of the message, after some time.
+
+    :param number: the number before.
+    :param milliseconds: the time, infinity if it is not known.
+    """
+    return math.ceil(min(number + milliseconds, NEVER_CONFIRMED))
+
+
 def encode_uses(uses: Mapping[str, EngineUsage]) -> dict[str, Any]:
     """Return the usage by engine as fields of the schema's ``Uses``.
 
--- a/packages/daemon/gypsumpost_daemon/gateway/beacon_state.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/beacon_state.py
@@ -11,6 +11,7 @@
 from gypsumpost_core.gateway.host_roles import HostRoles
 from gypsumpost_core.gateway.prefill_rates import PrefillRates
 from gypsumpost_core.gateway.retry_budget import RetryBudget
+from gypsumpost_core.gateway.store_position import StorePosition
 from gypsumpost_core.gateway.usage_table import UsageTable
 from gypsumpost_core.host import Host
 from gypsumpost_daemon.gateway.beacon import Beacon
@@ -92,7 +93,12 @@
             copies=self.copies.list_own(now),
             rollouts=self._report_rollouts(now, of_domain=False),
             incarnation=self.copies.incarnation,
-            confirmed_ms_ago=self._compute_confirmed_ms(),
+            confirmed_ms_ago=count_milliseconds(
+                self.directory.freshness.compute_confirmation_age()
+            ),
+            endpoints_told_ms_ago=count_milliseconds(
+                now - self.follower.get_told_at(self.directory.endpoint_prefix)
+            ),
         )
 
     def create_domain_beacon(self, now: float) -> Beacon:
@@ -131,6 +137,7 @@
             if not in_own_domain:
                 self.copies.begun.put_elsewhere(report.failure_domain, beacon.begun, now)
         elif in_own_domain:
+            self._record_endpoints_told(beacon, arrived_after)
             changed = beacon.uses != self.usage.reports.get_host(report.host_id)
             self.usage.reports.put_host(report.host_id, beacon.uses, now)
             self.retry_budget.reports.put_host(report.host_id, beacon.retries, now)
@@ -152,11 +159,25 @@
             self.follower.record_peers_outage()
         return changed
 
-    def _compute_confirmed_ms(self) -> int | None:
-        age = self.directory.freshness.compute_confirmation_age()
-        return None if age == math.inf else math.ceil(age * MILLISECONDS)
+    def _record_endpoints_told(self, beacon: Beacon, arrived_after: float) -> None:
+        """Record what the store has told a peer of the domain, if nothing of it is lacking here."""
+        era = self.directory.resolve_era(beacon.era)
+        position = StorePosition(era=era, revision=beacon.endpoint_revision)
+        if beacon.endpoints_told_ms_ago is not None and (
+            position <= self.directory.endpoint_position
+        ):
+            told_at = arrived_after - beacon.endpoints_told_ms_ago / MILLISECONDS
+            self.follower.record_told(self.directory.endpoint_prefix, told_at)
 
     def _report_rollouts(self, now: float, *, of_domain: bool) -> RolloutReport:
         if self.rollouts is None:
             return NO_REPORT
         return self.rollouts.create_report(now, of_domain=of_domain)
+
+
+def count_milliseconds(age: float) -> int | None:
+    """Return an age in whole milliseconds, rounded up, ``None`` if it is infinite.
+
+    :param age: the age in seconds.
+    """
+    return None if age == math.inf else math.ceil(age * MILLISECONDS)
--- a/packages/daemon/gypsumpost_daemon/gateway/directory.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/directory.py
@@ -103,6 +103,11 @@
         """Prefix of the key of the configuration."""
         return self._adapter.configuration_prefix
 
+    @property
+    def endpoint_prefix(self) -> str:
+        """Prefix of the keys of the endpoints."""
+        return self._adapter.endpoint_prefix
+
     def record_store_answer(self, asked_at: float) -> None:
         """Record that the store has sent all changes of the configuration up to some moment.
 
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_daemon.py
@@ -202,6 +202,7 @@
             follower=self._follower,
             roles=self.roles,
             announce=self._exchange.schedule_beacons,
+            announce_to_domain=self._exchange.schedule_domain_beacons,
         )
         self.limits = GatewayLimits(settings=settings, metrics=metrics)
         self.context = ForwardContext(
--- a/packages/daemon/gypsumpost_daemon/gateway/peer_exchange.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/peer_exchange.py
@@ -107,9 +107,13 @@
 
     def schedule_beacons(self) -> None:
         """Send beacons soon, because the state of this host has changed."""
-        self._changed.set()
+        self.schedule_domain_beacons()
         self._domain_changed.set()
 
+    def schedule_domain_beacons(self) -> None:
+        """Send beacons to the hosts of the own domain soon."""
+        self._changed.set()
+
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Send and receive beacons until cancelled."""
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
--- a/packages/daemon/gypsumpost_daemon/gateway/store_confirmer.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/store_confirmer.py
@@ -25,9 +25,13 @@
 TURN_SECONDS = 0.5
 """How much longer each next watcher of a domain waits for those before it."""
 
-QUIET_SECONDS = 1.5
+QUIET_SECONDS = 1.4
 """Time without an answer of the store after which the first watcher polls other prefixes."""
 
+QUIET_TURN_SECONDS = 0.25
+"""How much longer each next watcher waits with that. An endpoint that leaves gets no requests after
+two seconds, also if the watchers before it get no answer."""
+
 REPLY_SECONDS = 1.2
 """How long an answer of the store is waited for."""
 
@@ -51,6 +55,7 @@
     :param follower: asks the store.
     :param roles: which hosts watch the store.
     :param announce: called after a poll, to tell the peers soon; must not block.
+    :param announce_to_domain: the same for the peers of the domain.
     """
 
     def __init__(
@@ -60,11 +65,13 @@
         follower: StoreFollower,
         roles: HostRoles,
         announce: Callable[[], None],
+        announce_to_domain: Callable[[], None],
     ) -> None:
         self._directory = directory
         self._follower = follower
         self._roles = roles
         self._announce = announce
+        self._announce_to_domain = announce_to_domain
         self._wanted = trio.Event()
         self._answered = trio.Event()
         self._failed_until = -math.inf
@@ -144,14 +151,26 @@
                     self._announce()
 
     async def _poll_quiet(self, prefix: str) -> None:
-        """Poll a prefix at the first watcher when the store has told nothing of it for a while."""
+        """Poll a prefix when the store has told the watchers of the domain nothing for a while."""
         pause = 0.0
         while True:
-            await trio.sleep(max(CHECK_SECONDS, pause))
             now = trio.current_time()
-            is_first = self._follower.watching and not self._roles.count_watchers_ahead(now)
-            if is_first and self._follower.is_quiet(prefix, now - QUIET_SECONDS):
-                pause = 0.0 if await self._poll(prefix) else extend_pause(pause)
+            due_at = self._compute_quiet_due(prefix, now)
+            if due_at > now:
+                await trio.sleep_until(min(due_at, now + CHECK_SECONDS))
+            elif await self._poll(prefix):
+                pause = 0.0
+                self._announce_to_domain()
+            else:
+                pause = extend_pause(pause)
+                await trio.sleep(pause)
+
+    def _compute_quiet_due(self, prefix: str, now: float) -> float:
+        """Return when to poll a prefix, as monotonic time in seconds."""
+        if not self._follower.watching:
+            return math.inf
+        turn = self._roles.count_watchers_ahead(now)
+        return self._follower.get_told_at(prefix) + QUIET_SECONDS + turn * QUIET_TURN_SECONDS
 
     async def _poll(self, prefix: str) -> bool:
         with contain_errors(LOG, "a poll", prefix=prefix):
--- a/packages/daemon/gypsumpost_daemon/gateway/store_follower.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/store_follower.py
@@ -92,13 +92,21 @@
         now = trio.current_time()
         return now - self._watched_since.get(prefix, now)
 
-    def is_quiet(self, prefix: str, since: float) -> bool:
-        """Return true if the store has answered no call for a prefix since some moment.
+    def get_told_at(self, prefix: str) -> float:
+        """Return up to when the store has told all that it had under a prefix.
 
         :param prefix: prefix of the keys.
-        :param since: the moment, as monotonic time in seconds.
+        :returns: the moment, as monotonic time in seconds, minus infinity if it has told nothing.
         """
-        return self._told_at.get(prefix, -math.inf) < since
+        return self._told_at.get(prefix, -math.inf)
+
+    def record_told(self, prefix: str, told_at: float) -> None:
+        """Record that this host knows all that the store had under a prefix at some moment.
+
+        :param prefix: prefix of the keys.
+        :param told_at: the moment, as monotonic time in seconds.
+        """
+        self._told_at[prefix] = max(told_at, self.get_told_at(prefix))
 
     def record_missed_change(self, prefix: str, source: str) -> None:
         """Start the watch of a prefix again if a change that it did not bring came otherwise.
@@ -163,6 +171,7 @@
         apply = self._directory.replace if position is None else self._directory.apply
         if self._apply(apply, prefix, polled.ok_value, asked_at):
             self.record_missed_change(prefix, STORE)
+        self.record_told(prefix, asked_at)
         return True
 
     async def run(self) -> None:
@@ -224,6 +233,7 @@
             return self._record_failure(prefix, read.err_value, asked_at)
         self._record_answer()
         self._apply(self._directory.replace, prefix, read.ok_value, asked_at)
+        self.record_told(prefix, asked_at)
         return None
 
     async def _read_era(self, prefix: str, deadline: float) -> Result[ItemBatch, ItemStoreFailure]:
@@ -267,6 +277,7 @@
             return self._record_failure(prefix, failure, watched_since)
         self._record_answer()
         self._apply(self._directory.apply, prefix, watched.ok_value, watched_since)
+        self.record_told(prefix, trio.current_time())
         return None
 
     def _check_era(
@@ -314,7 +325,6 @@
 
     def _record_items(self, prefix: str, asked_at: float) -> None:
         """Record that the items are known that the store had when it was asked."""
-        self._told_at[prefix] = trio.current_time()
         if prefix == self._directory.configuration_prefix:
             self._directory.record_store_answer(asked_at)
         # Items that arrived damaged are read again, once for each write.
--- a/packages/daemon/gypsumpost_daemon/gateway/tests/test_beacon_codec.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/tests/test_beacon_codec.py
@@ -137,6 +137,9 @@
     assert decode_beacon(encode_beacon(beacon)).unwrap().confirmed_ms_ago is None
     confirmed = attrs.evolve(beacon, confirmed_ms_ago=0)
     assert decode_beacon(encode_beacon(confirmed)).unwrap().confirmed_ms_ago == 0
+    assert decode_beacon(encode_beacon(beacon)).unwrap().endpoints_told_ms_ago is None
+    told = attrs.evolve(beacon, endpoints_told_ms_ago=0)
+    assert decode_beacon(encode_beacon(told)).unwrap().endpoints_told_ms_ago == 0
 
 
 async def test_a_beacon_with_long_ids_is_sent_without_its_copies():
--- a/packages/daemon/gypsumpost_daemon/gateway/tests/test_beacon_socket.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/tests/test_beacon_socket.py
@@ -39,6 +39,7 @@
     uses={},
     retries={},
     confirmed_ms_ago=CONFIRMED_MS,
+    endpoints_told_ms_ago=CONFIRMED_MS,
 )
 
 
@@ -79,7 +80,11 @@
     beacon = decode_beacon(forwarded[MAC_BYTES:]).unwrap()
     assert beacon.confirmed_ms_ago is not None
     assert beacon.confirmed_ms_ago >= CONFIRMED_MS + PAUSE_SECONDS * 1000
-    assert attrs.evolve(beacon, confirmed_ms_ago=CONFIRMED_MS) == BEACON
+    assert beacon.endpoints_told_ms_ago == beacon.confirmed_ms_ago
+    renewed = attrs.evolve(
+        beacon, confirmed_ms_ago=CONFIRMED_MS, endpoints_told_ms_ago=CONFIRMED_MS
+    )
+    assert renewed == BEACON
 
 
 async def test_a_beacon_that_is_sent_late_names_the_age_of_its_confirmation(nursery):
@@ -106,7 +111,8 @@
 async def test_a_forwarded_beacon_without_a_confirmation_gets_none():
     """Guards against a confirmation that no host has had."""
     with open_beacons() as beacons:
-        received = await receive_after_pause(beacons, attrs.evolve(BEACON, confirmed_ms_ago=None))
+        beacon = attrs.evolve(BEACON, confirmed_ms_ago=None, endpoints_told_ms_ago=None)
+        received = await receive_after_pause(beacons, beacon)
         assert beacons.update_age(received.data, received.arrived_after) == received.data
 
 
