Let no poll that ends empty hide a change

Polls asked /kv-watch with a wait of 1 ms, and took the store_revision of an empty answer for the new start. A store that ends the wait before it has looked for changes breaks its page, but the change was then lost to all later polls and to a new watch as well, until the next one.

The start of the polls moves behind the revision of an empty answer only after 4 s of polls, so that the next poll repairs one that has missed a change; history is kept for 20 s. Neither costs a call.

--- a/packages/daemon/gypsumpost_daemon/gateway/store_follower.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/store_follower.py
@@ -4,11 +4,13 @@
 import random
 from collections.abc import Callable
 
+import attrs
 import trio
 from result import Err, Result
 
 from gypsumpost_core.gateway.era_belief import EraVerdict
 from gypsumpost_core.gateway.host_roles import HostRoles
+from gypsumpost_core.gateway.poll_start import PollStart
 from gypsumpost_core.gateway.store_era import NO_ERA, StoreEra
 from gypsumpost_core.gateway.store_position import StorePosition
 from gypsumpost_daemon.gateway.directory import STORE, Directory
@@ -70,6 +72,7 @@
         # Positions up to which the store itself has sent the changes. What peers say does not
         # count here, so that a wrong revision of a peer cannot hide changes of the store.
         self._positions: dict[str, StorePosition] = {}
+        self._poll_starts = {prefix: PollStart() for prefix in directory.tables}
         self._era_log_at = -math.inf
         self._reread: dict[str, int] = {}
         self._failed_prefix = next(iter(directory.tables))
@@ -168,8 +171,12 @@
                 waited_seconds=round(trio.current_time() - asked_at, 3),
             )
             return False
+        batch = polled.ok_value
+        if position is not None and not batch.items:
+            start = self._poll_starts[prefix].advance(position, batch.revision, asked_at)
+            batch = attrs.evolve(batch, revision=start)
         apply = self._directory.replace if position is None else self._directory.apply
-        if self._apply(apply, prefix, polled.ok_value, asked_at):
+        if self._apply(apply, prefix, batch, asked_at):
             self.record_missed_change(prefix, STORE)
         self.record_told(prefix, asked_at)
         return True
