Bind the lease of the decider to the era of the store

Two hosts could decide on one roll-out after the store came back from an older copy: the lease was lost with the copy, another host took it, and the former holder went on until its next renewal. A revision given out again could equal the former token, so a late step of the former holder could also pass the condition of its write.

Change: answers to writes hand on the era, also errors, and are observed by the same EraBelief as reads. A holder stops at the first answer of another era, whichever call brings it. A lease is taken only when a lease's time has passed since the era was believed. Each era has a key of its own for the lease, so the condition of a write of a former era never meets a lease of a later one. Tokens are made from positions and never fall. A lease of a former era is not ended, as its number may be another host's by now.

--- a/packages/core/gypsumpost_core/gateway/era_belief.py
+++ b/packages/core/gypsumpost_core/gateway/era_belief.py
@@ -5,6 +5,9 @@
 """
 
 import enum
+import math
+import time
+from collections.abc import Callable
 
 import attrs
 
@@ -33,10 +36,16 @@
 class EraBelief:
     """Believes a higher era when two answers in a row name it.
 
+    :param read_clock: returns the monotonic time in seconds.
     :ivar era: the believed era.
+    :ivar believed_at: monotonic time in seconds since which it is believed.
+    :ivar sightings: answers so far that named a higher era which was not believed yet.
     """
 
+    read_clock: Callable[[], float] = time.monotonic
     era: StoreEra = attrs.field(default=NO_ERA, init=False)
+    believed_at: float = attrs.field(default=-math.inf, init=False)
+    sightings: int = attrs.field(default=0, init=False)
     _candidate: StoreEra = attrs.field(default=NO_ERA, init=False)
 
     def observe(self, era: StoreEra | None) -> EraVerdict:
@@ -50,11 +59,12 @@
             return EraVerdict.UNLIKELY
         if era > self.era and era != self._candidate:
             self._candidate = era
+            self.sightings += 1
             return EraVerdict.UNCONFIRMED
         self._candidate = NO_ERA
         if era < self.era:
             return EraVerdict.FORMER
-        self.era = era
+        self._believe(era)
         return EraVerdict.CURRENT
 
     def adopt(self, era: StoreEra) -> None:
@@ -62,5 +72,9 @@
 
         :param era: the era.
         """
+        self._believe(era)
+
+    def _believe(self, era: StoreEra) -> None:
         if era > self.era:
             self.era, self._candidate = era, NO_ERA
+            self.believed_at = self.read_clock()
--- a/packages/daemon/gypsumpost_daemon/gateway/directory.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/directory.py
@@ -44,7 +44,7 @@
         )
         self.fleet = self._endpoints.fleet
         self.routes: RouteTable | None = None
-        self.era_belief = EraBelief()
+        self.era_belief = EraBelief(read_clock=trio.current_time)
         self.restores = 0
         self._restored_at = -math.inf
         self._withdraw_at: dict[str, float] = {}
--- a/packages/daemon/gypsumpost_daemon/gateway/item_store.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/item_store.py
@@ -9,6 +9,7 @@
 from gypsumpost_core.gateway.stored_item import StoredItem
 from gypsumpost_daemon.gateway.item_transaction import ItemTransaction
 from gypsumpost_daemon.gateway.store_lease import StoreLease
+from gypsumpost_daemon.gateway.write_answer import WriteAnswer
 from gypsumpost_daemon.gateway.write_failure import WriteFailure
 
 
@@ -63,18 +64,22 @@
 
     async def commit(
         self, transaction: ItemTransaction, deadline: float
-    ) -> Result[int, WriteFailure]:
-        """Change items until a deadline in monotonic time, and return the store's revision."""
+    ) -> Result[WriteAnswer, WriteFailure]:
+        """Change items until a deadline in monotonic time."""
         ...
 
     async def open_lease(self, seconds: float, deadline: float) -> Result[StoreLease, WriteFailure]:
         """Open a lease that ends after some seconds unless it is renewed."""
         ...
 
-    async def renew_lease(self, lease: StoreLease, deadline: float) -> Result[None, WriteFailure]:
+    async def renew_lease(
+        self, lease: StoreLease, deadline: float
+    ) -> Result[WriteAnswer, WriteFailure]:
         """Let a lease last its whole time from now on."""
         ...
 
-    async def end_lease(self, lease: StoreLease, deadline: float) -> Result[None, WriteFailure]:
+    async def end_lease(
+        self, lease: StoreLease, deadline: float
+    ) -> Result[WriteAnswer, WriteFailure]:
         """End a lease and remove the items written under it."""
         ...
--- a/packages/daemon/gypsumpost_daemon/gateway/write_failure.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/write_failure.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from gypsumpost_core.gateway.store_era import StoreEra
+
 
 class WriteFailureKind(enum.Enum):
     """What a caller may conclude about a change that was not confirmed.
@@ -26,7 +28,9 @@
 
     :param kind: what is known about it.
     :param reason: a short description.
+    :param era: era of the store, ``None`` if there was no answer or it names none.
     """
 
     kind: WriteFailureKind
     reason: str
+    era: StoreEra | None = None
--- a/packages/daemon/gypsumpost_daemon/rollouts/record_store.py
+++ b/packages/daemon/gypsumpost_daemon/rollouts/record_store.py
@@ -5,11 +5,12 @@
 import trio
 from result import Err, Ok, Result
 
+from gypsumpost_core.gateway.store_position import read_token
 from gypsumpost_core.rollouts.rollout_record import RolloutRecord
-from gypsumpost_daemon.gateway.item_store import ItemStore
 from gypsumpost_daemon.gateway.item_transaction import ItemTransaction, ItemWrite
 from gypsumpost_daemon.gateway.write_failure import WriteFailure
-from gypsumpost_daemon.rollouts.decider_lease import DECIDER_KEY
+from gypsumpost_daemon.rollouts.checked_store import CheckedStore
+from gypsumpost_daemon.rollouts.decider_lease import build_decider_key
 from gypsumpost_daemon.rollouts.record_codec import decode_record, encode_record
 from gypsumpost_daemon.telemetry.log import Log
 
@@ -27,7 +28,7 @@
     """
 
     def __init__(
-        self, *, store: ItemStore, encode_status: Callable[[RolloutRecord], tuple[str, bytes]]
+        self, *, store: CheckedStore, encode_status: Callable[[RolloutRecord], tuple[str, bytes]]
     ) -> None:
         self._store = store
         self._encode_status = encode_status
@@ -38,7 +39,7 @@
         """Read all records."""
         read = await self._store.read(RECORD_PREFIX, trio.current_time() + CALL_SECONDS)
         if isinstance(read, Err):
-            return Err(read.err_value.reason)
+            return read
         self.records.clear()
         self._revisions.clear()
         for item in read.ok_value.items:
@@ -61,9 +62,10 @@
         """
         key = RECORD_PREFIX + record.service
         status_key, status = self._encode_status(record)
+        lease = read_token(record.fencing_token)
         transaction = ItemTransaction(
             expected={
-                DECIDER_KEY: record.fencing_token,
+                build_decider_key(lease.era): lease.revision,
                 key: self._revisions.get(record.service, 0),
             },
             writes=(
@@ -74,6 +76,6 @@
         written = await self._store.commit(transaction, trio.current_time() + CALL_SECONDS)
         if isinstance(written, Err):
             return written
-        self._revisions[record.service] = written.ok_value
+        self._revisions[record.service] = written.ok_value.revision
         self.records[record.service] = record
         return Ok(None)
--- a/packages/daemon/gypsumpost_daemon/rollouts/rollout_components.py
+++ b/packages/daemon/gypsumpost_daemon/rollouts/rollout_components.py
@@ -13,6 +13,7 @@
 from gypsumpost_daemon.gateway.directory import Directory
 from gypsumpost_daemon.gateway.gateway_settings import GatewaySettings
 from gypsumpost_daemon.gateway.item_store import ItemStore
+from gypsumpost_daemon.rollouts.checked_store import CheckedStore
 from gypsumpost_daemon.rollouts.decider_lease import DeciderLease
 from gypsumpost_daemon.rollouts.fleet_observer import FleetObserver
 from gypsumpost_daemon.rollouts.order_table import OrderTable
@@ -81,10 +82,11 @@
         key = adapter.rollout_status_prefix + record.service
         return key, adapter.encode_rollout_status(record.phase, record.target_version)
 
+    checked = CheckedStore(store=store, belief=directory.era_belief)
     decider = RolloutDecider(
         state=state,
-        lease=DeciderLease(store=store, host_id=own.host_id),
-        records=RecordStore(store=store, encode_status=encode_status),
+        lease=DeciderLease(store=checked, host_id=own.host_id),
+        records=RecordStore(store=checked, encode_status=encode_status),
         observer=FleetObserver(
             directory=directory, usage=usage, state=state, list_domains=list_domains
         ),
--- a/packages/daemon/gypsumpost_daemon/rollouts/rollout_decider.py
+++ b/packages/daemon/gypsumpost_daemon/rollouts/rollout_decider.py
@@ -103,13 +103,15 @@
             return
         if self._stale and not await self._read():
             return
+        if not self._lease.held:
+            return
         self._state.confirm(self._lease.confirmation, self._lease.confirmed_at)
         await self._decide_all()
 
     async def _decide_all(self) -> None:
         for service in self._state.list_open():
             for _ in range(STEPS_AT_ONCE):
-                if not await self._decide(service):
+                if not self._lease.held or not await self._decide(service):
                     break
 
     def _is_take_due(self) -> bool:
@@ -137,6 +139,8 @@
             # The store may turn this host away and serve others.
             await self._lease.end()
             return
+        if not self._lease.held:
+            return
         self._state.confirm(self._lease.confirmation, self._lease.confirmed_at)
         self._state.announce()
         await self._decide_all()
