Go on from the newest known record when the store is restored

After the store came back from an older copy, a roll-out began anew when the operator wrote its order again, was not found by its number any more, or went on from the copy's older record; the record and the status of an ended one stayed those of the copy.

Cause: orders and records are told apart by plain revisions, which go back and are given out again, and the decider goes on from what the store holds.

Change: numbers of orders are positions. An order with the same content in a later era is the same order; records keep the time that their order gave for this (a new field, which older hosts skip). Over eras, records of one roll-out are ordered by their last step, and an ended one stays ended. The decider goes on from the newest record that its host knows, under the revision read in the new era. A record whose token is of a former era is written again once, with its status and the number that its order has now. Items that the copy holds unchanged are handed on with their revisions of the new era. The items beside the configuration moved out of directory.py.

--- a/packages/core/gypsumpost_core/rollouts/rollout_decider.py
+++ b/packages/core/gypsumpost_core/rollouts/rollout_decider.py
@@ -6,6 +6,8 @@
 
 from gypsumpost_core.rollouts.evidence_sum import EvidenceSum
 from gypsumpost_core.rollouts.fleet_view import FleetView
+from gypsumpost_core.rollouts.record_renewal import is_to_be_renewed, renew_record
+from gypsumpost_core.rollouts.rollout_identity import is_answered
 from gypsumpost_core.rollouts.rollout_inputs import RolloutInputs
 from gypsumpost_core.rollouts.rollout_order import RolloutOrder
 from gypsumpost_core.rollouts.rollout_phase import RolloutPhase
@@ -64,17 +66,19 @@
     """
     if record is not None and record.fencing_token > fencing_token:
         return wait("another decider has a later lease")
-    if order is not None and not order.is_valid:
-        reason = f"order {order.revision} is not valid"
-        if record is None or record.phase is not RolloutPhase.RUNNING:
-            return wait(reason)
-    elif order is not None and (record is None or record.order_revision < order.revision):
+    if order is not None and order.is_valid and not is_answered(record, order):
         return RolloutStep(
             record=start_rollout(record, order, fleet, fencing_token, now_ms),
             reason="new order",
         )
+    if record is not None and is_to_be_renewed(record, order, fencing_token):
+        return renew_record(record, order, fencing_token)
     if record is None or record.phase is not RolloutPhase.RUNNING:
+        if order is not None and not order.is_valid:
+            return wait(f"order {order.revision} is not valid")
         return wait("no roll-out runs")
+    # The clock of the former decider may have been ahead.
+    now_ms = max(now_ms, record.share_since_ms)
     inputs = RolloutInputs(
         record=attrs.evolve(record, fencing_token=fencing_token),
         judgement=judge_version(evidence, record.target_version),
@@ -118,10 +122,11 @@
         share=share,
         started_at_ms=now_ms,
         share_since_ms=now_ms,
-        deadline_ms=now_ms + int(order.seconds * 1_000),
+        deadline_ms=now_ms + int(order.left_seconds * 1_000),
         fencing_token=fencing_token,
         reason=reason,
         hosts=fleet.hosts,
+        order_seconds=order.seconds,
         barred=list_barred(record, order.target_version),
     )
 
--- a/packages/core/gypsumpost_core/rollouts/service_rollout.py
+++ b/packages/core/gypsumpost_core/rollouts/service_rollout.py
@@ -13,7 +13,6 @@
     :param order: the last valid order.
     :param record: the last known record.
     :param known_since: monotonic time in seconds at which the record's phase became known.
-    :param order_revision: order that the credit belongs to.
     :param credit: requests that this host may send to the target version before the verdict.
     :param spare: spare requests of the record whose part is in the credit.
     :param braked: true while this host's own evidence is against the target version.
@@ -23,7 +22,6 @@
     order: RolloutOrder | None = None
     record: RolloutRecord | None = None
     known_since: float = 0.0
-    order_revision: int = 0
     credit: float = 0.0
     spare: int = 0
     braked: bool = False
--- a/packages/core/gypsumpost_core/rollouts/version_choice.py
+++ b/packages/core/gypsumpost_core/rollouts/version_choice.py
@@ -5,6 +5,7 @@
 import attrs
 
 from gypsumpost_core.rollouts.allowed_versions import AllowedVersions
+from gypsumpost_core.rollouts.rollout_identity import is_answered, is_older, is_same_rollout
 from gypsumpost_core.rollouts.rollout_order import RolloutOrder
 from gypsumpost_core.rollouts.rollout_phase import RolloutPhase
 from gypsumpost_core.rollouts.rollout_record import RolloutRecord
@@ -62,8 +63,7 @@
         known = rollout.record
         if known is not None and is_older(record, known):
             return
-        if rollout.order_revision != record.order_revision:
-            rollout.order_revision = record.order_revision
+        if known is None or not is_same_rollout(record, known):
             rollout.credit = self.rng.random()
             rollout.spare = record.spare
             rollout.braked = False
@@ -119,7 +119,7 @@
         """
         rollout = self._get_rollout(service)
         order, record = rollout.order, rollout.record
-        if order is not None and (record is None or record.order_revision < order.revision):
+        if order is not None and not is_answered(record, order):
             return self._choose_before_start(rollout, order, versions)
         if record is None:
             rollout.established |= versions
@@ -202,16 +202,3 @@
 
     def _get_rollout(self, service: str) -> ServiceRollout:
         return self._rollouts.setdefault(service, ServiceRollout())
-
-
-def is_older(record: RolloutRecord, known: RolloutRecord) -> bool:
-    """Return true if a record is an older state than the known one.
-
-    :param record: a record.
-    :param known: the known record of the same service.
-    """
-    return (record.order_revision, record.fencing_token, record.share_since_ms) < (
-        known.order_revision,
-        known.fencing_token,
-        known.share_since_ms,
-    )
--- a/packages/daemon/gypsumpost_daemon/gateway/directory.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/directory.py
@@ -1,6 +1,5 @@
 """This host's view of the configuration and the endpoints."""
 
-import math
 from collections.abc import Callable, Collection, Iterable
 
 import trio
@@ -14,9 +13,10 @@
 from gypsumpost_core.gateway.store_position import StorePosition
 from gypsumpost_core.gateway.stored_item import StoredItem
 from gypsumpost_daemon.gateway.adapter import GatewayAdapter
-from gypsumpost_daemon.gateway.endpoint_entries import REWRITE_GRACE_SECONDS, EndpointEntries
+from gypsumpost_daemon.gateway.endpoint_entries import EndpointEntries
 from gypsumpost_daemon.gateway.item_set import ItemSet
 from gypsumpost_daemon.gateway.item_tables import ItemTables
+from gypsumpost_daemon.gateway.other_items import OtherItems
 from gypsumpost_daemon.gateway.version_freshness import VersionFreshness
 from gypsumpost_daemon.telemetry.log import Log
 
@@ -43,11 +43,13 @@
             notify=self.notify_change,
         )
         self.fleet = self._endpoints.fleet
+        self.others = OtherItems(
+            table=self.tables[adapter.configuration_prefix],
+            configuration_key=adapter.configuration_key,
+        )
         self.routes: RouteTable | None = None
         self.era_belief = EraBelief(read_clock=trio.current_time)
         self.restores = 0
-        self._restored_at = -math.inf
-        self._withdraw_at: dict[str, float] = {}
         self.store_lost = False
         self._first_use = FirstUse()
         self.freshness = VersionFreshness()
@@ -55,19 +57,11 @@
         self._stored_version = 0
         self._changed = trio.Event()
         self._listeners: list[Callable[[], None]] = []
-        self._item_listeners: list[Callable[[StoredItem], None]] = []
 
     def add_listener(self, listener: Callable[[], None]) -> None:
         """Register a function to call when items have changed; it must not block."""
         self._listeners.append(listener)
 
-    def add_item_listener(self, listener: Callable[[StoredItem], None]) -> None:
-        """Register a function to call with each changed item beside the configuration.
-
-        :param listener: the function; it must not block.
-        """
-        self._item_listeners.append(listener)
-
     @property
     def version(self) -> int:
         """Version of the applied configuration, 0 before the first."""
@@ -226,12 +220,8 @@
         while True:
             now = trio.current_time()
             self._endpoints.apply_due(now)
-            for key in [key for key, due in self._withdraw_at.items() if due <= now]:
-                del self._withdraw_at[key]
-                revision = self.tables[self.configuration_prefix].revision
-                self._notify_item(StoredItem(key=key, revision=revision, value=None))
-            due_at = min(self._withdraw_at.values(), default=math.inf)
-            await self.wait_change(min(due_at, self._endpoints.compute_due()))
+            self.others.apply_due(now)
+            await self.wait_change(min(self.others.compute_due(), self._endpoints.compute_due()))
 
     def _record_restore(
         self, prefix: str, former: StorePosition, changed: list[StoredItem], source: str
@@ -239,12 +229,12 @@
         """Prepare for the items of a store that has come back from an older copy."""
         now = trio.current_time()
         self.restores += 1
-        self._restored_at = now
         table = self.tables[prefix]
         if prefix == self._adapter.endpoint_prefix:
             self._endpoints.record_restore(now)
         else:
             self._applied_revision = 0
+            self.others.record_restore(changed)
         LOG.write(
             "the store has come back from an older copy",
             prefix=prefix,
@@ -267,7 +257,7 @@
             if prefix == self._adapter.endpoint_prefix:
                 self._endpoints.apply(item)
             elif item.key != self._adapter.configuration_key:
-                self._apply_other(item)
+                self.others.apply(item)
             elif item.value is not None:
                 self._apply_configuration(item.value, item.revision, source)
             else:
@@ -277,22 +267,6 @@
             for listener in self._listeners:
                 listener()
 
-    def _apply_other(self, item: StoredItem) -> None:
-        """Hand on an item that is neither an endpoint nor the configuration.
-
-        What a copy lacks is not taken for removed before it can have been written again.
-        """
-        self._withdraw_at.pop(item.key, None)
-        withdraw_at = self._restored_at + REWRITE_GRACE_SECONDS
-        if item.value is None and trio.current_time() < withdraw_at:
-            self._withdraw_at[item.key] = withdraw_at
-        else:
-            self._notify_item(item)
-
-    def _notify_item(self, item: StoredItem) -> None:
-        for notify in self._item_listeners:
-            notify(item)
-
     def _apply_configuration(self, value: bytes, revision: int, source: str) -> None:
         decoded = self._adapter.decode_configuration(value)
         if isinstance(decoded, Err):
--- a/packages/daemon/gypsumpost_daemon/rollouts/order_table.py
+++ b/packages/daemon/gypsumpost_daemon/rollouts/order_table.py
@@ -1,8 +1,12 @@
 """Orders of roll-outs that are in force."""
 
+import attrs
 from result import Err
 
+from gypsumpost_core.gateway.store_era import StoreEra
+from gypsumpost_core.gateway.store_position import StorePosition
 from gypsumpost_core.gateway.stored_item import StoredItem
+from gypsumpost_core.rollouts.rollout_identity import is_written_again
 from gypsumpost_core.rollouts.rollout_order import RolloutOrder
 from gypsumpost_daemon.gateway.adapter import GatewayAdapter
 from gypsumpost_daemon.rollouts.unix_clock import read_unix_ms
@@ -22,12 +26,13 @@
         self._orders: dict[str, RolloutOrder] = {}
         self._received_ms: dict[str, int] = {}
 
-    def apply(self, item: StoredItem) -> RolloutOrder | None:
+    def apply(self, item: StoredItem, era: StoreEra) -> RolloutOrder | None:
         """Apply a changed item and return the new order in it, if there is one.
 
         An item that is no order, or cannot be read, changes nothing.
 
         :param item: the item.
+        :param era: era of the store to which its revision belongs.
         """
         prefix = self._adapter.rollout_order_prefix
         if not item.key.startswith(prefix):
@@ -45,15 +50,19 @@
                 reason=decoded.err_value,
             )
             return None
-        order = decoded.ok_value
+        position = StorePosition(era=era, revision=item.revision)
+        order = attrs.evolve(decoded.ok_value, revision=position.to_token())
+        known = self._orders.get(order.service)
         self._orders[order.service] = order
-        self._received_ms[order.service] = read_unix_ms()
+        if known is None or not is_written_again(order, known):
+            self._received_ms[order.service] = read_unix_ms()
         LOG.write(
             "received an order",
             service=order.service,
             target=order.target_version,
             seconds=order.seconds,
-            revision=order.revision,
+            revision=item.revision,
+            era=era,
         )
         return order
 
--- a/packages/daemon/gypsumpost_daemon/rollouts/record_codec.py
+++ b/packages/daemon/gypsumpost_daemon/rollouts/record_codec.py
@@ -39,6 +39,7 @@
                 reason=str(document["reason"]),
                 spare=int(document["spare"]),
                 hosts=int(document["hosts"]),
+                order_seconds=float(document.get("order_seconds", 0.0)),
                 barred=tuple(str(version) for version in document["barred"]),
             )
         )
--- a/packages/daemon/gypsumpost_daemon/rollouts/report_codec.py
+++ b/packages/daemon/gypsumpost_daemon/rollouts/report_codec.py
@@ -62,6 +62,7 @@
         "share": record.share,
         "spare": _bound(record.spare),
         "hosts": _bound(record.hosts),
+        "orderSeconds": record.order_seconds,
         "barred": list(record.barred),
         "startedAt": record.started_at_ms,
         "shareSince": record.share_since_ms,
@@ -72,8 +73,9 @@
 
 
 def _decode_record(message: Any) -> RolloutRecord:
-    if not math.isfinite(message.share):
-        raise ValueError(f"the share {message.share} is no finite number")
+    for number in (message.share, message.orderSeconds):
+        if not math.isfinite(number):
+            raise ValueError(f"{number} in a record is no finite number")
     return RolloutRecord(
         service=message.service,
         target_version=message.targetVersion,
@@ -82,6 +84,7 @@
         share=message.share,
         spare=message.spare,
         hosts=message.hosts,
+        order_seconds=message.orderSeconds,
         barred=tuple(message.barred),
         started_at_ms=message.startedAt,
         share_since_ms=message.shareSince,
--- a/packages/daemon/gypsumpost_daemon/rollouts/rollout.capnp
+++ b/packages/daemon/gypsumpost_daemon/rollouts/rollout.capnp
@@ -16,6 +16,7 @@
   fencingToken @10 :UInt64;
   reason @11 :Text;
   hosts @12 :UInt32;
+  orderSeconds @13 :Float64; # 0 if it is not known
 }
 
 # Counts of evidence. Packed numbers are decoded much faster than a list of structs.
--- a/packages/daemon/gypsumpost_daemon/rollouts/rollout_components.py
+++ b/packages/daemon/gypsumpost_daemon/rollouts/rollout_components.py
@@ -75,8 +75,9 @@
         ),
         orders=OrderTable(adapter=adapter),
         count_hosts=lambda: len(list_domains()),
+        read_store_era=lambda: directory.era_belief.era,
     )
-    directory.add_item_listener(state.apply_item)
+    directory.others.add_listener(state.apply_item)
 
     def encode_status(record: RolloutRecord) -> tuple[str, bytes]:
         key = adapter.rollout_status_prefix + record.service
--- a/packages/daemon/gypsumpost_daemon/rollouts/rollout_decider.py
+++ b/packages/daemon/gypsumpost_daemon/rollouts/rollout_decider.py
@@ -30,9 +30,6 @@
 STEPS_AT_ONCE = 2
 """The first share follows at once on the record of a new order."""
 
-MIN_ORDER_SECONDS = 1.0
-"""An order that was found late is still decided on, and rolled back."""
-
 LOG_SECONDS = 1.0
 """Minimum time between two lines that say why no step is taken."""
 
@@ -158,7 +155,8 @@
     async def _decide(self, service: str) -> bool:
         """Take the next step of a roll-out; return true if one was taken."""
         now_ms = read_unix_ms()
-        record = self._records.records.get(service)
+        # After a restore of the store, peers know a newer record than the copy holds.
+        record = self._state.records.get(service)
         order = self._find_order(service, now_ms)
         target = order.target_version if order else record.target_version if record else ""
         evidence = self._state.evidence.sum_counts(service, now_ms)
@@ -192,12 +190,12 @@
         return step.record is not None and await self._write(step.record)
 
     def _find_order(self, service: str, now_ms: int) -> RolloutOrder | None:
-        """Return the order of a service with the time that is left of it."""
+        """Return the order of a service with the time since it arrived."""
         order = self._state.orders.get(service)
         if order is None or not order.is_valid:
             return order
         waited = (now_ms - self._state.orders.get_received_ms(service)) / MILLISECONDS
-        return attrs.evolve(order, seconds=max(MIN_ORDER_SECONDS, order.seconds - waited))
+        return attrs.evolve(order, waited_seconds=waited)
 
     async def _write(self, record: RolloutRecord) -> bool:
         written = await self._records.write(record)
--- a/packages/daemon/gypsumpost_daemon/rollouts/rollout_state.py
+++ b/packages/daemon/gypsumpost_daemon/rollouts/rollout_state.py
@@ -8,9 +8,11 @@
 import trio
 
 from gypsumpost_core.gateway.host_report import HostReport
+from gypsumpost_core.gateway.store_era import StoreEra
 from gypsumpost_core.gateway.stored_item import StoredItem
 from gypsumpost_core.host import Host
 from gypsumpost_core.rollouts.evidence_report import EvidenceReport
+from gypsumpost_core.rollouts.rollout_identity import is_same_rollout, read_era
 from gypsumpost_core.rollouts.rollout_order import RolloutOrder
 from gypsumpost_core.rollouts.rollout_phase import RolloutPhase
 from gypsumpost_core.rollouts.rollout_record import RolloutRecord
@@ -42,6 +44,7 @@
     :param settings: bounds of roll-outs.
     :param orders: the orders in force.
     :param count_hosts: returns the number of hosts of the deployment.
+    :param read_store_era: returns the era of the store as this host believes it.
     """
 
     def __init__(
@@ -51,11 +54,13 @@
         settings: RolloutSettings,
         orders: OrderTable,
         count_hosts: Callable[[], int],
+        read_store_era: Callable[[], StoreEra],
     ) -> None:
         self._own = own
         self.settings = settings
         self.orders = orders
         self._count_hosts = count_hosts
+        self._read_store_era = read_store_era
         self.choice = VersionChoice(settings=settings, rng=random.Random())
         self._started_ms = read_unix_ms()
         # A restarted host has a higher epoch.
@@ -73,12 +78,13 @@
         """Register a function to call when a record has changed; it must not block."""
         self._listeners.append(listener)
 
-    def apply_item(self, item: StoredItem) -> None:
+    def apply_item(self, item: StoredItem, era: StoreEra) -> None:
         """Apply a changed item of the store that may be an order.
 
         :param item: the item.
+        :param era: era of the store to which its revision belongs.
         """
-        order = self.orders.apply(item)
+        order = self.orders.apply(item, era)
         if order is not None:
             self.choice.put_order(order)
         self._notify_change()
@@ -86,7 +92,9 @@
     async def wait_open(self) -> None:
         """Wait until there is a roll-out that has not ended."""
         while not self.list_open():
-            await self._changed.wait()
+            # A new era opens roll-outs as well.
+            with trio.move_on_after(UPDATE_SECONDS):
+                await self._changed.wait()
 
     async def wait_change(self) -> None:
         """Wait until an order or a record has changed."""
@@ -103,12 +111,17 @@
         return record.phase is RolloutPhase.RUNNING
 
     def list_open(self) -> list[str]:
-        """Return the services whose roll-out has not ended, also if its order was removed."""
+        """Return the services for which there is something to decide or to write.
+
+        These are the roll-outs that have not ended, also if their order was removed, and those
+        whose record has not been written since the store came back from a copy.
+        """
+        era = self._read_store_era()
         services = {order.service for order in self.orders.list_orders() if self.is_open(order)}
         services |= {
             record.service
             for record in self.records.values()
-            if record.phase is RolloutPhase.RUNNING
+            if record.phase is RolloutPhase.RUNNING or read_era(record.fencing_token) < era
         }
         return sorted(services)
 
@@ -130,7 +143,9 @@
             return  # Peers repeat it in each beacon.
         self.choice.put_hosts(self._count_hosts())
         known = self.choice.get_record(record.service)
-        is_new = known is None or known.order_revision < record.order_revision
+        is_new = known is None or (
+            known.order_revision < record.order_revision and not is_same_rollout(record, known)
+        )
         if is_new and self._started_ms + CLOCK_MARGIN_MS < record.started_at_ms:
             # This host has run from the start of the roll-out and has used none of the spare
             # requests, even if a later record than the first one reaches it first.
--- a/packages/daemon/gypsumpost_daemon/rollouts/tests/test_rollout_state.py
+++ b/packages/daemon/gypsumpost_daemon/rollouts/tests/test_rollout_state.py
@@ -4,6 +4,7 @@
 import trio
 
 from gypsumpost_core.gateway.host_report import HostReport
+from gypsumpost_core.gateway.store_era import NO_ERA
 from gypsumpost_core.host import Host
 from gypsumpost_core.rollouts.rollout_phase import RolloutPhase
 from gypsumpost_core.rollouts.rollout_record import RolloutRecord
@@ -26,6 +27,7 @@
         settings=RolloutSettings(expose_share=0.1, expose_slack=50, rollback_seconds=5.0),
         orders=OrderTable(adapter=None),  # type: ignore[arg-type]
         count_hosts=lambda: 1,
+        read_store_era=lambda: NO_ERA,
     )
 
 
