Hold an older order of a copy until it can have been written again

After a restore a roll-out began to a former target and was replaced when the operator wrote the lost order again: the copy held an older order of the service, which counted as a new one of the new era.

--- a/packages/daemon/gypsumpost_daemon/gateway/other_items.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/other_items.py
@@ -14,8 +14,8 @@
 class OtherItems:
     """Hands the items on to listeners.
 
-    When the store has come back from an older copy, what the copy lacks is not
-    handed on before the operator has had the time to write it again.
+    When the store has come back from an older copy, what the copy lacks and what differs in it is
+    not handed on before the operator has had the time to write it again.
 
     :param table: the items under the prefix.
     :param configuration_key: key of the configuration.
@@ -25,6 +25,7 @@
         self._table = table
         self._configuration_key = configuration_key
         self._restored_at = -math.inf
+        self._copied: dict[str, int] = {}
         self._held: dict[str, StoredItem] = {}
         self._listeners: list[Callable[[StoredItem, StoreEra], None]] = []
 
@@ -43,9 +44,9 @@
         :param changed: the items that differ in the copy.
         """
         self._restored_at = trio.current_time()
-        copied = {item.key for item in changed}
+        self._copied = {item.key: item.revision for item in changed}
         for item in self._table.list_present():
-            if item.key != self._configuration_key and item.key not in copied:
+            if item.key != self._configuration_key and item.key not in self._copied:
                 self._held.pop(item.key, None)
                 self._notify(item)
 
@@ -55,7 +56,8 @@
         :param item: the item.
         """
         self._held.pop(item.key, None)
-        if item.value is None and trio.current_time() < self._restored_at + REWRITE_GRACE_SECONDS:
+        is_of_copy = item.value is None or self._copied.get(item.key) == item.revision
+        if is_of_copy and trio.current_time() < self._restored_at + REWRITE_GRACE_SECONDS:
             self._held[item.key] = item
         else:
             self._notify(item)
