Let an ended roll-out stay ended within an era, too

Hosts could change between two records of one decider with each message: it had taken a step from the copy's record and then written the ended one, of which it heard later, again under the same token, with an earlier time of its last step.

Change: among the records of one order an ended one counts as newer than a running one.

Measured: test_an_ended_rollout_that_is_written_again_stays_ended fails without the change and passes with it; the tests of roll-outs without a network pass.

--- a/packages/core/gypsumpost_core/rollouts/rollout_identity.py
+++ b/packages/core/gypsumpost_core/rollouts/rollout_identity.py
@@ -66,8 +66,7 @@
     """Return true if a record is an older state than the known one.
 
     After a restore a decider may have gone on from the copy's record, with a later token than that
-    of a newer state. So over eras the time of the last step counts, and an ended roll-out stays
-    ended.
+    of a newer state. So over eras the time of the last step counts. An ended roll-out stays ended.
 
     :param record: a record.
     :param known: the known record of the same service.
@@ -79,15 +78,19 @@
 
 
 def _rank_step(record: RolloutRecord) -> tuple[bool, int, int, float]:
-    is_ended = record.phase is not RolloutPhase.RUNNING
-    return is_ended, record.share_since_ms, record.fencing_token, record.order_seconds
+    return _is_ended(record), record.share_since_ms, record.fencing_token, record.order_seconds
 
 
-def _rank_token(record: RolloutRecord) -> tuple[int, int, int, float]:
+def _rank_token(record: RolloutRecord) -> tuple[int, bool, int, int, float]:
     # A host of an older version repeats a record without the time that the order gave.
     return (
         record.order_revision,
+        _is_ended(record),
         record.fencing_token,
         record.share_since_ms,
         record.order_seconds,
     )
+
+
+def _is_ended(record: RolloutRecord) -> bool:
+    return record.phase is not RolloutPhase.RUNNING
--- a/packages/core/gypsumpost_core/rollouts/tests/test_restored_rollouts.py
+++ b/packages/core/gypsumpost_core/rollouts/tests/test_restored_rollouts.py
@@ -105,6 +105,20 @@
     assert choice.get_record("s") == COMPLETED
 
 
+def test_an_ended_rollout_that_is_written_again_stays_ended() -> None:
+    """Guards against hosts that change between two records of one decider with each message.
+
+    The decider took a step from the copy's record before it heard that the roll-out had ended.
+    """
+    step = attrs.evolve(RUNNING, fencing_token=number(2, 48), share_since_ms=NOW_MS + 40_000)
+    renewed = decide(COMPLETED, ORDER, number(2, 48)).record
+    assert renewed is not None
+    choice = VersionChoice(settings=SETTINGS, rng=random.Random(1))
+    for record in (step, renewed, step, COMPLETED, step):
+        choice.put_record(record, 0.0)
+    assert choice.get_record("s") == renewed
+
+
 def test_a_renewed_record_keeps_what_was_granted() -> None:
     """Guards against spare requests that are lost, or granted once more, after each restore."""
     choice = VersionChoice(settings=SETTINGS, rng=random.Random(1))
