Hold the decider's lease no longer than other hosts wait

A holder could act beside another decider after a restore if the store had granted a longer lease than was asked for: others wait for the time that is asked for.

Measured: with 5 s granted, test_no_lease_is_taken_while_a_paused_holder_may_act fails without the change and passes with it.

--- a/packages/daemon/gypsumpost_daemon/rollouts/decider_lease.py
+++ b/packages/daemon/gypsumpost_daemon/rollouts/decider_lease.py
@@ -142,7 +142,8 @@
         number = self.confirmation.number + 1
         self.confirmation = LeaseConfirmation(token=self.token, number=number)
         self.confirmed_at = asked_at
-        self._ends_at = asked_at + self._lease.seconds
+        # The store may grant more, but other hosts wait no longer after a restore.
+        self._ends_at = asked_at + min(self._lease.seconds, LEASE_SECONDS)
         self._renew_at = asked_at + RENEWAL_SECONDS
 
 
--- a/packages/daemon/gypsumpost_daemon/rollouts/tests/memory_item_store.py
+++ b/packages/daemon/gypsumpost_daemon/rollouts/tests/memory_item_store.py
@@ -41,11 +41,15 @@
 
 
 class MemoryItemStore:
-    """Reads, conditional writes and leases; ``era`` is named in all answers."""
+    """Reads, conditional writes and leases; ``era`` is named in all answers.
+
+    ``min_lease_seconds`` is the shortest lease that is granted.
+    """
 
     def __init__(self, *, era: int = 1) -> None:
         self.era = StoreEra(era)
         self.content = StoreContent()
+        self.min_lease_seconds = 0.0
 
     def restore(self, content: StoreContent) -> None:
         """Come back from a copy."""
@@ -96,8 +100,9 @@
     async def open_lease(self, seconds: float, deadline: float) -> Result[StoreLease, WriteFailure]:
         await trio.lowlevel.checkpoint()
         self.content.revision += 1
-        lease = StoreLease(lease_id=self.content.revision, seconds=seconds, era=self.era)
-        self.content.leases[lease.lease_id] = trio.current_time() + seconds
+        granted = max(seconds, self.min_lease_seconds)
+        lease = StoreLease(lease_id=self.content.revision, seconds=granted, era=self.era)
+        self.content.leases[lease.lease_id] = trio.current_time() + granted
         return Ok(lease)
 
     async def renew_lease(
--- a/packages/daemon/gypsumpost_daemon/rollouts/tests/test_decider_lease.py
+++ b/packages/daemon/gypsumpost_daemon/rollouts/tests/test_decider_lease.py
@@ -1,6 +1,7 @@
 """Tests of the decider's lease when the store comes back from a copy, without a network."""
 
 import attrs
+import pytest
 import trio
 from result import Ok
 
@@ -58,11 +59,16 @@
         return attrs.evolve(RECORD, fencing_token=self.lease.token, **changes)  # type: ignore[arg-type]
 
 
+@pytest.mark.parametrize("granted_seconds", [LEASE_SECONDS, 5.0])
 async def test_no_lease_is_taken_while_a_paused_holder_may_act(
-    autojump_clock: trio.abc.Clock,
+    granted_seconds: float, autojump_clock: trio.abc.Clock
 ) -> None:
-    """Guards against two deciders when the lease of a paused holder is lost with the copy."""
+    """Guards against two deciders when the lease of a paused holder is lost with the copy.
+
+    The store may grant more time than was asked for.
+    """
     store = MemoryItemStore()
+    store.min_lease_seconds = granted_seconds
     copy = store.content.copy()
     paused, other = DeciderParts(store), DeciderParts(store)
     await paused.take()
