--- a/packages/daemon/gypsumpost_daemon/rollouts/rollout_components.py
+++ b/packages/daemon/gypsumpost_daemon/rollouts/rollout_components.py
@@ -13,6 +13,7 @@
 from gypsumpost_daemon.gateway.directory import Directory
 from gypsumpost_daemon.gateway.gateway_settings import GatewaySettings
 from gypsumpost_daemon.gateway.item_store import ItemStore
+from gypsumpost_daemon.rollouts.checked_store import CheckedStore
 from gypsumpost_daemon.rollouts.decider_lease import DeciderLease
 from gypsumpost_daemon.rollouts.fleet_observer import FleetObserver
 from gypsumpost_daemon.rollouts.order_table import OrderTable
@@ -74,17 +75,19 @@
         ),
         orders=OrderTable(adapter=adapter),
         count_hosts=lambda: len(list_domains()),
+        read_store_era=lambda: directory.era_belief.era,
     )
-    directory.add_item_listener(state.apply_item)
+    directory.others.add_listener(state.apply_item)
 
     def encode_status(record: RolloutRecord) -> tuple[str, bytes]:
         key = adapter.rollout_status_prefix + record.service
         return key, adapter.encode_rollout_status(record.phase, record.target_version)
 
+    checked = CheckedStore(store=store, belief=directory.era_belief)
     decider = RolloutDecider(
         state=state,
-        lease=DeciderLease(store=store, host_id=own.host_id),
-        records=RecordStore(store=store, encode_status=encode_status),
+        lease=DeciderLease(store=checked, host_id=own.host_id),
+        records=RecordStore(store=checked, encode_status=encode_status),
         observer=FleetObserver(
             directory=directory, usage=usage, state=state, list_domains=list_domains
         ),
