--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_metrics.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_metrics.py
@@ -13,6 +13,12 @@
         self._requests = metrics.add_counter(
             "gypsumpost_gateway_requests_total", "Requests by route and status.", "route", "status"
         )
+        self._refusals = metrics.add_counter(
+            "gypsumpost_gateway_refusals_total",
+            "Requests that this host itself refused for good, or for a configuration that it may "
+            "lack, by status.",
+            "status",
+        )
         self._attempts = metrics.add_counter(
             "gypsumpost_gateway_attempts_total",
             "Attempts by service and outcome.",
@@ -88,6 +94,10 @@
         """Count a request by its final status, 0 if the response was aborted."""
         self._requests.add(route, str(status))
 
+    def count_refusal(self, status: int) -> None:
+        """Count a request that this host itself refused, also if its log line is left out."""
+        self._refusals.add(str(status))
+
     def count_attempt(self, service: str, end: str) -> None:
         """Count an attempt by how it ended: ``answered``, ``not-run`` or ``lost``."""
         self._attempts.add(service, end)
