Read a damaged version again until it is sound

A configuration that arrived damaged was read again once. If that was damaged as well and no peer had it, the host kept the former version until the next one. The gauge gypsumpost_configuration_unread shows such a host.

--- a/packages/daemon/gypsumpost_daemon/gateway/directory.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/directory.py
@@ -108,6 +108,11 @@
         """Prefix of the keys of the endpoints."""
         return self._adapter.endpoint_prefix
 
+    @property
+    def is_configuration_unread(self) -> bool:
+        """True if a configuration has arrived that could not be decoded, and none after it."""
+        return self.tables[self.configuration_prefix].discarded > self._applied_revision
+
     def record_store_answer(self, asked_at: float) -> None:
         """Record that the store has sent all changes of the configuration up to some moment.
 
@@ -116,8 +121,7 @@
 
         :param asked_at: the moment, as monotonic time in seconds.
         """
-        discarded = self.tables[self.configuration_prefix].discarded
-        if discarded <= self._applied_revision and self._stored_version >= self.version:
+        if not self.is_configuration_unread and self._stored_version >= self.version:
             self.freshness.record_confirmation(self.version, asked_at)
 
     def has_lost_service(self) -> bool:
--- a/packages/daemon/gypsumpost_daemon/gateway/gateway_gauges.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/gateway_gauges.py
@@ -56,6 +56,11 @@
         "Version of the configuration in force.",
         lambda: directory.version,
     )
+    add(
+        "gypsumpost_configuration_unread",
+        "1 if this host cannot decode a stored configuration that is newer than the one in force.",
+        lambda: float(directory.is_configuration_unread),
+    )
     add(
         "gypsumpost_configuration_behind_seconds",
         "Time for which a peer has had a newer configuration in force, 0 if none is known.",
--- a/packages/daemon/gypsumpost_daemon/gateway/store_follower.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/store_follower.py
@@ -11,6 +11,7 @@
 from gypsumpost_core.gateway.era_belief import EraVerdict
 from gypsumpost_core.gateway.host_roles import HostRoles
 from gypsumpost_core.gateway.poll_start import PollStart
+from gypsumpost_core.gateway.reread_schedule import RereadSchedule
 from gypsumpost_core.gateway.store_era import NO_ERA, StoreEra
 from gypsumpost_core.gateway.store_position import StorePosition
 from gypsumpost_daemon.gateway.directory import STORE, Directory
@@ -73,6 +74,7 @@
         # count here, so that a wrong revision of a peer cannot hide changes of the store.
         self._positions: dict[str, StorePosition] = {}
         self._poll_starts = {prefix: PollStart() for prefix in directory.tables}
+        self._rereads = RereadSchedule()
         self._era_log_at = -math.inf
         self._reread: dict[str, int] = {}
         self._failed_prefix = next(iter(directory.tables))
@@ -155,6 +157,8 @@
         asked_at = trio.current_time()
         polled: Result[ItemBatch, ItemStoreFailure] | None = None
         position = self._positions.get(prefix)
+        if self._must_read_again(prefix, asked_at):
+            position = None
         if position is not None:
             self.calls += 1
             polled = self._check_era(
@@ -340,6 +344,16 @@
             self._reread[prefix] = discarded
             self._positions.pop(prefix, None)
 
+    def _must_read_again(self, prefix: str, now: float) -> bool:
+        """Return true if the configuration arrived damaged and is to be read in place of a poll."""
+        if prefix != self._directory.configuration_prefix:
+            return False
+        if not self._directory.is_configuration_unread:
+            return False
+        table = self._directory.tables[prefix]
+        damaged = StorePosition(era=table.era, revision=table.discarded)
+        return self._rereads.take_due(damaged, now)
+
     def _record_failure(
         self, prefix: str, failure: ItemStoreFailure, asked_at: float
     ) -> ItemStoreFailure:
