Take no lease while the copy holds that of the era before

The copy may hold the lease of the former decider, and the store may grant leases that outlast the wait for a new era. A late step of the former decider could then still be made after the next one had read the record.

Change: taking the lease expects the key of the era before to be gone as well.

Measured: test_no_lease_is_taken_while_the_copy_holds_the_former_one fails without the change and passes with it.

--- a/packages/daemon/gypsumpost_daemon/rollouts/decider_lease.py
+++ b/packages/daemon/gypsumpost_daemon/rollouts/decider_lease.py
@@ -91,8 +91,12 @@
             return Err(refuse("the era has changed"))
         key = build_decider_key(mark.era)
         write = ItemWrite(key=key, value=self._host_id.encode(), lease=lease.lease_id)
-        # Hosts that know no eras use the key without one.
-        transaction = ItemTransaction(expected={DECIDER_KEY: 0, key: 0}, writes=(write,))
+        # Hosts that know no eras use the key without one. The copy may hold the lease of the former
+        # era, under which a late write may still be made.
+        former = build_decider_key(StoreEra(max(NO_ERA, mark.era - 1)))
+        transaction = ItemTransaction(
+            expected=dict.fromkeys((DECIDER_KEY, former, key), 0), writes=(write,)
+        )
         taken = await self._store.commit(transaction, trio.current_time() + CALL_SECONDS)
         if mark != self._observe():
             return Err(refuse("the era has changed"))
--- a/packages/daemon/gypsumpost_daemon/rollouts/tests/test_decider_lease.py
+++ b/packages/daemon/gypsumpost_daemon/rollouts/tests/test_decider_lease.py
@@ -130,6 +130,25 @@
     assert await present.records.write(present.sign()) == Ok(None)
 
 
+async def test_no_lease_is_taken_while_the_copy_holds_the_former_one(
+    autojump_clock: trio.abc.Clock,
+) -> None:
+    """Guards against a late step under the former lease that is made beside the next decider's."""
+    store = MemoryItemStore()
+    store.min_lease_seconds = 5.0
+    former, present = DeciderParts(store), DeciderParts(store)
+    await former.take()
+    store.restore(store.content)
+    present.confirm_era()
+    await trio.sleep(2 * LEASE_SECONDS)
+    taken = await present.lease.take()
+    assert taken.unwrap_err().kind is WriteFailureKind.CONFLICT
+    await trio.sleep(store.min_lease_seconds)
+    assert (await present.lease.take()).is_ok()
+    late = await former.records.write(former.sign(share=1.0))
+    assert late.unwrap_err().kind is WriteFailureKind.CONFLICT
+
+
 async def test_tokens_never_fall(autojump_clock: trio.abc.Clock) -> None:
     """Guards against a decider whose steps are refused since a former one had a higher token."""
     store = MemoryItemStore()
