Let the bench's store come back from an older copy

The stand-in behind the interface of docs/callers.md could not play a restore, so what a restore does to claims, order leases, lists and stopped endpoints was not tested.

StoreLogic.make_copy and restore: revisions and lease ids are given out again, later keys and leases are gone, and the era rises by one.

--- a/packages/bench/gypsumpost_bench/store_logic.py
+++ b/packages/bench/gypsumpost_bench/store_logic.py
@@ -1,10 +1,13 @@
 """State of the stand-in store: keys with revisions, transactions, leases and events."""
 
+import copy
 from collections.abc import Callable
 
 from gypsumpost_bench.store_check import check_transaction
+from gypsumpost_bench.store_copy import StoreCopy
 from gypsumpost_bench.store_lease import StoreLease
 from gypsumpost_bench.store_rejection import StoreRejection
+from gypsumpost_core.gateway.store_era import NO_ERA, StoreEra
 from gypsumpost_daemon.store.store_event import StoreEvent
 from gypsumpost_daemon.store.store_key_value import StoreKeyValue
 from gypsumpost_daemon.store.store_transaction import (
@@ -34,9 +37,13 @@
 
 
 class StoreLogic:
-    """Keys with revisions as in etcd; the time is a parameter, in seconds."""
+    """Keys with revisions as in etcd; the time is a parameter, in seconds.
+
+    ``era`` is named in all answers, except if it is ``None``.
+    """
 
     def __init__(self) -> None:
+        self.era: StoreEra | None = None
         self.revision = 1
         self._keys: dict[bytes, StoreKeyValue] = {}
         self._leases: dict[int, StoreLease] = {}
@@ -131,8 +138,35 @@
         self._listeners.append(listener)
         return lambda: self._listeners.remove(listener)
 
+    def make_copy(self) -> StoreCopy:
+        """Return a copy of the state, from which ``restore`` can come back."""
+        return StoreCopy(
+            revision=self.revision,
+            keys=dict(self._keys),
+            leases=copy.deepcopy(self._leases),
+            lease_of=dict(self._lease_of),
+            next_lease=self._next_lease,
+        )
+
+    def restore(self, older: StoreCopy) -> None:
+        """Come back from an older copy in the next era: revisions and leases are given out again.
+
+        :param older: the copy.
+        """
+        self.era = StoreEra((self.era or NO_ERA) + 1)
+        self.revision = older.revision
+        self._keys = dict(older.keys)
+        self._leases = copy.deepcopy(older.leases)
+        self._lease_of = dict(older.lease_of)
+        self._next_lease = older.next_lease
+        self._events = [event for event in self._events if event.mod_revision <= older.revision]
+        self._notify()
+
     def _commit(self) -> None:
         self.revision += 1
+        self._notify()
+
+    def _notify(self) -> None:
         for listener in list(self._listeners):
             listener()
 
--- a/packages/bench/gypsumpost_bench/tests/test_store_logic.py
+++ b/packages/bench/gypsumpost_bench/tests/test_store_logic.py
@@ -79,3 +79,22 @@
         StoreTransaction(success=(StoreGet(key=b"a", range_end=b"\0"),)), 0
     )
     assert [pair.key for pair in remaining.results[0]] == [b"b1"]  # type: ignore[union-attr]
+
+
+def test_a_restore_gives_revisions_and_leases_out_again() -> None:
+    """Guards against a stand-in in whose drills a caller could still compare revisions."""
+    logic = StoreLogic()
+    logic.run_transaction(create_once(b"a", b"1"), 0)
+    older = logic.make_copy()
+    lease = logic.grant_lease(10, 0)
+    logic.run_transaction(create_once(b"b", b"2"), 0)
+    logic.restore(older)
+    assert logic.era == 1 and logic.revision == older.revision
+    assert logic.renew_lease(lease, 0) == 0
+    assert logic.grant_lease(10, 0) == lease
+    assert logic.run_transaction(create_once(b"b", b"3"), 0).succeeded
+    events = logic.list_events(b"", b"\0", 0)
+    assert [(event.key, event.value, event.mod_revision) for event in events] == [
+        (b"a", b"1", 2),
+        (b"b", b"3", 3),
+    ]
