Judge the answers of the product's own store by their era

The store client read no Store-Era, so answers of two histories were used as one.

The in-process store judges for its callers, and the HTTP stand-in names the era.

Measured: the new tests and those of the store's stand-in pass (x86-64).

--- a/packages/bench/gypsumpost_bench/memory_store.py
+++ b/packages/bench/gypsumpost_bench/memory_store.py
@@ -10,6 +10,7 @@
 from gypsumpost_bench.store_limits import StoreLimits
 from gypsumpost_bench.store_logic import StoreLogic
 from gypsumpost_bench.store_rejection import StoreRejection
+from gypsumpost_daemon.store.era_monitor import EraMonitor
 from gypsumpost_daemon.store.store_event import StoreEvent
 from gypsumpost_daemon.store.store_failure import StoreFailure
 from gypsumpost_daemon.store.store_transaction import StoreTransaction
@@ -27,6 +28,8 @@
     :param limits: the rate limits and counts.
     :param failure_domain: failure domain of the caller, for partition faults.
     :param latency: seconds that every call takes.
+    :param eras: judges the answers by their era, one for each calling host; ``None``: no caller
+        learns the era.
     """
 
     logic: StoreLogic = attrs.field(factory=StoreLogic)
@@ -34,13 +37,15 @@
     limits: StoreLimits = attrs.field(factory=StoreLimits)
     failure_domain: str = ""
     latency: float = 0.0
+    eras: EraMonitor | None = None
 
-    def for_domain(self, failure_domain: str) -> "MemoryStore":
+    def for_domain(self, failure_domain: str, eras: EraMonitor | None = None) -> "MemoryStore":
         """Return a view of the same store for callers of a domain.
 
         :param failure_domain: the domain; partition faults select callers by it.
+        :param eras: judges the answers, ``None`` for that of this view.
         """
-        return attrs.evolve(self, failure_domain=failure_domain)
+        return attrs.evolve(self, failure_domain=failure_domain, eras=eras or self.eras)
 
     async def run_transaction(
         self, transaction: StoreTransaction, deadline: float
@@ -80,8 +85,10 @@
 
         remove_listeners = [self.logic.add_listener(wake), self.faults.add_listener(wake)]
         next_revision = start_revision or self.logic.revision + 1
+        era = self.logic.era
         try:
-            while not self._is_watch_cut():
+            # A restore resets the connections of the watches.
+            while not self._is_watch_cut() and self.logic.era == era:
                 changed = trio.Event()
                 events = self.logic.list_events(key, range_end, next_revision)
                 next_revision = max(next_revision, self.logic.revision + 1)
@@ -108,7 +115,7 @@
             if self.faults.is_refusing(self.failure_domain, now):
                 return Err(StoreFailure(reason="store is down", sent=False))
             if not admit(now):
-                return Err(StoreFailure(reason="too many calls", sent=False))
+                return self._judge(Err(StoreFailure(reason="too many calls", sent=False)))
             return self._apply(apply, now)
         return Err(StoreFailure(reason="no answer in time", sent=False))
 
@@ -117,5 +124,8 @@
         try:
             applied = apply(now)
         except StoreRejection as rejection:
-            return Err(StoreFailure(reason=str(rejection), sent=False))
-        return Err(ANSWER_LOST) if losing else Ok(applied)
+            return self._judge(Err(StoreFailure(reason=str(rejection), sent=False)))
+        return Err(ANSWER_LOST) if losing else self._judge(Ok(applied))
+
+    def _judge(self, answer: Result) -> Result:
+        return answer if self.eras is None else self.eras.judge(answer, self.logic.era)
--- a/packages/bench/gypsumpost_bench/platform_application.py
+++ b/packages/bench/gypsumpost_bench/platform_application.py
@@ -31,6 +31,7 @@
 )
 from gypsumpost_bench.store_rejection import StoreRejection
 from gypsumpost_daemon.http.asgi_lifespan import complete_lifespan
+from gypsumpost_daemon.store.era_monitor import STORE_ERA
 from gypsumpost_daemon.store.store_codec import decode_bytes
 from gypsumpost_daemon.store.store_transaction import StoreTransaction
 
@@ -73,9 +74,10 @@
         elif path == "/v1/hosts":
             await self._send_hosts(send, domain)
         elif path == "/v3/watch":
-            await self._send_watch(send, receive, orjson.loads(body), domain)
+            named = self._name_era(send)
+            await self._send_watch(named, receive, orjson.loads(body), domain)
         elif path.startswith("/v3/"):
-            await self._send_answer(send, path, orjson.loads(body), domain)
+            await self._send_answer(self._name_era(send), path, orjson.loads(body), domain)
         else:
             await send_json(send, 404, {"error": f"no path {path}"})
 
@@ -116,6 +118,16 @@
         else:
             await send_json(send, 400, {"error": answer.err_value.reason, "code": 3})
 
+    def _name_era(self, send: AsgiSend) -> AsgiSend:
+        async def send_named(message: dict[str, Any]) -> None:
+            era = self._store.logic.era
+            if era is not None and message["type"] == "http.response.start":
+                header = (STORE_ERA, str(era).encode())
+                message = message | {"headers": [*message["headers"], header]}
+            await send(message)
+
+        return send_named
+
     def _is_refusing(self, domain: str) -> bool:
         return self._store.faults.is_refusing(domain, trio.current_time())
 
--- a/packages/bench/gypsumpost_bench/tests/test_platform_stand_in.py
+++ b/packages/bench/gypsumpost_bench/tests/test_platform_stand_in.py
@@ -9,7 +9,11 @@
 
 from gypsumpost_bench.call_cluster import find_free_address
 from gypsumpost_bench.lagging_list import LaggingList
+from gypsumpost_bench.memory_store import MemoryStore
+from gypsumpost_bench.platform_application import PlatformApplication
 from gypsumpost_bench.platform_stand_in import run_platform
+from gypsumpost_bench.stand_in_http import serve_application
+from gypsumpost_daemon.store.era_monitor import EraMonitor
 from gypsumpost_daemon.store.store_client import StoreClient
 from gypsumpost_daemon.store.store_event import StoreEvent
 from gypsumpost_daemon.store.store_transaction import (
@@ -143,3 +147,34 @@
     path.write_text('{"hosts":[2')
     assert hosts.read(14.9)["hosts"] == [1]
     assert hosts.read(15)["hosts"] == [2]
+
+
+async def test_the_client_believes_an_era_that_two_answers_name(
+    nursery: trio.Nursery, tmp_path: Path
+) -> None:
+    """Guards against answers, refusals and watches whose era the client does not read."""
+    store, address = MemoryStore(), find_free_address()
+    hosts = LaggingList(path=tmp_path / "hosts.json", lag=0.0)
+    application = PlatformApplication(store=store, hosts=hosts)
+    nursery.start_soon(serve_application, application, address)
+    eras = EraMonitor()
+    client = StoreClient(addresses=[address], failure_domain="d1", eras=eras)
+
+    async def grant() -> bool:
+        return isinstance(await client.grant_lease(10, trio.current_time() + 5), Ok)
+
+    while not await grant():
+        await trio.sleep(0.01)
+    older = store.logic.make_copy()
+    store.logic.restore(older)
+    assert [event async for event in client.watch(b"a", b"b", 1)] == []
+    assert eras.era == 0
+    assert await grant()
+    assert eras.era == 1
+    store.logic.restore(older)
+    assert not await grant()
+    bad = StoreTransaction(success=(StorePut(key=b"a", value=b"", lease=77),))
+    refused = await client.run_transaction(bad, trio.current_time() + 5)
+    assert isinstance(refused, Err) and not refused.err_value.sent
+    assert eras.era == 2
+    nursery.cancel_scope.cancel()
--- a/packages/daemon/gypsumpost_daemon/platform_components.py
+++ b/packages/daemon/gypsumpost_daemon/platform_components.py
@@ -37,6 +37,7 @@
 from gypsumpost_daemon.placement.order_lease_store import OrderLeaseStore
 from gypsumpost_daemon.placement.placement_task import PlacementTask
 from gypsumpost_daemon.settings import Settings
+from gypsumpost_daemon.store.era_monitor import EraMonitor
 from gypsumpost_daemon.store.store_client import StoreClient
 
 REGISTERED_CLAIM_MODES = (claim_batcher, direct_claims)
@@ -81,8 +82,11 @@
         self._endpoints = endpoints
         self._router = router
         self._gossip = gossip
+        self.eras = EraMonitor()
         self.store = StoreClient(
-            addresses=[settings.platform_address], failure_domain=settings.failure_domain
+            addresses=[settings.platform_address],
+            failure_domain=settings.failure_domain,
+            eras=self.eras,
         )
         self.host_list = HostList(platform_address=settings.platform_address)
         self.host_list.add_listener(gossip.handle_host_list)
--- a/packages/daemon/gypsumpost_daemon/store/store_client.py
+++ b/packages/daemon/gypsumpost_daemon/store/store_client.py
@@ -8,7 +8,9 @@
 import trio
 from result import Err, Ok, Result
 
+from gypsumpost_core.gateway.era_belief import EraVerdict
 from gypsumpost_daemon.engines.sent_trace import SentTrace
+from gypsumpost_daemon.store.era_monitor import EraMonitor
 from gypsumpost_daemon.store.store_codec import (
     decode_event,
     decode_transaction_result,
@@ -38,6 +40,7 @@
     :param addresses: ``ip:port`` of the gateways, tried in order until a connection succeeds.
     :param failure_domain: domain of this host, sent as a header.
     :param max_calls_in_flight: maximum number of concurrent calls, not counting watches.
+    :param eras: judges all answers by their era, ``None`` for one of this client alone.
     """
 
     def __init__(
@@ -46,7 +49,9 @@
         addresses: Sequence[str],
         failure_domain: str,
         max_calls_in_flight: int = MAX_CALLS_IN_FLIGHT,
+        eras: EraMonitor | None = None,
     ) -> None:
+        self._eras = eras or EraMonitor()
         self._addresses = tuple(addresses)
         self._watch_count = -1
         self._slots = trio.Semaphore(max_calls_in_flight)
@@ -115,7 +120,8 @@
         url = self._build_url(self._choose_watch_address(), "/v3/watch")
         try:
             async with self._pool.stream("POST", url, **self._build_options(content)) as response:
-                if response.status != 200:
+                verdict = self._eras.observe(self._eras.read_era(response.headers))
+                if response.status != 200 or verdict is not EraVerdict.CURRENT:
                     return
                 async for events in _read_events(response):
                     yield events
@@ -135,7 +141,8 @@
             async with self._slots:
                 try:
                     response = await self._send(path, orjson.dumps(body), trace)
-                    return _decode_response(response, decode)
+                    era = self._eras.read_era(response.headers)
+                    return self._eras.judge(_decode_response(response, decode), era)
                 except _NETWORK_ERRORS as error:
                     reason = f"{type(error).__name__}: {error}"
         return Err(StoreFailure(reason=reason, sent=trace.sent))
