Store claims again after the store has come back from an older copy

A call with a key was run a second time: the restored store lacked its claim, so a repeat at any host claimed and sent it again.

Each host remembers the last state of its claims and stores them again at a new era. No claim is created in an era before all live hosts have done so, and an answer to a claim that was sent before the era changed is read back instead of believed.

--- a/packages/bench/gypsumpost_bench/call_cluster.py
+++ b/packages/bench/gypsumpost_bench/call_cluster.py
@@ -16,11 +16,13 @@
 from gypsumpost_daemon.callers.caller_request import CallerRequest
 from gypsumpost_daemon.callers.caller_response import CallerResponse
 from gypsumpost_daemon.calls import claim_batcher, direct_claims  # noqa: F401  registers the modes
-from gypsumpost_daemon.calls.claim_mode import CLAIM_MODES, ClaimMode
+from gypsumpost_daemon.calls.claim_mode import ClaimMode
+from gypsumpost_daemon.calls.claims import create_claims
 from gypsumpost_daemon.calls.service_calls import ServiceCalls
 from gypsumpost_daemon.limits.endpoint_signals import EndpointSignals
 from gypsumpost_daemon.peers.host_directory import HostDirectory
 from gypsumpost_daemon.peers.peer_network import PeerNetwork
+from gypsumpost_daemon.store.era_monitor import EraMonitor
 
 SECRET = b"shared key of the bench"
 SERVICE = "gate"
@@ -129,9 +131,10 @@
         for other in self.hosts:
             directory.update(other, live=True)
         network = PeerNetwork(directory=directory, key=SECRET)
-        store = self.store.for_domain(host.failure_domain)
-        mode = CLAIM_MODES.create(
-            self.claim_mode, directory=directory, network=network, store=store
+        eras = EraMonitor()
+        store = self.store.for_domain(host.failure_domain, eras)
+        mode = create_claims(
+            self.claim_mode, directory=directory, network=network, store=store, eras=eras
         )
         router = Router(failure_domain=host.failure_domain)
         signals = EndpointSignals(directory=directory, peers=network, router=router)
--- a/packages/daemon/gypsumpost_daemon/calls/claim_batcher.py
+++ b/packages/daemon/gypsumpost_daemon/calls/claim_batcher.py
@@ -58,6 +58,7 @@
     :param network: connections to other daemons.
     :param store: the store.
     :param retention_seconds: how long claims and outcomes are kept, ``None``: indefinitely.
+    :param writer: writes to the store, ``None`` for one that writes to ``store`` at once.
     """
 
     def __init__(
@@ -67,10 +68,11 @@
         network: PeerNetwork,
         store: Store,
         retention_seconds: float | None = None,
+        writer: ClaimWriter | None = None,
     ) -> None:
         self._directory = directory
         self._network = network
-        self._writer = ClaimWriter.create(store, retention_seconds)
+        self._writer = writer or ClaimWriter.create(store, retention_seconds)
         self._queue = ClaimQueue()
         network.add_handler(MessageKind.CLAIM_CALLS, self._serve_orders)
 
--- a/packages/daemon/gypsumpost_daemon/calls/claim_messages.capnp
+++ b/packages/daemon/gypsumpost_daemon/calls/claim_messages.capnp
@@ -24,3 +24,7 @@
   sent @4 :Bool;        # if the store did not reply: the order may have been applied
   reason @5 :Text;
 }
+
+struct ClaimsEra {
+  era @0 :UInt32;       # era of the store; in a reply: in which the claims are stored again
+}
--- a/packages/daemon/gypsumpost_daemon/calls/claim_messages.py
+++ b/packages/daemon/gypsumpost_daemon/calls/claim_messages.py
@@ -7,6 +7,7 @@
 import capnp
 from result import Err, Ok, Result
 
+from gypsumpost_core.gateway.store_era import MAX_ERA, StoreEra
 from gypsumpost_daemon.calls.claim_order import ClaimOrder
 from gypsumpost_daemon.calls.claim_order_kind import ClaimOrderKind
 from gypsumpost_daemon.calls.claim_order_reply import ClaimOrderReply
@@ -63,6 +64,22 @@
     return [_decode_reply(reply) for reply in message.replies]
 
 
+def encode_era(era: StoreEra) -> bytes:
+    """Encode a ``RENEW_CLAIMS`` request, or the reply to it.
+
+    :param era: era of the store; in a reply, the era in which the claims are stored again.
+    """
+    return SCHEMA.ClaimsEra.new_message(era=era).to_bytes_packed()
+
+
+def decode_era(payload: bytes) -> StoreEra:
+    """Decode a ``RENEW_CLAIMS`` request, or the reply to it.
+
+    :param payload: the encoded message.
+    """
+    return StoreEra(min(SCHEMA.ClaimsEra.from_bytes_packed(payload).era, MAX_ERA))
+
+
 def _decode_order(order: Any) -> ClaimOrder:
     return ClaimOrder(
         kind=ClaimOrderKind(order.kind),
--- a/packages/daemon/gypsumpost_daemon/calls/claim_mode.py
+++ b/packages/daemon/gypsumpost_daemon/calls/claim_mode.py
@@ -29,4 +29,5 @@
 
 
 CLAIM_MODES: Registry[ClaimMode] = Registry(behaviour="claim-mode")
-"""Constructors accept ``directory``, ``network``, ``store`` and optional ``retention_seconds``."""
+"""Constructors accept ``directory``, ``network``, ``store`` and optional ``retention_seconds``
+and ``writer``."""
--- a/packages/daemon/gypsumpost_daemon/calls/claim_queue.py
+++ b/packages/daemon/gypsumpost_daemon/calls/claim_queue.py
@@ -38,6 +38,10 @@
         self._waiting.remove(queued)
         return True
 
+    def is_empty(self) -> bool:
+        """Return whether no order is queued."""
+        return not self._waiting
+
     def is_full(self) -> bool:
         """Return whether a full batch is queued."""
         return len(self._waiting) >= MAX_BATCH_ORDERS
--- a/packages/daemon/gypsumpost_daemon/calls/direct_claims.py
+++ b/packages/daemon/gypsumpost_daemon/calls/direct_claims.py
@@ -22,6 +22,7 @@
     :param network: not used.
     :param store: the store.
     :param retention_seconds: how long claims and outcomes are kept, ``None``: indefinitely.
+    :param writer: writes to the store, ``None`` for one that writes to ``store`` at once.
     """
 
     def __init__(
@@ -31,8 +32,9 @@
         network: PeerNetwork,
         store: Store,
         retention_seconds: float | None = None,
+        writer: ClaimWriter | None = None,
     ) -> None:
-        self._writer = ClaimWriter.create(store, retention_seconds)
+        self._writer = writer or ClaimWriter.create(store, retention_seconds)
 
     async def run(self) -> None:
         """Wait until cancelled; this mode has no background tasks."""
--- a/packages/daemon/gypsumpost_daemon/peers/message_kind.py
+++ b/packages/daemon/gypsumpost_daemon/peers/message_kind.py
@@ -15,6 +15,7 @@
     CANCEL_GENERATION = 15
     CLAIM_CALLS = 20
     RUN_ISSUED_CALL = 21
+    RENEW_CLAIMS = 22
     LIST_CHANGES = 30
     LIST_REVISION = 31
     REPORT_DEMAND = 40
--- a/packages/daemon/gypsumpost_daemon/platform_components.py
+++ b/packages/daemon/gypsumpost_daemon/platform_components.py
@@ -18,7 +18,7 @@
 from gypsumpost_daemon.admin.admin_server import serve_admin
 from gypsumpost_daemon.callers.list_access import ListAccess
 from gypsumpost_daemon.calls import claim_batcher, direct_claims
-from gypsumpost_daemon.calls.claim_mode import CLAIM_MODES
+from gypsumpost_daemon.calls.claims import create_claims
 from gypsumpost_daemon.calls.service_calls import ServiceCalls
 from gypsumpost_daemon.endpoints.endpoint_editor import EndpointEditor
 from gypsumpost_daemon.endpoints.stopped_endpoint_replica import StoppedEndpointReplica
@@ -110,11 +110,12 @@
             directory=directory,
             incarnation=time.time_ns() // 1_000_000,
             network=network,
-            claims=CLAIM_MODES.create(
+            claims=create_claims(
                 settings.claim_mode,
                 directory=directory,
                 network=network,
                 store=self.store,
+                eras=self.eras,
                 retention_seconds=settings.call_retention * SECONDS_PER_HOUR,
             ),
             secret=secret,
--- a/packages/daemon/gypsumpost_daemon/store/era_monitor.py
+++ b/packages/daemon/gypsumpost_daemon/store/era_monitor.py
@@ -34,6 +34,12 @@
         self._sighting_listeners: list[Callable[[], None]] = []
         self._changed = trio.Event()
         self._log_at = -math.inf
+        self._in_doubt = False
+
+    @property
+    def in_doubt(self) -> bool:
+        """True if the last answer that named an era named one that is not confirmed yet."""
+        return self._in_doubt
 
     @property
     def era(self) -> StoreEra:
@@ -78,6 +84,8 @@
         """
         before = self.era
         verdict = self._belief.observe(era)
+        if era is not None:
+            self._in_doubt = verdict is EraVerdict.UNCONFIRMED
         if verdict is EraVerdict.UNCONFIRMED:
             self._notify_sighting()
         if verdict is not EraVerdict.CURRENT:
@@ -94,6 +102,7 @@
         if era > before:
             self._notify_sighting()
         self._belief.adopt(era)
+        self._in_doubt = False
         self._record_change(before)
 
     def read_era(self, headers: Iterable[tuple[bytes, bytes]]) -> StoreEra | None:
