Keep one holder of the order lease across a restore of the store

The restored store lacked the lease and its record, so another candidate acquired it at once while the former holder went on, and the fencing token was given out a second time.

A holder stops at the first answer that names a higher era. Nobody acquires the lease before its time to live has passed since that answer. The token has the era in its upper bits.

--- a/packages/core/gypsumpost_core/placement/order_lease.py
+++ b/packages/core/gypsumpost_core/placement/order_lease.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from gypsumpost_core.gateway.store_era import NO_ERA, StoreEra
+from gypsumpost_core.gateway.store_position import StorePosition
 from gypsumpost_core.invariant import Invariant, require
 from gypsumpost_core.placement.lease_record import LeaseRecord
 from gypsumpost_core.placement.lease_settings import LeaseSettings
@@ -17,6 +19,10 @@
     the call that granted or renewed the store's lease, so it passes before the lease expires
     in the store. A call without a response never extends it.
 
+    When the store comes back from an older copy, which may lack the lease, the holder stops, and
+    nobody acquires the lease before the time to live has passed. By then the holder's deadline
+    has passed as well, also if it has not heard of the restore.
+
     :param host_id: id of this host.
     :param settings: durations and number of candidates.
     """
@@ -30,6 +36,7 @@
     _next_at: float = attrs.field(default=0.0, init=False)
     _acquire_at: float | None = attrs.field(default=None, init=False)
     _free_view: LeaseView | None = attrs.field(default=None, init=False)
+    _blocked_until: float = attrs.field(default=0.0, init=False)
 
     def decide(self, rank: int, now: float) -> LeaseStep:
         """Return the next step.
@@ -40,6 +47,9 @@
         """
         if now >= self.deadline:
             self._reset()
+        if now < self._blocked_until:
+            self._free_view = self._acquire_at = None
+            return LeaseStep(action=LeaseAction.WAIT, at=self._blocked_until)
         if now < self._next_at:
             return LeaseStep(action=LeaseAction.WAIT, at=self._next_at)
         if self.fencing_token:
@@ -62,17 +72,30 @@
             return LeaseStep(action=LeaseAction.READ)
         return LeaseStep(action=LeaseAction.GRANT)
 
-    def record_granted(self, store_lease: int, nonce: str, sent_at: float) -> None:
+    def record_new_era(self, now: float) -> None:
+        """Record that an answer of the store has named a higher era, confirmed or not.
+
+        :param now: monotonic time in seconds.
+        """
+        self._reset()
+        self._blocked_until = now + self.settings.ttl
+
+    def record_granted(
+        self, store_lease: int, nonce: str, sent_at: float, era: StoreEra = NO_ERA
+    ) -> None:
         """Record a new lease granted by the store; the next step writes the record under it.
 
         :param store_lease: id of the store's lease.
         :param nonce: new random id of this acquisition.
         :param sent_at: monotonic time in seconds before the call was made.
+        :param era: era of the store.
         """
         free = self._free_view
         if free is None:
             return
-        token = 1 + (free.record.fencing_token if free.record else 0)
+        # The record may be of a former era, in which higher tokens than its own were used.
+        former = free.record.fencing_token if free.record else 0
+        token = 1 + max(former, StorePosition(era=era).to_token())
         record = LeaseRecord(holder=self.host_id, fencing_token=token, nonce=nonce)
         self._pending = LeaseStep(
             action=LeaseAction.ACQUIRE,
--- a/packages/daemon/gypsumpost_daemon/placement/order_lease_store.py
+++ b/packages/daemon/gypsumpost_daemon/placement/order_lease_store.py
@@ -12,6 +12,7 @@
 from gypsumpost_core.placement.lease_view import LeaseView
 from gypsumpost_core.placement.order_lease import OrderLease
 from gypsumpost_daemon.lists.list_records import decode_record, encode_record
+from gypsumpost_daemon.store.era_monitor import EraMonitor
 from gypsumpost_daemon.store.store import Store
 from gypsumpost_daemon.store.store_transaction import (
     StoreCompare,
@@ -36,13 +37,22 @@
 
     :param store: the platform's store.
     :param domain: the failure domain.
+    :param eras: judges the store's answers.
     :param create_nonce: returns a new nonce for each acquisition of the lease.
     """
 
     store: Store
     domain: str
+    eras: EraMonitor = attrs.field(factory=EraMonitor)
     create_nonce: Callable[[], str] = lambda: secrets.token_hex(NONCE_BYTES)
 
+    def follow_era(self, lease: OrderLease) -> None:
+        """Tell a state machine of each answer that names a higher era.
+
+        :param lease: the state machine.
+        """
+        self.eras.add_sighting_listener(lambda: lease.record_new_era(trio.current_time()))
+
     async def run_step(self, lease: OrderLease, step: LeaseStep) -> None:
         """Make the store call of a step and report its result to the state machine.
 
@@ -56,7 +66,8 @@
             if isinstance(granted, Err):
                 lease.record_no_answer(trio.current_time())
             else:
-                lease.record_granted(granted.ok_value, self.create_nonce(), sent_at)
+                era = self.eras.era
+                lease.record_granted(granted.ok_value, self.create_nonce(), sent_at, era)
         elif step.action is LeaseAction.RENEW:
             kept = await self.store.renew_lease(step.store_lease, deadline)
             if isinstance(kept, Err):
--- a/packages/daemon/gypsumpost_daemon/placement/placement_task.py
+++ b/packages/daemon/gypsumpost_daemon/placement/placement_task.py
@@ -69,6 +69,7 @@
 
     async def run(self) -> None:
         """Run until cancelled, then revoke the lease."""
+        self.lease_store.follow_era(self.lease)
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._keep_lease)
--- a/packages/daemon/gypsumpost_daemon/platform_components.py
+++ b/packages/daemon/gypsumpost_daemon/platform_components.py
@@ -129,7 +129,9 @@
         self.placement = PlacementTask(
             directory=directory,
             lease=OrderLease(host_id=settings.host_id, settings=LeaseSettings()),
-            lease_store=OrderLeaseStore(store=self.store, domain=settings.failure_domain),
+            lease_store=OrderLeaseStore(
+                store=self.store, domain=settings.failure_domain, eras=self.eras
+            ),
             engines=engines,
             list_endpoints=endpoints.list_all,
             list_allowed=demand.list_allowed,
