--- a/packages/daemon/gypsumpost_daemon/admin/admin_lists.py
+++ b/packages/daemon/gypsumpost_daemon/admin/admin_lists.py
@@ -16,6 +16,7 @@
 from gypsumpost_daemon.lists.list_task import ListTask
 from gypsumpost_daemon.lists.stored_lists import read_history, read_lists
 from gypsumpost_daemon.peers.host_directory import HostDirectory
+from gypsumpost_daemon.store.era_monitor import EraMonitor
 from gypsumpost_daemon.store.store import Store
 
 READ_SECONDS = 3.0
@@ -30,13 +31,23 @@
     :param store: the platform's store.
     :param task: task that keeps this daemon's replica of the lists.
     :param directory: the known hosts.
+    :param eras: judges the store's answers, ``None`` for a store without eras.
     """
 
-    def __init__(self, *, store: Store, task: ListTask, directory: HostDirectory) -> None:
+    def __init__(
+        self,
+        *,
+        store: Store,
+        task: ListTask,
+        directory: HostDirectory,
+        eras: EraMonitor | None = None,
+    ) -> None:
         self._store = store
         self._task = task
         self._directory = directory
-        self._editor = ListEditor(store=store)
+        self._editor = ListEditor(
+            store=store, get_known_revision=lambda: task.known_revision, eras=eras
+        )
 
     def add_routes(self, application: AdminApplication) -> None:
         """Register the handlers.
--- a/packages/daemon/gypsumpost_daemon/lists/list_editor.py
+++ b/packages/daemon/gypsumpost_daemon/lists/list_editor.py
@@ -7,9 +7,10 @@
 import trio
 from result import Err
 
+from gypsumpost_core.gateway.store_era import NO_ERA
 from gypsumpost_core.lists.entry_edit import EntryEdit
 from gypsumpost_core.lists.history_record import HistoryRecord
-from gypsumpost_core.lists.list_check import check_lists, check_size
+from gypsumpost_core.lists.list_check import MAX_EDITED_ENTRIES, check_lists, check_size
 from gypsumpost_core.lists.list_difference import compute_difference, format_edits, undo_edits
 from gypsumpost_core.lists.list_error import ListError
 from gypsumpost_core.lists.list_file import parse_list
@@ -39,6 +40,7 @@
     read_history,
     read_lists,
 )
+from gypsumpost_daemon.store.era_monitor import EraMonitor
 from gypsumpost_daemon.store.store import Store
 from gypsumpost_daemon.store.store_transaction import (
     StoreCompare,
@@ -52,6 +54,8 @@
 HISTORY_REVISIONS = 20_000
 """History records kept in the store: about a day at 19,000 changes a day, about 10 MB."""
 
+OUTDATED = "the newest lists are being stored again, or not known at this host yet; edit them later"
+
 RETRY_SECONDS = 0.2
 NONCE_BYTES = 16
 
@@ -60,6 +64,10 @@
     """Validates edits and stores them by compare-and-swap on the head.
 
     :param store: the platform's store.
+    :param get_known_revision: returns the revision of this host's lists, ``None`` if it has not
+        read any yet; edits of older lists are not accepted, as the store has come back from an
+        older copy. ``None`` accepts them.
+    :param eras: judges the store's answers, ``None`` for a store without eras.
     :param create_nonce: returns a new nonce for each edit.
     """
 
@@ -67,9 +75,13 @@
         self,
         *,
         store: Store,
+        get_known_revision: Callable[[], int | None] | None = None,
+        eras: EraMonitor | None = None,
         create_nonce: Callable[[], str] = lambda: secrets.token_hex(NONCE_BYTES),
     ) -> None:
         self._store = store
+        self._get_known_revision = get_known_revision
+        self._eras = eras or EraMonitor()
         self._create_nonce = create_nonce
 
     async def replace_list(
@@ -90,6 +102,8 @@
         if isinstance(read, Err):
             return EditNotAccepted(reason=read.err_value.reason)
         edited = read.ok_value.lists.replace(kind, parsed.ok_value)
+        if self._is_outdated(read.ok_value):
+            return EditNotAccepted(reason=OUTDATED)
         if read.ok_value.lists.revision != base:
             return _describe_conflict(read.ok_value.lists, edited)
         return await self._store_lists(read.ok_value, edited, text, author, deadline)
@@ -123,6 +137,8 @@
     async def _store_lists(
         self, current: StoredLists, edited: Lists, text: str, author: str, deadline: float
     ) -> EditOutcome:
+        if self._is_outdated(current):
+            return EditNotAccepted(reason=OUTDATED)
         edits = compute_difference(current.lists, edited)
         errors = check_lists(edited, ListLines(text=text)) or check_size(edits)
         if errors:
@@ -138,13 +154,19 @@
         )
         return await self._write(current, record, edited, deadline)
 
+    def _is_outdated(self, stored: StoredLists) -> bool:
+        if self._get_known_revision is None or self._eras.era == NO_ERA:
+            return False
+        known, revision = self._get_known_revision(), stored.lists.revision
+        return revision > 0 if known is None else revision < known
+
     async def _write(
         self, current: StoredLists, record: HistoryRecord, edited: Lists, deadline: float
     ) -> EditOutcome:
         # The same transaction is retried until the store replies. Its condition holds at most once;
         # when it no longer holds, the nonce in the history record shows whether this edit wrote the
         # revision. A read alone is not enough: a lost call can still take effect after the read.
-        transaction = _create_transaction(current, record)
+        transaction = create_edit_transaction(current, record)
         reason, sent = "the deadline has passed", False
         while trio.current_time() < deadline:
             done = await self._store.run_transaction(transaction, deadline)
@@ -179,7 +201,12 @@
     return EditConflict(revision=current.revision, difference=difference)
 
 
-def _create_transaction(current: StoredLists, record: HistoryRecord) -> StoreTransaction:
+def create_edit_transaction(current: StoredLists, record: HistoryRecord) -> StoreTransaction:
+    """Return the transaction that stores a revision if the head has not changed.
+
+    :param current: the lists in the store.
+    :param record: the revision, with any number of edits.
+    """
     condition = (
         StoreCompare(key=HEAD_KEY, mod_revision=current.head_revision)
         if current.head_revision
@@ -197,11 +224,22 @@
     )
     return StoreTransaction(
         compare=(condition,),
-        success=operations + tuple(map(_create_operation, record.edits)),
+        success=operations + _create_operations(record.edits),
         failure=(StoreGet(key=history_key),),
     )
 
 
+def _create_operations(edits: tuple[EntryEdit, ...]) -> tuple[StoreOperation, ...]:
+    # The limit of operations in a transaction holds for each level of nesting.
+    operations = tuple(map(_create_operation, edits))
+    if len(operations) <= MAX_EDITED_ENTRIES:
+        return operations
+    return tuple(
+        StoreTransaction(success=operations[start : start + MAX_EDITED_ENTRIES])
+        for start in range(0, len(operations), MAX_EDITED_ENTRIES)
+    )
+
+
 def _create_operation(edit: EntryEdit) -> StoreOperation:
     key = get_entry_key(edit.key)
     if edit.after is None:
--- a/packages/daemon/gypsumpost_daemon/lists/list_task.py
+++ b/packages/daemon/gypsumpost_daemon/lists/list_task.py
@@ -17,6 +17,7 @@
 from gypsumpost_daemon.peers.message_kind import MessageKind
 from gypsumpost_daemon.peers.peer_channel import PeerChannel
 from gypsumpost_daemon.peers.peer_request import PeerRequest
+from gypsumpost_daemon.store.era_monitor import EraMonitor
 from gypsumpost_daemon.store.store import Store
 from gypsumpost_daemon.store.store_watcher import StoreWatcher
 from gypsumpost_daemon.telemetry.log import Log
@@ -49,6 +50,7 @@
     :param store: the platform's store, ``None`` if there is none.
     :param seed: random seed for the choice of peers to poll.
     :param watchers: number of daemons per failure domain that watch the store.
+    :param eras: judges the store's answers, ``None`` for a store without eras.
     """
 
     def __init__(
@@ -59,6 +61,7 @@
         store: Store | None,
         seed: int = 0,
         watchers: int = WATCHERS_PER_DOMAIN,
+        eras: EraMonitor | None = None,
     ) -> None:
         self._directory = directory
         self._channel = peers
@@ -71,7 +74,11 @@
         self._watcher: StoreWatcher | None = None
         if store is not None:
             self._watcher = StoreWatcher(
-                store=store, replica=self._replica, notify=self._notify, rng=self._rng
+                store=store,
+                replica=self._replica,
+                notify=self._notify,
+                rng=self._rng,
+                eras=eras,
             )
         peers.add_handler(MessageKind.LIST_CHANGES, self._serve_changes)
         peers.add_handler(MessageKind.LIST_REVISION, self._serve_revision)
@@ -86,6 +93,11 @@
         """The current revision."""
         return self._replica.revision
 
+    @property
+    def known_revision(self) -> int | None:
+        """The current revision, ``None`` before the first contact with the store."""
+        return self.revision if self._replica.store_seen_at else None
+
     @property
     def status(self) -> ListStatus:
         """Revision and age of the lists, for the administration interface."""
--- a/packages/daemon/gypsumpost_daemon/platform_components.py
+++ b/packages/daemon/gypsumpost_daemon/platform_components.py
@@ -97,7 +97,7 @@
             store=self.store,
             apply=self._update_stopped_endpoints,
         )
-        self.lists = ListTask(directory=directory, peers=network, store=self.store)
+        self.lists = ListTask(directory=directory, peers=network, store=self.store, eras=self.eras)
         gossip.add_revision_listener(self.lists.observe_peer_revision)
         self.shares = ShareTask(
             directory=directory,
@@ -140,7 +140,7 @@
             settings=PlacementSettings(load_interval=settings.load_interval),
         )
         self._admin_handlers = (
-            AdminLists(store=self.store, task=self.lists, directory=directory),
+            AdminLists(store=self.store, task=self.lists, directory=directory, eras=self.eras),
             AdminHosts(directory=directory, task=self.lists),
             AdminEndpoints(
                 endpoints=endpoints,
