Keep endpoints stopped across a restore of the store

Commands that operators gave after a restore had revisions that hosts knew already, so an endpoint that was started again stayed stopped, and a stop that the copy lacked was undone once the revisions had caught up.

--- a/packages/daemon/gypsumpost_daemon/endpoints/stopped_endpoint_replica.py
+++ b/packages/daemon/gypsumpost_daemon/endpoints/stopped_endpoint_replica.py
@@ -15,6 +15,7 @@
 from gypsumpost_daemon.peers.message_kind import MessageKind
 from gypsumpost_daemon.peers.peer_channel import PeerChannel
 from gypsumpost_daemon.peers.peer_request import PeerRequest
+from gypsumpost_daemon.store.era_monitor import EraMonitor
 from gypsumpost_daemon.store.store import Store
 from gypsumpost_daemon.telemetry.log import Log
 
@@ -34,6 +35,7 @@
     :param peers: channel for messages to other daemons.
     :param store: the platform's store, ``None`` if this daemon has none.
     :param apply: called with the names of the stopped endpoints after each change; must not block.
+    :param eras: judges the store's answers, ``None`` for a store without eras.
     :param seed: seed of the random choice of peers to poll.
     """
 
@@ -44,6 +46,7 @@
         peers: PeerChannel,
         store: Store | None,
         apply: Callable[[frozenset[str]], None],
+        eras: EraMonitor | None = None,
         seed: int = 0,
     ) -> None:
         self._directory = directory
@@ -55,7 +58,9 @@
         self._peers = ListPeers(directory=directory, watchers=WATCHERS_PER_DOMAIN, rng=self._rng)
         self._watcher: EndpointWatcher | None = None
         if store is not None:
-            self._watcher = EndpointWatcher(store=store, adopt=self._adopt, rng=self._rng)
+            self._watcher = EndpointWatcher(
+                store=store, adopt=self._adopt, rng=self._rng, eras=eras
+            )
         peers.add_handler(MessageKind.ENDPOINT_LEAVING, self._serve)
 
     @property
--- a/packages/daemon/gypsumpost_daemon/platform_components.py
+++ b/packages/daemon/gypsumpost_daemon/platform_components.py
@@ -96,6 +96,7 @@
             peers=network,
             store=self.store,
             apply=self._update_stopped_endpoints,
+            eras=self.eras,
         )
         self.lists = ListTask(directory=directory, peers=network, store=self.store, eras=self.eras)
         gossip.add_revision_listener(self.lists.observe_peer_revision)
