Keep unreadable eras and claims from ending the renewal of claims

A message of a peer or a stored claim that cannot be read raised an error in the task that stores claims again, which would have ended the host. An era that cannot be read, or is above the highest, counts as none; a claim that cannot be read is kept and logged. A host whose store names no era remembers no claims.

--- a/packages/bench/gypsumpost_bench/tests/test_endpoint_restore.py
+++ b/packages/bench/gypsumpost_bench/tests/test_endpoint_restore.py
@@ -7,6 +7,7 @@
 import trio.testing
 
 from gypsumpost_bench.memory_store import MemoryStore
+from gypsumpost_bench.store_copy import StoreCopy
 from gypsumpost_core.gateway.store_era import StoreEra
 from gypsumpost_daemon.endpoints import endpoint_editor
 from gypsumpost_daemon.endpoints.endpoint_editor import EndpointEditor
@@ -52,15 +53,20 @@
     return EndpointHost(store)
 
 
-async def test_a_lost_stop_is_stored_again_and_never_undone(
-    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock, host: EndpointHost
-) -> None:
-    """Guards against requests to an endpoint whose stop the copy lacks."""
+async def copy_with_stop(nursery: trio.Nursery, host: EndpointHost) -> StoreCopy:
+    """Start the host, stop endpoint ``e1``, and return a copy of the store with that record."""
     nursery.start_soon(host.follow)
     await trio.sleep(3)
     await host.set_desired("e1", "stopped")
     await trio.sleep(1)
-    older = host.store.logic.make_copy()
+    return host.store.logic.make_copy()
+
+
+async def test_a_lost_stop_is_stored_again_and_never_undone(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock, host: EndpointHost
+) -> None:
+    """Guards against requests to an endpoint whose stop the copy lacks."""
+    older = await copy_with_stop(nursery, host)
     await host.set_desired("e1", "started")
     for _ in range(10):
         await host.set_desired("e2", "started")
@@ -79,11 +85,7 @@
     nursery: trio.Nursery, autojump_clock: trio.testing.MockClock, host: EndpointHost
 ) -> None:
     """Guards against a command that is ignored for its low revision, or written over."""
-    nursery.start_soon(host.follow)
-    await trio.sleep(3)
-    await host.set_desired("e1", "stopped")
-    await trio.sleep(1)
-    older = host.store.logic.make_copy()
+    older = await copy_with_stop(nursery, host)
     for _ in range(10):
         await host.set_desired("e2", "stopped")
     await trio.sleep(5)
--- a/packages/daemon/gypsumpost_daemon/calls/claim_messages.py
+++ b/packages/daemon/gypsumpost_daemon/calls/claim_messages.py
@@ -7,7 +7,7 @@
 import capnp
 from result import Err, Ok, Result
 
-from gypsumpost_core.gateway.store_era import MAX_ERA, StoreEra
+from gypsumpost_core.gateway.store_era import MAX_ERA, NO_ERA, StoreEra
 from gypsumpost_daemon.calls.claim_order import ClaimOrder
 from gypsumpost_daemon.calls.claim_order_kind import ClaimOrderKind
 from gypsumpost_daemon.calls.claim_order_reply import ClaimOrderReply
@@ -73,11 +73,15 @@
 
 
 def decode_era(payload: bytes) -> StoreEra:
-    """Decode a ``RENEW_CLAIMS`` request, or the reply to it.
+    """Decode a ``RENEW_CLAIMS`` request, or the reply to it; ``NO_ERA`` if it cannot be read.
 
     :param payload: the encoded message.
     """
-    return StoreEra(min(SCHEMA.ClaimsEra.from_bytes_packed(payload).era, MAX_ERA))
+    try:
+        era = SCHEMA.ClaimsEra.from_bytes_packed(payload).era
+    except (capnp.KjException, ValueError):
+        return NO_ERA
+    return StoreEra(era) if era <= MAX_ERA else NO_ERA
 
 
 def _decode_order(order: Any) -> ClaimOrder:
--- a/packages/daemon/gypsumpost_daemon/calls/claim_renewal.py
+++ b/packages/daemon/gypsumpost_daemon/calls/claim_renewal.py
@@ -236,6 +236,14 @@
         return None
     if reply.current is None:
         return attrs.evolve(order, kind=ClaimOrderKind.CREATE, expected=b"")
-    if decode_record(reply.current).outcome is not None:
+    if not _is_open_claim(reply.current):
         return None
     return attrs.evolve(order, kind=ClaimOrderKind.REPLACE, expected=reply.current)
+
+
+def _is_open_claim(value: bytes) -> bool:
+    try:
+        return decode_record(value).outcome is None
+    except (ValueError, TypeError, KeyError, AttributeError) as error:
+        LOG.write("cannot read a stored claim", error=repr(error))
+        return False
--- a/packages/daemon/gypsumpost_daemon/calls/tracked_claims.py
+++ b/packages/daemon/gypsumpost_daemon/calls/tracked_claims.py
@@ -4,6 +4,7 @@
 import trio
 from result import Err, Result
 
+from gypsumpost_core.gateway.store_era import NO_ERA
 from gypsumpost_daemon.calls.claim_memory import ClaimMemory
 from gypsumpost_daemon.calls.claim_mode import ClaimMode
 from gypsumpost_daemon.calls.claim_order import ClaimOrder
@@ -61,6 +62,8 @@
         return result
 
     def _record_reply(self, order: ClaimOrder, reply: ClaimOrderReply) -> None:
+        if self.eras.era == NO_ERA:
+            return  # Such a store does not come back from a copy.
         now = trio.current_time()
         self.memory.record_contact(now)
         is_held = reply.applied or reply.current == order.value
--- a/packages/daemon/gypsumpost_daemon/tests/test_claim_memory.py
+++ b/packages/daemon/gypsumpost_daemon/tests/test_claim_memory.py
@@ -4,10 +4,12 @@
 
 from gypsumpost_core.calls.claim_outcome import ClaimOutcome
 from gypsumpost_core.calls.claim_record import ClaimRecord
+from gypsumpost_core.gateway.store_era import MAX_ERA, NO_ERA, StoreEra
 from gypsumpost_core.run_state import RunState
 from gypsumpost_daemon.calls import claim_memory
 from gypsumpost_daemon.calls.claim_codec import encode_record
 from gypsumpost_daemon.calls.claim_memory import MEMORY_SECONDS, ClaimMemory
+from gypsumpost_daemon.calls.claim_messages import decode_era, encode_era
 from gypsumpost_daemon.calls.claim_order import ClaimOrder
 from gypsumpost_daemon.calls.claim_order_kind import ClaimOrderKind
 from gypsumpost_daemon.calls.claim_order_reply import ClaimOrderReply
@@ -71,12 +73,22 @@
     assert [order.key for order in memory.list_orders()] == [b"2", b"3"]
 
 
+def test_an_era_of_a_peer_that_cannot_be_believed_is_none() -> None:
+    """Guards against a message that ends the renewal, or sets the era beyond all others."""
+    assert decode_era(encode_era(StoreEra(7))) == 7
+    assert decode_era(encode_era(StoreEra(MAX_ERA + 1))) == NO_ERA
+    for payload in (b"", b"\xff" * 20, b"\x00"):
+        assert decode_era(payload) == NO_ERA
+
+
 @pytest.mark.parametrize(
     ("kind", "stored", "following"),
     [
         (CREATE, make_value("own", False), None),
         (CREATE, make_value("other", False), REPLACE),
         (CREATE, make_value("other", True), None),
+        (CREATE, b"unreadable", None),
+        (CREATE, b"[]", None),
         (REPLACE, None, CREATE),
         (REPLACE, make_value("other", False), REPLACE),
         (REMOVE, None, None),
