--- a/packages/daemon/gypsumpost_daemon/platform_components.py
+++ b/packages/daemon/gypsumpost_daemon/platform_components.py
@@ -18,7 +18,7 @@
 from gypsumpost_daemon.admin.admin_server import serve_admin
 from gypsumpost_daemon.callers.list_access import ListAccess
 from gypsumpost_daemon.calls import claim_batcher, direct_claims
-from gypsumpost_daemon.calls.claim_mode import CLAIM_MODES
+from gypsumpost_daemon.calls.claims import create_claims
 from gypsumpost_daemon.calls.service_calls import ServiceCalls
 from gypsumpost_daemon.endpoints.endpoint_editor import EndpointEditor
 from gypsumpost_daemon.endpoints.stopped_endpoint_replica import StoppedEndpointReplica
@@ -37,6 +37,7 @@
 from gypsumpost_daemon.placement.order_lease_store import OrderLeaseStore
 from gypsumpost_daemon.placement.placement_task import PlacementTask
 from gypsumpost_daemon.settings import Settings
+from gypsumpost_daemon.store.era_monitor import EraMonitor
 from gypsumpost_daemon.store.store_client import StoreClient
 
 REGISTERED_CLAIM_MODES = (claim_batcher, direct_claims)
@@ -81,8 +82,11 @@
         self._endpoints = endpoints
         self._router = router
         self._gossip = gossip
+        self.eras = EraMonitor()
         self.store = StoreClient(
-            addresses=[settings.platform_address], failure_domain=settings.failure_domain
+            addresses=[settings.platform_address],
+            failure_domain=settings.failure_domain,
+            eras=self.eras,
         )
         self.host_list = HostList(platform_address=settings.platform_address)
         self.host_list.add_listener(gossip.handle_host_list)
@@ -92,8 +96,9 @@
             peers=network,
             store=self.store,
             apply=self._update_stopped_endpoints,
+            eras=self.eras,
         )
-        self.lists = ListTask(directory=directory, peers=network, store=self.store)
+        self.lists = ListTask(directory=directory, peers=network, store=self.store, eras=self.eras)
         gossip.add_revision_listener(self.lists.observe_peer_revision)
         self.shares = ShareTask(
             directory=directory,
@@ -106,11 +111,12 @@
             directory=directory,
             incarnation=time.time_ns() // 1_000_000,
             network=network,
-            claims=CLAIM_MODES.create(
+            claims=create_claims(
                 settings.claim_mode,
                 directory=directory,
                 network=network,
                 store=self.store,
+                eras=self.eras,
                 retention_seconds=settings.call_retention * SECONDS_PER_HOUR,
             ),
             secret=secret,
@@ -124,7 +130,9 @@
         self.placement = PlacementTask(
             directory=directory,
             lease=OrderLease(host_id=settings.host_id, settings=LeaseSettings()),
-            lease_store=OrderLeaseStore(store=self.store, domain=settings.failure_domain),
+            lease_store=OrderLeaseStore(
+                store=self.store, domain=settings.failure_domain, eras=self.eras
+            ),
             engines=engines,
             list_endpoints=endpoints.list_all,
             list_allowed=demand.list_allowed,
@@ -133,7 +141,7 @@
             settings=PlacementSettings(load_interval=settings.load_interval),
         )
         self._admin_handlers = (
-            AdminLists(store=self.store, task=self.lists, directory=directory),
+            AdminLists(store=self.store, task=self.lists, directory=directory, eras=self.eras),
             AdminHosts(directory=directory, task=self.lists),
             AdminEndpoints(
                 endpoints=endpoints,
