Close the faults that the review of the era of the store has found

- A host with eras counted endpoint changes of a peer without eras as reached although it had dropped them, so a removed endpoint stayed; now it asks the store.
- A list of a peer without eras, followed by a read of the store, looked like a restore.
- Damaged items of two eras were compared by revision and not read again.
- A peer that knows only the copy confirmed a version that the store had lost.
- An era that a peer names is bounded as one that the store names.
- A watcher that drops three answers in a row counts the store as lost, so that another host takes its turn.

--- a/packages/core/gypsumpost_core/gateway/era_belief.py
+++ b/packages/core/gypsumpost_core/gateway/era_belief.py
@@ -55,7 +55,7 @@
         """
         if era is None:
             return EraVerdict.CURRENT
-        if self.era != NO_ERA and era > self.era + MAX_RISE:
+        if self.is_unlikely(era):
             return EraVerdict.UNLIKELY
         if era > self.era and era != self._candidate:
             self._candidate = era
@@ -68,11 +68,19 @@
         return EraVerdict.CURRENT
 
     def adopt(self, era: StoreEra) -> None:
-        """Believe an era that a peer has had confirmed.
+        """Believe an era that a peer has had confirmed, unless it is too high.
 
         :param era: the era.
         """
-        self._believe(era)
+        if not self.is_unlikely(era):
+            self._believe(era)
+
+    def is_unlikely(self, era: StoreEra) -> bool:
+        """Return true if an era is too high to be believed.
+
+        :param era: the era.
+        """
+        return self.era != NO_ERA and era > self.era + MAX_RISE
 
     def _believe(self, era: StoreEra) -> None:
         if era > self.era:
--- a/packages/core/gypsumpost_core/gateway/item_table.py
+++ b/packages/core/gypsumpost_core/gateway/item_table.py
@@ -119,8 +119,10 @@
         Removals stay known, as the store may come back once more, from a copy older than those.
         """
         former = {item.key: item.value for item in self._items.values()}
-        known_removed = {key for key, value in former.items() if value is None} - self._lacking
-        self.restores += bool(self._items) or self.loaded
+        known_removed: set[str] = set()
+        if self.era != NO_ERA:  # Else a peer without eras has sent what is known.
+            known_removed = {key for key in former if former[key] is None} - self._lacking
+        self.restores += self.era != NO_ERA and (bool(self._items) or self.loaded)
         self._items = {
             key: StoredItem(key=key, revision=REMOVED_IN_FORMER_ERA, value=None)
             for key in known_removed
--- a/packages/daemon/gypsumpost_daemon/gateway/directory.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/directory.py
@@ -117,6 +117,21 @@
         if not self.is_configuration_unread and self._stored_version >= self.version:
             self.freshness.record_confirmation(self.version, asked_at)
 
+    def record_peer_confirmation(self, version: int, era: StoreEra, confirmed_at: float) -> None:
+        """Record that the store has confirmed a version to a peer.
+
+        An older version than the one in force says something of the present only if both hosts
+        know one history of the store, and the store has not lost the version in force.
+
+        :param version: the version.
+        :param era: era of the store that the peer knows.
+        :param confirmed_at: the moment, as monotonic time in seconds.
+        """
+        is_lost = self._stored_version < self.version
+        if version < self.version and (is_lost or era != self.endpoint_position.era):
+            return
+        self.freshness.record_confirmation(version, confirmed_at)
+
     def has_lost_service(self) -> bool:
         """Return true if some routed service has only endpoints that are considered lost."""
         if self.routes is None:
@@ -135,6 +150,9 @@
         """
         if entry.prefix not in self.tables:
             return False
+        if self.era_belief.is_unlikely(entry.era):
+            LOG.write("ignored a list of an unlikely era", source=source, era=entry.era)
+            return False
         self.era_belief.adopt(entry.era)
         if entry.partial:
             return self.apply(entry.prefix, entry.items, entry.revision, source, era=entry.era)
--- a/packages/daemon/gypsumpost_daemon/gateway/directory_exchange.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/directory_exchange.py
@@ -94,7 +94,9 @@
         )
         if beacon.confirmed_ms_ago is not None:
             confirmed_at = arrived_after - beacon.confirmed_ms_ago / MILLISECONDS
-            self._directory.freshness.record_confirmation(beacon.version, confirmed_at)
+            self._directory.record_peer_confirmation(
+                beacon.version, source.endpoint_position.era, confirmed_at
+            )
         if self._is_ahead(source):
             self._directory.freshness.record_named(source.version)
             now = trio.current_time()
@@ -187,6 +189,8 @@
         sets = await self._request_sets(source, known)
         if sets is None or len(sets) < len(known):
             return False  # The peer does not hold all items itself.
+        if not self._directory.tables.can_use(sets):
+            return False  # The peer knows another era, or none.
         for prefix in in_doubt:
             self._directory.tables.forget_revision(prefix)
         self._apply(sets, source)
--- a/packages/daemon/gypsumpost_daemon/gateway/item_tables.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/item_tables.py
@@ -1,5 +1,7 @@
 """The tables of a directory by prefix, and what hosts send each other of them."""
 
+from collections.abc import Iterable
+
 from gypsumpost_core.gateway.item_table import ItemTable
 from gypsumpost_core.gateway.store_position import StorePosition
 from gypsumpost_daemon.gateway.directory_query import DirectoryQuery
@@ -26,6 +28,13 @@
             return False
         return not table.holds(entry.kept, entry.revision)
 
+    def can_use(self, sets: Iterable[ItemSet]) -> bool:
+        """Return true if no list of a peer is of an earlier era than is known.
+
+        :param sets: the lists.
+        """
+        return all(entry.era >= self[entry.prefix].era for entry in sets if entry.prefix in self)
+
     def list_positions(self) -> dict[str, StorePosition]:
         """Return the position up to which all items are known, by prefix.
 
--- a/packages/daemon/gypsumpost_daemon/gateway/store_follower.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/store_follower.py
@@ -44,6 +44,9 @@
 ERA_LOG_SECONDS = 1.0
 """Minimum interval between two lines on answers of a wrong era."""
 
+MAX_DROPPED = 3
+"""Answers of another era in a row from which on the store counts as one that does not answer."""
+
 UNEXPECTED = ItemStoreFailure(reason="an unexpected error", history_lost=True)
 """The prefix is read again as a whole."""
 
@@ -76,7 +79,8 @@
         self._poll_starts = {prefix: PollStart() for prefix in directory.tables}
         self._rereads = RereadSchedule()
         self._era_log_at = -math.inf
-        self._reread: dict[str, int] = {}
+        self._dropped = 0
+        self._reread: dict[str, StorePosition] = {}
         self._failed_prefix = next(iter(directory.tables))
 
     @property
@@ -193,9 +197,12 @@
             nursery.start_soon(self._check_recovery)
 
     async def _check_recovery(self) -> None:
-        """Read from the store after a failure, since watch calls may block through the outage."""
+        """Read after a failure or a change of era, since watch calls may block through it."""
         while True:
             await trio.sleep(RECOVERY_SECONDS)
+            for prefix, scope in self._watch_scopes.items():
+                if not self._is_current(prefix):
+                    scope.cancel()  # Another prefix, or a peer, has shown that the era has changed.
             if self._lost and self._is_watcher():
                 with contain_errors(LOG, "an answer of the store", prefix=self._failed_prefix):
                     await self._read(self._failed_prefix)
@@ -204,7 +211,7 @@
         failed_before = False
         while True:
             await self._wait_until_watcher()
-            known = prefix in self._positions
+            known = self._is_current(prefix)
             failure: ItemStoreFailure | None = UNEXPECTED
             with contain_errors(LOG, "an answer of the store", prefix=prefix):
                 failure = await (self._watch(prefix) if known else self._read(prefix))
@@ -221,6 +228,11 @@
                 await self._wait_recovery()
             failed_before = True
 
+    def _is_current(self, prefix: str) -> bool:
+        """Return true if the store has told of a prefix in the era that is believed."""
+        position = self._positions.get(prefix)
+        return position is not None and position.era == self._directory.era_belief.era
+
     async def _wait_recovery(self) -> None:
         """Wait until the store answers again; one task asks it for all prefixes."""
         while self._lost and self._is_watcher():
@@ -253,7 +265,7 @@
             self.calls += 1
             read = await self._store.read(prefix, deadline)
             if isinstance(read, Err):
-                self._observe_era(read.err_value.era)
+                self._observe_failure(read.err_value)
                 return read
             verdict = self._observe_era(read.ok_value.era)
             if verdict is EraVerdict.CURRENT:
@@ -295,16 +307,20 @@
         self, answer: Result[ItemBatch, ItemStoreFailure], position: StorePosition
     ) -> Result[ItemBatch, ItemStoreFailure]:
         """Return the changes after a position, or why they cannot be used."""
-        named = answer.err_value.era if isinstance(answer, Err) else answer.ok_value.era
-        verdict = self._observe_era(named)
         if isinstance(answer, Err):
+            self._observe_failure(answer.err_value)
             return answer
+        verdict = self._observe_era(answer.ok_value.era)
         if verdict in (EraVerdict.FORMER, EraVerdict.UNLIKELY):
             return Err(ItemStoreFailure(reason="an answer of another era", wrong_era=True))
         if verdict is EraVerdict.UNCONFIRMED or position.era != self._directory.era_belief.era:
             return Err(ItemStoreFailure(reason="the era has changed", history_lost=True))
         return answer
 
+    def _observe_failure(self, failure: ItemStoreFailure) -> None:
+        if failure.era is not None:  # Else there may have been no answer.
+            self._observe_era(failure.era)
+
     def _observe_era(self, era: StoreEra | None) -> EraVerdict:
         believed = self._directory.era_belief.era
         verdict = self._directory.era_belief.observe(era)
@@ -339,8 +355,9 @@
         if prefix == self._directory.configuration_prefix:
             self._directory.record_store_answer(asked_at)
         # Items that arrived damaged are read again, once for each write.
-        discarded = self._directory.tables[prefix].discarded
-        if discarded > self._reread.get(prefix, 0):
+        table = self._directory.tables[prefix]
+        discarded = StorePosition(era=table.era, revision=table.discarded)
+        if table.discarded and discarded > self._reread.get(prefix, StorePosition()):
             self._reread[prefix] = discarded
             self._positions.pop(prefix, None)
 
@@ -368,7 +385,9 @@
             )
             return failure
         if failure.wrong_era:
-            return failure
+            self._dropped += 1
+            if self._dropped < MAX_DROPPED:
+                return failure
         self._directory.record_outage(trio.current_time())
         if not self._lost:
             LOG.write(
@@ -385,6 +404,7 @@
     def _record_answer(self) -> None:
         self._record_recovery()
         self._following = True
+        self._dropped = 0
         self.answered_at = trio.current_time()
 
     def _record_recovery(self) -> None:
