End watches that go on from a position of a former era

Cause: where the store's revisions have caught up with the position of a watch, the watch gets no 410 and sleeps, although another prefix or a peer has told the new era.

Change: each 0.8 s, watches whose position is of another era than the believed one end, and their prefixes are read anew.

--- a/packages/daemon/gypsumpost_daemon/gateway/store_follower.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/store_follower.py
@@ -176,10 +176,22 @@
         """Read from the store after a failure, since watch calls may block through the outage."""
         while True:
             await trio.sleep(RECOVERY_SECONDS)
+            self._end_watches_of_former_eras()
             if self._lost and self._is_watcher():
                 with contain_errors(LOG, "an answer of the store", prefix=self._failed_prefix):
                     await self._read(self._failed_prefix)
 
+    def _end_watches_of_former_eras(self) -> None:
+        """Read again what an open watch follows from a position of a former era.
+
+        The store's revisions may have caught up with it, so that the watch brings nothing.
+        """
+        for prefix in self._watched_since:
+            position = self._positions.get(prefix)
+            if position is not None and position.era != self._directory.era_belief.era:
+                del self._positions[prefix]
+                self._watch_scopes[prefix].cancel()
+
     async def _follow(self, prefix: str) -> None:
         failed_before = False
         while True:
