--- a/packages/daemon/gypsumpost_daemon/gateway/store_follower.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/store_follower.py
@@ -200,13 +200,20 @@
         """Read after a failure or a change of era, since watch calls may block through it."""
         while True:
             await trio.sleep(RECOVERY_SECONDS)
-            for prefix, scope in self._watch_scopes.items():
-                if not self._is_current(prefix):
-                    scope.cancel()  # Another prefix, or a peer, has shown that the era has changed.
+            self._end_watches_of_former_eras()
             if self._lost and self._is_watcher():
                 with contain_errors(LOG, "an answer of the store", prefix=self._failed_prefix):
                     await self._read(self._failed_prefix)
 
+    def _end_watches_of_former_eras(self) -> None:
+        """Read again what an open watch follows from a position of a former era.
+
+        The store's revisions may have caught up with it, so that the watch brings nothing.
+        """
+        for prefix in self._watched_since:
+            if not self._is_current(prefix):
+                self._watch_scopes[prefix].cancel()
+
     async def _follow(self, prefix: str) -> None:
         failed_before = False
         while True:
