Read the store through one class that checks the era of each answer

The checks of eras are in store_reader.py now, and the form of the header is read in one place for both stores (parse_era).

--- a/packages/daemon/gypsumpost_daemon/gateway/store_follower.py
+++ b/packages/daemon/gypsumpost_daemon/gateway/store_follower.py
@@ -8,14 +8,13 @@
 import trio
 from result import Err, Result
 
-from gypsumpost_core.gateway.era_belief import EraVerdict
 from gypsumpost_core.gateway.host_roles import HostRoles
 from gypsumpost_core.gateway.poll_start import PollStart
 from gypsumpost_core.gateway.reread_schedule import RereadSchedule
-from gypsumpost_core.gateway.store_era import NO_ERA, StoreEra
 from gypsumpost_core.gateway.store_position import StorePosition
 from gypsumpost_daemon.gateway.directory import STORE, Directory
 from gypsumpost_daemon.gateway.item_store import ItemBatch, ItemStore, ItemStoreFailure
+from gypsumpost_daemon.gateway.store_reader import StoreReader
 from gypsumpost_daemon.lifecycle.contained_errors import contain_errors
 from gypsumpost_daemon.telemetry.log import Log
 
@@ -41,9 +40,6 @@
 REFRESH_SECONDS = 1.0
 """Minimum interval between two refreshes."""
 
-ERA_LOG_SECONDS = 1.0
-"""Minimum interval between two lines on answers of a wrong era."""
-
 MAX_DROPPED = 3
 """Answers of another era in a row from which on the store counts as one that does not answer."""
 
@@ -62,11 +58,10 @@
     """
 
     def __init__(self, *, store: ItemStore, directory: Directory, roles: HostRoles) -> None:
-        self._store = store
+        self._reader = StoreReader(store=store, belief=directory.era_belief)
         self._directory = directory
         self._roles = roles
         self.answered_at = trio.current_time()
-        self.calls = 0
         self._lost = False
         self._following = False
         self._refresh_at = -math.inf
@@ -78,11 +73,15 @@
         self._positions: dict[str, StorePosition] = {}
         self._poll_starts = {prefix: PollStart() for prefix in directory.tables}
         self._rereads = RereadSchedule()
-        self._era_log_at = -math.inf
         self._dropped = 0
         self._reread: dict[str, StorePosition] = {}
         self._failed_prefix = next(iter(directory.tables))
 
+    @property
+    def calls(self) -> int:
+        """Number of calls to the store so far."""
+        return self._reader.calls
+
     @property
     def lost(self) -> bool:
         """True while the store does not answer."""
@@ -164,13 +163,10 @@
         if self._must_read_again(prefix, asked_at):
             position = None
         if position is not None:
-            self.calls += 1
-            polled = self._check_era(
-                await self._store.poll(prefix, position.revision, deadline), position
-            )
+            polled = await self._reader.poll(prefix, position, deadline)
         if polled is None or (isinstance(polled, Err) and polled.err_value.history_lost):
             position = None
-            polled = await self._read_era(prefix, deadline)
+            polled = await self._reader.read(prefix, deadline)
         if isinstance(polled, Err):
             LOG.write(
                 "the store did not answer a poll",
@@ -258,7 +254,7 @@
 
     async def _read(self, prefix: str) -> ItemStoreFailure | None:
         asked_at = trio.current_time()
-        read = await self._read_era(prefix, asked_at + READ_SECONDS)
+        read = await self._reader.read(prefix, asked_at + READ_SECONDS)
         if isinstance(read, Err):
             return self._record_failure(prefix, read.err_value, asked_at)
         self._record_answer()
@@ -266,30 +262,12 @@
         self.record_told(prefix, asked_at)
         return None
 
-    async def _read_era(self, prefix: str, deadline: float) -> Result[ItemBatch, ItemStoreFailure]:
-        """Read a prefix, a second time if the first answer names a new era."""
-        for _ in range(2):
-            self.calls += 1
-            read = await self._store.read(prefix, deadline)
-            if isinstance(read, Err):
-                self._observe_failure(read.err_value)
-                return read
-            verdict = self._observe_era(read.ok_value.era)
-            if verdict is EraVerdict.CURRENT:
-                return read
-            if verdict is not EraVerdict.UNCONFIRMED:
-                break
-        return Err(ItemStoreFailure(reason="an answer of another era", wrong_era=True))
-
     async def _watch(self, prefix: str) -> ItemStoreFailure | None:
-        self.calls += 1
         self._watched_since[prefix] = trio.current_time()
         watched: Result[ItemBatch, ItemStoreFailure] | None = None
         with trio.CancelScope() as scope:
             self._watch_scopes[prefix] = scope
-            position = self._positions[prefix]
-            watched = await self._store.watch(prefix, position.revision)
-            watched = self._check_era(watched, position)
+            watched = await self._reader.watch(prefix, self._positions[prefix])
         watched_since = self._watched_since.pop(prefix)
         if watched is None:
             return None  # The watch has missed a change and is started again.
@@ -310,39 +288,6 @@
         self.record_told(prefix, trio.current_time())
         return None
 
-    def _check_era(
-        self, answer: Result[ItemBatch, ItemStoreFailure], position: StorePosition
-    ) -> Result[ItemBatch, ItemStoreFailure]:
-        """Return the changes after a position, or why they cannot be used."""
-        if isinstance(answer, Err):
-            self._observe_failure(answer.err_value)
-            return answer
-        verdict = self._observe_era(answer.ok_value.era)
-        if verdict in (EraVerdict.FORMER, EraVerdict.UNLIKELY):
-            return Err(ItemStoreFailure(reason="an answer of another era", wrong_era=True))
-        if verdict is EraVerdict.UNCONFIRMED or position.era != self._directory.era_belief.era:
-            return Err(ItemStoreFailure(reason="the era has changed", history_lost=True))
-        return answer
-
-    def _observe_failure(self, failure: ItemStoreFailure) -> None:
-        if failure.era is not None:  # Else there may have been no answer.
-            self._observe_era(failure.era)
-
-    def _observe_era(self, era: StoreEra | None) -> EraVerdict:
-        believed = self._directory.era_belief.era
-        verdict = self._directory.era_belief.observe(era)
-        missing = era is None and believed != NO_ERA
-        now = trio.current_time()
-        if (verdict is not EraVerdict.CURRENT or missing) and now >= self._era_log_at:
-            self._era_log_at = now + ERA_LOG_SECONDS
-            LOG.write(
-                "an answer does not name the believed era",
-                era=era,
-                believed_era=believed,
-                verdict=verdict.value,
-            )
-        return verdict
-
     def _apply(
         self,
         apply: Callable[..., bool],
--- a/packages/daemon/gypsumpost_daemon/store/era_monitor.py
+++ b/packages/daemon/gypsumpost_daemon/store/era_monitor.py
@@ -8,14 +8,14 @@
 from result import Err, Result
 
 from gypsumpost_core.gateway.era_belief import EraBelief, EraVerdict
-from gypsumpost_core.gateway.store_era import MAX_ERA, StoreEra
+from gypsumpost_core.gateway.store_era import StoreEra, parse_era
 from gypsumpost_daemon.store.store_failure import StoreFailure
 from gypsumpost_daemon.telemetry.log import Log
 
 T = TypeVar("T")
 
 STORE_ERA = b"store-era"
-MAX_DIGITS = 12
+MAX_LOGGED_BYTES = 12
 
 LOG_SECONDS = 1.0
 """Minimum interval between two lines on eras that are not believed or cannot be read."""
@@ -99,6 +99,8 @@
         :param era: the era.
         """
         before = self.era
+        if self._belief.is_unlikely(era):
+            return
         if era > before:
             self._notify_sighting()
         self._belief.adopt(era)
@@ -112,11 +114,10 @@
         """
         values = [value.strip() for name, value in headers if name.lower() == STORE_ERA]
         value = b",".join(values)
-        if value.isdigit() and len(value) <= MAX_DIGITS and int(value) <= MAX_ERA:
-            return StoreEra(int(value))
-        if values:
-            self._log("cannot read the era", value=value[:MAX_DIGITS].decode("latin-1"))
-        return None
+        era = parse_era(value)
+        if era is None and values:
+            self._log("cannot read the era", value=value[:MAX_LOGGED_BYTES].decode("latin-1"))
+        return era
 
     def _notify_sighting(self) -> None:
         for listener in self._sighting_listeners:
